--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+# gaplink: the two commands are `make run` and `make test`.
+GO ?= go
+
+.PHONY: build run test lint demo bench model ci
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+run: build
+	./bin/gaplink-lab solo
+
+test: build
+	$(GO) test ./...
+
+lint:
+	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+# Faults: make demo FAULTS=kill,freeze,outage,cut,race,drain
+FAULTS ?=
+demo: build
+	./bin/gaplink-lab demo --faults "$(FAULTS)"
--- /dev/null
+++ b/admin/messages.go
@@ -0,0 +1,127 @@
+package admin
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/gaplink/gaplink/membership"
+	"github.com/gaplink/gaplink/table"
+)
+
+// The commands.
+const (
+	AccountCreate = "account.create"
+	AccountKey    = "account.key"
+	AccountList   = "account.list"
+	BudgetCreate  = "budget.create"
+	BudgetTopUp   = "budget.topup"
+	BudgetShow    = "budget.show"
+	BudgetClose   = "budget.close-holder"
+	PoolSet       = "pool.set"
+	PoolList      = "pool.list"
+	PoolDelete    = "pool.delete"
+	TableGet      = "table.get"
+	TableSet      = "table.set"
+	TableApply    = "table.apply"
+	Audit         = "audit"
+	Bills         = "bills"
+	Status        = "status"
+)
+
+// AccountArgs names a client account.
+type AccountArgs struct {
+	ID string `json:"id"`
+}
+
+// KeyAnswer is a new key. It is shown once and stored nowhere.
+type KeyAnswer struct {
+	Account  string `json:"account"`
+	Key      string `json:"key"`
+	Revision int64  `json:"revision"`
+}
+
+// BudgetArgs names a budget; Tokens is the limit or the top-up.
+type BudgetArgs struct {
+	ID      string `json:"id"`
+	Account string `json:"account,omitempty"`
+	Tokens  int64  `json:"tokens,omitempty"`
+}
+
+// BudgetAnswer shows a budget, in tokens.
+type BudgetAnswer struct {
+	ID      string `json:"id"`
+	Account string `json:"account,omitempty"`
+	// Limit is what was prepaid.
+	Limit int64 `json:"limit"`
+	// Issued was handed to routers, net of returns.
+	Issued int64 `json:"issued"`
+	// Free can still be issued.
+	Free int64 `json:"free"`
+	// Held is with routers that answered: unused or in running requests.
+	Held int64 `json:"held"`
+	// SpentOrStranded is the rest: spent, or held by a router that is gone.
+	SpentOrStranded int64 `json:"spent_or_stranded"`
+	// Holders are the open holders' net issue.
+	Holders map[string]int64 `json:"holders,omitempty"`
+	// Silent names listed routers that did not answer.
+	Silent []string `json:"silent,omitempty"`
+}
+
+// HolderArgs names a holder incarnation.
+type HolderArgs struct {
+	Holder string `json:"holder"`
+}
+
+// PoolArgs carries a pool, or just its name. Skip is as in TableSetArgs.
+type PoolArgs struct {
+	Pool table.Pool `json:"pool"`
+	Skip []string   `json:"skip,omitempty"`
+}
+
+// TableSetArgs edits one row.
+type TableSetArgs struct {
+	// Row is ACCOUNT/TARGET/SITE.
+	Row string `json:"row"`
+	// Assignments are COLUMN=VALUE.
+	Assignments []string `json:"assignments"`
+	// Expect is the revision that the operator saw; absent means the present
+	// one.
+	Expect *int64 `json:"expect,omitempty"`
+	// Skip names instances that the operator attests to be terminated.
+	Skip []string `json:"skip,omitempty"`
+}
+
+// TableApplyArgs carries several edits as one change.
+type TableApplyArgs struct {
+	Edits []table.Edit `json:"edits"`
+	Skip  []string     `json:"skip,omitempty"`
+}
+
+// AuditEntry is one line of the audit trail.
+type AuditEntry struct {
+	At       time.Time       `json:"at"`
+	Operator string          `json:"operator"`
+	What     string          `json:"what"`
+	Before   json.RawMessage `json:"before,omitempty"`
+	After    json.RawMessage `json:"after,omitempty"`
+	Revision int64           `json:"revision,omitempty"`
+	Outcome  string          `json:"outcome"`
+	Skipped  []string        `json:"skipped,omitempty"`
+}
+
+// BillSum is a budget's total in the ledger.
+type BillSum struct {
+	Account string `json:"account"`
+	Budget  string `json:"budget"`
+	// Attempts are the billed attempts, Tokens what they served.
+	Attempts int   `json:"attempts"`
+	Tokens   int64 `json:"tokens"`
+}
+
+// StatusAnswer is one router's view.
+type StatusAnswer struct {
+	Instance string              `json:"instance"`
+	Ready    bool                `json:"ready"`
+	Revision int64               `json:"revision"`
+	Members  []membership.Member `json:"members"`
+}
--- /dev/null
+++ b/backend/engine.go
@@ -0,0 +1,172 @@
+package backend
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/gaplink/gaplink/engine"
+)
+
+// Engine is a model engine stand-in. It is an http.Handler.
+type Engine struct {
+	*base
+	mux   *http.ServeMux
+	pause time.Duration // between tokens
+}
+
+// NewEngine returns an engine that takes pause for each token.
+func NewEngine(pause time.Duration) *Engine {
+	e := &Engine{base: newBase(), mux: http.NewServeMux(), pause: pause}
+	e.routes(e.mux)
+	e.mux.HandleFunc("POST /v1/chat/completions", e.chat)
+	e.mux.HandleFunc("POST /v1/cancel", e.cancel)
+	return e
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
+
+type chatBody struct {
+	Messages []struct {
+		Content string `json:"content"`
+	} `json:"messages"`
+	MaxTokens int64 `json:"max_tokens"`
+}
+
+// prompt returns the first message.
+func (b chatBody) prompt() string {
+	if len(b.Messages) == 0 {
+		return ""
+	}
+	return b.Messages[0].Content
+}
+
+// Answer returns the text that an engine gives for a prompt and cap, and its
+// number of tokens, so that a load sender can check what it got.
+func Answer(prompt string, maxTokens int64) (text string, tokens int64) {
+	h := xxhash.Sum64String(prompt)
+	tokens = 1 + int64(h%uint64(maxTokens))
+	var b strings.Builder
+	for i := range tokens {
+		b.WriteString(word(h, i))
+	}
+	return b.String(), tokens
+}
+
+func word(h uint64, i int64) string {
+	return fmt.Sprintf("%x.%d ", h&0xffff, i)
+}
+
+// Nonce returns the load sender's mark: the first word of a text.
+func Nonce(text string) string {
+	nonce, _, _ := strings.Cut(text, " ")
+	return nonce
+}
+
+func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	var req chatBody
+	if err := json.Unmarshal(body, &req); err != nil || req.MaxTokens < 1 {
+		http.Error(w, "bad request", http.StatusBadRequest)
+		return
+	}
+	attempt := r.Header.Get(engine.HeaderAttempt)
+	run, fault := e.begin(attempt, Nonce(req.prompt()))
+	e.head(w)
+	if fault == Refuse {
+		w.Header().Set(engine.HeaderNotAccepted, "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer e.end()
+	if fault == Stall {
+		<-r.Context().Done()
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(engine.HeaderAttempt, attempt)
+	e.generate(w, r, run, req, fault)
+}
+
+func (b *base) head(w http.ResponseWriter) {
+	load, leaving := b.state()
+	w.Header().Set(engine.HeaderLoad, strconv.Itoa(load))
+	w.Header().Set(engine.HeaderLeaving, strconv.FormatBool(leaving))
+}
+
+func (e *Engine) generate(w http.ResponseWriter, r *http.Request, run *Run, req chatBody, fault Fault) {
+	h := xxhash.Sum64String(req.prompt())
+	_, tokens := Answer(req.prompt(), req.MaxTokens)
+	if fault == Excess {
+		tokens = req.MaxTokens + 5
+	}
+	id := run.Attempt
+	if fault == Foreign {
+		id = "someone-else.1"
+	}
+	for i := range tokens {
+		if fault == Garbage && i == tokens/2 {
+			_, _ = io.WriteString(w, "data: {garbage\n\n")
+		}
+		if fault == Cut && i == tokens/2 {
+			panic(http.ErrAbortHandler)
+		}
+		if !e.step(r) {
+			return
+		}
+		e.count(run)
+		event(w, id, word(h, i), "", 0)
+	}
+	event(w, id, "", "stop", tokens)
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+}
+
+// step takes the time of one token; false means that the caller has gone.
+func (e *Engine) step(r *http.Request) bool {
+	if e.pause <= 0 {
+		return r.Context().Err() == nil
+	}
+	timer := time.NewTimer(e.pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func event(w http.ResponseWriter, id, content, finish string, tokens int64) {
+	usage := "null"
+	if tokens > 0 {
+		usage = fmt.Sprintf(`{"completion_tokens":%d}`, tokens)
+	}
+	reason := "null"
+	if finish != "" {
+		reason = strconv.Quote(finish)
+	}
+	_, _ = fmt.Fprintf(w, "data: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{\"content\":%q},\"finish_reason\":%s}],\"usage\":%s}\n\n", id, content, reason, usage)
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
+	}
+}
+
+// cancel stops nothing more than the broken connection already has, and tells
+// how many tokens were served.
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	run, ok := e.byAttempt[r.Header.Get(engine.HeaderAttempt)]
+	var served int64
+	if ok {
+		served = run.Tokens
+	}
+	e.mu.Unlock()
+	writeJSON(w, map[string]int64{"completion_tokens": served})
+}
--- /dev/null
+++ b/budget/agent.go
@@ -0,0 +1,398 @@
+package budget
+
+import (
+	"time"
+)
+
+// Cause says why a reservation was refused.
+type Cause string
+
+// The causes of a refusal.
+const (
+	// Exhausted: the store and the known holders have too little left.
+	Exhausted Cause = "exhausted"
+	// Unreachable: tokens may be left, but store or home did not answer.
+	Unreachable Cause = "unreachable"
+	// Unknown: the store has no such budget.
+	Unknown Cause = "unknown"
+	// Moved: the asked router is closing; ask the next home.
+	Moved Cause = "moved"
+)
+
+// Peer names a router process.
+type Peer struct {
+	// ID is the instance.
+	ID string
+	// Incarnation is unique to one process life.
+	Incarnation string
+}
+
+// Kind is the kind of a message between routers.
+type Kind string
+
+// The message kinds.
+const (
+	// Draw asks the home for tokens.
+	Draw Kind = "draw"
+	// Grant moves tokens from the home, or refuses a draw.
+	Grant Kind = "grant"
+	// Recall asks a holder for its unused tokens.
+	Recall Kind = "recall"
+	// Back moves unused tokens to the home.
+	Back Kind = "back"
+)
+
+// Message is what routers tell each other about one budget. Tokens move by
+// cumulative totals per pair of incarnations, so that a lost, doubled or late
+// message can strand tokens for a while but never double them; the next
+// message heals a loss.
+type Message struct {
+	Kind   Kind
+	Budget string
+	From   Peer
+	// To is the receiver; an empty incarnation stands for any.
+	To Peer
+	// Need is the least number of tokens that helps the drawer.
+	Need int64
+	// Want is what the drawer would like, by its demand.
+	Want int64
+	// Total is the sum of all tokens ever moved from From to To.
+	Total int64
+	// Delta is the part of Total that this message adds.
+	Delta int64
+	// Scarce tells the receiver to give unused tokens back at once.
+	Scarce bool
+	// Refused is set on a Grant that moves nothing.
+	Refused Cause
+	// Token is the drawer's reservation; a Grant repeats it. 0 is a draw
+	// ahead of demand.
+	Token uint64
+}
+
+// Effect is something the caller of an Agent must do.
+type Effect interface{ effect() }
+
+// Send delivers a message, once, without waiting. A failure is told by
+// Undelivered.
+type Send struct{ Message Message }
+
+// ReadPage reads a page and calls PageRead.
+type ReadPage struct{ Page int }
+
+// WritePage updates a page (a create for version 0) and calls PageWritten.
+type WritePage struct {
+	Page    int
+	Version int64
+	Value   *Page
+}
+
+// Resolve answers a reservation that had to wait.
+type Resolve struct {
+	Token uint64
+	// OK tells that the tokens are reserved; otherwise Cause says why not.
+	OK    bool
+	Cause Cause
+}
+
+// Suspect tells that an instance did not answer in time.
+type Suspect struct{ ID string }
+
+func (Send) effect()      {}
+func (ReadPage) effect()  {}
+func (WritePage) effect() {}
+func (Resolve) effect()   {}
+func (Suspect) effect()   {}
+
+// Config are the settings of an agent.
+type Config struct {
+	// Self is this router.
+	Self Peer
+	// Pages is the fleet's number of budget pages.
+	Pages int
+	// Home names the instance that holds a budget's shared tokens now.
+	Home func(now time.Time, budget string) string
+	// HomeHorizon is how much demand a home draws ahead from the store. It is
+	// the setting between the users' preferences: longer lasts longer through
+	// an outage and strands more when a home dies.
+	HomeHorizon time.Duration
+	// EntryHorizon is how much demand an entry router holds.
+	EntryHorizon time.Duration
+	// DrawTimeout is how long an entry router waits for the home's answer.
+	DrawTimeout time.Duration
+	// RecallTimeout is how long a home waits for recalled tokens.
+	RecallTimeout time.Duration
+	// CheckEvery bounds how often an exhausted budget is looked up again.
+	CheckEvery time.Duration
+	// StoreRetry is the pause after the store was unavailable.
+	StoreRetry time.Duration
+	// IdleAfter is when an unused balance is given back.
+	IdleAfter time.Duration
+}
+
+// DefaultConfig returns the settings used when an operator names none.
+func DefaultConfig() Config {
+	return Config{
+		Pages:         16,
+		HomeHorizon:   10 * time.Second,
+		EntryHorizon:  time.Second,
+		DrawTimeout:   400 * time.Millisecond,
+		RecallTimeout: 150 * time.Millisecond,
+		CheckEvery:    100 * time.Millisecond,
+		StoreRetry:    200 * time.Millisecond,
+		IdleAfter:     5 * time.Second,
+	}
+}
+
+// shareOfFree is the part of the free tokens that one draw may take beyond
+// what is needed at once; a smaller part fragments less near the end.
+const shareOfFree = 4
+
+// Agent is the budget part of one router: entry router for its own callers
+// and home for some budgets. It is not safe for concurrent use.
+type Agent struct {
+	cfg     Config
+	purses  map[string]*purse
+	awake   []*purse // those that Tick looks at, in a fixed order
+	pages   map[int]*pageState
+	out     []Effect
+	token   uint64
+	writes  int64
+	closing bool
+}
+
+// NewAgent returns an agent that holds nothing.
+func NewAgent(cfg Config) *Agent {
+	return &Agent{cfg: cfg, purses: map[string]*purse{}, pages: map[int]*pageState{}}
+}
+
+// drain returns and clears the collected effects.
+func (a *Agent) drain() []Effect {
+	out := a.out
+	a.out = nil
+	return out
+}
+
+func (a *Agent) emit(e Effect) { a.out = append(a.out, e) }
+
+func (a *Agent) purse(id string) *purse {
+	p, ok := a.purses[id]
+	if !ok {
+		p = newPurse(id)
+		a.purses[id] = p
+	}
+	if !p.awake {
+		p.awake = true
+		a.awake = append(a.awake, p)
+	}
+	return p
+}
+
+func (a *Agent) isHome(now time.Time, id string) bool {
+	return a.cfg.Home(now, id) == a.cfg.Self.ID
+}
+
+// Reserve asks for need tokens. It returns a token number; when granted is
+// false, a later Resolve effect with that number gives the answer.
+func (a *Agent) Reserve(now time.Time, id string, need int64) (token uint64, granted bool, effects []Effect) {
+	a.token++
+	p := a.purse(id)
+	p.observe(now, need)
+	if p.balance >= need {
+		p.balance -= need
+		p.reserved += need
+		a.prefetch(now, p)
+		return a.token, true, a.drain()
+	}
+	p.waiters = append(p.waiters, waiter{token: a.token, need: need})
+	a.pump(now, p)
+	return a.token, false, a.drain()
+}
+
+// Cancel withdraws a reservation that still waits.
+func (a *Agent) Cancel(id string, token uint64) {
+	a.purse(id).takeWaiter(token)
+}
+
+// Settle ends a reservation of reserved tokens of which actual were spent.
+func (a *Agent) Settle(now time.Time, id string, reserved, actual int64) []Effect {
+	p := a.purse(id)
+	p.reserved -= reserved
+	p.balance += reserved - actual
+	p.spent += actual
+	a.pump(now, p)
+	a.giveBackSurplus(now, p)
+	return a.drain()
+}
+
+// Receive takes a message from another router.
+func (a *Agent) Receive(now time.Time, m Message) []Effect {
+	if m.To.Incarnation != "" && m.To.Incarnation != a.cfg.Self.Incarnation {
+		return nil
+	}
+	p := a.purse(m.Budget)
+	a.credit(p, m)
+	switch m.Kind {
+	case Draw:
+		p.observe(now, m.Need)
+		a.drawAsked(p, m)
+	case Grant:
+		a.granted(now, p, m)
+	case Recall:
+		p.scarce = true
+		p.home = m.From
+		a.giveBack(p, m.From)
+	case Back:
+		p.recallAnswered(m.From.Incarnation)
+	}
+	a.pump(now, p)
+	a.giveBackSurplus(now, p)
+	return a.drain()
+}
+
+// drawAsked queues a peer's draw, or sends it on to the next home when this
+// router is closing.
+func (a *Agent) drawAsked(p *purse, m Message) {
+	d := draw{peer: m.From, token: m.Token, need: m.Need, want: m.Want}
+	if a.closing {
+		a.refuseDraw(p, d, Moved)
+		return
+	}
+	p.draws = append(p.draws, d)
+}
+
+// credit adds the tokens that the message newly moves here.
+func (a *Agent) credit(p *purse, m Message) {
+	if m.To.Incarnation == "" || m.Total <= p.received[m.From.Incarnation] {
+		return
+	}
+	moved := m.Total - p.received[m.From.Incarnation]
+	p.received[m.From.Incarnation] = m.Total
+	p.balance += moved
+}
+
+// granted handles the home's answer to a draw.
+func (a *Agent) granted(now time.Time, p *purse, m Message) {
+	p.scarce = m.Scarce
+	p.home = m.From
+	if m.Token == 0 {
+		p.prefetching = time.Time{}
+	}
+	switch m.Refused {
+	case "":
+	case Moved:
+		a.emit(Suspect{ID: m.From.ID})
+		p.unask()
+	default:
+		a.serveWaiters(p)
+		if _, ok := p.takeWaiter(m.Token); ok {
+			a.emit(Resolve{Token: m.Token, Cause: m.Refused})
+		}
+	}
+}
+
+// Undelivered tells that a message was not delivered. certain means that the
+// receiver certainly did not get it, so that its tokens may be taken back.
+func (a *Agent) Undelivered(now time.Time, m Message, certain bool) []Effect {
+	p := a.purse(m.Budget)
+	if certain && m.Delta > 0 && p.sent[m.To.Incarnation] == m.Total {
+		p.sent[m.To.Incarnation] -= m.Delta
+		p.balance += m.Delta
+	}
+	switch m.Kind {
+	case Draw:
+		p.unask()
+	case Recall:
+		p.recallAnswered(m.To.Incarnation)
+	}
+	a.pump(now, p)
+	return a.drain()
+}
+
+// Tick handles timeouts and idle balances. Call it a few times a second.
+func (a *Agent) Tick(now time.Time) []Effect {
+	list := a.awake
+	a.awake = nil
+	for _, p := range list {
+		a.tickPurse(now, p)
+		p.awake = !p.idle()
+		if p.awake {
+			a.awake = append(a.awake, p)
+		}
+	}
+	for n := range a.cfg.Pages {
+		if ps, ok := a.pages[n]; ok {
+			a.kick(now, n, ps)
+		}
+	}
+	return a.drain()
+}
+
+func (a *Agent) tickPurse(now time.Time, p *purse) {
+	if p.silent(now, a.cfg.DrawTimeout) {
+		a.emit(Suspect{ID: p.askedOf})
+		p.unask()
+	}
+	if p.recall.active && now.Sub(p.recall.at) >= a.cfg.RecallTimeout {
+		p.finishRecall()
+	}
+	a.pump(now, p)
+	if a.closing || now.Sub(p.lastUse) >= a.cfg.IdleAfter {
+		a.returnIdle(now, p)
+		return
+	}
+	a.giveBackSurplus(now, p)
+}
+
+// Close starts a planned stop: every balance, now and later, is returned to
+// the store.
+func (a *Agent) Close(now time.Time) []Effect {
+	a.closing = true
+	for _, p := range a.awake {
+		a.returnIdle(now, p)
+	}
+	return a.drain()
+}
+
+// Closed tells whether nothing is held, reserved or being written any more.
+func (a *Agent) Closed() bool {
+	for _, p := range a.purses {
+		if p.balance > 0 || p.reserved != 0 {
+			return false
+		}
+	}
+	for _, ps := range a.pages {
+		if ps.write != nil || len(ps.ops) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Holding is what one router holds of a budget.
+type Holding struct {
+	// Balance is free to use, Reserved is in use by running requests, and
+	// Spent was spent since the process started; all in tokens.
+	Balance, Reserved, Spent int64
+}
+
+// Holding returns what this router holds of a budget.
+func (a *Agent) Holding(id string) Holding {
+	p, ok := a.purses[id]
+	if !ok {
+		return Holding{}
+	}
+	return Holding{Balance: p.balance, Reserved: p.reserved, Spent: p.spent}
+}
+
+// Purses returns the number of budgets with state here.
+func (a *Agent) Purses() int { return len(a.purses) }
+
+// Touched returns this holder's incarnation and the pages it used.
+func (a *Agent) Touched() (holder string, pages []int) {
+	for n := range a.cfg.Pages {
+		if _, ok := a.pages[n]; ok {
+			pages = append(pages, n)
+		}
+	}
+	return a.cfg.Self.Incarnation, pages
+}
--- /dev/null
+++ b/budget/page.go
@@ -0,0 +1,138 @@
+// Package budget decides how a prepaid budget is shared out among routers.
+//
+// It is pure: every call takes the time, does no I/O and returns typed
+// effects. The safety argument needs no clock, lease or leader: a page in the
+// store records all tokens ever issued, issuing is a conditional update that
+// never passes the limit, and tokens move between routers only by a decrement
+// at the giver before the message leaves.
+package budget
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Page is one store object that holds many budgets, so that one conditional
+// update renews them together.
+type Page struct {
+	// Budgets are the budgets by name.
+	Budgets map[string]*Record `json:"budgets"`
+	// Ops holds, for each holder, the number of its last write, by which a
+	// write whose answer was lost is recognised.
+	Ops map[string]int64 `json:"ops"`
+}
+
+// Record is one budget as the store knows it.
+type Record struct {
+	// Account is the client account that owns the budget.
+	Account string `json:"account"`
+	// Limit is the prepaid number of tokens. It only rises.
+	Limit int64 `json:"limit"`
+	// Settled is the net issue of holders that closed in order.
+	Settled int64 `json:"settled"`
+	// Holders is the net issue (draws minus returns) of each open holder
+	// incarnation. It may be negative for one that returned tokens which
+	// another holder drew.
+	Holders map[string]int64 `json:"holders"`
+}
+
+// Issued returns all tokens ever issued net of returns: an upper bound of
+// what was spent.
+func (r *Record) Issued() int64 {
+	total := r.Settled
+	for _, n := range r.Holders {
+		total += n
+	}
+	return total
+}
+
+// Free returns the tokens that can still be issued.
+func (r *Record) Free() int64 {
+	return r.Limit - r.Issued()
+}
+
+// NewPage returns an empty page.
+func NewPage() *Page {
+	return &Page{Budgets: map[string]*Record{}, Ops: map[string]int64{}}
+}
+
+// DecodePage reads a page from its stored form.
+func DecodePage(value []byte) (*Page, error) {
+	p := NewPage()
+	if err := json.Unmarshal(value, p); err != nil {
+		return nil, fmt.Errorf("budget page: %w", err)
+	}
+	return p, nil
+}
+
+// Encode returns the stored form.
+func (p *Page) Encode() []byte {
+	value, err := json.Marshal(p)
+	if err != nil {
+		panic(err) // maps of plain values always encode
+	}
+	return value
+}
+
+// Clone returns a deep copy.
+func (p *Page) Clone() *Page {
+	c := &Page{Budgets: make(map[string]*Record, len(p.Budgets)), Ops: make(map[string]int64, len(p.Ops))}
+	for id, r := range p.Budgets {
+		copied := *r
+		copied.Holders = make(map[string]int64, len(r.Holders))
+		for h, n := range r.Holders {
+			copied.Holders[h] = n
+		}
+		c.Budgets[id] = &copied
+	}
+	for h, n := range p.Ops {
+		c.Ops[h] = n
+	}
+	return c
+}
+
+// Names returns the budgets' names in order.
+func (p *Page) Names() []string {
+	names := make([]string, 0, len(p.Budgets))
+	for id := range p.Budgets {
+		names = append(names, id)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// issue moves tokens to (or, negative, back from) a holder.
+func (p *Page) issue(id, holder string, tokens int64) {
+	r := p.Budgets[id]
+	if r.Holders == nil {
+		r.Holders = map[string]int64{}
+	}
+	r.Holders[holder] += tokens
+	if r.Holders[holder] == 0 {
+		delete(r.Holders, holder)
+	}
+}
+
+// Close folds a holder that will never write again into the settled sums.
+// Called for a planned stop after the holder returned what it had, and by an
+// operator who attests that the instance was terminated.
+func (p *Page) Close(holder string) {
+	for _, r := range p.Budgets {
+		r.Settled += r.Holders[holder]
+		delete(r.Holders, holder)
+	}
+	delete(p.Ops, holder)
+}
+
+// PageOf returns the number of the page that holds the budget.
+func PageOf(id string, pages int) int {
+	return int(xxhash.Sum64String(id) % uint64(pages))
+}
+
+// PageKey returns the store key of a page.
+func PageKey(page int) string {
+	return fmt.Sprintf("budgets/%05d", page)
+}
--- /dev/null
+++ b/budget/paging.go
@@ -0,0 +1,305 @@
+package budget
+
+import (
+	"time"
+)
+
+// StoreResult is what a store call came to.
+type StoreResult int
+
+// The results of a store call.
+const (
+	// Done: the call took effect or returned its value.
+	Done StoreResult = iota
+	// Missing: the page does not exist.
+	Missing
+	// Conflict: the page was changed by another; nothing was written.
+	Conflict
+	// Unavailable: the call had no effect.
+	Unavailable
+	// Lost: the answer was lost; a write may have taken effect, now or later.
+	Lost
+)
+
+// pageOp is one wished change of a page: a draw, or a return when need is
+// negative.
+type pageOp struct {
+	budget string
+	need   int64
+	want   int64
+	at     time.Time
+}
+
+// appliedOp is a pageOp with what the built write gives it.
+type appliedOp struct {
+	op     pageOp
+	tokens int64
+}
+
+// pageWrite is a built conditional update. While its outcome is unknown it
+// may only be repeated as it is.
+type pageWrite struct {
+	version int64
+	number  int64
+	value   *Page
+	applied []appliedOp
+	lost    bool
+}
+
+// pageState is one router's copy of a page.
+type pageState struct {
+	page    *Page
+	version int64
+	have    bool
+	readAt  time.Time
+	reading bool
+	writing bool
+	write   *pageWrite
+	ops     []pageOp
+	retryAt time.Time
+}
+
+// drawFromStore queues a draw of at least need and, by demand, more.
+func (a *Agent) drawFromStore(now time.Time, p *purse, need int64) {
+	p.lookup = lookupRunning
+	p.lookedAt = now
+	want := p.ahead(now, a.cfg.HomeHorizon)
+	a.queue(now, pageOp{budget: p.id, need: need, want: max(want-p.balance, need)})
+}
+
+func (a *Agent) queue(now time.Time, op pageOp) {
+	op.at = now
+	n := PageOf(op.budget, a.cfg.Pages)
+	ps, ok := a.pages[n]
+	if !ok {
+		ps = &pageState{}
+		a.pages[n] = ps
+	}
+	ps.ops = append(ps.ops, op)
+	a.kick(now, n, ps)
+}
+
+// kick starts the next store call of a page, if one is due.
+func (a *Agent) kick(now time.Time, n int, ps *pageState) {
+	if ps.reading || ps.writing || len(ps.ops) == 0 && ps.write == nil {
+		return
+	}
+	if now.Before(ps.retryAt) {
+		a.failDraws(now, ps)
+		return
+	}
+	if !ps.have || a.stale(now, ps) {
+		ps.reading = true
+		a.emit(ReadPage{Page: n})
+		return
+	}
+	if ps.write == nil {
+		a.build(ps)
+	}
+	if ps.write == nil {
+		a.finishOps(now, ps, nil)
+		return
+	}
+	ps.writing = true
+	a.emit(WritePage{Page: n, Version: ps.write.version, Value: ps.write.value})
+}
+
+// stale tells whether a queued draw should see a newer copy: the held one is
+// older than the draw and has too little.
+func (a *Agent) stale(now time.Time, ps *pageState) bool {
+	if ps.write != nil || now.Sub(ps.readAt) < a.cfg.CheckEvery {
+		return false
+	}
+	for _, op := range ps.ops {
+		r := ps.page.Budgets[op.budget]
+		if op.need >= 0 && (r == nil || r.Free() < max(op.need, op.want)) {
+			return true
+		}
+	}
+	return false
+}
+
+// build makes the conditional update for all queued ops. Ops that change
+// nothing are answered without a write.
+func (a *Agent) build(ps *pageState) {
+	value := ps.page.Clone()
+	changed := false
+	applied := make([]appliedOp, 0, len(ps.ops))
+	for _, op := range ps.ops {
+		tokens := amount(value, op)
+		if tokens != 0 {
+			value.issue(op.budget, a.cfg.Self.Incarnation, tokens)
+			changed = true
+		}
+		applied = append(applied, appliedOp{op: op, tokens: tokens})
+	}
+	if !changed {
+		return
+	}
+	a.writes++
+	value.Ops[a.cfg.Self.Incarnation] = a.writes
+	ps.write = &pageWrite{version: ps.version, number: a.writes, value: value, applied: applied}
+	ps.ops = nil
+}
+
+// amount returns the tokens that an op moves: all that is needed if it is
+// there, a part of the free tokens beyond that, and whatever is left when
+// less than needed is there. A return moves its negative amount.
+func amount(page *Page, op pageOp) int64 {
+	r := page.Budgets[op.budget]
+	if r == nil {
+		return 0
+	}
+	if op.need < 0 {
+		return op.need
+	}
+	free := max(r.Free(), 0)
+	return max(min(op.need, free), min(op.want, free/shareOfFree))
+}
+
+// PageRead takes the answer of a ReadPage.
+func (a *Agent) PageRead(now time.Time, n int, version int64, page *Page, result StoreResult) []Effect {
+	ps := a.pages[n]
+	ps.reading = false
+	switch result {
+	case Done:
+		ps.page, ps.version, ps.have, ps.readAt = page, version, true, now
+		a.resolveLost(now, ps)
+	case Missing:
+		ps.page, ps.version, ps.have, ps.readAt = NewPage(), 0, true, now
+	default:
+		a.storeFailed(now, ps)
+		return a.drain()
+	}
+	a.kick(now, n, ps)
+	return a.drain()
+}
+
+// resolveLost decides a write whose answer was lost, by the op number in the
+// page. If the version has not moved, the same write is repeated as it is: a
+// late arrival of the first one then makes the second fail, not double.
+func (a *Agent) resolveLost(now time.Time, ps *pageState) {
+	w := ps.write
+	if w == nil {
+		return
+	}
+	if ps.page.Ops[a.cfg.Self.Incarnation] == w.number {
+		a.finishWrite(now, ps)
+		return
+	}
+	if ps.version != w.version {
+		a.requeue(ps)
+	}
+}
+
+// requeue puts the ops of a write that had no effect back.
+func (a *Agent) requeue(ps *pageState) {
+	ops := make([]pageOp, 0, len(ps.write.applied)+len(ps.ops))
+	for _, ap := range ps.write.applied {
+		ops = append(ops, ap.op)
+	}
+	ps.ops = append(ops, ps.ops...)
+	ps.write = nil
+}
+
+// PageWritten takes the answer of a WritePage.
+func (a *Agent) PageWritten(now time.Time, n int, version int64, result StoreResult) []Effect {
+	ps := a.pages[n]
+	ps.writing = false
+	switch result {
+	case Done:
+		ps.page, ps.version, ps.readAt = ps.write.value, version, now
+		a.finishWrite(now, ps)
+	case Conflict:
+		ps.have = false
+		if !ps.write.lost {
+			a.requeue(ps)
+		}
+	case Lost:
+		ps.have = false
+		ps.write.lost = true
+	default:
+		if !ps.write.lost {
+			a.requeue(ps)
+		}
+		ps.have = false
+		a.storeFailed(now, ps)
+		return a.drain()
+	}
+	a.kick(now, n, ps)
+	return a.drain()
+}
+
+// finishWrite credits what the write that took effect drew.
+func (a *Agent) finishWrite(now time.Time, ps *pageState) {
+	applied := ps.write.applied
+	ps.write = nil
+	a.finishOps(now, ps, applied)
+}
+
+// finishOps ends draws, with what they got; without a write, all queued ops
+// got nothing.
+func (a *Agent) finishOps(now time.Time, ps *pageState, applied []appliedOp) {
+	if applied == nil {
+		for _, op := range ps.ops {
+			applied = append(applied, appliedOp{op: op})
+		}
+		ps.ops = nil
+	}
+	for _, ap := range applied {
+		if ap.op.need >= 0 {
+			a.drawn(now, ps, ap)
+		}
+	}
+}
+
+func (a *Agent) drawn(now time.Time, ps *pageState, ap appliedOp) {
+	p := a.purse(ap.op.budget)
+	r := ps.page.Budgets[p.id]
+	p.balance += ap.tokens
+	p.unknown = r == nil
+	p.lookup = lookupIdle
+	if ap.tokens < ap.op.need {
+		p.lookup = lookupShort
+		p.shortAt = now
+	}
+	p.scarce = r == nil || r.Free() < p.ahead(now, a.cfg.HomeHorizon)
+	a.pump(now, p)
+}
+
+// storeFailed ends the waiting draws of a page when the store is out; returns
+// stay queued.
+func (a *Agent) storeFailed(now time.Time, ps *pageState) {
+	ps.retryAt = now.Add(a.cfg.StoreRetry)
+	a.failDraws(now, ps)
+	if ps.write == nil {
+		return
+	}
+	for _, ap := range ps.write.applied {
+		a.failDraw(now, ap.op)
+	}
+}
+
+func (a *Agent) failDraws(now time.Time, ps *pageState) {
+	ops := ps.ops
+	ps.ops = nil
+	for _, op := range ops {
+		if op.need < 0 {
+			ps.ops = append(ps.ops, op)
+		}
+	}
+	for _, op := range ops {
+		a.failDraw(now, op)
+	}
+}
+
+// failDraw ends the search that waits for a draw. A draw in a lost write may
+// still be credited later.
+func (a *Agent) failDraw(now time.Time, op pageOp) {
+	p := a.purse(op.budget)
+	if op.need < 0 || p.lookup != lookupRunning {
+		return
+	}
+	p.lookup = lookupFailed
+	a.pump(now, p)
+}
--- /dev/null
+++ b/budget/purse.go
@@ -0,0 +1,428 @@
+package budget
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// rateWindow is the time constant of the demand estimate.
+const rateWindow = 5 * time.Second
+
+// waiter is a local reservation that could not be granted at once.
+type waiter struct {
+	token   uint64
+	need    int64
+	askedAt time.Time // zero: the home has not been asked
+}
+
+// draw is another router's unanswered draw.
+type draw struct {
+	peer       Peer
+	token      uint64
+	need, want int64
+}
+
+// holder is a router that was granted tokens by this one.
+type holder struct {
+	peer Peer
+	// loose tells that it may hold more than its running requests need, so
+	// that a recall is worth while.
+	loose bool
+}
+
+// recallRound is one round of asking holders for their unused tokens.
+type recallRound struct {
+	active  bool
+	at      time.Time
+	waiting map[string]bool
+}
+
+// lookup says how far the home's search in the store has come.
+type lookup int
+
+const (
+	lookupIdle lookup = iota
+	lookupRunning
+	lookupShort  // the store gave what it had, and it was not enough
+	lookupFailed // the store did not answer
+)
+
+// purse is what one router holds of one budget.
+type purse struct {
+	id          string
+	balance     int64
+	reserved    int64
+	spent       int64
+	waiters     []waiter
+	draws       []draw
+	askedOf     string
+	prefetching time.Time // when a draw ahead was sent; zero: none is out
+	recall      recallRound
+	lookup      lookup
+	lookedAt    time.Time
+	shortAt     time.Time // when the store last had too little
+	unknown     bool
+	scarce      bool
+	home        Peer
+	sent        map[string]int64 // by the receiver's incarnation
+	received    map[string]int64 // by the sender's incarnation
+	holders     map[string]*holder
+	demand      float64 // decayed tokens asked for
+	demandAt    time.Time
+	lastUse     time.Time
+	awake       bool // in the agent's list
+}
+
+func newPurse(id string) *purse {
+	return &purse{id: id, sent: map[string]int64{}, received: map[string]int64{}, holders: map[string]*holder{}}
+}
+
+// observe adds a demand of need tokens to the estimate.
+func (p *purse) observe(now time.Time, need int64) {
+	p.demand = p.decayed(now) + float64(need)
+	p.demandAt = now
+	p.lastUse = now
+}
+
+func (p *purse) decayed(now time.Time) float64 {
+	if p.demandAt.IsZero() {
+		return 0
+	}
+	age := now.Sub(p.demandAt)
+	return p.demand * math.Exp(-float64(age)/float64(rateWindow))
+}
+
+// ahead returns the tokens that the present demand takes in d.
+func (p *purse) ahead(now time.Time, d time.Duration) int64 {
+	return int64(p.decayed(now) / rateWindow.Seconds() * d.Seconds())
+}
+
+// unmet returns the tokens asked for and not yet covered by the balance.
+func (p *purse) unmet() int64 {
+	var sum int64
+	for _, w := range p.waiters {
+		sum += w.need
+	}
+	for _, d := range p.draws {
+		sum += d.need
+	}
+	return sum - p.balance
+}
+
+// idle tells whether nothing is held, awaited or asked for.
+func (p *purse) idle() bool {
+	return p.balance <= 0 && p.reserved == 0 && !p.waiting() && !p.asking() && !p.recall.active && p.lookup != lookupRunning
+}
+
+func (p *purse) waiting() bool {
+	return len(p.waiters)+len(p.draws) > 0
+}
+
+// takeWaiter removes a waiting reservation.
+func (p *purse) takeWaiter(token uint64) (waiter, bool) {
+	for i, w := range p.waiters {
+		if w.token == token {
+			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
+			return w, true
+		}
+	}
+	return waiter{}, false
+}
+
+// asking tells whether an answer of the home is outstanding.
+func (p *purse) asking() bool {
+	for _, w := range p.waiters {
+		if !w.askedAt.IsZero() {
+			return true
+		}
+	}
+	return !p.prefetching.IsZero()
+}
+
+// unask forgets outstanding questions, so that they are asked again.
+func (p *purse) unask() {
+	for i := range p.waiters {
+		p.waiters[i].askedAt = time.Time{}
+	}
+	p.prefetching = time.Time{}
+}
+
+// silent tells whether the home left a question open for too long.
+func (p *purse) silent(now time.Time, timeout time.Duration) bool {
+	for _, w := range p.waiters {
+		if !w.askedAt.IsZero() && now.Sub(w.askedAt) >= timeout {
+			return true
+		}
+	}
+	return !p.prefetching.IsZero() && now.Sub(p.prefetching) >= timeout
+}
+
+// recallAnswered notes that a holder gave back what it did not need.
+func (p *purse) recallAnswered(incarnation string) {
+	if h, ok := p.holders[incarnation]; ok {
+		h.loose = false
+	}
+	if !p.recall.active {
+		return
+	}
+	delete(p.recall.waiting, incarnation)
+	if len(p.recall.waiting) == 0 {
+		p.finishRecall()
+	}
+}
+
+// finishRecall ends a round. A holder that did not answer is not waited for
+// again until it is granted more; what it has comes back when it wakes.
+func (p *purse) finishRecall() {
+	for incarnation := range p.recall.waiting {
+		if h, ok := p.holders[incarnation]; ok {
+			h.loose = false
+		}
+	}
+	p.recall.active = false
+	p.recall.waiting = nil
+}
+
+// serveWaiters grants every local reservation that the balance covers.
+func (a *Agent) serveWaiters(p *purse) {
+	kept := p.waiters[:0]
+	for _, w := range p.waiters {
+		if p.balance < w.need {
+			kept = append(kept, w)
+			continue
+		}
+		p.balance -= w.need
+		p.reserved += w.need
+		a.emit(Resolve{Token: w.token, OK: true})
+	}
+	p.waiters = kept
+}
+
+// serveDraws grants every peer's draw that the balance covers.
+func (a *Agent) serveDraws(p *purse) {
+	kept := p.draws[:0]
+	for _, d := range p.draws {
+		if p.balance < d.need {
+			kept = append(kept, d)
+			continue
+		}
+		a.grant(p, d)
+	}
+	p.draws = kept
+}
+
+// grant moves tokens to the drawer: what it needs, and its demand ahead when
+// there is plenty.
+func (a *Agent) grant(p *purse, d draw) {
+	amount := d.need
+	if !p.scarce {
+		amount = max(d.need, min(d.want, p.balance/shareOfFree))
+	}
+	p.holders[d.peer.Incarnation] = &holder{peer: d.peer, loose: !p.scarce}
+	m := a.move(p, Grant, d.peer, amount)
+	m.Token = d.token
+	a.emit(Send{m})
+}
+
+// refuseDraw answers a peer's draw with a cause and no tokens.
+func (a *Agent) refuseDraw(p *purse, d draw, cause Cause) {
+	m := a.move(p, Grant, d.peer, 0)
+	m.Token = d.token
+	m.Refused = cause
+	m.Scarce = true
+	a.emit(Send{m})
+}
+
+// move decrements the balance and returns the message that carries the
+// tokens.
+func (a *Agent) move(p *purse, kind Kind, to Peer, amount int64) Message {
+	p.balance -= amount
+	p.sent[to.Incarnation] += amount
+	return Message{
+		Kind:   kind,
+		Budget: p.id,
+		From:   a.cfg.Self,
+		To:     to,
+		Total:  p.sent[to.Incarnation],
+		Delta:  amount,
+		Scarce: p.scarce,
+	}
+}
+
+// pump serves what the balance covers and looks for more for the rest.
+func (a *Agent) pump(now time.Time, p *purse) {
+	a.serveWaiters(p)
+	a.serveDraws(p)
+	if !p.waiting() {
+		p.settleLookup()
+		return
+	}
+	home := a.isHome(now, p.id)
+	if !home && len(p.waiters) > 0 {
+		a.ask(now, p)
+	}
+	if !home && len(p.draws) == 0 {
+		return
+	}
+	if !p.recall.active && p.lookup != lookupRunning {
+		a.search(now, p)
+	}
+}
+
+// settleLookup forgets a finished search, so that the next one starts anew.
+func (p *purse) settleLookup() {
+	if p.lookup == lookupShort || p.lookup == lookupFailed {
+		p.lookup = lookupIdle
+	}
+}
+
+// ask sends waiting reservations to the home: one at a time while tokens are
+// plenty, since the answer brings more than one needs, else each by itself.
+func (a *Agent) ask(now time.Time, p *purse) {
+	for i := range p.waiters {
+		w := &p.waiters[i]
+		if !w.askedAt.IsZero() {
+			continue
+		}
+		if !p.scarce && p.asking() {
+			return
+		}
+		w.askedAt = now
+		a.emit(Send{a.drawMessage(now, p, w.token, w.need)})
+	}
+}
+
+// drawMessage builds a draw. While tokens are scarce it moves the balance
+// along, so that the home decides over all there is.
+func (a *Agent) drawMessage(now time.Time, p *purse, token uint64, need int64) Message {
+	p.askedOf = a.cfg.Home(now, p.id)
+	to := Peer{ID: p.askedOf}
+	if p.home.ID == p.askedOf {
+		to = p.home
+	}
+	amount := int64(0)
+	if p.scarce && to.Incarnation != "" && token != 0 {
+		amount = max(p.balance, 0)
+	}
+	m := a.move(p, Draw, to, amount)
+	m.Token = token
+	m.Need = need
+	m.Want = max(p.ahead(now, a.cfg.EntryHorizon), p.unmet())
+	return m
+}
+
+// prefetch asks for more before the balance runs out.
+func (a *Agent) prefetch(now time.Time, p *purse) {
+	if p.scarce || a.closing || p.lookup == lookupRunning || p.recall.active {
+		return
+	}
+	if a.isHome(now, p.id) {
+		low := p.ahead(now, a.cfg.HomeHorizon/shareOfFree)
+		if p.balance < low && now.Sub(p.lookedAt) >= a.cfg.CheckEvery {
+			a.drawFromStore(now, p, 0)
+		}
+		return
+	}
+	if p.asking() || p.balance >= p.ahead(now, a.cfg.EntryHorizon/shareOfFree) {
+		return
+	}
+	p.prefetching = now
+	a.emit(Send{a.drawMessage(now, p, 0, 1)})
+}
+
+// search is the home's way to more tokens: the store, then the holders, then
+// a refusal. Each step is taken once per search.
+func (a *Agent) search(now time.Time, p *purse) {
+	if p.lookup == lookupIdle && now.Sub(p.shortAt) >= a.cfg.CheckEvery {
+		a.drawFromStore(now, p, p.unmet())
+		return
+	}
+	if a.startRecall(now, p) {
+		return
+	}
+	cause := Exhausted
+	if p.lookup == lookupFailed {
+		cause = Unreachable
+	}
+	if p.unknown {
+		cause = Unknown
+	}
+	p.lookup = lookupIdle
+	a.refuseAll(p, cause)
+}
+
+// startRecall asks the holders for unused tokens; false means that there is
+// none to ask.
+func (a *Agent) startRecall(now time.Time, p *purse) bool {
+	p.scarce = true
+	p.recall = recallRound{at: now, waiting: map[string]bool{}}
+	for _, incarnation := range p.looseHolders() {
+		p.recall.waiting[incarnation] = true
+		a.emit(Send{a.move(p, Recall, p.holders[incarnation].peer, 0)})
+	}
+	p.recall.active = len(p.recall.waiting) > 0
+	return p.recall.active
+}
+
+// looseHolders returns the incarnations worth a recall, in order, so that a
+// seeded run repeats.
+func (p *purse) looseHolders() []string {
+	var list []string
+	for incarnation, h := range p.holders {
+		if h.loose {
+			list = append(list, incarnation)
+		}
+	}
+	sort.Strings(list)
+	return list
+}
+
+func (a *Agent) refuseAll(p *purse, cause Cause) {
+	for _, w := range p.waiters {
+		a.emit(Resolve{Token: w.token, Cause: cause})
+	}
+	p.waiters = nil
+	for _, d := range p.draws {
+		a.refuseDraw(p, d, cause)
+	}
+	p.draws = nil
+}
+
+// giveBack sends the whole balance to a peer, also when it is empty: the
+// message is the answer to a recall.
+func (a *Agent) giveBack(p *purse, to Peer) {
+	a.emit(Send{a.move(p, Back, to, max(p.balance, 0))})
+}
+
+// giveBackSurplus returns an unused balance to the home while tokens are
+// scarce, so that they are where the next request is decided.
+func (a *Agent) giveBackSurplus(now time.Time, p *purse) {
+	if !p.scarce || p.balance <= 0 || p.waiting() || a.closing {
+		return
+	}
+	if a.homeKnown(now, p) {
+		a.giveBack(p, p.home)
+	}
+}
+
+// homeKnown tells whether the present home is another router whose
+// incarnation is known.
+func (a *Agent) homeKnown(now time.Time, p *purse) bool {
+	return p.home.Incarnation != "" && p.home.ID != a.cfg.Self.ID && p.home.ID == a.cfg.Home(now, p.id)
+}
+
+// returnIdle returns a balance that nothing uses: to the home, or from the
+// home (and from a closing router) to the store.
+func (a *Agent) returnIdle(now time.Time, p *purse) {
+	if p.balance <= 0 || p.waiting() {
+		return
+	}
+	if a.homeKnown(now, p) && !a.closing {
+		a.giveBack(p, p.home)
+		return
+	}
+	amount := p.balance
+	p.balance = 0
+	a.queue(now, pageOp{budget: p.id, need: -amount})
+}
--- /dev/null
+++ b/controller/budgets/budgets.go
@@ -0,0 +1,315 @@
+// Package budgets runs the budget agent: it carries its effects to the store
+// and to other routers.
+package budgets
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gaplink/gaplink/budget"
+	"github.com/gaplink/gaplink/controller/members"
+	"github.com/gaplink/gaplink/peer"
+	"github.com/gaplink/gaplink/result"
+	"github.com/gaplink/gaplink/store"
+)
+
+const (
+	tickEvery   = 50 * time.Millisecond
+	sendTimeout = 400 * time.Millisecond
+	// waitAtMost bounds how long a reservation may wait for an answer.
+	waitAtMost = 3 * time.Second
+	// exhaustedRetry and unreachableRetry are when to come back.
+	exhaustedRetry   = 5 * time.Second
+	unreachableRetry = time.Second
+)
+
+// Role returns the name under which a budget's home is ranked.
+func Role(id string) string { return "budget/" + id }
+
+// answer is the outcome of a waiting reservation.
+type answer struct {
+	ok    bool
+	cause budget.Cause
+}
+
+// Controller runs the agent. It is safe for concurrent use.
+type Controller struct {
+	store   store.Store
+	members *members.Controller
+	peers   *peer.Client
+	log     *zap.Logger
+
+	mu      sync.Mutex
+	agent   *budget.Agent
+	waiting map[uint64]chan answer
+	tasks   sync.WaitGroup
+}
+
+// New returns a controller; cfg.Home is set here.
+func New(cfg budget.Config, s store.Store, m *members.Controller, p *peer.Client, log *zap.Logger) *Controller {
+	cfg.Home = func(now time.Time, id string) string { return m.First(now, Role(id)) }
+	return &Controller{
+		store:   s,
+		members: m,
+		peers:   p,
+		log:     log,
+		agent:   budget.NewAgent(cfg),
+		waiting: map[uint64]chan answer{},
+	}
+}
+
+// Run ticks the agent until the context ends.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			c.with(func(now time.Time, a *budget.Agent) []budget.Effect { return a.Tick(now) })
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// with calls the agent under the lock and carries the effects out.
+func (c *Controller) with(call func(time.Time, *budget.Agent) []budget.Effect) {
+	c.mu.Lock()
+	effects := call(time.Now(), c.agent)
+	c.resolve(effects)
+	c.mu.Unlock()
+	for _, e := range effects {
+		c.perform(e)
+	}
+}
+
+// resolve hands answers to waiting reservations. It is called under the lock.
+func (c *Controller) resolve(effects []budget.Effect) {
+	for _, e := range effects {
+		r, ok := e.(budget.Resolve)
+		if !ok {
+			continue
+		}
+		if ch, waits := c.waiting[r.Token]; waits {
+			delete(c.waiting, r.Token)
+			ch <- answer{ok: r.OK, cause: r.Cause}
+		}
+	}
+}
+
+func (c *Controller) perform(e budget.Effect) {
+	switch e := e.(type) {
+	case budget.Send:
+		c.start(func() { c.send(e.Message) })
+	case budget.ReadPage:
+		c.start(func() { c.read(e.Page) })
+	case budget.WritePage:
+		c.start(func() { c.write(e) })
+	case budget.Suspect:
+		c.members.Failed(e.ID)
+	}
+}
+
+func (c *Controller) start(task func()) {
+	c.tasks.Add(1)
+	go func() {
+		defer c.tasks.Done()
+		task()
+	}()
+}
+
+// send delivers a message once. A message to this router itself stays here.
+func (c *Controller) send(m budget.Message) {
+	if m.To.ID == c.members.Self().ID {
+		c.Receive(m)
+		return
+	}
+	err := c.deliver(m)
+	if err == nil {
+		c.members.Reached(m.To.ID)
+		return
+	}
+	c.members.Failed(m.To.ID)
+	certain := errors.Is(err, peer.ErrNotSent)
+	c.with(func(now time.Time, a *budget.Agent) []budget.Effect { return a.Undelivered(now, m, certain) })
+}
+
+func (c *Controller) deliver(m budget.Message) error {
+	addr, ok := c.members.Addr(m.To.ID)
+	if !ok {
+		return peer.ErrNotSent
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+	defer cancel()
+	_, err := peer.Call[peer.BudgetMessage, peer.Empty](ctx, c.peers, addr, peer.MethodBudget, &peer.BudgetMessage{Message: m})
+	return err
+}
+
+// Receive takes a message from another router.
+func (c *Controller) Receive(m budget.Message) {
+	c.with(func(now time.Time, a *budget.Agent) []budget.Effect { return a.Receive(now, m) })
+}
+
+func (c *Controller) read(n int) {
+	o, err := c.store.Get(context.Background(), budget.PageKey(n))
+	var page *budget.Page
+	outcome := classify(err)
+	if err == nil {
+		page, err = budget.DecodePage(o.Value)
+		if err != nil {
+			c.log.Error("budget page is not readable", zap.Int("page", n), zap.Error(err))
+			outcome = budget.Unavailable
+		}
+	}
+	c.with(func(now time.Time, a *budget.Agent) []budget.Effect {
+		return a.PageRead(now, n, o.Version, page, outcome)
+	})
+}
+
+func (c *Controller) write(w budget.WritePage) {
+	o, err := store.Put(context.Background(), c.store, budget.PageKey(w.Page), w.Version, w.Value.Encode())
+	c.with(func(now time.Time, a *budget.Agent) []budget.Effect {
+		return a.PageWritten(now, w.Page, o.Version, classify(err))
+	})
+}
+
+func classify(err error) budget.StoreResult {
+	switch {
+	case err == nil:
+		return budget.Done
+	case errors.Is(err, store.ErrNotFound):
+		return budget.Missing
+	case errors.Is(err, store.ErrConflict):
+		return budget.Conflict
+	case errors.Is(err, store.ErrUnavailable):
+		return budget.Unavailable
+	default:
+		return budget.Lost
+	}
+}
+
+// Reserve takes tokens from a budget, or fails with the reason.
+func (c *Controller) Reserve(ctx context.Context, id string, tokens int64) error {
+	ch := make(chan answer, 1)
+	var token uint64
+	granted := false
+	c.with(func(now time.Time, a *budget.Agent) []budget.Effect {
+		var effects []budget.Effect
+		token, granted, effects = a.Reserve(now, id, tokens)
+		if !granted {
+			c.waiting[token] = ch
+		}
+		return effects
+	})
+	if granted {
+		return nil
+	}
+	return c.await(ctx, id, tokens, token, ch)
+}
+
+func (c *Controller) await(ctx context.Context, id string, tokens int64, token uint64, ch chan answer) error {
+	timer := time.NewTimer(waitAtMost)
+	defer timer.Stop()
+	select {
+	case got := <-ch:
+		return refusal(id, got)
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	if c.cancel(id, token) {
+		return refusal(id, answer{cause: budget.Unreachable})
+	}
+	got := <-ch
+	if got.ok && ctx.Err() != nil {
+		c.Settle(id, tokens, 0)
+		return refusal(id, answer{cause: budget.Unreachable})
+	}
+	return refusal(id, got)
+}
+
+// cancel withdraws a waiting reservation; false means that its answer is
+// already there.
+func (c *Controller) cancel(id string, token uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, waits := c.waiting[token]; !waits {
+		return false
+	}
+	delete(c.waiting, token)
+	c.agent.Cancel(id, token)
+	return true
+}
+
+func refusal(id string, got answer) error {
+	switch {
+	case got.ok:
+		return nil
+	case got.cause == budget.Unknown:
+		return result.New(result.UnknownBudget, "budget %s does not exist", id)
+	case got.cause == budget.Exhausted:
+		return result.New(result.BudgetExhausted, "budget %s cannot cover the request", id).After(exhaustedRetry)
+	default:
+		return result.New(result.BudgetUnreachable, "budget %s: neither the store nor a holder answers", id).After(unreachableRetry)
+	}
+}
+
+// Settle ends a reservation of which actual tokens were served.
+func (c *Controller) Settle(id string, reserved, actual int64) {
+	c.with(func(now time.Time, a *budget.Agent) []budget.Effect {
+		return a.Settle(now, id, reserved, actual)
+	})
+}
+
+// Holdings returns what this router holds.
+func (c *Controller) Holdings(ids []string) map[string]budget.Holding {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held := make(map[string]budget.Holding, len(ids))
+	for _, id := range ids {
+		held[id] = c.agent.Holding(id)
+	}
+	return held
+}
+
+// Close returns all balances to the store; it waits until that is done or the
+// context ends.
+func (c *Controller) Close(ctx context.Context) {
+	c.with(func(now time.Time, a *budget.Agent) []budget.Effect { return a.Close(now) })
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for !c.closed() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			c.log.Warn("budgets not returned; they stay issued until an operator closes the holder")
+			return
+		}
+	}
+	c.fold(ctx)
+}
+
+func (c *Controller) closed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.agent.Closed()
+}
+
+// fold closes this holder in the pages that it drew from, so that no record
+// of it stays behind.
+func (c *Controller) fold(ctx context.Context) {
+	c.mu.Lock()
+	holder, pages := c.agent.Touched()
+	c.mu.Unlock()
+	for _, n := range pages {
+		if err := CloseHolder(ctx, c.store, n, holder); err != nil {
+			c.log.Info("holder not closed", zap.Int("page", n), zap.Error(err))
+		}
+	}
+}
+
+// Wait waits for calls in progress. Call it after Run has ended.
+func (c *Controller) Wait() { c.tasks.Wait() }
--- /dev/null
+++ b/controller/health/health.go
@@ -0,0 +1,196 @@
+// Package health keeps the routes to backend servers current: from the
+// platform's list, from the servers' own reports, and from what other routers
+// tell. The earliest word that a server is leaving wins.
+package health
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gaplink/gaplink/controller/members"
+	"github.com/gaplink/gaplink/engine"
+	"github.com/gaplink/gaplink/membership"
+	"github.com/gaplink/gaplink/peer"
+	"github.com/gaplink/gaplink/route"
+	"github.com/gaplink/gaplink/table"
+)
+
+const (
+	// pollEvery is how often each server is asked by the router ranked first
+	// for it; the others hear of a leaving server from that router.
+	pollEvery   = time.Second
+	pollTimeout = 500 * time.Millisecond
+	tellTimeout = time.Second
+)
+
+// Controller keeps the routes. It is safe for concurrent use.
+type Controller struct {
+	members *members.Controller
+	engines *engine.Client
+	peers   *peer.Client
+	log     *zap.Logger
+
+	mu     sync.Mutex
+	routes *route.Routes
+	rng    *rand.Rand
+	listed map[string]membership.State
+}
+
+// New returns a controller without servers.
+func New(m *members.Controller, e *engine.Client, p *peer.Client, rng *rand.Rand, log *zap.Logger) *Controller {
+	return &Controller{
+		members: m,
+		engines: e,
+		peers:   p,
+		log:     log,
+		routes:  route.New(),
+		rng:     rng,
+		listed:  map[string]membership.State{},
+	}
+}
+
+// SetState takes a new configuration.
+func (c *Controller) SetState(s *table.State) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.routes.SetPools(s.Pools)
+}
+
+// SetList takes the backend servers of the platform's list. The list lags: a
+// server known to be leaving comes back only after the list itself had it
+// leaving, or not at all, and then live.
+func (c *Controller) SetList(backends []membership.Member) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := map[string]membership.State{}
+	for _, m := range backends {
+		next[m.ID] = m.State
+		was := c.listed[m.ID]
+		switch {
+		case m.State == membership.Leaving:
+			c.routes.SetLeaving(m.ID)
+		case was != membership.Live && len(c.listed) > 0:
+			c.routes.Returned(m.ID)
+		}
+	}
+	c.listed = next
+}
+
+// Run asks the servers ranked here until the context ends.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(pollEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			c.poll(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Controller) poll(ctx context.Context) {
+	c.mu.Lock()
+	ids := c.routes.ServerIDs()
+	c.mu.Unlock()
+	now := time.Now()
+	for _, id := range ids {
+		if c.members.First(now, "poll/"+id) == c.members.Self().ID {
+			go c.ask(ctx, id)
+		}
+	}
+}
+
+func (c *Controller) ask(ctx context.Context, id string) {
+	c.mu.Lock()
+	server, ok := c.routes.Server(id)
+	c.mu.Unlock()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	h, err := c.engines.Health(ctx, server.Addr)
+	if err != nil {
+		return
+	}
+	c.Load(id, h.InFlight)
+	if h.Leaving {
+		c.Left(id)
+	}
+}
+
+// Left marks a server as leaving and, if that is news, tells the other
+// routers.
+func (c *Controller) Left(id string) {
+	if c.markLeaving(id) {
+		c.log.Info("backend server is leaving", zap.String("server", id))
+		go c.tell(id)
+	}
+}
+
+func (c *Controller) markLeaving(id string) (news bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	news = !c.routes.Leaving(id)
+	c.routes.SetLeaving(id)
+	return news && c.routes.Leaving(id)
+}
+
+// Heard takes another router's word that a server is leaving.
+func (c *Controller) Heard(id string) { c.markLeaving(id) }
+
+func (c *Controller) tell(id string) {
+	Tell(c.members, c.peers, &peer.LeavingRequest{Kind: "backend", ID: id})
+}
+
+// Tell sends a leaving notice to all other routers, once each.
+func Tell(m *members.Controller, p *peer.Client, notice *peer.LeavingRequest) {
+	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, other := range m.Members() {
+		if other.ID == m.Self().ID {
+			continue
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_, _ = peer.Call[peer.LeavingRequest, peer.Empty](ctx, p, other.Addr, peer.MethodLeaving, notice)
+		}()
+	}
+	wg.Wait()
+}
+
+// Pick chooses a server for an attempt.
+func (c *Controller) Pick(req route.Request) (route.Choice, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.routes.Pick(time.Now(), c.rng, req)
+}
+
+// Started counts a dispatched attempt.
+func (c *Controller) Started(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.routes.Started(id)
+}
+
+// Finished counts the end of an attempt.
+func (c *Controller) Finished(id string, failed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.routes.Finished(time.Now(), id, failed)
+}
+
+// Load takes a server's report.
+func (c *Controller) Load(id string, load float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.routes.Load(time.Now(), id, load)
+}
--- /dev/null
+++ b/controller/ledgers/ledgers.go
@@ -0,0 +1,415 @@
+// Package ledgers runs the ledger shards: it submits claims and bills to the
+// shard owners, and acts as the owner for the shards ranked here.
+package ledgers
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gaplink/gaplink/controller/members"
+	"github.com/gaplink/gaplink/ledger"
+	"github.com/gaplink/gaplink/peer"
+	"github.com/gaplink/gaplink/store"
+)
+
+const (
+	tickEvery = 5 * time.Millisecond
+	// submitTimeout bounds one submission to an owner.
+	submitTimeout = 1500 * time.Millisecond
+	// runningTimeout bounds the question whether a holder still runs a request.
+	runningTimeout = 500 * time.Millisecond
+	// submitTries is how many owners, in rank order, a submission is offered.
+	submitTries = 3
+	// resubmitEvery is how often unrecorded bills are submitted again.
+	resubmitEvery = 500 * time.Millisecond
+	forgetEvery   = 10 * time.Second
+)
+
+var errNoOwner = errors.New("no shard owner answers")
+
+// Controller runs the shards. It is safe for concurrent use.
+type Controller struct {
+	store       store.Store
+	members     *members.Controller
+	peers       *peer.Client
+	log         *zap.Logger
+	incarnation string
+	count       int
+
+	mu      sync.Mutex
+	shards  []*shard
+	token   uint64
+	waiting map[uint64]chan ledger.Outcome
+	running map[string]bool
+	bills   map[string]ledger.Op // not known to be committed
+	tasks   sync.WaitGroup
+}
+
+// shard is a pure shard with its lock.
+type shard struct {
+	mu    sync.Mutex
+	shard *ledger.Shard
+}
+
+// New returns a controller of count shards; cfg is the same for all.
+func New(cfg ledger.Config, count int, s store.Store, m *members.Controller, p *peer.Client, log *zap.Logger) *Controller {
+	c := &Controller{
+		store:       s,
+		members:     m,
+		peers:       p,
+		log:         log,
+		incarnation: cfg.Owner,
+		count:       count,
+		waiting:     map[uint64]chan ledger.Outcome{},
+		running:     map[string]bool{},
+		bills:       map[string]ledger.Op{},
+	}
+	for n := range count {
+		cfg.Shard = n
+		c.shards = append(c.shards, &shard{shard: ledger.NewShard(cfg)})
+	}
+	return c
+}
+
+// Run ticks the shards until the context ends.
+func (c *Controller) Run(ctx context.Context) {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	resubmit := time.NewTicker(resubmitEvery)
+	defer resubmit.Stop()
+	forget := time.NewTicker(forgetEvery)
+	defer forget.Stop()
+	for {
+		select {
+		case <-tick.C:
+			c.tick()
+		case <-resubmit.C:
+			c.start(c.resubmit)
+		case <-forget.C:
+			c.forget()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Controller) tick() {
+	for n := range c.shards {
+		c.with(n, func(now time.Time, s *ledger.Shard) []ledger.Effect { return s.Tick(now) })
+	}
+}
+
+func (c *Controller) forget() {
+	for n := range c.shards {
+		c.with(n, func(now time.Time, s *ledger.Shard) []ledger.Effect {
+			s.Forget(now)
+			return nil
+		})
+	}
+}
+
+func (c *Controller) with(n int, call func(time.Time, *ledger.Shard) []ledger.Effect) {
+	sh := c.shards[n]
+	sh.mu.Lock()
+	effects := call(time.Now(), sh.shard)
+	sh.mu.Unlock()
+	for _, e := range effects {
+		c.perform(e)
+	}
+}
+
+func (c *Controller) perform(e ledger.Effect) {
+	switch e := e.(type) {
+	case ledger.Reply:
+		c.reply(e)
+	case ledger.Load:
+		c.start(func() { c.load(e.Shard) })
+	case ledger.Append:
+		c.start(func() { c.append(e) })
+	}
+}
+
+func (c *Controller) start(task func()) {
+	c.tasks.Add(1)
+	go func() {
+		defer c.tasks.Done()
+		task()
+	}()
+}
+
+func (c *Controller) reply(r ledger.Reply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ch, ok := c.waiting[r.Token]; ok {
+		delete(c.waiting, r.Token)
+		ch <- r.Outcome
+	}
+}
+
+func (c *Controller) load(n int) {
+	objects, _, err := c.store.List(context.Background(), ledger.Prefix(n))
+	segments := make([]*ledger.Segment, 0, len(objects))
+	var version int64
+	for _, o := range objects {
+		seg, decodeErr := ledger.DecodeSegment(o.Value)
+		if decodeErr != nil {
+			c.log.Error("ledger segment is not readable", zap.String("key", o.Key), zap.Error(decodeErr))
+			err = decodeErr
+			break
+		}
+		segments = append(segments, seg)
+		version = o.Version
+	}
+	c.with(n, func(now time.Time, s *ledger.Shard) []ledger.Effect {
+		return s.Loaded(now, segments, version, classify(err))
+	})
+}
+
+func (c *Controller) append(a ledger.Append) {
+	key := ledger.SegmentKey(a.Shard, a.Segment.Number)
+	o, err := store.Put(context.Background(), c.store, key, a.Version, a.Segment.Encode())
+	c.with(a.Shard, func(now time.Time, s *ledger.Shard) []ledger.Effect {
+		return s.Appended(now, o.Version, classify(err))
+	})
+}
+
+func classify(err error) ledger.Result {
+	switch {
+	case err == nil:
+		return ledger.Done
+	case errors.Is(err, store.ErrConflict):
+		return ledger.Conflict
+	case errors.Is(err, store.ErrUnavailable):
+		return ledger.Unavailable
+	default:
+		return ledger.Lost
+	}
+}
+
+// Submit asks this router, as a shard's owner, for an op.
+func (c *Controller) Submit(ctx context.Context, n int, op ledger.Op) (ledger.Outcome, error) {
+	if n < 0 || n >= c.count {
+		return ledger.Outcome{}, errNoOwner
+	}
+	ch := make(chan ledger.Outcome, 1)
+	c.mu.Lock()
+	c.token++
+	token := c.token
+	c.waiting[token] = ch
+	c.mu.Unlock()
+	c.with(n, func(now time.Time, s *ledger.Shard) []ledger.Effect { return s.Submit(now, op, token) })
+	select {
+	case outcome := <-ch:
+		return outcome, nil
+	case <-ctx.Done():
+		c.mu.Lock()
+		delete(c.waiting, token)
+		c.mu.Unlock()
+		return ledger.Outcome{}, ctx.Err()
+	}
+}
+
+// offer submits an op to one router.
+func (c *Controller) offer(ctx context.Context, id string, n int, op ledger.Op) (ledger.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	if id == c.members.Self().ID {
+		return c.Submit(ctx, n, op)
+	}
+	addr, ok := c.members.Addr(id)
+	if !ok {
+		return ledger.Outcome{}, peer.ErrNotSent
+	}
+	req := &peer.LedgerRequest{Shard: n, Op: op, Durable: op.Durable}
+	resp, err := peer.Call[peer.LedgerRequest, peer.LedgerAnswer](ctx, c.peers, addr, peer.MethodLedger, req)
+	if err != nil {
+		c.members.Failed(id)
+		return ledger.Outcome{}, err
+	}
+	c.members.Reached(id)
+	return resp.Outcome, nil
+}
+
+// submit offers an op to the owners in rank order until one answers.
+func (c *Controller) submit(ctx context.Context, op ledger.Op) (outcome ledger.Outcome, owner string, err error) {
+	n := ledger.ShardOf(op.Request, c.count)
+	err = errNoOwner
+	for _, id := range c.owners(n) {
+		outcome, err = c.offer(ctx, id, n, op)
+		if err == nil {
+			return outcome, id, nil
+		}
+		if ctx.Err() != nil {
+			return outcome, "", err
+		}
+	}
+	return outcome, "", err
+}
+
+func (c *Controller) owners(n int) []string {
+	ranked := c.members.Rank(time.Now(), ledger.Role(n))
+	if len(ranked) == 0 {
+		return []string{c.members.Self().ID}
+	}
+	return ranked[:min(len(ranked), submitTries)]
+}
+
+// Claim asks to run a request.
+func (c *Controller) Claim(ctx context.Context, op ledger.Op) (ledger.Outcome, error) {
+	outcome, _, err := c.submit(ctx, op)
+	return outcome, err
+}
+
+// Record writes a bill. It returns when the bill is committed, or when
+// another router holds it too while the store is down. Until it is committed
+// it is submitted again and again.
+func (c *Controller) Record(ctx context.Context, op ledger.Op) {
+	key := op.Holder + "/" + op.Request + "/" + op.Claim
+	c.mu.Lock()
+	c.bills[key] = op
+	c.mu.Unlock()
+	outcome, owner, err := c.submit(ctx, op)
+	if err != nil {
+		c.log.Warn("bill not yet recorded", zap.String("request", op.Request), zap.Error(err))
+		return
+	}
+	if outcome.Verdict == ledger.Recorded {
+		c.mu.Lock()
+		delete(c.bills, key)
+		c.mu.Unlock()
+		return
+	}
+	if owner == c.members.Self().ID {
+		c.copyElsewhere(ctx, op)
+	}
+}
+
+// copyElsewhere gives a held bill to the next owner in rank, so that the
+// death of this router alone does not lose it.
+func (c *Controller) copyElsewhere(ctx context.Context, op ledger.Op) {
+	n := ledger.ShardOf(op.Request, c.count)
+	for _, id := range c.owners(n) {
+		if id == c.members.Self().ID {
+			continue
+		}
+		if _, err := c.offer(ctx, id, n, op); err == nil {
+			return
+		}
+	}
+}
+
+// resubmit offers the bills that are not known to be committed.
+func (c *Controller) resubmit() {
+	c.mu.Lock()
+	bills := make(map[string]ledger.Op, len(c.bills))
+	for key, op := range c.bills {
+		bills[key] = op
+	}
+	c.mu.Unlock()
+	for key, op := range bills {
+		outcome, _, err := c.submit(context.Background(), op)
+		if err != nil || outcome.Verdict != ledger.Recorded {
+			return
+		}
+		c.mu.Lock()
+		delete(c.bills, key)
+		c.mu.Unlock()
+	}
+}
+
+// Unrecorded returns the number of bills not known to be committed.
+func (c *Controller) Unrecorded() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.bills)
+}
+
+// Withdraw takes back a claim that did not run. It does not wait.
+func (c *Controller) Withdraw(op ledger.Op) {
+	c.start(func() {
+		if _, _, err := c.submit(context.Background(), op); err != nil {
+			c.log.Warn("claim not withdrawn", zap.String("request", op.Request), zap.Error(err))
+		}
+	})
+}
+
+// Running tells whether the holder named in a busy outcome still serves the
+// request. A holder that does not answer is taken to be gone.
+func (c *Controller) Running(ctx context.Context, outcome ledger.Outcome, request string) bool {
+	if outcome.Holder == c.incarnation {
+		return c.Serves(c.incarnation, outcome.Claim)
+	}
+	addr, ok := c.members.Addr(outcome.Instance)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, runningTimeout)
+	defer cancel()
+	req := &peer.RunningRequest{Incarnation: outcome.Holder, Claim: outcome.Claim}
+	resp, err := peer.Call[peer.RunningRequest, peer.RunningAnswer](ctx, c.peers, addr, peer.MethodRunning, req)
+	if err != nil {
+		c.log.Info("holder of a running request does not answer", zap.String("request", request), zap.String("holder", outcome.Instance))
+		return false
+	}
+	return resp.Running
+}
+
+// Serves tells whether this router serves a claim of its own incarnation.
+func (c *Controller) Serves(incarnation, claim string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return incarnation == c.incarnation && c.running[claim]
+}
+
+// Begin marks a claim as served here.
+func (c *Controller) Begin(claim string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running[claim] = true
+}
+
+// Done ends Begin.
+func (c *Controller) Done(claim string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.running, claim)
+}
+
+// Self returns this router's incarnation and instance.
+func (c *Controller) Self() (incarnation, instance string) {
+	return c.incarnation, c.members.Self().ID
+}
+
+// Flush waits until no bill is unrecorded and no shard has something to
+// commit, or the context ends.
+func (c *Controller) Flush(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for c.Unrecorded() > 0 || !c.idle() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			c.log.Warn("bills not flushed", zap.Int("unrecorded", c.Unrecorded()))
+			return
+		}
+	}
+}
+
+func (c *Controller) idle() bool {
+	for _, sh := range c.shards {
+		sh.mu.Lock()
+		idle := sh.shard.Idle()
+		sh.mu.Unlock()
+		if !idle {
+			return false
+		}
+	}
+	return true
+}
+
+// Wait waits for calls in progress. Call it after Run has ended.
+func (c *Controller) Wait() { c.tasks.Wait() }
--- /dev/null
+++ b/controller/members/members.go
@@ -0,0 +1,150 @@
+// Package members keeps the router's view of the other routers current from
+// the platform's lagging list, from failed calls and from what members say
+// themselves.
+package members
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gaplink/gaplink/membership"
+)
+
+// Lister reads the platform's list of instances.
+type Lister interface {
+	Instances(ctx context.Context) ([]membership.Member, error)
+}
+
+// Controller keeps the view. It is safe for concurrent use.
+type Controller struct {
+	lister Lister
+	every  time.Duration
+	log    *zap.Logger
+	self   membership.Member
+
+	mu       sync.Mutex
+	view     *membership.View
+	backends []membership.Member
+	onList   []func([]membership.Member)
+}
+
+// New returns a controller that reads the list every so often.
+func New(self membership.Member, lister Lister, every time.Duration, log *zap.Logger) *Controller {
+	return &Controller{
+		lister: lister,
+		every:  every,
+		log:    log,
+		self:   self,
+		view:   membership.NewView(self),
+	}
+}
+
+// OnList registers a function that gets the backend servers of each list
+// read. Call it before Run.
+func (c *Controller) OnList(fn func([]membership.Member)) {
+	c.onList = append(c.onList, fn)
+}
+
+// Run reads the list until the context ends.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(c.every)
+	defer ticker.Stop()
+	for {
+		c.Refresh(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Refresh reads the list once. A failed read keeps the last one.
+func (c *Controller) Refresh(ctx context.Context) {
+	list, err := c.lister.Instances(ctx)
+	if err != nil {
+		if ctx.Err() == nil {
+			c.log.Debug("instance list not read", zap.Error(err))
+		}
+		return
+	}
+	var backends []membership.Member
+	for _, m := range list {
+		if m.Kind == "backend" {
+			backends = append(backends, m)
+		}
+	}
+	c.mu.Lock()
+	c.view.SetList(list)
+	c.backends = backends
+	c.mu.Unlock()
+	for _, fn := range c.onList {
+		fn(backends)
+	}
+}
+
+// Self returns this router.
+func (c *Controller) Self() membership.Member { return c.self }
+
+// First returns the best member for a role.
+func (c *Controller) First(now time.Time, role string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.First(now, role)
+}
+
+// Rank returns the usable members for a role, best first.
+func (c *Controller) Rank(now time.Time, role string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Rank(now, role)
+}
+
+// Addr returns a member's address for traffic between routers.
+func (c *Controller) Addr(id string) (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m, ok := c.view.Member(id)
+	return m.Addr, ok
+}
+
+// Members returns all listed routers.
+func (c *Controller) Members() []membership.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Members()
+}
+
+// Live returns the number of usable routers, at least 1.
+func (c *Controller) Live() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(len(c.view.Rank(time.Now(), "live")), 1)
+}
+
+// Failed records that a call to a member failed.
+func (c *Controller) Failed(id string) {
+	if id == c.self.ID {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view.Failed(time.Now(), id)
+}
+
+// Reached records that a member answered.
+func (c *Controller) Reached(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view.Reached(id)
+}
+
+// SetLeaving records that a member is leaving.
+func (c *Controller) SetLeaving(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view.SetLeaving(id)
+}
--- /dev/null
+++ b/membership/membership.go
@@ -0,0 +1,164 @@
+// Package membership keeps one router's view of the other routers and ranks
+// them for controller roles. It is pure: callers pass the time.
+//
+// No role rests on this view for safety. Two routers that both believe to be
+// a budget's home or a shard's owner are kept apart by the store's
+// conditional updates, never by who is in the list.
+package membership
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// State is an instance's state in the platform's list.
+type State string
+
+// The states of the platform's list.
+const (
+	Live    State = "live"
+	Leaving State = "leaving"
+)
+
+// Member is one router instance of the platform's list.
+type Member struct {
+	// ID is the instance's name, unique in the fleet.
+	ID string `json:"id"`
+	// Kind is "router" or "backend".
+	Kind string `json:"kind"`
+	// Addr is the address (IP:port) for traffic between routers, or of the
+	// backend server.
+	Addr string `json:"addr"`
+	// Domain is the failure domain.
+	Domain string `json:"domain"`
+	// State is live or leaving.
+	State State `json:"state"`
+}
+
+// suspectFor is how long a failed peer is ranked behind the others.
+const suspectFor = 2 * time.Second
+
+// View is one router's knowledge of the members. It is not safe for
+// concurrent use.
+type View struct {
+	self    string
+	members map[string]Member
+	suspect map[string]time.Time
+	left    map[string]bool
+}
+
+// NewView returns a view that holds only the router itself.
+func NewView(self Member) *View {
+	return &View{
+		self:    self.ID,
+		members: map[string]Member{self.ID: self},
+		suspect: make(map[string]time.Time),
+		left:    make(map[string]bool),
+	}
+}
+
+// SetList takes the platform's list. The router always keeps itself, and a
+// member heard to be leaving stays so until the list no longer has it: a
+// stale "live" never overrides the earlier knowledge.
+func (v *View) SetList(members []Member) {
+	next := map[string]Member{v.self: v.members[v.self]}
+	for _, m := range members {
+		if m.Kind != "router" || m.ID == v.self {
+			continue
+		}
+		next[m.ID] = m
+	}
+	for id := range v.left {
+		if _, ok := next[id]; !ok {
+			delete(v.left, id)
+		}
+	}
+	v.members = next
+}
+
+// SetLeaving records that a member said itself that it is leaving.
+func (v *View) SetLeaving(id string) {
+	v.left[id] = true
+}
+
+// Failed records that a call to the member failed.
+func (v *View) Failed(now time.Time, id string) {
+	v.suspect[id] = now.Add(suspectFor)
+}
+
+// Reached records that the member answered.
+func (v *View) Reached(id string) {
+	delete(v.suspect, id)
+}
+
+// Suspected tells whether the member failed lately.
+func (v *View) Suspected(now time.Time, id string) bool {
+	until, ok := v.suspect[id]
+	return ok && now.Before(until)
+}
+
+// Member returns the member of that id.
+func (v *View) Member(id string) (Member, bool) {
+	m, ok := v.members[id]
+	return m, ok
+}
+
+// Members returns all listed members in the order of their ids.
+func (v *View) Members() []Member {
+	all := make([]Member, 0, len(v.members))
+	for _, m := range v.members {
+		all = append(all, m)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
+	return all
+}
+
+// usable tells whether the member may take roles.
+func (v *View) usable(now time.Time, m Member) bool {
+	return m.State == Live && !v.left[m.ID] && !v.Suspected(now, m.ID)
+}
+
+// Rank returns the ids of the usable members for a role, best first, by
+// rendezvous hashing. The router itself is in the list unless it is leaving.
+func (v *View) Rank(now time.Time, role string) []string {
+	type scored struct {
+		id    string
+		score uint64
+	}
+	var list []scored
+	for id, m := range v.members {
+		if v.usable(now, m) {
+			list = append(list, scored{id, xxhash.Sum64String(role + "\x00" + id)})
+		}
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].score != list[j].score {
+			return list[i].score > list[j].score
+		}
+		return list[i].id < list[j].id
+	})
+	ids := make([]string, len(list))
+	for i, s := range list {
+		ids[i] = s.id
+	}
+	return ids
+}
+
+// First returns the best member for a role, or the router itself when no
+// member is usable. It does not sort, so it is cheap on the request path.
+func (v *View) First(now time.Time, role string) string {
+	best, bestScore := v.self, uint64(0)
+	found := false
+	for id, m := range v.members {
+		if !v.usable(now, m) {
+			continue
+		}
+		score := xxhash.Sum64String(role + "\x00" + id)
+		if !found || score > bestScore || score == bestScore && id < best {
+			best, bestScore, found = id, score, true
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/router/peers.go
@@ -0,0 +1,112 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gaplink/gaplink/peer"
+	"github.com/gaplink/gaplink/result"
+	"github.com/gaplink/gaplink/store"
+)
+
+// peerMux offers the router's methods to other routers and operators.
+func (r *Router) peerMux() *peer.Mux {
+	m := peer.NewMux()
+	peer.Handle(m, peer.MethodBudget, r.onBudget)
+	peer.Handle(m, peer.MethodHolding, r.onHolding)
+	peer.Handle(m, peer.MethodLedger, r.onLedger)
+	peer.Handle(m, peer.MethodRunning, r.onRunning)
+	peer.Handle(m, peer.MethodPrepare, r.onPrepare)
+	peer.Handle(m, peer.MethodDecide, r.onDecide)
+	peer.Handle(m, peer.MethodLeaving, r.onLeaving)
+	peer.Handle(m, peer.MethodAdmin, r.admin.Do)
+	return m
+}
+
+func (r *Router) onBudget(_ context.Context, req *peer.BudgetMessage) (*peer.Empty, error) {
+	r.budgets.Receive(req.Message)
+	return &peer.Empty{}, nil
+}
+
+func (r *Router) onHolding(_ context.Context, req *peer.HoldingRequest) (*peer.HoldingAnswer, error) {
+	return &peer.HoldingAnswer{Holdings: r.budgets.Holdings(req.Budgets)}, nil
+}
+
+func (r *Router) onLedger(ctx context.Context, req *peer.LedgerRequest) (*peer.LedgerAnswer, error) {
+	op := req.Op
+	op.Durable = req.Durable
+	outcome, err := r.ledgers.Submit(ctx, req.Shard, op)
+	if err != nil {
+		return nil, result.New(result.LedgerUnreachable, "%v", err)
+	}
+	return &peer.LedgerAnswer{Outcome: outcome}, nil
+}
+
+func (r *Router) onRunning(_ context.Context, req *peer.RunningRequest) (*peer.RunningAnswer, error) {
+	return &peer.RunningAnswer{Running: r.ledgers.Serves(req.Incarnation, req.Claim)}, nil
+}
+
+func (r *Router) onPrepare(ctx context.Context, req *peer.PrepareRequest) (*peer.PrepareAnswer, error) {
+	ok, revision := r.tables.Prepare(ctx, req.Change)
+	return &peer.PrepareAnswer{OK: ok, Revision: revision}, nil
+}
+
+func (r *Router) onDecide(_ context.Context, req *peer.DecideRequest) (*peer.DecideAnswer, error) {
+	return &peer.DecideAnswer{Revision: r.tables.Decide(req.Change)}, nil
+}
+
+func (r *Router) onLeaving(_ context.Context, req *peer.LeavingRequest) (*peer.Empty, error) {
+	if req.Kind == "router" {
+		r.members.SetLeaving(req.ID)
+	} else {
+		r.health.Heard(req.ID)
+	}
+	return &peer.Empty{}, nil
+}
+
+// parameters must be the same on all instances, since they decide where
+// budgets and requests are kept.
+type parameters struct {
+	Pages  int `json:"pages"`
+	Shards int `json:"shards"`
+}
+
+const (
+	parametersKey   = "fleet/parameters"
+	parametersRetry = 300 * time.Millisecond
+)
+
+// checkParameters compares the settings with the fleet's, or sets them for
+// the first router. A router whose settings differ never becomes ready.
+func (r *Router) checkParameters(ctx context.Context) {
+	mine := parameters{Pages: r.settings.Budgets.Pages, Shards: r.settings.Ledger.Shards}
+	for ctx.Err() == nil {
+		fleet, err := r.fleetParameters(ctx, mine)
+		if err == nil && fleet == mine {
+			r.parameter.Store(true)
+			return
+		}
+		if err == nil {
+			r.log.Error("settings differ from the fleet's", zap.Int("code", int(result.ParametersMismatch)), zap.Any("mine", mine), zap.Any("fleet", fleet))
+		}
+		wait(ctx, parametersRetry)
+	}
+}
+
+func (r *Router) fleetParameters(ctx context.Context, mine parameters) (parameters, error) {
+	var fleet parameters
+	o, err := r.store.Get(ctx, parametersKey)
+	if errors.Is(err, store.ErrNotFound) {
+		value, _ := json.Marshal(mine)
+		_, _ = r.store.Create(ctx, parametersKey, value)
+		o, err = r.store.Get(ctx, parametersKey)
+	}
+	if err != nil {
+		return fleet, err
+	}
+	return fleet, json.Unmarshal(o.Value, &fleet)
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,283 @@
+// Package settings reads and checks a router's static settings (TOML).
+//
+// Decoding is strict: an unknown key, a wrong type or a value out of range is
+// an error that names file, line and key and says what is allowed.
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/gaplink/gaplink/result"
+)
+
+// Duration is a time span written like "150ms" or "10s".
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is not a time span such as \"150ms\" or \"10s\"", text)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// Std returns the standard library's type.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// Settings are all static settings of a router.
+type Settings struct {
+	Instance Instance `toml:"instance"`
+	Listen   Listen   `toml:"listen"`
+	Platform Platform `toml:"platform"`
+	Budgets  Budgets  `toml:"budgets"`
+	Ledger   Ledger   `toml:"ledger"`
+	Requests Requests `toml:"requests"`
+	Table    Table    `toml:"table"`
+	Operator Operator `toml:"operator"`
+	Log      Log      `toml:"log"`
+}
+
+// Instance says who and where the process is.
+type Instance struct {
+	// ID is the instance's name in the platform's list.
+	ID string `toml:"id" validate:"required"`
+	// Domain is its failure domain.
+	Domain string `toml:"domain" validate:"required"`
+}
+
+// Listen are the addresses that the process binds, as IP:port.
+type Listen struct {
+	// Callers is where callers connect.
+	Callers string `toml:"callers" validate:"required,hostname_port"`
+	// Peers is where other routers and gaplinkctl connect.
+	Peers string `toml:"peers" validate:"required,hostname_port"`
+}
+
+// Platform is the platform's API.
+type Platform struct {
+	// URL is its base, such as "http://10.0.0.1:9000".
+	URL string `toml:"url" validate:"required,http_url"`
+	// Timeout bounds one call.
+	Timeout Duration `toml:"timeout" validate:"min=1000000"`
+	// ListEvery is how often the instance list is read.
+	ListEvery Duration `toml:"list_every" validate:"min=1000000"`
+}
+
+// Budgets are the settings of the token budgets.
+type Budgets struct {
+	// Pages is the number of store objects that hold the budgets; the same
+	// on all instances.
+	Pages int `toml:"pages" validate:"min=1,max=4096"`
+	// Hold is how much demand a budget's home holds ahead. Longer lasts
+	// longer through a store outage (fewer false refusals); shorter strands
+	// less when a home dies.
+	Hold Duration `toml:"hold" validate:"min=100000000"`
+	// EntryHold is how much demand an entry router holds ahead.
+	EntryHold Duration `toml:"entry_hold" validate:"min=10000000"`
+}
+
+// Ledger are the settings of claims and billing records.
+type Ledger struct {
+	// Shards is the number of ledger shards; the same on all instances.
+	Shards int `toml:"shards" validate:"min=1,max=999"`
+	// Spacing is the least time between two commits of a shard.
+	Spacing Duration `toml:"spacing" validate:"min=1000000"`
+	// Linger is how long a billing record may wait for others.
+	Linger Duration `toml:"linger" validate:"min=1000000"`
+	// Retention is how long a finished request's key is remembered.
+	Retention Duration `toml:"retention" validate:"min=1000000000"`
+}
+
+// Requests bound one request.
+type Requests struct {
+	// MaxBodyBytes bounds the body.
+	MaxBodyBytes int64 `toml:"max_body_bytes" validate:"min=1024,max=104857600"`
+	// MaxTokens bounds max_tokens.
+	MaxTokens int64 `toml:"max_tokens" validate:"min=1"`
+	// Deadline is used when the caller names none.
+	Deadline Duration `toml:"deadline" validate:"min=1000000"`
+	// Attempts bounds the attempts of one request.
+	Attempts int `toml:"attempts" validate:"min=1,max=10"`
+	// RetryRatio is the fleet's retry budget as a share of its requests.
+	RetryRatio float64 `toml:"retry_ratio" validate:"min=0,max=1"`
+	// LeaveGrace is how long a stopping router still takes new work, until
+	// the balancer has noticed.
+	LeaveGrace Duration `toml:"leave_grace" validate:"min=0"`
+}
+
+// Table are the settings of configuration changes.
+type Table struct {
+	// DecideWithin is how long an acknowledged change may stay undecided
+	// before its rows take no new work.
+	DecideWithin Duration `toml:"decide_within" validate:"min=1000000"`
+	// AckWithin is how long the proposer waits for acknowledgements.
+	AckWithin Duration `toml:"ack_within" validate:"min=1000000"`
+}
+
+// Operator says who may change things.
+type Operator struct {
+	// KeyHash is the SHA-256 hash (hex) of the operators' key.
+	KeyHash string `toml:"key_hash" validate:"required,len=64,hexadecimal"`
+}
+
+// Log are the settings of the logs.
+type Log struct {
+	// Level is the least severity written.
+	Level string `toml:"level" validate:"oneof=debug info warn error"`
+}
+
+// Default returns the settings that a file need not name.
+func Default() Settings {
+	return Settings{
+		Platform: Platform{Timeout: Duration(time.Second), ListEvery: Duration(2 * time.Second)},
+		Budgets:  Budgets{Pages: 16, Hold: Duration(10 * time.Second), EntryHold: Duration(time.Second)},
+		Ledger: Ledger{
+			Shards:    2,
+			Spacing:   Duration(20 * time.Millisecond),
+			Linger:    Duration(80 * time.Millisecond),
+			Retention: Duration(time.Hour),
+		},
+		Requests: Requests{
+			MaxBodyBytes: 1 << 20,
+			MaxTokens:    32768,
+			Deadline:     Duration(2 * time.Minute),
+			Attempts:     3,
+			RetryRatio:   0.2,
+			LeaveGrace:   Duration(2 * time.Second),
+		},
+		Table: Table{DecideWithin: Duration(3 * time.Second), AckWithin: Duration(2 * time.Second)},
+		Log:   Log{Level: "info"},
+	}
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, result.New(result.BadSettings, "%v", err)
+	}
+	return Parse(path, text)
+}
+
+// Parse decodes and checks settings; name is used in errors.
+func Parse(name string, text []byte) (Settings, error) {
+	s := Default()
+	dec := toml.NewDecoder(bytes.NewReader(text))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&s); err != nil {
+		return s, decodeError(name, err)
+	}
+	if err := validate(&s); err != nil {
+		return s, validationError(name, text, err)
+	}
+	return s, nil
+}
+
+func decodeError(name string, err error) error {
+	var unknown *toml.StrictMissingError
+	if errors.As(err, &unknown) && len(unknown.Errors) > 0 {
+		first := unknown.Errors[0]
+		line, _ := first.Position()
+		return result.New(result.BadSettings, "%s: line %d: unknown key %s", name, line, strings.Join(first.Key(), "."))
+	}
+	var wrong *toml.DecodeError
+	if errors.As(err, &wrong) {
+		line, _ := wrong.Position()
+		return result.New(result.BadSettings, "%s: line %d: key %s: %v", name, line, strings.Join(wrong.Key(), "."), wrong)
+	}
+	return result.New(result.BadSettings, "%s: %v", name, err)
+}
+
+func validate(s *Settings) error {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	return v.Struct(s)
+}
+
+func validationError(name string, text []byte, err error) error {
+	var fields validator.ValidationErrors
+	if !errors.As(err, &fields) || len(fields) == 0 {
+		return result.New(result.BadSettings, "%s: %v", name, err)
+	}
+	section, key := tomlKey(fields[0].StructNamespace())
+	line := lineOf(text, section, key)
+	where := "missing"
+	if line > 0 {
+		where = fmt.Sprintf("line %d", line)
+	}
+	return result.New(result.BadSettings, "%s: %s: key %s.%s: %s", name, where, section, key, allowed(fields[0]))
+}
+
+// allowed says in words what a field's rule allows.
+func allowed(f validator.FieldError) string {
+	switch f.Tag() {
+	case "required":
+		return "must be set"
+	case "min":
+		if d, ok := f.Value().(Duration); ok {
+			return fmt.Sprintf("%s is too short", d.Std())
+		}
+		return fmt.Sprintf("%v is below %s", f.Value(), f.Param())
+	case "max":
+		return fmt.Sprintf("%v is above %s", f.Value(), f.Param())
+	case "oneof":
+		return fmt.Sprintf("%v is not one of: %s", f.Value(), f.Param())
+	case "len", "hexadecimal":
+		return "must be 64 hex digits (a SHA-256 hash)"
+	case "hostname_port":
+		return fmt.Sprintf("%q is not IP:port", f.Value())
+	default:
+		return fmt.Sprintf("%v is not allowed (%s)", f.Value(), f.Tag())
+	}
+}
+
+// tomlKey turns "Settings.Ledger.Shards" into "ledger" and "shards".
+func tomlKey(namespace string) (section, key string) {
+	parts := strings.Split(namespace, ".")
+	return snake(parts[1]), snake(parts[2])
+}
+
+var acronyms = strings.NewReplacer("ID", "id", "URL", "url")
+
+func snake(name string) string {
+	name = acronyms.Replace(name)
+	var b strings.Builder
+	for i, r := range name {
+		if r >= 'A' && r <= 'Z' && i > 0 {
+			b.WriteByte('_')
+		}
+		b.WriteRune(r)
+	}
+	return strings.ToLower(b.String())
+}
+
+// lineOf finds a key in its section; 0 if the file does not name it.
+func lineOf(text []byte, section, key string) int {
+	in := ""
+	for i, line := range strings.Split(string(text), "\n") {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "[") {
+			in = strings.Trim(line, "[] ")
+			continue
+		}
+		name, _, ok := strings.Cut(line, "=")
+		if ok && in == section && strings.TrimSpace(name) == key {
+			return i + 1
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/store/httpstore/httpstore.go
@@ -0,0 +1,169 @@
+// Package httpstore speaks the platform's HTTP object API.
+//
+// Objects are read and written under /v1/objects/KEY; If-Match carries the
+// version of a conditional update and If-None-Match: * a create. An answer
+// that does not arrive is ErrUnknown: the change may have taken effect.
+package httpstore
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/gaplink/gaplink/membership"
+	"github.com/gaplink/gaplink/store"
+)
+
+// VersionHeader carries an object's version in answers.
+const VersionHeader = "Gaplink-Store-Version"
+
+// watchSlack is added to a watch's wait before the client gives up.
+const watchSlack = 2 * time.Second
+
+// Client is a store over HTTP, and a reader of the platform's instance list.
+type Client struct {
+	base    string
+	timeout time.Duration
+	http    *http.Client
+}
+
+var _ store.Store = (*Client)(nil)
+
+// New returns a client of the API at base (such as "http://127.0.0.1:9000")
+// that gives up on a call after timeout.
+func New(base string, timeout time.Duration) *Client {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: 64,
+		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+	}
+	return &Client{base: base, timeout: timeout, http: &http.Client{Transport: transport}}
+}
+
+// Get implements store.Store.
+func (c *Client) Get(ctx context.Context, key string) (store.Object, error) {
+	return c.object(ctx, http.MethodGet, key, nil, "", "")
+}
+
+// Create implements store.Store.
+func (c *Client) Create(ctx context.Context, key string, value []byte) (store.Object, error) {
+	return c.object(ctx, http.MethodPut, key, value, "If-None-Match", "*")
+}
+
+// Update implements store.Store.
+func (c *Client) Update(ctx context.Context, key string, version int64, value []byte) (store.Object, error) {
+	return c.object(ctx, http.MethodPut, key, value, "If-Match", strconv.FormatInt(version, 10))
+}
+
+// Delete implements store.Store.
+func (c *Client) Delete(ctx context.Context, key string, version int64) error {
+	_, err := c.object(ctx, http.MethodDelete, key, nil, "If-Match", strconv.FormatInt(version, 10))
+	return err
+}
+
+// List implements store.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]store.Object, int64, error) {
+	var ev store.Events
+	err := c.json(ctx, c.timeout, "/v1/list?prefix="+url.QueryEscape(prefix), &ev)
+	return ev.Objects, ev.Revision, err
+}
+
+// Watch implements store.Store.
+func (c *Client) Watch(ctx context.Context, prefix string, since int64, wait time.Duration) (store.Events, error) {
+	path := fmt.Sprintf("/v1/watch?prefix=%s&since=%d&wait=%d", url.QueryEscape(prefix), since, wait.Milliseconds())
+	var ev store.Events
+	err := c.json(ctx, wait+watchSlack, path, &ev)
+	return ev, err
+}
+
+// Instances reads the platform's list of live and leaving instances.
+func (c *Client) Instances(ctx context.Context) ([]membership.Member, error) {
+	var members []membership.Member
+	err := c.json(ctx, c.timeout, "/v1/instances", &members)
+	return members, err
+}
+
+func (c *Client) object(ctx context.Context, method, key string, value []byte, header, condition string) (store.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, c.base+"/v1/objects/"+key, bytes.NewReader(value))
+	if err != nil {
+		return store.Object{}, err
+	}
+	if header != "" {
+		req.Header.Set(header, condition)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return store.Object{}, transportError(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return store.Object{}, store.ErrUnknown
+	}
+	if err := statusError(resp.StatusCode); err != nil {
+		return store.Object{}, err
+	}
+	version, err := strconv.ParseInt(resp.Header.Get(VersionHeader), 10, 64)
+	if err != nil {
+		return store.Object{}, store.ErrUnknown
+	}
+	if method == http.MethodGet {
+		value = body
+	}
+	return store.Object{Key: key, Version: version, Value: value}, nil
+}
+
+func (c *Client) json(ctx context.Context, timeout time.Duration, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return transportError(err)
+	}
+	defer resp.Body.Close()
+	if err := statusError(resp.StatusCode); err != nil {
+		return err
+	}
+	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
+		return store.ErrUnknown
+	}
+	return nil
+}
+
+// transportError tells a call that was never sent from one whose answer is
+// missing.
+func transportError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return store.ErrUnavailable
+	}
+	return store.ErrUnknown
+}
+
+func statusError(status int) error {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound:
+		return store.ErrNotFound
+	case http.StatusPreconditionFailed:
+		return store.ErrConflict
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return store.ErrUnavailable
+	default:
+		return store.ErrUnknown
+	}
+}
--- /dev/null
+++ b/table/participant.go
@@ -0,0 +1,96 @@
+package table
+
+import (
+	"time"
+)
+
+// Participant is one router's side of the agreement on changes.
+//
+// A router that has acknowledged a proposal and hears no outcome within the
+// bound takes no new work on the rows that the change affects. So once a
+// change is committed, no router works by the old row for longer than the
+// bound, whether it heard the outcome or not. It is not safe for concurrent
+// use.
+type Participant struct {
+	state   *State
+	pending *Change
+	since   time.Time
+	bound   time.Duration
+}
+
+// NewParticipant returns a participant with the empty configuration. bound is
+// how long an acknowledged change may stay undecided before its rows block.
+func NewParticipant(bound time.Duration) *Participant {
+	return &Participant{state: NewState(), bound: bound}
+}
+
+// State returns the committed configuration. Callers must not change it.
+func (p *Participant) State() *State { return p.state }
+
+// Pending returns the revision of the acknowledged, undecided change; 0 if
+// there is none.
+func (p *Participant) Pending() int64 {
+	if p.pending == nil {
+		return 0
+	}
+	return p.pending.Revision
+}
+
+// Prepare acknowledges a proposal; false means that the participant does not
+// know the revision before it and must catch up first.
+func (p *Participant) Prepare(now time.Time, c Change) bool {
+	if c.Revision <= p.state.Revision {
+		return true
+	}
+	if c.Revision != p.state.Revision+1 {
+		return false
+	}
+	if p.pending == nil || p.pending.ID != c.ID {
+		p.pending = &c
+		p.since = now
+	}
+	return true
+}
+
+// Decide takes a final entry of the log. It returns false for an entry that
+// does not follow the present revision, or is not final. An older or repeated
+// entry changes nothing: a revision never goes back.
+func (p *Participant) Decide(c Change) bool {
+	if c.Revision != p.state.Revision+1 || c.Status == Proposed {
+		return false
+	}
+	next, err := p.state.Apply(c)
+	if err != nil {
+		return false
+	}
+	p.state = next
+	p.pending = nil
+	return true
+}
+
+// Blocked tells whether new work of an account on a target must wait for the
+// outcome of a change.
+func (p *Participant) Blocked(now time.Time, account, target string) bool {
+	if p.pending == nil || now.Sub(p.since) < p.bound {
+		return false
+	}
+	for _, e := range p.pending.Edits {
+		if p.affects(e, account, target) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Participant) affects(e Edit, account, target string) bool {
+	switch e.Kind {
+	case KindAccount:
+		return e.Name == account
+	case KindPool:
+		old, ok := p.state.Pools[e.Name]
+		proposed, err := decode[Pool](e.Value)
+		return ok && old.Target == target || err == nil && proposed.Target == target
+	default:
+		return rowAffects(e.Name, account, target)
+	}
+}
