Run a fleet of processes under faults; bill once through an outage

Cause: the first run of the fleet demo with FAULTS=outage showed 14 attempts billed twice. A bill that is submitted again while the store is down was kept a second time among the held ones, and held ones go into the log unchecked. A random test of the shard (two writers, lost, late and refused writes) found two more: after a failed reload with nothing pending, the batch in flight was never read back (a bill lost), and a bill already applied before a roll-back looked like a repetition of itself (a bill lost).

Ruled out: the conditional update itself (the log never forked in any run).

Change: a held bill is kept once; the reload goes on while a batch is in flight; an entry knows whether it is part of the state. The demo starts platform, backend servers and routers as processes, with relays between the routers that count and cut.

Still open: FAULTS=kill shows 253 false refusals from stranded tokens.

--- /dev/null
+++ b/lab/demo.go
@@ -0,0 +1,584 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/gaplink/gaplink/admin"
+	"github.com/gaplink/gaplink/ledger"
+	"github.com/gaplink/gaplink/membership"
+	"github.com/gaplink/gaplink/store/httpstore"
+	"github.com/gaplink/gaplink/store/standin"
+	"github.com/gaplink/gaplink/table"
+)
+
+// errFailed ends a command with exit code 1 after its report.
+var errFailed = errors.New("a figure that must be 0 is not")
+
+// Report is the demo's one JSON line. All counts are the stand-ins' and the
+// load sender's.
+type Report struct {
+	Requests      int   `json:"requests"`
+	Answered      int   `json:"answered"`
+	Refused       int   `json:"refused"`
+	Unknown       int   `json:"unknown"`
+	GaveUp        int   `json:"gave_up"`
+	Failed        int   `json:"failed"`
+	Overspend     int64 `json:"overspend_tokens"`
+	FalseRefusals int   `json:"false_refusals"`
+	BilledTwice   int   `json:"billed_twice"`
+	Unbilled      int   `json:"unbilled"`
+	RanTwice      int   `json:"ran_twice"`
+	NotRunButRan  int   `json:"not_run_but_ran"`
+	WrongAnswers  int   `json:"wrong_answers"`
+	CutStreams    int   `json:"cut_streams"`
+	CutByKill     int   `json:"cut_by_kill"`
+	LateToLeaving int   `json:"late_to_leaving"`
+	TableReverted int   `json:"table_reverted"`
+	RaceWinners   int   `json:"race_winners"`
+	RaceLosers    int   `json:"race_losers"`
+	Retried       int   `json:"caller_retries"`
+	StoreReads    int64 `json:"store_reads"`
+	StoreWrites   int64 `json:"store_writes"`
+	StoreWatches  int64 `json:"store_watches"`
+	PeerBytes     int64 `json:"peer_bytes"`
+	ServedTokens  int64 `json:"served_tokens"`
+	BilledTokens  int64 `json:"billed_tokens"`
+	Millis        int64 `json:"millis"`
+}
+
+// mustBeZero lists the figures that decide the exit code.
+func (r *Report) mustBeZero() map[string]int64 {
+	return map[string]int64{
+		"overspend_tokens": r.Overspend,
+		"billed_twice":     int64(r.BilledTwice),
+		"unbilled":         int64(r.Unbilled),
+		"ran_twice":        int64(r.RanTwice),
+		"not_run_but_ran":  int64(r.NotRunButRan),
+		"wrong_answers":    int64(r.WrongAnswers),
+		"cut_streams":      int64(r.CutStreams),
+		"late_to_leaving":  int64(r.LateToLeaving),
+		"table_reverted":   int64(r.TableReverted),
+		"gave_up":          int64(r.GaveUp),
+		"failed":           int64(r.Failed),
+	}
+}
+
+type demoOptions struct {
+	requests, workers, routers, engines int
+	seed                                uint64
+	faults                              string
+	keep                                bool
+}
+
+func demoCommand() *cobra.Command {
+	var o demoOptions
+	cmd := &cobra.Command{
+		Use: "demo", Short: "Run a fleet of processes under a seeded load and faults", Args: cobra.NoArgs,
+		Example: "  gaplink-lab demo --faults kill,freeze,outage,cut,race,drain",
+		RunE:    func(cmd *cobra.Command, _ []string) error { return demo(cmd.OutOrStdout(), o) },
+	}
+	cmd.Flags().IntVar(&o.requests, "requests", 900, "requests to send")
+	cmd.Flags().IntVar(&o.workers, "workers", 24, "requests in flight")
+	cmd.Flags().IntVar(&o.routers, "routers", 3, "routers")
+	cmd.Flags().IntVar(&o.engines, "engines", 4, "model backend servers")
+	cmd.Flags().Uint64Var(&o.seed, "seed", 1, "decides the load")
+	cmd.Flags().StringVar(&o.faults, "faults", "", "comma-separated: kill, freeze, outage, cut, race, drain, lost, engine")
+	cmd.Flags().BoolVar(&o.keep, "keep", false, "keep the directory with settings and logs")
+	return cmd
+}
+
+// demoAccounts are the client accounts: one with plenty, one whose budget
+// runs out.
+func demoAccounts() []accountSpec {
+	return []accountSpec{
+		{ID: "tsukushi", Budgets: map[string]int64{"reviews": 100000, "tagging": 2000}},
+		{ID: "vladescu", Budgets: map[string]int64{"readings": 100000}},
+	}
+}
+
+func demo(out io.Writer, o demoOptions) error {
+	dir, err := os.MkdirTemp("", "gaplink-demo")
+	if err != nil {
+		return err
+	}
+	if !o.keep {
+		defer func() { _ = os.RemoveAll(dir) }()
+	}
+	f := newFleet(dir)
+	defer f.stopAll()
+	if err := f.startAll(o.routers, o.engines, o.seed); err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	d := &demoRun{fleet: f, options: o, killed: map[string]bool{}}
+	report, err := d.run()
+	if err != nil {
+		return err
+	}
+	line, err := json.Marshal(report)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintln(out, string(line))
+	return d.verdict(out, report)
+}
+
+// demoRun is one demonstration.
+type demoRun struct {
+	fleet   *fleet
+	options demoOptions
+	report  Report
+
+	mu     sync.Mutex
+	killed map[string]bool // caller addresses of killed routers
+	notes  []string
+}
+
+func (d *demoRun) note(format string, args ...any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.notes = append(d.notes, fmt.Sprintf(format, args...))
+}
+
+func (d *demoRun) verdict(out io.Writer, r *Report) error {
+	var bad []string
+	for name, v := range r.mustBeZero() {
+		if v != 0 {
+			bad = append(bad, fmt.Sprintf("%s=%d", name, v))
+		}
+	}
+	if len(bad) == 0 {
+		return nil
+	}
+	sort.Strings(bad)
+	for _, n := range d.notes {
+		_, _ = fmt.Fprintln(out, "note:", n)
+	}
+	if d.options.keep {
+		_, _ = fmt.Fprintln(out, "logs:", d.fleet.dir)
+	}
+	return fmt.Errorf("%w: %s", errFailed, strings.Join(bad, ", "))
+}
+
+func (d *demoRun) run() (*Report, error) {
+	accounts := demoAccounts()
+	op := newOperator("setup", d.fleet.routers[0].settings.Listen.Peers)
+	keys, err := op.setUp(accounts, d.fleet.pools())
+	if err != nil {
+		return nil, fmt.Errorf("set up: %w", err)
+	}
+	if err := waitFor(readyWithin, func() bool { return d.sameRevision() }); err != nil {
+		return nil, err
+	}
+	s := newSender(d.loadSpec(accounts, keys), limitsOf(accounts))
+	began := time.Now()
+	ctx, cancel := context.WithCancel(context.Background())
+	var faults sync.WaitGroup
+	faults.Add(1)
+	go func() {
+		defer faults.Done()
+		d.inject(ctx)
+	}()
+	outcomes := s.run(s.jobs())
+	cancel()
+	faults.Wait()
+	d.report.Millis = time.Since(began).Milliseconds()
+	for _, w := range s.wrongLog {
+		d.note("%s", w)
+	}
+	d.count(outcomes)
+	return &d.report, d.audit(outcomes, limitsOf(accounts))
+}
+
+func limitsOf(accounts []accountSpec) map[string]int64 {
+	limits := map[string]int64{}
+	for _, a := range accounts {
+		for id, limit := range a.Budgets {
+			limits[id] = limit
+		}
+	}
+	return limits
+}
+
+func (d *demoRun) loadSpec(accounts []accountSpec, keys map[string]string) loadSpec {
+	spec := loadSpec{
+		requests: d.options.requests,
+		workers:  d.options.workers,
+		seed:     d.options.seed,
+		keys:     keys,
+		budgets:  map[string][]string{},
+		killed:   d.wasKilled,
+	}
+	for _, r := range d.fleet.routers {
+		spec.routers = append(spec.routers, r.settings.Listen.Callers)
+	}
+	for _, a := range accounts {
+		spec.budgets[a.ID] = sortedKeys(a.Budgets)
+	}
+	return spec
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func (d *demoRun) wasKilled(addr string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.killed[addr]
+}
+
+// revision asks a router for the configuration revision in force.
+func (d *demoRun) revision(r *routerNode) (int64, bool) {
+	var h struct {
+		Revision int64 `json:"revision"`
+	}
+	err := d.fleet.get(r.settings.Listen.Callers, "/healthz", &h)
+	return h.Revision, err == nil
+}
+
+func (d *demoRun) sameRevision() bool {
+	first, ok := d.revision(d.fleet.routers[0])
+	for _, r := range d.fleet.routers {
+		rev, answered := d.revision(r)
+		ok = ok && answered && rev == first
+	}
+	return ok
+}
+
+// inject brings the chosen faults in, one after the other, while the load
+// runs.
+func (d *demoRun) inject(ctx context.Context) {
+	for _, name := range strings.Split(d.options.faults, ",") {
+		if name == "" {
+			continue
+		}
+		if !pause(ctx, 300*time.Millisecond) {
+			d.note("fault %s not injected: the load had ended", name)
+			continue
+		}
+		if err := d.fault(ctx, name); err != nil {
+			d.note("fault %s: %v", name, err)
+		}
+	}
+}
+
+func (d *demoRun) fault(ctx context.Context, name string) error {
+	last := d.fleet.routers[len(d.fleet.routers)-1]
+	switch name {
+	case "kill":
+		return d.kill(ctx, last)
+	case "freeze":
+		last.process.signal(syscall.SIGSTOP)
+		pause(ctx, 4*time.Second)
+		last.process.signal(syscall.SIGCONT)
+		return nil
+	case "outage":
+		return d.during(ctx, standin.Faults{Outage: true}, 3*time.Second)
+	case "lost":
+		return d.during(ctx, standin.Faults{LoseAnswers: 0.3, DelayMillis: 5}, 3*time.Second)
+	case "cut":
+		return d.cut(ctx)
+	case "race":
+		return d.race()
+	case "drain":
+		return d.drain(ctx, last)
+	case "engine":
+		return d.killEngine()
+	default:
+		return fmt.Errorf("unknown fault")
+	}
+}
+
+func (d *demoRun) during(ctx context.Context, faults standin.Faults, span time.Duration) error {
+	if err := d.fleet.faults(faults); err != nil {
+		return err
+	}
+	pause(ctx, span)
+	return d.fleet.faults(standin.Faults{})
+}
+
+// kill ends a router with open streams and starts it anew.
+func (d *demoRun) kill(ctx context.Context, r *routerNode) error {
+	d.mu.Lock()
+	d.killed[r.settings.Listen.Callers] = true
+	d.mu.Unlock()
+	r.process.end()
+	pause(ctx, time.Second)
+	return d.fleet.startRouter(r)
+}
+
+// cut parts the first router from the others while a budget is topped up.
+func (d *demoRun) cut(ctx context.Context) error {
+	routers := d.fleet.routers
+	alone := host(routers[0].settings.Listen.Peers)
+	for _, r := range routers[1:] {
+		d.fleet.relays.setCut(alone, host(r.settings.Listen.Peers), true)
+	}
+	pause(ctx, 3*time.Second)
+	for _, r := range routers[1:] {
+		d.fleet.relays.setCut(alone, host(r.settings.Listen.Peers), false)
+	}
+	return nil
+}
+
+// race lets two operators edit the same row at once, through two routers.
+func (d *demoRun) race() error {
+	st := newOperator("look", d.fleet.routers[0].settings.Listen.Peers)
+	const row = "*/tagger/new"
+	for round := range 5 {
+		var rows []table.RowRevision
+		if err := st.do(admin.TableGet, struct{}{}, &rows); err != nil {
+			return err
+		}
+		expect := revisionOf(rows, row)
+		d.raceOnce(row, expect, round)
+	}
+	return nil
+}
+
+func revisionOf(rows []table.RowRevision, name string) int64 {
+	for _, r := range rows {
+		if r.Name() == name {
+			return r.Revision
+		}
+	}
+	return 0
+}
+
+func (d *demoRun) raceOnce(row string, expect int64, round int) {
+	var wg sync.WaitGroup
+	for i := range 2 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			op := newOperator(fmt.Sprintf("op%d", i), d.fleet.routers[i%len(d.fleet.routers)].settings.Listen.Peers)
+			args := admin.TableSetArgs{Row: row, Assignments: []string{fmt.Sprintf("weight=%d", 10+10*round+i)}, Expect: &expect}
+			err := op.do(admin.TableSet, args, nil)
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			if err == nil {
+				d.report.RaceWinners++
+			} else {
+				d.report.RaceLosers++
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+// drain lets a backend server leave and stops a router as planned.
+func (d *demoRun) drain(ctx context.Context, r *routerNode) error {
+	leaving := d.fleet.engines[len(d.fleet.engines)-1]
+	if err := d.fleet.putTo(leaving.addr, "/standin/leave", struct{}{}); err != nil {
+		return err
+	}
+	if err := d.fleet.list(r, membership.Leaving); err != nil {
+		return err
+	}
+	r.process.signal(syscall.SIGTERM)
+	_ = r.process.cmd.Wait()
+	pause(ctx, 200*time.Millisecond)
+	return d.fleet.startRouter(r)
+}
+
+// killEngine ends a model backend server with open streams. A stream that had
+// begun cannot be made whole by the router; its caller retries.
+func (d *demoRun) killEngine() error {
+	d.mu.Lock()
+	for _, r := range d.fleet.routers {
+		d.killed[r.settings.Listen.Callers] = true
+	}
+	d.mu.Unlock()
+	last := d.fleet.engines[len(d.fleet.engines)-1]
+	last.end()
+	d.fleet.engines = d.fleet.engines[:len(d.fleet.engines)-1]
+	return nil
+}
+
+// pause waits; false means that the load has ended.
+func pause(ctx context.Context, span time.Duration) bool {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// count sums the outcomes.
+func (d *demoRun) count(outcomes []outcome) {
+	r := &d.report
+	r.Requests = len(outcomes)
+	for _, o := range outcomes {
+		switch o.end {
+		case answered:
+			r.Answered++
+		case refused:
+			r.Refused++
+		case unknown:
+			r.Unknown++
+		case wrong:
+			r.WrongAnswers++
+		case gaveUp:
+			r.GaveUp++
+			d.note("%s gave up, last code %d", o.job.nonce, o.code)
+		default:
+			r.Failed++
+			d.note("%s failed, code %d", o.job.nonce, o.code)
+		}
+		if o.falseRefuse {
+			r.FalseRefusals++
+		}
+		r.Retried += o.tries - 1
+		r.CutStreams += o.cutStreams - o.onDead
+		r.CutByKill += o.onDead
+	}
+}
+
+// audit compares the stand-ins' counts with the ledger and the limits.
+func (d *demoRun) audit(outcomes []outcome, limits map[string]int64) error {
+	counts, err := d.fleet.counts()
+	if err != nil {
+		return err
+	}
+	d.report.StoreReads, d.report.StoreWrites, d.report.StoreWatches = counts.Reads, counts.Writes, counts.Watches
+	d.report.PeerBytes = d.fleet.relays.bytes.Load()
+	if err := d.auditRuns(outcomes, limits); err != nil {
+		return err
+	}
+	d.checkRevisions()
+	return d.auditBills(outcomes)
+}
+
+// lateAfter is when a leaving server must get no new work any more.
+const lateAfter = 3 * time.Second
+
+func (d *demoRun) auditRuns(outcomes []outcome, limits map[string]int64) error {
+	jobs := map[string]outcome{}
+	for _, o := range outcomes {
+		jobs[o.job.nonce] = o
+	}
+	served := map[string]int64{}
+	ran := map[string]int{}
+	for _, p := range append(d.fleet.engines, d.fleet.service) {
+		runs, err := d.fleet.runs(p)
+		if err != nil {
+			return err
+		}
+		for _, r := range runs {
+			served[jobs[r.Nonce].job.budget] += r.Tokens
+			ran[r.Nonce]++
+			if r.AfterLeaving > lateAfter.Milliseconds() {
+				d.report.LateToLeaving++
+			}
+		}
+	}
+	for id, tokens := range served {
+		d.report.ServedTokens += tokens
+		d.report.Overspend += max(tokens-limits[id], 0)
+	}
+	for nonce, o := range jobs {
+		if o.job.notRepeatable && ran[nonce] > 1 {
+			d.report.RanTwice++
+		}
+		if o.refusedOnly && ran[nonce] > 0 {
+			d.report.NotRunButRan++
+			d.note("%s was refused as not run (code %d) and ran %d times", nonce, o.code, ran[nonce])
+		}
+	}
+	return nil
+}
+
+// billsSettle is how long held bills may take to reach the store.
+const billsSettle = 8 * time.Second
+
+func (d *demoRun) auditBills(outcomes []outcome) error {
+	var bills map[string]map[string]int
+	settled := func() bool {
+		var err error
+		bills, err = d.bills()
+		return err == nil && len(unbilled(outcomes, bills)) == 0
+	}
+	_ = waitFor(billsSettle, settled)
+	for _, nonce := range unbilled(outcomes, bills) {
+		d.report.Unbilled++
+		d.note("%s answered and not billed", nonce)
+	}
+	for _, attempts := range bills {
+		for _, n := range attempts {
+			if n > 1 {
+				d.report.BilledTwice++
+			}
+		}
+	}
+	return nil
+}
+
+func unbilled(outcomes []outcome, bills map[string]map[string]int) []string {
+	var missing []string
+	for _, o := range outcomes {
+		if o.end == answered && len(bills["k/"+o.job.account+"/"+o.job.nonce]) == 0 {
+			missing = append(missing, o.job.nonce)
+		}
+	}
+	return missing
+}
+
+// bills reads the ledger from the store: how often each attempt was billed,
+// by request.
+func (d *demoRun) bills() (map[string]map[string]int, error) {
+	s := httpstore.New("http://"+d.fleet.platform.addr, 5*time.Second)
+	objects, _, err := s.List(context.Background(), "ledger/")
+	if err != nil {
+		return nil, err
+	}
+	bills := map[string]map[string]int{}
+	d.report.BilledTokens = 0
+	for _, o := range objects {
+		seg, err := ledger.DecodeSegment(o.Value)
+		if err != nil {
+			return nil, err
+		}
+		for _, b := range seg.Batches {
+			for _, op := range b.Ops {
+				if op.Kind != ledger.Bill {
+					continue
+				}
+				if bills[op.Request] == nil {
+					bills[op.Request] = map[string]int{}
+				}
+				bills[op.Request][fmt.Sprintf("%s/%d", op.Holder, op.Attempt)]++
+				d.report.BilledTokens += op.Tokens
+			}
+		}
+	}
+	return bills, nil
+}
+
+// checkRevisions counts routers that are not at the newest committed
+// revision when all is quiet.
+func (d *demoRun) checkRevisions() {
+	if waitFor(readyWithin, d.sameRevision) != nil {
+		d.report.TableReverted++
+		d.note("routers ended at different revisions")
+	}
+}
--- a/lab/lab.go
+++ b/lab/lab.go
@@ -4,7 +4,6 @@
 package lab
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -20,9 +19,6 @@
 	"github.com/gaplink/gaplink/store/standin"
 )
 
-// errFailed ends a command with exit code 1 after its report.
-var errFailed = errors.New("a figure that must be 0 is not")
-
 // Main runs the command line and returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
 	root := &cobra.Command{
@@ -31,7 +27,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(soloCommand(), platformCommand(), engineCommand(), serviceCommand())
+	root.AddCommand(soloCommand(), demoCommand(), platformCommand(), engineCommand(), serviceCommand())
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errOut)
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -80,6 +80,7 @@
 	at      time.Time
 	waiting bool // its reply is due at the commit
 	dead    bool // a claim that was answered Down
+	applied bool // the op is part of the state
 }
 
 // phase is how far the shard's log is known here.
@@ -101,7 +102,6 @@
 	state   *state
 	segment *Segment
 	version int64
-	bytes   int
 	pending []*entry
 	flight  []*entry
 	next    *Segment // the segment in flight
@@ -208,7 +208,7 @@
 }
 
 func (s *Shard) advance(now time.Time) {
-	if s.phase == cold && len(s.pending) > 0 && !now.Before(s.retryAt) {
+	if s.phase == cold && !s.Idle() && !now.Before(s.retryAt) {
 		s.phase = loading
 		s.emit(Load{Shard: s.cfg.Shard})
 		return
@@ -251,6 +251,7 @@
 		return e.op, !e.dead
 	}
 	outcome, log := s.state.apply(now, e.op)
+	e.applied = log
 	if !log && e.op.Kind == Claim {
 		e.waiting = false
 		s.emit(Reply{Token: e.token, Outcome: outcome})
@@ -362,9 +363,11 @@
 	}
 	e.waiting = false
 	if e.op.Kind != Claim {
-		s.state.apply(now, e.op)
 		s.emit(Reply{Token: e.token, Outcome: Outcome{Verdict: Held}})
-		return true
+		if !e.applied {
+			_, e.applied = s.state.apply(now, e.op)
+		}
+		return e.applied // a repeated bill is held once
 	}
 	if e.op.Kind == Claim && !e.op.Durable {
 		return s.softWhileDown(now, e)
@@ -474,6 +477,7 @@
 	pending := s.pending
 	s.pending = nil
 	for _, e := range pending {
+		e.applied = false
 		switch {
 		case !e.waiting:
 			if _, log := s.state.apply(now, e.op); log {
