--- a/admin/admin.go
+++ b/admin/admin.go
@@ -170,6 +170,7 @@
 	}
 	answer := BudgetAnswer{ID: a.ID, Account: r.Account, Limit: r.Limit, Issued: r.Issued(), Free: r.Free()}
 	answer.Holders = r.Holders
+	answer.WrittenOff = r.WrittenOff
 	s.addHeld(ctx, &answer)
 	answer.SpentOrStranded = answer.Issued - answer.Held
 	return answer, nil
@@ -184,7 +185,7 @@
 			continue
 		}
 		h := resp.Holdings[answer.ID]
-		answer.Held += h.Balance + h.Reserved
+		answer.Held += h.Balance + h.Reserved + h.Writing + h.Unrecorded
 	}
 }
 
--- a/admin/messages.go
+++ b/admin/messages.go
@@ -61,6 +61,8 @@
 	Held int64 `json:"held"`
 	// SpentOrStranded is the rest: spent, or held by a router that is gone.
 	SpentOrStranded int64 `json:"spent_or_stranded"`
+	// WrittenOff is counted as spent after several routers died together.
+	WrittenOff int64 `json:"written_off,omitempty"`
 	// Holders are the open holders' net issue.
 	Holders map[string]int64 `json:"holders,omitempty"`
 	// Silent names listed routers that did not answer.
--- a/budget/agent.go
+++ b/budget/agent.go
@@ -97,11 +97,16 @@
 // Suspect tells that an instance did not answer in time.
 type Suspect struct{ ID string }
 
+// Stop tells that this holder was fenced: its tokens are void, and the
+// process must end.
+type Stop struct{}
+
 func (Send) effect()      {}
 func (ReadPage) effect()  {}
 func (WritePage) effect() {}
 func (Resolve) effect()   {}
 func (Suspect) effect()   {}
+func (Stop) effect()      {}
 
 // Config are the settings of an agent.
 type Config struct {
@@ -158,11 +163,12 @@
 	token   uint64
 	writes  int64
 	closing bool
+	fenced  map[string]bool // incarnations whose messages are void
 }
 
 // NewAgent returns an agent that holds nothing.
 func NewAgent(cfg Config) *Agent {
-	return &Agent{cfg: cfg, purses: map[string]*purse{}, pages: map[int]*pageState{}}
+	return &Agent{cfg: cfg, purses: map[string]*purse{}, pages: map[int]*pageState{}, fenced: map[string]bool{}}
 }
 
 // drain returns and clears the collected effects.
@@ -229,6 +235,9 @@
 	if m.To.Incarnation != "" && m.To.Incarnation != a.cfg.Self.Incarnation {
 		return nil
 	}
+	if a.fenced[m.From.Incarnation] {
+		return nil
+	}
 	p := a.purse(m.Budget)
 	a.credit(p, m)
 	switch m.Kind {
@@ -368,22 +377,6 @@
 	return true
 }
 
-// Holding is what one router holds of a budget.
-type Holding struct {
-	// Balance is free to use, Reserved is in use by running requests, and
-	// Spent was spent since the process started; all in tokens.
-	Balance, Reserved, Spent int64
-}
-
-// Holding returns what this router holds of a budget.
-func (a *Agent) Holding(id string) Holding {
-	p, ok := a.purses[id]
-	if !ok {
-		return Holding{}
-	}
-	return Holding{Balance: p.balance, Reserved: p.reserved, Spent: p.spent}
-}
-
 // Purses returns the number of budgets with state here.
 func (a *Agent) Purses() int { return len(a.purses) }
 
--- /dev/null
+++ b/budget/holding.go
@@ -0,0 +1,96 @@
+package budget
+
+// Holding is what one router holds of a budget, in tokens.
+type Holding struct {
+	// Balance is free to use, Reserved is in use by running requests.
+	Balance, Reserved int64
+	// Writing is being drawn from or returned to the store by a write whose
+	// outcome is not known here yet.
+	Writing int64
+	// Unrecorded was spent by requests whose bill no shard owner has yet.
+	Unrecorded int64
+	// Sent and Received are the sums ever moved to and from other routers, by
+	// incarnation.
+	Sent, Received map[string]int64
+}
+
+// Fence makes messages of an incarnation void, from now on.
+func (a *Agent) Fence(incarnation string) {
+	a.fenced[incarnation] = true
+}
+
+// Holding returns what this router holds of a budget.
+func (a *Agent) Holding(id string) Holding {
+	p, ok := a.purses[id]
+	if !ok {
+		return Holding{}
+	}
+	return Holding{
+		Balance:  p.balance,
+		Reserved: p.reserved,
+		Writing:  a.writing(id),
+		Sent:     copied(p.sent),
+		Received: copied(p.received),
+	}
+}
+
+// Holdings returns what this router holds of all budgets that it used.
+func (a *Agent) Holdings() map[string]Holding {
+	all := make(map[string]Holding, len(a.purses))
+	for id := range a.purses {
+		all[id] = a.Holding(id)
+	}
+	return all
+}
+
+// writing sums what is on its way to or from the store. A draw that has taken
+// effect is issued but not yet in the balance; a return has left the balance
+// and may still be issued.
+func (a *Agent) writing(id string) int64 {
+	ps, ok := a.pages[PageOf(id, a.cfg.Pages)]
+	if !ok {
+		return 0
+	}
+	var sum int64
+	for _, op := range ps.ops {
+		if op.budget == id && op.need < 0 {
+			sum -= op.need
+		}
+	}
+	if ps.write == nil {
+		return sum
+	}
+	for _, ap := range ps.write.applied {
+		if ap.op.budget == id {
+			sum += max(ap.tokens, -ap.tokens)
+		}
+	}
+	return sum
+}
+
+func copied(m map[string]int64) map[string]int64 {
+	c := make(map[string]int64, len(m))
+	for k, v := range m {
+		if v != 0 {
+			c[k] = v
+		}
+	}
+	return c
+}
+
+// Stranded returns the tokens that are issued and neither held by a live
+// holder, nor on the way between two live ones, nor charged. It errs towards
+// less, provided that, in this order: the fence stood at all live routers,
+// issued was read, the holdings were read, and the charges were read.
+func Stranded(issued int64, live map[string]Holding, charged int64) int64 {
+	left := issued - charged
+	for _, h := range live {
+		left -= h.Balance + h.Reserved + h.Writing + h.Unrecorded
+	}
+	for from, h := range live {
+		for to, other := range live {
+			left -= max(h.Sent[to]-other.Received[from], 0)
+		}
+	}
+	return max(left, 0)
+}
--- a/budget/page.go
+++ b/budget/page.go
@@ -10,6 +10,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +24,9 @@
 	// Ops holds, for each holder, the number of its last write, by which a
 	// write whose answer was lost is recognised.
 	Ops map[string]int64 `json:"ops"`
+	// Fenced are holders whose tokens were reclaimed: what they still hold is
+	// void, and they must write nothing any more.
+	Fenced map[string]bool `json:"fenced,omitempty"`
 }
 
 // Record is one budget as the store knows it.
@@ -33,6 +37,9 @@
 	Limit int64 `json:"limit"`
 	// Settled is the net issue of holders that closed in order.
 	Settled int64 `json:"settled"`
+	// WrittenOff are issued tokens whose use nobody can tell any more, after
+	// several routers died together. They count as spent.
+	WrittenOff int64 `json:"written_off,omitempty"`
 	// Holders is the net issue (draws minus returns) of each open holder
 	// incarnation. It may be negative for one that returned tokens which
 	// another holder drew.
@@ -56,7 +63,7 @@
 
 // NewPage returns an empty page.
 func NewPage() *Page {
-	return &Page{Budgets: map[string]*Record{}, Ops: map[string]int64{}}
+	return &Page{Budgets: map[string]*Record{}, Ops: map[string]int64{}, Fenced: map[string]bool{}}
 }
 
 // DecodePage reads a page from its stored form.
@@ -79,18 +86,12 @@
 
 // Clone returns a deep copy.
 func (p *Page) Clone() *Page {
-	c := &Page{Budgets: make(map[string]*Record, len(p.Budgets)), Ops: make(map[string]int64, len(p.Ops))}
+	c := &Page{Budgets: make(map[string]*Record, len(p.Budgets)), Ops: maps.Clone(p.Ops), Fenced: maps.Clone(p.Fenced)}
 	for id, r := range p.Budgets {
 		copied := *r
-		copied.Holders = make(map[string]int64, len(r.Holders))
-		for h, n := range r.Holders {
-			copied.Holders[h] = n
-		}
+		copied.Holders = maps.Clone(r.Holders)
 		c.Budgets[id] = &copied
 	}
-	for h, n := range p.Ops {
-		c.Ops[h] = n
-	}
 	return c
 }
 
@@ -127,6 +128,30 @@
 	delete(p.Ops, holder)
 }
 
+// Reclaim takes tokens that fenced holders left back. What they left is
+// computed by Stranded.
+func (p *Page) Reclaim(holders []string, stranded map[string]int64) {
+	for id, tokens := range stranded {
+		p.Budgets[id].Settled -= tokens
+	}
+	p.fence(holders)
+}
+
+// WriteOff counts tokens that fenced holders left as spent for good.
+func (p *Page) WriteOff(holders []string, stranded map[string]int64) {
+	for id, tokens := range stranded {
+		p.Budgets[id].WrittenOff += tokens
+	}
+	p.fence(holders)
+}
+
+func (p *Page) fence(holders []string) {
+	for _, h := range holders {
+		p.Close(h)
+		p.Fenced[h] = true
+	}
+}
+
 // PageOf returns the number of the page that holds the budget.
 func PageOf(id string, pages int) int {
 	return int(xxhash.Sum64String(id) % uint64(pages))
--- a/budget/paging.go
+++ b/budget/paging.go
@@ -163,6 +163,10 @@
 	ps.reading = false
 	switch result {
 	case Done:
+		if page.Fenced[a.cfg.Self.Incarnation] {
+			a.emit(Stop{})
+			return a.drain()
+		}
 		ps.page, ps.version, ps.have, ps.readAt = page, version, true, now
 		a.resolveLost(now, ps)
 	case Missing:
--- a/cli/daemon/daemon.go
+++ b/cli/daemon/daemon.go
@@ -22,6 +22,9 @@
 // stopWithin bounds a planned stop.
 const stopWithin = 5 * time.Minute
 
+// errFenced ends the daemon so that it is started anew, with nothing kept.
+var errFenced = result.New(result.Leaving, "the fleet has taken this process to be dead; start it anew")
+
 // Main runs the command line and returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
 	root := command()
@@ -95,7 +98,12 @@
 	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	<-signals
+	select {
+	case <-signals:
+	case <-r.Fenced():
+		r.Close()
+		return errFenced
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), stopWithin)
 	defer cancel()
 	r.Stop(ctx)
--- a/controller/budgets/budgets.go
+++ b/controller/budgets/budgets.go
@@ -47,10 +47,12 @@
 	agent   *budget.Agent
 	waiting map[uint64]chan answer
 	tasks   sync.WaitGroup
+	onStop  func()
 }
 
-// New returns a controller; cfg.Home is set here.
-func New(cfg budget.Config, s store.Store, m *members.Controller, p *peer.Client, log *zap.Logger) *Controller {
+// New returns a controller; cfg.Home is set here. onStop is called when this
+// holder finds itself fenced.
+func New(cfg budget.Config, s store.Store, m *members.Controller, p *peer.Client, log *zap.Logger, onStop func()) *Controller {
 	cfg.Home = func(now time.Time, id string) string { return m.First(now, Role(id)) }
 	return &Controller{
 		store:   s,
@@ -59,6 +61,7 @@
 		log:     log,
 		agent:   budget.NewAgent(cfg),
 		waiting: map[uint64]chan answer{},
+		onStop:  onStop,
 	}
 }
 
@@ -111,6 +114,8 @@
 		c.start(func() { c.write(e) })
 	case budget.Suspect:
 		c.members.Failed(e.ID)
+	case budget.Stop:
+		c.onStop()
 	}
 }
 
@@ -264,10 +269,14 @@
 	})
 }
 
-// Holdings returns what this router holds.
+// Holdings returns what this router holds of the named budgets, or of all
+// that it used if none is named.
 func (c *Controller) Holdings(ids []string) map[string]budget.Holding {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(ids) == 0 {
+		return c.agent.Holdings()
+	}
 	held := make(map[string]budget.Holding, len(ids))
 	for _, id := range ids {
 		held[id] = c.agent.Holding(id)
@@ -275,6 +284,13 @@
 	return held
 }
 
+// Fence makes messages of an incarnation void.
+func (c *Controller) Fence(incarnation string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.agent.Fence(incarnation)
+}
+
 // Close returns all balances to the store; it waits until that is done or the
 // context ends.
 func (c *Controller) Close(ctx context.Context) {
--- a/controller/budgets/edit.go
+++ b/controller/budgets/edit.go
@@ -120,3 +120,8 @@
 		return nil
 	})
 }
+
+// ReadPage reads a page and its version.
+func ReadPage(ctx context.Context, s store.Store, n int) (*budget.Page, int64, error) {
+	return readPage(ctx, s, n)
+}
--- a/controller/ledgers/ledgers.go
+++ b/controller/ledgers/ledgers.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -46,17 +47,24 @@
 	waiting map[uint64]chan ledger.Outcome
 	running map[string]bool
 	bills   map[string]ledger.Op // not known to be committed
+	nowhere map[string]int64     // tokens of bills that no owner has, by budget
+	fenced  map[string]bool      // incarnations that may claim nothing
 	tasks   sync.WaitGroup
+	onStop  func()
 }
 
+// Stop is called when this router finds itself fenced.
+func (c *Controller) Stop() { c.onStop() }
+
 // shard is a pure shard with its lock.
 type shard struct {
 	mu    sync.Mutex
 	shard *ledger.Shard
 }
 
-// New returns a controller of count shards; cfg is the same for all.
-func New(cfg ledger.Config, count int, s store.Store, m *members.Controller, p *peer.Client, log *zap.Logger) *Controller {
+// New returns a controller of count shards; cfg is the same for all. onStop is
+// called when this router finds itself fenced.
+func New(cfg ledger.Config, count int, s store.Store, m *members.Controller, p *peer.Client, log *zap.Logger, onStop func()) *Controller {
 	c := &Controller{
 		store:       s,
 		members:     m,
@@ -67,6 +75,9 @@
 		waiting:     map[uint64]chan ledger.Outcome{},
 		running:     map[string]bool{},
 		bills:       map[string]ledger.Op{},
+		nowhere:     map[string]int64{},
+		fenced:      map[string]bool{},
+		onStop:      onStop,
 	}
 	for n := range count {
 		cfg.Shard = n
@@ -197,6 +208,10 @@
 	}
 	ch := make(chan ledger.Outcome, 1)
 	c.mu.Lock()
+	if op.Kind == ledger.Claim && c.fenced[op.Holder] {
+		c.mu.Unlock()
+		return ledger.Outcome{Verdict: ledger.Fenced}, nil
+	}
 	c.token++
 	token := c.token
 	c.waiting[token] = ch
@@ -258,12 +273,42 @@
 	return ranked[:min(len(ranked), submitTries)]
 }
 
-// Claim asks to run a request.
+// Claim asks to run a request. What a router dispatches is known to another
+// process before: in the log, or in the memory of the shard's owner. So the
+// tokens of a router that dies can be told from those it spent.
 func (c *Controller) Claim(ctx context.Context, op ledger.Op) (ledger.Outcome, error) {
-	outcome, _, err := c.submit(ctx, op)
+	owners := c.owners(ledger.ShardOf(op.Request, c.count))
+	if owners[0] == c.members.Self().ID {
+		op.Durable = true
+	}
+	outcome, owner, err := c.submit(ctx, op)
+	if err == nil && owner == c.members.Self().ID && !op.Durable {
+		return c.witnessed(ctx, op)
+	}
+	if err == nil && outcome.Verdict == ledger.Down && !op.NotRepeatable {
+		return c.witnessed(ctx, op)
+	}
 	return outcome, err
 }
 
+// witnessed claims a repeatable request in another router's memory.
+func (c *Controller) witnessed(ctx context.Context, op ledger.Op) (ledger.Outcome, error) {
+	op.Durable = false
+	n := ledger.ShardOf(op.Request, c.count)
+	err := errNoOwner
+	for _, id := range c.owners(n) {
+		if id == c.members.Self().ID {
+			continue
+		}
+		var outcome ledger.Outcome
+		outcome, err = c.offer(ctx, id, n, op)
+		if err == nil {
+			return outcome, nil
+		}
+	}
+	return ledger.Outcome{}, err
+}
+
 // Record writes a bill. It returns when the bill is committed, or when
 // another router holds it too while the store is down. Until it is committed
 // it is submitted again and again.
@@ -271,23 +316,86 @@
 	key := op.Holder + "/" + op.Request + "/" + op.Claim
 	c.mu.Lock()
 	c.bills[key] = op
+	c.nowhere[op.Budget] += op.Tokens
 	c.mu.Unlock()
 	outcome, owner, err := c.submit(ctx, op)
 	if err != nil {
 		c.log.Warn("bill not yet recorded", zap.String("request", op.Request), zap.Error(err))
 		return
 	}
+	c.mu.Lock()
+	c.nowhere[op.Budget] -= op.Tokens
 	if outcome.Verdict == ledger.Recorded {
-		c.mu.Lock()
 		delete(c.bills, key)
-		c.mu.Unlock()
-		return
 	}
-	if owner == c.members.Self().ID {
+	c.mu.Unlock()
+	if outcome.Verdict != ledger.Recorded && owner == c.members.Self().ID {
 		c.copyElsewhere(ctx, op)
 	}
 }
 
+// Nowhere returns the tokens of bills that no shard owner has, by budget.
+func (c *Controller) Nowhere() map[string]int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.nowhere)
+}
+
+// Fence refuses claims of an incarnation here, from now on.
+func (c *Controller) Fence(incarnation string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fenced[incarnation] = true
+}
+
+// Barrier commits all items that this router holds for any shard, by
+// committing a fence after them.
+func (c *Controller) Barrier(ctx context.Context, incarnation string) error {
+	for n, sh := range c.shards {
+		sh.mu.Lock()
+		idle := sh.shard.Idle()
+		sh.mu.Unlock()
+		if idle {
+			continue
+		}
+		outcome, err := c.Submit(ctx, n, ledger.Op{Kind: ledger.Fence, Holder: incarnation})
+		if err != nil {
+			return err
+		}
+		if outcome.Verdict != ledger.Recorded {
+			return errNoOwner
+		}
+	}
+	return nil
+}
+
+// FenceAll commits a fence in every shard and returns the tokens charged by
+// budget over all shards.
+func (c *Controller) FenceAll(ctx context.Context, incarnation string) (map[string]int64, error) {
+	sums := map[string]int64{}
+	for n := range c.count {
+		totals, err := c.fenceShard(ctx, n, incarnation)
+		if err != nil {
+			return nil, err
+		}
+		for id, tokens := range totals {
+			sums[id] += tokens
+		}
+	}
+	return sums, nil
+}
+
+func (c *Controller) fenceShard(ctx context.Context, n int, incarnation string) (map[string]int64, error) {
+	op := ledger.Op{Kind: ledger.Fence, Holder: incarnation}
+	for _, id := range c.owners(n) {
+		outcome, err := c.offer(ctx, id, n, op)
+		if err == nil && outcome.Verdict == ledger.Recorded {
+			return outcome.Totals, nil
+		}
+	}
+	return nil, errNoOwner
+}
+
 // copyElsewhere gives a held bill to the next owner in rank, so that the
 // death of this router alone does not lose it.
 func (c *Controller) copyElsewhere(ctx context.Context, op ledger.Op) {
@@ -319,6 +427,18 @@
 		delete(c.bills, key)
 		c.mu.Unlock()
 	}
+	if len(bills) > 0 {
+		c.clearNowhere()
+	}
+}
+
+// clearNowhere forgets the tokens of bills that have all been recorded.
+func (c *Controller) clearNowhere() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.bills) == 0 {
+		clear(c.nowhere)
+	}
 }
 
 // Unrecorded returns the number of bills not known to be committed.
--- /dev/null
+++ b/controller/reclaims/reclaims.go
@@ -0,0 +1,336 @@
+// Package reclaims brings back the tokens that a dead router left.
+//
+// Every router process registers in the store before it holds a token. When
+// one is gone, or silent for long, it is fenced: first its registration is
+// closed, then every live router refuses its messages and claims, then the
+// fence is committed in every ledger shard. After that it can spend nothing,
+// dead or merely paused, and what it spent is known: each dispatch was told to
+// another process before. What is issued, not held by a live router and not
+// charged goes back to its budget.
+//
+// If several routers die together, the dispatches that one told only to the
+// other may be unknown. What they left is then written off: it counts as
+// spent.
+package reclaims
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sort"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gaplink/gaplink/controller/budgets"
+	"github.com/gaplink/gaplink/controller/ledgers"
+	"github.com/gaplink/gaplink/controller/members"
+	"github.com/gaplink/gaplink/peer"
+	"github.com/gaplink/gaplink/store"
+)
+
+const (
+	// prefix is where holders are registered.
+	prefix = "holders/"
+	// role ranks the router that looks for dead ones.
+	role       = "reclaim"
+	scanEvery  = time.Second
+	whoTimeout = 500 * time.Millisecond
+	// barrierTimeout bounds the barrier at one router.
+	barrierTimeout = 3 * time.Second
+	// pageTries is how often a page that changes meanwhile is computed again.
+	pageTries = 10
+)
+
+// holder is the registration of a router process.
+type holder struct {
+	Incarnation string `json:"incarnation"`
+	Instance    string `json:"instance"`
+	State       state  `json:"state"`
+}
+
+// state is how far a holder is ended.
+type state string
+
+const (
+	open state = "open"
+	// fencing: it is being fenced, and may not come back.
+	fencing state = "fencing"
+	// fenced: what it left is settled.
+	fenced state = "fenced"
+)
+
+// errUnsettled means that the fleet is not in a state to reclaim in.
+var errUnsettled = errors.New("a router neither answers nor is known to be gone")
+
+// Controller looks for dead routers when it is ranked first for it.
+type Controller struct {
+	store   store.Store
+	members *members.Controller
+	budgets *budgets.Controller
+	ledgers *ledgers.Controller
+	peers   *peer.Client
+	log     *zap.Logger
+	self    holder
+	pages   int
+	// silentFor is how long a router must not answer to be fenced.
+	silentFor time.Duration
+	silent    map[string]time.Time
+}
+
+// New returns a controller.
+func New(incarnation string, pages int, silentFor time.Duration, s store.Store, m *members.Controller, b *budgets.Controller, l *ledgers.Controller, p *peer.Client, log *zap.Logger) *Controller {
+	return &Controller{
+		store:     s,
+		members:   m,
+		budgets:   b,
+		ledgers:   l,
+		peers:     p,
+		log:       log,
+		self:      holder{Incarnation: incarnation, Instance: m.Self().ID, State: open},
+		pages:     pages,
+		silentFor: silentFor,
+		silent:    map[string]time.Time{},
+	}
+}
+
+// Register makes this process known and learns which others are fenced. The
+// router takes no request before it succeeded.
+func (c *Controller) Register(ctx context.Context) error {
+	value, err := json.Marshal(c.self)
+	if err != nil {
+		return err
+	}
+	key := prefix + c.self.Incarnation
+	if _, err = c.store.Create(ctx, key, value); err != nil && !errors.Is(err, store.ErrConflict) {
+		return err
+	}
+	holders, err := c.list(ctx)
+	if err != nil {
+		return err
+	}
+	for _, h := range holders {
+		if h.State != open {
+			c.Fence(h.Incarnation)
+		}
+	}
+	return nil
+}
+
+// Deregister removes the registration at the end of a planned stop.
+func (c *Controller) Deregister(ctx context.Context) {
+	key := prefix + c.self.Incarnation
+	if o, err := c.store.Get(ctx, key); err == nil {
+		_ = c.store.Delete(ctx, key, o.Version)
+	}
+}
+
+// Fence accepts nothing more from an incarnation here.
+func (c *Controller) Fence(incarnation string) {
+	c.budgets.Fence(incarnation)
+	c.ledgers.Fence(incarnation)
+}
+
+// Barrier is this router's part of a fence.
+func (c *Controller) Barrier(ctx context.Context, fenced []string) error {
+	for _, incarnation := range fenced {
+		c.Fence(incarnation)
+	}
+	return c.ledgers.Barrier(ctx, fenced[0])
+}
+
+// Run looks for dead routers until the context ends.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(scanEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			if c.members.First(now, role) != c.self.Instance {
+				continue
+			}
+			if err := c.scan(ctx); err != nil && ctx.Err() == nil {
+				c.log.Info("nothing reclaimed", zap.Error(err))
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Controller) list(ctx context.Context) ([]holder, error) {
+	objects, _, err := c.store.List(ctx, prefix)
+	if err != nil {
+		return nil, err
+	}
+	holders := make([]holder, 0, len(objects))
+	for _, o := range objects {
+		var h holder
+		if err := json.Unmarshal(o.Value, &h); err != nil {
+			return nil, err
+		}
+		holders = append(holders, h)
+	}
+	return holders, nil
+}
+
+// census is what is known of the open holders.
+type census struct {
+	live map[string]string // address by incarnation
+	dead []string          // incarnations
+}
+
+// scan fences dead holders and reclaims what they left.
+func (c *Controller) scan(ctx context.Context) error {
+	holders, err := c.list(ctx)
+	if err != nil {
+		return err
+	}
+	now, err := c.take(ctx, holders)
+	if err != nil || len(now.dead) == 0 {
+		return err
+	}
+	c.log.Warn("fencing dead routers", zap.Strings("incarnations", now.dead))
+	if err := c.fence(ctx, now); err != nil {
+		return err
+	}
+	if err := c.settlePages(ctx, now); err != nil {
+		return err
+	}
+	return c.forget(ctx, now.dead)
+}
+
+// take asks all open holders. A holder is dead if its instance runs another
+// process, or has not answered for long.
+func (c *Controller) take(ctx context.Context, holders []holder) (census, error) {
+	now := census{live: map[string]string{}}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	unsettled := false
+	for _, h := range holders {
+		switch h.State {
+		case fenced:
+			continue
+		case fencing:
+			mu.Lock()
+			now.dead = append(now.dead, h.Incarnation)
+			mu.Unlock()
+			continue
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			addr, answering := c.who(ctx, h.Instance)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case answering == h.Incarnation:
+				now.live[h.Incarnation] = addr
+				delete(c.silent, h.Incarnation)
+			case answering != "" || c.silentLong(h.Incarnation):
+				now.dead = append(now.dead, h.Incarnation)
+			default:
+				unsettled = true
+			}
+		}()
+	}
+	wg.Wait()
+	sort.Strings(now.dead)
+	if unsettled && len(now.dead) > 0 {
+		return census{}, errUnsettled
+	}
+	return now, nil
+}
+
+func (c *Controller) silentLong(incarnation string) bool {
+	since, known := c.silent[incarnation]
+	if !known {
+		c.silent[incarnation] = time.Now()
+		return false
+	}
+	return time.Since(since) >= c.silentFor
+}
+
+// who asks an instance which process runs there; empty if none answers.
+func (c *Controller) who(ctx context.Context, instance string) (addr, incarnation string) {
+	addr, ok := c.members.Addr(instance)
+	if !ok {
+		return "", ""
+	}
+	if instance == c.self.Instance {
+		return addr, c.self.Incarnation
+	}
+	ctx, cancel := context.WithTimeout(ctx, whoTimeout)
+	defer cancel()
+	resp, err := peer.Call[peer.Empty, peer.WhoAnswer](ctx, c.peers, addr, peer.MethodWho, &peer.Empty{})
+	if err != nil {
+		return addr, ""
+	}
+	return addr, resp.Incarnation
+}
+
+// fence closes the registrations, then raises the barrier at all live
+// routers, then commits the fence in all shards.
+func (c *Controller) fence(ctx context.Context, now census) error {
+	for _, incarnation := range now.dead {
+		if err := c.mark(ctx, incarnation, fencing); err != nil {
+			return err
+		}
+	}
+	for incarnation, addr := range now.live {
+		if err := c.barrier(ctx, incarnation, addr, now.dead); err != nil {
+			return err
+		}
+	}
+	for _, incarnation := range now.dead {
+		if _, err := c.ledgers.FenceAll(ctx, incarnation); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Controller) barrier(ctx context.Context, incarnation, addr string, dead []string) error {
+	ctx, cancel := context.WithTimeout(ctx, barrierTimeout)
+	defer cancel()
+	if incarnation == c.self.Incarnation {
+		return c.Barrier(ctx, dead)
+	}
+	_, err := peer.Call[peer.BarrierRequest, peer.Empty](ctx, c.peers, addr, peer.MethodBarrier, &peer.BarrierRequest{Fenced: dead})
+	return err
+}
+
+// mark moves a registration's state on.
+func (c *Controller) mark(ctx context.Context, incarnation string, to state) error {
+	key := prefix + incarnation
+	o, err := c.store.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	var h holder
+	if err := json.Unmarshal(o.Value, &h); err != nil {
+		return err
+	}
+	if h.State == to {
+		return nil
+	}
+	h.State = to
+	value, err := json.Marshal(h)
+	if err != nil {
+		return err
+	}
+	_, err = c.store.Update(ctx, key, o.Version, value)
+	return err
+}
+
+// forget marks the dead as settled.
+func (c *Controller) forget(ctx context.Context, dead []string) error {
+	for _, incarnation := range dead {
+		if err := c.mark(ctx, incarnation, fenced); err != nil {
+			return err
+		}
+		delete(c.silent, incarnation)
+	}
+	return nil
+}
--- a/filter/deduplicate/deduplicate.go
+++ b/filter/deduplicate/deduplicate.go
@@ -36,6 +36,8 @@
 	// Begin and Done mark a claim as served by this router.
 	Begin(claim string)
 	Done(claim string)
+	// Stop is called when this router finds itself fenced.
+	Stop()
 	// Self returns this router's incarnation and instance.
 	Self() (incarnation, instance string)
 }
@@ -55,17 +57,14 @@
 	op := h.op(x)
 	h.ledger.Begin(op.Claim)
 	defer h.ledger.Done(op.Claim)
-	if x.Key == "" {
-		x.Attempt = 1
-	} else {
-		done, err := h.claim(ctx, x, op)
-		if done || err != nil {
-			return err
-		}
+	done, err := h.claim(ctx, x, op)
+	if done || err != nil {
+		return err
 	}
+	x.ClaimMore = func(ctx context.Context, tokens int64) error { return h.claimMore(ctx, &op, tokens) }
 	op.Attempt = x.Attempt
 	x.Log = x.Log.With(zap.Int("attempt", x.Attempt))
-	err := h.next.Serve(ctx, x)
+	err = h.next.Serve(ctx, x)
 	return h.finish(ctx, x, op, err)
 }
 
@@ -87,6 +86,7 @@
 		Digest:        x.Digest,
 		NotRepeatable: x.NotRepeatable,
 		Durable:       x.NotRepeatable,
+		Worst:         x.MaxTokens,
 	}
 }
 
@@ -102,18 +102,27 @@
 		outcome, err = h.ledger.Claim(ctx, op)
 	}
 	if err != nil {
-		return false, h.unclaimed(x, op, err)
+		return false, h.unclaimed(op, err)
 	}
 	return h.decided(x, outcome)
 }
 
-// unclaimed handles a claim that nobody decided: a repeatable request runs
-// all the same, another is refused and its claim withdrawn in case it stands.
-func (h *handler) unclaimed(x *filter.Exchange, op ledger.Op, err error) error {
-	if !x.NotRepeatable {
-		x.Attempt = 1
+// claimMore raises the claim's worst case before another try.
+func (h *handler) claimMore(ctx context.Context, op *ledger.Op, tokens int64) error {
+	op.Worst += tokens
+	again := *op
+	again.Attempt = 0
+	outcome, err := h.ledger.Claim(ctx, again)
+	if err == nil && outcome.Verdict == ledger.Run {
 		return nil
 	}
+	return result.New(result.LedgerUnreachable, "another try could not be claimed").Wrap(err).After(downRetry)
+}
+
+// unclaimed refuses a request whose claim nobody decided, and withdraws the
+// claim in case it stands. It holds for repeatable requests too: what nobody
+// else knows of could not be told from unspent tokens if this router died.
+func (h *handler) unclaimed(op ledger.Op, err error) error {
 	h.withdraw(op)
 	return result.New(result.LedgerUnreachable, "no ledger shard owner answers").Wrap(err).After(downRetry)
 }
@@ -129,6 +138,9 @@
 		return h.replay(x, outcome)
 	case ledger.Busy:
 		return false, result.New(result.AlreadyRunning, "an attempt with this key is running").After(busyRetry)
+	case ledger.Fenced:
+		h.ledger.Stop()
+		return false, result.New(result.Leaving, "this router was taken to be dead and is stopping").After(busyRetry)
 	case ledger.Unresolved:
 		return false, result.New(result.OutcomeUnknown, "the request was dispatched by a router that is gone; its outcome is unknown")
 	default:
@@ -154,10 +166,11 @@
 // finish bills what was dispatched, withdraws what was not, and then lets the
 // answer end.
 func (h *handler) finish(ctx context.Context, x *filter.Exchange, op ledger.Op, err error) error {
+	if x.Settle != nil {
+		defer x.Settle()
+	}
 	if !x.Dispatched {
-		if x.Key != "" {
-			h.withdraw(op)
-		}
+		h.withdraw(op)
 		return err
 	}
 	op.Kind = ledger.Bill
--- a/filter/filter.go
+++ b/filter/filter.go
@@ -81,8 +81,14 @@
 	Request string
 	Attempt int
 
-	// Extend reserves further tokens for a repeated attempt. Set by reserve.
+	// ClaimMore raises the claim by the worst case of another try. Set by
+	// deduplicate.
+	ClaimMore func(ctx context.Context, tokens int64) error
+
+	// Extend reserves further tokens for a repeated attempt, and Settle ends
+	// the reservation once the bill is recorded. Set by reserve.
 	Extend func(ctx context.Context, tokens int64) error
+	Settle func()
 
 	// The fields below are set by forward.
 
--- a/filter/reserve/reserve.go
+++ b/filter/reserve/reserve.go
@@ -1,5 +1,7 @@
 // Package reserve takes a request's worst case from its budget before
-// dispatch and settles what was really served.
+// dispatch, and gives it a way to settle what was really served. The settling
+// itself comes after the billing record, so that at every moment a spent token
+// is either reserved or billed.
 package reserve
 
 import (
@@ -41,8 +43,8 @@
 			return err
 		}
 		reserved += tokens
-		return nil
+		return x.ClaimMore(ctx, tokens)
 	}
-	defer func() { h.budgets.Settle(x.Budget, reserved, x.Tokens) }()
+	x.Settle = func() { h.budgets.Settle(x.Budget, reserved, x.Tokens) }
 	return h.next.Serve(ctx, x)
 }
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -129,7 +129,8 @@
 func (f *fleet) addRouter(n int) error {
 	ip := fmt.Sprintf("127.0.1.%d", n)
 	s := settings.Default()
-	s.Instance = settings.Instance{ID: fmt.Sprintf("r%d", n), Domain: fmt.Sprintf("fd%d", (n-1)%3+1)}
+	s.Instance.ID, s.Instance.Domain = fmt.Sprintf("r%d", n), fmt.Sprintf("fd%d", (n-1)%3+1)
+	s.Instance.FenceAfter = settings.Duration(2 * time.Second)
 	s.Platform.URL = "http://" + f.platform.addr
 	s.Operator.KeyHash = operatorKeyHash()
 	s.Requests.LeaveGrace = settings.Duration(500 * time.Millisecond)
--- a/lab/load.go
+++ b/lab/load.go
@@ -155,6 +155,10 @@
 		time.Sleep(triesPause)
 	}
 	o.end = gaveUp
+	if o.refusedOnly {
+		o.end = refused
+		o.falseRefuse = o.code == result.BudgetUnreachable && s.covered(j)
+	}
 	s.close(j, o)
 	return o
 }
@@ -292,13 +296,17 @@
 		}
 	}
 	if !done {
-		s.noteCut(o, addr)
+		s.noteCut(o, addr, int64(strings.Count(text.String(), " ")))
 		return waitMore
 	}
 	return s.check(o, text.String())
 }
 
-func (s *sender) noteCut(o *outcome, addr string) {
+// noteCut counts a cut stream; the tokens received so far are spent.
+func (s *sender) noteCut(o *outcome, addr string, tokens int64) {
+	s.mu.Lock()
+	s.spent[o.job.budget] += tokens
+	s.mu.Unlock()
 	o.cutStreams++
 	if s.spec.killed != nil && s.spec.killed(addr) {
 		o.onDead++
@@ -317,7 +325,7 @@
 func (s *sender) readWhole(o *outcome, resp *http.Response, addr string) end {
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
-		s.noteCut(o, addr)
+		s.noteCut(o, addr, 0)
 		return waitMore
 	}
 	if o.job.notRepeatable {
--- a/lab/solo.go
+++ b/lab/solo.go
@@ -72,7 +72,7 @@
 
 func startSolo(platform string) (*router.Router, error) {
 	s := settings.Default()
-	s.Instance = settings.Instance{ID: "solo", Domain: "local"}
+	s.Instance.ID, s.Instance.Domain = "solo", "local"
 	s.Listen = settings.Listen{Callers: soloCallers, Peers: soloPeers}
 	s.Platform.URL = "http://" + platform
 	s.Operator.KeyHash = operatorKeyHash()
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -28,6 +28,9 @@
 	Bill OpKind = "bill"
 	// Withdraw takes back a claim that certainly did not run.
 	Withdraw OpKind = "withdraw"
+	// Fence refuses all further claims of a holder that is taken to be dead,
+	// and charges its running attempts at their worst case.
+	Fence OpKind = "fence"
 )
 
 // Op is one item of the log, and the message that asks for it.
@@ -52,6 +55,9 @@
 	NotRepeatable bool `msgpack:"n,omitempty"`
 	// Attempt is the attempt's number.
 	Attempt int `msgpack:"t,omitempty"`
+	// Worst is the most that the tries of the attempt so far may cost, in
+	// tokens. A claim repeated with a higher one allows another try.
+	Worst int64 `msgpack:"x,omitempty"`
 	// Supersede names a holder that does not run the request any more.
 	Supersede string `msgpack:"s,omitempty"`
 	// Durable asks that the claim is committed before it is answered.
@@ -86,6 +92,8 @@
 	Recorded Verdict = "recorded"
 	// Held: the bill is held in memory until the store is back.
 	Held Verdict = "held"
+	// Fenced: the holder is taken to be dead and must stop.
+	Fenced Verdict = "fenced"
 )
 
 // Outcome answers an op.
@@ -100,6 +108,8 @@
 	Code       int
 	Answer     []byte
 	AnswerType string
+	// Totals answers a Fence: the tokens charged by budget in this shard.
+	Totals map[string]int64
 }
 
 // Record is what a shard knows of one request.
@@ -110,14 +120,30 @@
 	Digest           uint64
 	NotRepeatable    bool
 	Attempt          int
+	Worst            int64
 	Running          bool
 	Billed           bool
-	Tokens           int64
-	Code             int
-	Answer           []byte
-	AnswerType       string
-	bills            []string // holder and attempt of each bill
-	touched          time.Time
+	// Lost tells that the only run of a not-repeatable request was left by a
+	// dead holder.
+	Lost       bool
+	Code       int
+	Answer     []byte
+	AnswerType string
+	charges    map[attemptID]charge
+	touched    time.Time
+}
+
+// attemptID names an attempt: two shard owners may number them alike.
+type attemptID struct {
+	holder  string
+	attempt int
+}
+
+// charge is what an attempt is charged: its bill, or its worst case while
+// nothing better is known.
+type charge struct {
+	tokens int64
+	final  bool
 }
 
 // Batch is one group commit.
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -79,6 +79,7 @@
 	token   uint64
 	at      time.Time
 	waiting bool // its reply is due at the commit
+	outcome Outcome
 	dead    bool // a claim that was answered Down
 	applied bool // the op is part of the state
 }
@@ -143,7 +144,7 @@
 
 // waits tells whether the op is answered only when it is committed.
 func (s *Shard) waits(op Op) bool {
-	return op.Kind == Bill || op.Kind == Claim && op.Durable
+	return op.Kind == Bill || op.Kind == Fence || op.Kind == Claim && op.Durable
 }
 
 // answerNow decides a soft op on the state in memory; its item goes into the
@@ -197,10 +198,10 @@
 	return t
 }
 
-// urgent tells whether a claim waits for the commit.
+// urgent tells whether a claim or a fence waits for the commit.
 func (s *Shard) urgent() bool {
 	for _, e := range s.pending {
-		if e.waiting && e.op.Kind == Claim {
+		if e.waiting && e.op.Kind != Bill {
 			return true
 		}
 	}
@@ -251,6 +252,7 @@
 		return e.op, !e.dead
 	}
 	outcome, log := s.state.apply(now, e.op)
+	e.outcome = outcome
 	e.applied = log
 	if !log && e.op.Kind == Claim {
 		e.waiting = false
@@ -328,11 +330,7 @@
 		return
 	}
 	e.waiting = false
-	outcome := Outcome{Verdict: Recorded}
-	if e.op.Kind == Claim {
-		outcome = Outcome{Verdict: Run, Attempt: e.op.Attempt}
-	}
-	s.emit(Reply{Token: e.token, Outcome: outcome})
+	s.emit(Reply{Token: e.token, Outcome: e.outcome})
 }
 
 // rollBack puts a batch that certainly was not written back. Claims that wait
@@ -362,6 +360,10 @@
 		return true
 	}
 	e.waiting = false
+	if e.op.Kind == Fence {
+		s.emit(Reply{Token: e.token, Outcome: Outcome{Verdict: Down}})
+		return false
+	}
 	if e.op.Kind != Claim {
 		s.emit(Reply{Token: e.token, Outcome: Outcome{Verdict: Held}})
 		if !e.applied {
@@ -424,6 +426,9 @@
 		}
 		s.emit(Reply{Token: e.token, Outcome: Outcome{Verdict: Down}})
 		e.dead = true
+		if e.op.Kind == Fence {
+			continue
+		}
 		withdrawal := e.op
 		withdrawal.Kind = Withdraw
 		s.pending = append(s.pending, &entry{op: withdrawal, at: e.at})
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -1,17 +1,20 @@
 package ledger
 
 import (
-	"fmt"
+	"maps"
 	"time"
 )
 
-// state is the outcome of a log: one record for each request.
+// state is the outcome of a log: one record for each request, and the tokens
+// charged by budget.
 type state struct {
 	records map[string]*Record
+	totals  map[string]int64
+	fenced  map[string]bool
 }
 
 func newState() *state {
-	return &state{records: map[string]*Record{}}
+	return &state{records: map[string]*Record{}, totals: map[string]int64{}, fenced: map[string]bool{}}
 }
 
 // apply decides an op on the state and returns its outcome and whether the op
@@ -22,63 +25,110 @@
 		return s.claim(now, op)
 	case Bill:
 		return s.bill(now, op)
+	case Fence:
+		return s.fence(op), true
 	default:
 		return s.withdraw(op)
 	}
 }
 
-func (s *state) claim(now time.Time, op Op) (Outcome, bool) {
-	r, ok := s.records[op.Request]
-	if !ok {
-		r = &Record{Account: op.Account, Budget: op.Budget, Digest: op.Digest, NotRepeatable: op.NotRepeatable}
+func (s *state) record(op Op) (r *Record, known bool) {
+	r, known = s.records[op.Request]
+	if !known {
+		r = &Record{
+			Account:       op.Account,
+			Budget:        op.Budget,
+			Digest:        op.Digest,
+			NotRepeatable: op.NotRepeatable,
+			charges:       map[attemptID]charge{},
+		}
 		s.records[op.Request] = r
-		return r.start(now, op), true
 	}
+	return r, known
+}
+
+func (s *state) claim(now time.Time, op Op) (Outcome, bool) {
+	if s.fenced[op.Holder] {
+		return s.claimOfFenced(op)
+	}
+	r, known := s.record(op)
 	r.touched = now
 	switch {
+	case !known:
+		return s.start(r, op), true
 	case r.Digest != op.Digest || r.NotRepeatable != op.NotRepeatable:
 		return Outcome{Verdict: Mismatch}, false
 	case r.Running && r.Claim == op.Claim:
-		return Outcome{Verdict: Run, Attempt: r.Attempt}, false
+		return r.extend(op)
 	case r.Running && op.Supersede != r.Holder:
 		return Outcome{Verdict: Busy, Holder: r.Holder, Instance: r.Instance, Claim: r.Claim}, false
-	case r.NotRepeatable && r.Running:
+	case r.NotRepeatable && (r.Running || r.Lost):
 		return Outcome{Verdict: Unresolved}, false
 	case r.NotRepeatable && r.Billed:
 		return Outcome{Verdict: Finished, Code: r.Code, Answer: r.Answer, AnswerType: r.AnswerType}, false
 	default:
-		return r.start(now, op), true
+		return s.start(r, op), true
 	}
 }
 
-// start makes the op the running attempt.
-func (r *Record) start(now time.Time, op Op) Outcome {
+// extend answers a repeated claim; one with a higher worst case, for another
+// try, belongs into the log.
+func (r *Record) extend(op Op) (Outcome, bool) {
+	more := op.Worst > r.Worst
+	r.Worst = max(r.Worst, op.Worst)
+	return Outcome{Verdict: Run, Attempt: r.Attempt}, more
+}
+
+// claimOfFenced refuses a new claim of a fenced holder. One that was accepted
+// before and reaches the log after the fence is charged like those that the
+// fence found running.
+func (s *state) claimOfFenced(op Op) (Outcome, bool) {
+	if op.Attempt == 0 {
+		return Outcome{Verdict: Fenced}, false
+	}
+	r, _ := s.record(op)
+	id := attemptID{op.Holder, op.Attempt}
+	if _, charged := r.charges[id]; charged {
+		return Outcome{Verdict: Fenced}, false
+	}
+	s.charge(r, id, charge{tokens: op.Worst})
+	r.Attempt = max(r.Attempt, op.Attempt)
+	r.Lost = r.NotRepeatable
+	return Outcome{Verdict: Run, Attempt: op.Attempt}, true
+}
+
+// start makes the op the running attempt. What a superseded attempt served is
+// not known, so it is charged its worst case until its bill comes.
+func (s *state) start(r *Record, op Op) Outcome {
+	if r.Running {
+		s.charge(r, attemptID{r.Holder, r.Attempt}, charge{tokens: r.Worst})
+	}
 	r.Attempt++
 	r.Running = true
 	r.Claim = op.Claim
 	r.Holder = op.Holder
 	r.Instance = op.Instance
-	r.touched = now
+	r.Worst = op.Worst
 	return Outcome{Verdict: Run, Attempt: r.Attempt}
 }
 
+// charge sets what an attempt is charged.
+func (s *state) charge(r *Record, id attemptID, c charge) {
+	s.totals[r.Budget] += c.tokens - r.charges[id].tokens
+	r.charges[id] = c
+}
+
 // bill adds an attempt to the request's one billing record; a repeated
 // message changes nothing.
 func (s *state) bill(now time.Time, op Op) (Outcome, bool) {
-	r, ok := s.records[op.Request]
-	if !ok {
-		r = &Record{Account: op.Account, Budget: op.Budget, Digest: op.Digest, NotRepeatable: op.NotRepeatable}
-		s.records[op.Request] = r
-	}
-	id := fmt.Sprintf("%s/%d", op.Holder, op.Attempt)
-	for _, known := range r.bills {
-		if known == id {
-			return Outcome{Verdict: Recorded}, false
-		}
+	r, _ := s.record(op)
+	id := attemptID{op.Holder, op.Attempt}
+	if r.charges[id].final {
+		return Outcome{Verdict: Recorded}, false
 	}
-	r.bills = append(r.bills, id)
+	s.charge(r, id, charge{tokens: op.Tokens, final: true})
 	r.Billed = true
-	r.Tokens += op.Tokens
+	r.Lost = false
 	r.Code = op.Code
 	r.Answer = op.Answer
 	r.AnswerType = op.AnswerType
@@ -86,6 +136,7 @@
 	if r.Holder == op.Holder && r.Attempt == op.Attempt {
 		r.Running = false
 	}
+	r.Attempt = max(r.Attempt, op.Attempt)
 	return Outcome{Verdict: Recorded}, true
 }
 
@@ -99,10 +150,26 @@
 	return Outcome{Verdict: Recorded}, true
 }
 
-// forget drops finished records that nobody asked for since before.
+// fence ends a holder. Its running attempts are charged; a not-repeatable one
+// is never run again.
+func (s *state) fence(op Op) Outcome {
+	s.fenced[op.Holder] = true
+	for _, r := range s.records {
+		if !r.Running || r.Holder != op.Holder {
+			continue
+		}
+		s.charge(r, attemptID{r.Holder, r.Attempt}, charge{tokens: r.Worst})
+		r.Running = false
+		r.Lost = r.NotRepeatable
+	}
+	return Outcome{Verdict: Recorded, Totals: maps.Clone(s.totals)}
+}
+
+// forget drops finished records that nobody asked for since before. The
+// totals stay.
 func (s *state) forget(before time.Time) {
 	for request, r := range s.records {
-		if !r.Running && r.touched.Before(before) {
+		if !r.Running && !r.Lost && r.touched.Before(before) {
 			delete(s.records, request)
 		}
 	}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -16,6 +16,8 @@
 	MethodDecide  = "table.Decide"
 	MethodLeaving = "member.Leaving"
 	MethodAdmin   = "admin.Do"
+	MethodWho     = "member.Who"
+	MethodBarrier = "reclaim.Barrier"
 )
 
 // Empty is an answer without content.
@@ -31,7 +33,8 @@
 
 // HoldingAnswer gives the holdings by budget.
 type HoldingAnswer struct {
-	Holdings map[string]budget.Holding
+	Incarnation string
+	Holdings    map[string]budget.Holding
 }
 
 // LedgerRequest submits an op to a shard.
@@ -85,6 +88,17 @@
 	ID   string
 }
 
+// WhoAnswer names the process that answers.
+type WhoAnswer struct {
+	Incarnation string
+}
+
+// BarrierRequest asks a router to accept nothing more from fenced
+// incarnations, and to commit all ledger items that it holds.
+type BarrierRequest struct {
+	Fenced []string
+}
+
 // AdminRequest is an operator's command in JSON: its name and arguments.
 type AdminRequest struct {
 	Operator string
--- a/router/peers.go
+++ b/router/peers.go
@@ -24,6 +24,8 @@
 	peer.Handle(m, peer.MethodDecide, r.onDecide)
 	peer.Handle(m, peer.MethodLeaving, r.onLeaving)
 	peer.Handle(m, peer.MethodAdmin, r.admin.Do)
+	peer.Handle(m, peer.MethodWho, r.onWho)
+	peer.Handle(m, peer.MethodBarrier, r.onBarrier)
 	return m
 }
 
@@ -33,7 +35,18 @@
 }
 
 func (r *Router) onHolding(_ context.Context, req *peer.HoldingRequest) (*peer.HoldingAnswer, error) {
-	return &peer.HoldingAnswer{Holdings: r.budgets.Holdings(req.Budgets)}, nil
+	return &peer.HoldingAnswer{Incarnation: r.incarnation, Holdings: r.reclaims.Holdings(req.Budgets)}, nil
+}
+
+func (r *Router) onWho(context.Context, *peer.Empty) (*peer.WhoAnswer, error) {
+	return &peer.WhoAnswer{Incarnation: r.incarnation}, nil
+}
+
+func (r *Router) onBarrier(ctx context.Context, req *peer.BarrierRequest) (*peer.Empty, error) {
+	if len(req.Fenced) == 0 {
+		return &peer.Empty{}, nil
+	}
+	return &peer.Empty{}, r.reclaims.Barrier(ctx, req.Fenced)
 }
 
 func (r *Router) onLedger(ctx context.Context, req *peer.LedgerRequest) (*peer.LedgerAnswer, error) {
@@ -76,25 +89,35 @@
 }
 
 const (
-	parametersKey   = "fleet/parameters"
-	parametersRetry = 300 * time.Millisecond
+	parametersKey = "fleet/parameters"
+	joinRetry     = 300 * time.Millisecond
 )
 
-// checkParameters compares the settings with the fleet's, or sets them for
-// the first router. A router whose settings differ never becomes ready.
-func (r *Router) checkParameters(ctx context.Context) {
-	mine := parameters{Pages: r.settings.Budgets.Pages, Shards: r.settings.Ledger.Shards}
+// join compares the settings with the fleet's, or sets them for the first
+// router, and registers this process as a holder of tokens. A router whose
+// settings differ never becomes ready.
+func (r *Router) join(ctx context.Context) {
 	for ctx.Err() == nil {
-		fleet, err := r.fleetParameters(ctx, mine)
-		if err == nil && fleet == mine {
-			r.parameter.Store(true)
-			return
-		}
+		err := r.tryJoin(ctx)
 		if err == nil {
-			r.log.Error("settings differ from the fleet's", zap.Int("code", int(result.ParametersMismatch)), zap.Any("mine", mine), zap.Any("fleet", fleet))
+			r.joined.Store(true)
+			return
 		}
-		wait(ctx, parametersRetry)
+		r.log.Info("not yet joined", zap.Error(err))
+		wait(ctx, joinRetry)
+	}
+}
+
+func (r *Router) tryJoin(ctx context.Context) error {
+	mine := parameters{Pages: r.settings.Budgets.Pages, Shards: r.settings.Ledger.Shards}
+	fleet, err := r.fleetParameters(ctx, mine)
+	if err != nil {
+		return err
+	}
+	if fleet != mine {
+		return result.New(result.ParametersMismatch, "settings %+v differ from the fleet's %+v", mine, fleet)
 	}
+	return r.reclaims.Register(ctx)
 }
 
 func (r *Router) fleetParameters(ctx context.Context, mine parameters) (parameters, error) {
--- a/router/router.go
+++ b/router/router.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,7 @@
 	"github.com/gaplink/gaplink/controller/health"
 	"github.com/gaplink/gaplink/controller/ledgers"
 	"github.com/gaplink/gaplink/controller/members"
+	"github.com/gaplink/gaplink/controller/reclaims"
 	"github.com/gaplink/gaplink/controller/tables"
 	"github.com/gaplink/gaplink/engine"
 	"github.com/gaplink/gaplink/filter"
@@ -64,23 +66,26 @@
 	engines *engine.Client
 	peers   *peer.Client
 
-	members *members.Controller
-	tables  *tables.Controller
-	budgets *budgets.Controller
-	ledgers *ledgers.Controller
-	health  *health.Controller
-	admin   *admin.Server
-	chain   filter.Handler
-	pauses  *pauseWatch
+	members  *members.Controller
+	tables   *tables.Controller
+	budgets  *budgets.Controller
+	ledgers  *ledgers.Controller
+	health   *health.Controller
+	reclaims *reclaims.Controller
+	admin    *admin.Server
+	chain    filter.Handler
+	pauses   *pauseWatch
 
-	callers   net.Listener
-	peerSide  net.Listener
-	http      *http.Server
-	cancel    context.CancelFunc
-	inFlight  atomic.Int64
-	leaving   atomic.Bool
-	refusing  atomic.Bool
-	parameter atomic.Bool
+	callers  net.Listener
+	peerSide net.Listener
+	http     *http.Server
+	cancel   context.CancelFunc
+	inFlight atomic.Int64
+	leaving  atomic.Bool
+	refusing atomic.Bool
+	joined   atomic.Bool
+	stopped  sync.Once
+	fenced   chan struct{}
 }
 
 // New builds a router from checked settings. It binds no address and starts
@@ -93,6 +98,7 @@
 		metrics:     metrics.New(),
 		engines:     engine.NewClient(),
 		peers:       peer.NewClient(peerDialTimeout, s.Listen.Peers),
+		fenced:      make(chan struct{}),
 	}
 	r.provision()
 	return r, nil
@@ -115,8 +121,9 @@
 		DecideWithin: s.Table.DecideWithin.Std(),
 		AckWithin:    s.Table.AckWithin.Std(),
 	})
-	r.budgets = budgets.New(r.budgetConfig(), r.store, r.members, r.peers, r.log)
-	r.ledgers = ledgers.New(r.ledgerConfig(), s.Ledger.Shards, r.store, r.members, r.peers, r.log)
+	r.budgets = budgets.New(r.budgetConfig(), r.store, r.members, r.peers, r.log, r.onFenced)
+	r.ledgers = ledgers.New(r.ledgerConfig(), s.Ledger.Shards, r.store, r.members, r.peers, r.log, r.onFenced)
+	r.reclaims = reclaims.New(r.incarnation, s.Budgets.Pages, s.Instance.FenceAfter.Std(), r.store, r.members, r.budgets, r.ledgers, r.peers, r.log)
 	r.health = health.New(r.members, r.engines, r.peers, newRand(), r.log)
 	r.admin = admin.New(s.Operator.KeyHash, s.Budgets.Pages, s.Ledger.Shards, r.store, r.members, r.tables, r.budgets, r.peers)
 	r.tables.OnChange(r.health.SetState)
@@ -192,12 +199,13 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
-	go r.checkParameters(ctx)
+	go r.join(ctx)
 	go r.members.Run(ctx)
 	go r.tables.Run(ctx)
 	go r.budgets.Run(ctx)
 	go r.ledgers.Run(ctx)
 	go r.health.Run(ctx)
+	go r.reclaims.Run(ctx)
 	go r.pauses.run(ctx)
 	go func() { _ = peer.Serve(ctx, r.peerSide, r.peerMux()) }()
 	return r.serveCallers()
@@ -225,7 +233,7 @@
 func (r *Router) PeersAddr() string { return r.peerSide.Addr().String() }
 
 // Ready tells whether the router has what it needs to take requests.
-func (r *Router) Ready() bool { return r.parameter.Load() && r.tables.Ready() }
+func (r *Router) Ready() bool { return r.joined.Load() && r.tables.Ready() }
 
 // Stop is a planned stop: leave, keep serving while the balancer notices, then
 // refuse new work, let running requests finish, return grants, flush bills.
@@ -241,10 +249,32 @@
 	defer cancel()
 	r.ledgers.Flush(flush)
 	r.budgets.Close(flush)
+	r.reclaims.Deregister(flush)
 	r.close()
 	r.log.Info("stopped")
 }
 
+// onFenced ends a router that the fleet has taken to be dead: no new work;
+// running requests finish.
+func (r *Router) onFenced() {
+	r.stopped.Do(func() {
+		r.log.Error("fenced: this process was taken to be dead; its tokens are void")
+		r.leaving.Store(true)
+		r.refusing.Store(true)
+		go func() {
+			r.drain(context.Background())
+			close(r.fenced)
+		}()
+	})
+}
+
+// Fenced is closed when the fleet has taken this process to be dead and its
+// running requests have ended. The daemon then exits, to be started anew.
+func (r *Router) Fenced() <-chan struct{} { return r.fenced }
+
+// Close ends a fenced router. It has nothing left to return.
+func (r *Router) Close() { r.close() }
+
 // drain waits until no request runs.
 func (r *Router) drain(ctx context.Context) {
 	for r.inFlight.Load() > 0 && ctx.Err() == nil {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -58,6 +58,9 @@
 	ID string `toml:"id" validate:"required"`
 	// Domain is its failure domain.
 	Domain string `toml:"domain" validate:"required"`
+	// FenceAfter is how long another router must not answer before this one
+	// takes it to be dead, fences it and reclaims its tokens.
+	FenceAfter Duration `toml:"fence_after" validate:"min=1000000"`
 }
 
 // Listen are the addresses that the process binds, as IP:port.
@@ -144,6 +147,7 @@
 // Default returns the settings that a file need not name.
 func Default() Settings {
 	return Settings{
+		Instance: Instance{FenceAfter: Duration(10 * time.Second)},
 		Platform: Platform{Timeout: Duration(time.Second), ListEvery: Duration(2 * time.Second)},
 		Budgets:  Budgets{Pages: 16, Hold: Duration(10 * time.Second), EntryHold: Duration(time.Second)},
 		Ledger: Ledger{
