--- a/Makefile
+++ b/Makefile
@@ -21,3 +21,14 @@
 FAULTS ?=
 demo: build
 	./bin/gaplink-lab demo --faults "$(FAULTS)"
+
+# Exhaustive checks of the protocol models; each removed rule must be caught.
+model:
+	./spec/check.sh
+
+# Bounded, seeded measurements of the decisions.
+bench: build
+	./bin/gaplink-lab policy --check
+
+ci:
+	./.ci/run
