Compare ways to share budgets in virtual time; mend two leaks it found

Causes, by its own classification: worst cases of requests that a killed router had in flight stayed charged; and after a restart routers went on giving surplus to the incarnation that had been fenced, where it was lost for good.

Ruled out: smaller holds (no change), quicker reclaim (no change).

Change: after a fence the engines are asked, by cancelling, what the dead router's attempts served, and those are billed; nothing more is sent to a fenced incarnation; a message for an earlier process of an instance is refused so that its sender takes the tokens back, but never once the receiver is fenced (then they were reclaimed: a test shows 9 tokens existing twice before); a router that is not the home returns surplus to the store.

--- a/backend/engine.go
+++ b/backend/engine.go
@@ -168,5 +168,9 @@
 		served = run.Tokens
 	}
 	e.mu.Unlock()
+	if !ok {
+		http.Error(w, "unknown attempt", http.StatusNotFound)
+		return
+	}
 	writeJSON(w, map[string]int64{"completion_tokens": served})
 }
--- a/budget/agent.go
+++ b/budget/agent.go
@@ -232,7 +232,7 @@
 
 // Receive takes a message from another router.
 func (a *Agent) Receive(now time.Time, m Message) []Effect {
-	if m.To.Incarnation != "" && m.To.Incarnation != a.cfg.Self.Incarnation {
+	if !a.Accepts(m) {
 		return nil
 	}
 	if a.fenced[m.From.Incarnation] {
@@ -269,6 +269,12 @@
 	p.draws = append(p.draws, d)
 }
 
+// Accepts tells whether a message is for this incarnation. One that is not
+// must be told to its sender as certainly undelivered.
+func (a *Agent) Accepts(m Message) bool {
+	return m.To.Incarnation == "" || m.To.Incarnation == a.cfg.Self.Incarnation
+}
+
 // credit adds the tokens that the message newly moves here.
 func (a *Agent) credit(p *purse, m Message) {
 	if m.To.Incarnation == "" || m.Total <= p.received[m.From.Incarnation] {
@@ -300,10 +306,11 @@
 }
 
 // Undelivered tells that a message was not delivered. certain means that the
-// receiver certainly did not get it, so that its tokens may be taken back.
+// receiver certainly did not get it, so that its tokens may be taken back;
+// unless the receiver was fenced, for then they were reclaimed with it.
 func (a *Agent) Undelivered(now time.Time, m Message, certain bool) []Effect {
 	p := a.purse(m.Budget)
-	if certain && m.Delta > 0 && p.sent[m.To.Incarnation] == m.Total {
+	if certain && m.Delta > 0 && !a.fenced[m.To.Incarnation] && p.sent[m.To.Incarnation] == m.Total {
 		p.sent[m.To.Incarnation] -= m.Delta
 		p.balance += m.Delta
 	}
--- /dev/null
+++ b/budget/budget_test.go
@@ -0,0 +1,340 @@
+package budget_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/gaplink/gaplink/budget"
+)
+
+const testBudget = "b"
+
+// router is one agent with what the network and the store owe it.
+type router struct {
+	index, life int
+	agent       *budget.Agent
+	store       []budget.Effect // calls not yet answered
+	running     []int64         // reserved by dispatched requests
+	frozen      bool
+}
+
+func (r *router) incarnation() string { return fmt.Sprintf("r%d/%d", r.index, r.life) }
+
+// network drives agents through faults: messages are delivered late, twice,
+// out of order or not at all; store calls may be lost after they took effect.
+type network struct {
+	t       *rapid.T
+	now     time.Time
+	page    *budget.Page
+	version int64
+	late    []budget.WritePage // sent, answer lost, not yet arrived
+	routers []*router
+	mail    []budget.Message
+	spent   int64 // tokens served, by the backend servers' count
+	dead    []string
+	charged int64 // billed, and worst cases of dead attempts
+	home    int
+	waiting map[string]int64
+}
+
+func newNetwork(t *rapid.T) *network {
+	n := &network{t: t, now: time.Unix(1000, 0), page: budget.NewPage(), version: 1, waiting: map[string]int64{}}
+	n.page.Budgets[testBudget] = &budget.Record{Limit: 30, Holders: map[string]int64{}}
+	for i := range 3 {
+		n.routers = append(n.routers, &router{index: i})
+		n.boot(n.routers[i])
+	}
+	return n
+}
+
+func (n *network) boot(r *router) {
+	r.life++
+	r.frozen = false
+	r.store, r.running = nil, nil
+	cfg := budget.DefaultConfig()
+	cfg.Pages = 1
+	cfg.Self = budget.Peer{ID: fmt.Sprintf("r%d", r.index), Incarnation: r.incarnation()}
+	cfg.Home = func(time.Time, string) string { return fmt.Sprintf("r%d", n.home) }
+	r.agent = budget.NewAgent(cfg)
+	for _, d := range n.dead {
+		r.agent.Fence(d)
+	}
+}
+
+func (n *network) perform(r *router, effects []budget.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case budget.Send:
+			n.mail = append(n.mail, e.Message)
+		case budget.Resolve:
+			key := fmt.Sprint(r.incarnation(), ":", e.Token)
+			if need, ok := n.waiting[key]; ok && e.OK {
+				r.running = append(r.running, need)
+			}
+			delete(n.waiting, key)
+		case budget.ReadPage, budget.WritePage:
+			r.store = append(r.store, e)
+		}
+	}
+}
+
+func (n *network) reserve(r *router, need int64) {
+	token, granted, effects := r.agent.Reserve(n.now, testBudget, need)
+	if granted {
+		r.running = append(r.running, need)
+	} else {
+		n.waiting[fmt.Sprint(r.incarnation(), ":", token)] = need
+	}
+	n.perform(r, effects)
+}
+
+// finish ends a request: served, billed, then settled.
+func (n *network) finish(r *router, actual int64) {
+	if len(r.running) == 0 {
+		return
+	}
+	need := r.running[0]
+	r.running = r.running[1:]
+	actual = min(actual, need)
+	n.spent += actual
+	n.charged += actual
+	n.perform(r, r.agent.Settle(n.now, testBudget, need, actual))
+}
+
+// deliver brings a message to its receiver, or reports it undelivered.
+func (n *network) deliver(i int, fate string) {
+	if len(n.mail) == 0 {
+		return
+	}
+	i %= len(n.mail)
+	m := n.mail[i]
+	if fate != "twice" {
+		n.mail = append(n.mail[:i:i], n.mail[i+1:]...)
+	}
+	to := n.byID(m.To.ID)
+	if fate == "lost" {
+		return
+	}
+	if fate == "refused" || !to.agent.Accepts(m) {
+		// Certain to its sender only if it is delivered at no other time.
+		if fate != "twice" {
+			n.undelivered(m, true)
+		}
+		return
+	}
+	n.perform(to, to.agent.Receive(n.now, m))
+}
+
+func (n *network) undelivered(m budget.Message, certain bool) {
+	from := n.byID(m.From.ID)
+	if from.incarnation() == m.From.Incarnation {
+		n.perform(from, from.agent.Undelivered(n.now, m, certain))
+	}
+}
+
+func (n *network) byID(id string) *router {
+	for _, r := range n.routers {
+		if fmt.Sprintf("r%d", r.index) == id {
+			return r
+		}
+	}
+	panic(id)
+}
+
+// answer carries out a router's oldest store call with a fate.
+func (n *network) answer(r *router, fate string) {
+	if len(r.store) == 0 {
+		return
+	}
+	e := r.store[0]
+	r.store = r.store[1:]
+	switch e := e.(type) {
+	case budget.ReadPage:
+		if fate != "done" {
+			n.perform(r, r.agent.PageRead(n.now, 0, 0, nil, budget.Unavailable))
+			return
+		}
+		n.perform(r, r.agent.PageRead(n.now, 0, n.version, n.page.Clone(), budget.Done))
+	case budget.WritePage:
+		n.write(r, e, fate)
+	}
+}
+
+func (n *network) write(r *router, e budget.WritePage, fate string) {
+	result := budget.Done
+	switch fate {
+	case "unavailable":
+		result = budget.Unavailable
+	case "late":
+		n.late = append(n.late, e)
+		result = budget.Lost
+	default:
+		if !n.put(e) {
+			result = budget.Conflict
+		}
+		if fate == "lost" {
+			result = budget.Lost
+		}
+	}
+	n.perform(r, r.agent.PageWritten(n.now, 0, n.version, result))
+}
+
+func (n *network) put(e budget.WritePage) bool {
+	if e.Version != n.version {
+		return false
+	}
+	n.version++
+	n.page = e.Value.Clone()
+	return true
+}
+
+func (n *network) arrive() {
+	if len(n.late) > 0 {
+		n.put(n.late[0])
+		n.late = n.late[1:]
+	}
+}
+
+// kill ends a router. Its requests served something up to their worst case,
+// which is what they are charged.
+func (n *network) kill(r *router) {
+	for _, need := range r.running {
+		n.spent += need
+		n.charged += need
+	}
+	dead := r.incarnation()
+	n.boot(r)
+	n.reclaim(dead)
+}
+
+// reclaim settles what one dead router left, in the order that the controller
+// keeps.
+func (n *network) reclaim(dead string) {
+	n.dead = append(n.dead, dead)
+	for _, r := range n.routers {
+		r.agent.Fence(dead)
+	}
+	issued := n.page.Budgets[testBudget].Issued()
+	live := map[string]budget.Holding{}
+	for _, r := range n.routers {
+		live[r.incarnation()] = r.agent.Holding(testBudget)
+	}
+	stranded := budget.Stranded(issued, live, n.charged)
+	n.page.Reclaim([]string{dead}, map[string]int64{testBudget: stranded})
+	n.version++
+}
+
+func (n *network) check() {
+	r := n.page.Budgets[testBudget]
+	worst := n.spent
+	for _, rt := range n.routers {
+		for _, need := range rt.running {
+			worst += need
+		}
+	}
+	if worst > r.Limit {
+		n.t.Fatalf("%d tokens spent or in flight, limit %d", worst, r.Limit)
+	}
+	if r.Issued() > r.Limit {
+		n.t.Fatalf("%d tokens issued, limit %d", r.Issued(), r.Limit)
+	}
+}
+
+// settle lets everything come to rest without further faults.
+func (n *network) settle() {
+	for range 60 {
+		n.now = n.now.Add(time.Second)
+		n.arrive()
+		for _, r := range n.routers {
+			for len(r.running) > 0 {
+				n.finish(r, 1)
+			}
+			n.perform(r, r.agent.Tick(n.now))
+			for len(r.store) > 0 {
+				n.answer(r, "done")
+			}
+		}
+		for len(n.mail) > 0 {
+			n.deliver(0, "once")
+		}
+	}
+}
+
+func actions(n *network) map[string]func(*rapid.T) {
+	pick := rapid.IntRange(0, 2)
+	some := rapid.Int64Range(1, 9)
+	storeFate := rapid.SampledFrom([]string{"done", "done", "done", "unavailable", "lost", "late"})
+	mailFate := rapid.SampledFrom([]string{"once", "once", "once", "twice", "lost", "refused"})
+	return map[string]func(*rapid.T){
+		"reserve": func(t *rapid.T) { n.reserve(n.routers[pick.Draw(t, "router")], some.Draw(t, "need")) },
+		"finish":  func(t *rapid.T) { n.finish(n.routers[pick.Draw(t, "router")], some.Draw(t, "actual")) },
+		"deliver": func(t *rapid.T) {
+			n.deliver(rapid.IntRange(0, 5).Draw(t, "message"), mailFate.Draw(t, "fate"))
+		},
+		"store":  func(t *rapid.T) { n.answer(n.routers[pick.Draw(t, "router")], storeFate.Draw(t, "fate")) },
+		"arrive": func(*rapid.T) { n.arrive() },
+		"home":   func(t *rapid.T) { n.home = pick.Draw(t, "home") },
+		"kill":   func(t *rapid.T) { n.kill(n.routers[pick.Draw(t, "router")]) },
+		"tick": func(t *rapid.T) {
+			n.now = n.now.Add(time.Duration(rapid.IntRange(1, 6000).Draw(t, "ms")) * time.Millisecond)
+			for _, r := range n.routers {
+				n.perform(r, r.agent.Tick(n.now))
+			}
+		},
+		"": func(*rapid.T) { n.check() },
+	}
+}
+
+// TestNeverOverspends drives three routers at random through lost, late and
+// repeated messages, lost answers, outages, deaths and reclaims.
+func TestNeverOverspends(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := newNetwork(t)
+		t.Repeat(actions(n))
+		n.settle()
+		n.check()
+		if len(n.waiting) > 0 && anyAlive(n) {
+			t.Fatalf("reservations never answered: %v", n.waiting)
+		}
+	})
+}
+
+// anyAlive tells whether a waiting reservation belongs to a living process.
+func anyAlive(n *network) bool {
+	for key := range n.waiting {
+		for _, r := range n.routers {
+			if strings.HasPrefix(key, r.incarnation()+":") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// TestUndeliveredToFencedStaysGone is the case of a message that fails after
+// its receiver was reclaimed: its tokens went back to the budget with the
+// receiver's, so the sender must not take them back too.
+func TestUndeliveredToFencedStaysGone(t *testing.T) {
+	cfg := budget.DefaultConfig()
+	cfg.Pages = 1
+	cfg.Self = budget.Peer{ID: "r0", Incarnation: "r0/1"}
+	cfg.Home = func(time.Time, string) string { return "r0" }
+	a := budget.NewAgent(cfg)
+	now := time.Unix(1000, 0)
+	dead := budget.Peer{ID: "r1", Incarnation: "r1/1"}
+	a.Receive(now, budget.Message{Kind: budget.Back, Budget: testBudget, From: budget.Peer{ID: "r2", Incarnation: "r2/1"}, To: cfg.Self, Total: 9, Delta: 9})
+	effects := a.Receive(now, budget.Message{Kind: budget.Recall, Budget: testBudget, From: dead, To: cfg.Self})
+	sent, ok := effects[0].(budget.Send)
+	if !ok || sent.Message.Delta != 9 {
+		t.Fatalf("want 9 tokens given back, got %+v", effects)
+	}
+	a.Fence(dead.Incarnation)
+	a.Undelivered(now, sent.Message, true)
+	if held := a.Holding(testBudget).Balance; held != 0 {
+		t.Fatalf("%d tokens exist twice", held)
+	}
+}
--- a/budget/holding.go
+++ b/budget/holding.go
@@ -14,9 +14,29 @@
 	Sent, Received map[string]int64
 }
 
-// Fence makes messages of an incarnation void, from now on.
+// Fence makes messages of an incarnation void, from now on. Nothing more is
+// sent to it either: what it was sent before is reclaimed, what came later
+// would be lost.
 func (a *Agent) Fence(incarnation string) {
 	a.fenced[incarnation] = true
+	for _, p := range a.purses {
+		p.forget(incarnation)
+	}
+}
+
+// forget drops what ties a purse to a fenced incarnation.
+func (p *purse) forget(incarnation string) {
+	if p.home.Incarnation == incarnation {
+		p.home = Peer{}
+	}
+	delete(p.holders, incarnation)
+	kept := p.draws[:0]
+	for _, d := range p.draws {
+		if d.peer.Incarnation != incarnation {
+			kept = append(kept, d)
+		}
+	}
+	p.draws = kept
 }
 
 // Holding returns what this router holds of a budget.
--- a/budget/purse.go
+++ b/budget/purse.go
@@ -401,11 +401,21 @@
 	if !p.scarce || p.balance <= 0 || p.waiting() || a.closing {
 		return
 	}
-	if a.homeKnown(now, p) {
+	switch {
+	case a.homeKnown(now, p):
 		a.giveBack(p, p.home)
+	case !a.isHome(now, p.id):
+		a.returnToStore(now, p)
 	}
 }
 
+// returnToStore queues the whole balance for return.
+func (a *Agent) returnToStore(now time.Time, p *purse) {
+	amount := p.balance
+	p.balance = 0
+	a.queue(now, pageOp{budget: p.id, need: -amount})
+}
+
 // homeKnown tells whether the present home is another router whose
 // incarnation is known.
 func (a *Agent) homeKnown(now time.Time, p *purse) bool {
@@ -422,7 +432,5 @@
 		a.giveBack(p, p.home)
 		return
 	}
-	amount := p.balance
-	p.balance = 0
-	a.queue(now, pageOp{budget: p.id, need: -amount})
+	a.returnToStore(now, p)
 }
--- a/controller/budgets/budgets.go
+++ b/controller/budgets/budgets.go
@@ -130,7 +130,7 @@
 // send delivers a message once. A message to this router itself stays here.
 func (c *Controller) send(m budget.Message) {
 	if m.To.ID == c.members.Self().ID {
-		c.Receive(m)
+		_ = c.Receive(m)
 		return
 	}
 	err := c.deliver(m)
@@ -151,12 +151,24 @@
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 	defer cancel()
 	_, err := peer.Call[peer.BudgetMessage, peer.Empty](ctx, c.peers, addr, peer.MethodBudget, &peer.BudgetMessage{Message: m})
+	if result.From(err).Code == result.WrongIncarnation {
+		return peer.ErrNotSent
+	}
 	return err
 }
 
-// Receive takes a message from another router.
-func (c *Controller) Receive(m budget.Message) {
-	c.with(func(now time.Time, a *budget.Agent) []budget.Effect { return a.Receive(now, m) })
+// Receive takes a message from another router. It fails with WrongIncarnation
+// when the message is for an earlier process of this instance.
+func (c *Controller) Receive(m budget.Message) error {
+	accepted := true
+	c.with(func(now time.Time, a *budget.Agent) []budget.Effect {
+		accepted = a.Accepts(m)
+		return a.Receive(now, m)
+	})
+	if !accepted {
+		return result.New(result.WrongIncarnation, "meant for %s", m.To.Incarnation)
+	}
+	return nil
 }
 
 func (c *Controller) read(n int) {
--- a/controller/ledgers/ledgers.go
+++ b/controller/ledgers/ledgers.go
@@ -369,31 +369,48 @@
 	return nil
 }
 
-// FenceAll commits a fence in every shard and returns the tokens charged by
-// budget over all shards.
-func (c *Controller) FenceAll(ctx context.Context, incarnation string) (map[string]int64, error) {
-	sums := map[string]int64{}
+// Charges is what the shards know at a fence.
+type Charges struct {
+	// Totals are the tokens charged by budget over all shards.
+	Totals map[string]int64
+	// Left are the fenced holder's attempts that are charged their worst case.
+	Left []ledger.Left
+}
+
+// FenceAll commits a fence in every shard and returns the charges.
+func (c *Controller) FenceAll(ctx context.Context, incarnation string) (Charges, error) {
+	all := Charges{Totals: map[string]int64{}}
 	for n := range c.count {
-		totals, err := c.fenceShard(ctx, n, incarnation)
+		outcome, err := c.fenceShard(ctx, n, incarnation)
 		if err != nil {
-			return nil, err
+			return all, err
 		}
-		for id, tokens := range totals {
-			sums[id] += tokens
+		for id, tokens := range outcome.Totals {
+			all.Totals[id] += tokens
 		}
+		all.Left = append(all.Left, outcome.Left...)
 	}
-	return sums, nil
+	return all, nil
 }
 
-func (c *Controller) fenceShard(ctx context.Context, n int, incarnation string) (map[string]int64, error) {
+func (c *Controller) fenceShard(ctx context.Context, n int, incarnation string) (ledger.Outcome, error) {
 	op := ledger.Op{Kind: ledger.Fence, Holder: incarnation}
 	for _, id := range c.owners(n) {
 		outcome, err := c.offer(ctx, id, n, op)
 		if err == nil && outcome.Verdict == ledger.Recorded {
-			return outcome.Totals, nil
+			return outcome, nil
 		}
 	}
-	return nil, errNoOwner
+	return ledger.Outcome{}, errNoOwner
+}
+
+// BillFor commits the bill of an attempt that a fenced holder left.
+func (c *Controller) BillFor(ctx context.Context, op ledger.Op) error {
+	outcome, _, err := c.submit(ctx, op)
+	if err == nil && outcome.Verdict != ledger.Recorded {
+		err = errNoOwner
+	}
+	return err
 }
 
 // copyElsewhere gives a held bill to the next owner in rank, so that the
--- a/controller/reclaims/pages.go
+++ b/controller/reclaims/pages.go
@@ -62,7 +62,7 @@
 		return err
 	}
 	for n, at := range pages {
-		done, err := c.settlePage(ctx, n, at, now, holdings, charged)
+		done, err := c.settlePage(ctx, n, at, now, holdings, charged.Totals)
 		if err != nil {
 			return err
 		}
--- a/controller/reclaims/reclaims.go
+++ b/controller/reclaims/reclaims.go
@@ -26,6 +26,8 @@
 	"github.com/gaplink/gaplink/controller/budgets"
 	"github.com/gaplink/gaplink/controller/ledgers"
 	"github.com/gaplink/gaplink/controller/members"
+	"github.com/gaplink/gaplink/controller/tables"
+	"github.com/gaplink/gaplink/engine"
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/store"
 )
@@ -70,6 +72,8 @@
 	members *members.Controller
 	budgets *budgets.Controller
 	ledgers *ledgers.Controller
+	tables  *tables.Controller
+	engines *engine.Client
 	peers   *peer.Client
 	log     *zap.Logger
 	self    holder
@@ -80,8 +84,10 @@
 }
 
 // New returns a controller.
-func New(incarnation string, pages int, silentFor time.Duration, s store.Store, m *members.Controller, b *budgets.Controller, l *ledgers.Controller, p *peer.Client, log *zap.Logger) *Controller {
+func New(incarnation string, pages int, silentFor time.Duration, s store.Store, m *members.Controller, b *budgets.Controller, l *ledgers.Controller, t *tables.Controller, e *engine.Client, p *peer.Client, log *zap.Logger) *Controller {
 	return &Controller{
+		tables:    t,
+		engines:   e,
 		store:     s,
 		members:   m,
 		budgets:   b,
@@ -284,9 +290,11 @@
 		}
 	}
 	for _, incarnation := range now.dead {
-		if _, err := c.ledgers.FenceAll(ctx, incarnation); err != nil {
+		charges, err := c.ledgers.FenceAll(ctx, incarnation)
+		if err != nil {
 			return err
 		}
+		c.billLeft(ctx, incarnation, charges.Left)
 	}
 	return nil
 }
--- a/filter/deduplicate/deduplicate.go
+++ b/filter/deduplicate/deduplicate.go
@@ -83,6 +83,7 @@
 		Instance:      instance,
 		Account:       x.Account.ID,
 		Budget:        x.Budget,
+		Target:        x.Target,
 		Digest:        x.Digest,
 		NotRepeatable: x.NotRepeatable,
 		Durable:       x.NotRepeatable,
--- a/lab/demo.go
+++ b/lab/demo.go
@@ -445,9 +445,6 @@
 			r.Failed++
 			d.note("%s failed, code %d", o.job.nonce, o.code)
 		}
-		if o.falseRefuse {
-			r.FalseRefusals++
-		}
 		r.Retried += o.tries - 1
 		r.CutStreams += o.cutStreams - o.onDead
 		r.CutByKill += o.onDead
@@ -478,6 +475,10 @@
 		jobs[o.job.nonce] = o
 	}
 	served := map[string]int64{}
+	unbooked := map[string]int64{}
+	for _, o := range outcomes {
+		unbooked[o.job.budget] -= o.booked
+	}
 	ran := map[string]int{}
 	for _, p := range append(d.fleet.engines, d.fleet.service) {
 		runs, err := d.fleet.runs(p)
@@ -486,6 +487,7 @@
 		}
 		for _, r := range runs {
 			served[jobs[r.Nonce].job.budget] += r.Tokens
+			unbooked[jobs[r.Nonce].job.budget] += r.Tokens
 			ran[r.Nonce]++
 			if r.AfterLeaving > lateAfter.Milliseconds() {
 				d.report.LateToLeaving++
@@ -497,6 +499,9 @@
 		d.report.Overspend += max(tokens-limits[id], 0)
 	}
 	for nonce, o := range jobs {
+		if o.noBudget && o.margin >= unbooked[o.job.budget] {
+			d.report.FalseRefusals++
+		}
 		if o.job.notRepeatable && ran[nonce] > 1 {
 			d.report.RanTwice++
 		}
--- a/lab/load.go
+++ b/lab/load.go
@@ -51,7 +51,11 @@
 	cutStreams  int  // streams that began and ended without the end marker
 	onDead      int  // of these, at a router that was being killed
 	refusedOnly bool // every try was refused as not run
-	falseRefuse bool
+	// noBudget is set for a refusal for want of budget, and margin is what the
+	// sender's books then had left beyond the job's worst case.
+	noBudget bool
+	margin   int64
+	booked   int64 // tokens that the sender knows to be spent for the job
 }
 
 // loadSpec describes a seeded load.
@@ -157,7 +161,8 @@
 	o.end = gaveUp
 	if o.refusedOnly {
 		o.end = refused
-		o.falseRefuse = o.code == result.BudgetUnreachable && s.covered(j)
+		o.noBudget = o.code == result.BudgetUnreachable
+		o.margin = s.margin(j)
 	}
 	s.close(j, o)
 	return o
@@ -184,13 +189,13 @@
 	}
 }
 
-// covered tells whether the budget could have covered the job, by the
+// margin is what the budget has left beyond the job's worst case, by the
 // sender's own books: others' worst cases in flight counted.
-func (s *sender) covered(j job) bool {
+func (s *sender) margin(j job) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	others := s.inFlight[j.budget] - j.maxTokens
-	return s.limits[j.budget]-s.spent[j.budget]-others >= j.maxTokens
+	return s.limits[j.budget] - s.spent[j.budget] - others - j.maxTokens
 }
 
 func (s *sender) request(j job, addr string) (*http.Request, error) {
@@ -255,7 +260,8 @@
 	}
 	switch o.code {
 	case result.BudgetExhausted:
-		o.falseRefuse = s.covered(o.job)
+		o.noBudget = true
+		o.margin = s.margin(o.job)
 		return refused
 	case result.OutcomeUnknown, result.AlreadyAnswered:
 		return unknown
@@ -307,6 +313,7 @@
 	s.mu.Lock()
 	s.spent[o.job.budget] += tokens
 	s.mu.Unlock()
+	o.booked += tokens
 	o.cutStreams++
 	if s.spec.killed != nil && s.spec.killed(addr) {
 		o.onDead++
@@ -351,5 +358,6 @@
 		return wrong
 	}
 	o.tokens = tokens
+	o.booked += tokens
 	return answered
 }
--- /dev/null
+++ b/lab/policy.go
@@ -0,0 +1,106 @@
+package lab
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/gaplink/gaplink/lab/policy"
+)
+
+// Bounds of the chosen policy, checked by `policy --check`. They are on
+// deterministic figures of seeded runs.
+const (
+	maxFalseCalm   = 0.1 // percent of requests, without faults
+	maxFalseFaults = 1.0 // percent of requests, with the fault mix
+	maxLeftCalm    = 0.5 // percent of the budgets that ran out, without faults
+	timesBetter    = 10  // false refusals against equal static shares
+	maxWrites      = 100 // store writes a second
+)
+
+var errBound = errors.New("a bound is not kept")
+
+func policyCommand() *cobra.Command {
+	var check bool
+	cmd := &cobra.Command{
+		Use: "policy", Short: "Compare ways to share budgets out, in seeded virtual time", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return comparePolicies(cmd.OutOrStdout(), check) },
+	}
+	cmd.Flags().BoolVar(&check, "check", false, "fail when a bound of the chosen policy is not kept")
+	return cmd
+}
+
+// contender is one policy of the comparison.
+type contender struct {
+	name string
+	run  func(policy.Scenario) policy.Result
+}
+
+func contenders() []contender {
+	return []contender{
+		{"static shares", func(s policy.Scenario) policy.Result { return policy.Run(s, "static shares", policy.Static) }},
+		{"fixed grants", func(s policy.Scenario) policy.Result { return policy.Run(s, "fixed grants", policy.Fixed) }},
+		{"one home", func(s policy.Scenario) policy.Result { return policy.Run(s, "one home", policy.Home) }},
+		{"chosen", func(s policy.Scenario) policy.Result { return policy.Run(s, "chosen", policy.Chosen) }},
+	}
+}
+
+func scenarios() []policy.Scenario {
+	three := policy.Base(3, time.Millisecond)
+	four := policy.Base(4, 500*time.Microsecond)
+	return []policy.Scenario{three, four, three.WithFaults(), four.WithFaults()}
+}
+
+func comparePolicies(out io.Writer, check bool) error {
+	var kept []error
+	for _, s := range scenarios() {
+		var results []policy.Result
+		for _, c := range contenders() {
+			r := c.run(s)
+			results = append(results, r)
+			printResult(out, r)
+		}
+		kept = append(kept, bounds(s, results))
+	}
+	if !check {
+		return nil
+	}
+	return errors.Join(kept...)
+}
+
+func printResult(out io.Writer, r policy.Result) {
+	_, _ = fmt.Fprintf(out, "%-28s %-14s requests %d refused %d overspend %d false %d (%.3f%%) strict %d left %.2f%% reads/s %.1f writes/s %.1f msgs/1000 %.0f bytes/1000 %.0f wait p50 %.1f p99 %.1f ms\n",
+		r.Scenario, r.Policy, r.Requests, r.Refused, r.Overspend, r.False, r.FalseShare, r.FalseStrict, r.LeftShare,
+		r.ReadsPerSecond, r.WritesPerSecond, r.MessagesPerK, r.BytesPerK, r.WaitP50, r.WaitP99)
+	if len(r.Causes) > 0 {
+		causes, _ := json.Marshal(r.Causes)
+		_, _ = fmt.Fprintf(out, "%43s causes %s\n", "", causes)
+	}
+}
+
+// bounds checks the chosen policy, the last of the results, against the
+// others.
+func bounds(s policy.Scenario, results []policy.Result) error {
+	static, chosen := results[0], results[len(results)-1]
+	maxFalse := maxFalseCalm
+	if len(s.Faults) > 0 {
+		maxFalse = maxFalseFaults
+	}
+	switch {
+	case chosen.Overspend != 0:
+		return fmt.Errorf("%w: %s: overspend %d", errBound, s.Name, chosen.Overspend)
+	case chosen.FalseShare > maxFalse:
+		return fmt.Errorf("%w: %s: false refusals %.3f%%, at most %.1f%%", errBound, s.Name, chosen.FalseShare, maxFalse)
+	case chosen.False*timesBetter > static.False:
+		return fmt.Errorf("%w: %s: %d false refusals against %d of static shares", errBound, s.Name, chosen.False, static.False)
+	case len(s.Faults) == 0 && chosen.LeftShare > maxLeftCalm:
+		return fmt.Errorf("%w: %s: %.2f%% left", errBound, s.Name, chosen.LeftShare)
+	case chosen.WritesPerSecond > maxWrites:
+		return fmt.Errorf("%w: %s: %.1f writes a second", errBound, s.Name, chosen.WritesPerSecond)
+	}
+	return nil
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -49,6 +49,8 @@
 	// Account and Budget say who pays.
 	Account string `msgpack:"a,omitempty"`
 	Budget  string `msgpack:"b,omitempty"`
+	// Target is the model or service.
+	Target string `msgpack:"m,omitempty"`
 	// Digest is a hash of the body.
 	Digest uint64 `msgpack:"d,omitempty"`
 	// NotRepeatable marks a request that runs at most once.
@@ -110,17 +112,30 @@
 	AnswerType string
 	// Totals answers a Fence: the tokens charged by budget in this shard.
 	Totals map[string]int64
+	// Left answers a Fence: the holder's attempts that are charged their
+	// worst case, since nobody has said what they served.
+	Left []Left
+}
+
+// Left is an attempt that a dead holder left.
+type Left struct {
+	Request, Claim          string
+	Account, Budget, Target string
+	Attempt                 int
+	// Cap is the worst case of one try, Worst of all that were claimed.
+	Cap, Worst int64
 }
 
 // Record is what a shard knows of one request.
 type Record struct {
 	Account, Budget  string
+	Target           string
 	Claim            string
 	Holder, Instance string
 	Digest           uint64
 	NotRepeatable    bool
 	Attempt          int
-	Worst            int64
+	Cap, Worst       int64
 	Running          bool
 	Billed           bool
 	// Lost tells that the only run of a not-repeatable request was left by a
@@ -144,6 +159,8 @@
 type charge struct {
 	tokens int64
 	final  bool
+	claim  string // of a charge that is not final
+	limit  int64  // the worst case of one try
 }
 
 // Batch is one group commit.
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"sort"
 	"time"
 )
 
@@ -38,6 +39,7 @@
 		r = &Record{
 			Account:       op.Account,
 			Budget:        op.Budget,
+			Target:        op.Target,
 			Digest:        op.Digest,
 			NotRepeatable: op.NotRepeatable,
 			charges:       map[attemptID]charge{},
@@ -91,7 +93,7 @@
 	if _, charged := r.charges[id]; charged {
 		return Outcome{Verdict: Fenced}, false
 	}
-	s.charge(r, id, charge{tokens: op.Worst})
+	s.charge(r, id, charge{tokens: op.Worst, claim: op.Claim, limit: op.Worst})
 	r.Attempt = max(r.Attempt, op.Attempt)
 	r.Lost = r.NotRepeatable
 	return Outcome{Verdict: Run, Attempt: op.Attempt}, true
@@ -101,13 +103,14 @@
 // not known, so it is charged its worst case until its bill comes.
 func (s *state) start(r *Record, op Op) Outcome {
 	if r.Running {
-		s.charge(r, attemptID{r.Holder, r.Attempt}, charge{tokens: r.Worst})
+		s.charge(r, attemptID{r.Holder, r.Attempt}, r.worstCase())
 	}
 	r.Attempt++
 	r.Running = true
 	r.Claim = op.Claim
 	r.Holder = op.Holder
 	r.Instance = op.Instance
+	r.Cap = op.Worst
 	r.Worst = op.Worst
 	return Outcome{Verdict: Run, Attempt: r.Attempt}
 }
@@ -150,19 +153,49 @@
 	return Outcome{Verdict: Recorded}, true
 }
 
+// worstCase is the charge of the running attempt while nothing better is
+// known.
+func (r *Record) worstCase() charge {
+	return charge{tokens: r.Worst, claim: r.Claim, limit: r.Cap}
+}
+
 // fence ends a holder. Its running attempts are charged; a not-repeatable one
 // is never run again.
 func (s *state) fence(op Op) Outcome {
 	s.fenced[op.Holder] = true
-	for _, r := range s.records {
-		if !r.Running || r.Holder != op.Holder {
+	outcome := Outcome{Verdict: Recorded}
+	for request, r := range s.records {
+		if r.Running && r.Holder == op.Holder {
+			s.charge(r, attemptID{r.Holder, r.Attempt}, r.worstCase())
+			r.Running = false
+			r.Lost = r.NotRepeatable
+		}
+		outcome.Left = append(outcome.Left, r.left(request, op.Holder)...)
+	}
+	sort.Slice(outcome.Left, func(i, j int) bool { return outcome.Left[i].Claim < outcome.Left[j].Claim })
+	outcome.Totals = maps.Clone(s.totals)
+	return outcome
+}
+
+// left returns a holder's attempts without a bill that may have cost tokens.
+func (r *Record) left(request, holder string) []Left {
+	var list []Left
+	for id, c := range r.charges {
+		if id.holder != holder || c.final || c.tokens == 0 {
 			continue
 		}
-		s.charge(r, attemptID{r.Holder, r.Attempt}, charge{tokens: r.Worst})
-		r.Running = false
-		r.Lost = r.NotRepeatable
+		list = append(list, Left{
+			Request: request,
+			Claim:   c.claim,
+			Account: r.Account,
+			Budget:  r.Budget,
+			Target:  r.Target,
+			Attempt: id.attempt,
+			Cap:     c.limit,
+			Worst:   c.tokens,
+		})
 	}
-	return Outcome{Verdict: Recorded, Totals: maps.Clone(s.totals)}
+	return list
 }
 
 // forget drops finished records that nobody asked for since before. The
--- a/result/result.go
+++ b/result/result.go
@@ -54,6 +54,7 @@
 	Starting           Code = 5004
 	Paused             Code = 5005
 	TablePending       Code = 5006
+	WrongIncarnation   Code = 5007
 	Internal           Code = 5099
 	RowConflict        Code = 6001
 	BadRow             Code = 6002
@@ -118,6 +119,7 @@
 	{Starting, "Starting", 503, true, "The router has not yet read its configuration.", "Retry at another router."},
 	{Paused, "Paused", 503, true, "The router was paused and is checking its state.", "Retry at another router."},
 	{TablePending, "TablePending", 503, true, "A change of the table row is not yet decided here.", "Retry after the time given."},
+	{WrongIncarnation, "WrongIncarnation", 409, true, "A message between routers was for an earlier process of the instance.", "Nothing; the sender takes its tokens back."},
 	{Internal, "Internal", 500, true, "An internal error before dispatch.", "Report it with the request id."},
 	{RowConflict, "RowConflict", 409, true, "The row was changed by someone else first.", "Look at the row as shown and decide again."},
 	{BadRow, "BadRow", 400, true, "The change does not make sense.", "Correct the value named in the detail."},
--- a/router/peers.go
+++ b/router/peers.go
@@ -30,8 +30,7 @@
 }
 
 func (r *Router) onBudget(_ context.Context, req *peer.BudgetMessage) (*peer.Empty, error) {
-	r.budgets.Receive(req.Message)
-	return &peer.Empty{}, nil
+	return &peer.Empty{}, r.budgets.Receive(req.Message)
 }
 
 func (r *Router) onHolding(_ context.Context, req *peer.HoldingRequest) (*peer.HoldingAnswer, error) {
--- a/router/router.go
+++ b/router/router.go
@@ -123,7 +123,7 @@
 	})
 	r.budgets = budgets.New(r.budgetConfig(), r.store, r.members, r.peers, r.log, r.onFenced)
 	r.ledgers = ledgers.New(r.ledgerConfig(), s.Ledger.Shards, r.store, r.members, r.peers, r.log, r.onFenced)
-	r.reclaims = reclaims.New(r.incarnation, s.Budgets.Pages, s.Instance.FenceAfter.Std(), r.store, r.members, r.budgets, r.ledgers, r.peers, r.log)
+	r.reclaims = reclaims.New(r.incarnation, s.Budgets.Pages, s.Instance.FenceAfter.Std(), r.store, r.members, r.budgets, r.ledgers, r.tables, r.engines, r.peers, r.log)
 	r.health = health.New(r.members, r.engines, r.peers, newRand(), r.log)
 	r.admin = admin.New(s.Operator.KeyHash, s.Budgets.Pages, s.Ledger.Shards, r.store, r.members, r.tables, r.budgets, r.peers)
 	r.tables.OnChange(r.health.SetState)
