Renew a page of budgets by one write, from one home

Ruled out: the ledger (its writes do not grow with budgets), conflicts (reads were 0.6 of the writes).

Change: budgets of a page share their home; a write renews all budgets of the page that are below their hold; a write that nobody waits for keeps a spacing; a seldom used budget is held for a few requests.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -114,7 +114,9 @@
 	Self Peer
 	// Pages is the fleet's number of budget pages.
 	Pages int
-	// Home names the instance that holds a budget's shared tokens now.
+	// Home names the instance that holds a budget's shared tokens now. It
+	// should be the same for all budgets of a page, whose writes then go
+	// together.
 	Home func(now time.Time, budget string) string
 	// HomeHorizon is how much demand a home draws ahead from the store. It is
 	// the setting between the users' preferences: longer lasts longer through
@@ -128,6 +130,9 @@
 	RecallTimeout time.Duration
 	// CheckEvery bounds how often an exhausted budget is looked up again.
 	CheckEvery time.Duration
+	// PageSpacing is the least time between two writes of a page that nobody
+	// waits for.
+	PageSpacing time.Duration
 	// StoreRetry is the pause after the store was unavailable.
 	StoreRetry time.Duration
 	// IdleAfter is when an unused balance is given back.
@@ -143,6 +148,7 @@
 		DrawTimeout:   400 * time.Millisecond,
 		RecallTimeout: 150 * time.Millisecond,
 		CheckEvery:    100 * time.Millisecond,
+		PageSpacing:   time.Second,
 		StoreRetry:    200 * time.Millisecond,
 		IdleAfter:     5 * time.Second,
 	}
@@ -183,7 +189,7 @@
 func (a *Agent) purse(id string) *purse {
 	p, ok := a.purses[id]
 	if !ok {
-		p = newPurse(id)
+		p = newPurse(id, PageOf(id, a.cfg.Pages))
 		a.purses[id] = p
 	}
 	if !p.awake {
@@ -254,6 +260,9 @@
 		p.recallAnswered(m.From.Incarnation)
 	}
 	a.pump(now, p)
+	if m.Kind == Draw && a.isHome(now, p.id) {
+		a.prefetch(now, p)
+	}
 	a.giveBackSurplus(now, p)
 	return a.drain()
 }
--- a/budget/page.go
+++ b/budget/page.go
@@ -157,6 +157,11 @@
 	return int(xxhash.Sum64String(id) % uint64(pages))
 }
 
+// Role returns the name under which the home of a page's budgets is ranked.
+func Role(page int) string {
+	return fmt.Sprintf("budgets/%d", page)
+}
+
 // PageKey returns the store key of a page.
 func PageKey(page int) string {
 	return fmt.Sprintf("budgets/%05d", page)
--- a/budget/paging.go
+++ b/budget/paging.go
@@ -56,6 +56,7 @@
 	writing bool
 	write   *pageWrite
 	ops     []pageOp
+	wroteAt time.Time
 	retryAt time.Time
 }
 
@@ -63,7 +64,7 @@
 func (a *Agent) drawFromStore(now time.Time, p *purse, need int64) {
 	p.lookup = lookupRunning
 	p.lookedAt = now
-	want := p.ahead(now, a.cfg.HomeHorizon)
+	want := p.homeWant(now, a.cfg.HomeHorizon)
 	a.queue(now, pageOp{budget: p.id, need: need, want: max(want-p.balance, need)})
 }
 
@@ -88,12 +89,16 @@
 		a.failDraws(now, ps)
 		return
 	}
+	if ps.write == nil && !ps.urgent() && now.Sub(ps.wroteAt) < a.cfg.PageSpacing {
+		return
+	}
 	if !ps.have || a.stale(now, ps) {
 		ps.reading = true
 		a.emit(ReadPage{Page: n})
 		return
 	}
 	if ps.write == nil {
+		a.rideAlong(now, n, ps)
 		a.build(ps)
 	}
 	if ps.write == nil {
@@ -101,9 +106,57 @@
 		return
 	}
 	ps.writing = true
+	ps.wroteAt = now
 	a.emit(WritePage{Page: n, Version: ps.write.version, Value: ps.write.value})
 }
 
+// urgent tells whether somebody waits for a queued draw.
+func (ps *pageState) urgent() bool {
+	for _, op := range ps.ops {
+		if op.need > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// urge turns a queued draw ahead of demand into one that somebody waits for.
+func (a *Agent) urge(now time.Time, p *purse) {
+	ps := a.pages[p.page]
+	if ps == nil {
+		return
+	}
+	for i := range ps.ops {
+		op := &ps.ops[i]
+		if op.budget == p.id && op.need == 0 {
+			op.need = max(p.unmet(), 0)
+			op.want = max(op.want, op.need)
+		}
+	}
+	a.kick(now, p.page, ps)
+}
+
+// rideAlong adds draws for the page's other budgets that are below what their
+// home would hold, so that one write renews the whole page and the number of
+// writes does not grow with the number of budgets.
+func (a *Agent) rideAlong(now time.Time, n int, ps *pageState) {
+	if a.closing {
+		return
+	}
+	for _, p := range a.awake {
+		if p.page != n || p.lookup != lookupIdle || p.scarce || p.recall.active {
+			continue
+		}
+		want := p.homeWant(now, a.cfg.HomeHorizon) - p.balance
+		if want <= 0 || !a.isHome(now, p.id) {
+			continue
+		}
+		p.lookup = lookupRunning
+		p.lookedAt = now
+		ps.ops = append(ps.ops, pageOp{budget: p.id, want: want, at: now})
+	}
+}
+
 // stale tells whether a queued draw should see a newer copy: the held one is
 // older than the draw and has too little.
 func (a *Agent) stale(now time.Time, ps *pageState) bool {
--- a/budget/purse.go
+++ b/budget/purse.go
@@ -6,8 +6,16 @@
 	"time"
 )
 
-// rateWindow is the time constant of the demand estimate.
-const rateWindow = 5 * time.Second
+const (
+	// rateWindow is the time constant of the demand estimate.
+	rateWindow = 5 * time.Second
+	// needWindow is how many reservations the mean need looks back.
+	needWindow = 8
+	// requestsHeld and requestsLow bound what a home holds from below, in
+	// requests of the mean size.
+	requestsHeld = 6
+	requestsLow  = 2
+)
 
 // waiter is a local reservation that could not be granted at once.
 type waiter struct {
@@ -51,6 +59,7 @@
 // purse is what one router holds of one budget.
 type purse struct {
 	id          string
+	page        int
 	balance     int64
 	reserved    int64
 	spent       int64
@@ -69,13 +78,14 @@
 	received    map[string]int64 // by the sender's incarnation
 	holders     map[string]*holder
 	demand      float64 // decayed tokens asked for
+	meanNeed    float64 // of one reservation, decayed by count
 	demandAt    time.Time
 	lastUse     time.Time
 	awake       bool // in the agent's list
 }
 
-func newPurse(id string) *purse {
-	return &purse{id: id, sent: map[string]int64{}, received: map[string]int64{}, holders: map[string]*holder{}}
+func newPurse(id string, page int) *purse {
+	return &purse{id: id, page: page, sent: map[string]int64{}, received: map[string]int64{}, holders: map[string]*holder{}}
 }
 
 // observe adds a demand of need tokens to the estimate.
@@ -83,6 +93,18 @@
 	p.demand = p.decayed(now) + float64(need)
 	p.demandAt = now
 	p.lastUse = now
+	p.meanNeed += (float64(need) - p.meanNeed) / needWindow
+}
+
+// homeWant is what a home would hold of the budget: its demand in the horizon,
+// and a few requests' worth of one that is asked for seldom.
+func (p *purse) homeWant(now time.Time, horizon time.Duration) int64 {
+	return max(p.ahead(now, horizon), int64(requestsHeld*p.meanNeed))
+}
+
+// homeLow is the balance at which a home draws more.
+func (p *purse) homeLow(now time.Time, horizon time.Duration) int64 {
+	return max(p.ahead(now, horizon/shareOfFree), int64(requestsLow*p.meanNeed))
 }
 
 func (p *purse) decayed(now time.Time) float64 {
@@ -265,7 +287,11 @@
 	if !home && len(p.draws) == 0 {
 		return
 	}
-	if !p.recall.active && p.lookup != lookupRunning {
+	switch {
+	case p.recall.active:
+	case p.lookup == lookupRunning:
+		a.urge(now, p)
+	default:
 		a.search(now, p)
 	}
 }
@@ -318,8 +344,7 @@
 		return
 	}
 	if a.isHome(now, p.id) {
-		low := p.ahead(now, a.cfg.HomeHorizon/shareOfFree)
-		if p.balance < low && now.Sub(p.lookedAt) >= a.cfg.CheckEvery {
+		if p.balance < p.homeLow(now, a.cfg.HomeHorizon) && now.Sub(p.lookedAt) >= a.cfg.CheckEvery {
 			a.drawFromStore(now, p, 0)
 		}
 		return
--- a/controller/budgets/budgets.go
+++ b/controller/budgets/budgets.go
@@ -27,9 +27,6 @@
 	unreachableRetry = time.Second
 )
 
-// Role returns the name under which a budget's home is ranked.
-func Role(id string) string { return "budget/" + id }
-
 // answer is the outcome of a waiting reservation.
 type answer struct {
 	ok    bool
@@ -53,7 +50,9 @@
 // New returns a controller; cfg.Home is set here. onStop is called when this
 // holder finds itself fenced.
 func New(cfg budget.Config, s store.Store, m *members.Controller, p *peer.Client, log *zap.Logger, onStop func()) *Controller {
-	cfg.Home = func(now time.Time, id string) string { return m.First(now, Role(id)) }
+	cfg.Home = func(now time.Time, id string) string {
+		return m.First(now, budget.Role(budget.PageOf(id, cfg.Pages)))
+	}
 	return &Controller{
 		store:   s,
 		members: m,
--- a/controller/reclaims/reclaims.go
+++ b/controller/reclaims/reclaims.go
@@ -36,9 +36,11 @@
 	// prefix is where holders are registered.
 	prefix = "holders/"
 	// role ranks the router that looks for dead ones.
-	role       = "reclaim"
-	scanEvery  = time.Second
-	whoTimeout = 500 * time.Millisecond
+	role      = "reclaim"
+	scanEvery = time.Second
+	// membersPerScan is how many members may be asked in one scanEvery.
+	membersPerScan = 40
+	whoTimeout     = 500 * time.Millisecond
 	// barrierTimeout bounds the barrier at one router.
 	barrierTimeout = 3 * time.Second
 	// pageTries is how often a page that changes meanwhile is computed again.
@@ -150,10 +152,10 @@
 func (c *Controller) Run(ctx context.Context) {
 	ticker := time.NewTicker(scanEvery)
 	defer ticker.Stop()
-	for {
+	for tick := 0; ; tick++ {
 		select {
 		case now := <-ticker.C:
-			if c.members.First(now, role) != c.self.Instance {
+			if tick%c.every() != 0 || c.members.First(now, role) != c.self.Instance {
 				continue
 			}
 			if err := c.scan(ctx); err != nil && ctx.Err() == nil {
@@ -165,6 +167,12 @@
 	}
 }
 
+// every returns at which tick to scan: a large fleet is asked less often, so
+// that the asking router spends the same on it.
+func (c *Controller) every() int {
+	return len(c.members.Members())/membersPerScan + 1
+}
+
 func (c *Controller) list(ctx context.Context) ([]holder, error) {
 	objects, _, err := c.store.List(ctx, prefix)
 	if err != nil {
--- a/lab/policy/agents.go
+++ b/lab/policy/agents.go
@@ -79,7 +79,9 @@
 	n.view.SetList(list)
 	cfg := a.cfg
 	cfg.Self = budget.Peer{ID: self.ID, Incarnation: n.name()}
-	cfg.Home = func(now time.Time, id string) string { return n.view.First(now, "budget/"+id) }
+	cfg.Home = func(now time.Time, id string) string {
+		return n.view.First(now, budget.Role(budget.PageOf(id, a.cfg.Pages)))
+	}
 	n.agent = budget.NewAgent(cfg)
 	n.waiting = map[uint64]func(bool){}
 	for _, l := range a.dead {
--- a/router/router.go
+++ b/router/router.go
@@ -232,6 +232,9 @@
 // PeersAddr returns the bound address of the peer side.
 func (r *Router) PeersAddr() string { return r.peerSide.Addr().String() }
 
+// PeerBytes returns the bytes exchanged with routers that this one called.
+func (r *Router) PeerBytes() int64 { return r.peers.Bytes() }
+
 // Ready tells whether the router has what it needs to take requests.
 func (r *Router) Ready() bool { return r.joined.Load() && r.tables.Ready() }
 
