--- a/budget/agent.go
+++ b/budget/agent.go
@@ -135,8 +135,9 @@
 	PageSpacing time.Duration
 	// StoreRetry is the pause after the store was unavailable.
 	StoreRetry time.Duration
-	// IdleAfter is when an unused balance is given back.
-	IdleAfter time.Duration
+	// IdleAfter is when an unused balance is given back to the home, and
+	// HomeIdleAfter when the home returns it to the store.
+	IdleAfter, HomeIdleAfter time.Duration
 }
 
 // DefaultConfig returns the settings used when an operator names none.
@@ -151,6 +152,7 @@
 		PageSpacing:   time.Second,
 		StoreRetry:    200 * time.Millisecond,
 		IdleAfter:     5 * time.Second,
+		HomeIdleAfter: 2 * time.Minute,
 	}
 }
 
@@ -361,7 +363,11 @@
 		p.finishRecall()
 	}
 	a.pump(now, p)
-	if a.closing || now.Sub(p.lastUse) >= a.cfg.IdleAfter {
+	idle := a.cfg.IdleAfter
+	if a.isHome(now, p.id) {
+		idle = a.cfg.HomeIdleAfter
+	}
+	if a.closing || now.Sub(p.lastUse) >= idle {
 		a.returnIdle(now, p)
 		return
 	}
--- a/budget/purse.go
+++ b/budget/purse.go
@@ -13,8 +13,8 @@
 	needWindow = 8
 	// requestsHeld and requestsLow bound what a home holds from below, in
 	// requests of the mean size.
-	requestsHeld = 6
-	requestsLow  = 2
+	requestsHeld = 24
+	requestsLow  = 6
 )
 
 // waiter is a local reservation that could not be granted at once.
--- a/lab/policy/report.go
+++ b/lab/policy/report.go
@@ -50,8 +50,8 @@
 		r.LeftShare = percent(float64(left), float64(limits))
 	}
 	r.FalseShare = percent(float64(r.False), float64(r.Requests))
-	seconds := w.spec.Length.Seconds()
-	thousands := float64(r.Requests) / 1000
+	seconds := (w.spec.Length - w.spec.Warm).Seconds()
+	thousands := float64(w.measured) / 1000
 	r.ReadsPerSecond = float64(w.counts.Reads) / seconds
 	r.WritesPerSecond = float64(w.counts.Writes) / seconds
 	r.WritesPerK = float64(w.counts.Writes) / thousands
--- a/lab/policy/scenario.go
+++ b/lab/policy/scenario.go
@@ -18,6 +18,8 @@
 	// PerSecond is the requests' rate over the fleet, Length the run's.
 	PerSecond float64
 	Length    time.Duration
+	// Warm is left out of the traffic figures.
+	Warm time.Duration
 	// Budgets is their number; a few are large.
 	Budgets int
 	// MinCap and MaxCap bound max_tokens.
--- a/lab/policy/world.go
+++ b/lab/policy/world.go
@@ -36,6 +36,10 @@
 	Reads, Writes, Messages, Bytes int64
 }
 
+func (c Counts) minus(o Counts) Counts {
+	return Counts{Reads: c.Reads - o.Reads, Writes: c.Writes - o.Writes, Messages: c.Messages - o.Messages, Bytes: c.Bytes - o.Bytes}
+}
+
 // request is one request of the load.
 type request struct {
 	router   int
@@ -59,19 +63,20 @@
 // world runs one scenario on one sharer.
 type world struct {
 	*sim
-	spec    Scenario
-	sharer  Sharer
-	counts  Counts
-	books   map[string]*account
-	down    bool // the store
-	cut     bool
-	killed  []bool
-	frozen  []bool
-	parked  [][]func() // what a frozen router does when it wakes
-	running []map[*request]bool
-	extra   map[string]int64 // charged for dead attempts that no engine knows
-	result  Result
-	waits   []time.Duration
+	spec     Scenario
+	sharer   Sharer
+	counts   Counts
+	books    map[string]*account
+	down     bool // the store
+	cut      bool
+	killed   []bool
+	frozen   []bool
+	parked   [][]func() // what a frozen router does when it wakes
+	running  []map[*request]bool
+	extra    map[string]int64 // charged for dead attempts that no engine knows
+	measured int              // requests after the warm-up
+	result   Result
+	waits    []time.Duration
 }
 
 func newWorld(spec Scenario) *world {
@@ -103,7 +108,11 @@
 	begin := w.now
 	w.arrivals(begin.Add(spec.Length))
 	w.faults()
+	w.run(begin.Add(spec.Warm))
+	warm, requests := w.counts, w.result.Requests
 	w.run(begin.Add(spec.Length))
+	w.counts = w.counts.minus(warm)
+	w.measured = w.result.Requests - requests
 	return w.report()
 }
 
--- a/lab/slopes.go
+++ b/lab/slopes.go
@@ -28,10 +28,24 @@
 )
 
 func slopesCommand() *cobra.Command {
-	return &cobra.Command{
+	var only string
+	parts := map[string]func(io.Writer) error{"state": stateSlopes, "time": timeSlopes, "fleet": fleetSlopes, "change": changeSlopes}
+	cmd := &cobra.Command{
 		Use: "slopes", Short: "Measure what grows with what, for docs/CAPACITY.md", Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error { return slopes(cmd.OutOrStdout()) },
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			for _, name := range []string{"state", "time", "fleet", "change"} {
+				if only != "" && only != name {
+					continue
+				}
+				if err := parts[name](cmd.OutOrStdout()); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
 	}
+	cmd.Flags().StringVar(&only, "only", "", "state, time, fleet or change")
+	return cmd
 }
 
 // point is one measured size and figure.
@@ -68,13 +82,6 @@
 	_, _ = fmt.Fprintf(out, " slope %.4g %s, at 0 %.4g\n", perUnit, unit, at0)
 }
 
-func slopes(out io.Writer) error {
-	stateSlopes(out)
-	timeSlopes(out)
-	fleetSlopes(out)
-	return changeSlopes(out)
-}
-
 // heap returns the bytes that build leaves reachable.
 func heap(build func() any) float64 {
 	var before, after runtime.MemStats
@@ -163,7 +170,7 @@
 	return r
 }
 
-func stateSlopes(out io.Writer) {
+func stateSlopes(out io.Writer) error {
 	measure(out, "state of a used budget in a router", "bytes", []int{1000, 4000, 14000}, func(n int) float64 {
 		return heap(func() any { return agentWith(n, 256) })
 	})
@@ -186,6 +193,7 @@
 		}
 		return float64(len(p.Encode()))
 	})
+	return nil
 }
 
 // each times one call of fn, as the mean of many, in microseconds.
@@ -198,7 +206,7 @@
 	return float64(time.Since(began).Microseconds()) / calls
 }
 
-func timeSlopes(out io.Writer) {
+func timeSlopes(out io.Writer) error {
 	now := time.Unix(2000, 0)
 	measure(out, "ranking a home, microseconds", "us/member", []int{100, 200, 390}, func(n int) float64 {
 		v := viewWith(n)
@@ -226,6 +234,7 @@
 		return each(func(i int) { r.Pick(now, rng, route.Request{Target: fmt.Sprintf("model-%d", i%36), Prefix: uint64(i)}) })
 	})
 	_, _ = fmt.Fprintf(out, "%-46s %.1f us, both sides\n", "one call between routers over loopback", callMicros())
+	return nil
 }
 
 func callMicros() float64 {
@@ -256,7 +265,7 @@
 
 // fleetSlopes runs the chosen policy at growing fleets, all else in
 // proportion.
-func fleetSlopes(out io.Writer) {
+func fleetSlopes(out io.Writer) error {
 	results := map[int]policy.Result{}
 	sizes := []int{8, 39, 130, 390}
 	for _, n := range sizes {
@@ -267,8 +276,9 @@
 		s.Budgets = perBudgets * n
 		s.Pages = max(16, n*256/390)
 		s.Hold = 10 * time.Second
-		s.Fill = 3
-		s.Length = 40 * time.Second
+		s.Fill = 300
+		s.Length = 60 * time.Second
+		s.Warm = 40 * time.Second
 		results[n] = policy.Run(s, "chosen", policy.Chosen)
 		printResult(out, results[n])
 	}
@@ -283,6 +293,7 @@
 	} {
 		measure(out, row.name, "a router", sizes, func(n int) float64 { return row.get(results[n]) })
 	}
+	return nil
 }
 
 // changeSlopes decides changes of the table on real routers in this process.
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -48,8 +48,8 @@
 	Owner string
 	// Spacing is the least time between two commits.
 	Spacing time.Duration
-	// Linger is how long a bill may wait for others before it is committed;
-	// a claim waits for Spacing alone.
+	// Linger is the least time between two commits for bills alone, and how
+	// long a claim that nobody waits for may stay in memory.
 	Linger time.Duration
 	// SegmentBytes seals a segment that has grown so large.
 	SegmentBytes int
@@ -182,10 +182,13 @@
 		return time.Time{}
 	}
 	due := s.pending[0].at.Add(s.cfg.Linger)
-	if s.urgent() {
-		due = s.pending[0].at
+	switch s.awaited() {
+	case Claim, Fence:
+		due = s.lastAt.Add(s.cfg.Spacing)
+	case Bill:
+		due = s.lastAt.Add(s.cfg.Linger)
 	}
-	return latest(due, s.lastAt.Add(s.cfg.Spacing), s.retryAt)
+	return latest(due, s.pending[0].at, s.lastAt.Add(s.cfg.Spacing), s.retryAt)
 }
 
 func latest(times ...time.Time) time.Time {
@@ -198,14 +201,20 @@
 	return t
 }
 
-// urgent tells whether a claim or a fence waits for the commit.
-func (s *Shard) urgent() bool {
+// awaited returns the most urgent kind of op that somebody waits for; empty if
+// nobody waits.
+func (s *Shard) awaited() OpKind {
+	var kind OpKind
 	for _, e := range s.pending {
-		if e.waiting && e.op.Kind != Bill {
-			return true
+		if !e.waiting {
+			continue
 		}
+		if e.op.Kind != Bill {
+			return e.op.Kind
+		}
+		kind = Bill
 	}
-	return false
+	return kind
 }
 
 func (s *Shard) advance(now time.Time) {
