--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,10 @@
 
 ci:
 	./.ci/run
+
+.PHONY: slopes latency
+slopes: build
+	./bin/gaplink-lab slopes
+
+latency: build
+	./bin/gaplink-lab latency
--- a/admin/admin.go
+++ b/admin/admin.go
@@ -98,10 +98,16 @@
 	return &peer.AdminAnswer{Result: body}, nil
 }
 
-// propose decides edits for the fleet.
+// propose decides edits for the fleet. A change that got as far as the
+// configuration log is in the audit trail by that; one refused before is
+// noted.
 func (s *Server) propose(ctx context.Context, operator string, skip []string, edits ...table.Edit) (table.Change, error) {
 	change := table.Change{ID: uuid.NewString(), Operator: operator, Edits: edits}
-	return s.tables.Propose(ctx, change, skip)
+	final, err := s.tables.Propose(ctx, change, skip)
+	if err != nil && result.From(err).Code != result.CannotFollow {
+		s.note(ctx, operator, "change", edits, err)
+	}
+	return final, err
 }
 
 func (s *Server) account(id string) (table.Account, int64, error) {
--- a/lab/policy.go
+++ b/lab/policy.go
@@ -66,12 +66,43 @@
 		}
 		kept = append(kept, bounds(s, results))
 	}
+	kept = append(kept, compareLedgers(out))
 	if !check {
 		return nil
 	}
 	return errors.Join(kept...)
 }
 
+// ledgerLoads are the sizes of today and of the target.
+func ledgerLoads() []policy.LedgerLoad {
+	today := policy.LedgerLoad{
+		Name: "ledger, 8 routers", Seed: 1, PerSecond: 166, Once: 0.2, Shards: 2,
+		Spacing: 20 * time.Millisecond, Linger: 80 * time.Millisecond,
+		Hop: 2 * time.Millisecond, StoreDelay: 5 * time.Millisecond, Length: time.Minute,
+	}
+	target := today
+	target.Name, target.PerSecond, target.Shards = "ledger, 390 routers", 8100, 40
+	target.Spacing, target.Linger, target.Hop = 300*time.Millisecond, 300*time.Millisecond, 10*time.Millisecond
+	return []policy.LedgerLoad{today, target}
+}
+
+// The bounds of the ledger: writes a second beside those of the grants, and
+// the wait of a claim, for today's size and the target.
+var ledgerBounds = []struct{ writes, onceP99 float64 }{{90, 50}, {150, 500}}
+
+func compareLedgers(out io.Writer) error {
+	var kept []error
+	for i, load := range ledgerLoads() {
+		r := policy.RunLedger(load)
+		_, _ = fmt.Fprintf(out, "%-28s requests %d writes/s %.1f bytes/s %.0f claim wait not-repeatable p50 %.1f p99 %.1f ms, repeatable p50 %.1f p99 %.1f ms, bill wait p50 %.1f p99 %.1f ms\n",
+			r.Name, r.Requests, r.WritesPerSecond, r.BytesPerSecond, r.OnceP50, r.OnceP99, r.SoftP50, r.SoftP99, r.BillP50, r.BillP99)
+		if r.WritesPerSecond > ledgerBounds[i].writes || r.OnceP99 > ledgerBounds[i].onceP99 {
+			kept = append(kept, fmt.Errorf("%w: %s", errBound, r.Name))
+		}
+	}
+	return errors.Join(kept...)
+}
+
 func printResult(out io.Writer, r policy.Result) {
 	_, _ = fmt.Fprintf(out, "%-28s %-14s requests %d refused %d overspend %d false %d (%.3f%%) strict %d left %.2f%% reads/s %.1f writes/s %.1f msgs/1000 %.0f bytes/1000 %.0f wait p50 %.1f p99 %.1f ms\n",
 		r.Scenario, r.Policy, r.Requests, r.Refused, r.Overspend, r.False, r.FalseShare, r.FalseStrict, r.LeftShare,
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -329,11 +329,14 @@
 
 	It("refuses what makes no sense before anything moves", func() {
 		at := f.revision(0)
-		for _, assignment := range []string{"weight=0", "weight=-1", "rate_per_second=-2", "colour=red"} {
+		for _, assignment := range []string{"colour=red", "rate_per_second=-2", "weight=0", "weight=-1"} {
 			err := f.admin(0, admin.TableSet, admin.TableSetArgs{Row: row, Assignments: []string{assignment}}, nil)
 			Expect(result.From(err).Code).To(Equal(result.BadRow), "%s: %v", assignment, err)
 		}
 		Expect(f.revision(0)).To(Equal(at))
+		var entries []admin.AuditEntry
+		Expect(f.admin(0, admin.Audit, struct{}{}, &entries)).To(Succeed())
+		Expect(entries[len(entries)-1].Outcome).To(ContainSubstring("weight -1"), "refused changes are in the audit trail")
 	})
 
 	It("accepts no change while the store is out, and keeps the last one", func() {
