Learn from the others what is leaving; ask a restarted home anew

Cause: the drain demo counted one request to a backend server 11 s after it began to leave: a router restarted in the meantime knew nothing of it and learned it by sending work. And the random test of the budgets, once a death was no longer reclaimed at once, found a draw that was sent without end to an earlier incarnation of its home.

Change: a starting router asks up to three others which servers are leaving before it is ready; a message that was certainly not taken makes its sender forget the home's incarnation, and the instance is not suspected for it.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -325,6 +325,9 @@
 		p.sent[m.To.Incarnation] -= m.Delta
 		p.balance += m.Delta
 	}
+	if certain && p.home == m.To {
+		p.home = Peer{} // it may run as another incarnation now
+	}
 	switch m.Kind {
 	case Draw:
 		p.unask()
--- a/controller/budgets/budgets.go
+++ b/controller/budgets/budgets.go
@@ -27,6 +27,10 @@
 	unreachableRetry = time.Second
 )
 
+// errOtherProcess means that the message was for an earlier process of the
+// instance, which has certainly not taken it.
+var errOtherProcess = errors.New("another process runs at the instance")
+
 // answer is the outcome of a waiting reservation.
 type answer struct {
 	ok    bool
@@ -137,8 +141,12 @@
 		c.members.Reached(m.To.ID)
 		return
 	}
-	c.members.Failed(m.To.ID)
 	certain := errors.Is(err, peer.ErrNotSent)
+	if errors.Is(err, errOtherProcess) {
+		certain = true // the instance is well; only its process is another
+	} else {
+		c.members.Failed(m.To.ID)
+	}
 	c.with(func(now time.Time, a *budget.Agent) []budget.Effect { return a.Undelivered(now, m, certain) })
 }
 
@@ -151,7 +159,7 @@
 	defer cancel()
 	_, err := peer.Call[peer.BudgetMessage, peer.Empty](ctx, c.peers, addr, peer.MethodBudget, &peer.BudgetMessage{Message: m})
 	if result.From(err).Code == result.WrongIncarnation {
-		return peer.ErrNotSent
+		return errOtherProcess
 	}
 	return err
 }
--- a/controller/health/health.go
+++ b/controller/health/health.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,6 +40,8 @@
 	routes *route.Routes
 	rng    *rand.Rand
 	listed map[string]membership.State
+	// leaving are the servers that said so, also when no pool has them yet.
+	leaving map[string]bool
 }
 
 // New returns a controller without servers.
@@ -50,6 +54,7 @@
 		routes:  route.New(),
 		rng:     rng,
 		listed:  map[string]membership.State{},
+		leaving: map[string]bool{},
 	}
 }
 
@@ -58,6 +63,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.routes.SetPools(s.Pools)
+	for id := range c.leaving {
+		c.routes.SetLeaving(id)
+	}
 }
 
 // SetList takes the backend servers of the platform's list. The list lags: a
@@ -72,8 +80,9 @@
 		was := c.listed[m.ID]
 		switch {
 		case m.State == membership.Leaving:
-			c.routes.SetLeaving(m.ID)
+			c.setLeaving(m.ID)
 		case was != membership.Live && len(c.listed) > 0:
+			delete(c.leaving, m.ID)
 			c.routes.Returned(m.ID)
 		}
 	}
@@ -137,9 +146,46 @@
 func (c *Controller) markLeaving(id string) (news bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	news = !c.routes.Leaving(id)
+	return c.setLeaving(id)
+}
+
+// setLeaving is called under the lock; it tells whether that is news.
+func (c *Controller) setLeaving(id string) (news bool) {
+	news = !c.leaving[id]
+	c.leaving[id] = true
 	c.routes.SetLeaving(id)
-	return news && c.routes.Leaving(id)
+	return news
+}
+
+// Leaving returns the servers known to be leaving.
+func (c *Controller) Leaving() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Sorted(maps.Keys(c.leaving))
+}
+
+// askedPeers is how many routers a new one asks what it has missed.
+const askedPeers = 3
+
+// Learn asks a few other routers which servers are leaving. A router that has
+// just started must not learn it by sending them work.
+func (c *Controller) Learn(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	asked := 0
+	for _, other := range c.members.Members() {
+		if other.ID == c.members.Self().ID || asked == askedPeers {
+			continue
+		}
+		resp, err := peer.Call[peer.Empty, peer.LeftAnswer](ctx, c.peers, other.Addr, peer.MethodLeft, &peer.Empty{})
+		if err != nil {
+			continue
+		}
+		asked++
+		for _, id := range resp.Servers {
+			c.Heard(id)
+		}
+	}
 }
 
 // Heard takes another router's word that a server is leaving.
--- a/lab/policy/world.go
+++ b/lab/policy/world.go
@@ -234,7 +234,7 @@
 	case p.Store >= r.cap:
 		return "in the store, not looked up"
 	default:
-		return "charged worst case of a dead router"
+		return "lost with a dead router"
 	}
 }
 
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -17,6 +17,7 @@
 	MethodLeaving = "member.Leaving"
 	MethodAdmin   = "admin.Do"
 	MethodWho     = "member.Who"
+	MethodLeft    = "member.Left"
 	MethodBarrier = "reclaim.Barrier"
 )
 
@@ -93,6 +94,11 @@
 	Incarnation string
 }
 
+// LeftAnswer names the backend servers known to be leaving.
+type LeftAnswer struct {
+	Servers []string
+}
+
 // BarrierRequest asks a router to accept nothing more from fenced
 // incarnations, and to commit all ledger items that it holds.
 type BarrierRequest struct {
--- a/router/peers.go
+++ b/router/peers.go
@@ -26,6 +26,7 @@
 	peer.Handle(m, peer.MethodAdmin, r.admin.Do)
 	peer.Handle(m, peer.MethodWho, r.onWho)
 	peer.Handle(m, peer.MethodBarrier, r.onBarrier)
+	peer.Handle(m, peer.MethodLeft, r.onLeft)
 	return m
 }
 
@@ -41,6 +42,10 @@
 	return &peer.WhoAnswer{Incarnation: r.incarnation}, nil
 }
 
+func (r *Router) onLeft(context.Context, *peer.Empty) (*peer.LeftAnswer, error) {
+	return &peer.LeftAnswer{Servers: r.health.Leaving()}, nil
+}
+
 func (r *Router) onBarrier(ctx context.Context, req *peer.BarrierRequest) (*peer.Empty, error) {
 	if len(req.Fenced) == 0 {
 		return &peer.Empty{}, nil
@@ -116,7 +121,12 @@
 	if fleet != mine {
 		return result.New(result.ParametersMismatch, "settings %+v differ from the fleet's %+v", mine, fleet)
 	}
-	return r.reclaims.Register(ctx)
+	if err := r.reclaims.Register(ctx); err != nil {
+		return err
+	}
+	r.members.Refresh(ctx)
+	r.health.Learn(ctx)
+	return nil
 }
 
 func (r *Router) fleetParameters(ctx context.Context, mine parameters) (parameters, error) {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -280,6 +280,15 @@
 			}
 			return len(f.engines[0].Runs()) - before
 		}, patience).Should(BeZero())
+
+		By("not even from a router that starts afterwards")
+		before := len(f.engines[0].Runs())
+		f.routers[0].Kill()
+		f.start(0)
+		for i := range 8 {
+			Expect(f.do(0, chat(fmt.Sprint("after", i), 3, false)).status).To(Equal(200))
+		}
+		Expect(f.engines[0].Runs()).To(HaveLen(before))
 	})
 })
 
