Name an attempt by its claim, so that none is billed under two numbers

Cause: the demo with all faults in a row had 1,654 false refusals and billed 334 tokens more than were served. Bills compared with runs, by request: 25 attempts stood in the log twice, once as attempt 1 by their router and once as attempt 2 by the reclaim. A witness may commit a claim after the attempt was billed through another owner; replaying it started a phantom attempt, which a later fence charged and billed.

Ruled out: two bills by the router itself, and engines counting twice.

Change: charges are kept by claim, which names one connection's attempt; a claim that was accepted before keeps its number and counts for nothing once its attempt is settled. A decision about a claim that did not reach the log is forgotten (the random test found that it was not: a not-repeatable request could run twice). The demo counts bills by claim, restarts routers that exit, and its engines stop what is cancelled.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -43,6 +43,8 @@
 	// AfterLeaving tells how long after the server began to leave the request
 	// came, in milliseconds; 0 if it was not leaving.
 	AfterLeaving int64 `json:"after_leaving_ms"`
+
+	cancelled bool
 }
 
 // loadLag is how late the published load is.
@@ -144,11 +146,15 @@
 	})
 }
 
-// count adds a served token.
-func (b *base) count(r *Run) {
+// count adds a served token; false means that the run was cancelled before it.
+func (b *base) count(r *Run) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if r.cancelled {
+		return false
+	}
 	r.Tokens++
+	return true
 }
 
 // state returns the published load and whether the server is leaving.
--- a/backend/engine.go
+++ b/backend/engine.go
@@ -118,10 +118,9 @@
 		if fault == Cut && i == tokens/2 {
 			panic(http.ErrAbortHandler)
 		}
-		if !e.step(r) {
+		if !e.step(r) || !e.count(run) {
 			return
 		}
-		e.count(run)
 		event(w, id, word(h, i), "", 0)
 	}
 	event(w, id, "", "stop", tokens)
@@ -158,13 +157,13 @@
 	}
 }
 
-// cancel stops nothing more than the broken connection already has, and tells
-// how many tokens were served.
+// cancel stops a run and tells how many tokens were served.
 func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	run, ok := e.byAttempt[r.Header.Get(engine.HeaderAttempt)]
 	var served int64
 	if ok {
+		run.cancelled = true
 		served = run.Tokens
 	}
 	e.mu.Unlock()
--- a/controller/reclaims/left.go
+++ b/controller/reclaims/left.go
@@ -48,6 +48,7 @@
 	op := ledger.Op{
 		Kind:    ledger.Bill,
 		Request: l.Request,
+		Claim:   l.Claim,
 		Holder:  incarnation,
 		Account: l.Account,
 		Budget:  l.Budget,
--- a/lab/demo.go
+++ b/lab/demo.go
@@ -393,7 +393,7 @@
 		return err
 	}
 	r.process.signal(syscall.SIGTERM)
-	_ = r.process.cmd.Wait()
+	<-r.process.done
 	pause(ctx, 200*time.Millisecond)
 	return d.fleet.startRouter(r)
 }
@@ -549,7 +549,7 @@
 }
 
 // bills reads the ledger from the store: how often each attempt was billed,
-// by request.
+// by request and claim.
 func (d *demoRun) bills() (map[string]map[string]int, error) {
 	s := httpstore.New("http://"+d.fleet.platform.addr, 5*time.Second)
 	objects, _, err := s.List(context.Background(), "ledger/")
@@ -571,7 +571,7 @@
 				if bills[op.Request] == nil {
 					bills[op.Request] = map[string]int{}
 				}
-				bills[op.Request][fmt.Sprintf("%s/%d", op.Holder, op.Attempt)]++
+				bills[op.Request][op.Claim]++
 				d.report.BilledTokens += op.Tokens
 			}
 		}
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,7 +29,21 @@
 // process is one started program.
 type process struct {
 	cmd  *exec.Cmd
-	addr string // the first line that a stand-in prints
+	addr string        // the first line that a stand-in prints
+	done chan struct{} // closed when the process has ended
+}
+
+// launch starts the program and reaps it when it ends.
+func (p *process) launch() error {
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	p.done = make(chan struct{})
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.done)
+	}()
+	return nil
 }
 
 // start runs a program; its logs go to a file.
@@ -56,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := p.cmd.Start(); err != nil {
+	if err := p.launch(); err != nil {
 		return nil, err
 	}
 	line, err := bufio.NewReader(out).ReadString('\n')
@@ -70,10 +85,10 @@
 	}
 }
 
-// end kills and reaps the process.
+// end kills the process and waits until it is gone.
 func (p *process) end() {
 	p.signal(syscall.SIGKILL)
-	_ = p.cmd.Wait()
+	<-p.done
 }
 
 // routerNode is one router of the fleet.
@@ -95,6 +110,7 @@
 	routers  []*routerNode
 	relays   *relays
 	http     *http.Client
+	stopped  atomic.Bool
 }
 
 func newFleet(dir string) *fleet {
@@ -167,7 +183,23 @@
 		return err
 	}
 	r.process = p
-	return p.cmd.Start()
+	if err := p.launch(); err != nil {
+		return err
+	}
+	go f.supervise(r, p)
+	return nil
+}
+
+// exitFenced is gaplinkd's exit code when the fleet took it to be dead.
+const exitFenced = 1
+
+// supervise starts a router anew that ended by itself, as an instance's
+// supervisor does.
+func (f *fleet) supervise(r *routerNode, p *process) {
+	<-p.done
+	if p.cmd.ProcessState.ExitCode() == exitFenced && !f.stopped.Load() {
+		_ = f.startRouter(r)
+	}
 }
 
 func (f *fleet) list(r *routerNode, state membership.State) error {
@@ -273,6 +305,7 @@
 
 // stopAll ends all processes that were started.
 func (f *fleet) stopAll() {
+	f.stopped.Store(true)
 	for _, r := range f.routers {
 		if r.process != nil {
 			r.process.signal(syscall.SIGCONT)
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -144,23 +144,18 @@
 	Code       int
 	Answer     []byte
 	AnswerType string
-	charges    map[attemptID]charge
+	charges    map[string]charge // by claim, which names one attempt
 	touched    time.Time
 }
 
-// attemptID names an attempt: two shard owners may number them alike.
-type attemptID struct {
-	holder  string
-	attempt int
-}
-
 // charge is what an attempt is charged: its bill, or its worst case while
 // nothing better is known.
 type charge struct {
-	tokens int64
-	final  bool
-	claim  string // of a charge that is not final
-	limit  int64  // the worst case of one try
+	tokens  int64
+	final   bool
+	holder  string
+	attempt int
+	limit   int64 // the worst case of one try
 }
 
 // Batch is one group commit.
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -125,7 +125,7 @@
 
 func (w *world) logged(op ledger.Op) bool {
 	for _, l := range w.log.ops() {
-		if l.Kind == ledger.Bill && l.Request == op.Request && l.Holder == op.Holder && l.Attempt == op.Attempt {
+		if l.Kind == ledger.Bill && l.Request == op.Request && l.Claim == op.Claim {
 			return true
 		}
 	}
@@ -193,7 +193,7 @@
 		if op.Kind != ledger.Bill {
 			continue
 		}
-		id := fmt.Sprintf("%s %s/%d", op.Request, op.Holder, op.Attempt)
+		id := op.Request + " " + op.Claim
 		bills[id]++
 		if bills[id] > 1 {
 			w.t.Fatalf("%s billed twice in the log", id)
@@ -233,9 +233,10 @@
 				})
 			},
 			"bill": func(t *rapid.T) {
+				attempt := rapid.IntRange(1, 2).Draw(t, "attempt")
 				w.submit(w.writers[wr.Draw(t, "writer")], ledger.Op{
 					Kind: ledger.Bill, Request: request.Draw(t, "request"), Holder: "h",
-					Attempt: rapid.IntRange(1, 2).Draw(t, "attempt"), Tokens: 5,
+					Claim: fmt.Sprint("bill", attempt), Attempt: attempt, Tokens: 5,
 				})
 			},
 			"answer": func(t *rapid.T) {
@@ -262,3 +263,29 @@
 		}
 	})
 }
+
+// TestClaimAfterItsBill is the case of a witness that commits a claim when the
+// attempt was billed elsewhere long ago: it must not count as another attempt.
+func TestClaimAfterItsBill(t *testing.T) {
+	now := time.Unix(1000, 0)
+	claim := ledger.Op{Kind: ledger.Claim, Request: "k/a/1", Claim: "c1", Holder: "h", Budget: "b", Attempt: 1, Worst: 40}
+	bill := ledger.Op{Kind: ledger.Bill, Request: "k/a/1", Claim: "c1", Holder: "h", Budget: "b", Attempt: 1, Tokens: 7}
+	fence := ledger.Op{Kind: ledger.Fence, Holder: "h"}
+	for name, order := range map[string][]ledger.Op{
+		"claim, bill, fence": {claim, bill, fence},
+		"bill, claim, fence": {bill, claim, fence},
+		"bill, fence, claim": {bill, fence, claim},
+		"claim, fence, bill": {claim, fence, bill},
+	} {
+		cfg := ledger.DefaultConfig()
+		cfg.Owner = "w"
+		s := ledger.NewShard(cfg)
+		s.Submit(now, ledger.Op{Kind: ledger.Fence, Holder: "other"}, 1)
+		s.Loaded(now, []*ledger.Segment{{Batches: []ledger.Batch{{ID: "x", Ops: order}}}}, 1, ledger.Done)
+		for _, e := range s.Appended(now, 2, ledger.Done) {
+			if r, ok := e.(ledger.Reply); ok && r.Outcome.Totals["b"] != 7 {
+				t.Errorf("%s: charged %d tokens, want 7", name, r.Outcome.Totals["b"])
+			}
+		}
+	}
+}
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -84,6 +84,14 @@
 	applied bool // the op is part of the state
 }
 
+// undecide forgets the decision about a claim that is not in the log after
+// all: it is decided anew.
+func (e *entry) undecide() {
+	if e.op.Kind == Claim {
+		e.op.Attempt = 0
+	}
+}
+
 // phase is how far the shard's log is known here.
 type phase int
 
@@ -498,6 +506,7 @@
 				s.pending = append(s.pending, e)
 			}
 		case s.waits(e.op):
+			e.undecide()
 			s.pending = append(s.pending, e)
 		default:
 			s.answerNow(now, e)
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -42,7 +42,7 @@
 			Target:        op.Target,
 			Digest:        op.Digest,
 			NotRepeatable: op.NotRepeatable,
-			charges:       map[attemptID]charge{},
+			charges:       map[string]charge{},
 		}
 		s.records[op.Request] = r
 	}
@@ -50,14 +50,17 @@
 }
 
 func (s *state) claim(now time.Time, op Op) (Outcome, bool) {
+	if op.Attempt > 0 {
+		return s.accepted(now, op)
+	}
 	if s.fenced[op.Holder] {
-		return s.claimOfFenced(op)
+		return Outcome{Verdict: Fenced}, false
 	}
 	r, known := s.record(op)
 	r.touched = now
 	switch {
 	case !known:
-		return s.start(r, op), true
+		return s.start(r, op, r.Attempt+1), true
 	case r.Digest != op.Digest || r.NotRepeatable != op.NotRepeatable:
 		return Outcome{Verdict: Mismatch}, false
 	case r.Running && r.Claim == op.Claim:
@@ -69,8 +72,30 @@
 	case r.NotRepeatable && r.Billed:
 		return Outcome{Verdict: Finished, Code: r.Code, Answer: r.Answer, AnswerType: r.AnswerType}, false
 	default:
-		return s.start(r, op), true
+		return s.start(r, op, r.Attempt+1), true
+	}
+}
+
+// accepted brings in a claim that a shard owner has accepted before: from the
+// log, or from memory on its way there. It may come after the attempt's own
+// bill, or after its holder was fenced.
+func (s *state) accepted(now time.Time, op Op) (Outcome, bool) {
+	r, _ := s.record(op)
+	r.touched = now
+	outcome := Outcome{Verdict: Run, Attempt: op.Attempt}
+	if _, settled := r.charges[op.Claim]; settled {
+		return outcome, false
 	}
+	if r.Running && r.Claim == op.Claim {
+		return r.extend(op)
+	}
+	if !s.fenced[op.Holder] {
+		return s.start(r, op, op.Attempt), true
+	}
+	s.charge(r, op.Claim, worstCase(op.Holder, op.Attempt, op.Worst, op.Worst))
+	r.Attempt = max(r.Attempt, op.Attempt)
+	r.Lost = r.NotRepeatable
+	return outcome, true
 }
 
 // extend answers a repeated claim; one with a higher worst case, for another
@@ -81,62 +106,52 @@
 	return Outcome{Verdict: Run, Attempt: r.Attempt}, more
 }
 
-// claimOfFenced refuses a new claim of a fenced holder. One that was accepted
-// before and reaches the log after the fence is charged like those that the
-// fence found running.
-func (s *state) claimOfFenced(op Op) (Outcome, bool) {
-	if op.Attempt == 0 {
-		return Outcome{Verdict: Fenced}, false
-	}
-	r, _ := s.record(op)
-	id := attemptID{op.Holder, op.Attempt}
-	if _, charged := r.charges[id]; charged {
-		return Outcome{Verdict: Fenced}, false
-	}
-	s.charge(r, id, charge{tokens: op.Worst, claim: op.Claim, limit: op.Worst})
-	r.Attempt = max(r.Attempt, op.Attempt)
-	r.Lost = r.NotRepeatable
-	return Outcome{Verdict: Run, Attempt: op.Attempt}, true
-}
-
 // start makes the op the running attempt. What a superseded attempt served is
 // not known, so it is charged its worst case until its bill comes.
-func (s *state) start(r *Record, op Op) Outcome {
+func (s *state) start(r *Record, op Op, attempt int) Outcome {
 	if r.Running {
-		s.charge(r, attemptID{r.Holder, r.Attempt}, r.worstCase())
+		s.chargeRunning(r)
 	}
-	r.Attempt++
+	r.Attempt = max(r.Attempt, attempt)
 	r.Running = true
 	r.Claim = op.Claim
 	r.Holder = op.Holder
 	r.Instance = op.Instance
 	r.Cap = op.Worst
 	r.Worst = op.Worst
-	return Outcome{Verdict: Run, Attempt: r.Attempt}
+	return Outcome{Verdict: Run, Attempt: attempt}
 }
 
 // charge sets what an attempt is charged.
-func (s *state) charge(r *Record, id attemptID, c charge) {
-	s.totals[r.Budget] += c.tokens - r.charges[id].tokens
-	r.charges[id] = c
+func (s *state) charge(r *Record, claim string, c charge) {
+	s.totals[r.Budget] += c.tokens - r.charges[claim].tokens
+	r.charges[claim] = c
+}
+
+// chargeRunning charges the running attempt its worst case.
+func (s *state) chargeRunning(r *Record) {
+	s.charge(r, r.Claim, worstCase(r.Holder, r.Attempt, r.Worst, r.Cap))
+}
+
+func worstCase(holder string, attempt int, worst, limit int64) charge {
+	return charge{tokens: worst, holder: holder, attempt: attempt, limit: limit}
 }
 
 // bill adds an attempt to the request's one billing record; a repeated
 // message changes nothing.
 func (s *state) bill(now time.Time, op Op) (Outcome, bool) {
 	r, _ := s.record(op)
-	id := attemptID{op.Holder, op.Attempt}
-	if r.charges[id].final {
+	if r.charges[op.Claim].final {
 		return Outcome{Verdict: Recorded}, false
 	}
-	s.charge(r, id, charge{tokens: op.Tokens, final: true})
+	s.charge(r, op.Claim, charge{tokens: op.Tokens, final: true, holder: op.Holder, attempt: op.Attempt})
 	r.Billed = true
 	r.Lost = false
 	r.Code = op.Code
 	r.Answer = op.Answer
 	r.AnswerType = op.AnswerType
 	r.touched = now
-	if r.Holder == op.Holder && r.Attempt == op.Attempt {
+	if r.Claim == op.Claim {
 		r.Running = false
 	}
 	r.Attempt = max(r.Attempt, op.Attempt)
@@ -153,12 +168,6 @@
 	return Outcome{Verdict: Recorded}, true
 }
 
-// worstCase is the charge of the running attempt while nothing better is
-// known.
-func (r *Record) worstCase() charge {
-	return charge{tokens: r.Worst, claim: r.Claim, limit: r.Cap}
-}
-
 // fence ends a holder. Its running attempts are charged; a not-repeatable one
 // is never run again.
 func (s *state) fence(op Op) Outcome {
@@ -166,7 +175,7 @@
 	outcome := Outcome{Verdict: Recorded}
 	for request, r := range s.records {
 		if r.Running && r.Holder == op.Holder {
-			s.charge(r, attemptID{r.Holder, r.Attempt}, r.worstCase())
+			s.chargeRunning(r)
 			r.Running = false
 			r.Lost = r.NotRepeatable
 		}
@@ -180,17 +189,17 @@
 // left returns a holder's attempts without a bill that may have cost tokens.
 func (r *Record) left(request, holder string) []Left {
 	var list []Left
-	for id, c := range r.charges {
-		if id.holder != holder || c.final || c.tokens == 0 {
+	for claim, c := range r.charges {
+		if c.holder != holder || c.final || c.tokens == 0 {
 			continue
 		}
 		list = append(list, Left{
 			Request: request,
-			Claim:   c.claim,
+			Claim:   claim,
 			Account: r.Account,
 			Budget:  r.Budget,
 			Target:  r.Target,
-			Attempt: id.attempt,
+			Attempt: c.attempt,
 			Cap:     c.limit,
 			Worst:   c.tokens,
 		})
