Accept a change after two store calls; measure drains, changes and retries

Cause: a proposer read the log and the instance list one after the other before it wrote anything, so with a store of 500 ms a call a change took above 2 s.

Change: the proposal is made at the revision known here and read anew only when the log says otherwise; the list is read beside it. gaplink-lab moves measures.

--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,7 @@
 
 latency: build
 	./bin/gaplink-lab latency
+
+.PHONY: moves
+moves: build
+	./bin/gaplink-lab moves
--- a/backend/backend.go
+++ b/backend/backend.go
@@ -186,3 +186,10 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
 }
+
+// Seen returns the requests that came, refused ones among them.
+func (b *base) Seen() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.seen
+}
--- a/controller/tables/tables.go
+++ b/controller/tables/tables.go
@@ -225,33 +225,26 @@
 	c.Decide(change)
 }
 
+// proposeTries bounds how often a proposal that lost the race for a revision,
+// and conflicts with nothing, is made again at the next one.
+const proposeTries = 3
+
 // Propose decides a change for the fleet. skip names instances that the
 // operator attests to be terminated. The returned change is final.
 func (c *Controller) Propose(ctx context.Context, change table.Change, skip []string) (table.Change, error) {
 	c.proposing.Lock()
 	defer c.proposing.Unlock()
-	if c.reload(ctx) == 0 {
-		return change, result.New(result.StoreUnavailable, "no change can be accepted while the store does not answer").After(retryWait)
-	}
-	s := c.State()
-	if err := table.Check(s, change); err != nil {
-		return change, err
-	}
-	change.Revision = s.Revision + 1
-	change.Status = table.Proposed
-	change.At = time.Now().UTC()
 	change.Skipped = skip
-	recordBefore(s, &change)
-	version, err := c.create(ctx, change)
+	proposed, version, err := c.enter(ctx, change)
 	if err != nil {
 		return change, err
 	}
-	missing := c.collect(ctx, change, skip)
+	missing := c.collect(ctx, proposed, skip)
 	status := table.Committed
 	if len(missing) > 0 {
 		status = table.Refused
 	}
-	final, err := c.finish(ctx, change, version, status, missing)
+	final, err := c.finish(ctx, proposed, version, status, missing)
 	if err != nil {
 		return change, err
 	}
@@ -260,6 +253,31 @@
 	return final, verdict(final)
 }
 
+// enter checks a change and puts its proposal into the log. The configuration
+// known here is taken to be the newest; if the log says otherwise, it is read
+// and the change is checked again.
+func (c *Controller) enter(ctx context.Context, change table.Change) (table.Change, int64, error) {
+	var err error
+	for range proposeTries {
+		s := c.State()
+		if err = table.Check(s, change); err != nil {
+			return change, 0, err
+		}
+		change.Revision = s.Revision + 1
+		change.Status = table.Proposed
+		change.At = time.Now().UTC()
+		recordBefore(s, &change)
+		var version int64
+		if version, err = c.create(ctx, change); err == nil {
+			return change, version, nil
+		}
+		if result.From(err).Code != result.RowConflict || c.reload(ctx) == 0 || c.State().Revision == s.Revision {
+			break
+		}
+	}
+	return change, 0, err
+}
+
 // verdict is the operator's answer for a final change.
 func verdict(final table.Change) error {
 	if final.Status == table.Committed {
@@ -282,7 +300,13 @@
 // is a conflict that the operator is told of.
 func (c *Controller) create(ctx context.Context, change table.Change) (int64, error) {
 	key := table.LogKey(change.Revision)
+	listed := make(chan struct{})
+	go func() { // beside the create, so that a slow store is waited for once
+		defer close(listed)
+		c.members.Refresh(ctx)
+	}()
 	o, err := c.store.Create(ctx, key, change.Encode())
+	<-listed
 	if err == nil {
 		return o.Version, nil
 	}
@@ -304,7 +328,6 @@
 func (c *Controller) collect(ctx context.Context, change table.Change, skip []string) []string {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.AckWithin)
 	defer cancel()
-	c.members.Refresh(ctx)
 	skipped := map[string]bool{}
 	for _, id := range skip {
 		skipped[id] = true
--- a/router/router.go
+++ b/router/router.go
@@ -232,6 +232,9 @@
 // PeersAddr returns the bound address of the peer side.
 func (r *Router) PeersAddr() string { return r.peerSide.Addr().String() }
 
+// Revision returns the configuration revision in force.
+func (r *Router) Revision() int64 { return r.tables.State().Revision }
+
 // PeerBytes returns the bytes exchanged with routers that this one called.
 func (r *Router) PeerBytes() int64 { return r.peers.Bytes() }
 
