Rank a home once in a while, not at every look

Cause: the slopes put one ranking at 0.078 us a member: 31 us at 390 members.

Change: a found home is taken for 200 ms or until the view changes; servers are shared out among the routers by one ranking a round; a large fleet is scanned for dead routers less often.

--- a/controller/budgets/budgets.go
+++ b/controller/budgets/budgets.go
@@ -54,8 +54,12 @@
 // New returns a controller; cfg.Home is set here. onStop is called when this
 // holder finds itself fenced.
 func New(cfg budget.Config, s store.Store, m *members.Controller, p *peer.Client, log *zap.Logger, onStop func()) *Controller {
+	roles := make([]string, cfg.Pages)
+	for n := range roles {
+		roles[n] = budget.Role(n)
+	}
 	cfg.Home = func(now time.Time, id string) string {
-		return m.First(now, budget.Role(budget.PageOf(id, cfg.Pages)))
+		return m.First(now, roles[budget.PageOf(id, cfg.Pages)])
 	}
 	return &Controller{
 		store:   s,
--- a/controller/health/health.go
+++ b/controller/health/health.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/gaplink/gaplink/controller/members"
@@ -107,9 +108,11 @@
 	c.mu.Lock()
 	ids := c.routes.ServerIDs()
 	c.mu.Unlock()
-	now := time.Now()
+	// One ranking a round: ranking for each server would cost servers times
+	// members. Which router asks which server need not be stable.
+	routers := c.members.Rank(time.Now(), "poll")
 	for _, id := range ids {
-		if c.members.First(now, "poll/"+id) == c.members.Self().ID {
+		if len(routers) > 0 && routers[xxhash.Sum64String(id)%uint64(len(routers))] == c.members.Self().ID {
 			go c.ask(ctx, id)
 		}
 	}
--- a/controller/members/members.go
+++ b/controller/members/members.go
@@ -25,12 +25,24 @@
 	log    *zap.Logger
 	self   membership.Member
 
-	mu       sync.Mutex
-	view     *membership.View
-	backends []membership.Member
-	onList   []func([]membership.Member)
+	mu     sync.Mutex
+	view   *membership.View
+	onList []func([]membership.Member)
+	ranked map[string]ranked // what First found lately
 }
 
+// ranked is the member found for a role. It is dropped when the view changes,
+// and after a while, since a suspicion ends by time alone.
+type ranked struct {
+	id    string
+	until time.Time
+}
+
+// rankFor is how long a found member is taken without ranking anew. Ranking
+// costs time in proportion to the members, and is asked for at every request
+// and for every budget in use.
+const rankFor = 200 * time.Millisecond
+
 // New returns a controller that reads the list every so often.
 func New(self membership.Member, lister Lister, every time.Duration, log *zap.Logger) *Controller {
 	return &Controller{
@@ -39,6 +51,7 @@
 		log:    log,
 		self:   self,
 		view:   membership.NewView(self),
+		ranked: map[string]ranked{},
 	}
 }
 
@@ -79,7 +92,7 @@
 	}
 	c.mu.Lock()
 	c.view.SetList(list)
-	c.backends = backends
+	clear(c.ranked)
 	c.mu.Unlock()
 	for _, fn := range c.onList {
 		fn(backends)
@@ -93,7 +106,12 @@
 func (c *Controller) First(now time.Time, role string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.view.First(now, role)
+	if r, ok := c.ranked[role]; ok && now.Before(r.until) {
+		return r.id
+	}
+	id := c.view.First(now, role)
+	c.ranked[role] = ranked{id: id, until: now.Add(rankFor)}
+	return id
 }
 
 // Rank returns the usable members for a role, best first.
@@ -133,12 +151,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.view.Failed(time.Now(), id)
+	clear(c.ranked)
 }
 
 // Reached records that a member answered.
 func (c *Controller) Reached(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.view.Suspected(time.Now(), id) {
+		clear(c.ranked)
+	}
 	c.view.Reached(id)
 }
 
@@ -147,4 +169,5 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.view.SetLeaving(id)
+	clear(c.ranked)
 }
--- a/controller/reclaims/reclaims.go
+++ b/controller/reclaims/reclaims.go
@@ -39,7 +39,7 @@
 	role      = "reclaim"
 	scanEvery = time.Second
 	// membersPerScan is how many members may be asked in one scanEvery.
-	membersPerScan = 40
+	membersPerScan = 15
 	whoTimeout     = 500 * time.Millisecond
 	// barrierTimeout bounds the barrier at one router.
 	barrierTimeout = 3 * time.Second
--- a/lab/slopes.go
+++ b/lab/slopes.go
@@ -15,6 +15,7 @@
 	"github.com/gaplink/gaplink/admin"
 	"github.com/gaplink/gaplink/backend"
 	"github.com/gaplink/gaplink/budget"
+	"github.com/gaplink/gaplink/controller/members"
 	"github.com/gaplink/gaplink/lab/policy"
 	"github.com/gaplink/gaplink/ledger"
 	"github.com/gaplink/gaplink/membership"
@@ -126,16 +127,24 @@
 	return s
 }
 
-func viewWith(members int) *membership.View {
-	self := membership.Member{ID: "r000", Kind: "router", State: membership.Live}
-	v := membership.NewView(self)
+// memberList is a platform's list of so many routers.
+type memberList int
+
+// Instances implements members.Lister.
+func (n memberList) Instances(context.Context) ([]membership.Member, error) {
 	var list []membership.Member
-	for i := range members {
+	for i := range int(n) {
 		list = append(list, membership.Member{
 			ID: fmt.Sprintf("r%03d", i), Kind: "router", Addr: fmt.Sprintf("10.0.%d.%d:7100", i/250, i%250),
 			Domain: fmt.Sprintf("domain-%d", i%14), State: membership.Live,
 		})
 	}
+	return list, nil
+}
+
+func viewWith(n int) *membership.View {
+	v := membership.NewView(membership.Member{ID: "r000", Kind: "router", State: membership.Live})
+	list, _ := memberList(n).Instances(context.Background())
 	v.SetList(list)
 	return v
 }
@@ -212,6 +221,11 @@
 		v := viewWith(n)
 		return each(func(i int) { v.First(now, "budget/b") })
 	})
+	measure(out, "the home found lately, microseconds", "us/member", []int{100, 200, 390}, func(n int) float64 {
+		c := members.New(membership.Member{ID: "r000", Kind: "router", State: membership.Live}, memberList(n), time.Hour, zap.NewNop())
+		c.Refresh(context.Background())
+		return each(func(int) { c.First(time.Now(), "budgets/1") })
+	})
 	measure(out, "reserve and settle locally, microseconds", "us/budget", []int{1000, 4000, 14000}, func(n int) float64 {
 		a := agentWith(n, 256)
 		return each(func(i int) {
@@ -315,6 +329,9 @@
 		{"store reads for a change", func(c changeCost) float64 { return c.reads }},
 		{"store watches for a change", func(c changeCost) float64 { return c.watches }},
 		{"peer bytes of the proposer for a change", func(c changeCost) float64 { return c.bytes }},
+		{"idle fleet: store reads a second", func(c changeCost) float64 { return c.idleReads }},
+		{"idle fleet: store watches a second", func(c changeCost) float64 { return c.idleWatches }},
+		{"idle fleet: peer bytes a second", func(c changeCost) float64 { return c.idleBytes }},
 		{"time of a change, ms", func(c changeCost) float64 { return c.millis }},
 	}
 	for _, row := range rows {
@@ -325,11 +342,13 @@
 
 type changeCost struct {
 	writes, reads, watches, bytes, millis float64
+	// The idle ones are a second, of the whole fleet.
+	idleReads, idleWatches, idleBytes float64
 }
 
 const (
 	changes = 20
-	idle    = 3 * time.Second
+	idle    = 6 * time.Second
 )
 
 func changeCostAt(n int) (changeCost, error) {
@@ -356,12 +375,17 @@
 	if err := op.do(admin.PoolSet, admin.PoolArgs{Pool: pool}, nil); err != nil {
 		return changeCost{}, err
 	}
-	background := countsDuring(platform, routers[0], func() error { time.Sleep(idle); return nil })
+	background := countsDuring(platform, routers, func() error { time.Sleep(idle); return nil })
 	if background.err != nil {
 		return changeCost{}, background.err
 	}
-	during := countsDuring(platform, routers[0], func() error { return editRow(op) })
-	return during.minus(background), during.err
+	during := countsDuring(platform, routers[:1], func() error { return editRow(op) })
+	cost := during.minus(background)
+	seconds := background.span.Seconds()
+	cost.idleReads = float64(background.counts.Reads) / seconds
+	cost.idleWatches = float64(background.counts.Watches) / seconds
+	cost.idleBytes = float64(background.bytes) / seconds
+	return cost, during.err
 }
 
 func editRow(op *operator) error {
@@ -382,13 +406,19 @@
 	err    error
 }
 
-func countsDuring(p *standin.Platform, r *router.Router, do func() error) sample {
-	before, bytes, began := p.Counts(), r.PeerBytes(), time.Now()
+func countsDuring(p *standin.Platform, routers []*router.Router, do func() error) sample {
+	sum := func() (n int64) {
+		for _, r := range routers {
+			n += r.PeerBytes()
+		}
+		return n
+	}
+	before, bytes, began := p.Counts(), sum(), time.Now()
 	err := do()
 	after := p.Counts()
 	return sample{
 		counts: store.Counts{Reads: after.Reads - before.Reads, Writes: after.Writes - before.Writes, Watches: after.Watches - before.Watches},
-		bytes:  r.PeerBytes() - bytes,
+		bytes:  sum() - bytes,
 		span:   time.Since(began),
 		err:    err,
 	}
@@ -397,6 +427,7 @@
 // minus takes the background's share off and returns the cost of one change.
 func (s sample) minus(background sample) changeCost {
 	share := s.span.Seconds() / background.span.Seconds()
+	background.bytes = 0 // of all routers; the proposer's idle ones are few
 	one := func(during, idle int64) float64 { return (float64(during) - share*float64(idle)) / changes }
 	return changeCost{
 		writes:  one(s.counts.Writes, background.counts.Writes),
