Send messages between routers as arrays

Cause: by the slopes a daemon sends 7.4 KB/s of budget messages at the target; the names of the fields were half of them.

Ruled out: a struct tag on the budget messages (the library looks for one field name that the linter refuses; it had no effect under another name).

Change: peer.Marshal encodes structs as arrays.

--- a/lab/policy/agents.go
+++ b/lab/policy/agents.go
@@ -4,10 +4,9 @@
 	"fmt"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/gaplink/gaplink/budget"
 	"github.com/gaplink/gaplink/membership"
+	"github.com/gaplink/gaplink/peer"
 )
 
 const (
@@ -202,7 +201,7 @@
 }
 
 func size(m budget.Message) int64 {
-	b, _ := msgpack.Marshal(m)
+	b, _ := peer.Marshal(peer.BudgetMessage{Message: m})
 	return int64(len(b))
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -5,6 +5,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -28,11 +29,24 @@
 type codec struct{}
 
 // Marshal implements drpc.Encoding.
-func (codec) Marshal(msg drpc.Message) ([]byte, error) { return msgpack.Marshal(msg) }
+func (codec) Marshal(msg drpc.Message) ([]byte, error) { return Marshal(msg) }
 
 // Unmarshal implements drpc.Encoding.
 func (codec) Unmarshal(buf []byte, msg drpc.Message) error { return msgpack.Unmarshal(buf, msg) }
 
+// Marshal encodes a message: structs as arrays, since the names of the fields
+// would be half of it. All processes of a fleet must know the same fields in
+// the same order.
+func Marshal(msg any) ([]byte, error) {
+	var b bytes.Buffer
+	enc := msgpack.NewEncoder(&b)
+	enc.UseArrayEncodedStructs(true)
+	if err := enc.Encode(msg); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
 type handler func(drpc.Stream) error
 
 // Mux dispatches calls by method name. It implements drpc.Handler.
