--- a/budget/agent.go
+++ b/budget/agent.go
@@ -210,7 +210,8 @@
 func (a *Agent) Reserve(now time.Time, id string, need int64) (token uint64, granted bool, effects []Effect) {
 	a.token++
 	p := a.purse(id)
-	p.observe(now, need)
+	p.used(now, need)
+	p.demanded(now, need)
 	if p.balance >= need {
 		p.balance -= need
 		p.reserved += need
@@ -250,7 +251,7 @@
 	a.credit(p, m)
 	switch m.Kind {
 	case Draw:
-		p.observe(now, m.Need)
+		p.used(now, max(m.Need, 1))
 		a.drawAsked(p, m)
 	case Grant:
 		a.granted(now, p, m)
--- a/budget/purse.go
+++ b/budget/purse.go
@@ -88,10 +88,14 @@
 	return &purse{id: id, page: page, sent: map[string]int64{}, received: map[string]int64{}, holders: map[string]*holder{}}
 }
 
-// observe adds a demand of need tokens to the estimate.
-func (p *purse) observe(now time.Time, need int64) {
-	p.demand = p.decayed(now) + float64(need)
+// demanded adds tokens that were asked for to the estimate.
+func (p *purse) demanded(now time.Time, tokens int64) {
+	p.demand = p.decayed(now) + float64(tokens)
 	p.demandAt = now
+}
+
+// used notes that a request of need tokens asked for the budget.
+func (p *purse) used(now time.Time, need int64) {
 	p.lastUse = now
 	p.meanNeed += (float64(need) - p.meanNeed) / needWindow
 }
@@ -222,25 +226,27 @@
 }
 
 // serveDraws grants every peer's draw that the balance covers.
-func (a *Agent) serveDraws(p *purse) {
+func (a *Agent) serveDraws(now time.Time, p *purse) {
 	kept := p.draws[:0]
 	for _, d := range p.draws {
 		if p.balance < d.need {
 			kept = append(kept, d)
 			continue
 		}
-		a.grant(p, d)
+		a.grant(now, p, d)
 	}
 	p.draws = kept
 }
 
 // grant moves tokens to the drawer: what it needs, and its demand ahead when
-// there is plenty.
-func (a *Agent) grant(p *purse, d draw) {
+// there is plenty. What is granted is the home's demand: most draws are ahead
+// of the drawer's and need little by themselves.
+func (a *Agent) grant(now time.Time, p *purse, d draw) {
 	amount := d.need
 	if !p.scarce {
 		amount = max(d.need, min(d.want, p.balance/shareOfFree))
 	}
+	p.demanded(now, amount)
 	p.holders[d.peer.Incarnation] = &holder{peer: d.peer, loose: !p.scarce}
 	m := a.move(p, Grant, d.peer, amount)
 	m.Token = d.token
@@ -275,7 +281,7 @@
 // pump serves what the balance covers and looks for more for the rest.
 func (a *Agent) pump(now time.Time, p *purse) {
 	a.serveWaiters(p)
-	a.serveDraws(p)
+	a.serveDraws(now, p)
 	if !p.waiting() {
 		p.settleLookup()
 		return
