--- a/lab/policy.go
+++ b/lab/policy.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/gaplink/gaplink/lab/policy"
+	"github.com/gaplink/gaplink/lab/routing"
 )
 
 // Bounds of the chosen policy, checked by `policy --check`. They are on
@@ -67,6 +68,7 @@
 		kept = append(kept, bounds(s, results))
 	}
 	kept = append(kept, compareLedgers(out))
+	compareRouting(out)
 	if !check {
 		return nil
 	}
@@ -90,6 +92,17 @@
 // the wait of a claim, for today's size and the target.
 var ledgerBounds = []struct{ writes, onceP99 float64 }{{90, 50}, {150, 500}}
 
+func compareRouting(out io.Writer) {
+	for _, r := range []routing.Result{
+		routing.Run("round robin", routing.RoundRobin()),
+		routing.Run("least in flight", routing.LeastInFlight()),
+		routing.Run("chosen", routing.Chosen()),
+	} {
+		_, _ = fmt.Fprintf(out, "routing %-16s requests %d first token p50 %.0f p95 %.0f ms, cache hits %.1f%%, busiest server %.2f of the mean\n",
+			r.Policy, r.Requests, r.FirstP50, r.FirstP95, r.Hits, r.Imbalance)
+	}
+}
+
 func compareLedgers(out io.Writer) error {
 	var kept []error
 	for i, load := range ledgerLoads() {
--- /dev/null
+++ b/lab/routing/routing.go
@@ -0,0 +1,290 @@
+// Package routing compares ways to pick a backend server, on the real routing
+// code in virtual time, seeded, with late load reports and one slow server.
+package routing
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/gaplink/gaplink/route"
+	"github.com/gaplink/gaplink/table"
+)
+
+// The load and the servers.
+const (
+	routers    = 8
+	servers    = 12
+	perSecond  = 60
+	length     = 3 * time.Minute
+	prefixes   = 300 // prompt prefixes in use, by a Zipf law
+	cached     = 40  // prefixes that a server's cache holds
+	slots      = 8   // requests that a server runs without slowing down
+	prefillHit = 40 * time.Millisecond
+	prefill    = 400 * time.Millisecond
+	decode     = 600 * time.Millisecond
+	slowFactor = 3 // of the first server
+	reportLag  = time.Second
+)
+
+// Policy picks a server for a request at a router.
+type Policy interface {
+	Pick(now time.Time, router int, prefix uint64) int
+	Started(router, server int)
+	Finished(now time.Time, router, server int)
+	Report(now time.Time, server int, load float64)
+}
+
+// Result is what a run came to.
+type Result struct {
+	Policy   string
+	Requests int
+	// FirstP50 and FirstP95 are times to the first token in milliseconds.
+	FirstP50, FirstP95 float64
+	// Hits is the share of requests whose prefix was cached, in percent.
+	Hits float64
+	// Imbalance is the busiest server's requests over the mean.
+	Imbalance float64
+}
+
+// server is one backend server.
+type server struct {
+	inFlight int
+	served   int
+	cache    []uint64 // most recent last
+}
+
+// hit looks a prefix up and makes it the most recent.
+func (s *server) hit(prefix uint64) bool {
+	found := false
+	for i, p := range s.cache {
+		if p == prefix {
+			s.cache = append(s.cache[:i], s.cache[i+1:]...)
+			found = true
+			break
+		}
+	}
+	s.cache = append(s.cache, prefix)
+	if len(s.cache) > cached {
+		s.cache = s.cache[1:]
+	}
+	return found
+}
+
+// event is something at a virtual time.
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+type run struct {
+	now     time.Time
+	queue   events
+	seq     int
+	rng     *rand.Rand
+	policy  Policy
+	servers []*server
+	first   []time.Duration
+	hits    int
+}
+
+// Run runs the seeded load on a policy.
+func Run(name string, p Policy) Result {
+	r := &run{now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(1, 2)), policy: p}
+	for range servers {
+		r.servers = append(r.servers, &server{})
+	}
+	end := r.now.Add(length)
+	r.arrive()
+	r.report()
+	for len(r.queue) > 0 && r.queue[0].at.Before(end) {
+		e := heap.Pop(&r.queue).(event)
+		r.now = e.at
+		e.do()
+	}
+	return r.result(name)
+}
+
+func (r *run) after(d time.Duration, do func()) {
+	r.seq++
+	heap.Push(&r.queue, event{at: r.now.Add(d), seq: r.seq, do: do})
+}
+
+func (r *run) arrive() {
+	r.after(time.Duration(r.rng.ExpFloat64()*float64(time.Second)/perSecond), func() {
+		r.request()
+		r.arrive()
+	})
+}
+
+// request sends one request through a random router.
+func (r *run) request() {
+	router := r.rng.IntN(routers)
+	prefix := uint64(math.Pow(prefixes, r.rng.Float64())) * 0x9e3779b97f4a7c15
+	n := r.policy.Pick(r.now, router, prefix)
+	s := r.servers[n]
+	r.policy.Started(router, n)
+	s.inFlight++
+	s.served++
+	pace := math.Max(1, float64(s.inFlight)/slots)
+	if n == 0 {
+		pace *= slowFactor
+	}
+	ttft := prefill
+	if s.hit(prefix) {
+		ttft = prefillHit
+		r.hits++
+	}
+	ttft = time.Duration(float64(ttft) * pace)
+	r.first = append(r.first, ttft)
+	r.after(ttft+time.Duration(float64(decode)*pace), func() {
+		s.inFlight--
+		r.policy.Finished(r.now, router, n)
+	})
+}
+
+// report publishes each server's load, as it was a lag ago.
+func (r *run) report() {
+	loads := make([]float64, servers)
+	for i, s := range r.servers {
+		loads[i] = float64(s.inFlight)
+	}
+	r.after(reportLag, func() {
+		for i, load := range loads {
+			r.policy.Report(r.now, i, load)
+		}
+		r.report()
+	})
+}
+
+func (r *run) result(name string) Result {
+	sort.Slice(r.first, func(i, j int) bool { return r.first[i] < r.first[j] })
+	at := func(q float64) float64 {
+		return float64(r.first[int(q*float64(len(r.first)-1))]) / float64(time.Millisecond)
+	}
+	most := 0
+	for _, s := range r.servers {
+		most = max(most, s.served)
+	}
+	return Result{
+		Policy:    name,
+		Requests:  len(r.first),
+		FirstP50:  at(0.5),
+		FirstP95:  at(0.95),
+		Hits:      100 * float64(r.hits) / float64(len(r.first)),
+		Imbalance: float64(most) * servers / float64(len(r.first)),
+	}
+}
+
+// roundRobin takes the servers in turn, at each router by itself.
+type roundRobin struct{ next [routers]int }
+
+// RoundRobin returns the policy.
+func RoundRobin() Policy { return &roundRobin{} }
+
+// Pick implements Policy.
+func (p *roundRobin) Pick(_ time.Time, router int, _ uint64) int {
+	p.next[router]++
+	return (p.next[router] + router) % servers
+}
+
+// Started implements Policy.
+func (p *roundRobin) Started(int, int) {}
+
+// Finished implements Policy.
+func (p *roundRobin) Finished(time.Time, int, int) {}
+
+// Report implements Policy.
+func (p *roundRobin) Report(time.Time, int, float64) {}
+
+// leastInFlight takes the server with the fewest of the router's own requests.
+type leastInFlight struct {
+	roundRobin
+	own [routers][servers]int
+}
+
+// LeastInFlight returns the policy.
+func LeastInFlight() Policy { return &leastInFlight{} }
+
+// Pick implements Policy.
+func (p *leastInFlight) Pick(now time.Time, router int, prefix uint64) int {
+	first := p.roundRobin.Pick(now, router, prefix)
+	best := first
+	for k := range servers {
+		n := (first + k) % servers
+		if p.own[router][n] < p.own[router][best] {
+			best = n
+		}
+	}
+	return best
+}
+
+// Started implements Policy.
+func (p *leastInFlight) Started(router, n int) { p.own[router][n]++ }
+
+// Finished implements Policy.
+func (p *leastInFlight) Finished(_ time.Time, router, n int) { p.own[router][n]-- }
+
+// chosen is gaplink's routing code, one instance a router.
+type chosen struct {
+	routes [routers]*route.Routes
+	rng    *rand.Rand
+}
+
+// Chosen returns the policy that gaplink uses.
+func Chosen() Policy {
+	p := &chosen{rng: rand.New(rand.NewPCG(3, 4))}
+	pool := table.Pool{Name: "p", Kind: table.Model, Target: "m", Site: "s"}
+	for i := range servers {
+		pool.Servers = append(pool.Servers, table.Server{ID: serverName(i), Addr: serverName(i)})
+	}
+	for i := range p.routes {
+		p.routes[i] = route.New()
+		p.routes[i].SetPools(map[string]table.Pool{"p": pool})
+	}
+	return p
+}
+
+func serverName(i int) string { return fmt.Sprintf("e%02d", i) }
+
+// Pick implements Policy.
+func (p *chosen) Pick(now time.Time, router int, prefix uint64) int {
+	c, _ := p.routes[router].Pick(now, p.rng, route.Request{Target: "m", Prefix: prefix})
+	var n int
+	_, _ = fmt.Sscanf(c.Server.ID, "e%d", &n)
+	return n
+}
+
+// Started implements Policy.
+func (p *chosen) Started(router, n int) { p.routes[router].Started(serverName(n)) }
+
+// Finished implements Policy.
+func (p *chosen) Finished(now time.Time, router, n int) {
+	p.routes[router].Finished(now, serverName(n), false)
+}
+
+// Report implements Policy.
+func (p *chosen) Report(now time.Time, n int, load float64) {
+	for _, r := range p.routes {
+		r.Load(now, serverName(n), load)
+	}
+}
