--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,70 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gaplink/gaplink/membership"
+)
+
+func view(n int) *membership.View {
+	v := membership.NewView(membership.Member{ID: "r0", Kind: "router", State: membership.Live})
+	v.SetList(list(n))
+	return v
+}
+
+func list(n int) []membership.Member {
+	var l []membership.Member
+	for i := range n {
+		l = append(l, membership.Member{ID: fmt.Sprint("r", i), Kind: "router", State: membership.Live})
+	}
+	return l
+}
+
+func TestFirstIsTheBestOfRank(t *testing.T) {
+	now := time.Unix(1, 0)
+	v := view(9)
+	for i := range 50 {
+		role := fmt.Sprint("role", i)
+		if v.First(now, role) != v.Rank(now, role)[0] {
+			t.Fatalf("%s: First and Rank differ", role)
+		}
+	}
+}
+
+func TestSuspicionEndsAndMovesFewRoles(t *testing.T) {
+	now := time.Unix(1, 0)
+	v, whole := view(9), view(9)
+	v.Failed(now, "r3")
+	for i := range 100 {
+		role := fmt.Sprint("role", i)
+		before := whole.First(now, role)
+		if before != "r3" && v.First(now, role) != before {
+			t.Fatalf("%s moved although its router is well", role)
+		}
+		if v.First(now, role) == "r3" {
+			t.Fatalf("%s stays with a suspected router", role)
+		}
+		if v.First(now.Add(time.Minute), role) != before {
+			t.Fatalf("%s did not come back", role)
+		}
+	}
+}
+
+func TestStaleLiveDoesNotOverrideLeaving(t *testing.T) {
+	now := time.Unix(1, 0)
+	v := view(3)
+	v.SetLeaving("r1")
+	v.SetList(list(3)) // the list lags and still has it live
+	for _, id := range v.Rank(now, "x") {
+		if id == "r1" {
+			t.Fatal("a leaving router is ranked")
+		}
+	}
+	v.SetList(list(1))
+	v.SetList(list(3)) // gone and back: another life
+	if len(v.Rank(now, "x")) != 3 {
+		t.Fatal("a router that came back is not ranked")
+	}
+}
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,100 @@
+package route_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/gaplink/gaplink/route"
+	"github.com/gaplink/gaplink/table"
+)
+
+func routes() *route.Routes {
+	r := route.New()
+	pools := map[string]table.Pool{}
+	for _, site := range []string{"old", "new"} {
+		p := table.Pool{Name: site, Kind: table.Model, Target: "m", Site: site}
+		for i := range 3 {
+			p.Servers = append(p.Servers, table.Server{ID: fmt.Sprint(site, i), Addr: fmt.Sprint(site, i)})
+		}
+		pools[site] = p
+	}
+	r.SetPools(pools)
+	return r
+}
+
+func count(r *route.Routes, now time.Time, req route.Request, n int) map[string]int {
+	rng := rand.New(rand.NewPCG(1, 1))
+	picked := map[string]int{}
+	for range n {
+		if c, ok := r.Pick(now, rng, req); ok {
+			picked[c.Site]++
+			picked[c.Server.ID]++
+		}
+	}
+	return picked
+}
+
+func rows(old, fresh int) map[string]table.Row {
+	return map[string]table.Row{"old": {Weight: old}, "new": {Weight: fresh}}
+}
+
+func TestWeightsDecideTheSite(t *testing.T) {
+	got := count(routes(), time.Unix(1, 0), route.Request{Target: "m", Rows: rows(90, 10)}, 2000)
+	if got["new"] < 120 || got["new"] > 280 {
+		t.Fatalf("%d of 2000 went to the new site, want about 200", got["new"])
+	}
+	if got := count(routes(), time.Unix(1, 0), route.Request{Target: "m", Rows: rows(1, 0)}, 500); got["new"] != 0 {
+		t.Fatalf("weight 0 got %d requests", got["new"])
+	}
+}
+
+func TestLeavingStaysUntilReturned(t *testing.T) {
+	r, now := routes(), time.Unix(1, 0)
+	req := route.Request{Target: "m", Rows: rows(1, 0)}
+	r.SetLeaving("old1")
+	if got := count(r, now, req, 300); got["old1"] != 0 {
+		t.Fatalf("a leaving server got %d requests", got["old1"])
+	}
+	r.Returned("old1")
+	if got := count(r, now, req, 300); got["old1"] == 0 {
+		t.Fatal("a returned server got none")
+	}
+}
+
+func TestFailuresEjectForAWhile(t *testing.T) {
+	r, now := routes(), time.Unix(1, 0)
+	req := route.Request{Target: "m", Rows: rows(1, 0)}
+	for range 3 {
+		r.Started("old0")
+		r.Finished(now, "old0", true)
+	}
+	if got := count(r, now, req, 300); got["old0"] != 0 {
+		t.Fatalf("an ejected server got %d requests", got["old0"])
+	}
+	if got := count(r, now.Add(time.Minute), req, 300); got["old0"] == 0 {
+		t.Fatal("the server did not come back")
+	}
+}
+
+func TestPrefixSticksUnlessBusy(t *testing.T) {
+	r, now := routes(), time.Unix(1, 0)
+	req := route.Request{Target: "m", Rows: rows(1, 0), Prefix: 77}
+	first := count(r, now, req, 100)
+	holder := ""
+	for id, n := range first {
+		if n == 100 && id != "old" {
+			holder = id
+		}
+	}
+	if holder == "" {
+		t.Fatalf("a prefix went to several idle servers: %v", first)
+	}
+	for range 20 {
+		r.Started(holder)
+	}
+	if got := count(r, now, req, 100); got[holder] > 50 {
+		t.Fatalf("the busy holder still got %d of 100", got[holder])
+	}
+}
