Count held bills as unrecorded; seal a router before it ends its registration

By reading the order of a reclaim's steps again, two holes: (1) a bill that a router merely holds while the store is down was taken for recorded, though the shard's next owner need not know of it; an audit right after an outage then took its tokens for unspent; (2) a router that had returned everything still took tokens until it ended, and returned them to the store after its registration was gone, when others might have reclaimed them.

Change: tokens of all bills not known to be committed count as held; an agent is sealed in the step that finds it closed, and refuses tokens from then on.

Measured: the test for (1) gave 0 tokens for 7 before and passes; (2) has a test that could not be written before, since there was no seal.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -171,6 +171,7 @@
 	token   uint64
 	writes  int64
 	closing bool
+	sealed  bool
 	fenced  map[string]bool // incarnations whose messages are void
 }
 
@@ -281,10 +282,10 @@
 	p.draws = append(p.draws, d)
 }
 
-// Accepts tells whether a message is for this incarnation. One that is not
-// must be told to its sender as certainly undelivered.
+// Accepts tells whether a message is for this incarnation, and it still takes
+// tokens. One that is not must be told to its sender as certainly undelivered.
 func (a *Agent) Accepts(m Message) bool {
-	return m.To.Incarnation == "" || m.To.Incarnation == a.cfg.Self.Incarnation
+	return !a.sealed && (m.To.Incarnation == "" || m.To.Incarnation == a.cfg.Self.Incarnation)
 }
 
 // credit adds the tokens that the message newly moves here.
@@ -341,6 +342,9 @@
 
 // Tick handles timeouts and idle balances. Call it a few times a second.
 func (a *Agent) Tick(now time.Time) []Effect {
+	if a.sealed {
+		return nil
+	}
 	list := a.awake
 	a.awake = nil
 	for _, p := range list {
@@ -406,6 +410,10 @@
 // Purses returns the number of budgets with state here.
 func (a *Agent) Purses() int { return len(a.purses) }
 
+// Seal ends a closed agent: it takes no tokens any more, so that it has nothing
+// to return after its registration is gone and others may reclaim it.
+func (a *Agent) Seal() { a.sealed = true }
+
 // Touched returns this holder's incarnation and the pages it used.
 func (a *Agent) Touched() (holder string, pages []int) {
 	for n := range a.cfg.Pages {
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -350,3 +350,27 @@
 		t.Fatalf("%d tokens exist twice", held)
 	}
 }
+
+// TestSealedTakesNoTokens: a router that has returned everything and is about
+// to end its registration must not take tokens, and so not return them late.
+func TestSealedTakesNoTokens(t *testing.T) {
+	cfg := budget.DefaultConfig()
+	cfg.Pages = 1
+	cfg.Self = budget.Peer{ID: "r0", Incarnation: "r0/1"}
+	cfg.Home = func(time.Time, string) string { return "r0" }
+	a := budget.NewAgent(cfg)
+	now := time.Unix(1000, 0)
+	a.Close(now)
+	if !a.Closed() {
+		t.Fatal("an empty agent is not closed")
+	}
+	a.Seal()
+	m := budget.Message{Kind: budget.Back, Budget: testBudget, From: budget.Peer{ID: "r1", Incarnation: "r1/1"}, To: cfg.Self, Total: 5, Delta: 5}
+	if a.Accepts(m) {
+		t.Fatal("a sealed agent accepts tokens")
+	}
+	a.Receive(now, m)
+	if effects := a.Tick(now.Add(time.Hour)); len(effects) != 0 || a.Holding(testBudget).Balance != 0 {
+		t.Fatalf("a sealed agent still acts: %+v", effects)
+	}
+}
--- a/controller/budgets/budgets.go
+++ b/controller/budgets/budgets.go
@@ -331,10 +331,16 @@
 	c.fold(ctx)
 }
 
+// closed tells whether all is returned, and if so seals the agent in the same
+// step: what came in between would be returned after others reclaimed it.
 func (c *Controller) closed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.agent.Closed()
+	if !c.agent.Closed() {
+		return false
+	}
+	c.agent.Seal()
+	return true
 }
 
 // fold closes this holder in the pages that it drew from, so that no record
--- a/controller/ledgers/ledgers.go
+++ b/controller/ledgers/ledgers.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"sync"
 	"time"
 
@@ -47,7 +46,6 @@
 	waiting map[uint64]chan ledger.Outcome
 	running map[string]bool
 	bills   map[string]ledger.Op // not known to be committed
-	nowhere map[string]int64     // tokens of bills that no owner has, by budget
 	fenced  map[string]bool      // incarnations that may claim nothing
 	tasks   sync.WaitGroup
 	onStop  func()
@@ -75,7 +73,6 @@
 		waiting:     map[uint64]chan ledger.Outcome{},
 		running:     map[string]bool{},
 		bills:       map[string]ledger.Op{},
-		nowhere:     map[string]int64{},
 		fenced:      map[string]bool{},
 		onStop:      onStop,
 	}
@@ -316,29 +313,34 @@
 	key := op.Holder + "/" + op.Request + "/" + op.Claim
 	c.mu.Lock()
 	c.bills[key] = op
-	c.nowhere[op.Budget] += op.Tokens
 	c.mu.Unlock()
 	outcome, owner, err := c.submit(ctx, op)
 	if err != nil {
 		c.log.Warn("bill not yet recorded", zap.String("request", op.Request), zap.Error(err))
 		return
 	}
-	c.mu.Lock()
-	c.nowhere[op.Budget] -= op.Tokens
 	if outcome.Verdict == ledger.Recorded {
+		c.mu.Lock()
 		delete(c.bills, key)
+		c.mu.Unlock()
+		return
 	}
-	c.mu.Unlock()
-	if outcome.Verdict != ledger.Recorded && owner == c.members.Self().ID {
+	if owner == c.members.Self().ID {
 		c.copyElsewhere(ctx, op)
 	}
 }
 
-// Nowhere returns the tokens of bills that no shard owner has, by budget.
-func (c *Controller) Nowhere() map[string]int64 {
+// UnrecordedTokens returns the tokens of bills not known to be committed, by
+// budget. A bill that is merely held counts too: the shard's next owner may
+// know nothing of it.
+func (c *Controller) UnrecordedTokens() map[string]int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return maps.Clone(c.nowhere)
+	tokens := map[string]int64{}
+	for _, op := range c.bills {
+		tokens[op.Budget] += op.Tokens
+	}
+	return tokens
 }
 
 // Fence refuses claims of an incarnation here, from now on.
@@ -444,18 +446,6 @@
 		delete(c.bills, key)
 		c.mu.Unlock()
 	}
-	if len(bills) > 0 {
-		c.clearNowhere()
-	}
-}
-
-// clearNowhere forgets the tokens of bills that have all been recorded.
-func (c *Controller) clearNowhere() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.bills) == 0 {
-		clear(c.nowhere)
-	}
 }
 
 // Unrecorded returns the number of bills not known to be committed.
--- /dev/null
+++ b/controller/ledgers/ledgers_test.go
@@ -0,0 +1,42 @@
+package ledgers_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gaplink/gaplink/controller/ledgers"
+	"github.com/gaplink/gaplink/controller/members"
+	"github.com/gaplink/gaplink/ledger"
+	"github.com/gaplink/gaplink/membership"
+	"github.com/gaplink/gaplink/peer"
+	"github.com/gaplink/gaplink/store"
+)
+
+// downStore refuses every call.
+type downStore struct{ store.Store }
+
+func (downStore) List(context.Context, string) ([]store.Object, int64, error) {
+	return nil, 0, store.ErrUnavailable
+}
+
+// TestHeldBillsAreUnrecorded: a bill that is only held while the store is down
+// must count as unrecorded. Another router that owns the shard next does not
+// know of it, and a reclaim would take its tokens for unspent.
+func TestHeldBillsAreUnrecorded(t *testing.T) {
+	self := membership.Member{ID: "r0", Kind: "router", State: membership.Live}
+	m := members.New(self, nil, time.Hour, zap.NewNop())
+	p := peer.NewClient(time.Second, "")
+	defer func() { _ = p.Close() }()
+	cfg := ledger.DefaultConfig()
+	cfg.Owner = "r0/1"
+	c := ledgers.New(cfg, 1, downStore{}, m, p, zap.NewNop(), func() {})
+	op := ledger.Op{Kind: ledger.Bill, Request: "k/a/1", Claim: "c1", Holder: "r0/1", Budget: "b", Attempt: 1, Tokens: 7}
+	c.Record(context.Background(), op)
+	if got := c.UnrecordedTokens()["b"]; got != 7 {
+		t.Fatalf("%d tokens unrecorded, want 7", got)
+	}
+	c.Wait()
+}
--- a/controller/reclaims/pages.go
+++ b/controller/reclaims/pages.go
@@ -131,7 +131,7 @@
 // spent.
 func (c *Controller) Holdings(ids []string) map[string]budget.Holding {
 	held := c.budgets.Holdings(ids)
-	for id, tokens := range c.ledgers.Nowhere() {
+	for id, tokens := range c.ledgers.UnrecordedTokens() {
 		if h, asked := held[id]; asked {
 			h.Unrecorded = tokens
 			held[id] = h
