--- /dev/null
+++ b/controller/ledgers/submit.go
@@ -0,0 +1,297 @@
+package ledgers
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gaplink/gaplink/ledger"
+	"github.com/gaplink/gaplink/peer"
+)
+
+// offer submits an op to one router.
+func (c *Controller) offer(ctx context.Context, id string, n int, op ledger.Op) (ledger.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	if id == c.members.Self().ID {
+		return c.Submit(ctx, n, op)
+	}
+	addr, ok := c.members.Addr(id)
+	if !ok {
+		return ledger.Outcome{}, peer.ErrNotSent
+	}
+	req := &peer.LedgerRequest{Shard: n, Op: op, Durable: op.Durable}
+	resp, err := peer.Call[peer.LedgerRequest, peer.LedgerAnswer](ctx, c.peers, addr, peer.MethodLedger, req)
+	if err != nil {
+		c.members.Failed(id)
+		return ledger.Outcome{}, err
+	}
+	c.members.Reached(id)
+	return resp.Outcome, nil
+}
+
+// submit offers an op to the owners in rank order until one answers.
+func (c *Controller) submit(ctx context.Context, op ledger.Op) (outcome ledger.Outcome, owner string, err error) {
+	n := ledger.ShardOf(op.Request, c.count)
+	err = errNoOwner
+	for _, id := range c.owners(n) {
+		outcome, err = c.offer(ctx, id, n, op)
+		if err == nil {
+			return outcome, id, nil
+		}
+		if ctx.Err() != nil {
+			return outcome, "", err
+		}
+	}
+	return outcome, "", err
+}
+
+func (c *Controller) owners(n int) []string {
+	ranked := c.members.Rank(time.Now(), ledger.Role(n))
+	if len(ranked) == 0 {
+		return []string{c.members.Self().ID}
+	}
+	return ranked[:min(len(ranked), submitTries)]
+}
+
+// Claim asks to run a request. What a router dispatches is known to another
+// process before: in the log, or in the memory of the shard's owner. So the
+// tokens of a router that dies can be told from those it spent.
+func (c *Controller) Claim(ctx context.Context, op ledger.Op) (ledger.Outcome, error) {
+	owners := c.owners(ledger.ShardOf(op.Request, c.count))
+	if owners[0] == c.members.Self().ID {
+		op.Durable = true
+	}
+	outcome, owner, err := c.submit(ctx, op)
+	if err == nil && owner == c.members.Self().ID && !op.Durable {
+		return c.witnessed(ctx, op)
+	}
+	if err == nil && outcome.Verdict == ledger.Down && !op.NotRepeatable {
+		return c.witnessed(ctx, op)
+	}
+	return outcome, err
+}
+
+// witnessed claims a repeatable request in another router's memory.
+func (c *Controller) witnessed(ctx context.Context, op ledger.Op) (ledger.Outcome, error) {
+	op.Durable = false
+	n := ledger.ShardOf(op.Request, c.count)
+	err := errNoOwner
+	for _, id := range c.owners(n) {
+		if id == c.members.Self().ID {
+			continue
+		}
+		var outcome ledger.Outcome
+		outcome, err = c.offer(ctx, id, n, op)
+		if err == nil {
+			return outcome, nil
+		}
+	}
+	return ledger.Outcome{}, err
+}
+
+// Record writes a bill. It returns when the bill is committed, or when
+// another router holds it too while the store is down. Until it is committed
+// it is submitted again and again.
+func (c *Controller) Record(ctx context.Context, op ledger.Op) {
+	key := op.Holder + "/" + op.Request + "/" + op.Claim
+	c.mu.Lock()
+	c.bills[key] = op
+	c.mu.Unlock()
+	outcome, owner, err := c.submit(ctx, op)
+	if err != nil {
+		c.log.Warn("bill not yet recorded", zap.String("request", op.Request), zap.Error(err))
+		return
+	}
+	if outcome.Verdict == ledger.Recorded {
+		c.mu.Lock()
+		delete(c.bills, key)
+		c.mu.Unlock()
+		return
+	}
+	if owner == c.members.Self().ID {
+		c.copyElsewhere(ctx, op)
+	}
+}
+
+// UnrecordedTokens returns the tokens of bills not known to be committed, by
+// budget. A bill that is merely held counts too: the shard's next owner may
+// know nothing of it.
+func (c *Controller) UnrecordedTokens() map[string]int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	tokens := map[string]int64{}
+	for _, op := range c.bills {
+		tokens[op.Budget] += op.Tokens
+	}
+	return tokens
+}
+
+// Fence refuses claims of an incarnation here, from now on.
+func (c *Controller) Fence(incarnation string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fenced[incarnation] = true
+}
+
+// Barrier commits all items that this router holds for any shard, by
+// committing a fence after them.
+func (c *Controller) Barrier(ctx context.Context, incarnation string) error {
+	for n, sh := range c.shards {
+		sh.mu.Lock()
+		idle := sh.shard.Idle()
+		sh.mu.Unlock()
+		if idle {
+			continue
+		}
+		outcome, err := c.Submit(ctx, n, ledger.Op{Kind: ledger.Fence, Holder: incarnation})
+		if err != nil {
+			return err
+		}
+		if outcome.Verdict != ledger.Recorded {
+			return errNoOwner
+		}
+	}
+	return nil
+}
+
+// Charges is what the shards know at a fence.
+type Charges struct {
+	// Totals are the tokens charged by budget over all shards.
+	Totals map[string]int64
+	// Left are the fenced holder's attempts that are charged their worst case.
+	Left []ledger.Left
+}
+
+// FenceAll commits a fence in every shard and returns the charges.
+func (c *Controller) FenceAll(ctx context.Context, incarnation string) (Charges, error) {
+	all := Charges{Totals: map[string]int64{}}
+	for n := range c.count {
+		outcome, err := c.fenceShard(ctx, n, incarnation)
+		if err != nil {
+			return all, err
+		}
+		for id, tokens := range outcome.Totals {
+			all.Totals[id] += tokens
+		}
+		all.Left = append(all.Left, outcome.Left...)
+	}
+	return all, nil
+}
+
+func (c *Controller) fenceShard(ctx context.Context, n int, incarnation string) (ledger.Outcome, error) {
+	op := ledger.Op{Kind: ledger.Fence, Holder: incarnation}
+	for _, id := range c.owners(n) {
+		outcome, err := c.offer(ctx, id, n, op)
+		if err == nil && outcome.Verdict == ledger.Recorded {
+			return outcome, nil
+		}
+	}
+	return ledger.Outcome{}, errNoOwner
+}
+
+// BillFor commits the bill of an attempt that a fenced holder left.
+func (c *Controller) BillFor(ctx context.Context, op ledger.Op) error {
+	outcome, _, err := c.submit(ctx, op)
+	if err == nil && outcome.Verdict != ledger.Recorded {
+		err = errNoOwner
+	}
+	return err
+}
+
+// copyElsewhere gives a held bill to the next owner in rank, so that the
+// death of this router alone does not lose it.
+func (c *Controller) copyElsewhere(ctx context.Context, op ledger.Op) {
+	n := ledger.ShardOf(op.Request, c.count)
+	for _, id := range c.owners(n) {
+		if id == c.members.Self().ID {
+			continue
+		}
+		if _, err := c.offer(ctx, id, n, op); err == nil {
+			return
+		}
+	}
+}
+
+// resubmit offers the bills that are not known to be committed.
+func (c *Controller) resubmit() {
+	c.mu.Lock()
+	bills := make(map[string]ledger.Op, len(c.bills))
+	for key, op := range c.bills {
+		bills[key] = op
+	}
+	c.mu.Unlock()
+	for key, op := range bills {
+		outcome, _, err := c.submit(context.Background(), op)
+		if err != nil || outcome.Verdict != ledger.Recorded {
+			return
+		}
+		c.mu.Lock()
+		delete(c.bills, key)
+		c.mu.Unlock()
+	}
+}
+
+// Unrecorded returns the number of bills not known to be committed.
+func (c *Controller) Unrecorded() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.bills)
+}
+
+// Withdraw takes back a claim that did not run. It does not wait.
+func (c *Controller) Withdraw(op ledger.Op) {
+	c.start(func() {
+		if _, _, err := c.submit(context.Background(), op); err != nil {
+			c.log.Warn("claim not withdrawn", zap.String("request", op.Request), zap.Error(err))
+		}
+	})
+}
+
+// Running tells whether the holder named in a busy outcome still serves the
+// request. A holder that does not answer is taken to be gone.
+func (c *Controller) Running(ctx context.Context, outcome ledger.Outcome, request string) bool {
+	if outcome.Holder == c.incarnation {
+		return c.Serves(c.incarnation, outcome.Claim)
+	}
+	addr, ok := c.members.Addr(outcome.Instance)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, runningTimeout)
+	defer cancel()
+	req := &peer.RunningRequest{Incarnation: outcome.Holder, Claim: outcome.Claim}
+	resp, err := peer.Call[peer.RunningRequest, peer.RunningAnswer](ctx, c.peers, addr, peer.MethodRunning, req)
+	if err != nil {
+		c.log.Info("holder of a running request does not answer", zap.String("request", request), zap.String("holder", outcome.Instance))
+		return false
+	}
+	return resp.Running
+}
+
+// Serves tells whether this router serves a claim of its own incarnation.
+func (c *Controller) Serves(incarnation, claim string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return incarnation == c.incarnation && c.running[claim]
+}
+
+// Begin marks a claim as served here.
+func (c *Controller) Begin(claim string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running[claim] = true
+}
+
+// Done ends Begin.
+func (c *Controller) Done(claim string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.running, claim)
+}
+
+// Self returns this router's incarnation and instance.
+func (c *Controller) Self() (incarnation, instance string) {
+	return c.incarnation, c.members.Self().ID
+}
