Let a fenced router record its bills and finish its answers before it ends

A router that was cut off for longer than fence_after is fenced and ends; it ended as soon as no request ran, without the bills that it could not record during the cut, and it closed connections whose last bytes were not yet sent.

Ruled out: the ledger (the bills were not in any log), the cut itself (no stream ends at a cut between routers).

Change: a fenced router flushes its bills first; a stop of either kind lets net/http finish what is written (Shutdown before Close).

--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 # Bounded, seeded measurements of the decisions.
 bench: build
 	./bin/gaplink-lab policy --check
+	./bin/gaplink-lab latency
 
 ci:
 	./.ci/run
--- a/lab/load.go
+++ b/lab/load.go
@@ -189,6 +189,13 @@
 	}
 }
 
+// raise notes that a budget was topped up.
+func (s *sender) raise(budget string, tokens int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits[budget] += tokens
+}
+
 // margin is what the budget has left beyond the job's worst case, by the
 // sender's own books: others' worst cases in flight counted.
 func (s *sender) margin(j job) int64 {
--- a/router/router.go
+++ b/router/router.go
@@ -53,6 +53,8 @@
 	peerDialTimeout = 300 * time.Millisecond
 	// flushWithin bounds the return of grants and bills at a planned stop.
 	flushWithin = 10 * time.Second
+	// callersWithin bounds the sending of the last bytes to callers.
+	callersWithin = 3 * time.Second
 )
 
 // Router is one router process. Use New.
@@ -256,6 +258,7 @@
 	r.ledgers.Flush(flush)
 	r.budgets.Close(flush)
 	r.reclaims.Deregister(flush)
+	r.finishCallers(ctx)
 	r.close()
 	r.log.Info("stopped")
 }
@@ -269,17 +272,31 @@
 		r.refusing.Store(true)
 		go func() {
 			r.drain(context.Background())
+			flush, cancel := context.WithTimeout(context.Background(), flushWithin)
+			defer cancel()
+			r.ledgers.Flush(flush)
 			close(r.fenced)
 		}()
 	})
 }
 
-// Fenced is closed when the fleet has taken this process to be dead and its
-// running requests have ended. The daemon then exits, to be started anew.
+// Fenced is closed when the fleet has taken this process to be dead, its
+// running requests have ended and their bills are recorded. The daemon then exits, to be started anew.
 func (r *Router) Fenced() <-chan struct{} { return r.fenced }
 
 // Close ends a fenced router. It has nothing left to return.
-func (r *Router) Close() { r.close() }
+func (r *Router) Close() {
+	r.finishCallers(context.Background())
+	r.close()
+}
+
+// finishCallers lets answers that are written reach their callers. A request
+// has ended for the router a little before its last bytes are sent.
+func (r *Router) finishCallers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callersWithin)
+	defer cancel()
+	_ = r.http.Shutdown(ctx)
+}
 
 // drain waits until no request runs.
 func (r *Router) drain(ctx context.Context) {
