Test that a fenced router ends with its streams whole and billed

Change: a spec fences a router with an open stream and sends it new work until it finds itself fenced.

--- a/router/harness_test.go
+++ b/router/harness_test.go
@@ -156,6 +156,33 @@
 	return json.Unmarshal(resp.Result, into)
 }
 
+// incarnation asks a router which process runs there.
+func (f *fleet) incarnation(i int) string {
+	var who *peer.WhoAnswer
+	Expect(f.peer(i, func(ctx context.Context, c *peer.Client, addr string) (err error) {
+		who, err = peer.Call[peer.Empty, peer.WhoAnswer](ctx, c, addr, peer.MethodWho, &peer.Empty{})
+		return err
+	})).To(Succeed())
+	return who.Incarnation
+}
+
+// fence raises the barrier against an incarnation at a router.
+func (f *fleet) fence(i int, incarnation string) error {
+	return f.peer(i, func(ctx context.Context, c *peer.Client, addr string) error {
+		_, err := peer.Call[peer.BarrierRequest, peer.Empty](ctx, c, addr, peer.MethodBarrier, &peer.BarrierRequest{Fenced: []string{incarnation}})
+		return err
+	})
+}
+
+// peer calls a router as another router would.
+func (f *fleet) peer(i int, call func(context.Context, *peer.Client, string) error) error {
+	p := peer.NewClient(time.Second, "")
+	defer func() { _ = p.Close() }()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return call(ctx, p, f.settings[i].Listen.Peers)
+}
+
 // call is one request to a router.
 type call struct {
 	path    string
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -247,6 +247,27 @@
 		}, patience).Should(Equal(f.served()))
 	})
 
+	It("end a router that was taken to be dead, with its stream whole and billed", func() {
+		f := newFleet(3)
+		resp, err := f.send(0, chat("a long dossier", 900, true).with(filter.HeaderKey, "fenced"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadFull(resp.Body, make([]byte, 10))
+		Expect(err).NotTo(HaveOccurred())
+		for _, i := range []int{1, 2} {
+			Expect(f.fence(i, f.incarnation(0))).To(Succeed())
+		}
+		Eventually(func() result.Code {
+			return f.do(0, chat("x", 3, false).with(filter.HeaderKey, fmt.Sprint("after", time.Now().UnixNano()))).code
+		}, patience).Should(Equal(result.Leaving))
+		body, err := io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		_, whole := streamed(string(body))
+		Expect(whole).To(BeTrue())
+		Eventually(f.routers[0].Fenced(), patience).Should(BeClosed())
+		_, tokens := backend.Answer("a long dossier", 900)
+		Expect(f.bills("k/acme/fenced")).To(Equal([]int64{tokens}))
+	})
+
 	It("cut no stream at a planned stop", func() {
 		f := newFleet(2)
 		resp, err := f.send(0, chat("long answer 3", 300, true))
