Ask engines only for what a router left that is certainly gone

Asking an engine what an attempt served cancels it; a router that was fenced for silence may only be cut off, and still streams.

--- a/controller/reclaims/reclaims.go
+++ b/controller/reclaims/reclaims.go
@@ -85,6 +85,9 @@
 	// silentFor is how long a router must not answer to be fenced.
 	silentFor time.Duration
 	silent    map[string]time.Time
+	// silentDead are the instances of incarnations that were fenced for
+	// silence and whose attempts are charged their worst case.
+	silentDead map[string]string
 	// audits are the scans that still look for what an earlier one counted
 	// twice, and settled are the holders whose tokens are looked for.
 	audits  int
@@ -106,6 +109,8 @@
 		pages:     pages,
 		silentFor: silentFor,
 		silent:    map[string]time.Time{},
+
+		silentDead: map[string]string{},
 	}
 }
 
@@ -199,6 +204,9 @@
 type census struct {
 	live map[string]string // address by incarnation
 	dead []string          // incarnations
+	// gone are those of the dead whose instance runs another process. The
+	// others are merely silent: they may still be serving their callers.
+	gone map[string]bool
 }
 
 // scan fences dead holders and reclaims what they left.
@@ -212,6 +220,9 @@
 		return err
 	}
 	if len(now.dead) == 0 {
+		if err := c.billSilent(ctx); err != nil {
+			return err
+		}
 		return c.audit(ctx, now)
 	}
 	c.log.Warn("fencing dead routers", zap.Strings("incarnations", now.dead))
@@ -243,7 +254,7 @@
 // take asks all open holders. A holder is dead if its instance runs another
 // process, or has not answered for long.
 func (c *Controller) take(ctx context.Context, holders []holder) (census, error) {
-	now := census{live: map[string]string{}}
+	now := census{live: map[string]string{}, gone: map[string]bool{}}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	unsettled := false
@@ -267,7 +278,11 @@
 			case answering == h.Incarnation:
 				now.live[h.Incarnation] = addr
 				delete(c.silent, h.Incarnation)
-			case answering != "" || c.silentLong(h.Incarnation):
+			case answering != "":
+				now.gone[h.Incarnation] = true
+				now.dead = append(now.dead, h.Incarnation)
+			case c.silentLong(h.Incarnation):
+				c.silentDead[h.Incarnation] = h.Instance
 				now.dead = append(now.dead, h.Incarnation)
 			default:
 				unsettled = true
@@ -323,11 +338,33 @@
 		}
 	}
 	for _, incarnation := range now.dead {
+		charges, err := c.ledgers.FenceAll(ctx, incarnation)
+		if err != nil {
+			return err
+		}
+		if now.gone[incarnation] {
+			c.billLeft(ctx, incarnation, charges.Left)
+		}
+	}
+	return nil
+}
+
+// billSilent bills what routers left that were fenced for silence, once their
+// instance runs another process. Asking the engines cancels an attempt, and a
+// router that was only cut off or paused may still be streaming it.
+func (c *Controller) billSilent(ctx context.Context) error {
+	for incarnation, instance := range c.silentDead {
+		_, answering := c.who(ctx, instance)
+		if answering == "" || answering == incarnation {
+			continue
+		}
 		charges, err := c.ledgers.FenceAll(ctx, incarnation)
 		if err != nil {
 			return err
 		}
 		c.billLeft(ctx, incarnation, charges.Left)
+		delete(c.silentDead, incarnation)
+		c.audits, c.settled = auditScans, []string{incarnation}
 	}
 	return nil
 }
