Share one virtual clock between the benches; drop what nothing uses

Cause: reading the whole change again: the routing bench had written the event queue of the policy bench anew; a count of spent tokens, a key test, a size and a wait were left without a user; two tests repeated their set-up; a function that adds limits up was called strictest.

Change: lab/vtime holds the clock for both benches; the unused pieces are gone; the tests share their set-up and keep their assertions; the function is named combined. Behaviour stays.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -234,7 +234,6 @@
 	p := a.purse(id)
 	p.reserved -= reserved
 	p.balance += reserved - actual
-	p.spent += actual
 	a.pump(now, p)
 	a.giveBackSurplus(now, p)
 	return a.drain()
@@ -407,9 +406,6 @@
 	return true
 }
 
-// Purses returns the number of budgets with state here.
-func (a *Agent) Purses() int { return len(a.purses) }
-
 // Seal ends a closed agent: it takes no tokens any more, so that it has nothing
 // to return after its registration is gone and others may reclaim it.
 func (a *Agent) Seal() { a.sealed = true }
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -19,7 +19,6 @@
 	agent       *budget.Agent
 	store       []budget.Effect // calls not yet answered
 	running     []int64         // reserved by dispatched requests
-	frozen      bool
 }
 
 func (r *router) incarnation() string { return fmt.Sprintf("r%d/%d", r.index, r.life) }
@@ -54,7 +53,6 @@
 
 func (n *network) boot(r *router) {
 	r.life++
-	r.frozen = false
 	r.store, r.running = nil, nil
 	cfg := budget.DefaultConfig()
 	cfg.Pages = 1
@@ -327,19 +325,24 @@
 	return false
 }
 
-// TestUndeliveredToFencedStaysGone is the case of a message that fails after
-// its receiver was reclaimed: its tokens went back to the budget with the
-// receiver's, so the sender must not take them back too.
-func TestUndeliveredToFencedStaysGone(t *testing.T) {
+// loneHome returns an agent that is the home of every budget.
+func loneHome() (*budget.Agent, budget.Peer) {
 	cfg := budget.DefaultConfig()
 	cfg.Pages = 1
 	cfg.Self = budget.Peer{ID: "r0", Incarnation: "r0/1"}
 	cfg.Home = func(time.Time, string) string { return "r0" }
-	a := budget.NewAgent(cfg)
+	return budget.NewAgent(cfg), cfg.Self
+}
+
+// TestUndeliveredToFencedStaysGone is the case of a message that fails after
+// its receiver was reclaimed: its tokens went back to the budget with the
+// receiver's, so the sender must not take them back too.
+func TestUndeliveredToFencedStaysGone(t *testing.T) {
+	a, self := loneHome()
 	now := time.Unix(1000, 0)
 	dead := budget.Peer{ID: "r1", Incarnation: "r1/1"}
-	a.Receive(now, budget.Message{Kind: budget.Back, Budget: testBudget, From: budget.Peer{ID: "r2", Incarnation: "r2/1"}, To: cfg.Self, Total: 9, Delta: 9})
-	effects := a.Receive(now, budget.Message{Kind: budget.Recall, Budget: testBudget, From: dead, To: cfg.Self})
+	a.Receive(now, budget.Message{Kind: budget.Back, Budget: testBudget, From: budget.Peer{ID: "r2", Incarnation: "r2/1"}, To: self, Total: 9, Delta: 9})
+	effects := a.Receive(now, budget.Message{Kind: budget.Recall, Budget: testBudget, From: dead, To: self})
 	sent, ok := effects[0].(budget.Send)
 	if !ok || sent.Message.Delta != 9 {
 		t.Fatalf("want 9 tokens given back, got %+v", effects)
@@ -354,18 +357,14 @@
 // TestSealedTakesNoTokens: a router that has returned everything and is about
 // to end its registration must not take tokens, and so not return them late.
 func TestSealedTakesNoTokens(t *testing.T) {
-	cfg := budget.DefaultConfig()
-	cfg.Pages = 1
-	cfg.Self = budget.Peer{ID: "r0", Incarnation: "r0/1"}
-	cfg.Home = func(time.Time, string) string { return "r0" }
-	a := budget.NewAgent(cfg)
+	a, self := loneHome()
 	now := time.Unix(1000, 0)
 	a.Close(now)
 	if !a.Closed() {
 		t.Fatal("an empty agent is not closed")
 	}
 	a.Seal()
-	m := budget.Message{Kind: budget.Back, Budget: testBudget, From: budget.Peer{ID: "r1", Incarnation: "r1/1"}, To: cfg.Self, Total: 5, Delta: 5}
+	m := budget.Message{Kind: budget.Back, Budget: testBudget, From: budget.Peer{ID: "r1", Incarnation: "r1/1"}, To: self, Total: 5, Delta: 5}
 	if a.Accepts(m) {
 		t.Fatal("a sealed agent accepts tokens")
 	}
--- a/budget/purse.go
+++ b/budget/purse.go
@@ -62,7 +62,6 @@
 	page        int
 	balance     int64
 	reserved    int64
-	spent       int64
 	waiters     []waiter
 	draws       []draw
 	askedOf     string
--- a/controller/budgets/budgets.go
+++ b/controller/budgets/budgets.go
@@ -47,7 +47,6 @@
 	mu      sync.Mutex
 	agent   *budget.Agent
 	waiting map[uint64]chan answer
-	tasks   sync.WaitGroup
 	onStop  func()
 }
 
@@ -114,11 +113,11 @@
 func (c *Controller) perform(e budget.Effect) {
 	switch e := e.(type) {
 	case budget.Send:
-		c.start(func() { c.send(e.Message) })
+		go c.send(e.Message)
 	case budget.ReadPage:
-		c.start(func() { c.read(e.Page) })
+		go c.read(e.Page)
 	case budget.WritePage:
-		c.start(func() { c.write(e) })
+		go c.write(e)
 	case budget.Suspect:
 		c.members.Failed(e.ID)
 	case budget.Stop:
@@ -126,14 +125,6 @@
 	}
 }
 
-func (c *Controller) start(task func()) {
-	c.tasks.Add(1)
-	go func() {
-		defer c.tasks.Done()
-		task()
-	}()
-}
-
 // send delivers a message once. A message to this router itself stays here.
 func (c *Controller) send(m budget.Message) {
 	if m.To.ID == c.members.Self().ID {
@@ -355,6 +346,3 @@
 		}
 	}
 }
-
-// Wait waits for calls in progress. Call it after Run has ended.
-func (c *Controller) Wait() { c.tasks.Wait() }
--- a/filter/limit/limit.go
+++ b/filter/limit/limit.go
@@ -54,7 +54,7 @@
 	if h.config.Blocked(x.Account.ID, x.Target) {
 		return result.New(result.TablePending, "a change of the table is not yet decided here").After(time.Second)
 	}
-	limits, name := strictest(h.config.State().RowsFor(x.Account.ID, x.Target), x)
+	limits, name := combined(h.config.State().RowsFor(x.Account.ID, x.Target), x)
 	if err := h.enter(x, limits, name); err != nil {
 		return err
 	}
@@ -62,10 +62,10 @@
 	return h.next.Serve(ctx, x)
 }
 
-// strictest merges the rows of all sites: the limits of an account's target
+// combined adds up the rows of all sites: the limits of an account's target
 // hold over its sites together, so they add up; a site without a limit lifts
 // that limit.
-func strictest(rows map[string]table.Row, x *filter.Exchange) (table.Row, string) {
+func combined(rows map[string]table.Row, x *filter.Exchange) (table.Row, string) {
 	var sum table.Row
 	openInFlight, openRate, openTokens := len(rows) == 0, len(rows) == 0, len(rows) == 0
 	for _, r := range rows {
--- a/lab/policy/agents.go
+++ b/lab/policy/agents.go
@@ -62,7 +62,7 @@
 		a.nodes = append(a.nodes, &node{index: i})
 		a.boot(a.nodes[i])
 	}
-	w.after(scanEvery, a.scan)
+	w.After(scanEvery, a.scan)
 	return a
 }
 
@@ -90,11 +90,11 @@
 }
 
 func (a *agents) tick(n *node, incarnation int) {
-	a.w.after(tickEvery, func() {
+	a.w.After(tickEvery, func() {
 		if n.incarnation != incarnation || a.w.killed[n.index] {
 			return
 		}
-		a.w.onRouter(n.index, func() { a.perform(n, n.agent.Tick(a.w.now)) })
+		a.w.onRouter(n.index, func() { a.perform(n, n.agent.Tick(a.w.Now)) })
 		a.tick(n, incarnation)
 	})
 }
@@ -102,7 +102,7 @@
 // Reserve implements Sharer.
 func (a *agents) Reserve(router int, id string, need int64, done func(bool)) {
 	n := a.nodes[router]
-	token, granted, effects := n.agent.Reserve(a.w.now, id, need)
+	token, granted, effects := n.agent.Reserve(a.w.Now, id, need)
 	if granted {
 		done(true)
 	} else {
@@ -114,7 +114,7 @@
 // Settle implements Sharer.
 func (a *agents) Settle(router int, id string, reserved, actual int64) {
 	n := a.nodes[router]
-	a.perform(n, n.agent.Settle(a.w.now, id, reserved, actual))
+	a.perform(n, n.agent.Settle(a.w.Now, id, reserved, actual))
 }
 
 func (a *agents) perform(n *node, effects []budget.Effect) {
@@ -140,14 +140,14 @@
 
 func (a *agents) suspect(n *node, id string) {
 	if id != routerName(n.index) {
-		n.view.Failed(a.w.now, id)
+		n.view.Failed(a.w.Now, id)
 	}
 }
 
 // later does something at the same life of a router after a delay.
 func (a *agents) later(n *node, d time.Duration, do func()) {
 	incarnation := n.incarnation
-	a.w.after(d, func() {
+	a.w.After(d, func() {
 		if n.incarnation != incarnation || a.w.killed[n.index] {
 			return
 		}
@@ -158,7 +158,7 @@
 func (a *agents) send(from *node, m budget.Message) {
 	to := a.nodes[indexOf(m.To.ID)]
 	if to == from {
-		a.later(from, 0, func() { a.perform(from, from.agent.Receive(a.w.now, m)) })
+		a.later(from, 0, func() { a.perform(from, from.agent.Receive(a.w.Now, m)) })
 		return
 	}
 	a.w.counts.Messages++
@@ -185,13 +185,13 @@
 			a.later(from, oneWay, func() { a.failed(from, m, true) })
 			return
 		}
-		a.perform(to, to.agent.Receive(a.w.now, m))
+		a.perform(to, to.agent.Receive(a.w.Now, m))
 	})
 }
 
 func (a *agents) failed(n *node, m budget.Message, certain bool) {
 	a.suspect(n, m.To.ID)
-	a.perform(n, n.agent.Undelivered(a.w.now, m, certain))
+	a.perform(n, n.agent.Undelivered(a.w.Now, m, certain))
 }
 
 func indexOf(name string) int {
@@ -209,15 +209,15 @@
 	a.w.counts.Reads++
 	a.later(n, a.w.spec.StoreDelay, func() {
 		if a.w.down {
-			a.perform(n, n.agent.PageRead(a.w.now, page, 0, nil, budget.Unavailable))
+			a.perform(n, n.agent.PageRead(a.w.Now, page, 0, nil, budget.Unavailable))
 			return
 		}
 		p, ok := a.pages[page]
 		if !ok {
-			a.perform(n, n.agent.PageRead(a.w.now, page, 0, nil, budget.Missing))
+			a.perform(n, n.agent.PageRead(a.w.Now, page, 0, nil, budget.Missing))
 			return
 		}
-		a.perform(n, n.agent.PageRead(a.w.now, page, a.versions[page], p.Clone(), budget.Done))
+		a.perform(n, n.agent.PageRead(a.w.Now, page, a.versions[page], p.Clone(), budget.Done))
 	})
 }
 
@@ -225,7 +225,7 @@
 // writer meanwhile.
 func (a *agents) write(n *node, e budget.WritePage) {
 	a.w.counts.Writes++
-	a.w.after(a.w.spec.StoreDelay/2, func() {
+	a.w.After(a.w.spec.StoreDelay/2, func() {
 		result := budget.Done
 		switch {
 		case a.w.down:
@@ -238,7 +238,7 @@
 		}
 		version := a.versions[e.Page]
 		a.later(n, a.w.spec.StoreDelay/2, func() {
-			a.perform(n, n.agent.PageWritten(a.w.now, e.Page, version, result))
+			a.perform(n, n.agent.PageWritten(a.w.Now, e.Page, version, result))
 		})
 	})
 }
@@ -276,7 +276,7 @@
 // scan reclaims what a dead router left, as the controller does: one at a
 // time, while the store and all others answer.
 func (a *agents) scan() {
-	a.w.after(scanEvery, a.scan)
+	a.w.After(scanEvery, a.scan)
 	if a.w.down || a.w.cut || len(a.dead) != 1 || !a.restart[a.dead[0].incarnation] || a.anyAway() {
 		return
 	}
--- a/lab/policy/baselines.go
+++ b/lab/policy/baselines.go
@@ -110,7 +110,7 @@
 // draw takes at least need and at most want tokens, in one write.
 func (b *bank) draw(id string, need, want int64, done func(tokens int64)) {
 	b.w.counts.Writes++
-	b.w.after(b.w.spec.StoreDelay, func() {
+	b.w.After(b.w.spec.StoreDelay, func() {
 		if b.w.down || b.free[id] < need {
 			done(0)
 			return
@@ -215,10 +215,10 @@
 func (h *home) Reserve(router int, id string, need int64, done func(bool)) {
 	at := h.homeOf(router, id)
 	h.message(router, at)
-	h.w.after(h.w.delay(router, at), func() {
+	h.w.After(h.w.delay(router, at), func() {
 		h.decide(at, id, need, func(ok bool) {
 			h.message(at, router)
-			h.w.after(h.w.delay(at, router), func() { done(ok) })
+			h.w.After(h.w.delay(at, router), func() { done(ok) })
 		})
 	})
 }
@@ -236,13 +236,13 @@
 		done(true)
 		return
 	}
-	if h.w.now.Sub(h.shortAt[id]) < shortPause {
+	if h.w.Now.Sub(h.shortAt[id]) < shortPause {
 		done(false)
 		return
 	}
 	h.draw(id, need, homeGrants*grantSize, func(tokens int64) {
 		if tokens == 0 {
-			h.shortAt[id] = h.w.now
+			h.shortAt[id] = h.w.Now
 		}
 		h.held[at][id] += tokens
 		done(h.take(at, id, need))
@@ -253,5 +253,5 @@
 func (h *home) Settle(router int, id string, reserved, actual int64) {
 	at := h.homeOf(router, id)
 	h.message(router, at)
-	h.w.after(h.w.delay(router, at), func() { h.held[at][id] += reserved - actual })
+	h.w.After(h.w.delay(router, at), func() { h.held[at][id] += reserved - actual })
 }
--- a/lab/policy/ledgerload.go
+++ b/lab/policy/ledgerload.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/gaplink/gaplink/lab/vtime"
 	"github.com/gaplink/gaplink/ledger"
 )
 
@@ -38,7 +39,7 @@
 
 // ledgerSim drives one shard, all of which are alike.
 type ledgerSim struct {
-	*sim
+	*vtime.Sim
 	load     LedgerLoad
 	shard    *ledger.Shard
 	segments []*ledger.Segment
@@ -58,19 +59,19 @@
 	cfg := ledger.DefaultConfig()
 	cfg.Owner = "owner"
 	cfg.Spacing, cfg.Linger = load.Spacing, load.Linger
-	s := &ledgerSim{sim: newSim(load.Seed), load: load, shard: ledger.NewShard(cfg), replies: map[uint64]func(){}}
-	begin := s.now
+	s := &ledgerSim{Sim: vtime.New(load.Seed, stream), load: load, shard: ledger.NewShard(cfg), replies: map[uint64]func(){}}
+	begin := s.Now
 	mean := time.Duration(float64(time.Second) * float64(load.Shards) / load.PerSecond)
 	s.arrivals(mean)
 	s.tick()
-	s.run(begin.Add(load.Length))
+	s.Run(begin.Add(load.Length))
 	return s.report()
 }
 
 func (s *ledgerSim) arrivals(mean time.Duration) {
-	s.after(s.exponential(mean), func() {
+	s.After(s.Exponential(mean), func() {
 		s.result.Requests++
-		s.request(s.result.Requests, s.rng.Float64() < s.load.Once)
+		s.request(s.result.Requests, s.Rng.Float64() < s.load.Once)
 		s.arrivals(mean)
 	})
 }
@@ -87,7 +88,7 @@
 		waits = &s.once
 	}
 	s.submit(op, waits, func() {
-		s.after(s.exponential(time.Second), func() {
+		s.After(s.Exponential(time.Second), func() {
 			op.Kind, op.Attempt, op.Tokens = ledger.Bill, 1, 200
 			s.submit(op, &s.bills, func() {})
 		})
@@ -95,23 +96,23 @@
 }
 
 func (s *ledgerSim) submit(op ledger.Op, waits *[]time.Duration, done func()) {
-	began := s.now
-	s.after(s.load.Hop/2, func() {
+	began := s.Now
+	s.After(s.load.Hop/2, func() {
 		s.token++
 		s.replies[s.token] = func() {
-			s.after(s.load.Hop/2, func() {
-				*waits = append(*waits, s.now.Sub(began))
+			s.After(s.load.Hop/2, func() {
+				*waits = append(*waits, s.Now.Sub(began))
 				done()
 			})
 		}
-		s.perform(s.shard.Submit(s.now, op, s.token))
+		s.perform(s.shard.Submit(s.Now, op, s.token))
 	})
 }
 
 func (s *ledgerSim) tick() {
 	const every = 5 * time.Millisecond
-	s.after(every, func() {
-		s.perform(s.shard.Tick(s.now))
+	s.After(every, func() {
+		s.perform(s.shard.Tick(s.Now))
 		s.tick()
 	})
 }
@@ -123,7 +124,7 @@
 			s.replies[e.Token]()
 			delete(s.replies, e.Token)
 		case ledger.Load:
-			s.after(s.load.StoreDelay, func() { s.perform(s.shard.Loaded(s.now, s.segments, s.version, ledger.Done)) })
+			s.After(s.load.StoreDelay, func() { s.perform(s.shard.Loaded(s.Now, s.segments, s.version, ledger.Done)) })
 		case ledger.Append:
 			s.append(e)
 		}
@@ -133,9 +134,9 @@
 func (s *ledgerSim) append(e ledger.Append) {
 	s.writes++
 	s.bytes += len(e.Segment.Encode())
-	s.after(s.load.StoreDelay, func() {
+	s.After(s.load.StoreDelay, func() {
 		s.version++
-		s.perform(s.shard.Appended(s.now, s.version, ledger.Done))
+		s.perform(s.shard.Appended(s.Now, s.version, ledger.Done))
 	})
 }
 
--- a/lab/policy/scenario.go
+++ b/lab/policy/scenario.go
@@ -1,3 +1,8 @@
+// Package policy compares ways to share prepaid budgets out, on the real
+// decision code in virtual time, seeded, so that a run repeats exactly.
+//
+// It is a bench of decisions, with fakes at the interfaces: the store is a map
+// of pages behind a delay, and a message is an event.
 package policy
 
 import (
@@ -63,6 +68,8 @@
 }
 
 const (
+	// stream separates these benches' random numbers from others of the seed.
+	stream     = 11
 	sameDomain = 200 * time.Microsecond
 	// zipf shapes the budgets' sizes: a few are large.
 	zipf = 1.1
--- a/lab/policy/world.go
+++ b/lab/policy/world.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/gaplink/gaplink/budget"
+	"github.com/gaplink/gaplink/lab/vtime"
 )
 
 // Sharer is one way to share budgets out. All calls are in virtual time.
@@ -62,7 +63,7 @@
 
 // world runs one scenario on one sharer.
 type world struct {
-	*sim
+	*vtime.Sim
 	spec     Scenario
 	sharer   Sharer
 	counts   Counts
@@ -81,7 +82,7 @@
 
 func newWorld(spec Scenario) *world {
 	w := &world{
-		sim:     newSim(spec.Seed),
+		Sim:     vtime.New(spec.Seed, stream),
 		spec:    spec,
 		books:   map[string]*account{},
 		extra:   map[string]int64{},
@@ -105,12 +106,12 @@
 	w := newWorld(spec)
 	w.sharer = make(w)
 	w.result.Policy = name
-	begin := w.now
+	begin := w.Now
 	w.arrivals(begin.Add(spec.Length))
 	w.faults()
-	w.run(begin.Add(spec.Warm))
+	w.Run(begin.Add(spec.Warm))
 	warm, requests := w.counts, w.result.Requests
-	w.run(begin.Add(spec.Length))
+	w.Run(begin.Add(spec.Length))
 	w.counts = w.counts.minus(warm)
 	w.measured = w.result.Requests - requests
 	return w.report()
@@ -128,26 +129,26 @@
 	mean := time.Duration(float64(time.Second) / w.spec.PerSecond)
 	var next func()
 	next = func() {
-		if w.now.After(until) {
+		if w.Now.After(until) {
 			return
 		}
-		i := min(sort.SearchFloat64s(sums, w.rng.Float64()), len(sums)-1)
+		i := min(sort.SearchFloat64s(sums, w.Rng.Float64()), len(sums)-1)
 		w.arrive(budgetName(i))
-		w.after(w.exponential(mean), next)
+		w.After(w.Exponential(mean), next)
 	}
-	w.after(w.exponential(mean), next)
+	w.After(w.Exponential(mean), next)
 }
 
 // arrive sends a request to a router that the balancer takes for alive.
 func (w *world) arrive(id string) {
-	limit := w.spec.MinCap + w.rng.Int64N(w.spec.MaxCap-w.spec.MinCap+1)
-	use := minUse + w.rng.Float64()*(maxUse-minUse)
+	limit := w.spec.MinCap + w.Rng.Int64N(w.spec.MaxCap-w.spec.MinCap+1)
+	use := minUse + w.Rng.Float64()*(maxUse-minUse)
 	r := &request{
-		router: w.rng.IntN(w.spec.Routers),
+		router: w.Rng.IntN(w.spec.Routers),
 		id:     id,
 		cap:    limit,
 		cost:   max(int64(float64(limit)*use), 1),
-		began:  w.now,
+		began:  w.Now,
 	}
 	for w.killed[r.router] || w.frozen[r.router] {
 		r.router = (r.router + 1) % w.spec.Routers
@@ -158,7 +159,7 @@
 }
 
 func (w *world) decided(r *request, ok bool) {
-	w.waits = append(w.waits, w.now.Sub(r.began))
+	w.waits = append(w.waits, w.Now.Sub(r.began))
 	if !ok {
 		w.refused(r)
 		return
@@ -167,7 +168,7 @@
 	b.worst += r.cap
 	b.actual += r.cost
 	w.running[r.router][r] = true
-	w.after(time.Duration(r.cost)*w.spec.PerToken, func() { w.finish(r) })
+	w.After(time.Duration(r.cost)*w.spec.PerToken, func() { w.finish(r) })
 }
 
 // finish ends a request. A frozen router settles when it wakes.
@@ -240,10 +241,10 @@
 
 func (w *world) faults() {
 	for _, f := range w.spec.Faults {
-		w.after(f.At, func() { w.fault(f) })
+		w.After(f.At, func() { w.fault(f) })
 	}
 	if w.spec.TopUp > 0 {
-		w.after(w.spec.Length/2, w.topUp)
+		w.After(w.spec.Length/2, w.topUp)
 	}
 }
 
@@ -258,20 +259,20 @@
 	switch f.Kind {
 	case Kill:
 		w.kill(f.Router)
-		w.after(f.Span, func() {
+		w.After(f.Span, func() {
 			w.killed[f.Router] = false
 			w.sharer.Started(f.Router)
 		})
 	case Freeze:
 		w.frozen[f.Router] = true
 		w.sharer.Frozen(f.Router)
-		w.after(f.Span, func() { w.wake(f.Router) })
+		w.After(f.Span, func() { w.wake(f.Router) })
 	case Outage:
 		w.down = true
-		w.after(f.Span, func() { w.down = false })
+		w.After(f.Span, func() { w.down = false })
 	case Cut:
 		w.cut = true
-		w.after(f.Span, func() { w.cut = false })
+		w.After(f.Span, func() { w.cut = false })
 	}
 }
 
@@ -284,9 +285,9 @@
 func (w *world) kill(router int) {
 	for r := range w.running[router] {
 		r.finished = true
-		served := int64(w.now.Sub(r.began) / w.spec.PerToken)
+		served := int64(w.Now.Sub(r.began) / w.spec.PerToken)
 		w.charge(r, min(served, r.cost))
-		if w.now.Sub(r.began) < dispatchTime {
+		if w.Now.Sub(r.began) < dispatchTime {
 			w.extra[r.id] += r.cap - served
 		}
 	}
--- a/lab/routing/routing.go
+++ b/lab/routing/routing.go
@@ -3,13 +3,13 @@
 package routing
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"sort"
 	"time"
 
+	"github.com/gaplink/gaplink/lab/vtime"
 	"github.com/gaplink/gaplink/route"
 	"github.com/gaplink/gaplink/table"
 )
@@ -74,33 +74,8 @@
 	return found
 }
 
-// event is something at a virtual time.
-type event struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 type run struct {
-	now     time.Time
-	queue   events
-	seq     int
-	rng     *rand.Rand
+	*vtime.Sim
 	policy  Policy
 	servers []*server
 	first   []time.Duration
@@ -109,28 +84,18 @@
 
 // Run runs the seeded load on a policy.
 func Run(name string, p Policy) Result {
-	r := &run{now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(1, 2)), policy: p}
+	r := &run{Sim: vtime.New(1, 2), policy: p}
 	for range servers {
 		r.servers = append(r.servers, &server{})
 	}
-	end := r.now.Add(length)
 	r.arrive()
 	r.report()
-	for len(r.queue) > 0 && r.queue[0].at.Before(end) {
-		e := heap.Pop(&r.queue).(event)
-		r.now = e.at
-		e.do()
-	}
+	r.Sim.Run(r.Now.Add(length))
 	return r.result(name)
 }
 
-func (r *run) after(d time.Duration, do func()) {
-	r.seq++
-	heap.Push(&r.queue, event{at: r.now.Add(d), seq: r.seq, do: do})
-}
-
 func (r *run) arrive() {
-	r.after(time.Duration(r.rng.ExpFloat64()*float64(time.Second)/perSecond), func() {
+	r.After(r.Exponential(time.Second/perSecond), func() {
 		r.request()
 		r.arrive()
 	})
@@ -138,9 +103,9 @@
 
 // request sends one request through a random router.
 func (r *run) request() {
-	router := r.rng.IntN(routers)
-	prefix := uint64(math.Pow(prefixes, r.rng.Float64())) * 0x9e3779b97f4a7c15
-	n := r.policy.Pick(r.now, router, prefix)
+	router := r.Rng.IntN(routers)
+	prefix := uint64(math.Pow(prefixes, r.Rng.Float64())) * 0x9e3779b97f4a7c15
+	n := r.policy.Pick(r.Now, router, prefix)
 	s := r.servers[n]
 	r.policy.Started(router, n)
 	s.inFlight++
@@ -156,9 +121,9 @@
 	}
 	ttft = time.Duration(float64(ttft) * pace)
 	r.first = append(r.first, ttft)
-	r.after(ttft+time.Duration(float64(decode)*pace), func() {
+	r.After(ttft+time.Duration(float64(decode)*pace), func() {
 		s.inFlight--
-		r.policy.Finished(r.now, router, n)
+		r.policy.Finished(r.Now, router, n)
 	})
 }
 
@@ -168,9 +133,9 @@
 	for i, s := range r.servers {
 		loads[i] = float64(s.inFlight)
 	}
-	r.after(reportLag, func() {
+	r.After(reportLag, func() {
 		for i, load := range loads {
-			r.policy.Report(r.now, i, load)
+			r.policy.Report(r.Now, i, load)
 		}
 		r.report()
 	})
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -10,7 +10,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -209,8 +208,3 @@
 func SegmentKey(shard, number int) string {
 	return fmt.Sprintf("%s%09d", Prefix(shard), number)
 }
-
-// IsSegmentKey tells whether a store key is a ledger segment's.
-func IsSegmentKey(key string) bool {
-	return strings.HasPrefix(key, "ledger/")
-}
