Meet other routers: borrow tokens from them, and learn from them while the store is away

Cause: in a cut from the store each router had only its own tokens, and a router that the store turns away heard nothing of changes. Change: routers register, greet each other, lend tokens to one that is short, and tell configuration and registrations to one without the store; watches wait 1.8 s at most.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -40,6 +40,11 @@
 	Recall Kind = "recall"
 	// Back moves unused tokens to the home.
 	Back Kind = "back"
+	// Borrow asks any router for tokens, when the store has too few or does
+	// not answer.
+	Borrow Kind = "borrow"
+	// Loan answers a Borrow, with tokens or a refusal.
+	Loan Kind = "loan"
 )
 
 // Message is what routers tell each other about one budget. Tokens move by
@@ -118,6 +123,8 @@
 	// should be the same for all budgets of a page, whose writes then go
 	// together.
 	Home func(now time.Time, budget string) string
+	// Lenders names other routers to borrow from, best first; nil: none.
+	Lenders func(now time.Time) []string
 	// HomeHorizon is how much demand a home draws ahead from the store. It is
 	// the setting between the users' preferences: longer lasts longer through
 	// an outage and strands more when a home dies.
@@ -270,6 +277,11 @@
 		a.giveBack(p, m.From)
 	case Back:
 		p.recallAnswered(m.From.Incarnation)
+	case Borrow:
+		a.lend(p, m)
+		return a.drain()
+	case Loan:
+		p.lent(m.From.ID)
 	}
 	a.pump(now, p)
 	if m.Kind == Draw && a.isHome(now, p.id) {
@@ -343,6 +355,8 @@
 		p.unask()
 	case Recall:
 		p.recallAnswered(m.To.Incarnation)
+	case Borrow:
+		p.lent(m.To.ID)
 	}
 	a.pump(now, p)
 	return a.drain()
@@ -375,6 +389,10 @@
 		a.emit(Suspect{ID: p.askedOf})
 		p.unask()
 	}
+	if p.lenderSilent(now, a.cfg.DrawTimeout) {
+		a.emit(Suspect{ID: p.borrowing.from})
+		p.lent(p.borrowing.from)
+	}
 	if p.recall.active && now.Sub(p.recall.at) >= a.cfg.RecallTimeout {
 		p.finishRecall()
 	}
@@ -419,6 +437,9 @@
 // to return after its registration is gone and others may reclaim it.
 func (a *Agent) Seal() { a.sealed = true }
 
+// Self returns this holder's incarnation.
+func (a *Agent) Self() string { return a.cfg.Self.Incarnation }
+
 // Touched returns this holder's incarnation and the pages it used.
 func (a *Agent) Touched() (holder string, pages []int) {
 	for n := range a.cfg.Pages {
--- a/budget/purse.go
+++ b/budget/purse.go
@@ -63,6 +63,7 @@
 	askedOf     string
 	prefetching time.Time // when a draw ahead was sent; zero: none is out
 	recall      recallRound
+	borrowing   borrowing
 	lookup      lookup
 	lookedAt    time.Time
 	shortAt     time.Time // when the store last had too little
@@ -134,7 +135,7 @@
 
 // idle tells whether nothing is held, awaited or asked for.
 func (p *purse) idle() bool {
-	return p.balance <= 0 && p.reserved == 0 && !p.waiting() && !p.asking() && !p.recall.active && p.lookup != lookupRunning
+	return p.balance <= 0 && p.reserved == 0 && !p.waiting() && !p.asking() && !p.recall.active && p.borrowing.from == "" && p.lookup != lookupRunning
 }
 
 func (p *purse) waiting() bool {
@@ -290,7 +291,7 @@
 		return
 	}
 	switch {
-	case p.recall.active:
+	case p.recall.active, p.borrowing.from != "":
 	case p.lookup == lookupRunning:
 		a.urge(now, p)
 	default:
@@ -365,7 +366,7 @@
 		a.drawFromStore(now, p, p.unmet())
 		return
 	}
-	if a.startRecall(now, p) {
+	if a.startRecall(now, p) || a.borrow(now, p) {
 		return
 	}
 	cause := Exhausted
--- a/controller/budgets/budgets.go
+++ b/controller/budgets/budgets.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -207,6 +209,35 @@
 	c.with(func(now time.Time, a *budget.Agent) []budget.Effect {
 		return a.PageWritten(now, w.Page, o.Version, classify(err))
 	})
+	c.logWrite(w, o.Version, err)
+}
+
+// logWrite tells of a write of a page: what this holder drew in all, and what
+// the page has left.
+func (c *Controller) logWrite(w budget.WritePage, version int64, err error) {
+	if err != nil {
+		c.log.Info("budget page not written", zap.Int("page", w.Page), zap.Int64("read_version", w.Version), zap.Error(err))
+		return
+	}
+	c.log.Info("budget page written", zap.Int("page", w.Page), zap.Int64("version", version),
+		zap.Stringer("drawn", drawn{page: w.Value, holder: c.agent.Self()}))
+}
+
+// drawn prints, for each budget, the net tokens that a holder drew, the free
+// ones and the limit.
+type drawn struct {
+	page   *budget.Page
+	holder string
+}
+
+// String implements fmt.Stringer.
+func (d drawn) String() string {
+	var b strings.Builder
+	for _, id := range d.page.Names() {
+		r := d.page.Budgets[id]
+		fmt.Fprintf(&b, "%s=%d/%d/%d ", id, r.Holders[d.holder], r.Free(), r.Limit)
+	}
+	return strings.TrimSpace(b.String())
 }
 
 func classify(err error) budget.StoreResult {
--- a/controller/follow/follow.go
+++ b/controller/follow/follow.go
@@ -13,10 +13,11 @@
 )
 
 const (
-	// watchWait is how long a watch waits at the store. A store that is silent
-	// while its connections live is noticed after this time; each renewal is
-	// one call.
-	watchWait = 6 * time.Second
+	// watchWait is how long a watch waits at the store. A watch may go deaf
+	// while its connection lives, when the store forgets its history; what
+	// changed meanwhile is found after this time and the client's slack. Each
+	// renewal is one call.
+	watchWait = 1800 * time.Millisecond
 	// retryPause is the pause after a failed call. Two followers of each router
 	// then make at most eight calls a second while the store is away.
 	retryPause = 250 * time.Millisecond
--- a/controller/members/members.go
+++ b/controller/members/members.go
@@ -136,6 +136,18 @@
 	return c.view.Members()
 }
 
+// Others returns the usable routers but this one, in a stable order.
+func (c *Controller) Others(now time.Time) []string {
+	ranked := c.Rank(now, "others")
+	others := ranked[:0:0]
+	for _, id := range ranked {
+		if id != c.self.ID {
+			others = append(others, id)
+		}
+	}
+	return others
+}
+
 // Live returns the number of usable routers, at least 1.
 func (c *Controller) Live() int {
 	c.mu.Lock()
@@ -143,6 +155,14 @@
 	return max(len(c.view.Rank(time.Now(), "live")), 1)
 }
 
+// Met adds a router that was met or told of, or updates it.
+func (c *Controller) Met(m membership.Member) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view.Add(m)
+	clear(c.ranked)
+}
+
 // Failed records that a call to a member failed.
 func (c *Controller) Failed(id string) {
 	if id == c.self.ID {
--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -48,6 +50,8 @@
 	regained time.Time
 	listed   bool
 	probedAt map[string]time.Time
+	// entries are the registrations by key, as they lie in the store.
+	entries map[string]store.Object
 }
 
 // New returns a controller that knows no server.
@@ -60,6 +64,7 @@
 		rng:      rng,
 		missing:  map[string]time.Time{},
 		probedAt: map[string]time.Time{},
+		entries:  map[string]store.Object{},
 	}
 }
 
@@ -150,15 +155,28 @@
 			c.absent(s.ID)
 		}
 	}
+	for key := range c.entries {
+		if !present[idOf(key)] {
+			delete(c.entries, key)
+		}
+	}
 	c.listed = true
 }
 
+// Entries returns the registrations in the order of their keys.
+func (c *Controller) Entries() []store.Object {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.SortedFunc(maps.Values(c.entries), func(a, b store.Object) int { return strings.Compare(a.Key, b.Key) })
+}
+
 // Changed implements follow.Handler.
 func (c *Controller) Changed(objects []store.Object) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, o := range objects {
 		if o.Deleted {
+			delete(c.entries, o.Key)
 			c.absent(idOf(o.Key))
 			continue
 		}
@@ -177,12 +195,16 @@
 }
 
 func (c *Controller) put(o store.Object) {
+	if o.Version < c.entries[o.Key].Version {
+		return // from a router that knows less
+	}
 	id := idOf(o.Key)
 	s, err := c.decode(id, o.Value)
 	if err != nil {
 		c.log.Error("registration is not readable; the server keeps its last one", zap.String("server", id), zap.Int64("version", o.Version), zap.Error(err))
 		return
 	}
+	c.entries[o.Key] = o
 	delete(c.missing, id)
 	c.note(s, o.Version)
 	c.servers.Put(s)
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -59,6 +59,13 @@
 	}
 }
 
+// Add adds a member that was met, or updates it.
+func (v *View) Add(m Member) {
+	if m.ID != v.self {
+		v.members[m.ID] = m
+	}
+}
+
 // SetList takes the platform's list. The router always keeps itself, and a
 // member heard to be leaving stays so until the list no longer has it: a
 // stale "live" never overrides the earlier knowledge.
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -19,6 +19,8 @@
 	MethodWho     = "member.Who"
 	MethodLeft    = "member.Left"
 	MethodBarrier = "reclaim.Barrier"
+	MethodHello   = "member.Hello"
+	MethodNews    = "member.News"
 )
 
 // Empty is an answer without content.
@@ -94,6 +96,45 @@
 	Incarnation string
 }
 
+// Router names a router process.
+type Router struct {
+	ID, Addr, Domain, Incarnation string
+}
+
+// HelloRequest tells a router of this one.
+type HelloRequest struct{ Self Router }
+
+// HelloAnswer names the routers that the asked one knows, itself included.
+type HelloAnswer struct{ Routers []Router }
+
+// NewsRequest asks for what is newer than what the asking router has.
+type NewsRequest struct {
+	// Config is the version of its configuration, 0 for none.
+	Config int64
+	// Servers is the digest of the registrations that it knows.
+	Servers uint64
+}
+
+// Registration is a backend server's registration as it lies in the store.
+type Registration struct {
+	Key     string
+	Version int64
+	Value   []byte
+}
+
+// NewsAnswer gives what is newer.
+type NewsAnswer struct {
+	// Current tells that the answering router reaches the store, so that what
+	// it knows is the newest.
+	Current bool
+	// Config is the configuration, nil if the asking router's is as new.
+	Config []byte
+	// Differ tells that Servers are all registrations that the answering router
+	// knows, since the digests differ.
+	Differ  bool
+	Servers []Registration
+}
+
 // LeftAnswer names the backend servers known to be leaving.
 type LeftAnswer struct {
 	Servers []string
--- a/server/server.go
+++ b/server/server.go
@@ -28,10 +28,15 @@
 	"github.com/gaplink/gaplink/controller/budgets"
 	"github.com/gaplink/gaplink/controller/configs"
 	"github.com/gaplink/gaplink/controller/follow"
+	"github.com/gaplink/gaplink/controller/members"
+	"github.com/gaplink/gaplink/controller/news"
 	"github.com/gaplink/gaplink/controller/registry"
+	"github.com/gaplink/gaplink/controller/roster"
 	"github.com/gaplink/gaplink/exchange"
 	"github.com/gaplink/gaplink/gateway"
 	"github.com/gaplink/gaplink/logs"
+	"github.com/gaplink/gaplink/membership"
+	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/result"
 	"github.com/gaplink/gaplink/retry"
 	"github.com/gaplink/gaplink/settings"
@@ -55,6 +60,13 @@
 	// retryShare is the part of the operator's bound on repeats that the
 	// routers plan with; the rest covers uneven shares and restarts.
 	retryShare = 0.8
+	// leastRouters is the size of fleet assumed before the others are met, when
+	// shares of what the fleet may do together are worked out.
+	leastRouters = 6
+	// peerDialTimeout bounds a connection to another router.
+	peerDialTimeout = 200 * time.Millisecond
+	// lenderTimeout is how long another router may take to lend tokens.
+	lenderTimeout = 100 * time.Millisecond
 )
 
 // Platform is what a deployment gives the gateway.
@@ -87,6 +99,13 @@
 	pool     *upstream.Pool
 	registry *prometheus.Registry
 
+	members       *members.Controller
+	peers         *peer.Client
+	roster        *roster.Controller
+	news          *news.Controller
+	followConfigs *follow.Follower
+	followServers *follow.Follower
+
 	callers  *http.Server
 	ready    *http.Server
 	metrics  *http.Server
@@ -126,7 +145,8 @@
 		IdleTimeout: s.settings.Servers.IdleTimeout.Std(),
 	})
 	s.servers = registry.New(s.platform.DecodeServer, s.pool, newRand(), s.log)
-	s.budgets = budgets.New(s.budgetConfig(), s.store, alone{id: s.settings.Instance.ID}, nil, s.log, func() {})
+	s.provisionPeers()
+	s.budgets = budgets.New(s.budgetConfig(), s.store, ownHome{s.members}, s.peers, s.log, func() {})
 	s.configs = configs.New(s.platform.ConfigKey, s.platform.DecodeConfig, s.configChanged, s.log)
 	s.gateway = gateway.New(gateway.Parts{
 		Domain:   s.settings.Instance.Domain,
@@ -138,20 +158,58 @@
 		Retries:  retry.NewBudgets(s.settings.Retries.Ratio*retryShare, s.retryBurst),
 		Logs:     s.logs,
 		Metrics:  gateway.NewMetrics(s.registry),
-		Routers:  s.routers,
+		Routers:  s.members.Live,
 	})
+	s.followConfigs = follow.New(s.store, s.platform.ConfigKind, s.configs, s.log)
+	s.followServers = follow.New(s.store, s.platform.ServerKind, s.servers, s.log)
+	s.news = news.New(s.configs, s.servers, s.members, s.peers, s.storeLost, s.log)
+}
+
+// provisionPeers builds what concerns the other routers.
+func (s *Server) provisionPeers() {
+	self := peer.Router{
+		ID:          s.settings.Instance.ID,
+		Addr:        s.settings.Listen.Peers,
+		Domain:      s.settings.Instance.Domain,
+		Incarnation: s.incarnation,
+	}
+	s.peers = peer.NewClient(peerDialTimeout, self.Addr)
+	s.members = members.New(membership.Member{ID: self.ID, Kind: "router", Addr: self.Addr, Domain: self.Domain, State: membership.Live}, nil, 0, s.log)
+	s.roster = roster.New(self, s.seeds, s.store, s.members, s.peers, s.log)
+}
+
+// seeds returns the addresses of other routers as the settings name them now.
+func (s *Server) seeds() []string {
+	s.reloading.Lock()
+	defer s.reloading.Unlock()
+	return s.settings.Fleet.Seeds
+}
+
+// storeLost tells whether the store does not answer this router.
+func (s *Server) storeLost() bool {
+	return s.followConfigs.Lost() || s.followServers.Lost()
+}
+
+// peerMux offers this router's methods to the others.
+func (s *Server) peerMux() *peer.Mux {
+	m := peer.NewMux()
+	peer.Handle(m, peer.MethodHello, s.roster.Hello)
+	peer.Handle(m, peer.MethodNews, s.news.Answer)
+	peer.Handle(m, peer.MethodBudget, s.onBudget)
+	return m
+}
+
+func (s *Server) onBudget(_ context.Context, req *peer.BudgetMessage) (*peer.Empty, error) {
+	return &peer.Empty{}, s.budgets.Receive(req.Message)
 }
 
 func newRand() *rand.Rand {
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
 
-// routers returns the number of routers that share servers and retries.
-func (s *Server) routers() int { return 8 }
-
 // retryBurst is this router's share of the repeats beyond the ratio.
 func (s *Server) retryBurst() float64 {
-	return s.settings.Retries.Slack * retryShare / float64(s.routers())
+	return s.settings.Retries.Slack * retryShare / float64(max(s.members.Live(), leastRouters))
 }
 
 func (s *Server) budgetConfig() budget.Config {
@@ -163,9 +221,18 @@
 	cfg.HeldRequests = 3
 	cfg.LowRequests = 1
 	cfg.CheckEvery = 500 * time.Millisecond
+	cfg.DrawTimeout = lenderTimeout
+	cfg.Lenders = s.lenders
 	return cfg
 }
 
+// lenders returns the other routers in a random order.
+func (s *Server) lenders(now time.Time) []string {
+	ids := s.members.Others(now)
+	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	return ids
+}
+
 // configChanged hands the budgets of a new configuration on before it is in
 // force.
 func (s *Server) configChanged(c *catalog.Catalog) {
@@ -203,8 +270,15 @@
 	if err := s.serveMetrics(); err != nil {
 		return err
 	}
-	go follow.New(s.store, s.platform.ConfigKind, s.configs, s.log).Run(ctx)
-	go follow.New(s.store, s.platform.ServerKind, s.servers, s.log).Run(ctx)
+	peerSide, err := net.Listen("tcp", s.settings.Listen.Peers)
+	if err != nil {
+		return trace.Wrap(err, "listening at %s", s.settings.Listen.Peers)
+	}
+	go func() { _ = peer.Serve(ctx, peerSide, s.peerMux()) }()
+	go s.followConfigs.Run(ctx)
+	go s.followServers.Run(ctx)
+	go s.roster.Run(ctx)
+	go s.news.Run(ctx)
 	go s.servers.Run(ctx)
 	go s.budgets.Run(ctx)
 	s.log.Info("started", zap.String("instance", s.settings.Instance.ID), zap.String("incarnation", s.incarnation),
@@ -265,6 +339,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stopReserve)
 	defer cancel()
 	s.budgets.Close(ctx)
+	s.roster.Leave(ctx)
 	_ = s.callers.Close()
 	s.cancel()
 	s.log.Info("stopped", zap.Int64("cut", cut), zap.Duration("after_ms", time.Since(begun)))
