Estimate demand over a longer window and return surplus tokens

Cause: 'budget page written' lines showed routers holding up to 27 s of an account's demand, since the estimate over 5 s swings with single prompts and what was drawn at a peak stayed; deaths strand it. Change: estimate over 10 s, corrected for its youth; excess over 1.25 of the hold rides along with the next write.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -144,6 +144,11 @@
 	StoreRetry time.Duration
 	// RefillBelow is the share of HomeHorizon below which a home draws more.
 	RefillBelow float64
+	// RateWindow is the time constant of the demand estimate.
+	RateWindow time.Duration
+	// Surplus is by how much more than it would hold a home may have before it
+	// returns the excess with its next write, as a share; 0: it never does.
+	Surplus float64
 	// HeldRequests and LowRequests are the least that a home holds, and at
 	// which it draws more, in requests of the mean size.
 	HeldRequests, LowRequests float64
@@ -163,6 +168,7 @@
 		CheckEvery:    100 * time.Millisecond,
 		PageSpacing:   time.Second,
 		StoreRetry:    200 * time.Millisecond,
+		RateWindow:    5 * time.Second,
 		RefillBelow:   1.0 / shareOfFree,
 		HeldRequests:  24,
 		LowRequests:   6,
@@ -208,7 +214,7 @@
 func (a *Agent) purse(id string) *purse {
 	p, ok := a.purses[id]
 	if !ok {
-		p = newPurse(id, PageOf(id, a.cfg.Pages))
+		p = newPurse(id, PageOf(id, a.cfg.Pages), a.cfg.RateWindow)
 		a.purses[id] = p
 	}
 	if !p.awake {
--- a/budget/paging.go
+++ b/budget/paging.go
@@ -147,8 +147,16 @@
 		if p.page != n || p.lookup != lookupIdle || p.scarce || p.recall.active {
 			continue
 		}
-		want := p.homeWant(now, &a.cfg) - p.balance
-		if want <= 0 || !a.isHome(now, p.id) {
+		hold := p.homeWant(now, &a.cfg)
+		if !a.isHome(now, p.id) {
+			continue
+		}
+		if a.cfg.Surplus > 0 && float64(p.balance) > float64(hold)*(1+a.cfg.Surplus) {
+			a.returnExcess(now, p, ps, p.balance-hold)
+			continue
+		}
+		want := hold - p.balance
+		if want <= 0 {
 			continue
 		}
 		p.lookup = lookupRunning
@@ -157,6 +165,12 @@
 	}
 }
 
+// returnExcess adds a return of tokens that are more than a home would hold.
+func (a *Agent) returnExcess(now time.Time, p *purse, ps *pageState, tokens int64) {
+	p.balance -= tokens
+	ps.ops = append(ps.ops, pageOp{budget: p.id, need: -tokens, at: now})
+}
+
 // stale tells whether a queued draw should see a newer copy: the held one is
 // older than the draw and has too little.
 func (a *Agent) stale(now time.Time, ps *pageState) bool {
--- a/budget/purse.go
+++ b/budget/purse.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// rateWindow is the time constant of the demand estimate.
-	rateWindow = 5 * time.Second
+	// youngest is the least time over which an estimate of demand is taken: the
+	// first requests alone say little.
+	youngest = 3 * time.Second
 	// needWindow is how many reservations the mean need looks back.
 	needWindow = 8
 )
@@ -76,16 +77,21 @@
 	demand      float64 // decayed tokens asked for
 	meanNeed    float64 // of one reservation, decayed by count
 	demandAt    time.Time
+	since       time.Time     // the first demand
+	window      time.Duration // time constant of the demand's decay
 	lastUse     time.Time
 	awake       bool // in the agent's list
 }
 
-func newPurse(id string, page int) *purse {
-	return &purse{id: id, page: page, sent: map[string]int64{}, received: map[string]int64{}, holders: map[string]*holder{}}
+func newPurse(id string, page int, window time.Duration) *purse {
+	return &purse{id: id, page: page, window: window, sent: map[string]int64{}, received: map[string]int64{}, holders: map[string]*holder{}}
 }
 
 // demanded adds tokens that were asked for to the estimate.
 func (p *purse) demanded(now time.Time, tokens int64) {
+	if p.demandAt.IsZero() {
+		p.since = now
+	}
 	p.demand = p.decayed(now) + float64(tokens)
 	p.demandAt = now
 }
@@ -113,12 +119,14 @@
 		return 0
 	}
 	age := now.Sub(p.demandAt)
-	return p.demand * math.Exp(-float64(age)/float64(rateWindow))
+	return p.demand * math.Exp(-float64(age)/float64(p.window))
 }
 
 // ahead returns the tokens that the present demand takes in d.
 func (p *purse) ahead(now time.Time, d time.Duration) int64 {
-	return int64(p.decayed(now) / rateWindow.Seconds() * d.Seconds())
+	age := max(now.Sub(p.since), youngest)
+	seen := 1 - math.Exp(-float64(age)/float64(p.window)) // of the window, so far
+	return int64(p.decayed(now) / (seen * p.window.Seconds()) * d.Seconds())
 }
 
 // unmet returns the tokens asked for and not yet covered by the balance.
--- a/server/server.go
+++ b/server/server.go
@@ -218,6 +218,8 @@
 	cfg.Pages = 1
 	cfg.HomeHorizon = s.settings.Budgets.Hold.Std()
 	cfg.RefillBelow = s.settings.Budgets.Refill
+	cfg.RateWindow = 10 * time.Second
+	cfg.Surplus = 0.25
 	cfg.HeldRequests = 3
 	cfg.LowRequests = 1
 	cfg.CheckEvery = 500 * time.Millisecond
