--- a/budget/agent.go
+++ b/budget/agent.go
@@ -144,6 +144,12 @@
 	StoreRetry time.Duration
 	// RefillBelow is the share of HomeHorizon below which a home draws more.
 	RefillBelow float64
+	// FreeShare bounds what a home holds ahead: this share of the store's free
+	// tokens, divided by the number of Routers. 0: no such bound.
+	FreeShare float64
+	// Routers is the number of routers that draw; it may be nil without
+	// FreeShare.
+	Routers func() int
 	// RateWindow is the time constant of the demand estimate.
 	RateWindow time.Duration
 	// Surplus is by how much more than it would hold a home may have before it
@@ -256,6 +262,7 @@
 	p := a.purse(id)
 	p.reserved -= reserved
 	p.balance += reserved - actual
+	p.overestimated(now, reserved-actual)
 	a.pump(now, p)
 	a.giveBackSurplus(now, p)
 	return a.drain()
@@ -443,9 +450,6 @@
 // to return after its registration is gone and others may reclaim it.
 func (a *Agent) Seal() { a.sealed = true }
 
-// Self returns this holder's incarnation.
-func (a *Agent) Self() string { return a.cfg.Self.Incarnation }
-
 // Touched returns this holder's incarnation and the pages it used.
 func (a *Agent) Touched() (holder string, pages []int) {
 	for n := range a.cfg.Pages {
--- a/budget/paging.go
+++ b/budget/paging.go
@@ -64,7 +64,7 @@
 func (a *Agent) drawFromStore(now time.Time, p *purse, need int64) {
 	p.lookup = lookupRunning
 	p.lookedAt = now
-	want := p.homeWant(now, &a.cfg)
+	want := a.hold(now, p)
 	a.queue(now, pageOp{budget: p.id, need: need, want: max(want-p.balance, need)})
 }
 
@@ -147,7 +147,7 @@
 		if p.page != n || p.lookup != lookupIdle || p.scarce || p.recall.active {
 			continue
 		}
-		hold := p.homeWant(now, &a.cfg)
+		hold := a.hold(now, p)
 		if !a.isHome(now, p.id) {
 			continue
 		}
--- a/budget/purse.go
+++ b/budget/purse.go
@@ -96,22 +96,47 @@
 	p.demandAt = now
 }
 
+// overestimated takes tokens that were reserved and not spent out of the
+// estimate.
+func (p *purse) overestimated(now time.Time, tokens int64) {
+	p.demand = max(p.decayed(now)-float64(tokens), 0)
+	p.demandAt = now
+}
+
 // used notes that a request of need tokens asked for the budget.
 func (p *purse) used(now time.Time, need int64) {
 	p.lastUse = now
 	p.meanNeed += (float64(need) - p.meanNeed) / needWindow
 }
 
-// homeWant is what a home would hold of the budget: its demand in the horizon,
-// and a few requests' worth of one that is asked for seldom.
-func (p *purse) homeWant(now time.Time, cfg *Config) int64 {
-	return max(p.ahead(now, cfg.HomeHorizon), int64(cfg.HeldRequests*p.meanNeed))
+// hold is what a home would hold of the budget: its demand in the horizon, a
+// few requests' worth of one that is asked for seldom, and no more than its
+// share of what is left.
+func (a *Agent) hold(now time.Time, p *purse) int64 {
+	want := max(p.ahead(now, a.cfg.HomeHorizon), int64(a.cfg.HeldRequests*p.meanNeed))
+	return min(want, a.fairShare(p))
+}
+
+// low is the balance at which a home draws more.
+func (a *Agent) low(now time.Time, p *purse) int64 {
+	horizon := time.Duration(float64(a.cfg.HomeHorizon) * a.cfg.RefillBelow)
+	low := max(p.ahead(now, horizon), int64(a.cfg.LowRequests*p.meanNeed))
+	return min(low, int64(float64(a.fairShare(p))*a.cfg.RefillBelow))
 }
 
-// homeLow is the balance at which a home draws more.
-func (p *purse) homeLow(now time.Time, cfg *Config) int64 {
-	low := time.Duration(float64(cfg.HomeHorizon) * cfg.RefillBelow)
-	return max(p.ahead(now, low), int64(cfg.LowRequests*p.meanNeed))
+// fairShare bounds what a home holds ahead by what the store has free, so that
+// the more is left for all the scarcer it gets, and little is lost with a
+// router that dies.
+func (a *Agent) fairShare(p *purse) int64 {
+	ps := a.pages[p.page]
+	if a.cfg.FreeShare == 0 || ps == nil || !ps.have {
+		return math.MaxInt64 / 2
+	}
+	r := ps.page.Budgets[p.id]
+	if r == nil {
+		return 0
+	}
+	return int64(a.cfg.FreeShare * float64(max(r.Free(), 0)) / float64(a.cfg.Routers()))
 }
 
 func (p *purse) decayed(now time.Time) float64 {
@@ -355,7 +380,7 @@
 		return
 	}
 	if a.isHome(now, p.id) {
-		if p.balance < p.homeLow(now, &a.cfg) && now.Sub(p.lookedAt) >= a.cfg.CheckEvery {
+		if p.balance < a.low(now, p) && now.Sub(p.lookedAt) >= a.cfg.CheckEvery {
 			a.drawFromStore(now, p, 0)
 		}
 		return
--- a/controller/budgets/budgets.go
+++ b/controller/budgets/budgets.go
@@ -212,30 +212,30 @@
 	c.logWrite(w, o.Version, err)
 }
 
-// logWrite tells of a write of a page: what this holder drew in all, and what
-// the page has left.
+// logWrite tells of a write of a page: what this router holds, and what the
+// page has left.
 func (c *Controller) logWrite(w budget.WritePage, version int64, err error) {
 	if err != nil {
 		c.log.Info("budget page not written", zap.Int("page", w.Page), zap.Int64("read_version", w.Version), zap.Error(err))
 		return
 	}
 	c.log.Info("budget page written", zap.Int("page", w.Page), zap.Int64("version", version),
-		zap.Stringer("drawn", drawn{page: w.Value, holder: c.agent.Self()}))
+		zap.Stringer("budgets", written{page: w.Value, held: c.Holdings(nil)}))
 }
 
-// drawn prints, for each budget, the net tokens that a holder drew, the free
-// ones and the limit.
-type drawn struct {
-	page   *budget.Page
-	holder string
+// written prints, for each budget, what this router holds and has reserved for
+// running requests, what the store has free, and the limit.
+type written struct {
+	page *budget.Page
+	held map[string]budget.Holding
 }
 
 // String implements fmt.Stringer.
-func (d drawn) String() string {
+func (w written) String() string {
 	var b strings.Builder
-	for _, id := range d.page.Names() {
-		r := d.page.Budgets[id]
-		fmt.Fprintf(&b, "%s=%d/%d/%d ", id, r.Holders[d.holder], r.Free(), r.Limit)
+	for _, id := range w.page.Names() {
+		r, h := w.page.Budgets[id], w.held[id]
+		fmt.Fprintf(&b, "%s=%d+%d/%d/%d ", id, h.Balance, h.Reserved, r.Free(), r.Limit)
 	}
 	return strings.TrimSpace(b.String())
 }
--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -247,11 +247,19 @@
 	defer c.mu.Unlock()
 	s, ok := c.servers.Pick(c.rng, q)
 	if ok {
-		c.servers.Started(s.ID)
+		c.servers.Started(s.ID, q.Tokens)
 	}
 	return s, ok
 }
 
+// Read tells that a server has read the prompt of a request, or will not any
+// more.
+func (c *Controller) Read(id string, tokens int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.servers.Read(id, tokens)
+}
+
 // Ended counts the end of a request at a server.
 func (c *Controller) Ended(id string, outcome placement.Outcome) {
 	c.mu.Lock()
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -88,7 +88,7 @@
 }
 
 func (c *call) query(tried map[string]bool) placement.Query {
-	return placement.Query{Service: c.service.Name, Affinity: c.affinity, Tried: tried, Domain: c.g.Domain}
+	return placement.Query{Service: c.service.Name, Affinity: c.affinity, Tokens: c.newTokens, Tried: tried, Domain: c.g.Domain}
 }
 
 // mayGoOn returns nil if the request may be sent to another server, or else
@@ -147,6 +147,7 @@
 // note keeps an attempt for the log and the counters.
 func (c *call) note(a *attempt) {
 	c.attempts = append(c.attempts, attemptNote{server: a.server.ID, verdict: a.verdictName(), after: time.Since(c.arrived)})
+	a.promptRead()
 	c.g.Servers.Ended(a.server.ID, a.judged)
 	c.g.Metrics.attempt(c.service.Name, a.verdictName())
 }
@@ -157,6 +158,8 @@
 	server placement.Server
 	// last tells that no further server may be asked.
 	last bool
+	// read tells that the server has read the prompt.
+	read bool
 	// judged is what the attempt says about the server.
 	judged placement.Outcome
 	err    error
@@ -240,18 +243,34 @@
 	}
 }
 
-// ranksOfRoute is how many priorities of routes one of an account spans.
-const ranksOfRoute = 3
+// rankSizes are the prompt sizes, in new tokens, from which a request gives way
+// to smaller ones: an engine reads one prompt after the other, and a small one
+// behind a large one would miss its objective.
+var rankSizes = []int64{1500, 4000, 10000, 20000}
 
-// priority joins the account's rank, which goes first, and the route's.
+// firstRank is the priority of the smallest prompts.
+const firstRank = 3
+
+// priority ranks a prompt by its size.
 func (a *attempt) priority() int {
-	rank := min(a.route.Priority, ranksOfRoute-1)
-	if a.account != nil {
-		rank += ranksOfRoute * a.account.Priority
+	rank := firstRank
+	for _, size := range rankSizes {
+		if a.newTokens >= size {
+			rank++
+		}
 	}
 	return rank
 }
 
+// promptRead notes, once, that the server has read the prompt or will not.
+func (a *attempt) promptRead() {
+	if a.read {
+		return
+	}
+	a.read = true
+	a.g.Servers.Read(a.server.ID, a.newTokens)
+}
+
 // connections is this router's share of the server's connections.
 func (a *attempt) connections() int {
 	limit := a.service.MaxConnections
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,7 +111,9 @@
 	account  *catalog.Account
 	body     []byte
 	affinity uint64
-	deadline time.Time
+	// newTokens are the prompt tokens that the request shares with no other.
+	newTokens int64
+	deadline  time.Time
 
 	reserved int64
 	attempts []attemptNote
@@ -190,6 +192,10 @@
 	if c.reserved > 0 {
 		fields = append(fields, zap.Int64("reserved", c.reserved), zap.Int64("spent", c.spent()))
 	}
+	if !c.stream.first.IsZero() {
+		fields = append(fields, zap.Int64("tokens_in", c.TokensIn), zap.Duration("first_ms", c.stream.first.Sub(c.arrived)),
+			zap.Duration("pause_ms", c.stream.pause))
+	}
 	if c.cause != nil {
 		fields = append(fields, zap.String("cause", c.cause.Error()))
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/gaplink/gaplink/eventstream"
 	"github.com/gaplink/gaplink/placement"
@@ -19,6 +20,20 @@
 	lastID string
 	// tokens is the most that the events received can hold.
 	tokens int64
+	// first and last are when the first and the last event were passed on, and
+	// pause is the longest time between two of them.
+	first, last time.Time
+	pause       time.Duration
+}
+
+// progressed notes that events were passed on.
+func (s *streamState) progressed(now time.Time) {
+	if s.first.IsZero() {
+		s.first = now
+	} else {
+		s.pause = max(s.pause, now.Sub(s.last))
+	}
+	s.last = now
 }
 
 // copyHead sets the headers of a server's answer.
@@ -97,6 +112,7 @@
 		n, err := answer.Read(buf)
 		batch := splitter.Add(buf[:n])
 		if batch.Events > 0 {
+			a.promptRead()
 			patience.progressed()
 			if writeErr := a.pass(answer, batch); writeErr != nil {
 				return a.callerLeft(writeErr)
@@ -129,6 +145,7 @@
 // pass writes whole events to the caller.
 func (a *attempt) pass(answer *upstream.Answer, batch eventstream.Batch) error {
 	a.startStream(answer)
+	a.stream.progressed(time.Now())
 	if batch.LastID != "" {
 		a.stream.lastID = batch.LastID
 	}
--- a/gateway/steps.go
+++ b/gateway/steps.go
@@ -109,13 +109,15 @@
 	}
 }
 
-// readPrompt derives the affinity: the hash of the parts that the prompt
-// shares with others, which are all but its last.
+// readPrompt derives what decides the choice of an engine: the hash of the
+// parts that the prompt shares with others, and the size of what it does not.
 func (g *Gateway) readPrompt(c *call) *result.Error {
-	if len(c.Prefix) == 0 {
+	n := len(c.Prefix)
+	if n == 0 {
 		return nil
 	}
-	shared := c.Prefix[:max(len(c.Prefix)-1, 1)]
+	c.newTokens = c.Prefix[n-1].Tokens
+	shared := c.Prefix[:max(n-1, 1)]
 	ids := make([]string, 0, len(shared))
 	for _, p := range shared {
 		ids = append(ids, p.ID)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -28,6 +28,9 @@
 	// service's mean before it is avoided. Plain services answer a part of
 	// their requests with errors of their own.
 	failureSlack = 0.25
+	// pendingBound is the number of own prompt tokens not yet read up to which
+	// a server is not too busy for its prefix: about a second at an engine.
+	pendingBound = 60000
 	// silentFailures in a row without any answer take a server out of use.
 	silentFailures = 2
 )
@@ -49,8 +52,10 @@
 // state is what the router knows of a server.
 type state struct {
 	Server
-	hash        uint64
-	inFlight    int
+	hash     uint64
+	inFlight int
+	// pending are the prompt tokens that the server has yet to read.
+	pending     int64
 	failureRate float64
 	silent      int
 	down        bool
@@ -165,6 +170,8 @@
 	Service string
 	// Affinity is the hash of the prompt's shared parts; 0 means none.
 	Affinity uint64
+	// Tokens are the prompt tokens that no server has read yet.
+	Tokens int64
 	// Tried are servers that the request was already sent to.
 	Tried map[string]bool
 	// Domain is the router's failure domain; it decides between servers that
@@ -213,7 +220,7 @@
 }
 
 // byPrefix returns the first server in the prefix's rendezvous order that is
-// not too busy, or the least busy one.
+// not too busy, or the one with the least to read.
 func byPrefix(list []*state, affinity uint64) *state {
 	total := 0
 	for _, s := range list {
@@ -223,10 +230,10 @@
 	var best, idlest *state
 	var bestRank uint64
 	for _, s := range list {
-		if idlest == nil || s.inFlight < idlest.inFlight {
+		if idlest == nil || s.pending < idlest.pending || s.pending == idlest.pending && s.inFlight < idlest.inFlight {
 			idlest = s
 		}
-		if s.inFlight > bound {
+		if s.inFlight > bound || s.pending > pendingBound {
 			continue
 		}
 		if rank := mix(affinity ^ s.hash); best == nil || rank > bestRank {
@@ -284,10 +291,20 @@
 	Silent
 )
 
-// Started counts a request that is being sent to a server.
-func (f *Servers) Started(id string) {
+// Started counts a request that is being sent to a server, with the prompt
+// tokens that it has to read.
+func (f *Servers) Started(id string, tokens int64) {
 	if s, ok := f.byID[id]; ok {
 		s.inFlight++
+		s.pending += tokens
+	}
+}
+
+// Read tells that a server has read the tokens of a prompt, or will not any
+// more.
+func (f *Servers) Read(id string, tokens int64) {
+	if s, ok := f.byID[id]; ok {
+		s.pending -= tokens
 	}
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -220,8 +220,10 @@
 	cfg.RefillBelow = s.settings.Budgets.Refill
 	cfg.RateWindow = 10 * time.Second
 	cfg.Surplus = 0.25
-	cfg.HeldRequests = 3
-	cfg.LowRequests = 1
+	cfg.HeldRequests = 1
+	cfg.LowRequests = 0.5
+	cfg.FreeShare = s.settings.Budgets.FreeShare
+	cfg.Routers = s.members.Live
 	cfg.CheckEvery = 500 * time.Millisecond
 	cfg.DrawTimeout = lenderTimeout
 	cfg.Lenders = s.lenders
