Keep a part of what routers hold in escrow, hand tokens over at a stop without the store

Change: a holder does not use the part beyond 4 s of demand until 4 s after its last write of the page; its successor on the same boot of the machine takes that part back if it started earlier than that, by the machine's steady clock. A router that stops while the store is away gives its tokens to another router.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -124,7 +124,19 @@
 	// together.
 	Home func(now time.Time, budget string) string
 	// Lenders names other routers to borrow from, best first; nil: none.
-	Lenders func(now time.Time) []string
+	Lenders func(now time.Time) []Peer
+	// StoreLost tells whether the store does not answer; nil: it is not known.
+	// A router that stops meanwhile hands its tokens to a lender.
+	StoreLost func() bool
+	// EscrowAfter is the time after a write of a page from which a holder may
+	// use its escrow; 0: there is none. Boot identifies the boot of the machine,
+	// Uptime reads its steady clock, Started is when this process began, and
+	// Predecessor tells whether a holder is an earlier process of this instance.
+	EscrowAfter time.Duration
+	Boot        string
+	Uptime      func(time.Time) time.Duration
+	Started     time.Time
+	Predecessor func(holder string) bool
 	// HomeHorizon is how much demand a home draws ahead from the store. It is
 	// the setting between the users' preferences: longer lasts longer through
 	// an outage and strands more when a home dies.
@@ -241,7 +253,8 @@
 	p := a.purse(id)
 	p.used(now, need)
 	p.demanded(now, need)
-	if p.balance >= need {
+	a.refreshEscrow(now, p)
+	if p.usable() >= need {
 		p.balance -= need
 		p.reserved += need
 		a.prefetch(now, p)
@@ -278,6 +291,7 @@
 	}
 	p := a.purse(m.Budget)
 	a.credit(p, m)
+	a.refreshEscrow(now, p)
 	switch m.Kind {
 	case Draw:
 		p.used(now, max(m.Need, 1))
@@ -398,6 +412,7 @@
 }
 
 func (a *Agent) tickPurse(now time.Time, p *purse) {
+	a.refreshEscrow(now, p)
 	if p.silent(now, a.cfg.DrawTimeout) {
 		a.emit(Suspect{ID: p.askedOf})
 		p.unask()
--- a/budget/borrow.go
+++ b/budget/borrow.go
@@ -30,14 +30,14 @@
 	if a.cfg.Lenders == nil || now.Sub(b.failedAt) < a.cfg.CheckEvery {
 		return false
 	}
-	for _, id := range a.cfg.Lenders(now) {
+	for _, lender := range a.cfg.Lenders(now) {
 		if len(b.asked) >= lendersAsked {
 			break
 		}
-		if b.asked[id] {
+		if b.asked[lender.ID] {
 			continue
 		}
-		a.askLender(now, p, id)
+		a.askLender(now, p, lender.ID)
 		return true
 	}
 	b.asked = nil
@@ -62,8 +62,8 @@
 // of the rest, or with a refusal.
 func (a *Agent) lend(p *purse, m Message) {
 	amount := int64(0)
-	if !a.closing && p.balance >= m.Need {
-		amount = max(m.Need, min(m.Want, p.balance/lentShare))
+	if !a.closing && p.usable() >= m.Need {
+		amount = max(m.Need, min(m.Want, p.usable()/lentShare))
 	}
 	loan := a.move(p, Loan, m.From, amount)
 	if amount == 0 {
--- a/budget/page.go
+++ b/budget/page.go
@@ -27,6 +27,8 @@
 	// Fenced are holders whose tokens were reclaimed: what they still hold is
 	// void, and they must write nothing any more.
 	Fenced map[string]bool `json:"fenced,omitempty"`
+	// Escrows are the holders' escrows.
+	Escrows map[string]Escrow `json:"escrows,omitempty"`
 }
 
 // Record is one budget as the store knows it.
@@ -67,7 +69,7 @@
 
 // NewPage returns an empty page.
 func NewPage() *Page {
-	return &Page{Budgets: map[string]*Record{}, Ops: map[string]int64{}, Fenced: map[string]bool{}}
+	return &Page{Budgets: map[string]*Record{}, Ops: map[string]int64{}, Fenced: map[string]bool{}, Escrows: map[string]Escrow{}}
 }
 
 // DecodePage reads a page from its stored form.
@@ -90,7 +92,7 @@
 
 // Clone returns a deep copy.
 func (p *Page) Clone() *Page {
-	c := &Page{Budgets: make(map[string]*Record, len(p.Budgets)), Ops: maps.Clone(p.Ops), Fenced: maps.Clone(p.Fenced)}
+	c := &Page{Budgets: make(map[string]*Record, len(p.Budgets)), Ops: maps.Clone(p.Ops), Fenced: maps.Clone(p.Fenced), Escrows: maps.Clone(p.Escrows)}
 	for id, r := range p.Budgets {
 		copied := *r
 		copied.Holders = maps.Clone(r.Holders)
@@ -130,6 +132,7 @@
 		delete(r.Holders, holder)
 	}
 	delete(p.Ops, holder)
+	delete(p.Escrows, holder)
 }
 
 // Reclaim takes tokens that fenced holders left back. What they left is
--- a/budget/paging.go
+++ b/budget/paging.go
@@ -43,6 +43,7 @@
 	number  int64
 	value   *Page
 	applied []appliedOp
+	escrow  escrowed
 	lost    bool
 }
 
@@ -58,6 +59,10 @@
 	ops     []pageOp
 	wroteAt time.Time
 	retryAt time.Time
+	// escrow is this holder's escrow in the page in the store.
+	escrow escrowed
+	// reseal tells that the page must be written although no tokens move.
+	reseal bool
 }
 
 // drawFromStore queues a draw of at least need and, by demand, more.
@@ -99,7 +104,7 @@
 	}
 	if ps.write == nil {
 		a.rideAlong(now, n, ps)
-		a.build(ps)
+		a.build(now, n, ps)
 	}
 	if ps.write == nil {
 		a.finishOps(now, ps, nil)
@@ -188,12 +193,15 @@
 
 // build makes the conditional update for all queued ops. Ops that change
 // nothing are answered without a write.
-func (a *Agent) build(ps *pageState) {
+func (a *Agent) build(now time.Time, n int, ps *pageState) {
 	value := ps.page.Clone()
-	changed := false
+	changed := ps.reseal
 	applied := make([]appliedOp, 0, len(ps.ops))
 	for _, op := range ps.ops {
 		tokens := amount(value, op)
+		if op.need >= 0 && a.purse(op.budget).escrow > 0 && a.needsReseal(now, a.purse(op.budget)) {
+			changed = true
+		}
 		if tokens != 0 {
 			value.issue(op.budget, a.cfg.Self.Incarnation, tokens)
 			changed = true
@@ -205,8 +213,10 @@
 	}
 	a.writes++
 	value.Ops[a.cfg.Self.Incarnation] = a.writes
-	ps.write = &pageWrite{version: ps.version, number: a.writes, value: value, applied: applied}
+	escrow := a.setAside(now, n, value)
+	ps.write = &pageWrite{version: ps.version, number: a.writes, value: value, applied: applied, escrow: escrow}
 	ps.ops = nil
+	ps.reseal = false
 }
 
 // amount returns the tokens that an op moves: all that is needed if it is
@@ -236,6 +246,7 @@
 		}
 		ps.page, ps.version, ps.have, ps.readAt = page, version, true, now
 		a.applyLimits(n, ps)
+		a.takeBack(ps)
 		a.resolveLost(now, ps)
 		a.shedOverdrawn(now, n, ps)
 	case Missing:
@@ -306,9 +317,27 @@
 	return a.drain()
 }
 
+// unqueueReturns takes back what is queued to be returned to the store.
+func (a *Agent) unqueueReturns(p *purse) {
+	ps := a.pages[p.page]
+	if ps == nil {
+		return
+	}
+	kept := ps.ops[:0]
+	for _, op := range ps.ops {
+		if op.budget == p.id && op.need < 0 {
+			p.balance -= op.need
+			continue
+		}
+		kept = append(kept, op)
+	}
+	ps.ops = kept
+}
+
 // finishWrite credits what the write that took effect drew.
 func (a *Agent) finishWrite(now time.Time, ps *pageState) {
 	applied := ps.write.applied
+	ps.escrow = ps.write.escrow
 	ps.write = nil
 	a.finishOps(now, ps, applied)
 }
--- a/budget/purse.go
+++ b/budget/purse.go
@@ -59,6 +59,7 @@
 	page        int
 	balance     int64
 	reserved    int64
+	escrow      int64 // of the balance, not usable yet
 	waiters     []waiter
 	draws       []draw
 	askedOf     string
@@ -154,8 +155,11 @@
 	return int64(p.decayed(now) / (seen * p.window.Seconds()) * d.Seconds())
 }
 
-// unmet returns the tokens asked for and not yet covered by the balance.
-func (p *purse) unmet() int64 {
+// unmet returns the tokens asked for and not yet covered.
+func (p *purse) unmet() int64 { return p.asked() - p.usable() }
+
+// asked returns the tokens that waiting reservations and draws ask for.
+func (p *purse) asked() int64 {
 	var sum int64
 	for _, w := range p.waiters {
 		sum += w.need
@@ -163,7 +167,7 @@
 	for _, d := range p.draws {
 		sum += d.need
 	}
-	return sum - p.balance
+	return sum
 }
 
 // idle tells whether nothing is held, awaited or asked for.
@@ -244,7 +248,7 @@
 func (a *Agent) serveWaiters(p *purse) {
 	kept := p.waiters[:0]
 	for _, w := range p.waiters {
-		if p.balance < w.need {
+		if p.usable() < w.need {
 			kept = append(kept, w)
 			continue
 		}
@@ -259,7 +263,7 @@
 func (a *Agent) serveDraws(now time.Time, p *purse) {
 	kept := p.draws[:0]
 	for _, d := range p.draws {
-		if p.balance < d.need {
+		if p.usable() < d.need {
 			kept = append(kept, d)
 			continue
 		}
@@ -310,6 +314,7 @@
 
 // pump serves what the balance covers and looks for more for the rest.
 func (a *Agent) pump(now time.Time, p *purse) {
+	a.refreshEscrow(now, p)
 	a.serveWaiters(p)
 	a.serveDraws(now, p)
 	if !p.waiting() {
@@ -380,7 +385,7 @@
 		return
 	}
 	if a.isHome(now, p.id) {
-		if p.balance < a.low(now, p) && now.Sub(p.lookedAt) >= a.cfg.CheckEvery {
+		if (p.balance < a.low(now, p) || a.needsReseal(now, p)) && now.Sub(p.lookedAt) >= a.cfg.CheckEvery {
 			a.drawFromStore(now, p, 0)
 		}
 		return
@@ -453,7 +458,7 @@
 // giveBack sends the whole balance to a peer, also when it is empty: the
 // message is the answer to a recall.
 func (a *Agent) giveBack(p *purse, to Peer) {
-	a.emit(Send{a.move(p, Back, to, max(p.balance, 0))})
+	a.emit(Send{a.move(p, Back, to, max(p.usable(), 0))})
 }
 
 // giveBackSurplus returns an unused balance to the home while tokens are
@@ -486,6 +491,9 @@
 // returnIdle returns a balance that nothing uses: to the home, or from the
 // home (and from a closing router) to the store.
 func (a *Agent) returnIdle(now time.Time, p *purse) {
+	if a.closing && a.handOver(now, p) {
+		return
+	}
 	if p.balance <= 0 || p.waiting() {
 		return
 	}
@@ -495,3 +503,21 @@
 	}
 	a.returnToStore(now, p)
 }
+
+// handOver gives a stopping router's tokens to another while the store does
+// not answer; false means that they go to the store.
+func (a *Agent) handOver(now time.Time, p *purse) bool {
+	if a.cfg.StoreLost == nil || a.cfg.Lenders == nil || !a.cfg.StoreLost() {
+		return false
+	}
+	heirs := a.cfg.Lenders(now)
+	if len(heirs) == 0 || heirs[0].Incarnation == "" {
+		return false
+	}
+	a.unqueueReturns(p)
+	a.refreshEscrow(now, p)
+	if p.usable() > 0 {
+		a.giveBack(p, heirs[0])
+	}
+	return true
+}
--- a/controller/members/members.go
+++ b/controller/members/members.go
@@ -129,6 +129,14 @@
 	return m.Addr, ok
 }
 
+// Incarnation returns the process last known at an instance; empty if none is.
+func (c *Controller) Incarnation(id string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m, _ := c.view.Member(id)
+	return m.Incarnation
+}
+
 // Members returns all listed routers.
 func (c *Controller) Members() []membership.Member {
 	c.mu.Lock()
--- a/controller/roster/roster.go
+++ b/controller/roster/roster.go
@@ -143,7 +143,7 @@
 	known := []peer.Router{c.self}
 	for _, m := range c.members.Members() {
 		if m.ID != c.self.ID {
-			known = append(known, peer.Router{ID: m.ID, Addr: m.Addr, Domain: m.Domain})
+			known = append(known, peer.Router{ID: m.ID, Addr: m.Addr, Domain: m.Domain, Incarnation: m.Incarnation})
 		}
 	}
 	return &peer.HelloAnswer{Routers: known}, nil
@@ -156,5 +156,5 @@
 	if _, known := c.members.Addr(r.ID); !known {
 		c.log.Info("router met", zap.String("router", r.ID), zap.String("address", r.Addr))
 	}
-	c.members.Met(membership.Member{ID: r.ID, Kind: "router", Addr: r.Addr, Domain: r.Domain, State: membership.Live})
+	c.members.Met(membership.Member{ID: r.ID, Kind: "router", Addr: r.Addr, Domain: r.Domain, State: membership.Live, Incarnation: r.Incarnation})
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -35,6 +35,8 @@
 	Domain string `json:"domain"`
 	// State is live or leaving.
 	State State `json:"state"`
+	// Incarnation is the process that runs at the instance, as far as known.
+	Incarnation string `json:"incarnation,omitempty"`
 }
 
 // suspectFor is how long a failed peer is ranked behind the others.
--- /dev/null
+++ b/server/holding.go
@@ -0,0 +1,53 @@
+package server
+
+import (
+	"math/rand/v2"
+	"os"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"github.com/gaplink/gaplink/budget"
+)
+
+const (
+	// escrowAfter is how long after its last write of the budgets a router
+	// leaves its escrow alone. It is a little longer than a process takes to be
+	// started anew, and much shorter than an outage that the escrow is for.
+	escrowAfter = 4 * time.Second
+	// bootIDFile identifies the boot of the machine.
+	bootIDFile = "/proc/sys/kernel/random/boot_id"
+)
+
+// escrowConfig sets what escrows need: the machine's boot and steady clock. A
+// machine that tells neither has escrows that nobody takes back.
+func (s *Server) escrowConfig(cfg *budget.Config) {
+	started := time.Now()
+	var clock unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &clock); err != nil {
+		s.log.Warn("no steady clock; budgets are held without escrow", zap.Error(err))
+		return
+	}
+	boot, err := os.ReadFile(bootIDFile)
+	if err != nil {
+		s.log.Warn("boot not known; escrows of earlier processes are not taken back", zap.Error(err))
+	}
+	atStart := time.Duration(clock.Nano())
+	cfg.EscrowAfter = escrowAfter
+	cfg.Boot = strings.TrimSpace(string(boot))
+	cfg.Started = started
+	cfg.Uptime = func(now time.Time) time.Duration { return atStart + now.Sub(started) }
+	cfg.Predecessor = func(holder string) bool { return strings.HasPrefix(holder, s.settings.Instance.ID+"/") }
+}
+
+// lenders returns the other routers in a random order.
+func (s *Server) lenders(now time.Time) []budget.Peer {
+	var peers []budget.Peer
+	for _, id := range s.members.Others(now) {
+		peers = append(peers, budget.Peer{ID: id, Incarnation: s.members.Incarnation(id)})
+	}
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers
+}
--- a/server/server.go
+++ b/server/server.go
@@ -227,16 +227,11 @@
 	cfg.CheckEvery = 500 * time.Millisecond
 	cfg.DrawTimeout = lenderTimeout
 	cfg.Lenders = s.lenders
+	cfg.StoreLost = s.storeLost
+	s.escrowConfig(&cfg)
 	return cfg
 }
 
-// lenders returns the other routers in a random order.
-func (s *Server) lenders(now time.Time) []string {
-	ids := s.members.Others(now)
-	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
-	return ids
-}
-
 // configChanged hands the budgets of a new configuration on before it is in
 // force.
 func (s *Server) configChanged(c *catalog.Catalog) {
