Test escrows: random runs of deaths, outages and top-ups, and each rule by itself

Cause found by the tests: Tick emptied its list of awake budgets while it went over them, so that a page written within a tick had no escrows and took no riders. Change: Tick goes over a copy. A conflict's answer is taken as the read that would follow, which saves a store call a conflict.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"slices"
 	"time"
 )
 
@@ -394,15 +395,13 @@
 	if a.sealed {
 		return nil
 	}
-	list := a.awake
-	a.awake = nil
-	for _, p := range list {
+	for _, p := range slices.Clone(a.awake) {
 		a.tickPurse(now, p)
-		p.awake = !p.idle()
-		if p.awake {
-			a.awake = append(a.awake, p)
-		}
 	}
+	a.awake = slices.DeleteFunc(a.awake, func(p *purse) bool {
+		p.awake = !p.idle()
+		return !p.awake
+	})
 	for n := range a.cfg.Pages {
 		if ps, ok := a.pages[n]; ok {
 			a.kick(now, n, ps)
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -39,6 +39,11 @@
 	charged int64    // billed, and worst cases of dead attempts
 	home    int
 	waiting map[string]int64
+
+	// The limit as the configuration gives it, and whether the store is known
+	// to be away; for routers that draw for themselves.
+	limit, limitVersion int64
+	storeLost           bool
 }
 
 func newNetwork(t *rapid.T) *network {
@@ -165,6 +170,7 @@
 
 func (n *network) write(r *router, e budget.WritePage, fate string) {
 	result := budget.Done
+	var current *budget.Page
 	switch fate {
 	case "unavailable":
 		result = budget.Unavailable
@@ -174,12 +180,13 @@
 	default:
 		if !n.put(e) {
 			result = budget.Conflict
+			current = n.page.Clone()
 		}
 		if fate == "lost" {
 			result = budget.Lost
 		}
 	}
-	n.perform(r, r.agent.PageWritten(n.now, 0, n.version, result))
+	n.perform(r, r.agent.PageWritten(n.now, 0, n.version, result, current))
 }
 
 func (n *network) put(e budget.WritePage) bool {
--- /dev/null
+++ b/budget/escrow_test.go
@@ -0,0 +1,249 @@
+package budget_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/gaplink/gaplink/budget"
+)
+
+const escrowAfter = 4 * time.Second
+
+// epoch is when all machines of the tests were booted.
+var epoch = time.Unix(0, 0)
+
+// ownHomeConfig is the configuration of a router that draws for itself,
+// borrows from the others and keeps an escrow.
+func ownHomeConfig(id, incarnation string, started time.Time, lenders []budget.Peer) budget.Config {
+	cfg := budget.DefaultConfig()
+	cfg.Pages = 1
+	cfg.Self = budget.Peer{ID: id, Incarnation: incarnation}
+	cfg.Home = func(time.Time, string) string { return id }
+	cfg.Lenders = func(time.Time) []budget.Peer { return lenders }
+	cfg.HeldRequests, cfg.LowRequests = 1, 0.5
+	cfg.Surplus, cfg.RefillBelow = 0.25, 0.9
+	cfg.CheckEvery = time.Millisecond
+	cfg.EscrowAfter = escrowAfter
+	cfg.Boot = "boot of " + id
+	cfg.Uptime = func(now time.Time) time.Duration { return now.Sub(epoch) }
+	cfg.Started = started
+	cfg.Predecessor = func(holder string) bool { return strings.HasPrefix(holder, id+"/") }
+	return cfg
+}
+
+// bootOwnHome starts a process of the router that is its own home.
+func (n *network) bootOwnHome(r *router) {
+	r.life++
+	r.store, r.running = nil, nil
+	var lenders []budget.Peer
+	for _, other := range n.routers {
+		if other != r {
+			lenders = append(lenders, budget.Peer{ID: fmt.Sprintf("r%d", other.index), Incarnation: other.incarnation()})
+		}
+	}
+	cfg := ownHomeConfig(fmt.Sprintf("r%d", r.index), r.incarnation(), n.now, lenders)
+	cfg.StoreLost = func() bool { return n.storeLost }
+	r.agent = budget.NewAgent(cfg)
+	n.perform(r, r.agent.SetLimits(n.now, n.limits()))
+}
+
+func (n *network) limits() map[string]budget.Limit {
+	return map[string]budget.Limit{testBudget: {Account: "a", Tokens: n.limit, Version: n.limitVersion}}
+}
+
+// crash ends a process; its requests served something up to their worst case.
+// Its messages and late writes may still arrive.
+func (n *network) crash(r *router) {
+	for _, need := range r.running {
+		n.spent += need
+	}
+	n.bootOwnHome(r)
+}
+
+// raise changes the limit and tells some routers of it.
+func (n *network) raise(by int64, told func() bool) {
+	n.limit += by
+	n.limitVersion++
+	for _, r := range n.routers {
+		if told() {
+			n.perform(r, r.agent.SetLimits(n.now, n.limits()))
+		}
+	}
+}
+
+func (n *network) checkSpent() {
+	worst := n.spent
+	for _, r := range n.routers {
+		for _, need := range r.running {
+			worst += need
+		}
+	}
+	if worst > n.limit {
+		n.t.Fatalf("%d tokens spent or in flight, limit %d", worst, n.limit)
+	}
+}
+
+// TestEscrowNeverOverspends drives three routers that draw for themselves
+// through lost, late and repeated messages and writes, outages, top-ups, planned
+// stops, and deaths of one or all.
+func TestEscrowNeverOverspends(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := &network{t: t, now: epoch.Add(time.Hour), page: budget.NewPage(), waiting: map[string]int64{}, limit: 60, limitVersion: 1}
+		for i := range 3 {
+			n.routers = append(n.routers, &router{index: i})
+		}
+		for _, r := range n.routers {
+			n.bootOwnHome(r)
+		}
+		t.Repeat(escrowActions(n))
+	})
+}
+
+func escrowActions(n *network) map[string]func(*rapid.T) {
+	all := actions(n)
+	delete(all, "home")
+	delete(all, "reclaim")
+	pick := rapid.IntRange(0, 2)
+	all["kill"] = func(t *rapid.T) { n.crash(n.routers[pick.Draw(t, "router")]) }
+	all["kill all"] = func(*rapid.T) {
+		for _, r := range n.routers {
+			n.crash(r)
+		}
+	}
+	all["raise"] = func(t *rapid.T) {
+		told := rapid.Bool()
+		n.raise(rapid.Int64Range(1, 9).Draw(t, "tokens"), func() bool { return told.Draw(t, "told") })
+	}
+	all["outage"] = func(t *rapid.T) { n.storeLost = rapid.Bool().Draw(t, "lost") }
+	all["stop"] = func(t *rapid.T) {
+		r := n.routers[pick.Draw(t, "router")]
+		n.perform(r, r.agent.Close(n.now))
+	}
+	all["step"] = func(t *rapid.T) {
+		n.now = n.now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond)
+	}
+	all[""] = func(*rapid.T) { n.checkSpent() }
+	return all
+}
+
+// drive answers all store calls of a router.
+func (n *network) drive(r *router) {
+	for range 20 {
+		n.perform(r, r.agent.Tick(n.now))
+		for len(r.store) > 0 {
+			n.answer(r, "done")
+		}
+		n.now = n.now.Add(100 * time.Millisecond)
+	}
+}
+
+// lonely returns a network of one router that has served some requests.
+func lonely(t *rapid.T) (*network, *router) {
+	n := &network{t: t, now: epoch.Add(time.Hour), page: budget.NewPage(), waiting: map[string]int64{}, limit: 100000, limitVersion: 1}
+	r := &router{index: 0}
+	n.routers = []*router{r}
+	n.bootOwnHome(r)
+	for range 100 {
+		n.reserve(r, 100)
+		n.perform(r, r.agent.Tick(n.now))
+		for len(r.store) > 0 {
+			n.answer(r, "done")
+		}
+		n.finish(r, 100)
+		n.now = n.now.Add(100 * time.Millisecond)
+	}
+	return n, r
+}
+
+func (n *network) free() int64 { return n.page.Budgets[testBudget].Free() }
+
+// TestSuccessorTakesEscrowBack: a process that starts soon after the death of
+// the one before it takes back what that one had set aside; one that starts
+// later does not.
+func TestSuccessorTakesEscrowBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n, r := lonely(t)
+		before := n.free()
+		held := r.agent.Holding(testBudget).Balance
+		if held == 0 {
+			t.Fatal("the router holds nothing ahead")
+		}
+		late := rapid.Bool().Draw(t, "late")
+		if late {
+			n.now = n.now.Add(escrowAfter)
+		}
+		n.crash(r)
+		n.reserve(r, 1)
+		n.drive(r)
+		regained := n.free() + r.agent.Holding(testBudget).Balance - before
+		if late && regained > 0 {
+			t.Fatalf("%d tokens taken back although the process may have used them", regained)
+		}
+		if !late && regained <= 0 {
+			t.Fatalf("nothing taken back of %d tokens held", held)
+		}
+	})
+}
+
+// TestEscrowIsNotUsedEarly: while the store is away, a router leaves its escrow
+// alone until its time has passed, and uses it then.
+func TestEscrowIsNotUsedEarly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n, r := lonely(t)
+		n.reserve(r, 1)
+		for len(r.store) > 0 {
+			n.answer(r, "done")
+		}
+		var escrow int64
+		for _, e := range n.page.Escrows {
+			escrow += e.Tokens[testBudget]
+		}
+		if escrow == 0 {
+			t.Fatal("nothing is in escrow")
+		}
+		served := func() (count int64) {
+			for range 10000 {
+				running := len(r.running)
+				n.reserve(r, 10)
+				for len(r.store) > 0 {
+					n.answer(r, "unavailable")
+				}
+				if len(r.running) == running {
+					return count
+				}
+				count += 10
+			}
+			return count
+		}
+		held := r.agent.Holding(testBudget).Balance
+		if early := served(); early > held-escrow {
+			t.Fatalf("%d of %d tokens used early, %d were set aside", early, held, escrow)
+		}
+		n.now = n.now.Add(escrowAfter)
+		if later := served(); later < escrow-10 {
+			t.Fatalf("only %d tokens used of %d in escrow", later, escrow)
+		}
+	})
+}
+
+// TestLoweredLimitIsHandedBack: what a router holds of a budget that is lowered
+// goes back to the store, and no more than the new limit is issued.
+func TestLoweredLimitIsHandedBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n, r := lonely(t)
+		n.raise(-89500, func() bool { return true }) // 10500 remain, 10000 of them spent
+		n.drive(r)
+		if free := n.free(); free < 0 {
+			t.Fatalf("%d tokens issued beyond the limit", -free)
+		}
+		for range 100 {
+			n.reserve(r, 100)
+			n.drive(r)
+		}
+		n.checkSpent()
+	})
+}
--- a/budget/paging.go
+++ b/budget/paging.go
@@ -287,8 +287,9 @@
 	ps.write = nil
 }
 
-// PageWritten takes the answer of a WritePage.
-func (a *Agent) PageWritten(now time.Time, n int, version int64, result StoreResult) []Effect {
+// PageWritten takes the answer of a WritePage. With a Conflict, current is the
+// page as it is at that version, or nil if the store did not tell it.
+func (a *Agent) PageWritten(now time.Time, n int, version int64, result StoreResult, current *Page) []Effect {
 	ps := a.pages[n]
 	ps.writing = false
 	switch result {
@@ -302,6 +303,9 @@
 		if !ps.write.lost {
 			a.requeue(ps)
 		}
+		if current != nil {
+			return a.PageRead(now, n, version, current, Done)
+		}
 	case Lost:
 		ps.have = false
 		ps.write.lost = true
--- a/controller/budgets/budgets.go
+++ b/controller/budgets/budgets.go
@@ -206,12 +206,26 @@
 
 func (c *Controller) write(w budget.WritePage) {
 	o, err := store.Put(context.Background(), c.store, budget.PageKey(w.Page), w.Version, w.Value.Encode())
+	outcome := classify(err)
 	c.with(func(now time.Time, a *budget.Agent) []budget.Effect {
-		return a.PageWritten(now, w.Page, o.Version, classify(err))
+		return a.PageWritten(now, w.Page, o.Version, outcome, c.current(w.Page, o, outcome))
 	})
 	c.logWrite(w, o.Version, err)
 }
 
+// current returns the page that a conflict showed, nil if it did not.
+func (c *Controller) current(n int, o store.Object, outcome budget.StoreResult) *budget.Page {
+	if outcome != budget.Conflict || o.Version == 0 {
+		return nil
+	}
+	page, err := budget.DecodePage(o.Value)
+	if err != nil {
+		c.log.Error("budget page is not readable", zap.Int("page", n), zap.Error(err))
+		return nil
+	}
+	return page
+}
+
 // logWrite tells of a write of a page: what this router holds, and what the
 // page has left.
 func (c *Controller) logWrite(w budget.WritePage, version int64, err error) {
--- a/lab/policy/agents.go
+++ b/lab/policy/agents.go
@@ -238,7 +238,7 @@
 		}
 		version := a.versions[e.Page]
 		a.later(n, a.w.spec.StoreDelay/2, func() {
-			a.perform(n, n.agent.PageWritten(a.w.Now, e.Page, version, result))
+			a.perform(n, n.agent.PageWritten(a.w.Now, e.Page, version, result, nil))
 		})
 	})
 }
--- a/store/store.go
+++ b/store/store.go
@@ -56,7 +56,8 @@
 	Get(ctx context.Context, key string) (Object, error)
 	// Create makes an object, or fails with ErrConflict if it exists.
 	Create(ctx context.Context, key string, value []byte) (Object, error)
-	// Update replaces the value if the version still holds.
+	// Update replaces the value if the version still holds. With ErrConflict it
+	// returns the object as it is, if the store tells it; its version is else 0.
 	Update(ctx context.Context, key string, version int64, value []byte) (Object, error)
 	// Delete removes the object if the version still holds.
 	Delete(ctx context.Context, key string, version int64) error
