--- a/budget/escrow_test.go
+++ b/budget/escrow_test.go
@@ -85,6 +85,15 @@
 	if worst > n.limit {
 		n.t.Fatalf("%d tokens spent or in flight, limit %d", worst, n.limit)
 	}
+	if n.page.Budgets[testBudget] == nil {
+		return
+	}
+	for _, r := range n.routers {
+		worst += r.agent.Holding(testBudget).Balance
+	}
+	if issued := n.page.Budgets[testBudget].Issued(); issued < worst {
+		n.t.Fatalf("%d tokens issued, %d spent, in flight or held", issued, worst)
+	}
 }
 
 // TestEscrowNeverOverspends drives three routers that draw for themselves
@@ -92,7 +101,7 @@
 // stops, and deaths of one or all.
 func TestEscrowNeverOverspends(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		n := &network{t: t, now: epoch.Add(time.Hour), page: budget.NewPage(), waiting: map[string]int64{}, limit: 60, limitVersion: 1}
+		n := &network{t: t, now: epoch.Add(time.Hour), page: budget.NewPage(), waiting: map[string]int64{}, limit: 200, limitVersion: 1}
 		for i := range 3 {
 			n.routers = append(n.routers, &router{index: i})
 		}
@@ -126,6 +135,23 @@
 	all["step"] = func(t *rapid.T) {
 		n.now = n.now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond)
 	}
+	all["burst"] = func(t *rapid.T) {
+		r := n.routers[pick.Draw(t, "router")]
+		for range rapid.IntRange(1, 40).Draw(t, "requests") {
+			n.reserve(r, 2)
+			n.finish(r, 2)
+		}
+	}
+	all["calm"] = func(t *rapid.T) {
+		r := n.routers[pick.Draw(t, "router")]
+		for range 10 {
+			n.now = n.now.Add(100 * time.Millisecond)
+			n.reserve(r, 1)
+			n.perform(r, r.agent.Tick(n.now))
+			n.answer(r, "done")
+			n.finish(r, 1)
+		}
+	}
 	all[""] = func(*rapid.T) { n.checkSpent() }
 	return all
 }
