--- a/controller/budgets/budgets.go
+++ b/controller/budgets/budgets.go
@@ -26,7 +26,7 @@
 	waitAtMost = 3 * time.Second
 	// exhaustedRetry and unreachableRetry are when to come back.
 	exhaustedRetry   = 5 * time.Second
-	unreachableRetry = time.Second
+	unreachableRetry = 4 * time.Second
 )
 
 // errOtherProcess means that the message was for an earlier process of the
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -105,7 +105,7 @@
 		Budgets: GatewayBudgets{Hold: Duration(10 * time.Second), Refill: 0.9, FreeShare: 3},
 		Servers: GatewayServers{DialTimeout: Duration(250 * time.Millisecond), IdleTimeout: Duration(10 * time.Second)},
 		Retries: GatewayRetries{Ratio: 0.2, Slack: 50},
-		Stop:    GatewayStop{Grace: Duration(8 * time.Second), Notice: Duration(2500 * time.Millisecond)},
+		Stop:    GatewayStop{Grace: Duration(8 * time.Second), Notice: Duration(4 * time.Second)},
 		Memory:  GatewayMemory{LimitMB: 256},
 		Log:     Log{Level: "info"},
 	}
