Return budgets while a stopping router's last requests run

Change: returns start when new requests are refused, are not spaced, and what cut requests leave has a second of its own.

--- a/budget/paging.go
+++ b/budget/paging.go
@@ -94,7 +94,7 @@
 		a.failDraws(now, ps)
 		return
 	}
-	if ps.write == nil && !ps.urgent() && now.Sub(ps.wroteAt) < a.cfg.PageSpacing {
+	if ps.write == nil && !ps.urgent() && !a.closing && now.Sub(ps.wroteAt) < a.cfg.PageSpacing {
 		return
 	}
 	if !ps.have || a.stale(now, ps) {
--- a/controller/budgets/budgets.go
+++ b/controller/budgets/budgets.go
@@ -368,10 +368,15 @@
 	c.agent.Fence(incarnation)
 }
 
+// StartClose starts returning all balances, now and as requests end.
+func (c *Controller) StartClose() {
+	c.with(func(now time.Time, a *budget.Agent) []budget.Effect { return a.Close(now) })
+}
+
 // Close returns all balances to the store; it waits until that is done or the
 // context ends.
 func (c *Controller) Close(ctx context.Context) {
-	c.with(func(now time.Time, a *budget.Agent) []budget.Effect { return a.Close(now) })
+	c.StartClose()
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for !c.closed() {
--- a/server/server.go
+++ b/server/server.go
@@ -52,8 +52,11 @@
 	headerTimeout = 10 * time.Second
 	// maxHeaderBytes is above every limit that an operator sets for callers.
 	maxHeaderBytes = 64 << 10
-	// stopReserve is kept of the grace time for returning budgets.
-	stopReserve = 700 * time.Millisecond
+	// returnReserve is kept of the grace time for returning what cut requests
+	// leave of the budgets: two writes at a store that is slow.
+	returnReserve = time.Second
+	// exitReserve is kept of the grace time for the end of the process.
+	exitReserve = 300 * time.Millisecond
 	// collectAt makes the garbage collector run when the heap has grown by this
 	// percentage: memory at its peak costs more than processor time.
 	collectAt = 50
@@ -321,29 +324,35 @@
 }
 
 // Stop is a planned stop: it tells the balancer, goes on serving until that
-// has noticed, lets running requests finish within the grace time, and returns
-// what it holds of the budgets.
+// has noticed, returns what it holds of the budgets while running requests
+// finish, and cuts those that do not within the grace time.
 func (s *Server) Stop() {
 	begun := time.Now()
-	end := begun.Add(s.settings.Stop.Grace.Std() - stopReserve)
+	end := begun.Add(s.settings.Stop.Grace.Std())
 	s.log.Info("stopping", zap.Int64("in_flight", s.gateway.InFlight()))
 	close(s.stopping)
 	s.gateway.Leave()
 	time.Sleep(s.settings.Stop.Notice.Std())
 	s.gateway.Refuse()
-	for s.gateway.InFlight() > 0 && time.Now().Before(end) {
-		time.Sleep(stopPoll)
-	}
+	s.budgets.StartClose()
+	s.drain(end.Add(-returnReserve))
 	cut := s.gateway.InFlight()
-	ctx, cancel := context.WithTimeout(context.Background(), stopReserve)
+	_ = s.callers.Close()
+	ctx, cancel := context.WithDeadline(context.Background(), end.Add(-exitReserve))
 	defer cancel()
 	s.budgets.Close(ctx)
 	s.roster.Leave(ctx)
-	_ = s.callers.Close()
 	s.cancel()
 	s.log.Info("stopped", zap.Int64("cut", cut), zap.Duration("after_ms", time.Since(begun)))
 	_ = s.writer.Sync()
 }
 
+// drain waits until no request runs, or the time has come.
+func (s *Server) drain(until time.Time) {
+	for s.gateway.InFlight() > 0 && time.Now().Before(until) {
+		time.Sleep(stopPoll)
+	}
+}
+
 // stopPoll is how often a stopping server looks whether requests still run.
 const stopPoll = 20 * time.Millisecond
