--- a/logs/logs.go
+++ b/logs/logs.go
@@ -5,7 +5,6 @@
 
 import (
 	"io"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,7 +29,6 @@
 	lines   chan []byte
 	flush   chan chan struct{}
 	dropped atomic.Int64
-	once    sync.Once
 }
 
 // NewWriter returns a writer over out and starts its goroutine.
