Reset connections of requests that are given up; take no request later than 2.9 s after the signal

Tests: upstream/upstream_test.go fails first without the reset. The longer notice of 4 s is taken back.

--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -88,7 +88,8 @@
 	// Grace is the time from the signal until the process is killed.
 	Grace Duration `toml:"grace" validate:"min=1000000000"`
 	// Notice is how long new requests are still taken, until the balancer has
-	// noticed that the router is leaving.
+	// noticed that the router is leaving. What is taken later than 3 s after the
+	// signal would have to end within the grace time, however long it runs.
 	Notice Duration `toml:"notice" validate:"min=0"`
 }
 
@@ -105,7 +106,7 @@
 		Budgets: GatewayBudgets{Hold: Duration(10 * time.Second), Refill: 0.9, FreeShare: 3},
 		Servers: GatewayServers{DialTimeout: Duration(250 * time.Millisecond), IdleTimeout: Duration(10 * time.Second)},
 		Retries: GatewayRetries{Ratio: 0.2, Slack: 50},
-		Stop:    GatewayStop{Grace: Duration(8 * time.Second), Notice: Duration(4 * time.Second)},
+		Stop:    GatewayStop{Grace: Duration(8 * time.Second), Notice: Duration(2900 * time.Millisecond)},
 		Memory:  GatewayMemory{LimitMB: 256},
 		Log:     Log{Level: "info"},
 	}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -37,3 +37,11 @@
 	})
 	return err == nil && quiet
 }
+
+// reset makes the coming Close reset the connection: what is not delivered yet
+// is dropped.
+func (c *conn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a connection that is closed already
+	}
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -372,12 +372,15 @@
 	return framed && !a.Response.Close && a.conn.reader.Buffered() == 0
 }
 
+// discard ends an exchange before its end. The connection is reset, so that a
+// request whose bytes are held up on the way never reaches the server later.
 func (a *Answer) discard() {
 	if a.over {
 		return
 	}
 	a.over = true
 	a.stop()
+	a.conn.reset()
 	a.pool.drop(a.conn)
 }
 
--- /dev/null
+++ b/upstream/upstream_test.go
@@ -0,0 +1,232 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/gaplink/gaplink/upstream"
+)
+
+// listen returns a listener whose connections are handed to serve.
+func listen(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func newPool() *upstream.Pool {
+	return upstream.New(upstream.Options{DialTimeout: time.Second, IdleTimeout: time.Second})
+}
+
+func get(addr, id string) *upstream.Request {
+	return &upstream.Request{
+		Address: addr, Owner: "s", Method: http.MethodGet, Target: "/" + id, Host: "h", Header: http.Header{"Request-Id": {id}},
+		Mine: func(r *http.Response) bool { return r.Header.Get("Request-Id") == id },
+	}
+}
+
+// TestCancelledRequestIsReset: a request that is given up must not reach the
+// server later, as it would if its connection were closed in order while its
+// bytes are held up on the way.
+func TestCancelledRequestIsReset(t *testing.T) {
+	read := make(chan error, 1)
+	given := make(chan struct{})
+	addr := listen(t, func(c net.Conn) {
+		<-given
+		time.Sleep(50 * time.Millisecond)
+		_, err := io.ReadAll(c)
+		read <- err
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, failure := newPool().Send(ctx, get(addr, "a"))
+	if failure == nil || failure.Stage != upstream.Sent {
+		t.Fatalf("want a failure after sending, got %+v", failure)
+	}
+	close(given)
+	if err := <-read; !errors.Is(err, syscall.ECONNRESET) {
+		t.Fatalf("the server read to the end of the connection: %v", err)
+	}
+}
+
+// answers serves each request of a connection with the next text.
+func answers(texts ...string) func(net.Conn) {
+	return func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		r := bufio.NewReader(c)
+		for _, text := range texts {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, text)
+		}
+		_, _ = r.ReadByte()
+	}
+}
+
+func whole(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+func body(t *testing.T, p *upstream.Pool, r *upstream.Request) string {
+	t.Helper()
+	a, failure := p.Send(context.Background(), r)
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	defer a.Close()
+	text, err := io.ReadAll(a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// TestSurplusAnswerIsSkipped: a late second answer in the place of the due one
+// belongs to nobody.
+func TestSurplusAnswerIsSkipped(t *testing.T) {
+	addr := listen(t, answers(whole("a", "one"), whole("a", "one")+whole("b", "two")))
+	p := newPool()
+	if got := body(t, p, get(addr, "a")); got != "one" {
+		t.Fatalf("got %q", got)
+	}
+	if got := body(t, p, get(addr, "b")); got != "two" {
+		t.Fatalf("got %q", got)
+	}
+	if s := p.Stats(); s.Reuses != 1 {
+		t.Fatalf("the connection was not kept: %+v", s)
+	}
+}
+
+// TestStrayBytesRetireConnection: bytes after an answer, while the connection
+// rests, make it unusable.
+func TestStrayBytesRetireConnection(t *testing.T) {
+	addr := listen(t, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		for {
+			q, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			id := q.Header.Get("Request-Id")
+			_, _ = io.WriteString(c, whole(id, "x"))
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(c, "stray")
+		}
+	})
+	p := newPool()
+	body(t, p, get(addr, "a"))
+	time.Sleep(80 * time.Millisecond)
+	body(t, p, get(addr, "b"))
+	if s := p.Stats(); s.Dials != 2 {
+		t.Fatalf("want a new connection, got %+v", s)
+	}
+}
+
+// TestResetBodyIsNotWhole: an answer without a length that ends by a reset is
+// not complete.
+func TestResetBodyIsNotWhole(t *testing.T) {
+	addr := listen(t, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\npart")
+		time.Sleep(20 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	})
+	a, failure := newPool().Send(context.Background(), get(addr, "a"))
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	if _, err := io.ReadAll(a); err == nil {
+		t.Fatal("a reset answer was read as whole")
+	}
+}
+
+// echo answers every request with its own id.
+func echo(c net.Conn) {
+	r := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, whole(q.Header.Get("Request-Id"), "x"))
+	}
+}
+
+// TestConnectionOfAnotherOwnerIsNotUsed: an address may pass to another server.
+func TestConnectionOfAnotherOwnerIsNotUsed(t *testing.T) {
+	addr := listen(t, echo)
+	p := newPool()
+	body(t, p, get(addr, "a"))
+	second := get(addr, "b")
+	second.Owner = "other"
+	body(t, p, second)
+	if s := p.Stats(); s.Dials != 2 {
+		t.Fatalf("want a new connection, got %+v", s)
+	}
+}
+
+// TestFullServer: the bound on connections is told apart from a server that
+// cannot be reached.
+func TestFullServer(t *testing.T) {
+	addr := listen(t, func(c net.Conn) { _, _ = io.Copy(io.Discard, c) })
+	p := newPool()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r := get(addr, "a")
+	r.MaxConnections = 1
+	go func() { _, _ = p.Send(ctx, r) }()
+	time.Sleep(50 * time.Millisecond)
+	again := get(addr, "b")
+	again.MaxConnections = 1
+	if _, failure := p.Send(ctx, again); failure == nil || !failure.Full || failure.Stage != upstream.NotSent {
+		t.Fatalf("want a full server, got %+v", failure)
+	}
+}
+
+// TestHalfSentBodyRetiresConnection: a server may answer before it has read a
+// long body; the rest must not be taken for another request.
+func TestHalfSentBodyRetiresConnection(t *testing.T) {
+	addr := listen(t, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, whole(q.Header.Get("Request-Id"), "x"))
+		time.Sleep(time.Second)
+		_ = c.Close()
+	})
+	p := newPool()
+	long := get(addr, "a")
+	long.Method = http.MethodPost
+	long.Body = []byte(strings.Repeat("x", 16<<20))
+	body(t, p, long)
+	body(t, p, get(addr, "b"))
+	if s := p.Stats(); s.Dials != 2 {
+		t.Fatalf("want a new connection, got %+v", s)
+	}
+}
