--- a/budget/holding.go
+++ b/budget/holding.go
@@ -1,5 +1,7 @@
 package budget
 
+import "time"
+
 // Holding is what one router holds of a budget, in tokens.
 type Holding struct {
 	// Balance is free to use, Reserved is in use by running requests.
@@ -14,6 +16,35 @@
 	Sent, Received map[string]int64
 }
 
+// Seen is what a decision over a reservation goes by.
+type Seen struct {
+	// Usable is the balance less the escrow, Reserved is in use by running
+	// requests.
+	Usable, Reserved int64
+	// Free is what the store had free, Limit the budget's limit, as read with
+	// the page's Version, Age ago. A Version of 0 means that it was never read.
+	Free, Limit int64
+	Version     int64
+	Age         time.Duration
+}
+
+// Seen returns what the next decision over a budget would go by.
+func (a *Agent) Seen(now time.Time, id string) Seen {
+	p, ok := a.purses[id]
+	if !ok {
+		return Seen{}
+	}
+	a.refreshEscrow(now, p)
+	s := Seen{Usable: p.usable(), Reserved: p.reserved}
+	ps := a.pages[p.page]
+	if ps == nil || ps.page == nil || ps.page.Budgets[id] == nil {
+		return s
+	}
+	r := ps.page.Budgets[id]
+	s.Free, s.Limit, s.Version, s.Age = r.Free(), r.Limit, ps.version, now.Sub(ps.readAt)
+	return s
+}
+
 // Fence makes messages of an incarnation void, from now on. Nothing more is
 // sent to it either: what it was sent before is reclaimed, what came later
 // would be lost.
--- a/controller/budgets/budgets.go
+++ b/controller/budgets/budgets.go
@@ -361,6 +361,13 @@
 	return held
 }
 
+// Seen returns what a decision over a budget goes by now.
+func (c *Controller) Seen(id string) budget.Seen {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.agent.Seen(time.Now(), id)
+}
+
 // Fence makes messages of an incarnation void.
 func (c *Controller) Fence(incarnation string) {
 	c.mu.Lock()
--- /dev/null
+++ b/controller/registry/registry_test.go
@@ -0,0 +1,98 @@
+package registry_test
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gaplink/gaplink/controller/registry"
+	"github.com/gaplink/gaplink/placement"
+	"github.com/gaplink/gaplink/store"
+	"github.com/gaplink/gaplink/upstream"
+)
+
+func decode(id string, value []byte) (placement.Server, error) {
+	s := placement.Server{}
+	err := json.Unmarshal(value, &s)
+	s.ID = id
+	return s, err
+}
+
+func entry(id string, version int64, leaving bool) store.Object {
+	value, _ := json.Marshal(placement.Server{Service: "svc", Leaving: leaving}) // plain fields always encode
+	return store.Object{Key: "servers/" + id, Version: version, Value: value}
+}
+
+func gone(id string) store.Object { return store.Object{Key: "servers/" + id, Deleted: true} }
+
+func run(t *testing.T, body func(*registry.Controller)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := registry.New(decode, upstream.New(upstream.Options{}), rand.New(rand.NewPCG(1, 1)), zap.NewNop())
+		go c.Run(t.Context())
+		body(c)
+	})
+}
+
+func count(c *registry.Controller) int { return c.Counts()["svc"].Up }
+
+// TestGoneServerIsDroppedSoon: well before the bound on leaving servers.
+func TestGoneServerIsDroppedSoon(t *testing.T) {
+	run(t, func(c *registry.Controller) {
+		c.Listed([]store.Object{entry("a", 1, false), entry("b", 2, false)})
+		c.Changed([]store.Object{gone("a")})
+		time.Sleep(1200 * time.Millisecond)
+		if count(c) != 1 {
+			t.Fatalf("%d servers", count(c))
+		}
+	})
+}
+
+// TestLapsedServersAreKept: after the store was away, a registration may be
+// missing for two seconds.
+func TestLapsedServersAreKept(t *testing.T) {
+	run(t, func(c *registry.Controller) {
+		c.Listed([]store.Object{entry("a", 1, false), entry("b", 2, false)})
+		c.Lost()
+		time.Sleep(5 * time.Second)
+		if count(c) != 2 {
+			t.Fatal("dropped while the store is away")
+		}
+		c.Regained()
+		c.Listed(nil)
+		time.Sleep(2 * time.Second)
+		if count(c) != 2 {
+			t.Fatal("dropped before registrations are back")
+		}
+		c.Changed([]store.Object{entry("b", 9, false)})
+		time.Sleep(time.Second)
+		if count(c) != 1 {
+			t.Fatalf("%d servers, want the one that came back", count(c))
+		}
+	})
+}
+
+// TestOlderRegistrationChangesNothing: another router may know less.
+func TestOlderRegistrationChangesNothing(t *testing.T) {
+	run(t, func(c *registry.Controller) {
+		c.Changed([]store.Object{entry("a", 5, true)})
+		c.Changed([]store.Object{entry("a", 4, false)})
+		if n := c.Counts()["svc"]; n.Leaving != 1 {
+			t.Fatalf("%+v", n)
+		}
+	})
+}
+
+// TestUnreadableRegistrationKeepsTheLastOne.
+func TestUnreadableRegistrationKeepsTheLastOne(t *testing.T) {
+	run(t, func(c *registry.Controller) {
+		c.Changed([]store.Object{entry("a", 1, false)})
+		c.Changed([]store.Object{{Key: "servers/a", Version: 2, Value: []byte("{")}})
+		if count(c) != 1 {
+			t.Fatal("the server is gone")
+		}
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -192,6 +192,9 @@
 	if c.reserved > 0 {
 		fields = append(fields, zap.Int64("reserved", c.reserved), zap.Int64("spent", c.spent()))
 	}
+	if c.outcome == result.BudgetExhausted || c.outcome == result.BudgetUnreachable {
+		fields = append(fields, c.budgetFields()...)
+	}
 	if !c.stream.first.IsZero() {
 		fields = append(fields, zap.Int64("tokens_in", c.TokensIn), zap.Duration("first_ms", c.stream.first.Sub(c.arrived)),
 			zap.Duration("pause_ms", c.stream.pause))
@@ -201,3 +204,17 @@
 	}
 	entry.Write(fields...)
 }
+
+// budgetFields are what the refusal of a reservation went by.
+func (c *call) budgetFields() []zap.Field {
+	seen := c.g.Budgets.Seen(c.account.Name)
+	return []zap.Field{
+		zap.Int64("wanted", c.Worst()),
+		zap.Int64("usable", seen.Usable),
+		zap.Int64("in_use", seen.Reserved),
+		zap.Int64("store_free", seen.Free),
+		zap.Int64("limit", seen.Limit),
+		zap.Int64("page_version", seen.Version),
+		zap.Duration("page_age_ms", seen.Age),
+	}
+}
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,149 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/gaplink/gaplink/placement"
+)
+
+func seeded() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func fleet(n int) *placement.Servers {
+	f := placement.New()
+	for i := range n {
+		f.Put(placement.Server{ID: fmt.Sprintf("s%02d", i), Service: "llm", Domain: fmt.Sprint("z", i%3)})
+	}
+	return f
+}
+
+func pick(t *testing.T, f *placement.Servers, q placement.Query) string {
+	t.Helper()
+	q.Service = "llm"
+	s, ok := f.Pick(seeded(), q)
+	if !ok {
+		t.Fatal("no server")
+	}
+	return s.ID
+}
+
+// TestPrefixStaysOnOneServer: the same prefix goes to the same server, also at
+// another router, and a server that goes moves only its own prefixes.
+func TestPrefixStaysOnOneServer(t *testing.T) {
+	f, other := fleet(18), fleet(18)
+	moved := 0
+	gone := "s07"
+	before := map[uint64]string{}
+	for a := uint64(1); a <= 300; a++ {
+		before[a] = pick(t, f, placement.Query{Affinity: a})
+		if got := pick(t, other, placement.Query{Affinity: a}); got != before[a] {
+			t.Fatalf("two routers choose %s and %s", before[a], got)
+		}
+	}
+	f.Remove(gone)
+	for a, was := range before {
+		if got := pick(t, f, placement.Query{Affinity: a}); got != was {
+			moved++
+			if was != gone {
+				t.Fatalf("prefix %d moved from %s to %s", a, was, got)
+			}
+		}
+	}
+	if moved < 5 || moved > 40 {
+		t.Fatalf("%d of 300 prefixes moved", moved)
+	}
+}
+
+// TestBusyServerGivesItsPrefixAway: a prefix leaves a server that has much to
+// read, and comes back after that.
+func TestBusyServerGivesItsPrefixAway(t *testing.T) {
+	f := fleet(6)
+	q := placement.Query{Affinity: 42, Tokens: 50000}
+	home := pick(t, f, q)
+	for range 2 {
+		f.Started(home, 50000)
+	}
+	if got := pick(t, f, q); got == home {
+		t.Fatal("the busy server was chosen")
+	}
+	f.Read(home, 50000)
+	if got := pick(t, f, q); got != home {
+		t.Fatalf("got %s after the prompt was read, want %s", got, home)
+	}
+}
+
+func TestLeavingAndTriedServersAreNotChosen(t *testing.T) {
+	f := fleet(2)
+	f.Leave("s00")
+	f.Put(placement.Server{ID: "s00", Service: "llm"}) // an older registration
+	if got := pick(t, f, placement.Query{}); got != "s01" {
+		t.Fatalf("got %s", got)
+	}
+	if _, ok := f.Pick(seeded(), placement.Query{Service: "llm", Tried: map[string]bool{"s01": true}}); ok {
+		t.Fatal("a server was chosen twice")
+	}
+}
+
+// TestUnreachableServerIsOutOfUseUntilRevived: two requests in a row that reach
+// nothing take a server out of use.
+func TestUnreachableServerIsOutOfUseUntilRevived(t *testing.T) {
+	f := fleet(2)
+	for i := range 2 {
+		f.Started("s00", 0)
+		if down := f.Ended("s00", placement.Silent); down != (i == 1) {
+			t.Fatalf("down after %d failures: %t", i+1, down)
+		}
+	}
+	for range 20 {
+		if got := pick(t, f, placement.Query{Affinity: rand.Uint64() | 1}); got != "s01" {
+			t.Fatalf("got %s", got)
+		}
+	}
+	f.Revived("s00")
+	if len(f.Down()) != 0 {
+		t.Fatal("still down")
+	}
+}
+
+// TestFailingServerIsAvoided: one that fails far more than the others gets no
+// requests; where all fail alike, all stay in use.
+func TestFailingServerIsAvoided(t *testing.T) {
+	f := fleet(4)
+	for range 30 {
+		f.Started("s02", 0)
+		f.Ended("s02", placement.Failed)
+	}
+	for a := uint64(1); a < 100; a++ {
+		if got := pick(t, f, placement.Query{Affinity: a}); got == "s02" {
+			t.Fatal("the failing server was chosen")
+		}
+	}
+	for range 30 {
+		for _, id := range []string{"s00", "s01", "s03"} {
+			f.Started(id, 0)
+			f.Ended(id, placement.Failed)
+		}
+	}
+	chosen := map[string]bool{}
+	for a := uint64(1); a < 200; a++ {
+		chosen[pick(t, f, placement.Query{Affinity: a})] = true
+	}
+	if len(chosen) != 4 {
+		t.Fatalf("only %d servers are used although all fail", len(chosen))
+	}
+}
+
+// TestPlainServiceSpreads: without a prefix the least busy server is chosen,
+// one of the router's own failure domain among equals.
+func TestPlainServiceSpreads(t *testing.T) {
+	f := fleet(3)
+	q := placement.Query{Domain: "z1"}
+	if got := pick(t, f, q); got != "s01" {
+		t.Fatalf("got %s, want the one in the same failure domain", got)
+	}
+	f.Started("s01", 0)
+	if got := pick(t, f, q); got == "s01" {
+		t.Fatal("the busier server was chosen")
+	}
+}
