Spend the last fiftieth of a budget slowly, on small requests

Change: from the last 2% of a budget only small requests are served, so many that it lasts about 15 s. One estimator of rates serves both demands now.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -163,6 +163,10 @@
 	// Routers is the number of routers that draw; it may be nil without
 	// FreeShare.
 	Routers func() int
+	// TailShare is the last share of a budget, which is spent slowly: so that it
+	// lasts about TailTime. 0: there is no tail.
+	TailShare float64
+	TailTime  time.Duration
 	// RateWindow is the time constant of the demand estimate.
 	RateWindow time.Duration
 	// Surplus is by how much more than it would hold a home may have before it
@@ -253,7 +257,8 @@
 	a.token++
 	p := a.purse(id)
 	p.used(now, need)
-	p.demanded(now, need)
+	p.demand.add(now, need)
+	a.noteSmall(now, p, need)
 	a.refreshEscrow(now, p)
 	if p.usable() >= need {
 		p.balance -= need
@@ -261,6 +266,10 @@
 		a.prefetch(now, p)
 		return a.token, true, a.drain()
 	}
+	if a.inTail(p) && !a.admitsTail(now, p, need) {
+		a.emit(Resolve{Token: a.token, Cause: Exhausted})
+		return a.token, false, a.drain()
+	}
 	p.waiters = append(p.waiters, waiter{token: a.token, need: need})
 	a.pump(now, p)
 	return a.token, false, a.drain()
@@ -276,7 +285,7 @@
 	p := a.purse(id)
 	p.reserved -= reserved
 	p.balance += reserved - actual
-	p.overestimated(now, reserved-actual)
+	p.demand.add(now, actual-reserved) // it was counted at its worst
 	a.pump(now, p)
 	a.giveBackSurplus(now, p)
 	return a.drain()
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -44,6 +44,8 @@
 	// to be away; for routers that draw for themselves.
 	limit, limitVersion int64
 	storeLost           bool
+	// tail keeps the last fiftieth of the budget for 15 s.
+	tail bool
 }
 
 func newNetwork(t *rapid.T) *network {
--- a/budget/paging.go
+++ b/budget/paging.go
@@ -28,6 +28,8 @@
 	need   int64
 	want   int64
 	at     time.Time
+	// tail tells that the draw may take the budget's tail.
+	tail bool
 }
 
 // appliedOp is a pageOp with what the built write gives it.
@@ -70,7 +72,7 @@
 	p.lookup = lookupRunning
 	p.lookedAt = now
 	want := a.hold(now, p)
-	a.queue(now, pageOp{budget: p.id, need: need, want: max(want-p.balance, need)})
+	a.queue(now, pageOp{budget: p.id, need: need, want: max(want-p.balance, need), tail: a.inTail(p)})
 }
 
 func (a *Agent) queue(now time.Time, op pageOp) {
@@ -184,7 +186,7 @@
 	}
 	for _, op := range ps.ops {
 		r := ps.page.Budgets[op.budget]
-		if op.need >= 0 && (r == nil || r.Free() < max(op.need, op.want)) {
+		if op.need >= 0 && (r == nil || a.spendable(r, op.tail) < max(op.need, op.want)) {
 			return true
 		}
 	}
@@ -198,7 +200,7 @@
 	changed := ps.reseal
 	applied := make([]appliedOp, 0, len(ps.ops))
 	for _, op := range ps.ops {
-		tokens := amount(value, op)
+		tokens := a.amount(value, op)
 		if op.need >= 0 && a.purse(op.budget).escrow > 0 && a.needsReseal(now, a.purse(op.budget)) {
 			changed = true
 		}
@@ -222,7 +224,7 @@
 // amount returns the tokens that an op moves: all that is needed if it is
 // there, a part of the free tokens beyond that, and whatever is left when
 // less than needed is there. A return moves its negative amount.
-func amount(page *Page, op pageOp) int64 {
+func (a *Agent) amount(page *Page, op pageOp) int64 {
 	r := page.Budgets[op.budget]
 	if r == nil {
 		return 0
@@ -230,7 +232,7 @@
 	if op.need < 0 {
 		return op.need
 	}
-	free := max(r.Free(), 0)
+	free := a.spendable(r, op.tail)
 	return max(min(op.need, free), min(op.want, free/shareOfFree))
 }
 
--- a/budget/purse.go
+++ b/budget/purse.go
@@ -7,9 +7,6 @@
 )
 
 const (
-	// youngest is the least time over which an estimate of demand is taken: the
-	// first requests alone say little.
-	youngest = 3 * time.Second
 	// needWindow is how many reservations the mean need looks back.
 	needWindow = 8
 )
@@ -75,33 +72,15 @@
 	sent        map[string]int64 // by the receiver's incarnation
 	received    map[string]int64 // by the sender's incarnation
 	holders     map[string]*holder
-	demand      float64 // decayed tokens asked for
+	demand      rate    // tokens asked for
+	small       rate    // tokens asked for by requests that the tail serves
 	meanNeed    float64 // of one reservation, decayed by count
-	demandAt    time.Time
-	since       time.Time     // the first demand
-	window      time.Duration // time constant of the demand's decay
 	lastUse     time.Time
 	awake       bool // in the agent's list
 }
 
 func newPurse(id string, page int, window time.Duration) *purse {
-	return &purse{id: id, page: page, window: window, sent: map[string]int64{}, received: map[string]int64{}, holders: map[string]*holder{}}
-}
-
-// demanded adds tokens that were asked for to the estimate.
-func (p *purse) demanded(now time.Time, tokens int64) {
-	if p.demandAt.IsZero() {
-		p.since = now
-	}
-	p.demand = p.decayed(now) + float64(tokens)
-	p.demandAt = now
-}
-
-// overestimated takes tokens that were reserved and not spent out of the
-// estimate.
-func (p *purse) overestimated(now time.Time, tokens int64) {
-	p.demand = max(p.decayed(now)-float64(tokens), 0)
-	p.demandAt = now
+	return &purse{id: id, page: page, demand: rate{window: window}, small: rate{window: window}, sent: map[string]int64{}, received: map[string]int64{}, holders: map[string]*holder{}}
 }
 
 // used notes that a request of need tokens asked for the budget.
@@ -129,31 +108,15 @@
 // the more is left for all the scarcer it gets, and little is lost with a
 // router that dies.
 func (a *Agent) fairShare(p *purse) int64 {
-	ps := a.pages[p.page]
-	if a.cfg.FreeShare == 0 || ps == nil || !ps.have {
+	r := a.record(p)
+	if a.cfg.FreeShare == 0 || r == nil {
 		return math.MaxInt64 / 2
 	}
-	r := ps.page.Budgets[p.id]
-	if r == nil {
-		return 0
-	}
-	return int64(a.cfg.FreeShare * float64(max(r.Free(), 0)) / float64(a.cfg.Routers()))
-}
-
-func (p *purse) decayed(now time.Time) float64 {
-	if p.demandAt.IsZero() {
-		return 0
-	}
-	age := now.Sub(p.demandAt)
-	return p.demand * math.Exp(-float64(age)/float64(p.window))
+	return int64(a.cfg.FreeShare * float64(a.spendable(r, false)) / float64(a.cfg.Routers()))
 }
 
 // ahead returns the tokens that the present demand takes in d.
-func (p *purse) ahead(now time.Time, d time.Duration) int64 {
-	age := max(now.Sub(p.since), youngest)
-	seen := 1 - math.Exp(-float64(age)/float64(p.window)) // of the window, so far
-	return int64(p.decayed(now) / (seen * p.window.Seconds()) * d.Seconds())
-}
+func (p *purse) ahead(now time.Time, d time.Duration) int64 { return p.demand.ahead(now, d) }
 
 // unmet returns the tokens asked for and not yet covered.
 func (p *purse) unmet() int64 { return p.asked() - p.usable() }
@@ -280,7 +243,7 @@
 	if !p.scarce {
 		amount = max(d.need, min(d.want, p.balance/shareOfFree))
 	}
-	p.demanded(now, amount)
+	p.demand.add(now, amount)
 	p.holders[d.peer.Incarnation] = &holder{peer: d.peer, loose: !p.scarce}
 	m := a.move(p, Grant, d.peer, amount)
 	m.Token = d.token
--- a/server/server.go
+++ b/server/server.go
@@ -66,6 +66,10 @@
 	// leastRouters is the size of fleet assumed before the others are met, when
 	// shares of what the fleet may do together are worked out.
 	leastRouters = 6
+	// tailShare and tailTime keep the last fiftieth of a budget for a quarter
+	// of a minute of small requests: that serves about one in twenty.
+	tailShare = 0.02
+	tailTime  = 15 * time.Second
 	// peerDialTimeout bounds a connection to another router.
 	peerDialTimeout = 200 * time.Millisecond
 	// lenderTimeout is how long another router may take to lend tokens.
@@ -227,6 +231,8 @@
 	cfg.LowRequests = 0.5
 	cfg.FreeShare = s.settings.Budgets.FreeShare
 	cfg.Routers = s.members.Live
+	cfg.TailShare = tailShare
+	cfg.TailTime = tailTime
 	cfg.CheckEvery = 500 * time.Millisecond
 	cfg.DrawTimeout = lenderTimeout
 	cfg.Lenders = s.lenders
