--- a/controller/follow/follow.go
+++ b/controller/follow/follow.go
@@ -41,6 +41,8 @@
 	prefix  string
 	handler Handler
 	log     *zap.Logger
+	// active tells whether to follow now, or to leave it to other routers.
+	active func() bool
 
 	revision int64 // of the store; 0: a list is due
 
@@ -51,13 +53,19 @@
 }
 
 // New returns a follower of the objects under prefix.
-func New(s store.Store, prefix string, h Handler, log *zap.Logger) *Follower {
-	return &Follower{store: s, prefix: prefix, handler: h, log: log.With(zap.String("kind", prefix))}
+// It makes no calls while active is not true.
+func New(s store.Store, prefix string, h Handler, active func() bool, log *zap.Logger) *Follower {
+	return &Follower{store: s, prefix: prefix, handler: h, active: active, log: log.With(zap.String("kind", prefix))}
 }
 
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if !f.active() {
+			f.rest()
+			pause(ctx, retryPause)
+			continue
+		}
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.failed(err)
 			pause(ctx, retryPause)
@@ -74,6 +82,14 @@
 	}
 }
 
+// rest ends a loss: others tell what is new, and whether the store answers is
+// not known.
+func (f *Follower) rest() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lost = false
+}
+
 // step makes one call.
 func (f *Follower) step(ctx context.Context) error {
 	if f.revision == 0 {
--- a/controller/members/members.go
+++ b/controller/members/members.go
@@ -141,6 +141,20 @@
 	return id
 }
 
+// RankIn returns the usable members of a failure domain for a role, best first.
+func (c *Controller) RankIn(now time.Time, role, domain string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ranked := c.view.Rank(now, role)
+	in := ranked[:0:0]
+	for _, id := range ranked {
+		if m, _ := c.view.Member(id); m.Domain == domain {
+			in = append(in, id)
+		}
+	}
+	return in
+}
+
 // Rank returns the usable members for a role, best first.
 func (c *Controller) Rank(now time.Time, role string) []string {
 	c.mu.Lock()
--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -52,6 +52,7 @@
 	probedAt map[string]time.Time
 	// entries are the registrations by key, as they lie in the store.
 	entries map[string]store.Object
+	changes changeLog
 }
 
 // New returns a controller that knows no server.
@@ -157,17 +158,30 @@
 	}
 	for key := range c.entries {
 		if !present[idOf(key)] {
-			delete(c.entries, key)
+			c.forget(key)
 		}
 	}
 	c.listed = true
 }
 
-// Entries returns the registrations in the order of their keys.
-func (c *Controller) Entries() []store.Object {
+// forget drops a registration that is gone.
+func (c *Controller) forget(key string) {
+	if _, known := c.entries[key]; known {
+		delete(c.entries, key)
+		c.changes.add(store.Object{Key: key, Deleted: true})
+	}
+}
+
+// Since returns the changes after number seq and the number of the last one.
+// With full they are all registrations, since the changes are not held any
+// more.
+func (c *Controller) Since(seq int64) (objects []store.Object, last int64, full bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return slices.SortedFunc(maps.Values(c.entries), func(a, b store.Object) int { return strings.Compare(a.Key, b.Key) })
+	if objects, ok := c.changes.since(seq); ok {
+		return objects, c.changes.last(), false
+	}
+	return slices.Collect(maps.Values(c.entries)), c.changes.last(), true
 }
 
 // Changed implements follow.Handler.
@@ -176,7 +190,7 @@
 	defer c.mu.Unlock()
 	for _, o := range objects {
 		if o.Deleted {
-			delete(c.entries, o.Key)
+			c.forget(o.Key)
 			c.absent(idOf(o.Key))
 			continue
 		}
@@ -204,6 +218,9 @@
 		c.log.Error("registration is not readable; the server keeps its last one", zap.String("server", id), zap.Int64("version", o.Version), zap.Error(err))
 		return
 	}
+	if o.Version != c.entries[o.Key].Version {
+		c.changes.add(o)
+	}
 	c.entries[o.Key] = o
 	delete(c.missing, id)
 	c.note(s, o.Version)
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -116,27 +116,35 @@
 type NewsRequest struct {
 	// Config is the version of its configuration, 0 for none.
 	Config int64
-	// Servers is the digest of the registrations that it knows.
-	Servers uint64
+	// Source and Seq are those of the last answer that it took registrations
+	// from.
+	Source string
+	Seq    int64
 }
 
-// Registration is a backend server's registration as it lies in the store.
+// Registration is a backend server's registration as it lies in the store, or
+// its deletion.
 type Registration struct {
 	Key     string
 	Version int64
 	Value   []byte
+	Deleted bool
 }
 
 // NewsAnswer gives what is newer.
 type NewsAnswer struct {
-	// Current tells that the answering router reaches the store, so that what
+	// Current tells that the answering router watches the store, so that what
 	// it knows is the newest.
 	Current bool
 	// Config is the configuration, nil if the asking router's is as new.
 	Config []byte
-	// Differ tells that Servers are all registrations that the answering router
-	// knows, since the digests differ.
-	Differ  bool
+	// Source is the answering process, Seq the number of its last change of a
+	// registration.
+	Source string
+	Seq    int64
+	// Full tells that Servers are all registrations, and not just those that
+	// changed after the asked number.
+	Full    bool
 	Servers []Registration
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -170,11 +170,25 @@
 		Metrics:  gateway.NewMetrics(s.registry),
 		Routers:  s.members.Live,
 	})
-	s.followConfigs = follow.New(s.store, s.platform.ConfigKind, s.configs, s.log)
-	s.followServers = follow.New(s.store, s.platform.ServerKind, s.servers, s.log)
-	s.news = news.New(s.configs, s.servers, s.members, s.peers, s.storeLost, s.log)
+	s.news = news.New(news.Options{
+		Configs: s.configs,
+		Servers: s.servers,
+		Members: s.members,
+		Peers:   s.peers,
+		Self:    s.incarnation,
+		Domain:  s.settings.Instance.Domain,
+		Lost:    s.storeLost,
+		Large:   s.large,
+		Log:     s.log,
+	})
+	s.followConfigs = follow.New(s.store, s.platform.ConfigKind, s.configs, s.news.Watches, s.log)
+	s.followServers = follow.New(s.store, s.platform.ServerKind, s.servers, s.news.Watches, s.log)
 }
 
+// large tells whether the fleet is so large that few routers speak with the
+// store for the others.
+func (s *Server) large() bool { return s.members.Live() >= largeFleet }
+
 // provisionPeers builds what concerns the other routers.
 func (s *Server) provisionPeers() {
 	self := peer.Router{
