--- a/budget/escrow_test.go
+++ b/budget/escrow_test.go
@@ -171,13 +171,9 @@
 	}
 }
 
-// lonely returns a network of one router that has served some requests.
-func lonely(t *rapid.T) (*network, *router) {
-	n := &network{t: t, now: epoch.Add(time.Hour), page: budget.NewPage(), waiting: map[string]int64{}, limit: 100000, limitVersion: 1}
-	r := &router{index: 0}
-	n.routers = []*router{r}
-	n.bootOwnHome(r)
-	for range 100 {
+// serve has a router serve ten requests of 100 tokens a second.
+func (n *network) serve(r *router, requests int) {
+	for range requests {
 		n.reserve(r, 100)
 		n.perform(r, r.agent.Tick(n.now))
 		for len(r.store) > 0 {
@@ -186,6 +182,15 @@
 		n.finish(r, 100)
 		n.now = n.now.Add(100 * time.Millisecond)
 	}
+}
+
+// lonely returns a network of one router that has served some requests.
+func lonely(t *rapid.T) (*network, *router) {
+	n := &network{t: t, now: epoch.Add(time.Hour), page: budget.NewPage(), waiting: map[string]int64{}, limit: 100000, limitVersion: 1}
+	r := &router{index: 0}
+	n.routers = []*router{r}
+	n.bootOwnHome(r)
+	n.serve(r, 100)
 	return n, r
 }
 
--- a/budget/stop_test.go
+++ b/budget/stop_test.go
@@ -57,13 +57,5 @@
 func (n *network) takeOver(r *router) {
 	n.now = n.now.Add(time.Minute)
 	n.bootOwnHome(r)
-	for range 40 {
-		n.reserve(r, 100)
-		n.perform(r, r.agent.Tick(n.now))
-		for len(r.store) > 0 {
-			n.answer(r, "done")
-		}
-		n.finish(r, 100)
-		n.now = n.now.Add(100 * time.Millisecond)
-	}
+	n.serve(r, 40)
 }
--- a/cli/daemon/daemon.go
+++ b/cli/daemon/daemon.go
@@ -3,17 +3,16 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
-	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/gaplink/gaplink/cli/command"
 	"github.com/gaplink/gaplink/result"
 	"github.com/gaplink/gaplink/router"
 	"github.com/gaplink/gaplink/settings"
@@ -27,63 +26,11 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
-	root := command()
-	root.SetArgs(args)
-	root.SetOut(out)
-	root.SetErr(errOut)
-	if err := root.Execute(); err != nil {
-		_, _ = fmt.Fprintln(errOut, "gaplinkd:", result.From(err))
-		return 1
-	}
-	return 0
-}
-
-func command() *cobra.Command {
-	root := &cobra.Command{
-		Use:           "gaplinkd",
-		Short:         "Router of a gaplink fleet",
-		SilenceUsage:  true,
-		SilenceErrors: true,
-	}
-	var path string
-	root.PersistentFlags().StringVarP(&path, "config", "c", "gaplinkd.toml", "settings file (TOML)")
-	root.AddCommand(runCommand(&path), checkCommand(&path))
-	return root
-}
-
-func runCommand(path *string) *cobra.Command {
-	return &cobra.Command{
-		Use:     "run",
-		Short:   "Serve until SIGTERM or SIGINT, then stop without cutting a request",
-		Example: "  gaplinkd run --config /etc/gaplink/gaplinkd.toml",
-		Args:    cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error {
-			s, err := settings.Load(*path)
-			if err != nil {
-				return err
-			}
-			return serve(s)
-		},
-	}
-}
-
-func checkCommand(path *string) *cobra.Command {
-	return &cobra.Command{
-		Use:     "check",
-		Short:   "Check the settings file and exit",
-		Example: "  gaplinkd check --config gaplinkd.toml",
-		Args:    cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			if _, err := settings.Load(*path); err != nil {
-				return err
-			}
-			_, _ = fmt.Fprintf(cmd.OutOrStdout(), "%s: ok\n", *path)
-			return nil
-		},
-	}
+	root := command.Daemon("gaplinkd", "Router of a gaplink fleet", "gaplinkd.toml", settings.Load, serve)
+	return command.Execute(root, args, out, errOut)
 }
 
-func serve(s settings.Settings) error {
+func serve(_ string, s settings.Settings, _ io.Writer) error {
 	log, err := Logger(s.Log.Level)
 	if err != nil {
 		return err
--- a/cli/gateway/gateway.go
+++ b/cli/gateway/gateway.go
@@ -2,78 +2,24 @@
 package gateway
 
 import (
-	"fmt"
 	"io"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
-	"github.com/spf13/cobra"
-
+	"github.com/gaplink/gaplink/cli/command"
 	"github.com/gaplink/gaplink/logs"
 	"github.com/gaplink/gaplink/platform"
-	"github.com/gaplink/gaplink/result"
 	"github.com/gaplink/gaplink/server"
 	"github.com/gaplink/gaplink/settings"
 )
 
 // Main runs the command line and returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
-	root := command()
-	root.SetArgs(args)
-	root.SetOut(out)
-	root.SetErr(errOut)
-	if err := root.Execute(); err != nil {
-		_, _ = fmt.Fprintln(errOut, "gaplink-gateway:", result.From(err))
-		return 1
-	}
-	return 0
-}
-
-func command() *cobra.Command {
-	root := &cobra.Command{
-		Use:           "gaplink-gateway",
-		Short:         "Router of a gaplink fleet on a platform that holds its state",
-		SilenceUsage:  true,
-		SilenceErrors: true,
-	}
-	var path string
-	root.PersistentFlags().StringVarP(&path, "config", "c", os.Getenv(platform.SettingsVariable), "settings file (TOML)")
-	root.AddCommand(runCommand(&path), checkCommand(&path))
-	return root
-}
-
-func runCommand(path *string) *cobra.Command {
-	return &cobra.Command{
-		Use:     "run",
-		Short:   "Serve until SIGTERM or SIGINT, then stop without cutting a request",
-		Example: "  gaplink-gateway run --config gateway.toml",
-		Args:    cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			s, err := settings.LoadGateway(*path)
-			if err != nil {
-				return err
-			}
-			return serve(*path, s, cmd.OutOrStdout())
-		},
-	}
-}
-
-func checkCommand(path *string) *cobra.Command {
-	return &cobra.Command{
-		Use:     "check",
-		Short:   "Check the settings file and exit",
-		Example: "  gaplink-gateway check --config gateway.toml",
-		Args:    cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			if _, err := settings.LoadGateway(*path); err != nil {
-				return err
-			}
-			_, _ = fmt.Fprintf(cmd.OutOrStdout(), "%s: ok\n", *path)
-			return nil
-		},
-	}
+	const short = "Router of a gaplink fleet on a platform that holds its state"
+	root := command.Daemon("gaplink-gateway", short, os.Getenv(platform.SettingsVariable), settings.LoadGateway, serve)
+	return command.Execute(root, args, out, errOut)
 }
 
 func serve(path string, s settings.Gateway, out io.Writer) error {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -58,7 +58,7 @@
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	tried := map[string]bool{}
-	sent, refused, unreached := 0, 0, 0
+	var so tally
 	for {
 		server, ok := c.g.Servers.Pick(c.query(tried))
 		if !ok {
@@ -66,50 +66,62 @@
 			return
 		}
 		tried[server.ID] = true
-		last := sent+1 >= c.route.Attempts || !c.g.Retries.Left(c.service.Name)
+		last := so.sent+1 >= c.route.Attempts || !c.g.Retries.Left(c.service.Name)
 		a := &attempt{call: c, server: server, last: last}
 		v := a.run(ctx)
 		c.note(a)
-		switch v {
-		case served, ended:
+		if v == served || v == ended {
 			return
-		case notReached:
-			unreached++
-		case notRun:
-			refused++
-		case failed:
-			sent++
 		}
-		if stop := c.mayGoOn(ctx, v, a, sent, refused, unreached); stop != nil {
+		so.add(v)
+		if stop := c.mayGoOn(ctx, v, a.err, so); stop != nil {
 			c.giveUp(stop)
 			return
 		}
 	}
 }
 
+// tally counts how the attempts of a request ended so far.
+type tally struct {
+	// sent may have run, refused certainly did not, and unreached were handed to
+	// no server.
+	sent, refused, unreached int
+}
+
+func (t *tally) add(v verdict) {
+	switch v {
+	case notReached:
+		t.unreached++
+	case notRun:
+		t.refused++
+	case failed:
+		t.sent++
+	}
+}
+
 func (c *call) query(tried map[string]bool) placement.Query {
 	return placement.Query{Service: c.service.Name, Affinity: c.affinity, Tokens: c.newTokens, Tried: tried, Domain: c.g.Domain}
 }
 
 // mayGoOn returns nil if the request may be sent to another server, or else
 // how it ends.
-func (c *call) mayGoOn(ctx context.Context, v verdict, a *attempt, sent, refused, unreached int) *result.Error {
+func (c *call) mayGoOn(ctx context.Context, v verdict, cause error, so tally) *result.Error {
 	if err := ctx.Err(); err != nil {
 		return c.timeEnded(err)
 	}
 	switch v {
 	case notReached:
-		if unreached >= dialsAtMost {
-			return result.New(result.NoBackend, "no server of %s could be reached", c.service.Name).After(noServerRetry).Wrap(a.err)
+		if so.unreached >= dialsAtMost {
+			return result.New(result.NoBackend, "no server of %s could be reached", c.service.Name).After(noServerRetry).Wrap(cause)
 		}
 		return nil // no server was burdened
 	case notRun:
-		if sent+refused >= c.route.Attempts+refusedElsewhere {
-			return result.New(result.NotAccepted, "the servers are full").After(busyRetry).Wrap(a.err)
+		if so.sent+so.refused >= c.route.Attempts+refusedElsewhere {
+			return result.New(result.NotAccepted, "the servers are full").After(busyRetry).Wrap(cause)
 		}
 	case failed:
-		if !c.route.MayRepeat() || sent >= c.route.Attempts {
-			return result.New(result.BackendCut, "the server did not answer whole").Wrap(a.err)
+		if !c.route.MayRepeat() || so.sent >= c.route.Attempts {
+			return result.New(result.BackendCut, "the server did not answer whole").Wrap(cause)
 		}
 	}
 	if !c.g.Retries.Spend(c.service.Name) {
@@ -117,7 +129,7 @@
 		if v == notRun {
 			code = result.NotAccepted
 		}
-		return result.New(code, "the retry budget is spent").After(busyRetry).Wrap(a.err)
+		return result.New(code, "the retry budget is spent").After(busyRetry).Wrap(cause)
 	}
 	return nil
 }
