Share what is free among the homes of a large fleet; gather their draws

Change: the free tokens are shared among failure domains in a large fleet, homes have 0.4 s and gather draws for 0.1 s, any router may use a tenth of a server's connections.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -146,6 +146,11 @@
 	EntryHorizon time.Duration
 	// DrawTimeout is how long an entry router waits for the home's answer.
 	DrawTimeout time.Duration
+	// LenderTimeout is how long another router may take to lend.
+	LenderTimeout time.Duration
+	// DrawSpacing is the least time between two writes of a page by a home that
+	// grants to others: their draws are gathered meanwhile.
+	DrawSpacing time.Duration
 	// RecallTimeout is how long a home waits for recalled tokens.
 	RecallTimeout time.Duration
 	// CheckEvery bounds how often an exhausted budget is looked up again.
@@ -187,6 +192,7 @@
 		HomeHorizon:   10 * time.Second,
 		EntryHorizon:  time.Second,
 		DrawTimeout:   400 * time.Millisecond,
+		LenderTimeout: 100 * time.Millisecond,
 		RecallTimeout: 150 * time.Millisecond,
 		CheckEvery:    100 * time.Millisecond,
 		PageSpacing:   time.Second,
@@ -215,6 +221,7 @@
 	token   uint64
 	writes  int64
 	closing bool
+	grants  bool // this router has granted to others as their home
 	sealed  bool
 	fenced  map[string]bool // incarnations whose messages are void
 	limits  map[string]Limit
@@ -429,7 +436,7 @@
 		a.emit(Suspect{ID: p.askedOf})
 		p.unask()
 	}
-	if p.lenderSilent(now, a.cfg.DrawTimeout) {
+	if p.lenderSilent(now, a.cfg.LenderTimeout) {
 		a.emit(Suspect{ID: p.borrowing.from})
 		p.lent(p.borrowing.from)
 	}
--- a/budget/paging.go
+++ b/budget/paging.go
@@ -96,7 +96,7 @@
 		a.failDraws(now, ps)
 		return
 	}
-	if ps.write == nil && !ps.urgent() && !a.closing && now.Sub(ps.wroteAt) < a.cfg.PageSpacing {
+	if ps.write == nil && !a.closing && now.Sub(ps.wroteAt) < a.spacing(ps) {
 		return
 	}
 	if !ps.have || a.stale(now, ps) {
@@ -117,6 +117,18 @@
 	a.emit(WritePage{Page: n, Version: ps.write.version, Value: ps.write.value})
 }
 
+// spacing returns the least time between two writes of a page.
+func (a *Agent) spacing(ps *pageState) time.Duration {
+	switch {
+	case !ps.urgent():
+		return a.cfg.PageSpacing
+	case a.grants:
+		return a.cfg.DrawSpacing
+	default:
+		return 0
+	}
+}
+
 // urgent tells whether somebody waits for a queued draw.
 func (ps *pageState) urgent() bool {
 	for _, op := range ps.ops {
--- a/budget/purse.go
+++ b/budget/purse.go
@@ -243,6 +243,7 @@
 	if !p.scarce {
 		amount = max(d.need, min(d.want, p.balance/shareOfFree))
 	}
+	a.grants = true
 	p.demand.add(now, amount)
 	p.holders[d.peer.Incarnation] = &holder{peer: d.peer, loose: !p.scarce}
 	m := a.move(p, Grant, d.peer, amount)
--- a/controller/members/members.go
+++ b/controller/members/members.go
@@ -218,6 +218,15 @@
 	clear(c.ranked)
 }
 
+// Domains returns the number of failure domains of the listed routers.
+func (c *Controller) Domains() int {
+	domains := map[string]bool{}
+	for _, m := range c.Members() {
+		domains[m.Domain] = true
+	}
+	return max(len(domains), 1)
+}
+
 // Failed records that a call to a member failed.
 func (c *Controller) Failed(id string) {
 	if id == c.self.ID {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -27,6 +27,8 @@
 	// connectionShare is the part of a server's connections that the routers
 	// share out evenly among them; the rest is for uneven shares.
 	connectionShare = 0.9
+	// leastShare is the part of a server's connections that any router may use.
+	leastShare = 0.1
 	// patience is the share of the latency objective after which a request that
 	// may be repeated is taken from a server that has sent nothing.
 	patience = 0.66
@@ -283,13 +285,16 @@
 	a.g.Servers.Read(a.server.ID, a.newTokens)
 }
 
-// connections is this router's share of the server's connections.
+// connections is this router's share of the server's connections. In a large
+// fleet the shares that callers make are so uneven that a few routers may need
+// many times an even one.
 func (a *attempt) connections() int {
-	limit := a.service.MaxConnections
+	limit := connectionShare * float64(a.service.MaxConnections)
 	if limit == 0 {
 		return 0
 	}
-	return max(int(connectionShare*float64(limit))/max(a.g.Routers(), 1), 1)
+	share := limit / float64(max(a.g.Routers(), 1))
+	return max(int(max(share, limit*leastShare)), 1)
 }
 
 // mine tells whether an answer belongs to the request. An answer that says the
--- a/server/server.go
+++ b/server/server.go
@@ -75,8 +75,8 @@
 	entryHold = 3 * time.Second
 	// peerDialTimeout bounds a connection to another router.
 	peerDialTimeout = 200 * time.Millisecond
-	// lenderTimeout is how long another router may take to lend tokens.
-	lenderTimeout = 100 * time.Millisecond
+	// drawSpacing is how long a home gathers draws of others between two writes.
+	drawSpacing = 100 * time.Millisecond
 )
 
 // Platform is what a deployment gives the gateway.
@@ -185,6 +185,14 @@
 	s.followServers = follow.New(s.store, s.platform.ServerKind, s.servers, s.news.Watches, s.log)
 }
 
+// drawers returns the number of routers that draw budgets from the store.
+func (s *Server) drawers() int {
+	if s.large() {
+		return s.members.Domains()
+	}
+	return s.members.Live()
+}
+
 // large tells whether the fleet is so large that few routers speak with the
 // store for the others.
 func (s *Server) large() bool { return s.members.Live() >= largeFleet }
@@ -248,11 +256,11 @@
 	cfg.HeldRequests = 1
 	cfg.LowRequests = 0.5
 	cfg.FreeShare = s.settings.Budgets.FreeShare
-	cfg.Routers = s.members.Live
+	cfg.Routers = s.drawers
 	cfg.TailShare = tailShare
 	cfg.TailTime = tailTime
 	cfg.CheckEvery = 500 * time.Millisecond
-	cfg.DrawTimeout = lenderTimeout
+	cfg.DrawSpacing = drawSpacing
 	cfg.Lenders = s.lenders
 	cfg.StoreLost = s.storeLost
 	s.escrowConfig(&cfg)
