--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/gaplink/gaplink/catalog"
 	"github.com/gaplink/gaplink/exchange"
 	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/result"
@@ -224,7 +225,7 @@
 	if answer.StatusCode >= http.StatusInternalServerError && a.route.MayRepeat() && !a.last {
 		return a.end(failed, "error", placement.Failed, fmt.Errorf("status %d", answer.StatusCode))
 	}
-	if a.route.Kind == catalogStream && answer.StatusCode == http.StatusOK {
+	if a.route.Kind == catalog.Stream && answer.StatusCode == http.StatusOK {
 		return a.relayStream(ctx, answer, patience)
 	}
 	return a.relayPlain(ctx, answer)
--- a/gateway/patience.go
+++ b/gateway/patience.go
@@ -8,9 +8,6 @@
 	"github.com/gaplink/gaplink/catalog"
 )
 
-// catalogStream is the kind of routes whose answers are events.
-const catalogStream = catalog.Stream
-
 // errTooSlow cancels an attempt at a server that sends nothing, so that
 // another server may be asked.
 var errTooSlow = errors.New("the server has sent nothing for too long")
@@ -35,7 +32,7 @@
 		return &watchdog{}
 	}
 	share := patience
-	if a.route.Kind == catalogStream {
+	if a.route.Kind == catalog.Stream {
 		share = streamPatience
 	}
 	first := time.Duration(share * float64(a.route.Objective))
