--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -23,6 +23,10 @@
 	// lapseGrace is how long a registration may be missing after the store was
 	// away. Those of live servers are back within two seconds of its return.
 	lapseGrace = 2200 * time.Millisecond
+	// deletedGrace bounds that for a registration whose deletion was heard as it
+	// happened. With a tick it stays below the two seconds after which a server
+	// that leaves may get no request.
+	deletedGrace = 1500 * time.Millisecond
 	// goneGrace is how long a server is kept after its registration went while
 	// the store was well; a server serves on for longer than that.
 	goneGrace = 700 * time.Millisecond
@@ -153,7 +157,7 @@
 	}
 	for _, s := range c.servers.All() {
 		if !present[s.ID] {
-			c.absent(s.ID)
+			c.absent(s.ID, lapseGrace)
 		}
 	}
 	for key := range c.entries {
@@ -191,7 +195,7 @@
 	for _, o := range objects {
 		if o.Deleted {
 			c.forget(o.Key)
-			c.absent(idOf(o.Key))
+			c.absent(idOf(o.Key), deletedGrace)
 			continue
 		}
 		c.put(o)
@@ -238,7 +242,9 @@
 		zap.Bool("leaving", s.Leaving), zap.Int64("version", version))
 }
 
-func (c *Controller) absent(id string) {
+// absent notes that a registration is missing. The server is kept for a while,
+// atMost so long.
+func (c *Controller) absent(id string, atMost time.Duration) {
 	if _, already := c.missing[id]; already || !c.servers.Has(id) {
 		return
 	}
@@ -247,6 +253,9 @@
 	if lapsed := c.regained.Add(lapseGrace); lapsed.After(until) {
 		until = lapsed
 	}
+	if latest := now.Add(atMost); until.After(latest) {
+		until = latest
+	}
 	c.missing[id] = until
 	c.log.Info("registration gone", zap.String("server", id), zap.Duration("kept_ms", until.Sub(now)))
 }
--- a/controller/registry/registry_test.go
+++ b/controller/registry/registry_test.go
@@ -96,3 +96,21 @@
 		}
 	})
 }
+
+// TestDeletionAfterReturnIsFollowed: a registration that is deleted just after
+// the store is back is a server that leaves, and no lapse.
+func TestDeletionAfterReturnIsFollowed(t *testing.T) {
+	run(t, func(c *registry.Controller) {
+		c.Listed([]store.Object{entry("a", 1, false), entry("b", 2, false)})
+		c.Lost()
+		time.Sleep(5 * time.Second)
+		c.Regained()
+		c.Listed([]store.Object{entry("a", 1, false), entry("b", 2, false)})
+		time.Sleep(250 * time.Millisecond)
+		c.Changed([]store.Object{gone("a")})
+		time.Sleep(1900 * time.Millisecond)
+		if count(c) != 1 {
+			t.Fatal("the server is still used 1.9 s after its registration was deleted")
+		}
+	})
+}
