Build the request's steps once, count attempts by their name, read settings under their lock

Found on reading the change again: the list of steps was made anew for each request; the name of an attempt's outcome was joined with its error twice and cut apart again for the counter; Stop and the retry budgets read the settings while a reload may write them; FirstIn repeated RankIn. No change of behaviour is meant.

--- a/budget/paging.go
+++ b/budget/paging.go
@@ -213,7 +213,7 @@
 	applied := make([]appliedOp, 0, len(ps.ops))
 	for _, op := range ps.ops {
 		tokens := a.amount(value, op)
-		if op.need >= 0 && a.purse(op.budget).escrow > 0 && a.needsReseal(now, a.purse(op.budget)) {
+		if op.need >= 0 && a.needsReseal(now, a.purse(op.budget)) {
 			changed = true
 		}
 		if tokens != 0 {
--- a/controller/members/members.go
+++ b/controller/members/members.go
@@ -131,11 +131,8 @@
 		return r.id
 	}
 	id := c.self.ID
-	for _, candidate := range c.view.Rank(now, role) {
-		if m, _ := c.view.Member(candidate); m.Domain == domain {
-			id = candidate
-			break
-		}
+	if in := c.rankIn(now, role, domain); len(in) > 0 {
+		id = in[0]
 	}
 	c.ranked[role] = ranked{id: id, until: now.Add(rankFor)}
 	return id
@@ -145,6 +142,10 @@
 func (c *Controller) RankIn(now time.Time, role, domain string) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.rankIn(now, role, domain)
+}
+
+func (c *Controller) rankIn(now time.Time, role, domain string) []string {
 	ranked := c.view.Rank(now, role)
 	in := ranked[:0:0]
 	for _, id := range ranked {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -164,7 +164,7 @@
 	c.attempts = append(c.attempts, attemptNote{server: a.server.ID, verdict: a.verdictName(), after: time.Since(c.arrived)})
 	a.promptRead()
 	c.g.Servers.Ended(a.server.ID, a.judged)
-	c.g.Metrics.attempt(c.service.Name, a.verdictName())
+	c.g.Metrics.attempt(c.service.Name, a.name)
 }
 
 // attempt is the sending of a request to one server.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,7 @@
 // Gateway serves callers.
 type Gateway struct {
 	Parts
+	steps    []step
 	inFlight atomic.Int64
 	leaving  atomic.Bool
 	refusing atomic.Bool
@@ -58,7 +59,9 @@
 
 // New returns a gateway.
 func New(p Parts) *Gateway {
-	return &Gateway{Parts: p}
+	g := &Gateway{Parts: p}
+	g.steps = []step{g.admit, g.findRoute, g.authenticate, g.readBody, g.readPrompt, g.reserve}
+	return g
 }
 
 // Leave starts a planned stop: answers ask callers to close their connections.
@@ -71,14 +74,10 @@
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
 // step checks one thing of a request and adds what it finds to the call; an
-// error refuses the request, which has not run.
+// error refuses the request, which has not run. Every request goes through all
+// steps before it is sent to a server.
 type step func(*call) *result.Error
 
-// steps are what every request goes through before it is sent to a server.
-func (g *Gateway) steps() []step {
-	return []step{g.admit, g.findRoute, g.authenticate, g.readBody, g.readPrompt, g.reserve}
-}
-
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
@@ -88,7 +87,7 @@
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	for _, s := range g.steps() {
+	for _, s := range g.steps {
 		if refusal := s(c); refusal != nil {
 			c.refuse(refusal)
 			return
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -51,8 +50,7 @@
 	}
 }
 
-// attempt counts an attempt by the first words of its outcome.
-func (m *Metrics) attempt(service, verdict string) {
-	name, _, _ := strings.Cut(verdict, " (")
-	m.attempts.WithLabelValues(service, name).Inc()
+// attempt counts an attempt by its outcome.
+func (m *Metrics) attempt(service, outcome string) {
+	m.attempts.WithLabelValues(service, outcome).Inc()
 }
--- a/server/server.go
+++ b/server/server.go
@@ -211,10 +211,13 @@
 }
 
 // seeds returns the addresses of other routers as the settings name them now.
-func (s *Server) seeds() []string {
+func (s *Server) seeds() []string { return s.current().Fleet.Seeds }
+
+// current returns the settings as they were last read.
+func (s *Server) current() settings.Gateway {
 	s.reloading.Lock()
 	defer s.reloading.Unlock()
-	return s.settings.Fleet.Seeds
+	return s.settings
 }
 
 // storeLost tells whether the store does not answer this router.
@@ -241,7 +244,7 @@
 
 // retryBurst is this router's share of the repeats beyond the ratio.
 func (s *Server) retryBurst() float64 {
-	return s.settings.Retries.Slack * retryShare / float64(max(s.members.Live(), leastRouters))
+	return s.current().Retries.Slack * retryShare / float64(max(s.members.Live(), leastRouters))
 }
 
 func (s *Server) budgetConfig() budget.Config {
@@ -360,11 +363,12 @@
 // finish, and cuts those that do not within the grace time.
 func (s *Server) Stop() {
 	begun := time.Now()
-	end := begun.Add(s.settings.Stop.Grace.Std())
+	planned := s.current().Stop
+	end := begun.Add(planned.Grace.Std())
 	s.log.Info("stopping", zap.Int64("in_flight", s.gateway.InFlight()))
 	close(s.stopping)
 	s.gateway.Leave()
-	time.Sleep(s.settings.Stop.Notice.Std())
+	time.Sleep(planned.Notice.Std())
 	s.gateway.Refuse()
 	s.budgets.StartClose()
 	s.drain(end.Add(-returnReserve))
