--- a/controller/follow/follow.go
+++ b/controller/follow/follow.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/gaplink/gaplink/store"
+	"github.com/gaplink/gaplink/wait"
 )
 
 const (
@@ -49,7 +50,6 @@
 	mu     sync.Mutex
 	lost   bool
 	lostAt time.Time
-	heard  time.Time
 }
 
 // New returns a follower of the objects under prefix.
@@ -63,25 +63,16 @@
 	for ctx.Err() == nil {
 		if !f.active() {
 			f.rest()
-			pause(ctx, retryPause)
+			_ = wait.For(ctx, retryPause)
 			continue
 		}
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.failed(err)
-			pause(ctx, retryPause)
+			_ = wait.For(ctx, retryPause)
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // rest ends a loss: others tell what is new, and whether the store answers is
 // not known.
 func (f *Follower) rest() {
@@ -145,7 +136,6 @@
 	f.mu.Lock()
 	was, since := f.lost, f.lostAt
 	f.lost = false
-	f.heard = time.Now()
 	f.mu.Unlock()
 	if was {
 		f.log.Info("store regained", zap.Duration("after_ms", time.Since(since)), zap.Int64("revision", f.revision))
@@ -159,10 +149,3 @@
 	defer f.mu.Unlock()
 	return f.lost
 }
-
-// Heard returns when the store last answered.
-func (f *Follower) Heard() time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.heard
-}
--- a/controller/roster/roster.go
+++ b/controller/roster/roster.go
@@ -17,6 +17,7 @@
 	"github.com/gaplink/gaplink/membership"
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/store"
+	"github.com/gaplink/gaplink/wait"
 )
 
 const (
@@ -54,10 +55,7 @@
 			return
 		}
 		c.log.Warn("not registered yet", zap.Error(err))
-		select {
-		case <-time.After(retryEvery):
-		case <-ctx.Done():
-		}
+		_ = wait.For(ctx, retryEvery)
 	}
 }
 
--- a/controller/tables/tables.go
+++ b/controller/tables/tables.go
@@ -21,6 +21,7 @@
 	"github.com/gaplink/gaplink/result"
 	"github.com/gaplink/gaplink/store"
 	"github.com/gaplink/gaplink/table"
+	"github.com/gaplink/gaplink/wait"
 )
 
 const (
@@ -105,7 +106,7 @@
 		if !c.ready.Load() || since == 0 {
 			since = c.reload(ctx)
 			if since == 0 {
-				pause(ctx, retryWait)
+				_ = wait.For(ctx, retryWait)
 				continue
 			}
 		}
@@ -129,7 +130,7 @@
 func (c *Controller) watch(ctx context.Context, since int64) int64 {
 	ev, err := c.store.Watch(ctx, table.LogPrefix, since, watchWait)
 	if err != nil {
-		pause(ctx, retryWait)
+		_ = wait.For(ctx, retryWait)
 		return since
 	}
 	if ev.Gap {
@@ -367,7 +368,7 @@
 		if err == nil && resp.OK {
 			return true
 		}
-		pause(ctx, retryWait/3)
+		_ = wait.For(ctx, retryWait/3)
 	}
 	return false
 }
@@ -386,7 +387,7 @@
 	for range 3 {
 		o, getErr := c.store.Get(ctx, key)
 		if getErr != nil {
-			pause(ctx, retryWait)
+			_ = wait.For(ctx, retryWait)
 			continue
 		}
 		stored, decodeErr := table.DecodeChange(o.Value)
@@ -441,15 +442,6 @@
 	return changes, nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Confirm makes sure, after a pause, that the configuration in force is the
 // fleet's: from the store, or else from a peer that knows nothing newer.
 func (c *Controller) Confirm(ctx context.Context) bool {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -28,8 +28,6 @@
 	// TokensIn is the size of the prompt, MaxTokensOut the most that may be
 	// generated. Both are 0 for a request without a prompt.
 	TokensIn, MaxTokensOut int64
-	// HintOut is the caller's estimate of the tokens generated.
-	HintOut int64
 	// Prefix are the parts of the prompt in order; the last is the request's
 	// own.
 	Prefix []Part
--- a/filter/forward/forward.go
+++ b/filter/forward/forward.go
@@ -21,6 +21,7 @@
 	"github.com/gaplink/gaplink/retry"
 	"github.com/gaplink/gaplink/route"
 	"github.com/gaplink/gaplink/table"
+	"github.com/gaplink/gaplink/wait"
 )
 
 const (
@@ -141,7 +142,7 @@
 	if !allowed {
 		return final.After(backendRetry)
 	}
-	if err := sleep(ctx, delay); err != nil {
+	if err := wait.For(ctx, delay); err != nil {
 		return final.After(backendRetry)
 	}
 	if x.Extend != nil && !known.NotRun() {
@@ -342,17 +343,6 @@
 	return json.Marshal(fields)
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // flush pushes what was written to the caller.
 func flush(w http.ResponseWriter) {
 	if f, ok := w.(http.Flusher); ok {
--- a/lab/demo.go
+++ b/lab/demo.go
@@ -19,6 +19,7 @@
 	"github.com/gaplink/gaplink/membership"
 	"github.com/gaplink/gaplink/store/standin"
 	"github.com/gaplink/gaplink/table"
+	"github.com/gaplink/gaplink/wait"
 )
 
 // errFailed ends a command with exit code 1 after its report.
@@ -269,7 +270,7 @@
 		if name == "" {
 			continue
 		}
-		if !pause(ctx, 300*time.Millisecond) {
+		if wait.For(ctx, 300*time.Millisecond) != nil {
 			d.note("fault %s not injected: the load had ended", name)
 			continue
 		}
@@ -286,7 +287,7 @@
 		return d.kill(ctx, last)
 	case "freeze":
 		last.process.signal(syscall.SIGSTOP)
-		pause(ctx, 4*time.Second)
+		_ = wait.For(ctx, 4*time.Second)
 		last.process.signal(syscall.SIGCONT)
 		return nil
 	case "outage":
@@ -310,7 +311,7 @@
 	if err := d.fleet.faults(faults); err != nil {
 		return err
 	}
-	pause(ctx, span)
+	_ = wait.For(ctx, span)
 	return d.fleet.faults(standin.Faults{})
 }
 
@@ -320,7 +321,7 @@
 	d.killed[r.settings.Listen.Callers] = true
 	d.mu.Unlock()
 	r.process.end()
-	pause(ctx, time.Second)
+	_ = wait.For(ctx, time.Second)
 	return d.fleet.startRouter(r)
 }
 
@@ -331,9 +332,9 @@
 	for _, r := range routers[1:] {
 		d.fleet.relays.setCut(alone, host(r.settings.Listen.Peers), true)
 	}
-	pause(ctx, time.Second)
+	_ = wait.For(ctx, time.Second)
 	err := d.topUp(routers[1])
-	pause(ctx, 2*time.Second)
+	_ = wait.For(ctx, 2*time.Second)
 	for _, r := range routers[1:] {
 		d.fleet.relays.setCut(alone, host(r.settings.Listen.Peers), false)
 	}
@@ -411,7 +412,7 @@
 	}
 	r.process.signal(syscall.SIGTERM)
 	<-r.process.done
-	pause(ctx, 200*time.Millisecond)
+	_ = wait.For(ctx, 200*time.Millisecond)
 	return d.fleet.startRouter(r)
 }
 
@@ -428,15 +429,3 @@
 	d.fleet.engines = d.fleet.engines[:len(d.fleet.engines)-1]
 	return nil
 }
-
-// pause waits; false means that the load has ended.
-func pause(ctx context.Context, span time.Duration) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/router/peers.go
+++ b/router/peers.go
@@ -11,6 +11,7 @@
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/result"
 	"github.com/gaplink/gaplink/store"
+	"github.com/gaplink/gaplink/wait"
 )
 
 // peerMux offers the router's methods to other routers and operators.
@@ -108,7 +109,7 @@
 			return
 		}
 		r.log.Info("not yet joined", zap.Error(err))
-		wait(ctx, joinRetry)
+		_ = wait.For(ctx, joinRetry)
 	}
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -46,6 +46,7 @@
 	"github.com/gaplink/gaplink/store"
 	"github.com/gaplink/gaplink/store/httpstore"
 	"github.com/gaplink/gaplink/table"
+	"github.com/gaplink/gaplink/wait"
 )
 
 const (
@@ -250,7 +251,7 @@
 	r.log.Info("leaving")
 	health.Tell(r.members, r.peers, &peer.LeavingRequest{Kind: "router", ID: r.settings.Instance.ID})
 	r.members.SetLeaving(r.settings.Instance.ID)
-	wait(ctx, r.settings.Requests.LeaveGrace.Std())
+	_ = wait.For(ctx, r.settings.Requests.LeaveGrace.Std())
 	r.refusing.Store(true)
 	r.drain(ctx)
 	flush, cancel := context.WithTimeout(ctx, flushWithin)
@@ -301,7 +302,7 @@
 // drain waits until no request runs.
 func (r *Router) drain(ctx context.Context) {
 	for r.inFlight.Load() > 0 && ctx.Err() == nil {
-		wait(ctx, 10*time.Millisecond)
+		_ = wait.For(ctx, 10*time.Millisecond)
 	}
 }
 
@@ -316,12 +317,3 @@
 	_ = r.peers.Close()
 	r.engines.Close()
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/store/standin/standin.go
+++ b/store/standin/standin.go
@@ -4,7 +4,6 @@
 package standin
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -21,6 +20,7 @@
 	"github.com/gaplink/gaplink/store"
 	"github.com/gaplink/gaplink/store/httpstore"
 	"github.com/gaplink/gaplink/store/memory"
+	"github.com/gaplink/gaplink/wait"
 )
 
 // Faults are the injectable faults of the platform.
@@ -149,7 +149,7 @@
 		<-r.Context().Done()
 		return false
 	}
-	sleep(r.Context(), time.Duration(f.DelayMillis)*time.Millisecond)
+	_ = wait.For(r.Context(), time.Duration(f.DelayMillis)*time.Millisecond)
 	if f.Outage || !limit.Allow() {
 		http.Error(w, "unavailable", http.StatusServiceUnavailable)
 		return false
@@ -299,15 +299,3 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -14,7 +14,6 @@
 	// addr is the server's address and owner the id of the server that it was
 	// opened for: an address may pass to another server.
 	addr, owner string
-	used        bool
 	expires     time.Time
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -89,8 +89,6 @@
 	Body   []byte
 	// Mine tells whether an answer belongs to this request.
 	Mine func(*http.Response) bool
-	// Fresh asks for a new connection.
-	Fresh bool
 }
 
 // Stage says how far a failed request had come.
@@ -109,9 +107,7 @@
 	Stage Stage
 	// Full tells that the server's connections are all in use.
 	Full bool
-	// Reused tells that the connection had carried requests before.
-	Reused bool
-	Err    error
+	Err  error
 }
 
 // Error implements error.
@@ -137,7 +133,7 @@
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
-		return nil, &Failure{Stage: Sent, Reused: c.used, Err: err}
+		return nil, &Failure{Stage: Sent, Err: err}
 	}
 	a.Response = resp
 	return a, nil
@@ -147,7 +143,7 @@
 var errFull = errors.New("all connections to the server are in use")
 
 func (p *Pool) get(ctx context.Context, r *Request) (*conn, error) {
-	for !r.Fresh {
+	for {
 		c := p.takeIdle(r.Address)
 		if c == nil {
 			break
@@ -206,7 +202,6 @@
 }
 
 func (p *Pool) put(c *conn, keep time.Duration) {
-	c.used = true
 	c.expires = time.Now().Add(keep)
 	p.mu.Lock()
 	defer p.mu.Unlock()
