Send callers elsewhere while a router's own link is full

Cause: on the grown sites all callers of a large account are handed to one router of their failure domain; with a link of 10 Mbit/s (0.95 of it usable) that link is full for seconds whenever the account is hot. Requests then reach the router a second late, its dials time out after 250 ms, it takes all servers for dead and refuses with NoBackend, and connections pile up until the process is over its memory. Change: link.Meter counts the bytes of callers' and servers' connections; link.Guard makes a router not ready for 3 s after a window at 0.8 of the link, answers ask callers to close; while the link is full silence is no verdict on a server and a dial may take 1.5 s. The capacity comes from the settings.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,15 @@
 	Metrics  *Metrics
 	// Routers returns the number of routers that share the servers.
 	Routers func() int
+	Link    Link
+}
+
+// Link tells how full the router's own network link is.
+type Link interface {
+	// Away tells whether callers should go to other routers.
+	Away() bool
+	// Full tells whether silence may come from the link itself.
+	Full() bool
 }
 
 // Gateway serves callers.
@@ -84,7 +93,7 @@
 	defer g.inFlight.Add(-1)
 	c := g.newCall(w, r)
 	defer c.close()
-	if g.leaving.Load() {
+	if g.leaving.Load() || g.Link.Away() {
 		w.Header().Set("Connection", "close")
 	}
 	for _, s := range g.steps {
@@ -174,6 +183,7 @@
 	}
 	fields := []zap.Field{
 		zap.String("request", c.ID),
+		zap.String("caller", c.r.RemoteAddr),
 		zap.Int("code", int(c.outcome)),
 		zap.Int("status", c.status),
 		zap.Duration("after_ms", time.Since(c.arrived)),
--- /dev/null
+++ b/server/link.go
@@ -0,0 +1,69 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gaplink/gaplink/link"
+)
+
+// bytesPerMbit converts a link's capacity.
+const bytesPerMbit = 1e6 / 8
+
+// congestedDialTimeout bounds the opening of a connection while the router's
+// own link is full: what waits there is about a second's worth.
+const congestedDialTimeout = 1500 * time.Millisecond
+
+// linkState is what the router goes by while its link is full.
+type linkState struct {
+	mu    sync.Mutex
+	guard link.Guard
+	away  bool // as observed last
+}
+
+// Away tells whether the router should get no new connections.
+func (l *linkState) Away() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.guard.Away(time.Now())
+}
+
+// Full tells whether the link is full now.
+func (l *linkState) Full() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.guard.Full()
+}
+
+// observe takes the load of a window and tells whether Away has changed.
+func (l *linkState) observe(now time.Time, load link.Load) (changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.guard.Observe(now, load)
+	was := l.away
+	l.away = l.guard.Away(now)
+	return was != l.away
+}
+
+// watchLink ends the meter's windows and tells the guard of their load.
+func (s *Server) watchLink(ctx context.Context) {
+	if s.settings.Link.Mbps == 0 {
+		return
+	}
+	ticker := time.NewTicker(link.Window)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			load := s.meter.Tick(now)
+			if s.link.observe(now, load) {
+				s.log.Info("link load", zap.Bool("full", s.link.Away()), zap.Float64("in", load.In), zap.Float64("out", load.Out), zap.Int64("in_flight", s.gateway.InFlight()))
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -34,6 +34,7 @@
 	"github.com/gaplink/gaplink/controller/roster"
 	"github.com/gaplink/gaplink/exchange"
 	"github.com/gaplink/gaplink/gateway"
+	"github.com/gaplink/gaplink/link"
 	"github.com/gaplink/gaplink/logs"
 	"github.com/gaplink/gaplink/membership"
 	"github.com/gaplink/gaplink/peer"
@@ -107,6 +108,8 @@
 	budgets  *budgets.Controller
 	gateway  *gateway.Gateway
 	pool     *upstream.Pool
+	meter    *link.Meter
+	link     linkState
 	registry *prometheus.Registry
 
 	members       *members.Controller
@@ -150,9 +153,14 @@
 // provision builds the controllers and the gateway.
 func (s *Server) provision() {
 	s.store = store.NewCounting(s.platform.Store)
+	s.meter = link.New(s.settings.Link.Mbps*bytesPerMbit, time.Now())
 	s.pool = upstream.New(upstream.Options{
 		DialTimeout: s.settings.Servers.DialTimeout.Std(),
 		IdleTimeout: s.settings.Servers.IdleTimeout.Std(),
+		Meter:       s.meter,
+		Congested:   s.link.Full,
+
+		CongestedDialTimeout: congestedDialTimeout,
 	})
 	s.servers = registry.New(s.platform.DecodeServer, s.pool, newRand(), s.log)
 	s.provisionPeers()
@@ -169,6 +177,7 @@
 		Logs:     s.logs,
 		Metrics:  gateway.NewMetrics(s.registry),
 		Routers:  s.members.Live,
+		Link:     &s.link,
 	})
 	s.news = news.New(news.Options{
 		Configs: s.configs,
@@ -318,6 +327,7 @@
 	go s.news.Run(ctx)
 	go s.servers.Run(ctx)
 	go s.budgets.Run(ctx)
+	go s.watchLink(ctx)
 	s.log.Info("started", zap.String("instance", s.settings.Instance.ID), zap.String("incarnation", s.incarnation),
 		zap.String("domain", s.settings.Instance.Domain), zap.String("callers", s.settings.Listen.Callers))
 	return nil
@@ -328,6 +338,7 @@
 	if err != nil {
 		return trace.Wrap(err, "listening at %s", addr)
 	}
+	l = s.meter.Listener(l)
 	go func() {
 		if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			s.log.Error("listener ended", zap.String("address", addr), zap.Error(err))
@@ -354,7 +365,7 @@
 	case <-s.stopping:
 		return false
 	default:
-		return s.configs.Catalog() != nil && s.servers.Ready()
+		return s.configs.Catalog() != nil && s.servers.Ready() && !s.link.Away()
 	}
 }
 
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -14,6 +14,7 @@
 	Retries  GatewayRetries  `toml:"retries"`
 	Stop     GatewayStop     `toml:"stop"`
 	Memory   GatewayMemory   `toml:"memory"`
+	Link     GatewayLink     `toml:"link"`
 	Log      Log             `toml:"log"`
 }
 
@@ -99,6 +100,14 @@
 	LimitMB int64 `toml:"limit_mb" validate:"min=16"`
 }
 
+// GatewayLink is the instance's network link.
+type GatewayLink struct {
+	// Mbps is its capacity in each direction, in Mbit/s. A router whose link is
+	// full refuses work and takes no new connections for a while; 0: the
+	// capacity is not known, and it never does.
+	Mbps float64 `toml:"mbps" validate:"min=0"`
+}
+
 // DefaultGateway returns the settings that a file need not name.
 func DefaultGateway() Gateway {
 	return Gateway{
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -5,18 +5,40 @@
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/gaplink/gaplink/link"
 )
 
 // conn is one connection to a backend server.
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	meter  *link.Meter
 	// addr is the server's address and owner the id of the server that it was
 	// opened for: an address may pass to another server.
 	addr, owner string
 	expires     time.Time
 }
 
+func newConn(raw net.Conn, r *Request, m *link.Meter) *conn {
+	c := &conn{Conn: raw, meter: m, addr: r.Address, owner: r.Owner}
+	c.reader = bufio.NewReaderSize(counted{raw, m}, readBuffer)
+	return c
+}
+
+// counted counts the bytes that are read from a connection.
+type counted struct {
+	net.Conn
+	meter *link.Meter
+}
+
+// Read implements io.Reader.
+func (c counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.meter.Received(n)
+	return n, err
+}
+
 // sound tells whether an idle connection can carry a request: it is open, and
 // no byte has arrived that belongs to no request.
 func (c *conn) sound() bool {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -8,7 +8,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -23,6 +22,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/gaplink/gaplink/link"
 )
 
 const (
@@ -50,6 +51,20 @@
 	// IdleTimeout is how long an unused connection is kept when the server
 	// names no time itself.
 	IdleTimeout time.Duration
+	// Meter counts the bytes of all connections; it may be nil.
+	Meter *link.Meter
+	// Congested tells whether the router's own link is full, so that a
+	// connection may take up to CongestedDialTimeout; it may be nil.
+	Congested            func() bool
+	CongestedDialTimeout time.Duration
+}
+
+// dialTimeout bounds the opening of a connection now.
+func (o *Options) dialTimeout() time.Duration {
+	if o.Congested != nil && o.Congested() {
+		return o.CongestedDialTimeout
+	}
+	return o.DialTimeout
 }
 
 // Pool holds connections to backend servers. It is safe for concurrent use.
@@ -178,13 +193,13 @@
 	p.open[r.Address]++
 	p.mu.Unlock()
 	p.dials.Add(1)
-	dialer := net.Dialer{Timeout: p.opts.DialTimeout, KeepAlive: -1, ControlContext: limitUnacked}
+	dialer := net.Dialer{Timeout: p.opts.dialTimeout(), KeepAlive: -1, ControlContext: limitUnacked}
 	raw, err := dialer.DialContext(ctx, "tcp", r.Address)
 	if err != nil {
 		p.closed(r.Address)
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), addr: r.Address, owner: r.Owner}, nil
+	return newConn(raw, r, p.opts.Meter), nil
 }
 
 func (p *Pool) closed(addr string) {
@@ -250,13 +265,15 @@
 	done := make(chan error, 1)
 	head := appendHead(make([]byte, 0, readBuffer), r)
 	if len(r.Body) <= inlineBody {
-		_, err := c.Write(append(head, r.Body...))
+		n, err := c.Write(append(head, r.Body...))
+		c.meter.Sent(n)
 		done <- err
 		return done
 	}
 	go func() {
 		buffers := net.Buffers{head, r.Body}
-		_, err := buffers.WriteTo(c.Conn)
+		n, err := buffers.WriteTo(c.Conn)
+		c.meter.Sent(int(n))
 		done <- err
 	}()
 	return done
