Keep deleted registrations gone, send large configurations apart, claim only fresh news

Now the version of a deleted registration is remembered, and older registrations and older deletions change nothing. 2. A router that had just begun to watch claimed to be current before the store had answered. Now it claims so only within 1.8 s of an answer. Also: in a large fleet the watchers of all failure domains are asked in turn, in place of all routers; a router that only stands in for the watchers tries a lost store every 1.2 s and not four times a second.

--- a/controller/configs/configs.go
+++ b/controller/configs/configs.go
@@ -27,8 +27,9 @@
 	lost    atomic.Bool
 	heard   atomic.Pointer[time.Time]
 
-	mu  sync.Mutex
-	raw []byte
+	mu     sync.Mutex
+	raw    []byte // the stored form, nil before the first
+	packed []byte // raw compressed, nil until it is asked for
 }
 
 // New returns a controller without a configuration. It reads the object key;
@@ -103,16 +104,9 @@
 	if next.Version <= c.Version() {
 		return
 	}
-	c.raw = raw
+	c.raw, c.packed = raw, nil
 	c.changed(next)
 	c.catalog.Store(next)
 	c.log.Info("configuration in force", zap.Int64("config", next.Version), zap.String("source", source),
 		zap.Int("routes", next.RouteCount()), zap.Int("accounts", len(next.Accounts)))
 }
-
-// Raw returns the configuration in force as it was read, nil before the first.
-func (c *Controller) Raw() []byte {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.raw
-}
--- /dev/null
+++ b/controller/configs/configs_test.go
@@ -0,0 +1,79 @@
+package configs_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"github.com/gaplink/gaplink/catalog"
+	"github.com/gaplink/gaplink/controller/configs"
+)
+
+func decode(raw []byte) (*catalog.Catalog, error) {
+	c := &catalog.Catalog{}
+	return c, json.Unmarshal(raw, c)
+}
+
+func controller() *configs.Controller {
+	return configs.New("config/main", decode, func(*catalog.Catalog) {}, zap.NewNop())
+}
+
+// large is a configuration with thousands of routes.
+func large(version int) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, `{"Version":%d,"padding":[`, version)
+	for n := range 2000 {
+		fmt.Fprintf(&b, `{"name":"route-%d","hostname":"api.example","type":"streaming","timeoutMs":2000},`, n)
+	}
+	b.WriteString(`{}]}`)
+	return b.Bytes()
+}
+
+func TestPackedConfigurationIsTakenByAnotherRouter(t *testing.T) {
+	from, to := controller(), controller()
+	if packed, err := from.Packed(); err != nil || packed != nil {
+		t.Fatalf("a router without a configuration sends %d bytes, %v", len(packed), err)
+	}
+	raw := large(7)
+	from.Take(raw, "store")
+	packed, err := from.Packed()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(packed) > len(raw)/5 {
+		t.Fatalf("%d bytes packed into %d", len(raw), len(packed))
+	}
+	if err := to.TakePacked(packed, "r1"); err != nil || to.Version() != 7 {
+		t.Fatalf("version %d, %v", to.Version(), err)
+	}
+}
+
+func TestPackedFollowsTheNewestVersion(t *testing.T) {
+	from, to := controller(), controller()
+	from.Take(large(1), "store")
+	if _, err := from.Packed(); err != nil {
+		t.Fatal(err)
+	}
+	from.Take(large(2), "store")
+	packed, err := from.Packed()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := to.TakePacked(packed, "r1"); err != nil || to.Version() != 2 {
+		t.Fatalf("version %d, %v", to.Version(), err)
+	}
+}
+
+func TestUnreadablePackedConfigurationChangesNothing(t *testing.T) {
+	c := controller()
+	c.Take(large(3), "store")
+	if err := c.TakePacked([]byte("no flate"), "r1"); err == nil {
+		t.Fatal("taken")
+	}
+	if c.Version() != 3 {
+		t.Fatalf("version %d", c.Version())
+	}
+}
--- a/controller/follow/follow.go
+++ b/controller/follow/follow.go
@@ -23,6 +23,25 @@
 	// retryPause is the pause after a failed call. Two followers of each router
 	// then make at most eight calls a second while the store is away.
 	retryPause = 250 * time.Millisecond
+	// deputyPause is the same for a router that only stands in for those whose
+	// task it is to follow: they look for the store often enough for all.
+	deputyPause = 1200 * time.Millisecond
+	// freshFor is how long after an answer of the store what is known from it
+	// counts as the newest: a watch's wait and the time of a slow answer.
+	freshFor = watchWait + 600*time.Millisecond
+)
+
+// Part is what a follower does now.
+type Part int
+
+// The parts.
+const (
+	// Rests: other routers follow and tell this one.
+	Rests Part = iota
+	// Deputy: it follows, since nobody tells it what is new.
+	Deputy
+	// Follows: it is its task to follow.
+	Follows
 )
 
 // Handler takes what a follower learns. Its calls come one after the other.
@@ -42,37 +61,47 @@
 	prefix  string
 	handler Handler
 	log     *zap.Logger
-	// active tells whether to follow now, or to leave it to other routers.
-	active func() bool
+	// part tells whether to follow now, or to leave it to other routers.
+	part func() Part
 
 	revision int64 // of the store; 0: a list is due
 
-	mu     sync.Mutex
-	lost   bool
-	lostAt time.Time
+	mu       sync.Mutex
+	lost     bool
+	lostAt   time.Time
+	answered time.Time // when the store answered last
 }
 
 // New returns a follower of the objects under prefix.
-// It makes no calls while active is not true.
-func New(s store.Store, prefix string, h Handler, active func() bool, log *zap.Logger) *Follower {
-	return &Follower{store: s, prefix: prefix, handler: h, active: active, log: log.With(zap.String("kind", prefix))}
+// It makes no calls while its part is to rest.
+func New(s store.Store, prefix string, h Handler, part func() Part, log *zap.Logger) *Follower {
+	return &Follower{store: s, prefix: prefix, handler: h, part: part, log: log.With(zap.String("kind", prefix))}
 }
 
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !f.active() {
+		part := f.part()
+		if part == Rests {
 			f.rest()
 			_ = wait.For(ctx, retryPause)
 			continue
 		}
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.failed(err)
-			_ = wait.For(ctx, retryPause)
+			_ = wait.For(ctx, pause(part))
 		}
 	}
 }
 
+// pause is the pause after a failed call.
+func pause(p Part) time.Duration {
+	if p == Deputy {
+		return deputyPause
+	}
+	return retryPause
+}
+
 // rest ends a loss: others tell what is new, and whether the store answers is
 // not known.
 func (f *Follower) rest() {
@@ -136,6 +165,7 @@
 	f.mu.Lock()
 	was, since := f.lost, f.lostAt
 	f.lost = false
+	f.answered = time.Now()
 	f.mu.Unlock()
 	if was {
 		f.log.Info("store regained", zap.Duration("after_ms", time.Since(since)), zap.Int64("revision", f.revision))
@@ -149,3 +179,10 @@
 	defer f.mu.Unlock()
 	return f.lost
 }
+
+// Fresh tells whether what is known from the store is the newest.
+func (f *Follower) Fresh() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.lost && time.Since(f.answered) < freshFor
+}
--- a/controller/members/members.go
+++ b/controller/members/members.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -219,13 +220,16 @@
 	clear(c.ranked)
 }
 
-// Domains returns the number of failure domains of the listed routers.
-func (c *Controller) Domains() int {
-	domains := map[string]bool{}
+// Domains returns the failure domains of the listed routers, in order.
+func (c *Controller) Domains() []string {
+	var domains []string
 	for _, m := range c.Members() {
-		domains[m.Domain] = true
+		if !slices.Contains(domains, m.Domain) {
+			domains = append(domains, m.Domain)
+		}
 	}
-	return max(len(domains), 1)
+	slices.Sort(domains)
+	return domains
 }
 
 // Failed records that a call to a member failed.
--- a/controller/news/news.go
+++ b/controller/news/news.go
@@ -5,12 +5,15 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/gaplink/gaplink/controller/configs"
+	"github.com/gaplink/gaplink/controller/follow"
 	"github.com/gaplink/gaplink/controller/members"
 	"github.com/gaplink/gaplink/controller/registry"
 	"github.com/gaplink/gaplink/peer"
@@ -22,6 +25,9 @@
 	askEvery = 250 * time.Millisecond
 	// callTimeout bounds the question.
 	callTimeout = 400 * time.Millisecond
+	// fetchTimeout bounds the fetching of a configuration: a large one, compressed,
+	// takes half a second on a small router's link that serves several.
+	fetchTimeout = 2 * time.Second
 	// trust is how long a router goes by news before it watches the store
 	// itself: three questions.
 	trust = 800 * time.Millisecond
@@ -42,8 +48,9 @@
 	Self string
 	// Domain is this router's failure domain.
 	Domain string
-	// Lost tells whether the store does not answer this router.
-	Lost func() bool
+	// Lost tells whether the store does not answer this router, and Fresh whether
+	// it answered just now.
+	Lost, Fresh func() bool
 	// Large tells whether the fleet is so large that few watch for all.
 	Large func() bool
 	Log   *zap.Logger
@@ -59,25 +66,30 @@
 	current time.Time // when a watching router last answered
 	next    int       // which of the ranked routers is asked
 	told    bool      // the log has the present source of news
+
+	fetching atomic.Bool // a configuration is being fetched
 }
 
 // New returns a controller.
 func New(o Options) *Controller { return &Controller{Options: o} }
 
-// Watches tells whether this router should watch the store: all do in a small
-// fleet, else the first of each failure domain, and whoever hears no news.
-func (c *Controller) Watches() bool {
-	if !c.Large() {
-		return true
+// Part tells whether this router follows the store: all do in a small fleet,
+// else the first of each failure domain, and whoever hears no news.
+func (c *Controller) Part() follow.Part {
+	if !c.Large() || c.isWatcher() {
+		return follow.Follows
 	}
 	c.mu.Lock()
 	heard := c.current
 	c.mu.Unlock()
-	return time.Since(heard) > trust || c.isWatcher()
+	if time.Since(heard) > trust {
+		return follow.Deputy
+	}
+	return follow.Rests
 }
 
 func (c *Controller) isWatcher() bool {
-	for _, id := range c.watchers() {
+	for _, id := range c.watchers(c.Domain) {
 		if id == c.Members.Self().ID {
 			return true
 		}
@@ -85,14 +97,14 @@
 	return false
 }
 
-// watchers are the routers of this failure domain that watch the store.
-func (c *Controller) watchers() []string {
-	ranked := c.Members.RankIn(time.Now(), watchRole, c.Domain)
+// watchers are the routers of a failure domain that watch the store.
+func (c *Controller) watchers(domain string) []string {
+	ranked := c.Members.RankIn(time.Now(), watchRole, domain)
 	return ranked[:min(len(ranked), watchersEach)]
 }
 
-// Run asks another router every so often while this one does not watch the
-// store, or the store does not answer.
+// Run asks another router every so often while it is not this one's task to
+// watch the store, or the store does not answer.
 func (c *Controller) Run(ctx context.Context) {
 	ticker := time.NewTicker(askEvery)
 	defer ticker.Stop()
@@ -108,13 +120,19 @@
 	}
 }
 
-// candidates are the routers to ask: in a large fleet the watchers of this
-// failure domain, and all others while the store is lost.
+// candidates are the routers to ask: all others in a small fleet, else those
+// that watch the store, the ones of this failure domain first.
 func (c *Controller) candidates() []string {
-	if c.Large() && !c.Lost() {
-		return c.watchers()
+	if !c.Large() {
+		return c.Members.Others(time.Now())
+	}
+	ids := c.watchers(c.Domain)
+	for _, domain := range c.Members.Domains() {
+		if domain != c.Domain {
+			ids = append(ids, c.watchers(domain)...)
+		}
 	}
-	return c.Members.Others(time.Now())
+	return slices.DeleteFunc(ids, func(id string) bool { return id == c.Members.Self().ID })
 }
 
 func (c *Controller) ask(ctx context.Context) {
@@ -124,23 +142,23 @@
 	}
 	c.mu.Lock()
 	id := ids[c.next%len(ids)]
-	req := &peer.NewsRequest{Config: c.Configs.Version(), Source: c.source, Seq: c.seq}
+	req := &peer.NewsRequest{Source: c.source, Seq: c.seq}
 	c.mu.Unlock()
 	addr, ok := c.Members.Addr(id)
-	if !ok || id == c.Members.Self().ID {
+	if !ok {
 		c.failed()
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	answer, err := peer.Call[peer.NewsRequest, peer.NewsAnswer](ctx, c.Peers, addr, peer.MethodNews, req)
+	answer, err := peer.Call[peer.NewsRequest, peer.NewsAnswer](callCtx, c.Peers, addr, peer.MethodNews, req)
 	if err != nil {
 		c.Members.Failed(id)
 		c.failed()
 		return
 	}
 	c.Members.Reached(id)
-	c.take(id, answer)
+	c.take(ctx, id, answer)
 }
 
 // failed turns to the next router.
@@ -151,15 +169,18 @@
 	c.told = false
 }
 
-func (c *Controller) take(id string, answer *peer.NewsAnswer) {
-	if answer.Config != nil {
-		c.Configs.Take(answer.Config, id)
+func (c *Controller) take(ctx context.Context, id string, answer *peer.NewsAnswer) {
+	newer := answer.Config > c.Configs.Version()
+	if newer {
+		c.fetchOnce(ctx, id)
 	}
 	if !answer.Current {
 		c.failed()
 		return
 	}
-	c.Configs.Confirmed()
+	if !newer {
+		c.Configs.Confirmed()
+	}
 	if answer.Full {
 		c.Servers.Listed(objects(answer.Servers))
 	} else if len(answer.Servers) > 0 {
@@ -174,12 +195,44 @@
 	}
 }
 
+// fetchOnce fetches the configuration of another router in the background,
+// unless that is under way already.
+func (c *Controller) fetchOnce(ctx context.Context, id string) {
+	if !c.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer c.fetching.Store(false)
+		if err := c.fetch(ctx, id); err != nil {
+			c.Log.Info("configuration not fetched", zap.String("router", id), zap.Error(err))
+			c.failed()
+		}
+	}()
+}
+
+func (c *Controller) fetch(ctx context.Context, id string) error {
+	addr, ok := c.Members.Addr(id)
+	if !ok {
+		return peer.ErrNotSent
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	answer, err := peer.Call[peer.Empty, peer.ConfigAnswer](ctx, c.Peers, addr, peer.MethodConfig, &peer.Empty{})
+	if err != nil {
+		return err
+	}
+	return c.Configs.TakePacked(answer.Packed, id)
+}
+
+// Config answers another router that fetches the configuration.
+func (c *Controller) Config(context.Context, *peer.Empty) (*peer.ConfigAnswer, error) {
+	packed, err := c.Configs.Packed()
+	return &peer.ConfigAnswer{Packed: packed}, err
+}
+
 // Answer answers another router's question.
 func (c *Controller) Answer(_ context.Context, req *peer.NewsRequest) (*peer.NewsAnswer, error) {
-	answer := &peer.NewsAnswer{Current: !c.Lost() && c.Watches() && c.Servers.Ready(), Source: c.Self}
-	if c.Configs.Version() > req.Config {
-		answer.Config = c.Configs.Raw()
-	}
+	answer := &peer.NewsAnswer{Current: c.Fresh() && c.Servers.Ready(), Config: c.Configs.Version(), Source: c.Self}
 	if !answer.Current {
 		return answer, nil
 	}
--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -30,6 +30,9 @@
 	// goneGrace is how long a server is kept after its registration went while
 	// the store was well; a server serves on for longer than that.
 	goneGrace = 700 * time.Millisecond
+	// goneFor is how long a deletion is remembered against routers that tell of
+	// the registration again; those are seconds behind.
+	goneFor = 10 * time.Minute
 	// tickEvery is how often missing and unreachable servers are looked at.
 	tickEvery = 250 * time.Millisecond
 	// probeEvery is how often a server that is down is tried, and probeTimeout
@@ -41,6 +44,13 @@
 // Decode reads a registration.
 type Decode func(id string, value []byte) (placement.Server, error)
 
+// deletion is the end of a registration.
+type deletion struct {
+	// version is the last one known of it.
+	version int64
+	at      time.Time
+}
+
 // Controller is safe for concurrent use. It implements follow.Handler.
 type Controller struct {
 	decode Decode
@@ -54,8 +64,10 @@
 	regained time.Time
 	listed   bool
 	probedAt map[string]time.Time
-	// entries are the registrations by key, as they lie in the store.
+	// entries are the registrations by key, as they lie in the store, and gone
+	// the versions up to which registrations are known to be deleted.
 	entries map[string]store.Object
+	gone    map[string]deletion
 	changes changeLog
 }
 
@@ -70,6 +82,7 @@
 		missing:  map[string]time.Time{},
 		probedAt: map[string]time.Time{},
 		entries:  map[string]store.Object{},
+		gone:     map[string]deletion{},
 	}
 }
 
@@ -90,6 +103,7 @@
 func (c *Controller) tick(ctx context.Context, now time.Time) {
 	c.mu.Lock()
 	c.dropMissing(now)
+	maps.DeleteFunc(c.gone, func(_ string, d deletion) bool { return now.Sub(d.at) > goneFor })
 	due := c.probesDue(now)
 	c.mu.Unlock()
 	for _, s := range due {
@@ -152,8 +166,11 @@
 	defer c.mu.Unlock()
 	present := make(map[string]bool, len(objects))
 	for _, o := range objects {
-		present[idOf(o.Key)] = true
-		c.put(o)
+		if !c.outdated(o) {
+			c.put(o)
+		}
+		_, known := c.entries[o.Key]
+		present[idOf(o.Key)] = known
 	}
 	for _, s := range c.servers.All() {
 		if !present[s.ID] {
@@ -162,20 +179,33 @@
 	}
 	for key := range c.entries {
 		if !present[idOf(key)] {
-			c.forget(key)
+			c.forget(store.Object{Key: key})
 		}
 	}
 	c.listed = true
 }
 
-// forget drops a registration that is gone.
-func (c *Controller) forget(key string) {
-	if _, known := c.entries[key]; known {
-		delete(c.entries, key)
-		c.changes.add(store.Object{Key: key, Deleted: true})
+// forget drops a registration that is gone. Another router may tell of it
+// again later: what it knew up to that version is void.
+func (c *Controller) forget(o store.Object) {
+	known, had := c.entries[o.Key]
+	last := max(c.gone[o.Key].version, o.Version, known.Version)
+	c.gone[o.Key] = deletion{version: last, at: time.Now()}
+	if had {
+		delete(c.entries, o.Key)
+		c.changes.add(store.Object{Key: o.Key, Version: last, Deleted: true})
 	}
 }
 
+// outdated tells whether a registration or its deletion is older than what is
+// known here.
+func (c *Controller) outdated(o store.Object) bool {
+	if o.Deleted {
+		return o.Version > 0 && o.Version < c.entries[o.Key].Version
+	}
+	return o.Version < c.entries[o.Key].Version || o.Version <= c.gone[o.Key].version
+}
+
 // Since returns the changes after number seq and the number of the last one.
 // With full they are all registrations, since the changes are not held any
 // more.
@@ -193,8 +223,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, o := range objects {
+		if c.outdated(o) {
+			continue // from a router that knows less
+		}
 		if o.Deleted {
-			c.forget(o.Key)
+			c.forget(o)
 			c.absent(idOf(o.Key), deletedGrace)
 			continue
 		}
@@ -213,9 +246,6 @@
 }
 
 func (c *Controller) put(o store.Object) {
-	if o.Version < c.entries[o.Key].Version {
-		return // from a router that knows less
-	}
 	id := idOf(o.Key)
 	s, err := c.decode(id, o.Value)
 	if err != nil {
--- a/controller/registry/registry_test.go
+++ b/controller/registry/registry_test.go
@@ -114,3 +114,38 @@
 		}
 	})
 }
+
+// TestDeletedRegistrationStaysGone: another router may tell the history of a
+// server that has left long ago.
+func TestDeletedRegistrationStaysGone(t *testing.T) {
+	run(t, func(c *registry.Controller) {
+		c.Listed([]store.Object{entry("a", 5, false), entry("b", 2, false)})
+		c.Changed([]store.Object{gone("a")})
+		time.Sleep(1200 * time.Millisecond)
+		c.Changed([]store.Object{entry("a", 5, false), gone("a")})
+		if count(c) != 1 {
+			t.Fatal("a server that has left is in use again")
+		}
+		c.Listed([]store.Object{entry("a", 5, false), entry("b", 2, false)})
+		if count(c) != 1 {
+			t.Fatal("a server that has left is in use again after a list of another router")
+		}
+		c.Changed([]store.Object{entry("a", 9, false)})
+		if count(c) != 2 {
+			t.Fatal("a registration that came back after a lapse is not used")
+		}
+	})
+}
+
+// TestOlderDeletionChangesNothing: a registration lapsed and came back, and
+// another router tells of the lapse only now.
+func TestOlderDeletionChangesNothing(t *testing.T) {
+	run(t, func(c *registry.Controller) {
+		c.Listed([]store.Object{entry("a", 9, false)})
+		c.Changed([]store.Object{{Key: "servers/a", Version: 5, Deleted: true}})
+		time.Sleep(3 * time.Second)
+		if count(c) != 1 {
+			t.Fatal("dropped by a deletion that is older than the registration")
+		}
+	})
+}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -21,6 +21,7 @@
 	MethodBarrier = "reclaim.Barrier"
 	MethodHello   = "member.Hello"
 	MethodNews    = "member.News"
+	MethodConfig  = "config.Fetch"
 )
 
 // Empty is an answer without content.
@@ -114,8 +115,6 @@
 
 // NewsRequest asks for what is newer than what the asking router has.
 type NewsRequest struct {
-	// Config is the version of its configuration, 0 for none.
-	Config int64
 	// Source and Seq are those of the last answer that it took registrations
 	// from.
 	Source string
@@ -136,8 +135,8 @@
 	// Current tells that the answering router watches the store, so that what
 	// it knows is the newest.
 	Current bool
-	// Config is the configuration, nil if the asking router's is as new.
-	Config []byte
+	// Config is the version of the answering router's configuration.
+	Config int64
 	// Source is the answering process, Seq the number of its last change of a
 	// registration.
 	Source string
@@ -148,6 +147,12 @@
 	Servers []Registration
 }
 
+// ConfigAnswer is a router's configuration.
+type ConfigAnswer struct {
+	// Packed is its stored form, compressed; nil if the router has none.
+	Packed []byte
+}
+
 // LeftAnswer names the backend servers known to be leaving.
 type LeftAnswer struct {
 	Servers []string
--- a/server/server.go
+++ b/server/server.go
@@ -187,17 +187,18 @@
 		Self:    s.incarnation,
 		Domain:  s.settings.Instance.Domain,
 		Lost:    s.storeLost,
+		Fresh:   s.storeFresh,
 		Large:   s.large,
 		Log:     s.log,
 	})
-	s.followConfigs = follow.New(s.store, s.platform.ConfigKind, s.configs, s.news.Watches, s.log)
-	s.followServers = follow.New(s.store, s.platform.ServerKind, s.servers, s.news.Watches, s.log)
+	s.followConfigs = follow.New(s.store, s.platform.ConfigKind, s.configs, s.news.Part, s.log)
+	s.followServers = follow.New(s.store, s.platform.ServerKind, s.servers, s.news.Part, s.log)
 }
 
 // drawers returns the number of routers that draw budgets from the store.
 func (s *Server) drawers() int {
 	if s.large() {
-		return s.members.Domains()
+		return max(len(s.members.Domains()), 1)
 	}
 	return s.members.Live()
 }
@@ -234,11 +235,17 @@
 	return s.followConfigs.Lost() || s.followServers.Lost()
 }
 
+// storeFresh tells whether what this router knows from the store is the newest.
+func (s *Server) storeFresh() bool {
+	return s.followConfigs.Fresh() && s.followServers.Fresh()
+}
+
 // peerMux offers this router's methods to the others.
 func (s *Server) peerMux() *peer.Mux {
 	m := peer.NewMux()
 	peer.Handle(m, peer.MethodHello, s.roster.Hello)
 	peer.Handle(m, peer.MethodNews, s.news.Answer)
+	peer.Handle(m, peer.MethodConfig, s.news.Config)
 	peer.Handle(m, peer.MethodBudget, s.onBudget)
 	return m
 }
