--- a/budget/agent.go
+++ b/budget/agent.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Cause says why a reservation was refused.
@@ -124,8 +126,11 @@
 	// should be the same for all budgets of a page, whose writes then go
 	// together.
 	Home func(now time.Time, budget string) string
-	// Lenders names other routers to borrow from, best first; nil: none.
-	Lenders func(now time.Time) []Peer
+	// Running names the process that is known to run at an instance; its
+	// incarnation is empty if none is known. nil: none ever is.
+	Running func(id string) Peer
+	// Lenders names other routers to borrow a budget from, best first; nil: none.
+	Lenders func(now time.Time, budget string) []Peer
 	// StoreLost tells whether the store does not answer; nil: it is not known.
 	// A router that stops meanwhile hands its tokens to a lender.
 	StoreLost func() bool
@@ -142,8 +147,12 @@
 	// the setting between the users' preferences: longer lasts longer through
 	// an outage and strands more when a home dies.
 	HomeHorizon time.Duration
-	// EntryHorizon is how much demand an entry router holds.
+	// EntryHorizon is how much demand an entry router holds, if that is at least
+	// EntryLeast requests of the mean size. One that has fewer requests for a
+	// budget asks its home for each, and returns what that leaves, so that little
+	// lies idle in the many routers of a large fleet.
 	EntryHorizon time.Duration
+	EntryLeast   float64
 	// DrawTimeout is how long an entry router waits for the home's answer.
 	DrawTimeout time.Duration
 	// LenderTimeout is how long another router may take to lend.
@@ -172,6 +181,9 @@
 	// lasts about TailTime. 0: there is no tail.
 	TailShare float64
 	TailTime  time.Duration
+	// StarterShare is the part of a budget that all homes together hold of it
+	// before any request has asked for it.
+	StarterShare float64
 	// RateWindow is the time constant of the demand estimate.
 	RateWindow time.Duration
 	// Surplus is by how much more than it would hold a home may have before it
@@ -225,11 +237,15 @@
 	sealed  bool
 	fenced  map[string]bool // incarnations whose messages are void
 	limits  map[string]Limit
+	seed    uint64 // differs between most processes
 }
 
+// seeds is how many different seeds there are: chance spreads small numbers.
+const seeds = 1 << 12
+
 // NewAgent returns an agent that holds nothing.
 func NewAgent(cfg Config) *Agent {
-	return &Agent{cfg: cfg, purses: map[string]*purse{}, pages: map[int]*pageState{}, fenced: map[string]bool{}, limits: map[string]Limit{}}
+	return &Agent{cfg: cfg, purses: map[string]*purse{}, pages: map[int]*pageState{}, fenced: map[string]bool{}, limits: map[string]Limit{}, seed: xxhash.Sum64String(cfg.Self.Incarnation) % seeds}
 }
 
 // drain returns and clears the collected effects.
@@ -307,7 +323,9 @@
 		return nil
 	}
 	p := a.purse(m.Budget)
-	a.credit(p, m)
+	if moved := a.credit(p, m); m.Kind == Back || m.Kind == Draw {
+		p.demand.add(now, -moved) // it was counted when it was granted
+	}
 	a.refreshEscrow(now, p)
 	switch m.Kind {
 	case Draw:
@@ -343,10 +361,11 @@
 	case a.closing:
 		a.refuseDraw(p, d, Moved)
 		return
-	case a.inTail(p) && !a.admitsTail(now, p, m.Need):
+	case p.usable() < p.asked()+m.Need && a.inTail(p) && !a.admitsTail(now, p, m.Need):
 		a.refuseDraw(p, d, Exhausted)
 		return
 	}
+	a.noteSmall(now, p, m.Need)
 	p.draws = append(p.draws, d)
 }
 
@@ -356,14 +375,15 @@
 	return !a.sealed && (m.To.Incarnation == "" || m.To.Incarnation == a.cfg.Self.Incarnation)
 }
 
-// credit adds the tokens that the message newly moves here.
-func (a *Agent) credit(p *purse, m Message) {
+// credit adds the tokens that the message newly moves here, and returns them.
+func (a *Agent) credit(p *purse, m Message) int64 {
 	if m.To.Incarnation == "" || m.Total <= p.received[m.From.Incarnation] {
-		return
+		return 0
 	}
 	moved := m.Total - p.received[m.From.Incarnation]
 	p.received[m.From.Incarnation] = m.Total
 	p.balance += moved
+	return moved
 }
 
 // granted handles the home's answer to a draw.
@@ -453,6 +473,9 @@
 		return
 	}
 	a.giveBackSurplus(now, p)
+	if a.cfg.StarterShare > 0 && a.isHome(now, p.id) {
+		a.prefetch(now, p)
+	}
 }
 
 // Close starts a planned stop: every balance, now and later, is returned to
--- a/budget/borrow.go
+++ b/budget/borrow.go
@@ -30,7 +30,7 @@
 	if a.cfg.Lenders == nil || now.Sub(b.failedAt) < a.cfg.CheckEvery {
 		return false
 	}
-	for _, lender := range a.cfg.Lenders(now) {
+	for _, lender := range a.cfg.Lenders(now, p.id) {
 		if len(b.asked) >= lendersAsked {
 			break
 		}
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -46,6 +46,8 @@
 	storeLost           bool
 	// tail keeps the last fiftieth of the budget for 15 s.
 	tail bool
+	// pooled makes one router the home of the budget for all.
+	pooled bool
 }
 
 func newNetwork(t *rapid.T) *network {
--- a/budget/escrow_test.go
+++ b/budget/escrow_test.go
@@ -23,7 +23,7 @@
 	cfg.Pages = 1
 	cfg.Self = budget.Peer{ID: id, Incarnation: incarnation}
 	cfg.Home = func(time.Time, string) string { return id }
-	cfg.Lenders = func(time.Time) []budget.Peer { return lenders }
+	cfg.Lenders = func(time.Time, string) []budget.Peer { return lenders }
 	cfg.HeldRequests, cfg.LowRequests = 1, 0.5
 	cfg.Surplus, cfg.RefillBelow = 0.25, 0.9
 	cfg.CheckEvery = time.Millisecond
@@ -51,6 +51,9 @@
 		cfg.TailShare, cfg.TailTime = 0.02, 15*time.Second
 		cfg.Routers = func() int { return len(n.routers) }
 	}
+	if n.pooled {
+		n.pool(&cfg)
+	}
 	r.agent = budget.NewAgent(cfg)
 	n.perform(r, r.agent.SetLimits(n.now, n.limits()))
 }
--- a/budget/limits.go
+++ b/budget/limits.go
@@ -22,6 +22,9 @@
 			continue
 		}
 		a.limits[id] = next
+		if a.cfg.StarterShare > 0 {
+			a.purse(id).lastUse = now
+		}
 		if known && next.Tokens < old.Tokens {
 			a.handBack(now, id)
 		}
--- a/budget/paging.go
+++ b/budget/paging.go
@@ -61,6 +61,9 @@
 	ops     []pageOp
 	wroteAt time.Time
 	retryAt time.Time
+	// conflicts in a row, and until when the next write waits because of them.
+	conflicts  int
+	conflictAt time.Time
 	// escrow is this holder's escrow in the page in the store.
 	escrow escrowed
 	// reseal tells that the page must be written although no tokens move.
@@ -96,7 +99,7 @@
 		a.failDraws(now, ps)
 		return
 	}
-	if ps.write == nil && !a.closing && now.Sub(ps.wroteAt) < a.spacing(ps) {
+	if ps.write == nil && !a.closing && (now.Sub(ps.wroteAt) < a.spacing(ps) || now.Before(ps.conflictAt)) {
 		return
 	}
 	if !ps.have || a.stale(now, ps) {
@@ -308,12 +311,14 @@
 	ps.writing = false
 	switch result {
 	case Done:
+		ps.conflicts = 0
 		ps.page, ps.version, ps.readAt = ps.write.value, version, now
 		a.applyLimits(n, ps)
 		a.finishWrite(now, ps)
 		a.shedOverdrawn(now, n, ps)
 	case Conflict:
 		ps.have = false
+		a.backOff(now, ps)
 		if !ps.write.lost {
 			a.requeue(ps)
 		}
@@ -335,6 +340,28 @@
 	return a.drain()
 }
 
+const (
+	// conflictsAtOnce is how many conflicts in a row are followed by another
+	// write at once: with two or three writers the next one mostly succeeds.
+	conflictsAtOnce = 2
+	// backOffFirst and backOffMost are the longest pause after the next conflict,
+	// which doubles with each further one, and its bound. Many routers that write
+	// one page at once would otherwise keep each other from it.
+	backOffFirst = 40 * time.Millisecond
+	backOffMost  = 320 * time.Millisecond
+)
+
+// backOff puts the next write of a page off after a conflict, by a time that
+// differs between routers.
+func (a *Agent) backOff(now time.Time, ps *pageState) {
+	ps.conflicts++
+	if ps.conflicts <= conflictsAtOnce {
+		return
+	}
+	longest := min(backOffFirst<<min(ps.conflicts-conflictsAtOnce-1, 3), backOffMost)
+	ps.conflictAt = now.Add(time.Duration(chance(a.seed+uint64(a.writes)) * float64(longest)))
+}
+
 // unqueueReturns takes back what is queued to be returned to the store.
 func (a *Agent) unqueueReturns(p *purse) {
 	ps := a.pages[p.page]
--- a/budget/purse.go
+++ b/budget/purse.go
@@ -93,14 +93,25 @@
 // few requests' worth of one that is asked for seldom, and no more than its
 // share of what is left.
 func (a *Agent) hold(now time.Time, p *purse) int64 {
-	want := max(p.ahead(now, a.cfg.HomeHorizon), int64(a.cfg.HeldRequests*p.meanNeed))
+	want := max(p.ahead(now, a.cfg.HomeHorizon), int64(a.cfg.HeldRequests*p.meanNeed), a.starter(p))
 	return min(want, a.fairShare(p))
 }
 
+// starter is what a home holds of a budget that it knows no demand for, so that
+// the first requests need not wait for the store.
+func (a *Agent) starter(p *purse) int64 {
+	limit, known := a.limits[p.id]
+	if a.cfg.StarterShare == 0 || !known {
+		return 0
+	}
+	return int64(a.cfg.StarterShare * float64(limit.Tokens) / float64(a.cfg.Routers()))
+}
+
 // low is the balance at which a home draws more.
 func (a *Agent) low(now time.Time, p *purse) int64 {
 	horizon := time.Duration(float64(a.cfg.HomeHorizon) * a.cfg.RefillBelow)
-	low := max(p.ahead(now, horizon), int64(a.cfg.LowRequests*p.meanNeed))
+	starter := int64(a.cfg.RefillBelow * float64(a.starter(p)))
+	low := max(p.ahead(now, horizon), int64(a.cfg.LowRequests*p.meanNeed), starter)
 	return min(low, int64(float64(a.fairShare(p))*a.cfg.RefillBelow))
 }
 
@@ -251,6 +262,20 @@
 	a.emit(Send{m})
 }
 
+// holdsAhead tells whether an entry router holds tokens ahead of its requests:
+// while they are plenty, and if it has enough requests for the budget.
+func (a *Agent) holdsAhead(now time.Time, p *purse) bool {
+	return !p.scarce && float64(p.ahead(now, a.cfg.EntryHorizon)) >= a.cfg.EntryLeast*p.meanNeed
+}
+
+// entryHold is what an entry router would hold of the budget.
+func (a *Agent) entryHold(now time.Time, p *purse) int64 {
+	if !a.holdsAhead(now, p) {
+		return 0
+	}
+	return p.ahead(now, a.cfg.EntryHorizon)
+}
+
 // refuseDraw answers a peer's draw with a cause and no tokens.
 func (a *Agent) refuseDraw(p *purse, d draw, cause Cause) {
 	m := a.move(p, Grant, d.peer, 0)
@@ -309,14 +334,14 @@
 }
 
 // ask sends waiting reservations to the home: one at a time while tokens are
-// plenty, since the answer brings more than one needs, else each by itself.
+// held ahead, since the answer brings more than one needs, else each by itself.
 func (a *Agent) ask(now time.Time, p *purse) {
 	for i := range p.waiters {
 		w := &p.waiters[i]
 		if !w.askedAt.IsZero() {
 			continue
 		}
-		if !p.scarce && p.asking() {
+		if a.holdsAhead(now, p) && p.asking() {
 			return
 		}
 		w.askedAt = now
@@ -324,7 +349,7 @@
 	}
 }
 
-// drawMessage builds a draw. While tokens are scarce it moves the balance
+// drawMessage builds a draw. Unless tokens are held ahead it moves the balance
 // along, so that the home decides over all there is.
 func (a *Agent) drawMessage(now time.Time, p *purse, token uint64, need int64) Message {
 	p.askedOf = a.cfg.Home(now, p.id)
@@ -333,13 +358,13 @@
 		to = p.home
 	}
 	amount := int64(0)
-	if p.scarce && to.Incarnation != "" && token != 0 {
+	if !a.holdsAhead(now, p) && to.Incarnation != "" && token != 0 {
 		amount = max(p.balance, 0)
 	}
 	m := a.move(p, Draw, to, amount)
 	m.Token = token
 	m.Need = need
-	m.Want = max(p.ahead(now, a.cfg.EntryHorizon), p.unmet())
+	m.Want = max(a.entryHold(now, p), p.unmet())
 	return m
 }
 
@@ -354,7 +379,7 @@
 		}
 		return
 	}
-	if p.asking() || p.balance >= p.ahead(now, a.cfg.EntryHorizon/shareOfFree) {
+	if p.asking() || p.balance >= a.entryHold(now, p)/shareOfFree {
 		return
 	}
 	p.prefetching = now
@@ -375,6 +400,9 @@
 	if p.lookup == lookupFailed {
 		cause = Unreachable
 	}
+	if p.lookup == lookupFailed && !a.isHome(now, p.id) {
+		cause = Moved // the store answers another router
+	}
 	if p.unknown {
 		cause = Unknown
 	}
@@ -425,16 +453,16 @@
 	a.emit(Send{a.move(p, Back, to, max(p.usable(), 0))})
 }
 
-// giveBackSurplus returns an unused balance to the home while tokens are
-// scarce, so that they are where the next request is decided.
+// giveBackSurplus returns an unused balance to the home unless tokens are held
+// ahead, so that they are where the next request is decided.
 func (a *Agent) giveBackSurplus(now time.Time, p *purse) {
-	if !p.scarce || p.balance <= 0 || p.waiting() || a.closing {
+	if p.balance <= 0 || p.waiting() || a.closing || a.isHome(now, p.id) || a.holdsAhead(now, p) {
 		return
 	}
 	switch {
 	case a.homeKnown(now, p):
 		a.giveBack(p, p.home)
-	case !a.isHome(now, p.id):
+	case p.scarce:
 		a.returnToStore(now, p)
 	}
 }
@@ -449,6 +477,9 @@
 // homeKnown tells whether the present home is another router whose
 // incarnation is known.
 func (a *Agent) homeKnown(now time.Time, p *purse) bool {
+	if home := a.cfg.Home(now, p.id); p.home.ID != home && a.cfg.Running != nil {
+		p.home = a.cfg.Running(home)
+	}
 	return p.home.Incarnation != "" && p.home.ID != a.cfg.Self.ID && p.home.ID == a.cfg.Home(now, p.id)
 }
 
@@ -474,7 +505,7 @@
 	if a.cfg.StoreLost == nil || a.cfg.Lenders == nil || !a.cfg.StoreLost() {
 		return false
 	}
-	heirs := a.cfg.Lenders(now)
+	heirs := a.cfg.Lenders(now, p.id)
 	if len(heirs) == 0 || heirs[0].Incarnation == "" {
 		return false
 	}
--- a/controller/budgets/budgets.go
+++ b/controller/budgets/budgets.go
@@ -20,19 +20,28 @@
 )
 
 const (
-	tickEvery   = 50 * time.Millisecond
-	sendTimeout = 400 * time.Millisecond
+	tickEvery = 50 * time.Millisecond
+	// sendTimeout bounds a message to another router: one that does not take it
+	// by then is passed over for a while.
+	sendTimeout = 150 * time.Millisecond
 	// waitAtMost bounds how long a reservation may wait for an answer.
 	waitAtMost = 3 * time.Second
 	// exhaustedRetry and unreachableRetry are when to come back.
 	exhaustedRetry   = 5 * time.Second
 	unreachableRetry = 4 * time.Second
+	// unansweredRetry is the same when a router was asked for tokens and has not
+	// answered: another one takes its place by then.
+	unansweredRetry = 300 * time.Millisecond
 )
 
 // errOtherProcess means that the message was for an earlier process of the
 // instance, which has certainly not taken it.
 var errOtherProcess = errors.New("another process runs at the instance")
 
+// errNoGrant means that a router took a question for tokens and has not
+// answered it, or is closing.
+var errNoGrant = errors.New("no answer to a question for tokens")
+
 // answer is the outcome of a waiting reservation.
 type answer struct {
 	ok    bool
@@ -48,7 +57,7 @@
 	// Addr returns where an instance listens for other routers.
 	Addr(id string) (string, bool)
 	// Failed and Reached tell how a call to an instance ended.
-	Failed(id string)
+	Failed(id string, cause error)
 	Reached(id string)
 }
 
@@ -65,15 +74,24 @@
 	onStop  func()
 }
 
-// New returns a controller; cfg.Home is set here. onStop is called when this
-// holder finds itself fenced.
-func New(cfg budget.Config, s store.Store, m Members, p *peer.Client, log *zap.Logger, onStop func()) *Controller {
-	roles := make([]string, cfg.Pages)
+// homeOfPage makes one router the home of all budgets of a page, so that one
+// write renews them.
+func homeOfPage(pages int, m Members) func(time.Time, string) string {
+	roles := make([]string, pages)
 	for n := range roles {
 		roles[n] = budget.Role(n)
 	}
-	cfg.Home = func(now time.Time, id string) string {
-		return m.First(now, roles[budget.PageOf(id, cfg.Pages)])
+	return func(now time.Time, id string) string {
+		return m.First(now, roles[budget.PageOf(id, pages)])
+	}
+}
+
+// New returns a controller; without cfg.Home the first member for a page's role
+// is the home of its budgets. onStop is called when this
+// holder finds itself fenced.
+func New(cfg budget.Config, s store.Store, m Members, p *peer.Client, log *zap.Logger, onStop func()) *Controller {
+	if cfg.Home == nil {
+		cfg.Home = homeOfPage(cfg.Pages, m)
 	}
 	return &Controller{
 		store:   s,
@@ -134,7 +152,7 @@
 	case budget.WritePage:
 		go c.write(e)
 	case budget.Suspect:
-		c.members.Failed(e.ID)
+		c.members.Failed(e.ID, errNoGrant)
 	case budget.Stop:
 		c.onStop()
 	}
@@ -155,7 +173,7 @@
 	if errors.Is(err, errOtherProcess) {
 		certain = true // the instance is well; only its process is another
 	} else {
-		c.members.Failed(m.To.ID)
+		c.members.Failed(m.To.ID, err)
 	}
 	c.with(func(now time.Time, a *budget.Agent) []budget.Effect { return a.Undelivered(now, m, certain) })
 }
@@ -298,7 +316,7 @@
 	case <-ctx.Done():
 	}
 	if c.cancel(id, token) {
-		return refusal(id, answer{cause: budget.Unreachable})
+		return result.New(result.BudgetUnreachable, "budget %s: no answer in time", id).After(unansweredRetry)
 	}
 	got := <-ch
 	if got.ok && ctx.Err() != nil {
--- a/controller/ledgers/submit.go
+++ b/controller/ledgers/submit.go
@@ -24,7 +24,7 @@
 	req := &peer.LedgerRequest{Shard: n, Op: op, Durable: op.Durable}
 	resp, err := peer.Call[peer.LedgerRequest, peer.LedgerAnswer](ctx, c.peers, addr, peer.MethodLedger, req)
 	if err != nil {
-		c.members.Failed(id)
+		c.members.Failed(id, err)
 		return ledger.Outcome{}, err
 	}
 	c.members.Reached(id)
--- a/controller/members/members.go
+++ b/controller/members/members.go
@@ -4,6 +4,7 @@
 package members
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -31,6 +32,8 @@
 	onList []func([]membership.Member)
 	ranked map[string]ranked // what First found lately
 	live   counted
+	// excused tells that failed calls say nothing about the members.
+	excused func() bool
 }
 
 // counted is the number of usable routers, and until when it is taken without
@@ -61,9 +64,15 @@
 		self:   self,
 		view:   membership.NewView(self),
 		ranked: map[string]ranked{},
+
+		excused: func() bool { return false },
 	}
 }
 
+// Excuse sets when failed calls say nothing about the members: while this
+// router's own link is full. Call it before the first call is made.
+func (c *Controller) Excuse(excused func() bool) { c.excused = excused }
+
 // OnList registers a function that gets the backend servers of each list
 // read. Call it before Run.
 func (c *Controller) OnList(fn func([]membership.Member)) {
@@ -123,23 +132,39 @@
 	return id
 }
 
-// FirstIn returns the best member of a failure domain for a role, or this router
-// if there is none.
-func (c *Controller) FirstIn(now time.Time, role, domain string) string {
+// FirstLargest returns the best member for a role among those with the largest
+// links, or this router if there is none.
+func (c *Controller) FirstLargest(now time.Time, role string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if r, ok := c.ranked[role]; ok && now.Before(r.until) {
+	key := role + "@largest"
+	if r, ok := c.ranked[key]; ok && now.Before(r.until) {
 		return r.id
 	}
 	id := c.self.ID
-	if in := c.rankIn(now, role, domain); len(in) > 0 {
-		id = in[0]
+	if ids := c.rankLargest(now, role); len(ids) > 0 {
+		id = ids[0]
 	}
-	c.ranked[role] = ranked{id: id, until: now.Add(rankFor)}
+	c.ranked[key] = ranked{id: id, until: now.Add(rankFor)}
 	return id
 }
 
-// RankIn returns the usable members of a failure domain for a role, best first.
+// RankLargest returns the usable members for a role, best first: those with the
+// largest links, in the order of the role.
+func (c *Controller) RankLargest(now time.Time, role string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rankLargest(now, role)
+}
+
+func (c *Controller) rankLargest(now time.Time, role string) []string {
+	ids := c.view.Rank(now, role)
+	slices.SortStableFunc(ids, func(a, b string) int { return cmp.Compare(c.linkOf(b), c.linkOf(a)) })
+	return ids
+}
+
+// RankIn returns the usable members of a failure domain for a role, best first:
+// those with the largest links, in the order of the role.
 func (c *Controller) RankIn(now time.Time, role, domain string) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -147,14 +172,15 @@
 }
 
 func (c *Controller) rankIn(now time.Time, role, domain string) []string {
-	ranked := c.view.Rank(now, role)
-	in := ranked[:0:0]
-	for _, id := range ranked {
-		if m, _ := c.view.Member(id); m.Domain == domain {
-			in = append(in, id)
-		}
-	}
-	return in
+	return slices.DeleteFunc(c.rankLargest(now, role), func(id string) bool {
+		m, _ := c.view.Member(id)
+		return m.Domain != domain
+	})
+}
+
+func (c *Controller) linkOf(id string) float64 {
+	m, _ := c.view.Member(id)
+	return m.LinkMbps
 }
 
 // Rank returns the usable members for a role, best first.
@@ -232,15 +258,20 @@
 	return domains
 }
 
-// Failed records that a call to a member failed.
-func (c *Controller) Failed(id string) {
-	if id == c.self.ID {
+// Failed records that a call to a member failed, and why.
+func (c *Controller) Failed(id string, cause error) {
+	if id == c.self.ID || c.excused() {
 		return
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.view.Failed(time.Now(), id)
+	now := time.Now()
+	known := c.view.Suspected(now, id)
+	c.view.Failed(now, id)
 	clear(c.ranked)
+	c.mu.Unlock()
+	if !known {
+		c.log.Info("router passed over", zap.String("router", id), zap.Error(cause))
+	}
 }
 
 // Reached records that a member answered.
--- a/controller/news/news.go
+++ b/controller/news/news.go
@@ -79,15 +79,20 @@
 	if !c.Large() || c.isWatcher() {
 		return follow.Follows
 	}
-	c.mu.Lock()
-	heard := c.current
-	c.mu.Unlock()
-	if time.Since(heard) > trust {
+	if !c.Heard() {
 		return follow.Deputy
 	}
 	return follow.Rests
 }
 
+// Heard tells whether another router has told lately what it knows from the
+// store.
+func (c *Controller) Heard() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.current) <= trust
+}
+
 func (c *Controller) isWatcher() bool {
 	for _, id := range c.watchers(c.Domain) {
 		if id == c.Members.Self().ID {
@@ -153,7 +158,7 @@
 	defer cancel()
 	answer, err := peer.Call[peer.NewsRequest, peer.NewsAnswer](callCtx, c.Peers, addr, peer.MethodNews, req)
 	if err != nil {
-		c.Members.Failed(id)
+		c.Members.Failed(id, err)
 		c.failed()
 		return
 	}
--- a/controller/roster/roster.go
+++ b/controller/roster/roster.go
@@ -145,7 +145,7 @@
 	}
 	for _, m := range c.members.Members() {
 		if m.ID != c.self.ID {
-			known = append(known, peer.Router{ID: m.ID, Addr: m.Addr, Domain: m.Domain, Incarnation: m.Incarnation})
+			known = append(known, peer.Router{ID: m.ID, Addr: m.Addr, Domain: m.Domain, Incarnation: m.Incarnation, LinkMbps: m.LinkMbps})
 		}
 	}
 	return &peer.HelloAnswer{Routers: known}, nil
@@ -158,5 +158,5 @@
 	if _, known := c.members.Addr(r.ID); !known {
 		c.log.Info("router met", zap.String("router", r.ID), zap.String("address", r.Addr))
 	}
-	c.members.Met(membership.Member{ID: r.ID, Kind: "router", Addr: r.Addr, Domain: r.Domain, State: membership.Live, Incarnation: r.Incarnation})
+	c.members.Met(membership.Member{ID: r.ID, Kind: "router", Addr: r.Addr, Domain: r.Domain, State: membership.Live, Incarnation: r.Incarnation, LinkMbps: r.LinkMbps})
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -35,6 +35,9 @@
 	Domain string `json:"domain"`
 	// State is live or leaving.
 	State State `json:"state"`
+	// LinkMbps is the capacity of its network link, 0 if it is not known. Tasks
+	// for others go to those with the largest.
+	LinkMbps float64 `json:"link_mbps,omitempty"`
 	// Incarnation is the process that runs at the instance, as far as known.
 	Incarnation string `json:"incarnation,omitempty"`
 }
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -100,6 +100,8 @@
 // Router names a router process.
 type Router struct {
 	ID, Addr, Domain, Incarnation string
+	// LinkMbps is the capacity of its network link, 0 if it is not known.
+	LinkMbps float64
 }
 
 // HelloRequest tells a router of this one.
--- a/server/holding.go
+++ b/server/holding.go
@@ -42,11 +42,20 @@
 	cfg.Predecessor = func(holder string) bool { return strings.HasPrefix(holder, s.settings.Instance.ID+"/") }
 }
 
-// lenders returns the other routers in a random order.
-func (s *Server) lenders(now time.Time) []budget.Peer {
+// running returns the process that is known to run at an instance.
+func (s *Server) running(id string) budget.Peer {
+	return budget.Peer{ID: id, Incarnation: s.members.Incarnation(id)}
+}
+
+// lenders returns the other routers that may hold tokens, in a random order.
+func (s *Server) lenders(now time.Time, id string) []budget.Peer {
+	ids := s.members.Others(now)
+	if s.large() {
+		ids = s.heirs(now, homeRole(id))
+	}
 	var peers []budget.Peer
-	for _, id := range s.members.Others(now) {
-		peers = append(peers, budget.Peer{ID: id, Incarnation: s.members.Incarnation(id)})
+	for _, id := range ids {
+		peers = append(peers, s.running(id))
 	}
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	return peers
--- a/server/home.go
+++ b/server/home.go
@@ -1,25 +1,56 @@
 package server
 
 import (
+	"slices"
+	"strconv"
 	"time"
 
-	"github.com/gaplink/gaplink/controller/members"
+	"github.com/cespare/xxhash/v2"
 )
 
-// largeFleet is the number of routers from which budgets have homes and few
-// routers watch the store for the others. With fewer routers each draws from the store for itself, so that little is lost with
-// one; with more, their conditional updates of the same page would mostly
-// conflict (measured: half of all writes with six routers).
-const largeFleet = 16
+const (
+	// largeFleet is the number of routers from which budgets have homes and few
+	// routers watch the store for the others. With fewer routers each draws from
+	// the store for itself, so that little is lost with one; with more, their
+	// conditional updates of the same page would mostly conflict (measured: half
+	// of all writes with six routers).
+	largeFleet = 16
+	// homeGroups is the number of groups that budgets are split into; each group
+	// has one router of a large fleet as its home. More homes lose less with one
+	// of them, and write the page more often.
+	homeGroups = 6
+	// heirsAtMost is how many routers beside its home may hold tokens of a budget
+	// in a large fleet: those that were its home lately.
+	heirsAtMost = 3
+)
 
-// homes chooses the router that draws a page's budgets from the store.
-type homes struct{ *members.Controller }
+// homeRole is the role by which a budget's home is ranked.
+func homeRole(budget string) string {
+	return "budgets/" + strconv.FormatUint(xxhash.Sum64String(budget)%homeGroups, 10)
+}
 
-// First implements budgets.Members: the router itself, or in a large fleet the
-// first of its own failure domain.
-func (h homes) First(now time.Time, role string) string {
-	if h.Live() < largeFleet {
-		return h.Self().ID
+// homeOf returns the router that draws a budget from the store: this one, or in
+// a large fleet one router for all. That is one of those with the largest links,
+// since it is asked by the whole fleet, and one that the store answers.
+func (s *Server) homeOf(now time.Time, budget string) string {
+	self := s.settings.Instance.ID
+	if !s.large() {
+		return self
+	}
+	role := homeRole(budget)
+	first := s.members.FirstLargest(now, role)
+	if first == self && s.storeElsewhere() {
+		if heirs := s.heirs(now, role); len(heirs) > 0 {
+			return heirs[0]
+		}
 	}
-	return h.FirstIn(now, role, h.Self().Domain)
+	return first
+}
+
+// heirs returns the other routers that are homes next for a role, or were
+// before: those that may hold tokens.
+func (s *Server) heirs(now time.Time, role string) []string {
+	ids := s.members.RankLargest(now, role)
+	ids = slices.DeleteFunc(ids, func(id string) bool { return id == s.settings.Instance.ID })
+	return ids[:min(len(ids), heirsAtMost)]
 }
--- a/server/server.go
+++ b/server/server.go
@@ -71,9 +71,19 @@
 	// of a minute of small requests: that serves about one in twenty.
 	tailShare = 0.02
 	tailTime  = 15 * time.Second
+	// starterShare is the part of a budget that is drawn before its first request:
+	// about a dozen requests of a large account.
+	starterShare = 0.01
 	// entryHold is how much demand a router holds that does not draw from the
-	// store itself; it asks its home about once in two thirds of that.
-	entryHold = 3 * time.Second
+	// store itself, and entryLeast how many requests that must be: a router that
+	// has fewer asks the home for each. With 87 routers and 24 budgets nearly all
+	// have fewer, and the holds of all of them would be a quarter of the budgets.
+	entryHold  = 3 * time.Second
+	entryLeast = 4
+	// drawTimeout is how long a home that has taken a question for tokens may
+	// leave it open before it is passed over. It may be waiting for a slow store;
+	// one that is dead is noticed by the message itself.
+	drawTimeout = 1500 * time.Millisecond
 	// peerDialTimeout bounds a connection to another router.
 	peerDialTimeout = 200 * time.Millisecond
 	// drawSpacing is how long a home gathers draws of others between two writes.
@@ -164,7 +174,7 @@
 	})
 	s.servers = registry.New(s.platform.DecodeServer, s.pool, newRand(), s.log)
 	s.provisionPeers()
-	s.budgets = budgets.New(s.budgetConfig(), s.store, homes{s.members}, s.peers, s.log, func() {})
+	s.budgets = budgets.New(s.budgetConfig(), s.store, s.members, s.peers, s.log, func() {})
 	s.configs = configs.New(s.platform.ConfigKey, s.platform.DecodeConfig, s.configChanged, s.log)
 	s.gateway = gateway.New(gateway.Parts{
 		Domain:   s.settings.Instance.Domain,
@@ -198,7 +208,7 @@
 // drawers returns the number of routers that draw budgets from the store.
 func (s *Server) drawers() int {
 	if s.large() {
-		return max(len(s.members.Domains()), 1)
+		return 1
 	}
 	return s.members.Live()
 }
@@ -214,9 +224,11 @@
 		Addr:        s.settings.Listen.Peers,
 		Domain:      s.settings.Instance.Domain,
 		Incarnation: s.incarnation,
+		LinkMbps:    s.settings.Link.Mbps,
 	}
 	s.peers = peer.NewClient(peerDialTimeout, self.Addr)
-	s.members = members.New(membership.Member{ID: self.ID, Kind: "router", Addr: self.Addr, Domain: self.Domain, State: membership.Live}, nil, 0, s.log)
+	s.members = members.New(membership.Member{ID: self.ID, Kind: "router", Addr: self.Addr, Domain: self.Domain, State: membership.Live, LinkMbps: self.LinkMbps}, nil, 0, s.log)
+	s.members.Excuse(s.link.Full)
 	s.roster = roster.New(self, s.seeds, s.store, s.members, s.peers, s.log)
 }
 
@@ -240,6 +252,10 @@
 	return s.followConfigs.Fresh() && s.followServers.Fresh()
 }
 
+// storeElsewhere tells whether the store does not answer this router but
+// another one.
+func (s *Server) storeElsewhere() bool { return s.storeLost() && s.news.Heard() }
+
 // peerMux offers this router's methods to the others.
 func (s *Server) peerMux() *peer.Mux {
 	m := peer.NewMux()
@@ -267,19 +283,24 @@
 	cfg := budget.DefaultConfig()
 	cfg.Self = budget.Peer{ID: s.settings.Instance.ID, Incarnation: s.incarnation}
 	cfg.Pages = 1
+	cfg.Home = s.homeOf
 	cfg.HomeHorizon = s.settings.Budgets.Hold.Std()
 	cfg.RefillBelow = s.settings.Budgets.Refill
 	cfg.EntryHorizon = entryHold
+	cfg.EntryLeast = entryLeast
 	cfg.RateWindow = 10 * time.Second
 	cfg.Surplus = 0.25
 	cfg.HeldRequests = 1
 	cfg.LowRequests = 0.5
 	cfg.FreeShare = s.settings.Budgets.FreeShare
 	cfg.Routers = s.drawers
+	cfg.StarterShare = starterShare
 	cfg.TailShare = tailShare
 	cfg.TailTime = tailTime
 	cfg.CheckEvery = 500 * time.Millisecond
 	cfg.DrawSpacing = drawSpacing
+	cfg.DrawTimeout = drawTimeout
+	cfg.Running = s.running
 	cfg.Lenders = s.lenders
 	cfg.StoreLost = s.storeLost
 	s.escrowConfig(&cfg)
