Bound callers' connections by memory; tokens are scarce only below 2 s of demand

Now half of the memory is the bound, at 0.7 of it the router calls itself not ready and asks callers to close. (2) with one home for a budget, 'scarce' began when less than 10 s of the fleet's demand was free, and a home that finds tokens scarce holds none ahead, so that it met an outage of the store with nothing.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -147,6 +147,9 @@
 	// the setting between the users' preferences: longer lasts longer through
 	// an outage and strands more when a home dies.
 	HomeHorizon time.Duration
+	// ScarceHorizon is how much demand the store must have left for tokens not to
+	// be scarce; 0: HomeHorizon.
+	ScarceHorizon time.Duration
 	// EntryHorizon is how much demand an entry router holds, if that is at least
 	// EntryLeast requests of the mean size. One that has fewer requests for a
 	// budget asks its home for each, and returns what that leaves, so that little
@@ -218,6 +221,13 @@
 	}
 }
 
+func (c *Config) scarceHorizon() time.Duration {
+	if c.ScarceHorizon > 0 {
+		return c.ScarceHorizon
+	}
+	return c.HomeHorizon
+}
+
 // shareOfFree is the part of the free tokens that one draw may take beyond
 // what is needed at once; a smaller part fragments less near the end.
 const shareOfFree = 4
--- a/budget/paging.go
+++ b/budget/paging.go
@@ -413,7 +413,7 @@
 		p.lookup = lookupShort
 		p.shortAt = now
 	}
-	p.scarce = r == nil || r.Free() < p.ahead(now, a.cfg.HomeHorizon)
+	p.scarce = r == nil || r.Free() < p.ahead(now, a.cfg.scarceHorizon())
 	a.pump(now, p)
 }
 
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -309,7 +309,7 @@
 func (a *attempt) failedSend(ctx context.Context, f *upstream.Failure) verdict {
 	if f.Stage == upstream.NotSent {
 		judged := placement.Silent
-		if f.Full || a.g.Link.Full() || a.r.Context().Err() != nil {
+		if f.Full || a.g.Full() || a.r.Context().Err() != nil {
 			judged = placement.Neutral
 		}
 		return a.end(notReached, "not reached", judged, f)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,15 +46,10 @@
 	Metrics  *Metrics
 	// Routers returns the number of routers that share the servers.
 	Routers func() int
-	Link    Link
-}
-
-// Link tells how full the router's own network link is.
-type Link interface {
-	// Away tells whether callers should go to other routers.
-	Away() bool
-	// Full tells whether silence may come from the link itself.
-	Full() bool
+	// Away tells whether callers should go to other routers for a while, and Full
+	// whether the router's own network link is full, so that silence says nothing
+	// about a server.
+	Away, Full func() bool
 }
 
 // Gateway serves callers.
@@ -93,7 +88,7 @@
 	defer g.inFlight.Add(-1)
 	c := g.newCall(w, r)
 	defer c.close()
-	if g.leaving.Load() || g.Link.Away() {
+	if g.leaving.Load() || g.Away() {
 		w.Header().Set("Connection", "close")
 	}
 	for _, s := range g.steps {
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -21,7 +21,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(MetricsPath, promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}))
 	s.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	return s.listen(s.settings.Listen.Metrics, s.metrics)
+	return s.listen(s.settings.Listen.Metrics, s.metrics, unbounded)
 }
 
 // registerState registers what is read when the counters are asked for.
@@ -29,6 +29,7 @@
 	s.gauge("gaplink_config_version", "Version of the configuration in force.", func() float64 { return float64(s.configs.Version()) })
 	s.gauge("gaplink_config_age_seconds", "Time since the configuration was last known to be the newest.", func() float64 { return s.configs.Age().Seconds() })
 	s.gauge("gaplink_requests_in_flight", "Requests being served.", func() float64 { return float64(s.gateway.InFlight()) })
+	s.gauge("gaplink_caller_connections", "Open connections of callers.", func() float64 { return float64(s.crowd.open.Load()) })
 	s.gauge("gaplink_link_load_in", "Part of the link's capacity that was used inwards in the last window.", func() float64 { return s.meter.Load().In })
 	s.gauge("gaplink_link_load_out", "The same outwards.", func() float64 { return s.meter.Load().Out })
 	s.gauge("gaplink_log_lines_dropped", "Log lines left out because the reader was slow.", func() float64 { return float64(s.writer.Dropped()) })
--- a/server/server.go
+++ b/server/server.go
@@ -74,6 +74,10 @@
 	// starterShare is the part of a budget that is drawn before its first request:
 	// about a dozen requests of a large account.
 	starterShare = 0.01
+	// scarceHorizon is how much demand the store must have left for tokens not to
+	// be scarce. Routers that hold none ahead while they are meet an outage of the
+	// store with nothing.
+	scarceHorizon = 2 * time.Second
 	// entryHold is how much demand a router holds that does not draw from the
 	// store itself, and entryLeast how many requests that must be: a router that
 	// has fewer asks the home for each. With 87 routers and 24 budgets nearly all
@@ -120,6 +124,7 @@
 	pool     *upstream.Pool
 	meter    *link.Meter
 	link     linkState
+	crowd    *crowd
 	registry *prometheus.Registry
 
 	members       *members.Controller
@@ -163,6 +168,7 @@
 // provision builds the controllers and the gateway.
 func (s *Server) provision() {
 	s.store = store.NewCounting(s.platform.Store)
+	s.crowd = newCrowd(s.settings.Memory.LimitMB)
 	s.meter = link.New(s.settings.Link.Mbps*bytesPerMbit, time.Now())
 	s.pool = upstream.New(upstream.Options{
 		DialTimeout: s.settings.Servers.DialTimeout.Std(),
@@ -187,7 +193,8 @@
 		Logs:     s.logs,
 		Metrics:  gateway.NewMetrics(s.registry),
 		Routers:  s.members.Live,
-		Link:     &s.link,
+		Away:     s.away,
+		Full:     s.link.Full,
 	})
 	s.news = news.New(news.Options{
 		Configs: s.configs,
@@ -297,6 +304,7 @@
 	cfg.StarterShare = starterShare
 	cfg.TailShare = tailShare
 	cfg.TailTime = tailTime
+	cfg.ScarceHorizon = scarceHorizon
 	cfg.CheckEvery = 500 * time.Millisecond
 	cfg.DrawSpacing = drawSpacing
 	cfg.DrawTimeout = drawTimeout
@@ -332,13 +340,14 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         s.crowd.changed,
 		ErrorLog:          zap.NewStdLog(s.log),
 	}
 	s.ready = &http.Server{Handler: http.HandlerFunc(s.answerReady), ReadHeaderTimeout: headerTimeout}
-	if err := s.listen(s.settings.Listen.Callers, s.callers); err != nil {
+	if err := s.listen(s.settings.Listen.Callers, s.callers, s.crowd.listener); err != nil {
 		return err
 	}
-	if err := s.listen(s.settings.Listen.Ready, s.ready); err != nil {
+	if err := s.listen(s.settings.Listen.Ready, s.ready, unbounded); err != nil {
 		return err
 	}
 	if err := s.serveMetrics(); err != nil {
@@ -356,17 +365,21 @@
 	go s.servers.Run(ctx)
 	go s.budgets.Run(ctx)
 	go s.watchLink(ctx)
-	s.log.Info("started", zap.String("instance", s.settings.Instance.ID), zap.String("incarnation", s.incarnation),
+	s.log.Info("started", zap.String("boot", bootID()), zap.String("instance", s.settings.Instance.ID), zap.String("incarnation", s.incarnation),
 		zap.String("domain", s.settings.Instance.Domain), zap.String("callers", s.settings.Listen.Callers))
 	return nil
 }
 
-func (s *Server) listen(addr string, h *http.Server) error {
+// unbounded leaves a listener as it is.
+func unbounded(l net.Listener) net.Listener { return l }
+
+// listen serves h at addr; bound may bound the connections.
+func (s *Server) listen(addr string, h *http.Server, bound func(net.Listener) net.Listener) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return trace.Wrap(err, "listening at %s", addr)
 	}
-	l = s.meter.Listener(l)
+	l = s.meter.Listener(bound(l))
 	go func() {
 		if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			s.log.Error("listener ended", zap.String("address", addr), zap.Error(err))
@@ -375,6 +388,9 @@
 	return nil
 }
 
+// away tells whether callers should go to other routers for a while.
+func (s *Server) away() bool { return s.link.Away() || s.crowd.full() }
+
 // answerReady tells the balancer whether to send connections here.
 func (s *Server) answerReady(w http.ResponseWriter, r *http.Request) {
 	switch {
@@ -393,7 +409,7 @@
 	case <-s.stopping:
 		return false
 	default:
-		return s.configs.Catalog() != nil && s.servers.Ready() && !s.link.Away()
+		return s.configs.Catalog() != nil && s.servers.Ready() && !s.away()
 	}
 }
 
