Say when to come back by what is missing; back off only after four conflicts

Change: 0.3 s only while the store answers this router, else 4 s as before; four conflicts in place of two before a pause.

--- a/budget/paging.go
+++ b/budget/paging.go
@@ -342,8 +342,8 @@
 
 const (
 	// conflictsAtOnce is how many conflicts in a row are followed by another
-	// write at once: with two or three writers the next one mostly succeeds.
-	conflictsAtOnce = 2
+	// write at once: with a handful of writers the next one mostly succeeds.
+	conflictsAtOnce = 4
 	// backOffFirst and backOffMost are the longest pause after the next conflict,
 	// which doubles with each further one, and its bound. Many routers that write
 	// one page at once would otherwise keep each other from it.
--- a/controller/budgets/budgets.go
+++ b/controller/budgets/budgets.go
@@ -72,6 +72,8 @@
 	agent   *budget.Agent
 	waiting map[uint64]chan answer
 	onStop  func()
+	// storeLost tells whether the store does not answer; it may be nil.
+	storeLost func() bool
 }
 
 // homeOfPage makes one router the home of all budgets of a page, so that one
@@ -101,6 +103,8 @@
 		agent:   budget.NewAgent(cfg),
 		waiting: map[uint64]chan answer{},
 		onStop:  onStop,
+
+		storeLost: cfg.StoreLost,
 	}
 }
 
@@ -316,7 +320,7 @@
 	case <-ctx.Done():
 	}
 	if c.cancel(id, token) {
-		return result.New(result.BudgetUnreachable, "budget %s: no answer in time", id).After(unansweredRetry)
+		return result.New(result.BudgetUnreachable, "budget %s: no answer in time", id).After(c.unanswered())
 	}
 	got := <-ch
 	if got.ok && ctx.Err() != nil {
@@ -326,6 +330,16 @@
 	return refusal(id, got)
 }
 
+// unanswered is when to come back after a reservation that got no answer in
+// time: soon if another router takes the place of one that did not answer, and
+// later if what is missing is the store.
+func (c *Controller) unanswered() time.Duration {
+	if c.storeLost != nil && c.storeLost() {
+		return unreachableRetry
+	}
+	return unansweredRetry
+}
+
 // cancel withdraws a waiting reservation; false means that its answer is
 // already there.
 func (c *Controller) cancel(id string, token uint64) bool {
