--- /dev/null
+++ b/budget/entry.go
@@ -0,0 +1,125 @@
+package budget
+
+import "time"
+
+// This file is what a router does that is not the home of a budget: it asks the
+// home for tokens and gives back what it does not need.
+
+// holdsAhead tells whether an entry router holds tokens ahead of its requests:
+// while they are plenty, and if it has enough requests for the budget.
+func (a *Agent) holdsAhead(now time.Time, p *purse) bool {
+	return !p.scarce && float64(p.ahead(now, a.cfg.EntryHorizon)) >= a.cfg.EntryLeast*p.meanNeed
+}
+
+// entryHold is what an entry router would hold of the budget.
+func (a *Agent) entryHold(now time.Time, p *purse) int64 {
+	if !a.holdsAhead(now, p) {
+		return 0
+	}
+	return p.ahead(now, a.cfg.EntryHorizon)
+}
+
+// ask sends waiting reservations to the home: one at a time while tokens are
+// held ahead, since the answer brings more than one needs, else each by itself.
+func (a *Agent) ask(now time.Time, p *purse) {
+	for i := range p.waiters {
+		w := &p.waiters[i]
+		if !w.askedAt.IsZero() {
+			continue
+		}
+		if a.holdsAhead(now, p) && p.asking() {
+			return
+		}
+		w.askedAt = now
+		a.emit(Send{a.drawMessage(now, p, w.token, w.need)})
+	}
+}
+
+// drawMessage builds a draw. Unless tokens are held ahead it moves the balance
+// along, so that the home decides over all there is.
+func (a *Agent) drawMessage(now time.Time, p *purse, token uint64, need int64) Message {
+	p.askedOf = a.cfg.Home(now, p.id)
+	to := Peer{ID: p.askedOf}
+	if p.home.ID == p.askedOf {
+		to = p.home
+	}
+	amount := int64(0)
+	if !a.holdsAhead(now, p) && to.Incarnation != "" && token != 0 {
+		amount = max(p.balance, 0)
+	}
+	m := a.move(p, Draw, to, amount)
+	m.Token = token
+	m.Need = need
+	m.Want = max(a.entryHold(now, p), p.unmet())
+	return m
+}
+
+// giveBack sends the whole balance to a peer, also when it is empty: the
+// message is the answer to a recall.
+func (a *Agent) giveBack(p *purse, to Peer) {
+	a.emit(Send{a.move(p, Back, to, max(p.usable(), 0))})
+}
+
+// giveBackSurplus returns an unused balance to the home unless tokens are held
+// ahead, so that they are where the next request is decided.
+func (a *Agent) giveBackSurplus(now time.Time, p *purse) {
+	if p.balance <= 0 || p.waiting() || a.closing || a.isHome(now, p.id) || a.holdsAhead(now, p) {
+		return
+	}
+	switch {
+	case a.homeKnown(now, p):
+		a.giveBack(p, p.home)
+	case p.scarce:
+		a.returnToStore(now, p)
+	}
+}
+
+// returnToStore queues the whole balance for return.
+func (a *Agent) returnToStore(now time.Time, p *purse) {
+	amount := p.balance
+	p.balance = 0
+	a.queue(now, pageOp{budget: p.id, need: -amount})
+}
+
+// homeKnown tells whether the present home is another router whose
+// incarnation is known.
+func (a *Agent) homeKnown(now time.Time, p *purse) bool {
+	if home := a.cfg.Home(now, p.id); p.home.ID != home && a.cfg.Running != nil {
+		p.home = a.cfg.Running(home)
+	}
+	return p.home.Incarnation != "" && p.home.ID != a.cfg.Self.ID && p.home.ID == a.cfg.Home(now, p.id)
+}
+
+// returnIdle returns a balance that nothing uses: to the home, or from the
+// home (and from a closing router) to the store.
+func (a *Agent) returnIdle(now time.Time, p *purse) {
+	if a.closing && a.handOver(now, p) {
+		return
+	}
+	if p.balance <= 0 || p.waiting() {
+		return
+	}
+	if a.homeKnown(now, p) && !a.closing {
+		a.giveBack(p, p.home)
+		return
+	}
+	a.returnToStore(now, p)
+}
+
+// handOver gives a stopping router's tokens to another while the store does
+// not answer; false means that they go to the store.
+func (a *Agent) handOver(now time.Time, p *purse) bool {
+	if a.cfg.StoreLost == nil || a.cfg.Lenders == nil || !a.cfg.StoreLost() {
+		return false
+	}
+	heirs := a.cfg.Lenders(now, p.id)
+	if len(heirs) == 0 || heirs[0].Incarnation == "" {
+		return false
+	}
+	a.unqueueReturns(p)
+	a.refreshEscrow(now, p)
+	if p.usable() > 0 {
+		a.giveBack(p, heirs[0])
+	}
+	return true
+}
