Remember ranked members in one place; log why the boot is not known

One 'remembered' serves both, the boot is read once and its error logged. Two comments said what is no longer so.

--- a/controller/budgets/budgets.go
+++ b/controller/budgets/budgets.go
@@ -89,8 +89,8 @@
 }
 
 // New returns a controller; without cfg.Home the first member for a page's role
-// is the home of its budgets. onStop is called when this
-// holder finds itself fenced.
+// is the home of its budgets. onStop is called when this holder finds itself
+// fenced.
 func New(cfg budget.Config, s store.Store, m Members, p *peer.Client, log *zap.Logger, onStop func()) *Controller {
 	if cfg.Home == nil {
 		cfg.Home = homeOfPage(cfg.Pages, m)
--- a/controller/members/members.go
+++ b/controller/members/members.go
@@ -122,29 +122,28 @@
 
 // First returns the best member for a role.
 func (c *Controller) First(now time.Time, role string) string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if r, ok := c.ranked[role]; ok && now.Before(r.until) {
-		return r.id
-	}
-	id := c.view.First(now, role)
-	c.ranked[role] = ranked{id: id, until: now.Add(rankFor)}
-	return id
+	return c.remembered(now, role, func() string { return c.view.First(now, role) })
 }
 
 // FirstLargest returns the best member for a role among those with the largest
 // links, or this router if there is none.
 func (c *Controller) FirstLargest(now time.Time, role string) string {
+	return c.remembered(now, role+"@largest", func() string {
+		if ids := c.rankLargest(now, role); len(ids) > 0 {
+			return ids[0]
+		}
+		return c.self.ID
+	})
+}
+
+// remembered returns the member found under key lately, or finds it anew.
+func (c *Controller) remembered(now time.Time, key string, find func() string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	key := role + "@largest"
 	if r, ok := c.ranked[key]; ok && now.Before(r.until) {
 		return r.id
 	}
-	id := c.self.ID
-	if ids := c.rankLargest(now, role); len(ids) > 0 {
-		id = ids[0]
-	}
+	id := find()
 	c.ranked[key] = ranked{id: id, until: now.Add(rankFor)}
 	return id
 }
@@ -168,10 +167,6 @@
 func (c *Controller) RankIn(now time.Time, role, domain string) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.rankIn(now, role, domain)
-}
-
-func (c *Controller) rankIn(now time.Time, role, domain string) []string {
 	return slices.DeleteFunc(c.rankLargest(now, role), func(id string) bool {
 		m, _ := c.view.Member(id)
 		return m.Domain != domain
--- a/server/holding.go
+++ b/server/holding.go
@@ -30,27 +30,19 @@
 		s.log.Warn("no steady clock; budgets are held without escrow", zap.Error(err))
 		return
 	}
-	boot := bootID()
-	if boot == "" {
-		s.log.Warn("boot not known; escrows of earlier processes are not taken back")
+	boot, err := os.ReadFile(bootIDFile)
+	if err != nil {
+		s.log.Warn("boot not known; escrows of earlier processes are not taken back", zap.Error(err))
 	}
+	s.boot = strings.TrimSpace(string(boot))
 	atStart := time.Duration(clock.Nano())
 	cfg.EscrowAfter = escrowAfter
-	cfg.Boot = boot
+	cfg.Boot = s.boot
 	cfg.Started = started
 	cfg.Uptime = func(now time.Time) time.Duration { return atStart + now.Sub(started) }
 	cfg.Predecessor = func(holder string) bool { return strings.HasPrefix(holder, s.settings.Instance.ID+"/") }
 }
 
-// bootID identifies the boot of the machine; it is empty if that is not known.
-func bootID() string {
-	id, err := os.ReadFile(bootIDFile)
-	if err != nil {
-		return ""
-	}
-	return strings.TrimSpace(string(id))
-}
-
 // running returns the process that is known to run at an instance.
 func (s *Server) running(id string) budget.Peer {
 	return budget.Peer{ID: id, Incarnation: s.members.Incarnation(id)}
--- a/server/server.go
+++ b/server/server.go
@@ -115,6 +115,8 @@
 	log         *zap.Logger
 	writer      *logs.Writer
 	incarnation string
+	// boot identifies the boot of the machine; empty if it is not known.
+	boot string
 
 	store    *store.Counting
 	configs  *configs.Controller
@@ -212,7 +214,7 @@
 	s.followServers = follow.New(s.store, s.platform.ServerKind, s.servers, s.news.Part, s.log)
 }
 
-// drawers returns the number of routers that draw budgets from the store.
+// drawers returns the number of routers that draw each budget from the store.
 func (s *Server) drawers() int {
 	if s.large() {
 		return 1
@@ -365,7 +367,7 @@
 	go s.servers.Run(ctx)
 	go s.budgets.Run(ctx)
 	go s.watchLink(ctx)
-	s.log.Info("started", zap.String("boot", bootID()), zap.String("instance", s.settings.Instance.ID), zap.String("incarnation", s.incarnation),
+	s.log.Info("started", zap.String("boot", s.boot), zap.String("instance", s.settings.Instance.ID), zap.String("incarnation", s.incarnation),
 		zap.String("domain", s.settings.Instance.Domain), zap.String("callers", s.settings.Listen.Callers))
 	return nil
 }
