Release withheld tokens by a schedule; ask others before a 402; hold scarce budgets short

A loss of power starts the steady clock anew: nothing can be taken back then, so scarce budgets must be held short.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -78,11 +78,8 @@
 		a.prefetch(now, p)
 		return a.token, true, a.drain()
 	}
-	if a.inTail(p) && !a.admitsTail(now, p, need) {
-		a.emit(Resolve{Token: a.token, Cause: Exhausted})
-		return a.token, false, a.drain()
-	}
-	p.waiters = append(p.waiters, waiter{token: a.token, need: need})
+	fromOthers := a.inTail(p) && !a.admitsTail(now, p, need)
+	p.waiters = append(p.waiters, waiter{token: a.token, need: need, fromOthers: fromOthers})
 	a.pump(now, p)
 	return a.token, false, a.drain()
 }
@@ -129,7 +126,7 @@
 	case Back:
 		p.recallAnswered(m.From.Incarnation)
 	case Borrow:
-		a.lend(p, m)
+		a.lend(now, p, m)
 		return a.drain()
 	case Loan:
 		p.lent(m.From.ID)
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -48,6 +48,8 @@
 	tail bool
 	// pooled makes one router the home of the budget for all.
 	pooled bool
+	// scarceWithin bounds what is held of a scarce budget.
+	scarceWithin time.Duration
 }
 
 func newNetwork(t *rapid.T) *network {
--- a/budget/config.go
+++ b/budget/config.go
@@ -20,11 +20,16 @@
 	// StoreLost tells whether the store does not answer; nil: it is not known.
 	// A router that stops meanwhile hands its tokens to a lender.
 	StoreLost func() bool
-	// EscrowAfter is the time after a write of a page from which a holder may
-	// use its escrow; 0: there is none. Boot identifies the boot of the machine,
-	// Uptime reads its steady clock, Started is when this process began, and
-	// Predecessor tells whether a holder is an earlier process of this instance.
-	EscrowAfter time.Duration
+	// OpenHorizon is how much demand a write of a page leaves usable of a
+	// balance; the rest is withheld and released by a schedule, see Escrow. 0:
+	// nothing is withheld. ResealEvery is the least time between two writes that
+	// withhold anew.
+	OpenHorizon time.Duration
+	Release     Schedule
+	ResealEvery time.Duration
+	// Boot identifies the boot of the machine, Uptime reads its steady clock,
+	// Started is when this process began, and Predecessor tells whether a holder is
+	// an earlier process of this instance.
 	Boot        string
 	Uptime      func(time.Time) time.Duration
 	Started     time.Time
@@ -60,11 +65,12 @@
 	StoreRetry time.Duration
 	// RefillBelow is the share of HomeHorizon below which a home draws more.
 	RefillBelow float64
-	// FreeShare bounds what a home holds ahead: this share of the store's free
-	// tokens, divided by the number of Routers. 0: no such bound.
-	FreeShare float64
+	// ScarceWithin is how long a budget must last, at the fleet's demand, for half
+	// of what the store has free to be held by the homes together; more is held of
+	// one that lasts longer. 0: no such bound.
+	ScarceWithin time.Duration
 	// Routers is the number of routers that draw; it may be nil without
-	// FreeShare.
+	// ScarceWithin.
 	Routers func() int
 	// TailShare is the last share of a budget, which is spent slowly: so that it
 	// lasts about TailTime. 0: there is no tail.
--- a/budget/messages.go
+++ b/budget/messages.go
@@ -1,5 +1,7 @@
 package budget
 
+import "time"
+
 // Cause says why a reservation was refused.
 type Cause string
 
@@ -102,9 +104,21 @@
 // process must end.
 type Stop struct{}
 
+// TakenBack tells that the copy of a page counts the tokens that an earlier
+// process of this instance withheld as free; the next write makes it so.
+type TakenBack struct {
+	// Holder is the earlier process.
+	Holder string
+	// Age is the time from its last write to the start of this process.
+	Age time.Duration
+	// Tokens are what it still withheld, by budget.
+	Tokens map[string]int64
+}
+
 func (Send) effect()      {}
 func (ReadPage) effect()  {}
 func (WritePage) effect() {}
 func (Resolve) effect()   {}
 func (Suspect) effect()   {}
 func (Stop) effect()      {}
+func (TakenBack) effect() {}
--- a/budget/paging.go
+++ b/budget/paging.go
@@ -28,6 +28,8 @@
 	need   int64
 	want   int64
 	at     time.Time
+	// awaited tells that somebody waits for the write though it draws nothing.
+	awaited bool
 	// tail tells that the draw may take the budget's tail.
 	tail bool
 }
@@ -60,7 +62,11 @@
 	write   *pageWrite
 	ops     []pageOp
 	wroteAt time.Time
-	retryAt time.Time
+	// failed tells that the last call got no answer.
+	failed bool
+	// calledAt is when the call that is out was made.
+	calledAt time.Time
+	retryAt  time.Time
 	// conflicts in a row, and until when the next write waits because of them.
 	conflicts  int
 	conflictAt time.Time
@@ -104,6 +110,7 @@
 	}
 	if !ps.have || a.stale(now, ps) {
 		ps.reading = true
+		ps.calledAt = now
 		a.emit(ReadPage{Page: n})
 		return
 	}
@@ -117,6 +124,7 @@
 	}
 	ps.writing = true
 	ps.wroteAt = now
+	ps.calledAt = now
 	a.emit(WritePage{Page: n, Version: ps.write.version, Value: ps.write.value})
 }
 
@@ -135,7 +143,7 @@
 // urgent tells whether somebody waits for a queued draw.
 func (ps *pageState) urgent() bool {
 	for _, op := range ps.ops {
-		if op.need > 0 {
+		if op.need > 0 || op.awaited {
 			return true
 		}
 	}
@@ -255,6 +263,7 @@
 func (a *Agent) PageRead(now time.Time, n int, version int64, page *Page, result StoreResult) []Effect {
 	ps := a.pages[n]
 	ps.reading = false
+	ps.failed = false
 	switch result {
 	case Done:
 		if page.Fenced[a.cfg.Self.Incarnation] {
@@ -309,6 +318,7 @@
 func (a *Agent) PageWritten(now time.Time, n int, version int64, result StoreResult, current *Page) []Effect {
 	ps := a.pages[n]
 	ps.writing = false
+	ps.failed = result == Lost
 	switch result {
 	case Done:
 		ps.conflicts = 0
@@ -318,6 +328,7 @@
 		a.shedOverdrawn(now, n, ps)
 	case Conflict:
 		ps.have = false
+		ps.wroteAt = time.Time{} // nothing was written: the next try need not wait
 		a.backOff(now, ps)
 		if !ps.write.lost {
 			a.requeue(ps)
@@ -420,6 +431,7 @@
 // storeFailed ends the waiting draws of a page when the store is out; returns
 // stay queued.
 func (a *Agent) storeFailed(now time.Time, ps *pageState) {
+	ps.failed = true
 	ps.retryAt = now.Add(a.cfg.StoreRetry)
 	a.failDraws(now, ps)
 	if ps.write == nil {
--- a/budget/purse.go
+++ b/budget/purse.go
@@ -16,6 +16,9 @@
 	token   uint64
 	need    int64
 	askedAt time.Time // zero: the home has not been asked
+	// fromOthers tells that only the tail is left at the store, which this one may
+	// not take from: only what other routers hold can serve it.
+	fromOthers bool
 }
 
 // draw is another router's unanswered draw.
@@ -59,6 +62,7 @@
 	escrow      int64 // of the balance, not usable yet
 	waiters     []waiter
 	draws       []draw
+	loans       []asking
 	askedOf     string
 	prefetching time.Time // when a draw ahead was sent; zero: none is out
 	recall      recallRound
@@ -94,7 +98,7 @@
 // share of what is left.
 func (a *Agent) hold(now time.Time, p *purse) int64 {
 	want := max(p.ahead(now, a.cfg.HomeHorizon), int64(a.cfg.HeldRequests*p.meanNeed), a.starter(p))
-	return min(want, a.fairShare(p))
+	return min(want, a.fairShare(now, p))
 }
 
 // starter is what a home holds of a budget that it knows no demand for, so that
@@ -112,18 +116,39 @@
 	horizon := time.Duration(float64(a.cfg.HomeHorizon) * a.cfg.RefillBelow)
 	starter := int64(a.cfg.RefillBelow * float64(a.starter(p)))
 	low := max(p.ahead(now, horizon), int64(a.cfg.LowRequests*p.meanNeed), starter)
-	return min(low, int64(float64(a.fairShare(p))*a.cfg.RefillBelow))
+	return min(low, int64(float64(a.fairShare(now, p))*a.cfg.RefillBelow))
 }
 
-// fairShare bounds what a home holds ahead by what the store has free, so that
-// the more is left for all the scarcer it gets, and little is lost with a
-// router that dies.
-func (a *Agent) fairShare(p *purse) int64 {
+// fairShare bounds what a home holds ahead by how long the store's free tokens
+// would last at the fleet's demand. Of a budget that lasts long much is held, for
+// an outage of the store. Of one that runs out soon little is: all of it will be
+// used anyway, and what is held may be lost with the router.
+func (a *Agent) fairShare(now time.Time, p *purse) int64 {
 	r := a.record(p)
-	if a.cfg.FreeShare == 0 || r == nil {
+	if a.cfg.ScarceWithin == 0 || r == nil {
 		return math.MaxInt64 / 2
 	}
-	return int64(a.cfg.FreeShare * float64(a.spendable(r, false)) / float64(a.cfg.Routers()))
+	free := float64(a.spendable(r, false))
+	own, fleet := a.demands(now, p)
+	if fleet == 0 {
+		return int64(free) / int64(a.cfg.Routers())
+	}
+	lasts := free / fleet // seconds
+	share := lasts / (lasts + a.cfg.ScarceWithin.Seconds())
+	return int64(free * share * own / fleet)
+}
+
+// demands returns this router's demand for a budget and that of all routers, as
+// far as the page tells, in tokens a second.
+func (a *Agent) demands(now time.Time, p *purse) (own, fleet float64) {
+	own = float64(p.ahead(now, time.Second))
+	fleet = own
+	for holder, e := range a.pages[p.page].page.Escrows {
+		if holder != a.cfg.Self.Incarnation {
+			fleet += float64(e.Parts[p.id].Demand)
+		}
+	}
+	return own, fleet
 }
 
 // ahead returns the tokens that the present demand takes in d.
@@ -132,7 +157,7 @@
 // unmet returns the tokens asked for and not yet covered.
 func (p *purse) unmet() int64 { return p.asked() - p.usable() }
 
-// asked returns the tokens that waiting reservations and draws ask for.
+// asked returns the tokens that waiting reservations, draws and loans ask for.
 func (p *purse) asked() int64 {
 	var sum int64
 	for _, w := range p.waiters {
@@ -141,12 +166,27 @@
 	for _, d := range p.draws {
 		sum += d.need
 	}
+	for _, l := range p.loans {
+		sum += l.message.Need
+	}
+	return sum
+}
+
+// drawable returns what the store may be asked for: the tokens not yet covered,
+// without the reservations that only other routers can serve.
+func (p *purse) drawable() int64 {
+	sum := p.unmet()
+	for _, w := range p.waiters {
+		if w.fromOthers {
+			sum -= w.need
+		}
+	}
 	return sum
 }
 
 // idle tells whether nothing is held, awaited or asked for.
 func (p *purse) idle() bool {
-	return p.balance <= 0 && p.reserved == 0 && !p.waiting() && !p.asking() && !p.recall.active && p.borrowing.from == "" && p.lookup != lookupRunning
+	return p.balance <= 0 && p.reserved == 0 && !p.waiting() && len(p.loans) == 0 && !p.asking() && !p.recall.active && p.borrowing.from == "" && p.lookup != lookupRunning
 }
 
 func (p *purse) waiting() bool {
@@ -292,6 +332,7 @@
 	a.refreshEscrow(now, p)
 	a.serveWaiters(p)
 	a.serveDraws(now, p)
+	a.serveLoans(now, p)
 	if !p.waiting() {
 		p.settleLookup()
 		return
@@ -307,6 +348,9 @@
 	case p.recall.active, p.borrowing.from != "":
 	case p.lookup == lookupRunning:
 		a.urge(now, p)
+		if a.storeSlow(now, p) && !a.borrow(now, p) && a.storeAway(p) {
+			a.refuseAll(p, a.unreached(now, p)) // the draw goes on, for those who come later
+		}
 	default:
 		a.search(now, p)
 	}
@@ -340,8 +384,8 @@
 // search is the home's way to more tokens: the store, then the holders, then
 // a refusal. Each step is taken once per search.
 func (a *Agent) search(now time.Time, p *purse) {
-	if p.lookup == lookupIdle && now.Sub(p.shortAt) >= a.cfg.CheckEvery {
-		a.drawFromStore(now, p, p.unmet())
+	if a.mayDraw(now, p) {
+		a.drawFromStore(now, p, max(p.drawable(), 0))
 		return
 	}
 	if a.startRecall(now, p) || a.borrow(now, p) {
@@ -349,10 +393,7 @@
 	}
 	cause := Exhausted
 	if p.lookup == lookupFailed {
-		cause = Unreachable
-	}
-	if p.lookup == lookupFailed && !a.isHome(now, p.id) {
-		cause = Moved // the store answers another router
+		cause = a.unreached(now, p)
 	}
 	if p.unknown {
 		cause = Unknown
@@ -361,6 +402,27 @@
 	a.refuseAll(p, cause)
 }
 
+// unreached is the cause of a refusal when the store does not answer: another
+// router may be the home by now, which it does answer.
+func (a *Agent) unreached(now time.Time, p *purse) Cause {
+	if a.isHome(now, p.id) {
+		return Unreachable
+	}
+	return Moved
+}
+
+// mayDraw tells whether the store may have tokens for what waits, or may release
+// some of what this router withholds.
+func (a *Agent) mayDraw(now time.Time, p *purse) bool {
+	if p.lookup != lookupIdle {
+		return false
+	}
+	if p.escrow > 0 && p.balance > 0 {
+		return true
+	}
+	return p.drawable() > 0 && now.Sub(p.shortAt) >= a.cfg.CheckEvery
+}
+
 // startRecall asks the holders for unused tokens; false means that there is
 // none to ask.
 func (a *Agent) startRecall(now time.Time, p *purse) bool {
--- a/server/holding.go
+++ b/server/holding.go
@@ -13,30 +13,46 @@
 )
 
 const (
-	// escrowAfter is how long after its last write of the budgets a router
-	// leaves its escrow alone. It is a little longer than a process takes to be
-	// started anew, and much shorter than an outage that the escrow is for.
-	escrowAfter = 4 * time.Second
+	// openHorizon is how much demand stays usable at a write of the budgets. It
+	// is the time until the next write that releases more, and some for a burst.
+	openHorizon = time.Second
+	// releaseSpeed is how fast withheld tokens are released at first, as a multiple
+	// of the demand: the demand is met, and little more is lost with the router.
+	releaseSpeed = 1.5
+	// releaseSlow is how long that holds: a store that answers takes another write
+	// by then. releaseWithin is when all that is held is usable: what one router
+	// does not need in an outage can then be lent to others.
+	releaseSlow   = 4 * time.Second
+	releaseWithin = 9 * time.Second
+	// resealEvery is the least time between two writes that withhold anew what the
+	// schedule has released and nobody used.
+	resealEvery = 1 * time.Second
 	// bootIDFile identifies the boot of the machine.
 	bootIDFile = "/proc/sys/kernel/random/boot_id"
 )
 
 // escrowConfig sets what escrows need: the machine's boot and steady clock. A
 // machine that tells neither has escrows that nobody takes back.
+//
+// The clock is read before the start is noted: what this process writes of itself
+// is then never too late, and what it takes for its own start is a moment at which
+// it did run, so that the process before it had ended.
 func (s *Server) escrowConfig(cfg *budget.Config) {
-	started := time.Now()
 	var clock unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &clock); err != nil {
 		s.log.Warn("no steady clock; budgets are held without escrow", zap.Error(err))
 		return
 	}
+	started := time.Now()
 	boot, err := os.ReadFile(bootIDFile)
 	if err != nil {
 		s.log.Warn("boot not known; escrows of earlier processes are not taken back", zap.Error(err))
 	}
 	s.boot = strings.TrimSpace(string(boot))
 	atStart := time.Duration(clock.Nano())
-	cfg.EscrowAfter = escrowAfter
+	cfg.OpenHorizon = openHorizon
+	cfg.Release = budget.Schedule{Speed: releaseSpeed, Slow: releaseSlow, Within: releaseWithin}
+	cfg.ResealEvery = resealEvery
 	cfg.Boot = s.boot
 	cfg.Started = started
 	cfg.Uptime = func(now time.Time) time.Duration { return atStart + now.Sub(started) }
--- a/server/server.go
+++ b/server/server.go
@@ -90,6 +90,10 @@
 	drawTimeout = 1500 * time.Millisecond
 	// peerDialTimeout bounds a connection to another router.
 	peerDialTimeout = 200 * time.Millisecond
+	// pageSpacing is the least time between two writes of the budgets that nobody
+	// waits for. Each is a priced call, and mostly a second one, since another router
+	// has written meanwhile; what is held lasts far longer.
+	pageSpacing = 2 * time.Second
 	// drawSpacing is how long a home gathers draws of others between two writes.
 	drawSpacing = 100 * time.Millisecond
 )
@@ -301,7 +305,7 @@
 	cfg.Surplus = 0.25
 	cfg.HeldRequests = 1
 	cfg.LowRequests = 0.5
-	cfg.FreeShare = s.settings.Budgets.FreeShare
+	cfg.ScarceWithin = s.settings.Budgets.ScarceWithin.Std()
 	cfg.Routers = s.drawers
 	cfg.StarterShare = starterShare
 	cfg.TailShare = tailShare
@@ -309,6 +313,7 @@
 	cfg.ScarceHorizon = scarceHorizon
 	cfg.CheckEvery = 500 * time.Millisecond
 	cfg.DrawSpacing = drawSpacing
+	cfg.PageSpacing = pageSpacing
 	cfg.DrawTimeout = drawTimeout
 	cfg.Running = s.running
 	cfg.Lenders = s.lenders
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -60,10 +60,10 @@
 	Hold Duration `toml:"hold" validate:"min=100000000"`
 	// Refill is the share of Hold below which a router draws more.
 	Refill float64 `toml:"refill" validate:"min=0,max=1"`
-	// FreeShare bounds what all routers hold ahead to this share of what the
-	// store has left. Less strands less when routers die, more lasts longer
-	// through an outage.
-	FreeShare float64 `toml:"free_share" validate:"min=0.01,max=100"`
+	// ScarceWithin is how long a budget must last, at the fleet's demand, for half
+	// of what is left of it to be held by routers. Shorter holds more of scarce
+	// budgets: fewer refusals in an outage, more lost when routers lose power.
+	ScarceWithin Duration `toml:"scarce_within" validate:"min=100000000"`
 }
 
 // GatewayServers are the settings of connections to backend servers.
@@ -112,7 +112,7 @@
 func DefaultGateway() Gateway {
 	return Gateway{
 		Store:   GatewayStore{Timeout: Duration(time.Second)},
-		Budgets: GatewayBudgets{Hold: Duration(10 * time.Second), Refill: 0.9, FreeShare: 3},
+		Budgets: GatewayBudgets{Hold: Duration(20 * time.Second), Refill: 0.9, ScarceWithin: Duration(12 * time.Second)},
 		Servers: GatewayServers{DialTimeout: Duration(250 * time.Millisecond), IdleTimeout: Duration(10 * time.Second)},
 		Retries: GatewayRetries{Ratio: 0.2, Slack: 50},
 		Stop:    GatewayStop{Grace: Duration(8 * time.Second), Notice: Duration(2900 * time.Millisecond)},
