Spend budgets whole: the tail is removed

Cause: the last fiftieth of a budget was kept for small requests. Change: no tail. A request is refused as exhausted when neither the store nor any other router can cover it.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -70,7 +70,6 @@
 	p := a.purse(id)
 	p.used(now, need)
 	p.demand.add(now, need)
-	a.noteSmall(now, p, need)
 	a.refreshEscrow(now, p)
 	if p.usable() >= need {
 		p.balance -= need
@@ -78,8 +77,7 @@
 		a.prefetch(now, p)
 		return a.token, true, a.drain()
 	}
-	fromOthers := a.inTail(p) && !a.admitsTail(now, p, need)
-	p.waiters = append(p.waiters, waiter{token: a.token, need: need, fromOthers: fromOthers})
+	p.waiters = append(p.waiters, waiter{token: a.token, need: need})
 	a.pump(now, p)
 	return a.token, false, a.drain()
 }
@@ -116,7 +114,7 @@
 	switch m.Kind {
 	case Draw:
 		p.used(now, max(m.Need, 1))
-		a.drawAsked(now, p, m)
+		a.drawAsked(p, m)
 	case Grant:
 		a.granted(now, p, m)
 	case Recall:
@@ -141,17 +139,12 @@
 
 // drawAsked queues a peer's draw, or sends it on to the next home when this
 // router is closing.
-func (a *Agent) drawAsked(now time.Time, p *purse, m Message) {
+func (a *Agent) drawAsked(p *purse, m Message) {
 	d := draw{peer: m.From, token: m.Token, need: m.Need, want: m.Want}
-	switch {
-	case a.closing:
+	if a.closing {
 		a.refuseDraw(p, d, Moved)
 		return
-	case p.usable() < p.asked()+m.Need && a.inTail(p) && !a.admitsTail(now, p, m.Need):
-		a.refuseDraw(p, d, Exhausted)
-		return
 	}
-	a.noteSmall(now, p, m.Need)
 	p.draws = append(p.draws, d)
 }
 
--- a/budget/outage_test.go
+++ b/budget/outage_test.go
@@ -19,7 +19,7 @@
 // spread returns a network of three routers that each serve requests of 100
 // tokens, ten a second, from a budget of the given limit.
 func spread(t *rapid.T, limit int64) *network {
-	n := &network{t: t, now: epoch.Add(time.Hour), page: budget.NewPage(), waiting: map[string]int64{}, limit: limit, limitVersion: 1, tail: true}
+	n := &network{t: t, now: epoch.Add(time.Hour), page: budget.NewPage(), waiting: map[string]int64{}, limit: limit, limitVersion: 1}
 	n.scarceWithin = 10 * time.Second
 	for i := range 3 {
 		n.routers = append(n.routers, &router{index: i})
@@ -106,9 +106,9 @@
 	})
 }
 
-// TestLastShareAsksOthersFirst: with only the tail left at the store, a request
+// TestLastTokensAreAskedOfOthers: with next to nothing left at the store, a request
 // is served from what another router holds and not refused as exhausted.
-func TestLastShareAsksOthersFirst(t *testing.T) {
+func TestLastTokensAreAskedOfOthers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := spread(t, 30000)
 		n.now = n.now.Add(releaseWithin)
@@ -177,3 +177,26 @@
 		}
 	})
 }
+
+// TestBudgetIsSpentWhole: an account that goes on asking for more than its budget
+// has is served until less is left than one request needs, at whatever router the
+// last tokens lie. A share kept back for later would be lost to it whenever the
+// budget is not topped up, and did serve fewer requests on played days.
+func TestBudgetIsSpentWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := spread(t, 30000)
+		need := rapid.Int64Range(50, 400).Draw(t, "need")
+		for range 500 {
+			for _, r := range n.routers {
+				n.reserve(r, need)
+				n.run("done")
+				n.finish(r, need)
+			}
+			n.wait(1, 100*time.Millisecond, "done")
+			n.checkSpent()
+		}
+		if left := n.limit - n.spent; left >= need {
+			t.Fatalf("%d tokens are left, requests of %d are refused", left, need)
+		}
+	})
+}
--- a/server/server.go
+++ b/server/server.go
@@ -67,10 +67,6 @@
 	// leastRouters is the size of fleet assumed before the others are met, when
 	// shares of what the fleet may do together are worked out.
 	leastRouters = 6
-	// tailShare and tailTime keep the last fiftieth of a budget for a quarter
-	// of a minute of small requests: that serves about one in twenty.
-	tailShare = 0.02
-	tailTime  = 15 * time.Second
 	// starterShare is the part of a budget that is drawn before its first request:
 	// about a dozen requests of a large account.
 	starterShare = 0.01
@@ -308,8 +304,6 @@
 	cfg.ScarceWithin = s.settings.Budgets.ScarceWithin.Std()
 	cfg.Routers = s.drawers
 	cfg.StarterShare = starterShare
-	cfg.TailShare = tailShare
-	cfg.TailTime = tailTime
 	cfg.ScarceHorizon = scarceHorizon
 	cfg.CheckEvery = 500 * time.Millisecond
 	cfg.DrawSpacing = drawSpacing
