Send long prompts to the fast servers; leave a silent stream later

Cause: streams pause beyond their bound beside long prompts, mostly on the slower third of the servers (30 to 66% of streams late there, 0 to 15% elsewhere), and the largest prompts came late there twice: at 1.2 times the objective they were sent elsewhere and read anew (2.0 to 2.9 s to the first event). Change: a router learns each server's pace from a low quantile of the time between events; prompts above the mean of their service go by prefix to servers within 1.15 of the middle pace. A stream without a first event is left after twice its objective, which is when the server seems to be gone.

--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -316,6 +316,13 @@
 	c.servers.Read(id, tokens)
 }
 
+// Paced notes the time between two events of a stream.
+func (c *Controller) Paced(id string, gap time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.servers.Paced(id, gap)
+}
+
 // Ended counts the end of a request at a server.
 func (c *Controller) Ended(id string, outcome placement.Outcome) {
 	c.mu.Lock()
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -33,9 +33,10 @@
 	// patience is the share of the latency objective after which a request that
 	// may be repeated is taken from a server that has sent nothing.
 	patience = 0.66
-	// streamPatience is the same for a stream: a prompt is read anew elsewhere,
-	// which costs the next server's time.
-	streamPatience = 1.2
+	// streamPatience is the same for a stream. A prompt is read anew elsewhere,
+	// which costs another server's time and comes late anyway, so only a server that
+	// seems to be gone is left: most late first events wait for large prompts.
+	streamPatience = 2.0
 )
 
 // verdict is how an attempt ended.
@@ -103,7 +104,7 @@
 }
 
 func (c *call) query(tried map[string]bool) placement.Query {
-	return placement.Query{Service: c.service.Name, Affinity: c.affinity, Tokens: c.newTokens, Tried: tried, Domain: c.g.Domain}
+	return placement.Query{Service: c.service.Name, Affinity: c.affinity, Tokens: c.newTokens, Prompt: c.TokensIn, Tried: tried, Domain: c.g.Domain}
 }
 
 // mayGoOn returns nil if the request may be sent to another server, or else
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -145,7 +145,11 @@
 // pass writes whole events to the caller.
 func (a *attempt) pass(answer *upstream.Answer, batch eventstream.Batch) error {
 	a.startStream(answer)
-	a.stream.progressed(time.Now())
+	now := time.Now()
+	if !a.stream.first.IsZero() && batch.Events > 0 {
+		a.g.Servers.Paced(a.server.ID, now.Sub(a.stream.last)/time.Duration(batch.Events))
+	}
+	a.stream.progressed(now)
 	if batch.LastID != "" {
 		a.stream.lastID = batch.LastID
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -57,8 +57,10 @@
 	// pending are the prompt tokens that the server has yet to read.
 	pending     int64
 	failureRate float64
-	silent      int
-	down        bool
+	// pace is the estimate of Paced, in seconds; 0: unknown.
+	pace   float64
+	silent int
+	down   bool
 }
 
 func (s *state) usable(tried map[string]bool) bool {
@@ -70,11 +72,13 @@
 type Servers struct {
 	byID      map[string]*state
 	byService map[string][]*state
+	// meanPrompt is the mean size of prompts by service, in tokens.
+	meanPrompt map[string]float64
 }
 
 // New returns a Servers that knows none.
 func New() *Servers {
-	return &Servers{byID: map[string]*state{}, byService: map[string][]*state{}}
+	return &Servers{byID: map[string]*state{}, byService: map[string][]*state{}, meanPrompt: map[string]float64{}}
 }
 
 // Put adds a server or updates it. A server that was said to be leaving stays
@@ -172,6 +176,8 @@
 	Affinity uint64
 	// Tokens are the prompt tokens that no server has read yet.
 	Tokens int64
+	// Prompt are all tokens of the prompt.
+	Prompt int64
 	// Tried are servers that the request was already sent to.
 	Tried map[string]bool
 	// Domain is the router's failure domain; it decides between servers that
@@ -186,6 +192,9 @@
 		return Server{}, false
 	}
 	if q.Affinity != 0 {
+		if f.long(q) {
+			candidates = fast(candidates)
+		}
 		return byPrefix(candidates, q.Affinity).Server, true
 	}
 	return leastBusy(rng, candidates, q.Domain).Server, true
