Charge what servers may have generated when the end of an answer is not seen

Change: an attempt whose end was not seen is charged at its most, and another attempt reserves its answer anew, or is not made. gateway/spent_test.go fails without it.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -127,6 +127,9 @@
 		if !c.route.MayRepeat() || so.sent >= c.route.Attempts {
 			return result.New(result.BackendCut, "the server did not answer whole").Wrap(cause)
 		}
+		if refusal := c.reserveAgain(); refusal != nil {
+			return refusal.Wrap(cause)
+		}
 	}
 	if !c.g.Retries.Spend(c.service.Name) {
 		code := result.BackendCut
@@ -321,6 +324,7 @@
 
 // broken ends an attempt whose answer did not come or broke off.
 func (a *attempt) broken(ctx context.Context, err error) verdict {
+	a.unseen++
 	switch {
 	case a.r.Context().Err() != nil:
 		return a.end(failed, "caller gone", placement.Neutral, nil)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,6 +119,9 @@
 	deadline  time.Time
 
 	reserved int64
+	// unseen is how many attempts a server may have run to an end that this router
+	// did not see.
+	unseen   int
 	attempts []attemptNote
 	stream   streamState
 	// answered tells that the head of an answer has gone to the caller.
@@ -156,13 +159,19 @@
 	c.log()
 }
 
-// spent returns the tokens to be charged: none if no server ran the request,
-// else the prompt once and what was generated.
+// spent returns the tokens to be charged: none if no server ran the request, else
+// the prompt once and what was generated. An attempt whose end was not seen is
+// charged at its most, since its server may have generated all of it.
 func (c *call) spent() int64 {
 	if !c.ran {
 		return 0
 	}
-	return min(c.TokensIn+c.stream.tokens, c.reserved)
+	generated := c.stream.tokens
+	if c.unseen > 0 && c.outcome != result.OK {
+		generated = 0 // it belongs to the attempts that are charged at their most
+	}
+	generated += int64(c.unseen) * c.MaxTokensOut
+	return min(c.TokensIn+generated, c.reserved)
 }
 
 // log writes the line of an ended request: a part of those that were served,
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -95,6 +95,7 @@
 }
 
 func (a *attempt) callerLeft(err error) verdict {
+	a.unseen++
 	a.outcome = result.CallerGone
 	a.cause = err
 	return a.end(ended, "caller gone", placement.Neutral, err)
@@ -122,10 +123,12 @@
 		case err == io.EOF && !splitter.Rest():
 			return a.streamEnded(answer)
 		case err == io.EOF:
+			a.unseen++
 			return a.end(failed, "broken", placement.Failed, errUnfinished)
 		case err != nil:
 			return a.broken(ctx, err)
 		case splitter.TooLong():
+			a.unseen++
 			return a.end(failed, "broken", placement.Failed, errUnfinished)
 		}
 	}
--- a/gateway/steps.go
+++ b/gateway/steps.go
@@ -141,6 +141,21 @@
 	return nil
 }
 
+// reserveAgain takes what another attempt may generate, after one that may have
+// generated its most without this router seeing it.
+func (c *call) reserveAgain() *result.Error {
+	if c.reserved == 0 || c.MaxTokensOut == 0 || c.unseen == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(c.r.Context(), minimumWait)
+	defer cancel()
+	if err := c.g.Budgets.Reserve(ctx, c.account.Name, c.MaxTokensOut); err != nil {
+		return result.New(result.BackendCut, "the budget does not cover another attempt").Wrap(err)
+	}
+	c.reserved += c.MaxTokensOut
+	return nil
+}
+
 // chooseService draws one of the route's services by weight.
 func (c *call) chooseService() {
 	c.service = c.catalog.Services[c.drawShare(c.route.Split).Service]
