Writers that nobody waits for make way on a budgets page

Change: the pause after conflicts in a row grows with the number of holders that have written the page, unless somebody waits for the write; a router draws nothing ahead in its first half second, in which it learns whether it is a home. TestManyWritersMakeWay fails without it (2,072 calls, bound 1,720).

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -218,7 +218,7 @@
 		a.tickPurse(now, p)
 	}
 	a.awake = slices.DeleteFunc(a.awake, func(p *purse) bool {
-		p.awake = !p.idle()
+		p.awake = a.settling(now) || !p.idle()
 		return !p.awake
 	})
 	for n := range a.cfg.Pages {
--- a/budget/outage_test.go
+++ b/budget/outage_test.go
@@ -200,3 +200,48 @@
 		}
 	})
 }
+
+// TestManyWritersMakeWay: 86 routers that all have tokens to return write the
+// page a few times each and not without end, and one with a caller that waits
+// gets through soon. On a played day 86 routers started together and met 7,000
+// conflicts in 25 s.
+func TestManyWritersMakeWay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const routers = 86
+		n := &network{t: t, now: epoch.Add(time.Hour), page: budget.NewPage(), waiting: map[string]int64{}, limit: 1000000, limitVersion: 1}
+		for i := range routers {
+			r := &router{index: i}
+			n.routers = append(n.routers, r)
+			n.bootOwnHome(r)
+			n.now = n.now.Add(time.Second)
+			n.reserve(r, 100)
+			n.run("done")
+			n.finish(r, 100)
+		}
+		n.raise(-500000, func() bool { return true })
+		first := n.routers[0]
+		n.reserve(first, 1000)
+		writes, waited := 0, time.Duration(0)
+		for step := range 5000 { // 5 ms each, in which the store takes one write
+			for _, r := range n.routers {
+				writes += len(r.store)
+				n.answer(r, "done")
+			}
+			n.now = n.now.Add(5 * time.Millisecond)
+			if step%10 == 0 {
+				for _, r := range n.routers {
+					n.perform(r, r.agent.Tick(n.now))
+				}
+			}
+			if len(first.running) == 0 {
+				waited += 5 * time.Millisecond
+			}
+		}
+		if waited > time.Second {
+			t.Fatalf("the awaited write took %v", waited)
+		}
+		if writes > 20*routers {
+			t.Fatalf("%d store calls by %d routers", writes, routers)
+		}
+	})
+}
--- a/budget/paging.go
+++ b/budget/paging.go
@@ -66,9 +66,12 @@
 	// calledAt is when the call that is out was made.
 	calledAt time.Time
 	retryAt  time.Time
-	// conflicts in a row, and until when the next write waits because of them.
-	conflicts  int
-	conflictAt time.Time
+	// conflicts in a row, and the pause before the next write because of the last.
+	conflicts int
+	// writers is how many holders had written the page when it was last seen.
+	writers      int
+	conflictedAt time.Time
+	pause        time.Duration
 	// escrow is this holder's escrow in the page in the store.
 	escrow escrowed
 	// reseal tells that the page must be written although no tokens move.
@@ -104,7 +107,7 @@
 		a.failDraws(now, ps)
 		return
 	}
-	if ps.write == nil && !a.closing && (now.Sub(ps.wroteAt) < a.spacing(ps) || now.Before(ps.conflictAt)) {
+	if ps.write == nil && !a.closing && (now.Sub(ps.wroteAt) < a.spacing(ps) || ps.backsOff(now)) {
 		return
 	}
 	if !ps.have || a.stale(now, ps) {
@@ -270,6 +273,7 @@
 			return a.drain()
 		}
 		ps.page, ps.version, ps.have, ps.readAt = page, version, true, now
+		ps.writers = len(page.Ops)
 		a.applyLimits(n, ps)
 		a.takeBack(ps)
 		a.resolveLost(now, ps)
@@ -320,7 +324,7 @@
 	ps.failed = result == Lost
 	switch result {
 	case Done:
-		ps.conflicts = 0
+		ps.conflicts, ps.pause = 0, 0
 		ps.page, ps.version, ps.readAt = ps.write.value, version, now
 		a.applyLimits(n, ps)
 		a.finishWrite(now, ps)
@@ -354,11 +358,16 @@
 	// conflictsAtOnce is how many conflicts in a row are followed by another
 	// write at once: with a handful of writers the next one mostly succeeds.
 	conflictsAtOnce = 4
-	// backOffFirst and backOffMost are the longest pause after the next conflict,
-	// which doubles with each further one, and its bound. Many routers that write
-	// one page at once would otherwise keep each other from it.
+	// backOffFirst is the longest pause after the next conflict, which doubles with
+	// each further one. Many routers that write one page at once would otherwise
+	// keep each other from it.
 	backOffFirst = 40 * time.Millisecond
-	backOffMost  = 320 * time.Millisecond
+	// backOffAwaited bounds the pause of a write that somebody waits for. The bound
+	// of others grows by backOffEach with each holder that has written the page: of
+	// many routers that start together each has tokens to take back, and should
+	// leave the page to those with callers. It is some times what a write takes.
+	backOffAwaited = 320 * time.Millisecond
+	backOffEach    = 25 * time.Millisecond
 )
 
 // backOff puts the next write of a page off after a conflict, by a time that
@@ -368,8 +377,18 @@
 	if ps.conflicts <= conflictsAtOnce {
 		return
 	}
-	longest := min(backOffFirst<<min(ps.conflicts-conflictsAtOnce-1, 3), backOffMost)
-	ps.conflictAt = now.Add(time.Duration(chance(a.seed+uint64(a.writes)) * float64(longest)))
+	longest := min(backOffFirst<<min(ps.conflicts-conflictsAtOnce-1, 7), max(backOffAwaited, time.Duration(ps.writers)*backOffEach))
+	ps.conflictedAt = now
+	ps.pause = time.Duration(chance(a.seed+uint64(a.writes)) * float64(longest))
+}
+
+// backsOff tells whether the next write of a page still waits after conflicts.
+func (ps *pageState) backsOff(now time.Time) bool {
+	pause := ps.pause
+	if ps.urgent() {
+		pause = min(pause, backOffAwaited)
+	}
+	return now.Sub(ps.conflictedAt) < pause
 }
 
 // chance spreads the numbers of writes evenly over [0, 1).
--- a/budget/purse.go
+++ b/budget/purse.go
@@ -9,6 +9,9 @@
 const (
 	// needWindow is how many reservations the mean need looks back.
 	needWindow = 8
+	// settleTime is how long after its start a router draws nothing ahead: by then
+	// it has met the others, and knows whether it is a home at all.
+	settleTime = 500 * time.Millisecond
 )
 
 // waiter is a local reservation that could not be granted at once.
@@ -357,9 +360,12 @@
 	}
 }
 
+// settling tells whether this router has just started.
+func (a *Agent) settling(now time.Time) bool { return now.Sub(a.cfg.Started) < settleTime }
+
 // prefetch asks for more before the balance runs out.
 func (a *Agent) prefetch(now time.Time, p *purse) {
-	if p.scarce || a.closing || p.lookup == lookupRunning || p.recall.active {
+	if p.scarce || a.closing || p.lookup == lookupRunning || p.recall.active || a.settling(now) {
 		return
 	}
 	if a.isHome(now, p.id) {
