--- a/budget/agent.go
+++ b/budget/agent.go
@@ -70,6 +70,7 @@
 	p := a.purse(id)
 	p.used(now, need)
 	p.demand.add(now, need)
+	a.noteSmall(now, p, need)
 	a.refreshEscrow(now, p)
 	if p.usable() >= need {
 		p.balance -= need
@@ -77,7 +78,8 @@
 		a.prefetch(now, p)
 		return a.token, true, a.drain()
 	}
-	p.waiters = append(p.waiters, waiter{token: a.token, need: need})
+	fromOthers := a.inTail(p) && !a.admitsTail(now, p, need)
+	p.waiters = append(p.waiters, waiter{token: a.token, need: need, fromOthers: fromOthers})
 	a.pump(now, p)
 	return a.token, false, a.drain()
 }
@@ -114,7 +116,7 @@
 	switch m.Kind {
 	case Draw:
 		p.used(now, max(m.Need, 1))
-		a.drawAsked(p, m)
+		a.drawAsked(now, p, m)
 	case Grant:
 		a.granted(now, p, m)
 	case Recall:
@@ -139,12 +141,17 @@
 
 // drawAsked queues a peer's draw, or sends it on to the next home when this
 // router is closing.
-func (a *Agent) drawAsked(p *purse, m Message) {
+func (a *Agent) drawAsked(now time.Time, p *purse, m Message) {
 	d := draw{peer: m.From, token: m.Token, need: m.Need, want: m.Want}
-	if a.closing {
+	switch {
+	case a.closing:
 		a.refuseDraw(p, d, Moved)
 		return
+	case p.usable() < p.asked()+m.Need && a.inTail(p) && !a.admitsTail(now, p, m.Need):
+		a.refuseDraw(p, d, Exhausted)
+		return
 	}
+	a.noteSmall(now, p, m.Need)
 	p.draws = append(p.draws, d)
 }
 
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -44,6 +44,8 @@
 	// to be away; for routers that draw for themselves.
 	limit, limitVersion int64
 	storeLost           bool
+	// tail keeps the last fiftieth of the budget for 15 s.
+	tail bool
 	// pooled makes one router the home of the budget for all.
 	pooled bool
 	// scarceWithin bounds what is held of a scarce budget.
--- a/budget/config.go
+++ b/budget/config.go
@@ -72,6 +72,10 @@
 	// Routers is the number of routers that draw; it may be nil without
 	// ScarceWithin.
 	Routers func() int
+	// TailShare is the last share of a budget, which is spent slowly: so that it
+	// lasts about TailTime. 0: there is no tail.
+	TailShare float64
+	TailTime  time.Duration
 	// StarterShare is the part of a budget that all homes together hold of it
 	// before any request has asked for it.
 	StarterShare float64
--- a/budget/escrow_test.go
+++ b/budget/escrow_test.go
@@ -56,6 +56,9 @@
 	}
 	cfg := ownHomeConfig(fmt.Sprintf("r%d", r.index), r.incarnation(), n.now, lenders)
 	cfg.StoreLost = func() bool { return n.storeLost }
+	if n.tail {
+		cfg.TailShare, cfg.TailTime = 0.02, 15*time.Second
+	}
 	cfg.Routers = func() int { return len(n.routers) }
 	cfg.ScarceWithin = n.scarceWithin
 	if n.pooled {
--- a/budget/paging.go
+++ b/budget/paging.go
@@ -1,7 +1,6 @@
 package budget
 
 import (
-	"math"
 	"time"
 )
 
@@ -31,6 +30,8 @@
 	at     time.Time
 	// awaited tells that somebody waits for the write though it draws nothing.
 	awaited bool
+	// tail tells that the draw may take the budget's tail.
+	tail bool
 }
 
 // appliedOp is a pageOp with what the built write gives it.
@@ -83,7 +84,7 @@
 	p.lookup = lookupRunning
 	p.lookedAt = now
 	want := a.hold(now, p)
-	a.queue(now, pageOp{budget: p.id, need: need, want: max(want-p.balance, need)})
+	a.queue(now, pageOp{budget: p.id, need: need, want: max(want-p.balance, need), tail: a.inTail(p)})
 }
 
 func (a *Agent) queue(now time.Time, op pageOp) {
@@ -211,7 +212,7 @@
 	}
 	for _, op := range ps.ops {
 		r := ps.page.Budgets[op.budget]
-		if op.need >= 0 && (r == nil || r.Free() < max(op.need, op.want)) {
+		if op.need >= 0 && (r == nil || a.spendable(r, op.tail) < max(op.need, op.want)) {
 			return true
 		}
 	}
@@ -257,7 +258,7 @@
 	if op.need < 0 {
 		return op.need
 	}
-	free := max(r.Free(), 0)
+	free := a.spendable(r, op.tail)
 	return max(min(op.need, free), min(op.want, free/shareOfFree))
 }
 
@@ -391,13 +392,6 @@
 	return now.Sub(ps.conflictedAt) < pause
 }
 
-// chance spreads the numbers of writes evenly over [0, 1).
-func chance(n uint64) float64 {
-	const golden = 0.6180339887498949 // the fractional multiples of the golden ratio are spread evenly
-	_, f := math.Modf(float64(n) * golden)
-	return f
-}
-
 // unqueueReturns takes back what is queued to be returned to the store.
 func (a *Agent) unqueueReturns(p *purse) {
 	ps := a.pages[p.page]
--- a/budget/purse.go
+++ b/budget/purse.go
@@ -19,6 +19,9 @@
 	token   uint64
 	need    int64
 	askedAt time.Time // zero: the home has not been asked
+	// fromOthers tells that only the tail is left at the store, which this one may
+	// not take from: only what other routers hold can serve it.
+	fromOthers bool
 }
 
 // draw is another router's unanswered draw.
@@ -77,13 +80,14 @@
 	received    map[string]int64 // by the sender's incarnation
 	holders     map[string]*holder
 	demand      rate    // tokens asked for
+	small       rate    // tokens asked for by requests that the tail serves
 	meanNeed    float64 // of one reservation, decayed by count
 	lastUse     time.Time
 	awake       bool // in the agent's list
 }
 
 func newPurse(id string, page int, window time.Duration) *purse {
-	return &purse{id: id, page: page, demand: rate{window: window}, sent: map[string]int64{}, received: map[string]int64{}, holders: map[string]*holder{}}
+	return &purse{id: id, page: page, demand: rate{window: window}, small: rate{window: window}, sent: map[string]int64{}, received: map[string]int64{}, holders: map[string]*holder{}}
 }
 
 // used notes that a request of need tokens asked for the budget.
@@ -127,7 +131,7 @@
 	if a.cfg.ScarceWithin == 0 || r == nil {
 		return math.MaxInt64 / 2
 	}
-	free := float64(max(r.Free(), 0))
+	free := float64(a.spendable(r, false))
 	own, fleet := a.demands(now, p)
 	if fleet == 0 {
 		return int64(free) / int64(a.cfg.Routers())
@@ -150,16 +154,6 @@
 	return own, fleet
 }
 
-// record returns the budget in the router's copy of its page, nil if it has
-// none.
-func (a *Agent) record(p *purse) *Record {
-	ps := a.pages[p.page]
-	if ps == nil || !ps.have {
-		return nil
-	}
-	return ps.page.Budgets[p.id]
-}
-
 // ahead returns the tokens that the present demand takes in d.
 func (p *purse) ahead(now time.Time, d time.Duration) int64 { return p.demand.ahead(now, d) }
 
@@ -181,6 +175,18 @@
 	return sum
 }
 
+// drawable returns what the store may be asked for: the tokens not yet covered,
+// without the reservations that only other routers can serve.
+func (p *purse) drawable() int64 {
+	sum := p.unmet()
+	for _, w := range p.waiters {
+		if w.fromOthers {
+			sum -= w.need
+		}
+	}
+	return sum
+}
+
 // idle tells whether nothing is held, awaited or asked for.
 func (p *purse) idle() bool {
 	return p.balance <= 0 && p.reserved == 0 && !p.waiting() && len(p.loans) == 0 && !p.asking() && !p.recall.active && p.borrowing.from == "" && p.lookup != lookupRunning
@@ -385,7 +391,7 @@
 // a refusal. Each step is taken once per search.
 func (a *Agent) search(now time.Time, p *purse) {
 	if a.mayDraw(now, p) {
-		a.drawFromStore(now, p, p.unmet())
+		a.drawFromStore(now, p, max(p.drawable(), 0))
 		return
 	}
 	if a.startRecall(now, p) || a.borrow(now, p) {
@@ -420,7 +426,7 @@
 	if p.escrow > 0 && p.balance > 0 {
 		return true
 	}
-	return now.Sub(p.shortAt) >= a.cfg.CheckEvery
+	return p.drawable() > 0 && now.Sub(p.shortAt) >= a.cfg.CheckEvery
 }
 
 // startRecall asks the holders for unused tokens; false means that there is
--- a/server/server.go
+++ b/server/server.go
@@ -67,6 +67,12 @@
 	// leastRouters is the size of fleet assumed before the others are met, when
 	// shares of what the fleet may do together are worked out.
 	leastRouters = 6
+	// tailShare and tailTime keep the last two hundredth of a budget for a quarter
+	// of a minute of small requests: that serves a few in a hundred, which keeps a
+	// fleet above RECOVER when most budgets are spent. A fiftieth served no more and
+	// left accounts refused with tokens lying still.
+	tailShare = 0.005
+	tailTime  = 15 * time.Second
 	// starterShare is the part of a budget that is drawn before its first request:
 	// about a dozen requests of a large account.
 	starterShare = 0.01
@@ -304,6 +310,8 @@
 	cfg.ScarceWithin = s.settings.Budgets.ScarceWithin.Std()
 	cfg.Routers = s.drawers
 	cfg.StarterShare = starterShare
+	cfg.TailShare = tailShare
+	cfg.TailTime = tailTime
 	cfg.ScarceHorizon = scarceHorizon
 	cfg.CheckEvery = 500 * time.Millisecond
 	cfg.DrawSpacing = drawSpacing
