Log which servers long prompts avoid; time a server's events by its own attempt

Cause: the choice by pace changes what a router believes of a server, and no line told so; the gap over a change of server within a resumed stream was counted as an event of the new one.

--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -69,6 +69,8 @@
 	entries map[string]store.Object
 	gone    map[string]deletion
 	changes changeLog
+	// slow are the servers that long prompts avoided at the last tick.
+	slow map[string]time.Duration
 }
 
 // New returns a controller that knows no server.
@@ -105,6 +107,7 @@
 	c.dropMissing(now)
 	maps.DeleteFunc(c.gone, func(_ string, d deletion) bool { return now.Sub(d.at) > goneFor })
 	due := c.probesDue(now)
+	c.notePaces()
 	c.mu.Unlock()
 	for _, s := range due {
 		go c.probe(ctx, s)
@@ -130,6 +133,22 @@
 	}
 }
 
+// notePaces logs which servers long prompts avoid from now on, or do not any more.
+func (c *Controller) notePaces() {
+	slow := c.servers.Slow()
+	for id, pace := range slow {
+		if _, was := c.slow[id]; !was {
+			c.log.Info("server slow; long prompts avoid it", zap.String("server", id), zap.Duration("pace_ms", pace))
+		}
+	}
+	for id, pace := range c.slow {
+		if _, still := slow[id]; !still && c.servers.Has(id) {
+			c.log.Info("server not slow any more", zap.String("server", id), zap.Duration("pace_was_ms", pace))
+		}
+	}
+	c.slow = slow
+}
+
 func (c *Controller) probesDue(now time.Time) []placement.Server {
 	var due []placement.Server
 	for _, s := range c.servers.Down() {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -179,6 +179,8 @@
 	last bool
 	// read tells that the server has read the prompt.
 	read bool
+	// eventAt is when the server's last event came; zero: none has.
+	eventAt time.Time
 	// judged is what the attempt says about the server.
 	judged placement.Outcome
 	err    error
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -149,9 +149,10 @@
 func (a *attempt) pass(answer *upstream.Answer, batch eventstream.Batch) error {
 	a.startStream(answer)
 	now := time.Now()
-	if !a.stream.first.IsZero() && batch.Events > 0 {
-		a.g.Servers.Paced(a.server.ID, now.Sub(a.stream.last)/time.Duration(batch.Events))
+	if !a.eventAt.IsZero() {
+		a.g.Servers.Paced(a.server.ID, now.Sub(a.eventAt)/time.Duration(batch.Events))
 	}
+	a.eventAt = now
 	a.stream.progressed(now)
 	if batch.LastID != "" {
 		a.stream.lastID = batch.LastID
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -46,9 +46,29 @@
 	s.pace *= math.Exp(paceGain * move)
 }
 
+// Slow returns the servers that long prompts avoid, with their paces.
+func (f *Servers) Slow() map[string]time.Duration {
+	slow := map[string]time.Duration{}
+	for _, list := range f.byService {
+		bound := fastBound(list)
+		for _, s := range list {
+			if s.pace > bound {
+				slow[s.ID] = time.Duration(s.pace * float64(time.Second))
+			}
+		}
+	}
+	return slow
+}
+
 // fast returns the servers of a list whose pace is not far above the middle one,
 // in the same order. A server without a known pace counts as fast.
 func fast(list []*state) []*state {
+	bound := fastBound(list)
+	return slices.DeleteFunc(slices.Clone(list), func(s *state) bool { return s.pace > bound })
+}
+
+// fastBound returns the pace, in seconds, up to which servers of a list are fast.
+func fastBound(list []*state) float64 {
 	paces := make([]float64, 0, len(list))
 	for _, s := range list {
 		if s.pace > 0 {
@@ -56,11 +76,10 @@
 		}
 	}
 	if len(paces) == 0 {
-		return list
+		return math.Inf(1)
 	}
 	slices.Sort(paces)
-	bound := paceSlack * paces[(len(paces)-1)/2]
-	return slices.DeleteFunc(slices.Clone(list), func(s *state) bool { return s.pace > bound })
+	return paceSlack * paces[(len(paces)-1)/2]
 }
 
 // long tells whether a prompt is longer than the mean of its service, and counts
--- a/placement/pace_test.go
+++ b/placement/pace_test.go
@@ -78,8 +78,12 @@
 func TestLongPromptsGoToFastServers(t *testing.T) {
 	long := picks(t, twoSpeeds(), longPrompt)
 	short := picks(t, twoSpeeds(), shortPrompt)
+	slow := twoSpeeds().Slow()
 	for i := range 12 {
 		id := fmt.Sprintf("s%02d", i)
+		if _, told := slow[id]; told != slowThird(i) {
+			t.Errorf("%s told to be slow: %v", id, told)
+		}
 		if slowThird(i) && long[id] > 0 {
 			t.Errorf("%d long prompts at the slow server %s", long[id], id)
 		}
