Leave a stalled stream only with a retry in hand

Ruled out: the reservation for another attempt (no such line in the log), the change of the configuration itself (it only stands beside). Change: the watchdog takes the retry for the next attempt before it ends one; if none is left the stream goes on.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -131,7 +131,7 @@
 			return refusal.Wrap(cause)
 		}
 	}
-	if !c.g.Retries.Spend(c.service.Name) {
+	if !c.retryTaken.Swap(false) && !c.g.Retries.Spend(c.service.Name) {
 		code := result.BackendCut
 		if v == notRun {
 			code = result.NotAccepted
--- a/gateway/patience.go
+++ b/gateway/patience.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"github.com/gaplink/gaplink/catalog"
@@ -20,12 +21,19 @@
 	leastPause = 600 * time.Millisecond
 )
 
-// watchdog cancels an attempt that makes no progress. A nil timer never does.
+// watchdog cancels an attempt that makes no progress, while the fleet's retries
+// leave room for another one. A nil timer never does.
 type watchdog struct {
 	timer *time.Timer
 	pause time.Duration
+	// takeRetry takes the retry by which another attempt is made, if one is left.
+	takeRetry func() bool
+	cancel    context.CancelCauseFunc
 }
 
+// never is a time after which no timer fires.
+const never = time.Duration(math.MaxInt64)
+
 // impatient starts the watchdog of an attempt that another could replace.
 func (a *attempt) impatient(cancel context.CancelCauseFunc) *watchdog {
 	if a.last || !a.route.MayRepeat() || a.route.Objective == 0 {
@@ -36,10 +44,34 @@
 		share = streamPatience
 	}
 	first := time.Duration(share * float64(a.route.Objective))
-	return &watchdog{
-		timer: time.AfterFunc(first, func() { cancel(errTooSlow) }),
-		pause: max(pausePatience*a.route.Pause, leastPause),
+	w := &watchdog{
+		pause:     max(pausePatience*a.route.Pause, leastPause),
+		takeRetry: a.takeRetry,
+		cancel:    cancel,
+	}
+	w.timer = time.AfterFunc(never, w.bark)
+	w.timer.Reset(first)
+	return w
+}
+
+// takeRetry takes a retry for the next attempt of the request, so that of several
+// that run out of patience together only as many end as can go on elsewhere.
+func (a *attempt) takeRetry() bool {
+	if a.g.Retries.Spend(a.service.Name) {
+		a.retryTaken.Store(true)
+		return true
+	}
+	return false
+}
+
+// bark ends the attempt. One that nothing can replace goes on: what its server
+// still sends is worth more to the caller than a cut answer.
+func (w *watchdog) bark() {
+	if w.takeRetry() {
+		w.cancel(errTooSlow)
+		return
 	}
+	w.timer.Reset(w.pause)
 }
 
 // progressed notes an event of the stream.
