Take the tokens of the next attempt before a stalled stream is left

Change: the watchdog takes tokens that the router holds and the retry together, or lets the stream go on. It takes nothing after the attempt has ended.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -84,6 +84,18 @@
 	return a.token, false, a.drain()
 }
 
+// TryReserve takes need tokens from what this router may use now, or nothing.
+func (a *Agent) TryReserve(now time.Time, id string, need int64) bool {
+	p := a.purse(id)
+	a.refreshEscrow(now, p)
+	if p.usable() < need {
+		return false
+	}
+	p.balance -= need
+	p.reserved += need
+	return true
+}
+
 // Cancel withdraws a reservation that still waits.
 func (a *Agent) Cancel(id string, token uint64) {
 	a.purse(id).takeWaiter(token)
--- a/controller/budgets/budgets.go
+++ b/controller/budgets/budgets.go
@@ -313,6 +313,13 @@
 	return c.await(ctx, id, tokens, token, ch)
 }
 
+// TryReserve takes tokens that this router holds, without waiting.
+func (c *Controller) TryReserve(id string, tokens int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.agent.TryReserve(time.Now(), id, tokens)
+}
+
 func (c *Controller) await(ctx context.Context, id string, tokens int64, token uint64, ch chan answer) error {
 	timer := time.NewTimer(waitAtMost)
 	defer timer.Stop()
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -127,11 +127,17 @@
 		if !c.route.MayRepeat() || so.sent >= c.route.Attempts {
 			return result.New(result.BackendCut, "the server did not answer whole").Wrap(cause)
 		}
+	}
+	if c.retryTaken {
+		c.retryTaken = false // with the tokens for the next attempt
+		return nil
+	}
+	if v == failed {
 		if refusal := c.reserveAgain(); refusal != nil {
 			return refusal.Wrap(cause)
 		}
 	}
-	if !c.retryTaken.Swap(false) && !c.g.Retries.Spend(c.service.Name) {
+	if !c.g.Retries.Spend(c.service.Name) {
 		code := result.BackendCut
 		if v == notRun {
 			code = result.NotAccepted
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -118,8 +118,9 @@
 	newTokens int64
 	deadline  time.Time
 
-	// retryTaken tells that the retry for the next attempt is taken already.
-	retryTaken atomic.Bool
+	// retryTaken tells that the retry and the tokens for the next attempt are taken
+	// already.
+	retryTaken bool
 
 	reserved int64
 	// unseen is how many attempts a server may have run to an end that this router
--- a/gateway/patience.go
+++ b/gateway/patience.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"sync"
 	"time"
 
 	"github.com/gaplink/gaplink/catalog"
@@ -24,9 +25,12 @@
 // watchdog cancels an attempt that makes no progress, while the fleet's retries
 // leave room for another one. A nil timer never does.
 type watchdog struct {
-	timer *time.Timer
-	pause time.Duration
-	// takeRetry takes the retry by which another attempt is made, if one is left.
+	mu      sync.Mutex
+	stopped bool
+	timer   *time.Timer
+	pause   time.Duration
+	// takeRetry takes what another attempt needs, if it can be had. It is not
+	// called after stop.
 	takeRetry func() bool
 	cancel    context.CancelCauseFunc
 }
@@ -54,19 +58,35 @@
 	return w
 }
 
-// takeRetry takes a retry for the next attempt of the request, so that of several
-// that run out of patience together only as many end as can go on elsewhere.
+// takeRetry takes the retry and the tokens for the next attempt of the request, so
+// that of several that run out of patience together only as many end as can go on
+// elsewhere.
 func (a *attempt) takeRetry() bool {
-	if a.g.Retries.Spend(a.service.Name) {
-		a.retryTaken.Store(true)
-		return true
+	metered := a.reserved > 0 && a.MaxTokensOut > 0
+	if metered && !a.g.Budgets.TryReserve(a.account.Name, a.MaxTokensOut) {
+		return false
 	}
-	return false
+	if !a.g.Retries.Spend(a.service.Name) {
+		if metered {
+			a.g.Budgets.Settle(a.account.Name, a.MaxTokensOut, 0)
+		}
+		return false
+	}
+	a.retryTaken = true
+	if metered {
+		a.reserved += a.MaxTokensOut
+	}
+	return true
 }
 
 // bark ends the attempt. One that nothing can replace goes on: what its server
 // still sends is worth more to the caller than a cut answer.
 func (w *watchdog) bark() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
 	if w.takeRetry() {
 		w.cancel(errTooSlow)
 		return
@@ -82,6 +102,9 @@
 }
 
 func (w *watchdog) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
