Log what proved the end of each answer and what its caller could take it for

The log could not tell the hypotheses apart: it gave the last server's status as the caller's, and neither the status of each attempt, nor whether its framing proves an end, nor which events of it were passed on.

The request's line now has head_status and claim, each attempt its status, framing and the ids of its events; a counter has the claims by result code.

--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -19,8 +19,17 @@
 	Bytes []byte
 	// Events is how many they are.
 	Events int
-	// LastID is the id of the last event that has one; empty if none has.
-	LastID string
+	// FirstID and LastID are the ids of the first and the last event that have one;
+	// empty if none has.
+	FirstID, LastID string
+}
+
+// name notes the id of the batch's next event.
+func (b *Batch) name(id string) {
+	if b.FirstID == "" {
+		b.FirstID = id
+	}
+	b.LastID = id
 }
 
 // Splitter collects the bytes of one stream.
@@ -67,7 +76,7 @@
 		kept += copy(s.buf[kept:], event)
 		b.Events++
 		if named {
-			b.LastID = id
+			b.name(id)
 		}
 	}
 	b.Bytes = s.buf[:kept]
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -8,8 +8,6 @@
 	"strings"
 	"time"
 
-	"go.uber.org/zap/zapcore"
-
 	"github.com/gaplink/gaplink/result"
 )
 
@@ -64,6 +62,7 @@
 	body := refusal.Code.String() + ": " + info.Meaning + "\n"
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
+	c.headStatus = c.status
 	c.w.WriteHeader(c.status)
 	if c.r.Method != http.MethodHead {
 		_, _ = io.WriteString(c.w, body) // a caller that left cannot be told more
@@ -86,14 +85,3 @@
 		_ = conn.Close()
 	}
 }
-
-// attemptNotes writes the attempts into a log line.
-type attemptNotes []attemptNote
-
-// MarshalLogArray implements zapcore.ArrayMarshaler.
-func (notes attemptNotes) MarshalLogArray(enc zapcore.ArrayEncoder) error {
-	for _, n := range notes {
-		enc.AppendString(n.server + " " + n.verdict + " " + n.after.Round(time.Millisecond).String())
-	}
-	return nil
-}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -71,9 +71,9 @@
 		}
 		tried[server.ID] = true
 		last := so.sent+1 >= c.route.Attempts || !c.g.Retries.Left(c.service.Name)
-		a := &attempt{call: c, server: server, last: last}
+		a := &attempt{call: c, server: server, last: last, note: attemptNote{server: server.ID}}
 		v := a.run(ctx)
-		c.note(a)
+		c.noteEnd(a)
 		if v == served || v == ended {
 			return
 		}
@@ -169,9 +169,11 @@
 	c.abort()
 }
 
-// note keeps an attempt for the log and the counters.
-func (c *call) note(a *attempt) {
-	c.attempts = append(c.attempts, attemptNote{server: a.server.ID, verdict: a.verdictName(), after: time.Since(c.arrived)})
+// noteEnd keeps an attempt that has ended for the log and the counters.
+func (c *call) noteEnd(a *attempt) {
+	a.note.verdict = a.verdictName()
+	a.note.after = time.Since(c.arrived)
+	c.attempts = append(c.attempts, a.note)
 	a.promptRead()
 	c.g.Servers.Ended(a.server.ID, a.judged)
 	c.g.Metrics.attempt(c.service.Name, a.name)
@@ -191,6 +193,7 @@
 	judged placement.Outcome
 	err    error
 	name   string
+	note   attemptNote
 }
 
 func (a *attempt) verdictName() string {
@@ -222,6 +225,7 @@
 		return a.failedSend(ctx, failure)
 	}
 	defer answer.Close()
+	a.note.answered(answer)
 	told := a.g.Protocol.Answer(answer.StatusCode, answer.Header)
 	switch {
 	case told.OtherServer:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -130,6 +130,8 @@
 	stream   streamState
 	// answered tells that the head of an answer has gone to the caller.
 	answered bool
+	// headStatus is the status of that head.
+	headStatus int
 	// ran tells that a server may have run the request.
 	ran     bool
 	outcome result.Code
@@ -137,13 +139,6 @@
 	status  int
 }
 
-// attemptNote is what the log tells of one attempt.
-type attemptNote struct {
-	server  string
-	verdict string
-	after   time.Duration
-}
-
 func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request) *call {
 	return &call{
 		g:       g,
@@ -194,6 +189,8 @@
 		zap.String("caller", c.r.RemoteAddr),
 		zap.Int("code", int(c.outcome)),
 		zap.Int("status", c.status),
+		zap.Int("head_status", c.headStatus),
+		zap.String("claim", c.claim()),
 		zap.Duration("after_ms", time.Since(c.arrived)),
 		zap.Array("attempts", attemptNotes(c.attempts)),
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -13,6 +13,7 @@
 	attempts *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
 	tokens   *prometheus.CounterVec
+	replies  *prometheus.CounterVec
 }
 
 // latencyBuckets span the latency objectives, in seconds.
@@ -33,8 +34,11 @@
 		tokens: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gaplink_gateway_tokens_total", Help: "Tokens charged, in and out, by account.",
 		}, []string{"account"}),
+		replies: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gaplink_gateway_replies_total", Help: "Ended requests by result code and by what their callers could take the answer for.",
+		}, []string{"code", "claim"}),
 	}
-	reg.MustRegister(m.requests, m.attempts, m.seconds, m.tokens)
+	reg.MustRegister(m.requests, m.attempts, m.seconds, m.tokens, m.replies)
 	return m
 }
 
@@ -43,7 +47,9 @@
 	if c.route != nil {
 		route = c.route.Name
 	}
-	m.requests.WithLabelValues(route, strconv.Itoa(int(c.outcome))).Inc()
+	code := strconv.Itoa(int(c.outcome))
+	m.requests.WithLabelValues(route, code).Inc()
+	m.replies.WithLabelValues(code, c.claim()).Inc()
 	m.seconds.WithLabelValues(route).Observe(time.Since(c.arrived).Seconds())
 	if c.reserved > 0 {
 		m.tokens.WithLabelValues(c.account.Name).Add(float64(c.spent()))
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -36,6 +36,16 @@
 	s.last = now
 }
 
+// headSent notes that the head of an answer goes to the caller. Only the first head
+// does; the status of a later one is known to the router alone.
+func (c *call) headSent(status int) {
+	if !c.answered {
+		c.headStatus = status
+	}
+	c.answered = true
+	c.status = status
+}
+
 // copyHead sets the headers of a server's answer.
 func (c *call) copyHead(answer *upstream.Answer) {
 	h := c.w.Header()
@@ -56,8 +66,7 @@
 	if err != nil {
 		return a.broken(ctx, err)
 	}
-	a.answered = true
-	a.status = answer.StatusCode
+	a.headSent(answer.StatusCode)
 	a.copyHead(answer)
 	h := a.w.Header()
 	switch {
@@ -113,6 +122,7 @@
 		n, err := answer.Read(buf)
 		batch := splitter.Add(buf[:n])
 		if batch.Events > 0 {
+			a.note.passed(batch)
 			a.promptRead()
 			patience.progressed()
 			if writeErr := a.pass(answer, batch); writeErr != nil {
@@ -168,8 +178,7 @@
 	if a.answered {
 		return
 	}
-	a.answered = true
-	a.status = answer.StatusCode
+	a.headSent(answer.StatusCode)
 	a.copyHead(answer)
 	a.w.WriteHeader(answer.StatusCode)
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -380,8 +380,14 @@
 	default:
 		return false
 	}
-	framed := a.ContentLength >= 0 || len(a.TransferEncoding) > 0
-	return framed && !a.Response.Close && a.conn.reader.Buffered() == 0
+	return a.Framed() && !a.Response.Close && a.conn.reader.Buffered() == 0
+}
+
+// Framed tells whether the answer's own framing proves its end: a length, chunks,
+// or a kind of answer that has no body. Any other answer ends with its connection,
+// and nothing tells whether it was whole.
+func (a *Answer) Framed() bool {
+	return a.Body == http.NoBody || a.ContentLength >= 0 || len(a.TransferEncoding) > 0
 }
 
 // discard ends an exchange before its end. The connection is reset, so that a
