Correct two cases of the failing test of broken answers

Two cases did not test what they say. A large answer was reset before its beginning had left the server, so that the router had passed nothing on and rightly answered for itself; the server now waits until it is delivered. The handler without a connection was sent to a path without a route, whose 404 is complete; it now gets the path of the stream.

--- a/gateway/ending_test.go
+++ b/gateway/ending_test.go
@@ -7,8 +7,13 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 )
 
+// delivery is more than loopback takes to deliver what a server has sent; a reset
+// discards the rest.
+const delivery = 100 * time.Millisecond
+
 // post sends a POST without a body over HTTP/1.1.
 func post(t *testing.T, web *httptest.Server, path string) reply {
 	t.Helper()
@@ -116,6 +121,7 @@
 		t.Run("large answer, "+name, func(t *testing.T) {
 			web := newGateway(t, 1, 1, func(c *net.TCPConn, r *http.Request, _ int) {
 				send(c, head(r, 200, framing[0]), framing[1])
+				time.Sleep(delivery)
 				reset(c)
 			})
 			for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
@@ -132,7 +138,8 @@
 				t.Error("the handler returned in order, which ends the answer as complete")
 			}
 		}()
-		r := httptest.NewRequest(http.MethodPost, "http://h/once-stream/x", nil)
+		r := httptest.NewRequest(http.MethodPost, "/once-stream/x", nil)
+		r.Host = "h"
 		r.Header.Set(headerID, "r1")
 		web.Config.Handler.ServeHTTP(httptest.NewRecorder(), r)
 	})
