Give the caller's answer one owner, which ends it only on proof

Cause: whatever left the handler in order ended the caller's answer as complete, so that each way out had to think of it; the one that passes on an answer that is no stream did not. The class is an answer that claims more than was proved.

Change: - reply owns the answer to the caller. It is complete only by end, which asks for the proof; every other way out of the handler cuts it. A stream that has begun can be followed by a stream only. - upstream.Answer returns io.EOF only where the framing proves the end, and ErrUnframed where the connection's close is all there was. - An unframed answer is passed on as one, with its connection closed. Between head and end such a connection closes by reset, so that a cut is no end to the caller, also when this process is killed. The listener that bounds connections lets the gateway reach them for that. - A large plain answer keeps the length that its server gave.

Ruled out: asking another server for the proof of an unframed stream. It costs a second reading of the prompt and a retry for each, and leaves none for streams that did break where many servers send no framing. Breaking them off costs callers who are served well today.

The log's status is now what the caller got, and claim says the rest.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -44,15 +44,15 @@
 	c.outcome = refusal.Code
 	c.cause = refusal
 	if refusal.Code == result.CallerGone {
-		c.abort()
+		c.reply.breakOff()
 		return
 	}
 	info := refusal.Code.Info()
-	c.status = info.HTTPStatus
+	status := info.HTTPStatus
 	if info.NotRun && c.ran {
-		c.status = http.StatusBadGateway // a server may have run it: promise nothing
+		status = http.StatusBadGateway // a server may have run it: promise nothing
 	}
-	h := c.w.Header()
+	h := c.reply.w.Header()
 	c.g.Protocol.Refusal(h, c.ID)
 	h.Set(codeHeader, strconv.Itoa(int(refusal.Code)))
 	h["Date"] = nil
@@ -61,27 +61,14 @@
 	}
 	body := refusal.Code.String() + ": " + info.Meaning + "\n"
 	h.Set("Content-Type", "text/plain; charset=utf-8")
-	h.Set("Content-Length", strconv.Itoa(len(body)))
-	c.headStatus = c.status
-	c.w.WriteHeader(c.status)
+	c.reply.begin(status, int64(len(body)), true)
 	if c.r.Method != http.MethodHead {
-		_, _ = io.WriteString(c.w, body) // a caller that left cannot be told more
+		_, _ = io.WriteString(&c.reply, body) // a caller that left cannot be told more
 	}
+	c.reply.end(true)
 }
 
 // seconds writes a time span in seconds with a fraction.
 func seconds(d time.Duration) string {
 	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
 }
-
-// abort ends the caller's connection without the end of an answer.
-func (c *call) abort() {
-	c.status = 0
-	hijacker, ok := c.w.(http.Hijacker)
-	if !ok {
-		return
-	}
-	if conn, _, err := hijacker.Hijack(); err == nil {
-		_ = conn.Close()
-	}
-}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -124,7 +124,7 @@
 			return result.New(result.NotAccepted, "the servers are full").After(busyRetry).Wrap(cause)
 		}
 	case failed:
-		if !c.route.MayRepeat() || so.sent >= c.route.Attempts {
+		if !c.mayRepeat() || so.sent >= c.route.Attempts {
 			return result.New(result.BackendCut, "the server did not answer whole").Wrap(cause)
 		}
 	}
@@ -160,13 +160,22 @@
 
 // giveUp ends the request without an answer from a server.
 func (c *call) giveUp(end *result.Error) {
-	if !c.answered {
+	if !c.reply.hasBegun() {
 		c.refuse(end)
 		return
 	}
 	c.outcome = end.Code
 	c.cause = end
-	c.abort()
+	c.reply.breakOff()
+}
+
+// mayRepeat tells whether another server may be asked after this one: the request
+// may run again, and what the caller has of an answer can be gone on with.
+func (c *call) mayRepeat() bool {
+	if !c.route.MayRepeat() {
+		return false
+	}
+	return c.route.Kind == catalog.Stream || !c.reply.hasBegun()
 }
 
 // noteEnd keeps an attempt that has ended for the log and the counters.
@@ -238,13 +247,26 @@
 	if !told.Signed && answer.StatusCode < http.StatusMultipleChoices {
 		return a.end(failed, "unsigned", placement.Failed, errUnsigned)
 	}
-	if answer.StatusCode >= http.StatusInternalServerError && a.route.MayRepeat() && !a.last {
+	switch {
+	case a.route.Kind == catalog.Stream && answer.StatusCode == http.StatusOK:
+		return a.relayStream(ctx, answer, patience)
+	case a.reply.hasBegun():
+		// The caller has a part of a stream: no other answer may follow it, and none
+		// is its end.
+		return a.end(failed, "no stream", judgedByStatus(answer.StatusCode), fmt.Errorf("status %d", answer.StatusCode))
+	case answer.StatusCode >= http.StatusInternalServerError && a.route.MayRepeat() && !a.last:
 		return a.end(failed, "error", placement.Failed, fmt.Errorf("status %d", answer.StatusCode))
+	default:
+		return a.relayPlain(ctx, answer)
 	}
-	if a.route.Kind == catalog.Stream && answer.StatusCode == http.StatusOK {
-		return a.relayStream(ctx, answer, patience)
+}
+
+// judgedByStatus is what the status of an answer says about its server.
+func judgedByStatus(status int) placement.Outcome {
+	if status >= http.StatusInternalServerError {
+		return placement.Failed
 	}
-	return a.relayPlain(ctx, answer)
+	return placement.Answered
 }
 
 // request builds what is sent to the server.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,7 +91,13 @@
 	if g.leaving.Load() || g.Away() {
 		w.Header().Set("Connection", "close")
 	}
-	for _, s := range g.steps {
+	c.serve()
+	c.reply.close()
+}
+
+// serve takes the request through all steps and to the servers.
+func (c *call) serve() {
+	for _, s := range c.g.steps {
 		if refusal := s(c); refusal != nil {
 			c.refuse(refusal)
 			return
@@ -103,8 +109,8 @@
 // call is one request on its way.
 type call struct {
 	g       *Gateway
-	w       http.ResponseWriter
 	r       *http.Request
+	reply   reply
 	arrived time.Time
 
 	exchange.Request
@@ -128,22 +134,17 @@
 	unseen   int
 	attempts []attemptNote
 	stream   streamState
-	// answered tells that the head of an answer has gone to the caller.
-	answered bool
-	// headStatus is the status of that head.
-	headStatus int
 	// ran tells that a server may have run the request.
 	ran     bool
 	outcome result.Code
 	cause   error
-	status  int
 }
 
 func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request) *call {
 	return &call{
 		g:       g,
-		w:       w,
 		r:       r,
+		reply:   reply{w: w, r: r},
 		arrived: time.Now(),
 		Request: g.Protocol.Request(r.Header),
 	}
@@ -188,9 +189,8 @@
 		zap.String("request", c.ID),
 		zap.String("caller", c.r.RemoteAddr),
 		zap.Int("code", int(c.outcome)),
-		zap.Int("status", c.status),
-		zap.Int("head_status", c.headStatus),
-		zap.String("claim", c.claim()),
+		zap.Int("status", c.reply.status),
+		zap.String("claim", c.reply.claim()),
 		zap.Duration("after_ms", time.Since(c.arrived)),
 		zap.Array("attempts", attemptNotes(c.attempts)),
 	}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -82,6 +82,7 @@
 		Away:     func() bool { return false },
 		Full:     func() bool { return false },
 	}))
+	web.Config.ConnContext = gateway.ConnContext
 	web.Start()
 	t.Cleanup(web.CloseClientConnections)
 	return web
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -49,7 +49,7 @@
 	}
 	code := strconv.Itoa(int(c.outcome))
 	m.requests.WithLabelValues(route, code).Inc()
-	m.replies.WithLabelValues(code, c.claim()).Inc()
+	m.replies.WithLabelValues(code, c.reply.claim()).Inc()
 	m.seconds.WithLabelValues(route).Observe(time.Since(c.arrived).Seconds())
 	if c.reserved > 0 {
 		m.tokens.WithLabelValues(c.account.Name).Add(float64(c.spent()))
--- a/gateway/note.go
+++ b/gateway/note.go
@@ -75,15 +75,3 @@
 	}
 	return nil
 }
-
-// claim names what the caller could take the answer for.
-func (c *call) claim() string {
-	switch {
-	case c.headStatus == 0:
-		return "no answer"
-	case c.status == 0:
-		return "broken off"
-	default:
-		return "complete"
-	}
-}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/gaplink/gaplink/eventstream"
@@ -36,19 +35,9 @@
 	s.last = now
 }
 
-// headSent notes that the head of an answer goes to the caller. Only the first head
-// does; the status of a later one is known to the router alone.
-func (c *call) headSent(status int) {
-	if !c.answered {
-		c.headStatus = status
-	}
-	c.answered = true
-	c.status = status
-}
-
 // copyHead sets the headers of a server's answer.
 func (c *call) copyHead(answer *upstream.Answer) {
-	h := c.w.Header()
+	h := c.reply.w.Header()
 	for name, values := range passed(answer.Header) {
 		h[name] = values
 	}
@@ -63,50 +52,75 @@
 // whole first, so that one that breaks off never reaches the caller in part.
 func (a *attempt) relayPlain(ctx context.Context, answer *upstream.Answer) verdict {
 	body, err := io.ReadAll(io.LimitReader(answer, wholeAnswer))
-	if err != nil {
+	proved := err == nil
+	if !proved && !errors.Is(err, upstream.ErrUnframed) {
 		return a.broken(ctx, err)
 	}
-	a.headSent(answer.StatusCode)
 	a.copyHead(answer)
-	h := a.w.Header()
 	switch {
-	case a.r.Method == http.MethodHead:
-		h["Content-Length"] = answer.Header["Content-Length"]
-	case len(body) < wholeAnswer && hasBody(answer.StatusCode):
-		h.Set("Content-Length", strconv.Itoa(len(body)))
-	}
-	a.w.WriteHeader(answer.StatusCode)
-	if _, err := a.w.Write(body); err != nil {
+	case len(body) == wholeAnswer && proved:
+		return a.relayLarge(ctx, answer, body)
+	case !proved:
+		a.reply.begin(answer.StatusCode, lengthUnknown, false)
+	default:
+		a.reply.begin(answer.StatusCode, a.wholeLength(answer, body), true)
+	}
+	if _, err := a.reply.Write(body); err != nil {
 		return a.callerLeft(err)
 	}
-	if len(body) == wholeAnswer {
-		if _, err := io.Copy(a.w, answer); err != nil {
-			a.abort()
-			return a.callerLeft(err)
-		}
-	}
+	a.reply.end(proved)
 	return a.servedPlain(answer.StatusCode)
 }
 
-// hasBody tells whether an answer with that status may have a body.
-func hasBody(status int) bool {
-	return status != http.StatusNoContent && status != http.StatusNotModified
+// wholeLength is the length that the caller is told of an answer that was read
+// whole.
+func (a *attempt) wholeLength(answer *upstream.Answer, body []byte) int64 {
+	switch {
+	case a.r.Method == http.MethodHead:
+		return answer.ContentLength // of the body that another method would get
+	case !mayHaveBody(answer.StatusCode):
+		return lengthUnknown
+	default:
+		return int64(len(body))
+	}
+}
+
+// relayLarge passes an answer on as it arrives, after its beginning was read.
+func (a *attempt) relayLarge(ctx context.Context, answer *upstream.Answer, beginning []byte) verdict {
+	a.reply.begin(answer.StatusCode, answer.ContentLength, answer.Framed())
+	buf := beginning
+	var err error
+	for {
+		if _, writeErr := a.reply.Write(buf); writeErr != nil {
+			return a.callerLeft(writeErr)
+		}
+		if err != nil {
+			break
+		}
+		var n int
+		n, err = answer.Read(beginning)
+		buf = beginning[:n]
+	}
+	if err != io.EOF && !errors.Is(err, upstream.ErrUnframed) {
+		return a.broken(ctx, err)
+	}
+	a.reply.end(err == io.EOF)
+	return a.servedPlain(answer.StatusCode)
 }
 
 func (a *attempt) servedPlain(status int) verdict {
 	a.outcome = result.OK
-	judged := placement.Answered
 	if status >= http.StatusInternalServerError {
 		a.outcome = result.BackendError
-		judged = placement.Failed
 	}
-	return a.end(served, "answered", judged, nil)
+	return a.end(served, "answered", judgedByStatus(status), nil)
 }
 
 func (a *attempt) callerLeft(err error) verdict {
 	a.unseen++
 	a.outcome = result.CallerGone
 	a.cause = err
+	a.reply.breakOff()
 	return a.end(ended, "caller gone", placement.Neutral, err)
 }
 
@@ -129,10 +143,11 @@
 				return a.callerLeft(writeErr)
 			}
 		}
+		atEnd := err == io.EOF || errors.Is(err, upstream.ErrUnframed)
 		switch {
-		case err == io.EOF && !splitter.Rest():
-			return a.streamEnded(answer)
-		case err == io.EOF, err == nil && splitter.TooLong():
+		case atEnd && !splitter.Rest():
+			return a.streamEnded(ctx, answer, err == io.EOF)
+		case atEnd, err == nil && splitter.TooLong():
 			a.unseen++
 			return a.end(failed, "broken", placement.Failed, errUnfinished)
 		case err != nil:
@@ -164,27 +179,40 @@
 	if batch.LastID != "" {
 		a.stream.lastID = batch.LastID
 	}
-	if a.service.Engine != nil {
-		a.stream.tokens += int64(batch.Events) * a.service.Engine.EventTokens
-	}
-	if _, err := a.w.Write(batch.Bytes); err != nil {
+	a.countEvents(batch.Events)
+	if _, err := a.reply.Write(batch.Bytes); err != nil {
 		return err
 	}
-	return http.NewResponseController(a.w).Flush()
+	return a.reply.flush()
+}
+
+// countEvents counts the most tokens that so many events can hold.
+func (a *attempt) countEvents(n int) {
+	if a.service.Engine != nil {
+		a.stream.tokens += int64(n) * a.service.Engine.EventTokens
+	}
 }
 
 // startStream sends the head of the stream's first server, once.
 func (a *attempt) startStream(answer *upstream.Answer) {
-	if a.answered {
+	if a.reply.hasBegun() {
 		return
 	}
-	a.headSent(answer.StatusCode)
 	a.copyHead(answer)
-	a.w.WriteHeader(answer.StatusCode)
+	a.reply.begin(answer.StatusCode, lengthUnknown, answer.Framed())
 }
 
-func (a *attempt) streamEnded(answer *upstream.Answer) verdict {
+// streamEnded ends the stream for the caller, if the server's end is proof enough
+// for what the caller's answer claims. One that went on at a server that sends no
+// framing, after one that did, has no proved end: it is as if broken off.
+func (a *attempt) streamEnded(ctx context.Context, answer *upstream.Answer, proved bool) verdict {
 	a.startStream(answer)
+	if !a.reply.end(proved) {
+		return a.broken(ctx, upstream.ErrUnframed)
+	}
+	if !proved {
+		a.countEvents(1) // a server that died may have made one that it did not send
+	}
 	a.outcome = result.OK
 	return a.end(served, "answered", placement.Answered, nil)
 }
--- a/gateway/steps.go
+++ b/gateway/steps.go
@@ -89,7 +89,7 @@
 	}
 	body := c.r.Body
 	if limit := c.catalog.Limits.MaxBodyBytes; limit > 0 {
-		body = http.MaxBytesReader(c.w, body, limit)
+		body = http.MaxBytesReader(c.reply.w, body, limit)
 	}
 	var err error
 	if c.r.ContentLength > 0 {
--- a/link/link.go
+++ b/link/link.go
@@ -97,6 +97,10 @@
 	meter *Meter
 }
 
+// NetConn returns the connection below, for its options; bytes moved there are not
+// counted.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
--- a/server/crowd.go
+++ b/server/crowd.go
@@ -4,8 +4,6 @@
 	"net"
 	"net/http"
 	"sync/atomic"
-
-	"golang.org/x/net/netutil"
 )
 
 const (
@@ -33,7 +31,7 @@
 }
 
 // listener bounds the open connections; further ones wait to be accepted.
-func (c *crowd) listener(l net.Listener) net.Listener { return netutil.LimitListener(l, c.most) }
+func (c *crowd) listener(l net.Listener) net.Listener { return bounded(l, c.most) }
 
 // changed is told of each connection's state by the HTTP server.
 func (c *crowd) changed(_ net.Conn, state http.ConnState) {
--- a/server/server.go
+++ b/server/server.go
@@ -350,6 +350,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         s.crowd.changed,
+		ConnContext:       gateway.ConnContext,
 		ErrorLog:          zap.NewStdLog(s.log),
 	}
 	s.ready = &http.Server{Handler: http.HandlerFunc(s.answerReady), ReadHeaderTimeout: headerTimeout}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -338,12 +338,20 @@
 	return nil, errForeign
 }
 
-// Read reads the body. At its end the connection is kept if it can carry
-// another request.
+// ErrUnframed ends an answer whose connection the server closed and whose framing
+// does not tell where it ends: it may be whole, and its server may have died.
+var ErrUnframed = errors.New("the answer ended with its connection")
+
+// Read reads the body. It returns io.EOF only where the framing proves the end; the
+// connection is then kept if it can carry another request. An answer that is over
+// without such a proof gives ErrUnframed.
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.Body.Read(b)
 	if err == io.EOF {
 		a.finish()
+		if !a.Framed() {
+			err = ErrUnframed
+		}
 	} else if err != nil {
 		a.discard()
 		if cause := a.ctx.Err(); cause != nil {
