--- /dev/null
+++ b/gateway/join_test.go
@@ -0,0 +1,56 @@
+package gateway_test
+
+import (
+	"net"
+	"net/http"
+	"testing"
+)
+
+// The runs of two servers make one stream only if the second goes on exactly after
+// the last event that the caller has. A run that cannot be shown to do so is not
+// passed on.
+func TestResumedRunsMustJoin(t *testing.T) {
+	cases := []struct {
+		name, first, second string
+		want                string
+		claim               claim
+	}{
+		{"goes on", events(1, 3), events(4, 6), events(1, 6), complete},
+		{"has no more events", events(1, 3), "", events(1, 3), complete},
+		{"begins anew", events(1, 3), events(1, 6), events(1, 6), complete},
+		{"repeats the last event", events(1, 3), events(3, 6), events(1, 6), complete},
+		{"leaves events out", events(1, 3), events(6, 8), events(1, 3), broken},
+		{"goes back", events(1, 3), events(4, 5) + events(4, 6), events(1, 5), broken},
+		{"names no ids", events(1, 3), "data: a\n\n", events(1, 3), broken},
+		{"has ids that are no numbers", events(1, 3), "id: x\ndata: a\n\n", events(1, 3), broken},
+		{"follows ids that are no numbers", "id: x\ndata: a\n\n", events(4, 6), "id: x\ndata: a\n\n", broken},
+		{"follows events without ids", "data: a\n\n", "data: b\n\n", "data: a\n\n", broken},
+	}
+	for _, k := range cases {
+		t.Run(k.name, func(t *testing.T) {
+			web := newGateway(t, 2, 2, func(c *net.TCPConn, r *http.Request, n int) {
+				if n == 1 {
+					send(c, head(r, 200, chunkedField), chunk(k.first))
+					return
+				}
+				send(c, head(r, 200, chunkedField))
+				if k.second != "" {
+					send(c, chunk(k.second))
+				}
+				send(c, lastChunk)
+			})
+			got := post(t, web, "/stream/x")
+			if got.claim != k.claim || got.body != k.want {
+				t.Errorf("%s answer: %q, want %s %q", got.claim, got.body, k.claim, k.want)
+			}
+		})
+	}
+	t.Run("one run that goes back", func(t *testing.T) {
+		web := newGateway(t, 2, 2, func(c *net.TCPConn, r *http.Request, _ int) {
+			send(c, head(r, 200, chunkedField), chunk(events(1, 3)), chunk(events(2, 4)), lastChunk)
+		})
+		if got := post(t, web, "/once-stream/x"); got.claim != broken || got.body != events(1, 3) {
+			t.Errorf("%s answer: %q", got.claim, got.body)
+		}
+	})
+}
