Join runs of a stream only where they are shown to meet

Cause: events up to the caller's point were dropped by number, and nothing asked whether the next one follows. A gap, ids that go back, and events or ids that cannot be compared were passed on as one stream and ended as complete.

Change: eventstream.Position is the caller's place over all runs. A run that is joined must go on at the distance that the ids have had so far; ids rise within each run; one that only repeats must come as far as the caller is. A stream whose last event cannot be compared does not go on elsewhere: its caller, which knows what it has, can resume it. An unframed answer without an event proves nothing and is asked for elsewhere.

Comments and settings of a stream are no events any more: they cost no tokens and are no sign of progress. An answer that has begun to reach its caller is not given up for lateness.

Ruled out: refusing to resume after a single event, whose distance to the next is not known. It would break streams off that go on well today.

--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -6,7 +6,7 @@
 
 import (
 	"bytes"
-	"strconv"
+	"errors"
 )
 
 // maxEvent bounds one event; a server that sends more is not followed.
@@ -17,7 +17,7 @@
 	// Bytes are the events as they came, with their blank lines. They are
 	// valid until the next call of Add.
 	Bytes []byte
-	// Events is how many they are.
+	// Events is how many they are, without comments and settings of the stream.
 	Events int
 	// FirstID and LastID are the ids of the first and the last event that have one;
 	// empty if none has.
@@ -32,31 +32,26 @@
 	b.LastID = id
 }
 
-// Splitter collects the bytes of one stream.
+// Splitter collects the bytes of one run of events.
 type Splitter struct {
 	buf []byte
 	// done is the start of the bytes that belong to no whole event yet.
 	done int
-	// after drops events whose id is a number up to it.
-	after int64
+	// at is where the caller is, and run what is known of this run.
+	at  *Position
+	run run
 }
 
-// NewSplitter returns a splitter for a stream that goes on after the event
-// lastID. Events up to it, by number, are dropped.
-func NewSplitter(lastID string) *Splitter {
-	return &Splitter{after: number(lastID)}
+// NewSplitter returns a splitter for a run that goes on from a position, which it
+// moves.
+func NewSplitter(at *Position) *Splitter {
+	return &Splitter{at: at, run: run{joined: !at.passed}}
 }
 
-func number(id string) int64 {
-	n, err := strconv.ParseInt(id, 10, 64)
-	if err != nil {
-		return -1 // not a number: nothing can be compared with it
-	}
-	return n
-}
-
-// Add takes bytes and returns the events that are whole with them.
-func (s *Splitter) Add(data []byte) Batch {
+// Add takes bytes and returns the events that are whole with them. Those that the
+// caller has already are left out. The error is an ErrOrder; what was whole and in
+// order before it is in the batch, and nothing more may be added.
+func (s *Splitter) Add(data []byte) (Batch, error) {
 	rest := copy(s.buf, s.buf[s.done:])
 	s.buf = append(s.buf[:rest], data...)
 	s.done = 0
@@ -67,24 +62,40 @@
 		if end < 0 {
 			break
 		}
-		event := s.buf[s.done : s.done+end]
-		id, named := eventID(event)
+		text := s.buf[s.done : s.done+end]
+		e := parse(text)
+		what, err := s.at.place(e, &s.run)
+		if err != nil {
+			b.Bytes = s.buf[:kept]
+			return b, err
+		}
 		s.done += end
-		if n := number(id); named && n >= 0 && n <= s.after {
+		if what == drop {
 			continue
 		}
-		kept += copy(s.buf[kept:], event)
-		b.Events++
-		if named {
-			b.name(id)
+		kept += copy(s.buf[kept:], text)
+		if !e.isControl() {
+			b.Events++
+		}
+		if e.named {
+			b.name(e.id)
 		}
 	}
 	b.Bytes = s.buf[:kept]
-	return b
+	return b, nil
 }
 
-// Rest tells whether bytes of an unfinished event are left.
-func (s *Splitter) Rest() bool { return s.done < len(s.buf) }
+// End is called when the run is over. It returns ErrUnfinished or an ErrOrder if the
+// caller does not have a whole stream then.
+func (s *Splitter) End() error {
+	if s.done < len(s.buf) {
+		return ErrUnfinished
+	}
+	return s.at.end(&s.run)
+}
+
+// ErrUnfinished marks a run that ended inside an event.
+var ErrUnfinished = errors.New("the stream ended inside an event")
 
 // TooLong tells that an event has passed all bounds.
 func (s *Splitter) TooLong() bool { return len(s.buf)-s.done > maxEvent }
@@ -107,16 +118,35 @@
 	}
 }
 
-var idField = []byte("id:")
+// event is what is read of one event.
+type event struct {
+	id      string
+	named   bool
+	hasData bool
+}
+
+// isControl tells a comment or a setting of the stream from an event.
+func (e *event) isControl() bool { return !e.hasData && !e.named }
 
-// eventID returns the value of an event's id field.
-func eventID(event []byte) (id string, ok bool) {
-	for len(event) > 0 {
-		line, rest, _ := bytes.Cut(event, []byte{'\n'})
-		event = rest
-		if value, found := bytes.CutPrefix(line, idField); found {
-			return string(bytes.TrimSpace(value)), true
+// The fields of an event that are read.
+var (
+	idField   = []byte("id")
+	dataField = []byte("data")
+)
+
+// parse reads the fields of an event. A field is named up to the first colon.
+func parse(text []byte) event {
+	var e event
+	for len(text) > 0 {
+		line, rest, _ := bytes.Cut(text, []byte{'\n'})
+		text = rest
+		name, value, _ := bytes.Cut(bytes.TrimSuffix(line, []byte{'\r'}), []byte{':'})
+		switch {
+		case bytes.Equal(name, idField) && !e.named:
+			e.id, e.named = string(bytes.TrimSpace(value)), true
+		case bytes.Equal(name, dataField):
+			e.hasData = true
 		}
 	}
-	return "", false
+	return e
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -175,7 +175,10 @@
 	if !c.route.MayRepeat() {
 		return false
 	}
-	return c.route.Kind == catalog.Stream || !c.reply.hasBegun()
+	if c.route.Kind == catalog.Stream {
+		return !c.stream.stuck.Load()
+	}
+	return !c.reply.hasBegun()
 }
 
 // noteEnd keeps an attempt that has ended for the log and the counters.
@@ -257,7 +260,7 @@
 	case answer.StatusCode >= http.StatusInternalServerError && a.route.MayRepeat() && !a.last:
 		return a.end(failed, "error", placement.Failed, fmt.Errorf("status %d", answer.StatusCode))
 	default:
-		return a.relayPlain(ctx, answer)
+		return a.relayPlain(ctx, answer, patience)
 	}
 }
 
@@ -275,7 +278,7 @@
 	d := exchange.Dispatch{
 		Server:    a.server.ID,
 		Deadline:  time.Until(a.deadline),
-		LastEvent: a.stream.lastID,
+		LastEvent: a.stream.at.LastID(),
 		Ranked:    a.service.Engine != nil,
 		Priority:  a.priority(),
 	}
--- a/gateway/ending_test.go
+++ b/gateway/ending_test.go
@@ -82,6 +82,21 @@
 	}
 }
 
+// A server that dies before the first event closes its connection as one does that
+// has nothing to say. Nothing is lost by asking another one.
+func TestUnframedEmptyStreamIsAskedForElsewhere(t *testing.T) {
+	web := newGateway(t, 2, 2, func(c *net.TCPConn, r *http.Request, n int) {
+		if n == 1 {
+			send(c, head(r, 200, closeField))
+			return
+		}
+		send(c, head(r, 200, chunkedField), chunk(events(1, 3)), lastChunk)
+	})
+	if got := post(t, web, "/stream/x"); got.claim != complete || got.body != events(1, 3) {
+		t.Errorf("%s answer of status %d: %q", got.claim, got.status, got.body)
+	}
+}
+
 // A caller whose answer has no framing takes a closed connection for its end, so
 // an answer that broke off must reach it as a reset.
 func TestBrokenAnswerNeverLooksComplete(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/gaplink/gaplink/catalog"
 	"github.com/gaplink/gaplink/controller/budgets"
 	"github.com/gaplink/gaplink/controller/registry"
+	"github.com/gaplink/gaplink/eventstream"
 	"github.com/gaplink/gaplink/exchange"
 	"github.com/gaplink/gaplink/logs"
 	"github.com/gaplink/gaplink/result"
@@ -141,13 +142,15 @@
 }
 
 func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request) *call {
-	return &call{
+	c := &call{
 		g:       g,
 		r:       r,
 		reply:   reply{w: w, r: r},
 		arrived: time.Now(),
 		Request: g.Protocol.Request(r.Header),
 	}
+	c.stream.at = eventstream.After(c.LastEvent)
+	return c
 }
 
 // close settles the budget and writes the request's line.
--- a/gateway/join_test.go
+++ b/gateway/join_test.go
@@ -21,10 +21,12 @@
 		{"repeats the last event", events(1, 3), events(3, 6), events(1, 6), complete},
 		{"leaves events out", events(1, 3), events(6, 8), events(1, 3), broken},
 		{"goes back", events(1, 3), events(4, 5) + events(4, 6), events(1, 5), broken},
+		{"ends before the caller is", events(1, 3), events(1, 2), events(1, 3), broken},
 		{"names no ids", events(1, 3), "data: a\n\n", events(1, 3), broken},
 		{"has ids that are no numbers", events(1, 3), "id: x\ndata: a\n\n", events(1, 3), broken},
 		{"follows ids that are no numbers", "id: x\ndata: a\n\n", events(4, 6), "id: x\ndata: a\n\n", broken},
 		{"follows events without ids", "data: a\n\n", "data: b\n\n", "data: a\n\n", broken},
+		{"sends comments", events(1, 3), ": wait\n\n" + events(4, 6), events(1, 3) + ": wait\n\n" + events(4, 6), complete},
 	}
 	for _, k := range cases {
 		t.Run(k.name, func(t *testing.T) {
--- a/gateway/patience.go
+++ b/gateway/patience.go
@@ -62,6 +62,9 @@
 // that of several that run out of patience together only as many end as can go on
 // elsewhere.
 func (a *attempt) takeRetry() bool {
+	if !a.mayRepeat() {
+		return false
+	}
 	metered := a.reserved > 0 && a.MaxTokensOut > 0
 	if metered && !a.g.Budgets.TryReserve(a.account.Name, a.MaxTokensOut) {
 		return false
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/gaplink/gaplink/eventstream"
@@ -15,8 +16,11 @@
 
 // streamState is what the caller has of a stream.
 type streamState struct {
-	// lastID is the id of the last event passed on.
-	lastID string
+	// at is the caller's position.
+	at eventstream.Position
+	// stuck tells that no other server can go on from there. The watchdog reads it
+	// beside the relay.
+	stuck atomic.Bool
 	// tokens is the most that the events received can hold.
 	tokens int64
 	// first and last are when the first and the last event were passed on, and
@@ -50,12 +54,13 @@
 
 // relayPlain passes an answer on that is no stream. Up to a size it is read
 // whole first, so that one that breaks off never reaches the caller in part.
-func (a *attempt) relayPlain(ctx context.Context, answer *upstream.Answer) verdict {
+func (a *attempt) relayPlain(ctx context.Context, answer *upstream.Answer, patience *watchdog) verdict {
 	body, err := io.ReadAll(io.LimitReader(answer, wholeAnswer))
 	proved := err == nil
 	if !proved && !errors.Is(err, upstream.ErrUnframed) {
 		return a.broken(ctx, err)
 	}
+	patience.stop() // from here on nothing can replace the answer
 	a.copyHead(answer)
 	switch {
 	case len(body) == wholeAnswer && proved:
@@ -124,32 +129,36 @@
 	return a.end(ended, "caller gone", placement.Neutral, err)
 }
 
-// errUnfinished marks a stream that ended inside an event.
-var errUnfinished = errors.New("the stream ended inside an event")
-
 // relayStream passes whole events on as they arrive. The head goes out with
 // the first of them.
 func (a *attempt) relayStream(ctx context.Context, answer *upstream.Answer, patience *watchdog) verdict {
-	splitter := eventstream.NewSplitter(a.resumePoint())
+	splitter := eventstream.NewSplitter(&a.stream.at)
 	buf := make([]byte, readChunk)
 	for {
 		n, err := answer.Read(buf)
-		batch := splitter.Add(buf[:n])
+		batch, disorder := splitter.Add(buf[:n])
+		a.stream.stuck.Store(!a.stream.at.Resumable())
 		if batch.Events > 0 {
 			a.note.passed(batch)
 			a.promptRead()
 			patience.progressed()
+		}
+		if len(batch.Bytes) > 0 {
 			if writeErr := a.pass(answer, batch); writeErr != nil {
 				return a.callerLeft(writeErr)
 			}
 		}
+		if disorder != nil {
+			a.unseen++
+			return a.end(failed, "out of order", placement.Failed, disorder)
+		}
 		atEnd := err == io.EOF || errors.Is(err, upstream.ErrUnframed)
 		switch {
-		case atEnd && !splitter.Rest():
-			return a.streamEnded(ctx, answer, err == io.EOF)
-		case atEnd, err == nil && splitter.TooLong():
+		case atEnd:
+			return a.streamEnded(ctx, answer, splitter.End(), err == io.EOF)
+		case err == nil && splitter.TooLong():
 			a.unseen++
-			return a.end(failed, "broken", placement.Failed, errUnfinished)
+			return a.end(failed, "broken", placement.Failed, eventstream.ErrUnfinished)
 		case err != nil:
 			return a.broken(ctx, err)
 		}
@@ -159,25 +168,11 @@
 // readChunk is as much as a connection's buffer holds.
 const readChunk = 4 << 10
 
-// resumePoint is the event after which the stream goes on for the caller.
-func (a *attempt) resumePoint() string {
-	if a.stream.lastID != "" {
-		return a.stream.lastID
-	}
-	return a.LastEvent
-}
-
 // pass writes whole events to the caller.
 func (a *attempt) pass(answer *upstream.Answer, batch eventstream.Batch) error {
 	a.startStream(answer)
-	now := time.Now()
-	if !a.eventAt.IsZero() {
-		a.g.Servers.Paced(a.server.ID, now.Sub(a.eventAt)/time.Duration(batch.Events))
-	}
-	a.eventAt = now
-	a.stream.progressed(now)
-	if batch.LastID != "" {
-		a.stream.lastID = batch.LastID
+	if batch.Events > 0 {
+		a.timeEvents(batch.Events)
 	}
 	a.countEvents(batch.Events)
 	if _, err := a.reply.Write(batch.Bytes); err != nil {
@@ -186,6 +181,16 @@
 	return a.reply.flush()
 }
 
+// timeEvents notes that so many events came now.
+func (a *attempt) timeEvents(events int) {
+	now := time.Now()
+	if !a.eventAt.IsZero() {
+		a.g.Servers.Paced(a.server.ID, now.Sub(a.eventAt)/time.Duration(events))
+	}
+	a.eventAt = now
+	a.stream.progressed(now)
+}
+
 // countEvents counts the most tokens that so many events can hold.
 func (a *attempt) countEvents(n int) {
 	if a.service.Engine != nil {
@@ -205,7 +210,13 @@
 // streamEnded ends the stream for the caller, if the server's end is proof enough
 // for what the caller's answer claims. One that went on at a server that sends no
 // framing, after one that did, has no proved end: it is as if broken off.
-func (a *attempt) streamEnded(ctx context.Context, answer *upstream.Answer, proved bool) verdict {
+func (a *attempt) streamEnded(ctx context.Context, answer *upstream.Answer, flaw error, proved bool) verdict {
+	if flaw != nil { // the end of a run that does not end what the caller has
+		return a.broken(ctx, flaw)
+	}
+	if !proved && !a.reply.hasBegun() { // neither an event nor a proof that there is none
+		return a.broken(ctx, upstream.ErrUnframed)
+	}
 	a.startStream(answer)
 	if !a.reply.end(proved) {
 		return a.broken(ctx, upstream.ErrUnframed)
