Failing tests: promises and bodies that no server vouched for

Found by playing every ending of an answer. An answer of HTTP/1.0 in chunks, which that version does not know, reaches the caller with its chunk sizes.

--- a/gateway/ending_test.go
+++ b/gateway/ending_test.go
@@ -159,3 +159,35 @@
 		web.Config.Handler.ServeHTTP(httptest.NewRecorder(), r)
 	})
 }
+
+// The statuses 408, 421, 429 and 503 promise a caller that its request has not run
+// and never will. A server that ran it and answers one of them, without saying that
+// it did not run, must not make the router promise that.
+func TestStatusOfAServerIsNoPromise(t *testing.T) {
+	for _, status := range []int{408, 421, 429, 503} {
+		for _, path := range []string{"/stream/x", "/once-stream/x", "/safe/x", "/once/x"} {
+			t.Run(fmt.Sprint(status, path), func(t *testing.T) {
+				web := newGateway(t, 2, 2, func(c *net.TCPConn, r *http.Request, _ int) {
+					send(c, head(r, status, "Content-Length: 5"), "error")
+				})
+				if got := post(t, web, path); got.status != http.StatusBadGateway || got.header.Get(headerSigned) != "" {
+					t.Errorf("status %d, signed %q", got.status, got.header.Get(headerSigned))
+				}
+			})
+		}
+	}
+}
+
+// A message of HTTP/1.0 knows no chunks. One that is sent in chunks all the same has
+// no framing that can be trusted, and its chunk sizes are no part of a body.
+func TestChunksOfHTTP10AreNoAnswer(t *testing.T) {
+	for _, path := range []string{"/once-stream/x", "/safe/x", "/once/x"} {
+		web := newGateway(t, 2, 2, func(c *net.TCPConn, r *http.Request, _ int) {
+			old := strings.Replace(head(r, 200, chunkedField), "HTTP/1.1", "HTTP/1.0", 1)
+			send(c, old, chunk(events(1, 3)), lastChunk)
+		})
+		if got := post(t, web, path); got.status != http.StatusBadGateway {
+			t.Errorf("%s: %s answer of status %d: %q", path, got.claim, got.status, got.body)
+		}
+	}
+}
