Pass on no promise and no body that a server did not vouch for

Cause: an answer of a server went to the caller by its status, but for three cases. 408, 421, 429 and 503 are promises to a caller; without the server's word that it did not run the request they are answered by a 502, and another server is asked where the request may repeat. net/http drops the transfer encoding of an answer of HTTP/1.0 unseen, so that its chunks were taken for the body; such a head is refused now.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -253,6 +253,9 @@
 	switch {
 	case a.route.Kind == catalog.Stream && answer.StatusCode == http.StatusOK:
 		return a.relayStream(ctx, answer, patience)
+	case promisesNotRun(answer.StatusCode):
+		// The server did not say that it did not run the request, so it may have.
+		return a.end(failed, "false promise", judgedByStatus(answer.StatusCode), fmt.Errorf("status %d", answer.StatusCode))
 	case a.reply.hasBegun():
 		// The caller has a part of a stream: no other answer may follow it, and none
 		// is its end.
@@ -264,6 +267,17 @@
 	}
 }
 
+// promisesNotRun tells whether callers take a status for the promise that their
+// request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // judgedByStatus is what the status of an answer says about its server.
 func judgedByStatus(status int) placement.Outcome {
 	if status >= http.StatusInternalServerError {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -39,6 +41,30 @@
 	return n, err
 }
 
+// errOldChunks marks an answer of HTTP/1.0 that names a transfer encoding, which that
+// version does not have. net/http would take the chunks for the body.
+var errOldChunks = errors.New("a transfer encoding in an answer of HTTP/1.0")
+
+// refuseOldChunks looks at the head that comes next and fails if it is one of
+// HTTP/1.0 whose framing cannot be trusted. Of a head longer than the read buffer
+// it sees the beginning.
+func (c *conn) refuseOldChunks() error {
+	version := []byte("HTTP/1.0 ")
+	if start, err := c.reader.Peek(len(version)); err != nil || !bytes.Equal(start, version) {
+		return nil // reading it will tell what is wrong
+	}
+	for size := len(version); ; size = c.reader.Buffered() + 1 {
+		seen, err := c.reader.Peek(size)
+		head, _, ended := bytes.Cut(seen, []byte("\r\n\r\n"))
+		if bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding:")) {
+			return errOldChunks
+		}
+		if ended || err != nil {
+			return nil
+		}
+	}
+}
+
 // sound tells whether an idle connection can carry a request: it is open, and
 // no byte has arrived that belongs to no request.
 func (c *conn) sound() bool {
