Take an unnamed refusal for the request's own on new connections only

Cause: an answer that says that its request did not run, and names none, was taken for the request's own on any connection. On a kept one it can be a late second answer to an earlier request, and its promise would be passed on for a request that the server goes on to run.

Ruled out: asking for a name always. Where refusals carry none, every one of them would become a 502.

Before: 503 for a request that ran (the first of the two tests; it failed on the code before).

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -309,7 +309,7 @@
 		Host:           a.r.Host,
 		Header:         h,
 		Body:           a.body,
-		Mine:           a.mine,
+		Belongs:        a.belongs,
 	}
 }
 
@@ -353,11 +353,18 @@
 	return max(int(max(share, limit*leastShare)), 1)
 }
 
-// mine tells whether an answer belongs to the request. An answer that says the
-// request did not run may lack the id.
-func (a *attempt) mine(resp *http.Response) bool {
+// belongs tells whose answer one is. One that says that the request did not run may
+// lack the id.
+func (a *attempt) belongs(resp *http.Response) upstream.Belonging {
 	told := a.g.Protocol.Answer(resp.StatusCode, resp.Header)
-	return told.RequestID == a.ID || told.RequestID == "" && told.NotRun
+	switch {
+	case told.RequestID == a.ID:
+		return upstream.Mine
+	case told.RequestID == "" && told.NotRun:
+		return upstream.Unnamed
+	default:
+		return upstream.Foreign
+	}
 }
 
 // failedSend judges a request without the head of an answer.
--- a/gateway/ending_test.go
+++ b/gateway/ending_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"net/http"
@@ -191,3 +192,39 @@
 		}
 	}
 }
+
+// An answer that names no request is one to the only request that its connection
+// has carried, or to nobody known: on a kept connection it may be a late second
+// answer to an earlier request, and its promise is not one for this request.
+func TestUnnamedPromiseOnAKeptConnectionIsNotTaken(t *testing.T) {
+	ran := make(chan struct{}, 1)
+	web := newGateway(t, 1, 1, func(c *net.TCPConn, r *http.Request, _ int) {
+		send(c, head(r, 200, "Content-Length: 2"), "ok")
+		next, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		ran <- struct{}{}
+		send(c, "HTTP/1.1 503 Service Unavailable\r\n", headerNotRun, ": yes\r\nContent-Length: 0\r\n\r\n")
+		send(c, head(next, 200, "Content-Length: 2"), "ok")
+	})
+	if got := post(t, web, "/once/x"); got.status != http.StatusOK {
+		t.Fatalf("status %d", got.status)
+	}
+	got := post(t, web, "/once/x")
+	<-ran
+	if got.status != http.StatusBadGateway {
+		t.Errorf("status %d for a request that ran", got.status)
+	}
+}
+
+// On a new connection such an answer can only be to the request, and what it
+// promises is passed on.
+func TestUnnamedPromiseOnANewConnectionIsTaken(t *testing.T) {
+	web := newGateway(t, 1, 1, func(c *net.TCPConn, _ *http.Request, _ int) {
+		send(c, "HTTP/1.1 503 Service Unavailable\r\n", headerNotRun, ": yes\r\nContent-Length: 0\r\n\r\n")
+	})
+	if got := post(t, web, "/once/x"); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("status %d", got.status)
+	}
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -20,6 +20,8 @@
 	// opened for: an address may pass to another server.
 	addr, owner string
 	expires     time.Time
+	// used tells that it has carried a request.
+	used bool
 }
 
 func newConn(raw net.Conn, r *Request, m *link.Meter) *conn {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -102,10 +102,24 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Mine tells whether an answer belongs to this request.
-	Mine func(*http.Response) bool
+	// Belongs tells whose answer one is.
+	Belongs func(*http.Response) Belonging
 }
 
+// Belonging says to which request an answer belongs.
+type Belonging int
+
+const (
+	// Foreign: another request's; it is skipped.
+	Foreign Belonging = iota
+	// Mine: this request's.
+	Mine
+	// Unnamed: it names no request, and would be acceptable as this one's. It is
+	// taken where the connection has carried no other request, and else ends the
+	// exchange: what follows it cannot be told apart either.
+	Unnamed
+)
+
 // Stage says how far a failed request had come.
 type Stage int
 
@@ -140,7 +154,8 @@
 		return nil, &Failure{Stage: NotSent, Full: errors.Is(err, errFull), Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	a := &Answer{pool: p, conn: c, stop: stop, ctx: ctx}
+	a := &Answer{pool: p, conn: c, stop: stop, ctx: ctx, first: !c.used}
+	c.used = true
 	a.written = write(c, r)
 	resp, err := a.readHead(r)
 	if err != nil {
@@ -311,7 +326,9 @@
 	stop    func() bool
 	ctx     context.Context
 	written <-chan error
-	over    bool
+	// first tells that the connection has carried no other request.
+	first bool
+	over  bool
 }
 
 // readHead reads until the answer of the request, past interim ones and past
@@ -329,8 +346,11 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if r.Mine(resp) {
+		switch belongs := r.Belongs(resp); {
+		case belongs == Mine, belongs == Unnamed && a.first:
 			return resp, nil
+		case belongs == Unnamed:
+			return nil, errForeign
 		}
 		skipped++
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSurplusBody))
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -42,7 +42,12 @@
 func get(addr, id string) *upstream.Request {
 	return &upstream.Request{
 		Address: addr, Owner: "s", Method: http.MethodGet, Target: "/" + id, Host: "h", Header: http.Header{"Request-Id": {id}},
-		Mine: func(r *http.Response) bool { return r.Header.Get("Request-Id") == id },
+		Belongs: func(r *http.Response) upstream.Belonging {
+			if r.Header.Get("Request-Id") == id {
+				return upstream.Mine
+			}
+			return upstream.Foreign
+		},
 	}
 }
 
