Take a resumed run without an event for no proof of the stream's end

Cause: a run that was to be joined, is framed and holds no event ended the stream as complete, wherever the caller was. It shows nothing of the stream: its server may have failed after the head.

Ruled out: believing it because a stream may break off between its last event and its end. Then the caller has every event and resumes at no loss, while a short answer that looks whole is never noticed.

The case was expected to be complete in TestResumedRunsMustJoin; it is expected broken off now, which is stricter. It and one with a comment alone failed before the change.

--- a/eventstream/position.go
+++ b/eventstream/position.go
@@ -101,6 +101,7 @@
 	switch {
 	case step <= 0 && !r.passed:
 		r.repeated = n
+		r.repeats = true
 		return drop, nil
 	case step <= 0:
 		return drop, fmt.Errorf("%w: %d after %d", ErrOrder, n, p.number)
@@ -130,15 +131,19 @@
 	joined bool
 	// passed tells that an event of the run with an id was passed on.
 	passed bool
-	// repeated is the number of the last event that the caller had already.
+	// repeated is the number of the last event that the caller had already, if the run
+	// repeats any.
 	repeated int64
+	repeats  bool
 }
 
-// end tells whether the run, which is over, is one with what the caller has: one
-// that only repeated events must have come as far as the caller is.
+// end tells whether the run, which is over, is one with what the caller has. One
+// that was to be joined and brought nothing new must have repeated the last event:
+// a run that shows no event does not show that the stream was over there, and its
+// server may have failed as well.
 func (p *Position) end(r *run) error {
-	if !r.passed && r.repeated > 0 && r.repeated < p.number {
-		return fmt.Errorf("%w: the run ended at %d, before %d", ErrOrder, r.repeated, p.number)
+	if r.joined || r.repeats && r.repeated == p.number {
+		return nil
 	}
-	return nil
+	return fmt.Errorf("%w: the run ended and did not show event %d", ErrOrder, p.number)
 }
--- a/gateway/join_test.go
+++ b/gateway/join_test.go
@@ -16,7 +16,10 @@
 		claim               claim
 	}{
 		{"goes on", events(1, 3), events(4, 6), events(1, 6), complete},
-		{"has no more events", events(1, 3), "", events(1, 3), complete},
+		{"repeats all and has no more", events(1, 3), events(1, 3), events(1, 3), complete},
+		{"repeats the last event and has no more", events(1, 3), events(3, 3), events(1, 3), complete},
+		{"shows nothing", events(1, 3), "", events(1, 3), broken},
+		{"shows nothing but a comment", events(1, 3), ": wait\n\n", events(1, 3) + ": wait\n\n", broken},
 		{"begins anew", events(1, 3), events(1, 6), events(1, 6), complete},
 		{"repeats the last event", events(1, 3), events(3, 6), events(1, 6), complete},
 		{"leaves events out", events(1, 3), events(6, 8), events(1, 3), broken},
