Failing test: an unframed stream of comments alone is taken as whole

Cause: a comment sends the head, and from then on streamEnded no longer sees that no event came. The server proved as little as one that closes behind its head, which is asked for elsewhere.

Seen: the caller gets the comment, an orderly close and no event.

--- a/gateway/proof_test.go
+++ b/gateway/proof_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 )
 
@@ -21,3 +22,18 @@
 		t.Errorf("%s answer: %q", got.claim, got.body)
 	}
 }
+
+// A comment is no event: a server that dies behind one has proved as little as one
+// that dies before it.
+func TestUnframedStreamOfCommentsIsAskedForElsewhere(t *testing.T) {
+	web := newGateway(t, 2, 2, func(c *net.TCPConn, r *http.Request, n int) {
+		if n == 1 {
+			send(c, head(r, 200, closeField), ": wait\n\n")
+			return
+		}
+		send(c, head(r, 200, chunkedField), chunk(events(1, 3)), lastChunk)
+	})
+	if got := post(t, web, "/stream/x"); !strings.HasSuffix(got.body, events(1, 3)) {
+		t.Errorf("%s answer: %q", got.claim, got.body)
+	}
+}
