Failing test: an unframed answer is ended before its last bytes are sent

Cause: reply.end makes the close orderly again while net/http still holds up to some kilobytes of the body; they are sent after the handler has returned, and after the request has left the count that a stop waits for. A stop or a kill between closes the connection in order, and the caller takes the part for all.

Ruled out: streams, which are flushed after each batch.

--- a/gateway/proof_test.go
+++ b/gateway/proof_test.go
@@ -3,8 +3,11 @@
 import (
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+
+	"github.com/gaplink/gaplink/gateway"
 )
 
 // The second server has neither sent an event nor proved that there is none, and the
@@ -37,3 +40,26 @@
 		t.Errorf("%s answer: %q", got.claim, got.body)
 	}
 }
+
+// A stop closes the connections of callers once no request is in the gateway, and a
+// kill closes them at any time. Without framing the close must be a reset until the
+// last byte has left the process, also what net/http still holds when the handler
+// returns.
+func TestUnframedAnswerIsNotEndedBeforeItsLastByteIsSent(t *testing.T) {
+	const size = 5000 // more than net/http's buffers hold, so that a part is out
+	inner := newGateway(t, 1, 1, func(c *net.TCPConn, r *http.Request, _ int) {
+		send(c, head(r, 200, closeField), strings.Repeat("x", size))
+	})
+	var web *httptest.Server
+	web = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		inner.Config.Handler.ServeHTTP(w, r)
+		_ = web.Config.Close()
+	}))
+	web.Config.ConnContext = gateway.ConnContext
+	web.Start()
+	defer web.Close()
+	got := post(t, web, "/once/x")
+	if got.claim != broken && len(got.body) != size {
+		t.Errorf("%s answer with %d of %d bytes", got.claim, len(got.body), size)
+	}
+}
