Failing test: numbers go back behind an event without an id

Cause: an event without an id makes the position one that cannot be compared, and the next event with a number is then placed without being compared with the last number of the run. Within one run and within one that was joined, ids go back and the stream is ended as complete.

Ruled out: the join itself; a joined run cannot begin with such an event.

Seen: 1, 2, 3, one without an id, 2, 3, 4, framed as complete.

--- a/gateway/proof_test.go
+++ b/gateway/proof_test.go
@@ -63,3 +63,27 @@
 		t.Errorf("%s answer with %d of %d bytes", got.claim, len(got.body), size)
 	}
 }
+
+// Ids rise within a run. An event without an id between two others does not change
+// what the caller has, so a number that goes back behind it is out of order.
+func TestNumbersDoNotGoBackBehindAnEventWithoutAnID(t *testing.T) {
+	const unnamed = "data: a\n\n"
+	cases := map[string][2]string{
+		"one run":     {events(1, 3) + unnamed + events(2, 4), ""},
+		"resumed run": {events(1, 3), events(4, 6) + unnamed + events(2, 4)},
+	}
+	for name, runs := range cases {
+		t.Run(name, func(t *testing.T) {
+			web := newGateway(t, 2, 2, func(c *net.TCPConn, r *http.Request, n int) {
+				send(c, head(r, 200, chunkedField), chunk(runs[n-1]))
+				if n == 2 || runs[1] == "" {
+					send(c, lastChunk)
+				}
+			})
+			got := post(t, web, "/stream/x")
+			if got.claim == complete || strings.Contains(got.body, unnamed+events(2, 2)) {
+				t.Errorf("%s answer: %q", got.claim, got.body)
+			}
+		})
+	}
+}
