Failing test: a run that only repeats event 0 ends a stream

Cause: the number of the last repeated event doubles as the mark that there was one, and 0 is a number that the position takes for an id.

Seen: events 0 to 3 framed as complete, on the word of a run that ended at 0.

--- a/gateway/proof_test.go
+++ b/gateway/proof_test.go
@@ -87,3 +87,18 @@
 		})
 	}
 }
+
+// A run that only repeats what the caller has must come as far as the caller is,
+// also if it comes no further than the event with the number 0.
+func TestRepeatedEventZeroDoesNotEndAStream(t *testing.T) {
+	web := newGateway(t, 2, 2, func(c *net.TCPConn, r *http.Request, n int) {
+		if n == 1 {
+			send(c, head(r, 200, chunkedField), chunk(events(0, 3)))
+			return
+		}
+		send(c, head(r, 200, chunkedField), chunk(events(0, 0)), lastChunk)
+	})
+	if got := post(t, web, "/stream/x"); got.claim != broken || got.body != events(0, 3) {
+		t.Errorf("%s answer: %q", got.claim, got.body)
+	}
+}
