Failing test: of two id fields in an event the first one is taken

Cause: parse keeps the first id field; the format of event streams sets the id with each one, so that the last holds. A caller and a server go by the last, the router resumes after the first, and joins there.

Seen: resumed after "2" where the event's id is 9.

--- a/gateway/proof_test.go
+++ b/gateway/proof_test.go
@@ -102,3 +102,18 @@
 		t.Errorf("%s answer: %q", got.claim, got.body)
 	}
 }
+
+// Of two id fields in one event the last one names it.
+func TestLastIDFieldNamesTheEvent(t *testing.T) {
+	web := newGateway(t, 2, 2, func(c *net.TCPConn, r *http.Request, n int) {
+		if n == 1 {
+			send(c, head(r, 200, chunkedField), chunk("id: 1\ndata: a\n\n"), chunk("id: 2\nid: 9\ndata: a\n\n"))
+			return
+		}
+		if at := r.Header.Get(headerLastEvent); at != "9" {
+			t.Errorf("resumed after %q", at)
+		}
+		send(c, head(r, 200, chunkedField), lastChunk)
+	})
+	post(t, web, "/stream/x")
+}
