Failing test: an answer of status 200 that is no stream ends a stream

Cause: that no other answer may follow the events of a stream is asked by status alone. One of status 200 and another content type is read as events; text with a blank line behind it has neither id nor data, passes as a comment, and its framing ends the stream as complete.

Ruled out: such a body without a blank line; it ends inside an event and is cut.

Seen: three events, the body of the other answer and the last chunk.

--- a/gateway/proof_test.go
+++ b/gateway/proof_test.go
@@ -117,3 +117,18 @@
 	})
 	post(t, web, "/stream/x")
 }
+
+// An answer that is no event stream is no part of one, also with the status 200: it
+// neither goes into the stream nor ends it.
+func TestStreamIsNotEndedByAnAnswerThatIsNoStream(t *testing.T) {
+	web := newGateway(t, 2, 2, func(c *net.TCPConn, r *http.Request, n int) {
+		if n == 1 {
+			send(c, head(r, 200, "Content-Type: text/event-stream", chunkedField), chunk(events(1, 3)))
+			return
+		}
+		send(c, head(r, 200, "Content-Type: application/json", chunkedField), chunk("{\"error\":\"x\"}\r\n\r\n"), lastChunk)
+	})
+	if got := post(t, web, "/stream/x"); got.claim != broken || got.body != events(1, 3) {
+		t.Errorf("%s answer: %q", got.claim, got.body)
+	}
+}
