Failing test: the watchdog takes two retries for one attempt

Cause: bark does not stop the watchdog when it cancels the attempt, and an event that the relay passes on just then starts the timer again. While the write to a slow caller lasts, it fires once more and takes a second retry, and tokens for it.

--- a/gateway/patience_test.go
+++ b/gateway/patience_test.go
@@ -75,3 +75,22 @@
 		t.Fatalf("left for another cause: %v", context.Cause(ctx))
 	}
 }
+
+// The relay may still be passing on an event when the watchdog has cancelled the
+// attempt. One attempt takes the place of another, so only one retry is taken.
+func TestWatchdogTakesOneRetryForOneAttempt(t *testing.T) {
+	taken := make(chan struct{}, 10)
+	dog := &watchdog{
+		pause:     10 * time.Millisecond,
+		takeRetry: func() bool { taken <- struct{}{}; return true },
+		cancel:    func(error) {},
+	}
+	dog.timer = time.AfterFunc(0, dog.bark)
+	defer dog.stop()
+	<-taken
+	dog.progressed()
+	time.Sleep(100 * time.Millisecond)
+	if n := len(taken); n > 0 {
+		t.Errorf("%d further retries taken", n)
+	}
+}
