Failing test: a head of HTTP/1.0 with bare line feeds is waited for

Cause: refuseOldChunks looks for the end of the head as two line ends with carriage returns. net/http takes bare line feeds too; on such a head the look goes on past its end and waits for bytes that a server which keeps the connection does not send.

Seen: the answer is read when the deadline has passed, after 1 s.

--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -235,3 +235,26 @@
 		t.Fatalf("want a new connection, got %+v", s)
 	}
 }
+
+// Lines of a head may end in a bare line feed. The end of such a head must be found
+// without waiting for bytes that do not come.
+func TestHeadOfHTTP10WithBareLineFeedsIsRead(t *testing.T) {
+	addr := listen(t, func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.0 200 OK\nRequest-Id: a\nContent-Length: 2\n\nok")
+		_, _ = c.Read(make([]byte, 1)) // until the other side closes
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	a, failure := newPool().Send(ctx, get(addr, "a"))
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	defer a.Close()
+	if body, err := io.ReadAll(a); err != nil || string(body) != "ok" || ctx.Err() != nil {
+		t.Errorf("%q, %v, at the deadline: %v", body, err, ctx.Err())
+	}
+}
