Failing test: chunks of HTTP/1.0 behind a long head are taken for a body

Cause: refuseOldChunks sees as much of a head as the read buffer holds, 4 KB. A transfer encoding behind that is not seen, and net/http drops it.

Seen: the chunk sizes in the body.

--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -258,3 +258,23 @@
 		t.Errorf("%q, %v, at the deadline: %v", body, err, ctx.Err())
 	}
 }
+
+// A transfer encoding in an answer of HTTP/1.0 is refused wherever in the head it
+// stands: the chunk sizes would be taken for a part of the body.
+func TestOldChunksAreRefusedBehindALongHead(t *testing.T) {
+	addr := listen(t, func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		long := "Long: " + strings.Repeat("x", 5000) + "\r\n"
+		_, _ = io.WriteString(c, "HTTP/1.0 200 OK\r\nRequest-Id: a\r\n"+long+"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n")
+	})
+	a, failure := newPool().Send(context.Background(), get(addr, "a"))
+	if failure != nil {
+		return
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a)
+	t.Errorf("%q, %v", body, err)
+}
