Failing test: a request whose handler panics is logged as answered whole

Cause: the result of a call is OK, the code of value 0, until something sets it. An unforeseen panic is logged, counted and charged as a whole answer; only the claim beside it says otherwise.

Ruled out: the caller's side, where the answer is cut.

Seen: "request OK" with the claim "no answer".

--- /dev/null
+++ b/gateway/outcome_test.go
@@ -0,0 +1,34 @@
+package gateway
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/gaplink/gaplink/logs"
+	"github.com/gaplink/gaplink/result"
+)
+
+// A request whose handler panics has no result. The log, the counters and the charge
+// must not take it for one that was answered whole, which is the code of value 0.
+func TestPanicIsNotLoggedAsOK(t *testing.T) {
+	core, seen := observer.New(zap.InfoLevel)
+	g := &Gateway{Parts: Parts{
+		Protocol: unsigned{},
+		Logs:     logs.Loggers{All: zap.New(core), Sampled: zap.New(core)},
+		Metrics:  NewMetrics(prometheus.NewRegistry()),
+		Away:     func() bool { return false },
+	}}
+	g.steps = []step{func(*call) *result.Error { panic("x") }}
+	func() {
+		defer func() { _ = recover() }()
+		g.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
+	}()
+	for _, e := range seen.FilterMessage("request OK").All() {
+		t.Error(e.Message, e.ContextMap())
+	}
+}
