--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -142,7 +142,7 @@
 		text = rest
 		name, value, _ := bytes.Cut(bytes.TrimSuffix(line, []byte{'\r'}), []byte{':'})
 		switch {
-		case bytes.Equal(name, idField) && !e.named:
+		case bytes.Equal(name, idField): // the last one counts
 			e.id, e.named = string(bytes.TrimSpace(value)), true
 		case bytes.Equal(name, dataField):
 			e.hasData = true
--- a/eventstream/position.go
+++ b/eventstream/position.go
@@ -24,6 +24,8 @@
 	// always been the same; 0: not known.
 	step   int64
 	uneven bool
+	// unnamed tells that an event without an id came after the last one with one.
+	unnamed bool
 	// passed tells that the caller has got events in this answer.
 	passed bool
 }
@@ -40,7 +42,7 @@
 
 // Resumable tells whether another run can be joined: nothing was passed on yet, or
 // the last event can be compared with those of another run.
-func (p *Position) Resumable() bool { return !p.passed || p.comparable }
+func (p *Position) Resumable() bool { return !p.passed || p.comparable && !p.unnamed }
 
 // number reads an id; ok is false for what is no whole number of 0 or more.
 func number(id string) (n int64, ok bool) {
@@ -79,7 +81,7 @@
 		return drop, fmt.Errorf("%w: an event without an id after %q", ErrOrder, p.lastID)
 	}
 	p.passed = true
-	p.comparable = false
+	p.unnamed = true
 	return pass, nil
 }
 
@@ -88,7 +90,7 @@
 	if !r.joined {
 		return drop, fmt.Errorf("%w: %q cannot be compared with %q", ErrOrder, id, p.lastID)
 	}
-	p.lastID, p.number, p.comparable = id, n, numbered
+	p.lastID, p.number, p.comparable, p.unnamed = id, n, numbered, false
 	p.step, p.uneven = 0, false
 	p.passed, r.passed = true, true
 	return pass, nil
@@ -109,7 +111,7 @@
 		return drop, fmt.Errorf("%w: %d after %d, with a distance of %d before", ErrOrder, n, p.number, p.step)
 	}
 	p.learn(step)
-	p.lastID, p.number = id, n
+	p.lastID, p.number, p.unnamed = id, n, false
 	p.passed, r.passed, r.joined = true, true, true
 	return pass, nil
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -248,18 +248,19 @@
 	}
 	a.ran = true
 	if !told.Signed && answer.StatusCode < http.StatusMultipleChoices {
+		a.unseen++
 		return a.end(failed, "unsigned", placement.Failed, errUnsigned)
 	}
 	switch {
+	case a.reply.hasBegun() && !a.goesOn(answer):
+		// The caller has a part of a stream: no other answer may follow it, and none
+		// is its end.
+		return a.end(failed, "no stream", judgedByStatus(answer.StatusCode), fmt.Errorf("status %d", answer.StatusCode))
 	case a.route.Kind == catalog.Stream && answer.StatusCode == http.StatusOK:
 		return a.relayStream(ctx, answer, patience)
 	case promisesNotRun(answer.StatusCode):
 		// The server did not say that it did not run the request, so it may have.
 		return a.end(failed, "false promise", judgedByStatus(answer.StatusCode), fmt.Errorf("status %d", answer.StatusCode))
-	case a.reply.hasBegun():
-		// The caller has a part of a stream: no other answer may follow it, and none
-		// is its end.
-		return a.end(failed, "no stream", judgedByStatus(answer.StatusCode), fmt.Errorf("status %d", answer.StatusCode))
 	case answer.StatusCode >= http.StatusInternalServerError && a.route.MayRepeat() && !a.last:
 		return a.end(failed, "error", placement.Failed, fmt.Errorf("status %d", answer.StatusCode))
 	default:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -148,6 +148,7 @@
 		reply:   reply{w: w, r: r},
 		arrived: time.Now(),
 		Request: g.Protocol.Request(r.Header),
+		outcome: result.Internal, // until something else is known
 	}
 	c.stream.at = eventstream.After(c.LastEvent)
 	return c
--- a/gateway/patience.go
+++ b/gateway/patience.go
@@ -91,6 +91,7 @@
 		return
 	}
 	if w.takeRetry() {
+		w.stopped = true
 		w.cancel(errTooSlow)
 		return
 	}
@@ -99,7 +100,9 @@
 
 // progressed notes an event of the stream.
 func (w *watchdog) progressed() {
-	if w.timer != nil {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer != nil && !w.stopped {
 		w.timer.Reset(w.pause)
 	}
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -5,9 +5,11 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/gaplink/gaplink/catalog"
 	"github.com/gaplink/gaplink/eventstream"
 	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/result"
@@ -18,6 +20,8 @@
 type streamState struct {
 	// at is the caller's position.
 	at eventstream.Position
+	// mediaType is that of the head that the caller got.
+	mediaType string
 	// stuck tells that no other server can go on from there. The watchdog reads it
 	// beside the relay.
 	stuck atomic.Bool
@@ -204,9 +208,22 @@
 		return
 	}
 	a.copyHead(answer)
+	a.stream.mediaType = mediaType(answer.Header)
 	a.reply.begin(answer.StatusCode, lengthUnknown, answer.Framed())
 }
 
+// mediaType returns the type of an answer's body without its parameters.
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
+// goesOn tells whether an answer may be the next run of the stream that the caller
+// has begun to get.
+func (c *call) goesOn(answer *upstream.Answer) bool {
+	return c.route.Kind == catalog.Stream && answer.StatusCode == http.StatusOK && mediaType(answer.Header) == c.stream.mediaType
+}
+
 // streamEnded ends the stream for the caller, if the server's end is proof enough
 // for what the caller's answer claims. One that went on at a server that sends no
 // framing, after one that did, has no proved end: it is as if broken off.
@@ -214,7 +231,7 @@
 	if flaw != nil { // the end of a run that does not end what the caller has
 		return a.broken(ctx, flaw)
 	}
-	if !proved && !a.reply.hasBegun() { // neither an event nor a proof that there is none
+	if !proved && a.note.events == 0 { // neither an event nor a proof that there is none
 		return a.broken(ctx, upstream.ErrUnframed)
 	}
 	a.startStream(answer)
--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -90,12 +90,16 @@
 
 // end completes the reply and tells whether it may be: a reply with framing of its
 // own needs the proof that its last byte is the last of the server's answer. One
-// without claims nothing and ends as the server's did.
+// without claims nothing and ends as the server's did, once all of it has left this
+// process.
 func (p *reply) end(proved bool) bool {
 	if p.state != replyOpen || !proved && !p.unframed {
 		return false
 	}
 	if p.unframed {
+		if p.flush() != nil {
+			return false
+		}
 		p.closeByReset(false)
 	}
 	p.state = replyEnded
--- a/gateway/steps.go
+++ b/gateway/steps.go
@@ -87,15 +87,19 @@
 	if c.r.Body == nil || c.r.Body == http.NoBody {
 		return nil
 	}
+	limit := c.catalog.Limits.MaxBodyBytes
 	body := c.r.Body
-	if limit := c.catalog.Limits.MaxBodyBytes; limit > 0 {
+	if limit > 0 {
 		body = http.MaxBytesReader(c.reply.w, body, limit)
 	}
 	var err error
-	if c.r.ContentLength > 0 {
-		c.body = make([]byte, c.r.ContentLength)
+	switch length := c.r.ContentLength; {
+	case limit > 0 && length > limit: // before it takes any memory
+		return bodyTooLarge(limit)
+	case limit > 0 && length > 0:
+		c.body = make([]byte, length)
 		_, err = io.ReadFull(body, c.body)
-	} else {
+	default:
 		c.body, err = io.ReadAll(body)
 	}
 	var tooLarge *http.MaxBytesError
@@ -103,12 +107,16 @@
 	case err == nil:
 		return nil
 	case errors.As(err, &tooLarge):
-		return result.New(result.BodyTooLarge, "the body is over %d bytes", tooLarge.Limit)
+		return bodyTooLarge(tooLarge.Limit)
 	default:
 		return result.New(result.CallerGone, "the body did not arrive").Wrap(err)
 	}
 }
 
+func bodyTooLarge(limit int64) *result.Error {
+	return result.New(result.BodyTooLarge, "the body is over %d bytes", limit)
+}
+
 // readPrompt derives what decides the choice of an engine: the hash of the
 // parts that the prompt shares with others, and the size of what it does not.
 func (g *Gateway) readPrompt(c *call) *result.Error {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"io"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -44,29 +46,61 @@
 }
 
 // errOldChunks marks an answer of HTTP/1.0 that names a transfer encoding, which that
-// version does not have. net/http would take the chunks for the body.
+// version does not have, so that its framing cannot be trusted.
 var errOldChunks = errors.New("a transfer encoding in an answer of HTTP/1.0")
 
-// refuseOldChunks looks at the head that comes next and fails if it is one of
-// HTTP/1.0 whose framing cannot be trusted. Of a head longer than the read buffer
-// it sees the beginning.
-func (c *conn) refuseOldChunks() error {
-	version := []byte("HTTP/1.0 ")
-	if start, err := c.reader.Peek(len(version)); err != nil || !bytes.Equal(start, version) {
-		return nil // reading it will tell what is wrong
+const (
+	// oldVersion begins an answer of HTTP/1.0.
+	oldVersion = "HTTP/1.0 "
+	// maxOldHead bounds the head of one, in bytes. Heads are a few hundred.
+	maxOldHead = 64 << 10
+)
+
+// readResponse reads the next head. net/http drops the transfer encoding of an
+// answer of HTTP/1.0 unseen and would take its chunks for the body, so the heads of
+// these are looked at first. Their connections are not used again.
+func (c *conn) readResponse(request *http.Request) (*http.Response, error) {
+	if start, err := c.reader.Peek(len(oldVersion)); err != nil || string(start) != oldVersion {
+		return http.ReadResponse(c.reader, request) // which tells what is wrong with less
+	}
+	head, err := c.readOldHead()
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(io.MultiReader(bytes.NewReader(head), c.reader)), request)
+	if err != nil {
+		return nil, err
 	}
-	for size := len(version); ; size = c.reader.Buffered() + 1 {
-		seen, err := c.reader.Peek(size)
-		head, _, ended := bytes.Cut(seen, []byte("\r\n\r\n"))
-		if bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding:")) {
-			return errOldChunks
+	resp.Close = true
+	return resp, nil
+}
+
+// readOldHead reads the head of an answer of HTTP/1.0.
+func (c *conn) readOldHead() ([]byte, error) {
+	var head []byte
+	for len(head) < maxOldHead {
+		line, err := c.reader.ReadSlice('\n')
+		head = append(head, line...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue // a long line; its rest comes next
+		case err != nil:
+			return nil, err
 		}
-		if ended || err != nil {
-			return nil
+		name, _, _ := bytes.Cut(line, []byte{':'})
+		if bytes.EqualFold(bytes.TrimSpace(name), []byte("transfer-encoding")) {
+			return nil, errOldChunks
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return head, nil
 		}
 	}
+	return nil, errLongHead
 }
 
+// errLongHead marks an answer whose head passes all bounds.
+var errLongHead = errors.New("the head of the answer is too long")
+
 // sound tells whether an idle connection can carry a request: it is open, and
 // no byte has arrived that belongs to no request.
 func (c *conn) sound() bool {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -336,10 +336,7 @@
 func (a *Answer) readHead(r *Request) (*http.Response, error) {
 	request := &http.Request{Method: r.Method}
 	for skipped := 0; skipped <= maxSurplus; {
-		if err := a.conn.refuseOldChunks(); err != nil {
-			return nil, err
-		}
-		resp, err := http.ReadResponse(a.conn.reader, request)
+		resp, err := a.conn.readResponse(request)
 		if err != nil {
 			return nil, err
 		}
