Take nothing of a backend server as whole, counted or healthy without its word

Change: Response.Whole refuses an answer that neither a length nor chunks end (BackendCut; OutcomeUnknown where the request may not be repeated, so that no part is kept for retries); an event's "data:" needs no space; Cancel and Health read a report to its end, check the status, and take a missing or negative field as no report. Ruled out: passing an unframed plain answer on unframed. It would be legal, but the ledger keeps it for retries, and a part would be replayed as the answer. Price: a plain service that never frames its answers cannot be used.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -11,6 +11,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -38,6 +39,7 @@
 const (
 	maxLine     = 1 << 20
 	maxReply    = 4 << 20
+	maxReport   = 64 << 10
 	doneMarker  = "[DONE]"
 	dialTimeout = 500 * time.Millisecond
 )
@@ -166,8 +168,17 @@
 // ContentType returns the answer's content type.
 func (r *Response) ContentType() string { return r.http.Header.Get("Content-Type") }
 
-// Whole reads the whole body of a plain service's answer.
+// errUnframed is a plain answer whose end nothing marks.
+var errUnframed = errors.New("the answer has neither a length nor chunks")
+
+// Whole reads the whole body of a plain service's answer. One that only the
+// close of the connection ends counts as cut: a server that died half way
+// closes alike, and the caller would get the part with a length, and again at
+// each retry of a request that runs at most once.
 func (r *Response) Whole(ctx context.Context) ([]byte, *Failure) {
+	if !r.framed() {
+		return nil, sendFailure(ctx, errUnframed, true)
+	}
 	body, err := io.ReadAll(io.LimitReader(r.http.Body, maxReply+1))
 	if err != nil {
 		return nil, sendFailure(ctx, err, true)
@@ -178,6 +189,11 @@
 	return body, nil
 }
 
+// framed tells whether a length or chunks mark the end of the body.
+func (r *Response) framed() bool {
+	return r.http.ContentLength >= 0 || len(r.http.TransferEncoding) > 0
+}
+
 // Chunk is one event of a streamed answer.
 type Chunk struct {
 	// Data is the event's JSON as the engine sent it.
@@ -214,11 +230,11 @@
 		r.lines.Buffer(make([]byte, 0, 4096), maxLine)
 	}
 	for r.lines.Scan() {
-		data, ok := strings.CutPrefix(r.lines.Text(), "data: ")
+		data, ok := strings.CutPrefix(r.lines.Text(), "data:")
 		if !ok {
 			continue
 		}
-		return r.parse(data)
+		return r.parse(strings.TrimPrefix(data, " ")) // the space is optional
 	}
 	err := r.lines.Err()
 	if err == nil {
@@ -249,9 +265,12 @@
 	return c, nil
 }
 
+// errIncomplete is a report that lacks a field. A missing count is not one of 0.
+var errIncomplete = errors.New("the report lacks a field")
+
 // cancelled is an engine's answer to a cancel.
 type cancelled struct {
-	CompletionTokens int64 `json:"completion_tokens"`
+	CompletionTokens *int64 `json:"completion_tokens"`
 }
 
 // Cancel stops an attempt and returns the tokens that the engine served for
@@ -262,38 +281,57 @@
 		return 0, err
 	}
 	req.Header.Set(HeaderAttempt, attempt)
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return 0, err
-	}
-	defer resp.Body.Close()
 	var answer cancelled
-	if resp.StatusCode != http.StatusOK {
-		return 0, errors.New("cancel: " + resp.Status)
+	if err := c.report(req, &answer); err != nil {
+		return 0, fmt.Errorf("cancel: %w", err)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
-		return 0, err
+	if answer.CompletionTokens == nil || *answer.CompletionTokens < 0 {
+		return 0, fmt.Errorf("cancel: %w", errIncomplete)
 	}
-	return answer.CompletionTokens, nil
+	return *answer.CompletionTokens, nil
 }
 
 // Health is a backend server's own report.
 type Health struct {
-	Leaving  bool    `json:"leaving"`
-	InFlight float64 `json:"in_flight"`
+	Leaving  bool
+	InFlight float64
+}
+
+// health is the report on the wire.
+type health struct {
+	Leaving  *bool    `json:"leaving"`
+	InFlight *float64 `json:"in_flight"`
 }
 
 // Health asks a server how it is.
 func (c *Client) Health(ctx context.Context, addr string) (Health, error) {
-	var h Health
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/health", nil)
 	if err != nil {
-		return h, err
+		return Health{}, err
+	}
+	var answer health
+	if err := c.report(req, &answer); err != nil {
+		return Health{}, fmt.Errorf("health: %w", err)
 	}
+	if answer.Leaving == nil || answer.InFlight == nil {
+		return Health{}, fmt.Errorf("health: %w", errIncomplete)
+	}
+	return Health{Leaving: *answer.Leaving, InFlight: *answer.InFlight}, nil
+}
+
+// report sends a request for a small JSON report and reads all of it.
+func (c *Client) report(req *http.Request, into any) error {
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return h, err
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return errors.New("status " + resp.Status)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReport))
+	if err != nil {
+		return err
 	}
-	defer resp.Body.Close()
-	return h, json.NewDecoder(resp.Body).Decode(&h)
+	return json.Unmarshal(body, into)
 }
