--- a/backend/backend.go
+++ b/backend/backend.go
@@ -15,13 +15,15 @@
 
 // The faults.
 const (
-	None    Fault = ""
-	Garbage Fault = "garbage" // an event that is not JSON
-	Cut     Fault = "cut"     // the connection ends half way
-	Foreign Fault = "foreign" // another request's answer
-	Refuse  Fault = "refuse"  // refused before running
-	Stall   Fault = "stall"   // no answer until the caller gives up
-	Excess  Fault = "excess"  // more tokens than the cap
+	None     Fault = ""
+	Garbage  Fault = "garbage"  // an event that is not JSON
+	Cut      Fault = "cut"      // the connection ends half way
+	Unframed Fault = "unframed" // neither length nor chunks, and the connection ends half way
+	Early    Fault = "early"    // a model engine's half answer, framed as whole
+	Foreign  Fault = "foreign"  // another request's answer
+	Refuse   Fault = "refuse"   // refused before running
+	Stall    Fault = "stall"    // no answer until the caller gives up
+	Excess   Fault = "excess"   // more tokens than the cap
 )
 
 // Faults are the injected faults.
--- a/backend/engine.go
+++ b/backend/engine.go
@@ -92,6 +92,9 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set(engine.HeaderAttempt, attempt)
+	if fault == Unframed {
+		unframe(w)
+	}
 	e.generate(w, r, run, req, fault)
 }
 
@@ -101,6 +104,11 @@
 	w.Header().Set(engine.HeaderLeaving, strconv.FormatBool(leaving))
 }
 
+// unframe makes the end of the connection the only end of the answer.
+func unframe(w http.ResponseWriter) {
+	w.Header().Set("Transfer-Encoding", "identity")
+}
+
 func (e *Engine) generate(w http.ResponseWriter, r *http.Request, run *Run, req chatBody, fault Fault) {
 	h := xxhash.Sum64String(req.prompt())
 	_, tokens := Answer(req.prompt(), req.MaxTokens)
@@ -118,6 +126,9 @@
 		if fault == Cut && i == tokens/2 {
 			panic(http.ErrAbortHandler)
 		}
+		if (fault == Early || fault == Unframed) && i == tokens/2 {
+			return
+		}
 		if !e.step(r) || !e.count(run) {
 			return
 		}
--- a/backend/service.go
+++ b/backend/service.go
@@ -59,5 +59,10 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(engine.HeaderAttempt, attempt)
-	_, _ = io.WriteString(w, ServiceAnswer(body))
+	answer := ServiceAnswer(body)
+	if fault == Unframed {
+		unframe(w)
+		answer = answer[:len(answer)/2]
+	}
+	_, _ = io.WriteString(w, answer)
 }
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"time"
 
@@ -116,6 +117,75 @@
 	})
 })
 
+// A streamed answer that fails after its first event ended in an error event and
+// then in a proper last chunk: whoever went by HTTP's framing had a complete
+// answer. The handler returned normally, which frames what was written as whole;
+// a backend server that fails half way proves it.
+var _ = Describe("streamed answers that fail after their first event", func() {
+	var f *fleet
+	const cap = 40
+	long := ""
+	BeforeEach(func() {
+		f = newFleet(1)
+		for i := 0; ; i++ {
+			long = fmt.Sprint("long ", i)
+			if _, tokens := backend.Answer(long, cap); tokens > cap/2 {
+				break
+			}
+		}
+	})
+
+	DescribeTable("tell of the error and are not framed as complete",
+		func(kind backend.Fault, code result.Code) {
+			f.faults(kind, 1)
+			resp, err := f.send(0, chat(long, cap, true))
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = resp.Body.Close() }()
+			body, err := io.ReadAll(resp.Body)
+			Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+			text, whole := streamed(string(body))
+			want, _ := backend.Answer(long, cap)
+			Expect(whole).To(BeFalse())
+			Expect(text).NotTo(BeEmpty())
+			shared := min(len(text), len(want))
+			Expect(text[:shared]).To(Equal(want[:shared]))
+			Expect(string(body)).To(And(ContainSubstring("event: error"), ContainSubstring(code.String())))
+		},
+		Entry("cut", backend.Cut, result.BackendCut),
+		Entry("cut without framing, between events", backend.Unframed, result.BackendCut),
+		Entry("framed as whole without the end marker", backend.Early, result.BackendCut),
+		Entry("garbage", backend.Garbage, result.BackendGarbage),
+		Entry("more than the cap", backend.Excess, result.TokenCapPassed),
+	)
+
+	It("end without the end marker for a caller of HTTP/1.0 too", func() {
+		f.faults(backend.Early, 1)
+		conn, err := net.Dial("tcp", f.settings[0].Listen.Callers)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		c := chat(long, cap, true)
+		_, err = fmt.Fprintf(conn, "POST %s HTTP/1.0\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", c.path, f.key, len(c.body), c.body)
+		Expect(err).NotTo(HaveOccurred())
+		answer, err := io.ReadAll(conn)
+		Expect(err).NotTo(HaveOccurred())
+		_, whole := streamed(string(answer))
+		Expect(whole).To(BeFalse())
+		Expect(string(answer)).To(ContainSubstring("event: error"))
+	})
+
+	It("leave the router able to stop", func() {
+		f.faults(backend.Cut, 1)
+		resp, err := f.send(0, chat(long, cap, true))
+		Expect(err).NotTo(HaveOccurred())
+		_, _ = io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		f.routers[0].Stop(ctx)
+		Expect(ctx.Err()).NotTo(HaveOccurred())
+	})
+})
+
 var _ = Describe("not-repeatable requests", func() {
 	var f *fleet
 	BeforeEach(func() { f = newFleet(2) })
@@ -138,6 +208,14 @@
 		Expect(f.service.Runs()).To(HaveLen(1))
 	})
 
+	It("are not answered with a part, nor at a retry, when their answer was cut without framing", func() {
+		f.faults(backend.Unframed, 1)
+		Expect(f.do(0, lookup("plate 2", "part")).code).To(Equal(result.OutcomeUnknown))
+		f.faults(backend.None, 0)
+		Expect(f.do(1, lookup("plate 2", "part")).code).To(Equal(result.OutcomeUnknown))
+		Expect(f.service.Runs()).To(HaveLen(1))
+	})
+
 	It("are refused as not run while the store is out, and may come back", func() {
 		f.platform.SetFaults(standin.Faults{Outage: true})
 		got := f.do(0, lookup("plate 3", "later"))
