Break off a router's answer that fails after its first event

Change: once a part of an answer is out, serve writes the error event, flushes it and aborts the handler, so that no last chunk claims the part for the whole. Callers who read events see the same error event as before; those who go by framing now see a broken answer. Ruled out: leaving the error event out (it tells whether to come back), and a reset in place of the close (it may overtake the event).

--- a/filter/filter.go
+++ b/filter/filter.go
@@ -138,7 +138,7 @@
 
 // WriteError tells the caller of a refusal or failure. Once a part of a
 // streamed answer is out, it goes into the stream as an error event, and the
-// end marker is not sent.
+// end marker is not sent; the connection must then be broken off.
 func WriteError(x *Exchange, e *result.Error) {
 	info := e.Code.Info()
 	body, _ := json.Marshal(refusal{refusalBody{
@@ -151,6 +151,7 @@
 	}})
 	if x.Answered {
 		_, _ = x.W.Write([]byte("event: error\ndata: " + string(body) + "\n\n"))
+		_ = http.NewResponseController(x.W).Flush() // it must be out when the connection is broken off
 		return
 	}
 	h := x.W.Header()
--- a/router/callers.go
+++ b/router/callers.go
@@ -67,6 +67,11 @@
 		err = r.chain.Serve(req.Context(), x)
 	}
 	r.end(x, err)
+	if err != nil && x.Answered {
+		// A handler that returns ends the answer by a proper last chunk, and a
+		// caller who goes by that takes what came so far as the whole answer.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // admit refuses requests that this router must not take now.
