Let the load sender judge answers framed as whole that lack their end

Change: a stream without its end marker whose framing ended properly counts as a false end, excused by nothing; the part of a cut stream must be the start of what the stand-in made; answers that cannot be read are noted. `false_ends` must be 0.

--- a/lab/audit.go
+++ b/lab/audit.go
@@ -30,6 +30,7 @@
 			d.note("%s failed, code %d", o.job.nonce, o.code)
 		}
 		r.Retried += o.tries - 1
+		r.FalseEnds += o.falseEnds
 		r.CutStreams += o.cutStreams - o.onDead
 		r.CutByKill += o.onDead
 	}
--- a/lab/demo.go
+++ b/lab/demo.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -16,6 +17,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/gaplink/gaplink/admin"
+	"github.com/gaplink/gaplink/backend"
 	"github.com/gaplink/gaplink/membership"
 	"github.com/gaplink/gaplink/store/standin"
 	"github.com/gaplink/gaplink/table"
@@ -41,6 +43,7 @@
 	RanTwice      int   `json:"ran_twice"`
 	NotRunButRan  int   `json:"not_run_but_ran"`
 	WrongAnswers  int   `json:"wrong_answers"`
+	FalseEnds     int   `json:"false_ends"`
 	CutStreams    int   `json:"cut_streams"`
 	CutByKill     int   `json:"cut_by_kill"`
 	LateToLeaving int   `json:"late_to_leaving"`
@@ -66,6 +69,7 @@
 		"ran_twice":        int64(r.RanTwice),
 		"not_run_but_ran":  int64(r.NotRunButRan),
 		"wrong_answers":    int64(r.WrongAnswers),
+		"false_ends":       int64(r.FalseEnds),
 		"cut_streams":      int64(r.CutStreams),
 		"late_to_leaving":  int64(r.LateToLeaving),
 		"table_reverted":   int64(r.TableReverted),
@@ -93,7 +97,7 @@
 	cmd.Flags().IntVar(&o.routers, "routers", 3, "routers")
 	cmd.Flags().IntVar(&o.engines, "engines", 4, "model backend servers")
 	cmd.Flags().Uint64Var(&o.seed, "seed", 1, "decides the load")
-	cmd.Flags().StringVar(&o.faults, "faults", "", "comma-separated: kill, freeze, outage, cut, race, drain, lost, engine")
+	cmd.Flags().StringVar(&o.faults, "faults", "", "comma-separated: kill, freeze, outage, cut, race, drain, lost, short, engine")
 	cmd.Flags().BoolVar(&o.keep, "keep", false, "keep the directory with settings and logs")
 	return cmd
 }
@@ -300,6 +304,8 @@
 		return d.race()
 	case "drain":
 		return d.drain(ctx, last)
+	case "short":
+		return d.shortAnswers(ctx)
 	case "engine":
 		return d.killEngine()
 	default:
@@ -416,14 +422,49 @@
 	return d.fleet.startRouter(r)
 }
 
-// killEngine ends a model backend server with open streams. A stream that had
-// begun cannot be made whole by the router; its caller retries.
-func (d *demoRun) killEngine() error {
+// shortEvery makes one in so many answers of the backend servers short, and
+// shortFor is how long each way of it lasts.
+const (
+	shortEvery = 5
+	shortFor   = 700 * time.Millisecond
+)
+
+// shortAnswers lets the backend servers end some answers half way: broken off,
+// without framing, and framed as whole.
+func (d *demoRun) shortAnswers(ctx context.Context) error {
+	d.excuseCuts()
+	for _, kind := range []backend.Fault{backend.Cut, backend.Unframed, backend.Early} {
+		if err := d.setFaults(backend.Faults{Kind: kind, Every: shortEvery}); err != nil {
+			return err
+		}
+		_ = wait.For(ctx, shortFor)
+	}
+	return d.setFaults(backend.Faults{})
+}
+
+func (d *demoRun) setFaults(f backend.Faults) error {
+	for _, p := range append(slices.Clone(d.fleet.engines), d.fleet.service) {
+		if err := d.fleet.putTo(p.addr, "/standin/faults", f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// excuseCuts tells that streams may be cut from now on at every router: one
+// that had begun when its backend server failed cannot be made whole by the
+// router; its caller retries.
+func (d *demoRun) excuseCuts() {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	for _, r := range d.fleet.routers {
 		d.killed[r.settings.Listen.Callers] = true
 	}
-	d.mu.Unlock()
+}
+
+// killEngine ends a model backend server with open streams.
+func (d *demoRun) killEngine() error {
+	d.excuseCuts()
 	last := d.fleet.engines[len(d.fleet.engines)-1]
 	last.end()
 	d.fleet.engines = d.fleet.engines[:len(d.fleet.engines)-1]
--- a/lab/load.go
+++ b/lab/load.go
@@ -48,7 +48,8 @@
 	code        result.Code
 	tokens      int64
 	tries       int
-	cutStreams  int  // streams that began and ended without the end marker
+	cutStreams  int  // answers that began and were broken off
+	falseEnds   int  // answers framed as whole that lack their end
 	onDead      int  // of these, at a router that was being killed
 	refusedOnly bool // every try was refused as not run
 	// noBudget is set for a refusal for want of budget, and margin is what the
@@ -291,9 +292,26 @@
 }
 
 func (s *sender) readStream(o *outcome, resp *http.Response, addr string) end {
-	var text strings.Builder
-	done := false
-	lines := bufio.NewScanner(resp.Body)
+	text, done, err := readEvents(resp.Body)
+	if done {
+		return s.check(o, text)
+	}
+	if want, _ := backend.Answer(o.job.prompt(), o.job.maxTokens); !strings.HasPrefix(want, text) {
+		return s.wrong(o, text, want)
+	}
+	if err == nil && framed(resp) {
+		o.falseEnds++
+		s.noteWrong("%s: framed as whole at %q, without an end marker", o.job.nonce, text)
+	}
+	s.noteCut(o, addr, int64(strings.Count(text, " ")))
+	return waitMore
+}
+
+// readEvents reads a stream's text to the end of its body. done tells whether
+// its end marker came, and err how the body ended.
+func readEvents(body io.Reader) (text string, done bool, err error) {
+	var b strings.Builder
+	lines := bufio.NewScanner(body)
 	for lines.Scan() {
 		data, ok := strings.CutPrefix(lines.Text(), "data: ")
 		if !ok {
@@ -305,14 +323,16 @@
 		}
 		var ev streamEvent
 		if json.Unmarshal([]byte(data), &ev) == nil && len(ev.Choices) > 0 {
-			text.WriteString(ev.Choices[0].Delta.Content)
+			b.WriteString(ev.Choices[0].Delta.Content)
 		}
 	}
-	if !done {
-		s.noteCut(o, addr, int64(strings.Count(text.String(), " ")))
-		return waitMore
-	}
-	return s.check(o, text.String())
+	return b.String(), done, lines.Err()
+}
+
+// framed tells whether the answer has a length or chunks, so that a body that
+// ends without an error was claimed to be whole.
+func framed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
 // noteCut counts a cut stream; the tokens received so far are spent.
@@ -347,7 +367,7 @@
 	}
 	var answer wholeAnswer
 	if json.Unmarshal(body, &answer) != nil || len(answer.Choices) == 0 {
-		return wrong
+		return s.wrong(o, string(body), "a chat answer")
 	}
 	return s.check(o, answer.Choices[0].Message.Content)
 }
@@ -359,12 +379,21 @@
 		want, tokens = backend.Answer(o.job.prompt(), o.job.maxTokens)
 	}
 	if text != want {
-		s.mu.Lock()
-		s.wrongLog = append(s.wrongLog, fmt.Sprintf("%s: got %q, want %q", o.job.nonce, text, want))
-		s.mu.Unlock()
-		return wrong
+		return s.wrong(o, text, want)
 	}
 	o.tokens = tokens
 	o.booked += tokens
 	return answered
 }
+
+// wrong ends a job whose answer is not what the backend server gives.
+func (s *sender) wrong(o *outcome, got, want string) end {
+	s.noteWrong("%s: got %q, want %q", o.job.nonce, got, want)
+	return wrong
+}
+
+func (s *sender) noteWrong(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wrongLog = append(s.wrongLog, fmt.Sprintf(format, args...))
+}
