Take no answer of the store as a list, watch, object or value without its proof

Change, httpstore: the same for revisions; null is no list of instances; lists are read to the end of their body; a value needs a length, chunks or the trailer of gzip. Ruled out: asking for the fields `entries` and `hasMore` too. A cut object in JSON is never valid, so the revision alone tells a page from another answer, and a store that leaves empty fields out stays usable. Not run against the platform itself.

--- a/store/httpstore/httpstore.go
+++ b/store/httpstore/httpstore.go
@@ -70,24 +70,47 @@
 
 // List implements store.Store.
 func (c *Client) List(ctx context.Context, prefix string) ([]store.Object, int64, error) {
-	var ev store.Events
-	err := c.json(ctx, c.timeout, "/v1/list?prefix="+url.QueryEscape(prefix), &ev)
+	ev, err := c.events(ctx, c.timeout, "/v1/list?prefix="+url.QueryEscape(prefix))
+	if err == nil && ev.Gap {
+		err = store.ErrUnknown // a list has no history to miss
+	}
 	return ev.Objects, ev.Revision, err
 }
 
 // Watch implements store.Store.
 func (c *Client) Watch(ctx context.Context, prefix string, since int64, wait time.Duration) (store.Events, error) {
 	path := fmt.Sprintf("/v1/watch?prefix=%s&since=%d&wait=%d", url.QueryEscape(prefix), since, wait.Milliseconds())
-	var ev store.Events
-	err := c.json(ctx, wait+watchSlack, path, &ev)
-	return ev, err
+	return c.events(ctx, wait+watchSlack, path)
+}
+
+// events reads a list or a watch. An answer without a revision is neither: it
+// does not say that there are no objects or no changes.
+func (c *Client) events(ctx context.Context, timeout time.Duration, path string) (store.Events, error) {
+	var got struct {
+		store.Events
+		Revision *int64 `json:"revision"`
+	}
+	if err := c.json(ctx, timeout, path, &got); err != nil {
+		return store.Events{}, err
+	}
+	if got.Revision != nil {
+		got.Events.Revision = *got.Revision
+	} else if !got.Gap {
+		return store.Events{}, store.ErrUnknown
+	}
+	return got.Events, nil
 }
 
 // Instances reads the platform's list of live and leaving instances.
 func (c *Client) Instances(ctx context.Context) ([]membership.Member, error) {
 	var members []membership.Member
-	err := c.json(ctx, c.timeout, "/v1/instances", &members)
-	return members, err
+	if err := c.json(ctx, c.timeout, "/v1/instances", &members); err != nil {
+		return nil, err
+	}
+	if members == nil {
+		return nil, store.ErrUnknown // null is no list, and not one of no instance
+	}
+	return members, nil
 }
 
 func (c *Client) object(ctx context.Context, method, key string, value []byte, header, condition string) (store.Object, error) {
@@ -116,6 +139,9 @@
 	if err != nil {
 		return store.Object{}, store.ErrUnknown
 	}
+	if method == http.MethodGet && !framed(resp) {
+		return store.Object{}, store.ErrUnknown
+	}
 	if method == http.MethodGet {
 		value = body
 	}
@@ -137,12 +163,23 @@
 	if err := statusError(resp.StatusCode); err != nil {
 		return err
 	}
-	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return store.ErrUnknown
+	}
+	if err := json.Unmarshal(body, into); err != nil {
 		return store.ErrUnknown
 	}
 	return nil
 }
 
+// framed tells whether a length, chunks or the trailer of gzip mark the end of
+// the body. Nothing in a value tells its end, so that one that was cut by a
+// close would look whole.
+func framed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Uncompressed
+}
+
 // transportError tells a call that was never sent from one whose answer is
 // missing.
 func transportError(err error) error {
--- a/store/httpstore/httpstore_test.go
+++ b/store/httpstore/httpstore_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"compress/gzip"
 	"context"
 	"errors"
 	"fmt"
@@ -51,6 +53,14 @@
 	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
 }
 
+func zipped(body string) string {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	_, _ = io.WriteString(w, body)
+	_ = w.Close()
+	return b.String()
+}
+
 // TestValueNeedsProofOfItsEnd: a value is the bare body, so that only HTTP's
 // framing tells whether it is whole; one with neither a length nor chunks was
 // taken as whole when the connection ended.
@@ -64,6 +74,8 @@
 		"last chunk":       {head + "Transfer-Encoding: chunked\r\n\r\n5\r\nvalue\r\n0\r\n\r\n", true},
 		"length, cut":      {head + "Content-Length: 5\r\n\r\nval", false},
 		"no last chunk":    {head + "Transfer-Encoding: chunked\r\n\r\n5\r\nvalue\r\n", false},
+		"gzip":             {head + "Content-Encoding: gzip\r\n\r\n" + zipped("value"), true},
+		"gzip, cut":        {head + "Content-Encoding: gzip\r\n\r\n" + zipped("value")[:len(zipped("value"))-1], false},
 		"unframed":         {head + "\r\nvalue", false},
 		"unframed, empty":  {head + "\r\n", false},
 	} {
@@ -105,6 +117,9 @@
 			}
 		}
 	}
+	if err := calls["list"](rawStore(t, byLength(`{"gap":true}`))); !errors.Is(err, store.ErrUnknown) {
+		t.Errorf("a list with a gap: %v", err)
+	}
 	if err := calls["watch"](rawStore(t, byLength(`{"gap":true}`))); err != nil {
 		t.Errorf("a gap needs no revision: %v", err)
 	}
