--- a/controller/configs/configs_test.go
+++ b/controller/configs/configs_test.go
@@ -77,3 +77,25 @@
 		t.Fatalf("version %d", c.Version())
 	}
 }
+
+// TestCutPackedConfigurationIsNotTaken cuts a packed configuration at each of
+// many bytes. The format has no checksum; its last block is its end.
+func TestCutPackedConfigurationIsNotTaken(t *testing.T) {
+	from, to := controller(), controller()
+	from.Take(large(7), "store")
+	packed, err := from.Packed()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range len(packed) {
+		if n > 64 && n < len(packed)-64 && n%101 != 0 {
+			continue
+		}
+		if err := to.TakePacked(packed[:n], "r2"); err == nil || to.Version() != 0 {
+			t.Fatalf("cut at %d of %d: version %d, %v", n, len(packed), to.Version(), err)
+		}
+	}
+	if err := to.TakePacked(packed, "r2"); err != nil || to.Version() != 7 {
+		t.Fatalf("whole: version %d, %v", to.Version(), err)
+	}
+}
