--- a/budget/page.go
+++ b/budget/page.go
@@ -9,6 +9,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"sort"
@@ -72,12 +73,25 @@
 	return &Page{Budgets: map[string]*Record{}, Ops: map[string]int64{}, Fenced: map[string]bool{}, Escrows: map[string]Escrow{}}
 }
 
+// errNoPage is JSON that lacks the budgets, or the record of one. Taken as a
+// page without them, it would overwrite what the store has at the next write.
+var errNoPage = errors.New("budget page: not a page")
+
 // DecodePage reads a page from its stored form.
 func DecodePage(value []byte) (*Page, error) {
 	p := NewPage()
+	p.Budgets = nil // Encode always writes them
 	if err := json.Unmarshal(value, p); err != nil {
 		return nil, fmt.Errorf("budget page: %w", err)
 	}
+	if p.Budgets == nil {
+		return nil, errNoPage
+	}
+	for _, r := range p.Budgets {
+		if r == nil {
+			return nil, errNoPage
+		}
+	}
 	return p, nil
 }
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -9,6 +9,8 @@
 package ledger
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
 	"time"
 
@@ -171,6 +173,13 @@
 	Batches []Batch `msgpack:"b"`
 }
 
+// storedSegment is a segment as it is read: one without a number is none.
+type storedSegment struct {
+	Number  *int    `msgpack:"n"`
+	Sealed  bool    `msgpack:"s"`
+	Batches []Batch `msgpack:"b"`
+}
+
 // Encode returns the stored form.
 func (s *Segment) Encode() []byte {
 	value, err := msgpack.Marshal(s)
@@ -180,13 +189,21 @@
 	return value
 }
 
+// errNoSegment is a value that is no segment, or more than one. Taken as an
+// empty or as the first one, it would let requests run and be billed again.
+var errNoSegment = errors.New("ledger segment: not one segment")
+
 // DecodeSegment reads a segment from its stored form.
 func DecodeSegment(value []byte) (*Segment, error) {
-	var s Segment
-	if err := msgpack.Unmarshal(value, &s); err != nil {
+	var s storedSegment
+	r := bytes.NewReader(value)
+	if err := msgpack.NewDecoder(r).Decode(&s); err != nil {
 		return nil, fmt.Errorf("ledger segment: %w", err)
 	}
-	return &s, nil
+	if s.Number == nil || r.Len() > 0 {
+		return nil, errNoSegment
+	}
+	return &Segment{Number: *s.Number, Sealed: s.Sealed, Batches: s.Batches}, nil
 }
 
 // ShardOf returns the shard of a request.
