End a table in CSV by a mark, and fail a command whose output was short

Change: the last line of a table file is "# end"; ReadCSV refuses a file without it. gaplinkctl writes text through a buffer that keeps the first error. Files saved before this need the line added; the error says so. Ruled out: asking for a final newline (a cut between lines has one), and a number of rows (operators add and delete rows by hand).

--- a/cli/ctl/ctl.go
+++ b/cli/ctl/ctl.go
@@ -2,6 +2,7 @@
 package ctl
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -101,8 +102,9 @@
 		enc.SetIndent("", "  ")
 		return enc.Encode(v)
 	}
-	text(c.out)
-	return nil
+	out := bufio.NewWriter(c.out) // it keeps the first error of a write
+	text(out)
+	return out.Flush()
 }
 
 // line prints one formatted line.
--- a/cli/ctl/table.go
+++ b/cli/ctl/table.go
@@ -61,7 +61,8 @@
 		Use: "edit FILE", Short: "Apply an edited CSV as one change; - reads standard input",
 		Long: "Apply an edited CSV as one change. Rows carry the revision that they were\n" +
 			"read at; if any was changed since, nothing is applied and the row is shown\n" +
-			"as it now stands. With --base, rows missing from FILE are deleted.",
+			"as it now stands. With --base, rows missing from FILE are deleted.\n" +
+			"FILE must end as \"table get\" ends it, or it may have been cut.",
 		Example: "  gaplinkctl table get > base.csv\n  cp base.csv new.csv; vi new.csv\n  gaplinkctl table edit new.csv --base base.csv",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
--- a/table/csv.go
+++ b/table/csv.go
@@ -16,6 +16,11 @@
 // revision, which makes the round trip one conditional change.
 var Columns = []string{"account", "target", "site", "weight", "max_in_flight", "rate_per_second", "tokens_per_second", "priority", "revision"}
 
+// endMark is the only field of the last line. Without it a file that was cut
+// between two lines would be a table without the rows behind the cut, and they
+// would be deleted.
+const endMark = "# end"
+
 // RowRevision is a row with the revision of its last change.
 type RowRevision struct {
 	Row
@@ -32,7 +37,7 @@
 	return list
 }
 
-// WriteCSV writes rows with a header.
+// WriteCSV writes rows with a header and an end mark.
 func WriteCSV(w io.Writer, rows []RowRevision) error {
 	out := csv.NewWriter(w)
 	if err := out.Write(Columns); err != nil {
@@ -43,6 +48,9 @@
 			return err
 		}
 	}
+	if err := out.Write([]string{endMark}); err != nil {
+		return err
+	}
 	out.Flush()
 	return out.Error()
 }
@@ -61,15 +69,21 @@
 
 // ReadCSV reads rows as WriteCSV writes them. Errors name line and column.
 func ReadCSV(r io.Reader) ([]RowRevision, error) {
-	records, err := csv.NewReader(r).ReadAll()
+	in := csv.NewReader(r)
+	in.FieldsPerRecord = -1 // the end mark is alone in its line
+	records, err := in.ReadAll()
 	if err != nil {
 		return nil, result.New(result.BadRow, "table file: %v", err)
 	}
 	if len(records) == 0 || strings.Join(records[0], ",") != strings.Join(Columns, ",") {
 		return nil, result.New(result.BadRow, "table file: line 1 must read %s", strings.Join(Columns, ","))
 	}
+	last := len(records) - 1
+	if !isEnd(records[last]) {
+		return nil, result.New(result.BadRow, "table file: the last line must read %q; the file may have been cut", endMark)
+	}
 	var rows []RowRevision
-	for i, record := range records[1:] {
+	for i, record := range records[1:last] {
 		row, err := parseRecord(record)
 		if err != nil {
 			return nil, result.New(result.BadRow, "table file: line %d: %v", i+2, err)
@@ -79,8 +93,17 @@
 	return rows, nil
 }
 
+// isEnd tells whether a line is the end mark. A program that saves a table may
+// have added empty fields to it.
+func isEnd(record []string) bool {
+	return record[0] == endMark && strings.Join(record[1:], "") == ""
+}
+
 func parseRecord(record []string) (RowRevision, error) {
 	var r RowRevision
+	if len(record) != len(Columns) {
+		return r, fmt.Errorf("%d columns, not %d", len(record), len(Columns))
+	}
 	for i, column := range Columns {
 		if err := r.setColumn(column, record[i]); err != nil {
 			return r, err
