Play all faults of a demo, and fail it if one was missed

Change: faults_missed must be 0; the load goes on in rounds of the same size until all faults are through, a minute at most.

--- a/lab/demo.go
+++ b/lab/demo.go
@@ -44,6 +44,7 @@
 	NotRunButRan  int   `json:"not_run_but_ran"`
 	WrongAnswers  int   `json:"wrong_answers"`
 	FalseEnds     int   `json:"false_ends"`
+	FaultsMissed  int   `json:"faults_missed"`
 	CutStreams    int   `json:"cut_streams"`
 	CutByKill     int   `json:"cut_by_kill"`
 	LateToLeaving int   `json:"late_to_leaving"`
@@ -70,6 +71,7 @@
 		"not_run_but_ran":  int64(r.NotRunButRan),
 		"wrong_answers":    int64(r.WrongAnswers),
 		"false_ends":       int64(r.FalseEnds),
+		"faults_missed":    int64(r.FaultsMissed),
 		"cut_streams":      int64(r.CutStreams),
 		"late_to_leaving":  int64(r.LateToLeaving),
 		"table_reverted":   int64(r.TableReverted),
@@ -188,16 +190,7 @@
 	s := newSender(d.loadSpec(accounts, keys), limitsOf(accounts))
 	d.sender = s
 	began := time.Now()
-	ctx, cancel := context.WithCancel(context.Background())
-	var faults sync.WaitGroup
-	faults.Add(1)
-	go func() {
-		defer faults.Done()
-		d.inject(ctx)
-	}()
-	outcomes := s.run(s.jobs())
-	cancel()
-	faults.Wait()
+	outcomes := d.load(s)
 	d.report.Millis = time.Since(began).Milliseconds()
 	for _, w := range s.wrongLog {
 		d.note("%s", w)
@@ -206,6 +199,30 @@
 	return &d.report, d.audit(outcomes, s.limits)
 }
 
+// load sends the requests, and goes on in further rounds until all faults are
+// through, a minute at most.
+func (d *demoRun) load(s *sender) []outcome {
+	ctx, cancel := context.WithTimeout(context.Background(), faultsWithin)
+	defer cancel()
+	injected := make(chan struct{})
+	go func() {
+		defer close(injected)
+		d.inject(ctx)
+	}()
+	var outcomes []outcome
+	for round := 0; ; round++ {
+		outcomes = append(outcomes, s.run(s.jobs(round))...)
+		select {
+		case <-injected:
+			return outcomes
+		default:
+		}
+	}
+}
+
+// faultsWithin bounds the playing of all faults.
+const faultsWithin = time.Minute
+
 func limitsOf(accounts []accountSpec) map[string]int64 {
 	limits := map[string]int64{}
 	for _, a := range accounts {
@@ -274,16 +291,31 @@
 		if name == "" {
 			continue
 		}
-		if wait.For(ctx, 300*time.Millisecond) != nil {
-			d.note("fault %s not injected: the load had ended", name)
+		if wait.For(ctx, faultsPause) != nil {
+			d.missed(name, errLoadEnded)
 			continue
 		}
 		if err := d.fault(ctx, name); err != nil {
-			d.note("fault %s: %v", name, err)
+			d.missed(name, err)
 		}
 	}
 }
 
+// faultsPause is the pause before each fault.
+const faultsPause = 300 * time.Millisecond
+
+// errLoadEnded is why a fault was not injected.
+var errLoadEnded = errors.New("the load had ended")
+
+// missed counts a fault that was not played as asked: a demo that withstood
+// fewer faults must not pass for one that withstood them all.
+func (d *demoRun) missed(name string, err error) {
+	d.note("fault %s: %v", name, err)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.report.FaultsMissed++
+}
+
 func (d *demoRun) fault(ctx context.Context, name string) error {
 	last := d.fleet.routers[len(d.fleet.routers)-1]
 	switch name {
--- a/lab/load.go
+++ b/lab/load.go
@@ -100,10 +100,10 @@
 	}
 }
 
-// jobs makes the seeded list of requests: three in five streamed, one in five
-// whole, one in five a lookup that runs at most once.
-func (s *sender) jobs() []job {
-	rng := rand.New(rand.NewPCG(s.spec.seed, 7))
+// jobs makes a round's seeded list of requests: three in five streamed, one in
+// five whole, one in five a lookup that runs at most once.
+func (s *sender) jobs(round int) []job {
+	rng := rand.New(rand.NewPCG(s.spec.seed, 7+uint64(round)))
 	accounts := sortedKeys(s.spec.keys)
 	jobs := make([]job, s.spec.requests)
 	for i := range jobs {
@@ -111,7 +111,7 @@
 		budgets := s.spec.budgets[account]
 		kind := rng.IntN(5)
 		jobs[i] = job{
-			nonce:         fmt.Sprintf("n%d-%d", s.spec.seed, i),
+			nonce:         fmt.Sprintf("n%d-%d", s.spec.seed, round*s.spec.requests+i),
 			account:       account,
 			key:           s.spec.keys[account],
 			budget:        budgets[rng.IntN(len(budgets))],
