Test that the demo's audit counts what a killed engine had served; it fails

Cause: killEngine takes the engine out of the list whose runs the audit asks for. Seen as served_tokens 16,656 against billed_tokens 19,491 and false_refusals 340 in a demo with `engine`.

--- a/lab/demo_test.go
+++ b/lab/demo_test.go
@@ -2,7 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os/exec"
 	"testing"
+
+	"github.com/gaplink/gaplink/backend"
 )
 
 // TestDemoTellsOfFaultsThatWereNotInjected: a demo whose load had ended before
@@ -33,3 +39,34 @@
 		}
 	}
 }
+
+// TestAuditCountsAKilledEngine: what a backend server had served before the
+// demo ended it was in no count, so that an overspend there was not seen and
+// refusals for want of the tokens counted as false. Its runs were asked for after
+// the load, when it could not answer.
+func TestAuditCountsAKilledEngine(t *testing.T) {
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode([]backend.Run{{Nonce: "n1", Tokens: 700}})
+	}))
+	t.Cleanup(engine.Close)
+	idle := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode([]backend.Run{})
+	}))
+	t.Cleanup(idle.Close)
+	p := &process{cmd: exec.Command("sleep", "60"), addr: engine.Listener.Addr().String()}
+	if err := p.launch(); err != nil {
+		t.Fatal(err)
+	}
+	f := newFleet(t.TempDir())
+	f.engines, f.service = []*process{p}, &process{addr: idle.Listener.Addr().String()}
+	d := &demoRun{fleet: f, killed: map[string]bool{}}
+	if err := d.killEngine(); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.auditRuns([]outcome{{job: job{nonce: "n1", budget: "b"}}}, map[string]int64{"b": 500}); err != nil {
+		t.Fatal(err)
+	}
+	if d.report.ServedTokens != 700 || d.report.Overspend != 200 {
+		t.Errorf("served %d, overspend %d", d.report.ServedTokens, d.report.Overspend)
+	}
+}
