--- a/lab/audit.go
+++ b/lab/audit.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/gaplink/gaplink/backend"
 	"github.com/gaplink/gaplink/ledger"
 	"github.com/gaplink/gaplink/store/httpstore"
 )
@@ -65,18 +67,16 @@
 		unbooked[o.job.budget] -= o.booked
 	}
 	ran := map[string]int{}
-	for _, p := range append(d.fleet.engines, d.fleet.service) {
-		runs, err := d.fleet.runs(p)
-		if err != nil {
-			return err
-		}
-		for _, r := range runs {
-			served[jobs[r.Nonce].job.budget] += r.Tokens
-			unbooked[jobs[r.Nonce].job.budget] += r.Tokens
-			ran[r.Nonce]++
-			if r.AfterLeaving > lateAfter.Milliseconds() {
-				d.report.LateToLeaving++
-			}
+	runs, err := d.allRuns()
+	if err != nil {
+		return err
+	}
+	for _, r := range runs {
+		served[jobs[r.Nonce].job.budget] += r.Tokens
+		unbooked[jobs[r.Nonce].job.budget] += r.Tokens
+		ran[r.Nonce]++
+		if r.AfterLeaving > lateAfter.Milliseconds() {
+			d.report.LateToLeaving++
 		}
 	}
 	for id, tokens := range served {
@@ -98,6 +98,19 @@
 	return nil
 }
 
+// allRuns returns what all backend servers ran, ended ones too.
+func (d *demoRun) allRuns() ([]backend.Run, error) {
+	all := slices.Clone(d.goneRuns)
+	for _, p := range append(slices.Clone(d.fleet.engines), d.fleet.service) {
+		runs, err := d.fleet.runs(p)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, runs...)
+	}
+	return all, nil
+}
+
 // billsSettle is how long held bills may take to reach the store.
 const billsSettle = 8 * time.Second
 
--- a/lab/demo.go
+++ b/lab/demo.go
@@ -149,6 +149,9 @@
 	mu     sync.Mutex
 	killed map[string]bool // caller addresses of killed routers
 	notes  []string
+
+	// goneRuns are the runs of backend servers that were ended.
+	goneRuns []backend.Run
 }
 
 func (d *demoRun) note(format string, args ...any) {
@@ -494,10 +497,16 @@
 	}
 }
 
-// killEngine ends a model backend server with open streams.
+// killEngine ends a model backend server with open streams. What it has run is
+// asked for just before, since nobody else can tell what it served.
 func (d *demoRun) killEngine() error {
 	d.excuseCuts()
 	last := d.fleet.engines[len(d.fleet.engines)-1]
+	runs, err := d.fleet.runs(last)
+	if err != nil {
+		return err
+	}
+	d.goneRuns = append(d.goneRuns, runs...)
 	last.end()
 	d.fleet.engines = d.fleet.engines[:len(d.fleet.engines)-1]
 	return nil
