Test that the audit trail shows entries that cannot be read; it fails

Cause: audit skips an entry that does not decode and answers with the rest as the whole trail. Run: go vet, staticcheck clean; go test ./...: the spec "shows an audit entry that cannot be read" fails, all else passes.

--- a/router/router_test.go
+++ b/router/router_test.go
@@ -447,6 +447,17 @@
 		Expect(entries[len(entries)-1].Outcome).To(ContainSubstring("weight -1"), "refused changes are in the audit trail")
 	})
 
+	// An entry that could not be read was left out, and the trail looked whole
+	// without it: its error was dropped. An entry cut in the store proves it.
+	It("shows an audit entry that cannot be read", func() {
+		_, err := f.platform.Objects().Create(context.Background(), "audit/1700000000000000000-x", []byte(`{"operator":"o`))
+		Expect(err).NotTo(HaveOccurred())
+		var entries []admin.AuditEntry
+		Expect(f.admin(0, admin.Audit, struct{}{}, &entries)).To(Succeed())
+		Expect(entries[0].What).To(Equal("audit/1700000000000000000-x"))
+		Expect(entries[0].Outcome).To(ContainSubstring("not readable"))
+	})
+
 	It("accepts no change while the store is out, and keeps the last one", func() {
 		at := f.revision(0)
 		f.platform.SetFaults(standin.Faults{Outage: true})
