--- a/admin/admin.go
+++ b/admin/admin.go
@@ -9,6 +9,8 @@
 	"encoding/json"
 	"fmt"
 	"sort"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -284,15 +286,32 @@
 		return nil, result.New(result.StoreUnavailable, "the store does not answer").Wrap(err)
 	}
 	for _, o := range objects {
-		var e AuditEntry
-		if json.Unmarshal(o.Value, &e) == nil {
-			entries = append(entries, e)
-		}
+		entries = append(entries, readEntry(o))
 	}
 	sort.SliceStable(entries, func(i, j int) bool { return entries[i].At.Before(entries[j].At) })
 	return entries, nil
 }
 
+// readEntry reads an audit entry. One that cannot be read is shown as such: a
+// trail without it would look whole.
+func readEntry(o store.Object) AuditEntry {
+	var e AuditEntry
+	if err := json.Unmarshal(o.Value, &e); err != nil {
+		return AuditEntry{At: entryTime(o.Key), What: o.Key, Outcome: "not readable: " + err.Error()}
+	}
+	return e
+}
+
+// entryTime is the time that an audit entry's key begins with.
+func entryTime(key string) time.Time {
+	text, _, _ := strings.Cut(strings.TrimPrefix(key, auditPrefix), "-")
+	nanos, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return time.Time{}
+	}
+	return time.Unix(0, nanos).UTC()
+}
+
 func changeEntries(c table.Change) []AuditEntry {
 	outcome := string(c.Status)
 	if len(c.Missing) > 0 {
