Read a ledger log only if it is whole

Change: Loaded takes a list without all numbers from 0, or with a segment before the last that is not sealed, as one that did not come; the shard answers that the store is down, tries again, and the controller logs it. Ruled out by TestShardUnderFaults, which passes: logs that are whole by the rule of extend (the next segment is created after a sealed one only) are read as before.

--- a/controller/ledgers/ledgers.go
+++ b/controller/ledgers/ledgers.go
@@ -172,6 +172,9 @@
 		segments = append(segments, seg)
 		version = o.Version
 	}
+	if err == nil && !ledger.IsWholeLog(segments) {
+		c.log.Error("ledger log has a hole; the shard waits for it", zap.Int("shard", n), zap.Int("segments", len(segments)))
+	}
 	c.with(n, func(now time.Time, s *ledger.Shard) []ledger.Effect {
 		return s.Loaded(now, segments, version, classify(err))
 	})
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -408,11 +408,11 @@
 // Loaded takes the answer of a Load: all segments of the shard and the
 // version of the last one.
 func (s *Shard) Loaded(now time.Time, segments []*Segment, version int64, result Result) []Effect {
-	if result != Done {
+	sort.Slice(segments, func(i, j int) bool { return segments[i].Number < segments[j].Number })
+	if result != Done || !IsWholeLog(segments) {
 		s.loadFailed(now)
 		return s.drain()
 	}
-	sort.Slice(segments, func(i, j int) bool { return segments[i].Number < segments[j].Number })
 	s.rebuild(now, segments, version)
 	s.phase = ready
 	s.loaded = true
@@ -420,6 +420,19 @@
 	return s.drain()
 }
 
+// IsWholeLog tells whether segments in the order of their numbers are a log from
+// its start, each but the last sealed. What is missing before the last one would
+// be decided anew, and the conditional update of the last would not notice.
+func IsWholeLog(segments []*Segment) bool {
+	last := len(segments) - 1
+	for i, seg := range segments {
+		if seg.Number != i || !seg.Sealed && i < last {
+			return false
+		}
+	}
+	return true
+}
+
 // loadFailed keeps a lost batch as it is, answers what waits, and tries again
 // later.
 func (s *Shard) loadFailed(now time.Time) {
