--- a/engine/engine.go
+++ b/engine/engine.go
@@ -198,10 +198,8 @@
 type Chunk struct {
 	// Data is the event's JSON as the engine sent it.
 	Data []byte
-	// Content is the text it adds.
-	Content string
-	// Finish is the finish reason; empty before the end.
-	Finish string
+	// Parts are what it adds to the answer's choices.
+	Parts []Part
 	// Usage is the engine's own count of the answer's tokens; 0 if the event
 	// has none.
 	Usage int64
@@ -209,12 +207,27 @@
 	Done bool
 }
 
+// Part is what an event adds to one choice of an answer.
+type Part struct {
+	// Choice is the choice's number, from 0.
+	Choice int
+	// Content is the text it adds.
+	Content string
+	// Calls tells that it adds to calls of tools, which Content does not hold.
+	Calls bool
+	// Finish is the choice's finish reason; empty before its end.
+	Finish string
+}
+
 // chunkBody is the part of an event that gaplink reads.
 type chunkBody struct {
 	ID      string `json:"id"`
 	Choices []struct {
+		Index int `json:"index"`
 		Delta struct {
-			Content string `json:"content"`
+			Content      string            `json:"content"`
+			ToolCalls    []json.RawMessage `json:"tool_calls"`
+			FunctionCall *json.RawMessage  `json:"function_call"`
 		} `json:"delta"`
 		FinishReason string `json:"finish_reason"`
 	} `json:"choices"`
@@ -255,9 +268,13 @@
 		return Chunk{}, &Failure{Code: result.ForeignAnswer, Dispatched: true, Cause: errors.New("event for " + body.ID)}
 	}
 	c := Chunk{Data: []byte(data)}
-	if len(body.Choices) > 0 {
-		c.Content = body.Choices[0].Delta.Content
-		c.Finish = body.Choices[0].FinishReason
+	for _, one := range body.Choices {
+		c.Parts = append(c.Parts, Part{
+			Choice:  one.Index,
+			Content: one.Delta.Content,
+			Calls:   len(one.Delta.ToolCalls) > 0 || one.Delta.FunctionCall != nil,
+			Finish:  one.FinishReason,
+		})
 	}
 	if body.Usage != nil {
 		c.Usage = body.Usage.CompletionTokens
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -129,7 +129,9 @@
 		if f != nil || c.Done {
 			return text, f == nil, f
 		}
-		text += c.Content
+		for _, p := range c.Parts {
+			text += p.Content
+		}
 	}
 }
 
--- a/filter/forward/forward.go
+++ b/filter/forward/forward.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -290,12 +291,8 @@
 		if chunk.Done {
 			return a.ended(out)
 		}
-		if chunk.Content != "" {
-			a.served++
-		}
-		a.served = max(a.served, chunk.Usage)
-		if a.served > a.x.MaxTokens {
-			return &engine.Failure{Code: result.TokenCapPassed, Dispatched: true, Cause: fmt.Errorf("%d tokens", a.served)}
+		if f := a.count(chunk); f != nil {
+			return f
 		}
 		if err := out.pass(chunk); err != nil {
 			return &engine.Failure{Code: result.CallerGone, Dispatched: true, Cause: err}
@@ -303,10 +300,32 @@
 	}
 }
 
-// ended accepts the end marker only after a finish reason: an answer without
-// one was cut.
+// count adds an event's tokens, and refuses what passes the cap or cannot be
+// gathered for a caller that wants the answer whole.
+func (a *attempt) count(chunk engine.Chunk) *engine.Failure {
+	for _, p := range chunk.Parts {
+		if p.Content != "" {
+			a.served++
+		}
+		if p.Calls && !a.x.Stream {
+			return &engine.Failure{Code: result.BackendGarbage, Dispatched: true, Cause: errCalls}
+		}
+	}
+	a.served = max(a.served, chunk.Usage)
+	if a.served > a.x.MaxTokens {
+		return &engine.Failure{Code: result.TokenCapPassed, Dispatched: true, Cause: fmt.Errorf("%d tokens", a.served)}
+	}
+	return nil
+}
+
+// errCalls is an answer with calls of tools for a caller that wants it whole:
+// only text is gathered, and an answer without its calls would not be whole.
+var errCalls = errors.New("calls of tools can be passed on in a stream only")
+
+// ended accepts the end marker only after the finish reason of each choice: an
+// answer that lacks one was cut.
 func (a *attempt) ended(out *relay) *engine.Failure {
-	if out.finish == "" {
+	if !out.finished() {
 		return &engine.Failure{Code: result.BackendCut, Dispatched: true, Cause: fmt.Errorf("end marker without a finish reason")}
 	}
 	a.x.End = func() error { return out.end(a.served) }
--- a/filter/forward/relay.go
+++ b/filter/forward/relay.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/gaplink/gaplink/engine"
@@ -11,32 +13,61 @@
 
 // relay passes a model's answer to the caller.
 type relay struct {
-	x      *filter.Exchange
+	x       *filter.Exchange
+	choices map[int]*gathered
+	tail    [][]byte // finishing events, held back
+}
+
+// gathered is what came of one choice.
+type gathered struct {
 	text   strings.Builder // for a caller that wants the answer whole
-	tail   [][]byte        // finishing events, held back
 	finish string
 }
 
 func newRelay(x *filter.Exchange) *relay {
-	return &relay{x: x}
+	return &relay{x: x, choices: map[int]*gathered{}}
 }
 
 // pass takes one event.
 func (r *relay) pass(c engine.Chunk) error {
-	if c.Finish != "" {
-		r.finish = c.Finish
+	for _, p := range c.Parts {
+		r.gather(p)
 	}
 	if !r.x.Stream {
-		r.text.WriteString(c.Content)
 		return nil
 	}
-	if r.finish != "" {
+	if len(r.tail) > 0 || r.finished() {
 		r.tail = append(r.tail, c.Data)
 		return nil
 	}
 	return r.write(c.Data)
 }
 
+func (r *relay) gather(p engine.Part) {
+	g := r.choices[p.Choice]
+	if g == nil {
+		g = &gathered{}
+		r.choices[p.Choice] = g
+	}
+	if p.Finish != "" {
+		g.finish = p.Finish
+	}
+	if !r.x.Stream {
+		g.text.WriteString(p.Content)
+	}
+}
+
+// finished tells whether the answer has begun and each choice has its finish
+// reason.
+func (r *relay) finished() bool {
+	for _, g := range r.choices {
+		if g.finish == "" {
+			return false
+		}
+	}
+	return len(r.choices) > 0
+}
+
 func (r *relay) write(data []byte) error {
 	w := r.x.W
 	if !r.x.Answered {
@@ -102,16 +133,16 @@
 }
 
 func (r *relay) endWhole(tokens int64) error {
-	body, err := json.Marshal(completion{
-		ID:     r.x.ID,
-		Object: "chat.completion",
-		Model:  r.x.Target,
-		Choices: []choice{{
-			Message:      chatMessage{Role: "assistant", Content: r.text.String()},
-			FinishReason: r.finish,
-		}},
-		Usage: usage{CompletionTokens: tokens},
-	})
+	whole := completion{ID: r.x.ID, Object: "chat.completion", Model: r.x.Target, Usage: usage{CompletionTokens: tokens}}
+	for _, index := range slices.Sorted(maps.Keys(r.choices)) {
+		g := r.choices[index]
+		whole.Choices = append(whole.Choices, choice{
+			Index:        index,
+			Message:      chatMessage{Role: "assistant", Content: g.text.String()},
+			FinishReason: g.finish,
+		})
+	}
+	body, err := json.Marshal(whole)
 	if err != nil {
 		return err
 	}
