Choose the ports of tests and measurements in one place, below outgoing ones

A port from the kernel's range for outgoing connections was given to one between its choice and its use. The platform's tests had the mend already; the router's and the lab's had not, and the function stood three times.

--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -19,6 +18,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"github.com/gaplink/gaplink/backend"
+	"github.com/gaplink/gaplink/lab/loopback"
 	"github.com/gaplink/gaplink/membership"
 	"github.com/gaplink/gaplink/settings"
 	"github.com/gaplink/gaplink/store"
@@ -152,10 +152,10 @@
 	s.Requests.LeaveGrace = settings.Duration(500 * time.Millisecond)
 	s.Budgets.Hold = settings.Duration(2 * time.Second)
 	var err error
-	if s.Listen.Callers, err = freeAddr(ip); err != nil {
+	if s.Listen.Callers, err = loopback.FreeAddr(ip); err != nil {
 		return err
 	}
-	if s.Listen.Peers, err = freeAddr(ip); err != nil {
+	if s.Listen.Peers, err = loopback.FreeAddr(ip); err != nil {
 		return err
 	}
 	r := &routerNode{id: s.Instance.ID, settings: s, path: filepath.Join(f.dir, s.Instance.ID+".toml")}
@@ -207,16 +207,6 @@
 	return f.put("/standin/instances/"+r.id, m)
 }
 
-// freeAddr returns a free port of a loopback IP.
-func freeAddr(ip string) (string, error) {
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
-}
-
 func (f *fleet) ready() bool {
 	for _, r := range f.routers {
 		if !f.routerReady(r) {
--- a/lab/slopes.go
+++ b/lab/slopes.go
@@ -16,6 +16,7 @@
 	"github.com/gaplink/gaplink/backend"
 	"github.com/gaplink/gaplink/budget"
 	"github.com/gaplink/gaplink/controller/members"
+	"github.com/gaplink/gaplink/lab/loopback"
 	"github.com/gaplink/gaplink/lab/policy"
 	"github.com/gaplink/gaplink/ledger"
 	"github.com/gaplink/gaplink/membership"
@@ -445,10 +446,10 @@
 	s.Platform.URL = "http://" + platform
 	s.Operator.KeyHash = operatorKeyHash()
 	var err error
-	if s.Listen.Callers, err = freeAddr("127.0.0.1"); err != nil {
+	if s.Listen.Callers, err = loopback.FreeAddr("127.0.0.1"); err != nil {
 		return nil, err
 	}
-	if s.Listen.Peers, err = freeAddr("127.0.0.1"); err != nil {
+	if s.Listen.Peers, err = loopback.FreeAddr("127.0.0.1"); err != nil {
 		return nil, err
 	}
 	p.SetInstance(membership.Member{ID: s.Instance.ID, Kind: "router", Addr: s.Listen.Peers, State: membership.Live})
--- a/router/harness_test.go
+++ b/router/harness_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -22,6 +21,7 @@
 	"github.com/gaplink/gaplink/backend"
 	"github.com/gaplink/gaplink/filter"
 	"github.com/gaplink/gaplink/filter/authenticate"
+	"github.com/gaplink/gaplink/lab/loopback"
 	"github.com/gaplink/gaplink/ledger"
 	"github.com/gaplink/gaplink/membership"
 	"github.com/gaplink/gaplink/peer"
@@ -100,10 +100,10 @@
 }
 
 func freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	GinkgoHelper()
+	addr, err := loopback.FreeAddr("127.0.0.1")
 	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return addr
 }
 
 func serve(h http.Handler) string {
