Join after one event at the next whole number only; charge repeated events

- One event shows no distance of ids, and any later id was joined: a caller got event 1, then 3 to 7, as one complete stream.
Only the next whole number is taken for the next event then.
Where ids lie wider apart and a stream breaks off after its first event, its caller resumes it.
- A run that repeats events of the caller and ends before its point is no end of the stream, also where the caller itself asked to go on there.
- Events that are left out since the caller has them were not charged, though their server has made them.

--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -19,6 +19,8 @@
 	Bytes []byte
 	// Events is how many they are, without comments and settings of the stream.
 	Events int
+	// Repeated is how many events were left out, since the caller has them.
+	Repeated int
 	// FirstID and LastID are the ids of the first and the last event that have one;
 	// empty if none has.
 	FirstID, LastID string
@@ -71,6 +73,7 @@
 		}
 		s.done += end
 		if what == drop {
+			b.Repeated++
 			continue
 		}
 		kept += copy(s.buf[kept:], text)
--- a/eventstream/position.go
+++ b/eventstream/position.go
@@ -107,8 +107,8 @@
 		return drop, nil
 	case step <= 0:
 		return drop, fmt.Errorf("%w: %d after %d", ErrOrder, n, p.number)
-	case !r.joined && p.step > 0 && step != p.step:
-		return drop, fmt.Errorf("%w: %d after %d, with a distance of %d before", ErrOrder, n, p.number, p.step)
+	case !r.joined && !p.uneven && step != p.distance():
+		return drop, fmt.Errorf("%w: %d after %d, with a distance of %d", ErrOrder, n, p.number, p.distance())
 	}
 	p.learn(step)
 	p.lastID, p.number, p.unnamed = id, n, false
@@ -116,6 +116,10 @@
 	return pass, nil
 }
 
+// distance is that of the next event, as long as all were the same. A caller that
+// has one event shows none; only the next whole number is known to follow then.
+func (p *Position) distance() int64 { return max(p.step, 1) }
+
 // learn notes the distance between two ids.
 func (p *Position) learn(step int64) {
 	switch {
@@ -140,11 +144,12 @@
 }
 
 // end tells whether the run, which is over, is one with what the caller has. One
-// that was to be joined and brought nothing new must have repeated the last event:
-// a run that shows no event does not show that the stream was over there, and its
-// server may have failed as well.
+// that brought nothing new and only repeated events must have come as far as the
+// caller is. One that was to be joined must have shown an event: without any it does
+// not show that the stream was over there, and its server may have failed as well.
 func (p *Position) end(r *run) error {
-	if r.joined || r.repeats && r.repeated == p.number {
+	atPoint := r.repeats && r.repeated == p.number
+	if r.passed || atPoint || r.joined && !r.repeats {
 		return nil
 	}
 	return fmt.Errorf("%w: the run ended and did not show event %d", ErrOrder, p.number)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -142,6 +142,7 @@
 		n, err := answer.Read(buf)
 		batch, disorder := splitter.Add(buf[:n])
 		a.stream.stuck.Store(!a.stream.at.Resumable())
+		a.countEvents(batch.Events + batch.Repeated)
 		if batch.Events > 0 {
 			a.note.passed(batch)
 			a.promptRead()
@@ -178,7 +179,6 @@
 	if batch.Events > 0 {
 		a.timeEvents(batch.Events)
 	}
-	a.countEvents(batch.Events)
 	if _, err := a.reply.Write(batch.Bytes); err != nil {
 		return err
 	}
