--- a/lab/loopback/loopback_test.go
+++ b/lab/loopback/loopback_test.go
@@ -9,7 +9,8 @@
 )
 
 func TestFreeAddrCanBeListenedAt(t *testing.T) {
-	for range 100 {
+	seen := map[string]bool{}
+	for range 200 {
 		addr, err := loopback.FreeAddr("127.0.0.1")
 		if err != nil {
 			t.Fatal(err)
@@ -21,6 +22,10 @@
 		if n, err := strconv.Atoi(port); err != nil || n >= 32768 {
 			t.Fatalf("port %s is one of outgoing connections", port)
 		}
+		if seen[addr] {
+			t.Fatalf("%s was handed out twice", addr)
+		}
+		seen[addr] = true
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
 			t.Fatal(err)
