Let a reply begin once, join uneven ids by repetition only, pin the survivors

- reply.begin refuses a second answer, so that the framing of one is never the proof of another, whatever a caller of it forgets.
- Ids of uneven distance, and those behind a caller's own point, showed no distance and were joined over any gap.
They are joined only by a run that repeats the last event.
- An unframed answer without a byte is asked for elsewhere where it may be.
- A stop lets net/http send what handlers have left in its buffers.

--- a/eventstream/position.go
+++ b/eventstream/position.go
@@ -107,18 +107,24 @@
 		return drop, nil
 	case step <= 0:
 		return drop, fmt.Errorf("%w: %d after %d", ErrOrder, n, p.number)
-	case !r.joined && !p.uneven && step != p.distance():
-		return drop, fmt.Errorf("%w: %d after %d, with a distance of %d", ErrOrder, n, p.number, p.distance())
+	case !r.joined && !p.meets(r) && !p.follows(step):
+		return drop, fmt.Errorf("%w: %d after %d, with a distance of %d", ErrOrder, n, p.number, p.step)
+	}
+	if p.passed {
+		p.learn(step) // what a caller has from before is no sign of a distance
 	}
-	p.learn(step)
 	p.lastID, p.number, p.unnamed = id, n, false
 	p.passed, r.passed, r.joined = true, true, true
 	return pass, nil
 }
 
-// distance is that of the next event, as long as all were the same. A caller that
-// has one event shows none; only the next whole number is known to follow then.
-func (p *Position) distance() int64 { return max(p.step, 1) }
+// meets tells whether a run has repeated the last event that the caller has.
+func (p *Position) meets(r *run) bool { return r.repeats && r.repeated == p.number }
+
+// follows tells whether an id so far behind the last one is the next: all distances
+// have been the same. After a single event none is known, and only the next whole
+// number is sure to follow.
+func (p *Position) follows(step int64) bool { return !p.uneven && step == max(p.step, 1) }
 
 // learn notes the distance between two ids.
 func (p *Position) learn(step int64) {
@@ -148,8 +154,7 @@
 // caller is. One that was to be joined must have shown an event: without any it does
 // not show that the stream was over there, and its server may have failed as well.
 func (p *Position) end(r *run) error {
-	atPoint := r.repeats && r.repeated == p.number
-	if r.passed || atPoint || r.joined && !r.repeats {
+	if r.passed || p.meets(r) || r.joined && !r.repeats {
 		return nil
 	}
 	return fmt.Errorf("%w: the run ended and did not show event %d", ErrOrder, p.number)
--- a/gateway/ending_test.go
+++ b/gateway/ending_test.go
@@ -83,6 +83,55 @@
 	}
 }
 
+// A large answer is passed on as it arrives, with the framing that its server gave.
+func TestLargeAnswerKeepsItsFraming(t *testing.T) {
+	large := strings.Repeat("x", 3<<20)
+	for name, k := range map[string]struct {
+		field, body string
+		want        claim
+		length      string
+	}{
+		"length": {fmt.Sprint("Content-Length: ", len(large)), large, complete, fmt.Sprint(len(large))},
+		"chunks": {chunkedField, chunk(large) + lastChunk, complete, ""},
+		"close":  {closeField, large, unframed, ""},
+	} {
+		web := newGateway(t, 1, 1, func(c *net.TCPConn, r *http.Request, _ int) { send(c, head(r, 200, k.field), k.body) })
+		got := post(t, web, "/once/x")
+		if got.claim != k.want || got.body != large || got.header.Get("Content-Length") != k.length {
+			t.Errorf("%s: %s answer of %d bytes, length %q", name, got.claim, len(got.body), got.header.Get("Content-Length"))
+		}
+	}
+}
+
+// An answer that has begun to reach its caller cannot be replaced, so it is not given
+// up for lateness either.
+func TestLargeAnswerThatHasBegunIsNotGivenUp(t *testing.T) {
+	large := strings.Repeat("x", 3<<20)
+	web := newGateway(t, 2, 2, func(c *net.TCPConn, r *http.Request, _ int) {
+		send(c, head(r, 200, fmt.Sprint("Content-Length: ", len(large))), large[:2<<20])
+		time.Sleep(2 * hastyObjective)
+		send(c, large[2<<20:])
+	})
+	if got := post(t, web, "/hasty/x"); got.claim != complete || got.body != large {
+		t.Errorf("%s answer of %d bytes", got.claim, len(got.body))
+	}
+}
+
+// A server that dies before the first byte closes its connection as one does that
+// has nothing to say. Nothing is lost by asking another one.
+func TestUnframedEmptyAnswerIsAskedForElsewhere(t *testing.T) {
+	web := newGateway(t, 2, 2, func(c *net.TCPConn, r *http.Request, n int) {
+		if n == 1 {
+			send(c, head(r, 200, closeField))
+			return
+		}
+		send(c, head(r, 200, "Content-Length: 2"), "ok")
+	})
+	if got := post(t, web, "/safe/x"); got.claim != complete || got.body != "ok" {
+		t.Errorf("%s answer of status %d: %q", got.claim, got.status, got.body)
+	}
+}
+
 // A server that dies before the first event closes its connection as one does that
 // has nothing to say. Nothing is lost by asking another one.
 func TestUnframedEmptyStreamIsAskedForElsewhere(t *testing.T) {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -59,12 +59,15 @@
 // one gateway from 1, over all its servers. The connection is closed afterwards.
 type script func(c *net.TCPConn, r *http.Request, n int)
 
+// hastyObjective is the latency objective of the route /hasty/; the others have none.
+const hastyObjective = 50 * time.Millisecond
+
 // requestDeadline is the time that requests of these tests have.
 const requestDeadline = time.Second
 
 // newGateway returns a gateway before so many servers that answer as the script
 // says. Its routes are /stream/, which may resume, /once-stream/, which may not,
-// /safe/ and /once/, each with attempts attempts.
+// /safe/, /hasty/ and /once/, each with attempts attempts.
 func newGateway(t *testing.T, servers, attempts int, answer script) *httptest.Server {
 	t.Helper()
 	pool := upstream.New(upstream.Options{DialTimeout: time.Second, IdleTimeout: time.Second})
@@ -109,9 +112,11 @@
 			Split: []catalog.Share{{Service: "svc", Weight: 1}}, Attempts: attempts, Public: true,
 		}
 	}
+	hasty := route("hasty", catalog.Repeatable, false)
+	hasty.Objective = hastyObjective
 	c, err := catalog.New(1, catalog.Limits{}, []*catalog.Route{
 		route("stream", catalog.Stream, true), route("once-stream", catalog.Stream, false),
-		route("safe", catalog.Repeatable, false), route("once", catalog.Once, false),
+		route("safe", catalog.Repeatable, false), route("once", catalog.Once, false), hasty,
 	}, []*catalog.Service{{Name: "svc"}}, nil)
 	if err != nil {
 		t.Fatal(err)
--- a/gateway/join_test.go
+++ b/gateway/join_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 )
 
@@ -22,6 +23,9 @@
 		{"shows nothing but a comment", events(1, 3), ": wait\n\n", events(1, 3) + ": wait\n\n", broken},
 		{"begins anew", events(1, 3), events(1, 6), events(1, 6), complete},
 		{"repeats the last event", events(1, 3), events(3, 6), events(1, 6), complete},
+		{"goes on at wider distances", "id: 2\ndata: a\n\nid: 4\ndata: b\n\n", "id: 6\ndata: c\n\n", "id: 2\ndata: a\n\nid: 4\ndata: b\n\nid: 6\ndata: c\n\n", complete},
+		{"has uneven distances before", events(1, 2) + events(5, 5), events(6, 7), events(1, 2) + events(5, 5), broken},
+		{"repeats the last event after uneven distances", events(1, 2) + events(5, 5), events(5, 5) + events(9, 9), events(1, 2) + events(5, 5) + events(9, 9), complete},
 		{"leaves events out", events(1, 3), events(6, 8), events(1, 3), broken},
 		{"goes back", events(1, 3), events(4, 5) + events(4, 6), events(1, 5), broken},
 		{"ends before the caller is", events(1, 3), events(1, 2), events(1, 3), broken},
@@ -33,7 +37,9 @@
 	}
 	for _, k := range cases {
 		t.Run(k.name, func(t *testing.T) {
+			asked := make(chan struct{}, 2)
 			web := newGateway(t, 2, 2, func(c *net.TCPConn, r *http.Request, n int) {
+				asked <- struct{}{}
 				if n == 1 {
 					send(c, head(r, 200, chunkedField), chunk(k.first))
 					return
@@ -48,6 +54,9 @@
 			if got.claim != k.claim || got.body != k.want {
 				t.Errorf("%s answer: %q, want %s %q", got.claim, got.body, k.claim, k.want)
 			}
+			if stuck := strings.HasPrefix(k.name, "follows"); stuck != (len(asked) == 1) {
+				t.Errorf("%d servers asked", len(asked))
+			}
 		})
 	}
 	t.Run("one run that goes back", func(t *testing.T) {
--- a/gateway/patience_test.go
+++ b/gateway/patience_test.go
@@ -94,3 +94,21 @@
 		t.Errorf("%d further retries taken", n)
 	}
 }
+
+// A stream that no other server can go on with is not left, however long its server
+// pauses: what that server still sends is all that its caller can get.
+func TestStreamThatCannotGoOnElsewhereIsNotLeft(t *testing.T) {
+	a := &attempt{call: &call{
+		g:       &Gateway{Parts: Parts{Retries: retry.NewBudgets(0, func() float64 { return 10 })}},
+		route:   &catalog.Route{Kind: catalog.Stream, Resume: true},
+		service: &catalog.Service{Name: "llm"},
+	}}
+	a.stream.stuck.Store(true)
+	if a.takeRetry() {
+		t.Error("a retry was taken for a stream that cannot go on")
+	}
+	a.stream.stuck.Store(false)
+	if !a.takeRetry() {
+		t.Error("no retry was taken for one that can")
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -61,26 +61,41 @@
 func (a *attempt) relayPlain(ctx context.Context, answer *upstream.Answer, patience *watchdog) verdict {
 	body, err := io.ReadAll(io.LimitReader(answer, wholeAnswer))
 	proved := err == nil
-	if !proved && !errors.Is(err, upstream.ErrUnframed) {
+	unframed := errors.Is(err, upstream.ErrUnframed)
+	switch {
+	case !proved && !unframed:
 		return a.broken(ctx, err)
+	case unframed && len(body) == 0 && a.mayRepeat() && !a.last:
+		return a.broken(ctx, err) // neither a byte nor a proof that there is none
 	}
 	patience.stop() // from here on nothing can replace the answer
 	a.copyHead(answer)
-	switch {
-	case len(body) == wholeAnswer && proved:
+	if len(body) == wholeAnswer && proved {
 		return a.relayLarge(ctx, answer, body)
-	case !proved:
-		a.reply.begin(answer.StatusCode, lengthUnknown, false)
-	default:
-		a.reply.begin(answer.StatusCode, a.wholeLength(answer, body), true)
+	}
+	length := int64(lengthUnknown)
+	if proved {
+		length = a.wholeLength(answer, body)
+	}
+	if !a.reply.begin(answer.StatusCode, length, proved) {
+		return a.end(failed, "second answer", placement.Neutral, errSecondAnswer)
 	}
 	if _, err := a.reply.Write(body); err != nil {
 		return a.callerLeft(err)
 	}
-	a.reply.end(proved)
+	if !a.reply.end(proved) {
+		return a.callerLeft(errNotSent)
+	}
 	return a.servedPlain(answer.StatusCode)
 }
 
+var (
+	// errSecondAnswer marks an answer for a caller that has a part of another.
+	errSecondAnswer = errors.New("the caller has a part of another answer")
+	// errNotSent marks a reply whose last bytes could not be sent.
+	errNotSent = errors.New("the end of the answer could not be sent")
+)
+
 // wholeLength is the length that the caller is told of an answer that was read
 // whole.
 func (a *attempt) wholeLength(answer *upstream.Answer, body []byte) int64 {
@@ -96,7 +111,9 @@
 
 // relayLarge passes an answer on as it arrives, after its beginning was read.
 func (a *attempt) relayLarge(ctx context.Context, answer *upstream.Answer, beginning []byte) verdict {
-	a.reply.begin(answer.StatusCode, answer.ContentLength, answer.Framed())
+	if !a.reply.begin(answer.StatusCode, answer.ContentLength, answer.Framed()) {
+		return a.end(failed, "second answer", placement.Neutral, errSecondAnswer)
+	}
 	buf := beginning
 	var err error
 	for {
@@ -113,7 +130,9 @@
 	if err != io.EOF && !errors.Is(err, upstream.ErrUnframed) {
 		return a.broken(ctx, err)
 	}
-	a.reply.end(err == io.EOF)
+	if !a.reply.end(err == io.EOF) {
+		return a.callerLeft(errNotSent)
+	}
 	return a.servedPlain(answer.StatusCode)
 }
 
--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -58,9 +58,12 @@
 const lengthUnknown = -1
 
 // begin sends the head. framed tells whether the server's answer is one whose end
-// can be proved; the caller gets a length or chunks only then. It must be called
-// once, with the headers set.
-func (p *reply) begin(status int, length int64, framed bool) {
+// can be proved; the caller gets a length or chunks only then. The headers must be
+// set. It does nothing and returns false if another answer has begun.
+func (p *reply) begin(status int, length int64, framed bool) bool {
+	if p.hasBegun() {
+		return false
+	}
 	p.status = status
 	h := p.w.Header()
 	switch {
@@ -75,6 +78,7 @@
 		p.closeByReset(true)
 	}
 	p.w.WriteHeader(status)
+	return true
 }
 
 // mayHaveBody tells whether an answer with that status may have a body.
--- a/gateway/unseen_test.go
+++ b/gateway/unseen_test.go
@@ -1,13 +1,21 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/gaplink/gaplink/catalog"
+	"github.com/gaplink/gaplink/controller/registry"
 	"github.com/gaplink/gaplink/exchange"
 	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/upstream"
@@ -51,3 +59,73 @@
 		t.Errorf("%d attempts whose end was not seen", a.unseen)
 	}
 }
+
+// signed is a protocol in which every answer is signed and unnamed.
+type signed struct{ unsigned }
+
+func (signed) Answer(_ int, _ http.Header) exchange.Answer { return exchange.Answer{Signed: true} }
+
+// What a server may have generated beyond what was seen is charged: at most if its run
+// went on unseen, and an event if it closed without a proof that this was all.
+func TestEndsThatWereNotSeenAreCharged(t *testing.T) {
+	const event = "id: 1\ndata: a\n\n"
+	cases := []struct {
+		name, framing, body string
+		unseen              int
+		tokens              int64
+	}{
+		{"whole", "Content-Length: 15", event, 0, 5},
+		{"unframed", "Connection: close", event, 0, 10},
+		{"cut", "Content-Length: 16", event, 1, 5},
+		{"out of order", "Content-Length: 45", event + event + event, 1, 5},
+		{"inside an event", "Content-Length: 8", event[:8], 1, 0},
+		{"too long an event", "Transfer-Encoding: chunked", chunked(strings.Repeat("x", 2<<20)), 1, 0},
+	}
+	for _, k := range cases {
+		t.Run(k.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+k.framing+"\r\n\r\n"+k.body)
+				_ = c.Close()
+			}()
+			a := streamAttempt(l.Addr().String())
+			a.run(context.Background())
+			if a.unseen != k.unseen || a.stream.tokens != k.tokens {
+				t.Errorf("%s: %d ends unseen, %d tokens", a.verdictName(), a.unseen, a.stream.tokens)
+			}
+		})
+	}
+}
+
+func chunked(text string) string { return fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(text), text) }
+
+// streamAttempt is the last attempt at a stream of events of five tokens.
+func streamAttempt(address string) *attempt {
+	r := httptest.NewRequest(http.MethodGet, "/stream/x", nil)
+	return &attempt{
+		call: &call{
+			g: &Gateway{Parts: Parts{
+				Protocol: signed{},
+				Pool:     upstream.New(upstream.Options{DialTimeout: time.Second, IdleTimeout: time.Second}),
+				Servers:  registry.New(nil, nil, nil, zap.NewNop()),
+				Routers:  func() int { return 1 },
+			}},
+			r:        r,
+			reply:    reply{w: httptest.NewRecorder(), r: r},
+			route:    &catalog.Route{Kind: catalog.Stream, Resume: true},
+			service:  &catalog.Service{Name: "llm", Engine: &catalog.Engine{EventTokens: 5}},
+			deadline: time.Now().Add(time.Second),
+		},
+		server: placement.Server{ID: "s", Address: address},
+		last:   true,
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -438,7 +438,7 @@
 	s.budgets.StartClose()
 	s.drain(end.Add(-returnReserve))
 	cut := s.gateway.InFlight()
-	_ = s.callers.Close()
+	s.closeCallers()
 	ctx, cancel := context.WithDeadline(context.Background(), end.Add(-exitReserve))
 	defer cancel()
 	s.budgets.Close(ctx)
@@ -448,6 +448,22 @@
 	_ = s.writer.Sync()
 }
 
+// lastBytes is how long a stop waits until what handlers have left in the buffers of
+// net/http, some kilobytes of each answer, is sent. It comes out of the reserve for
+// returning budgets, most of which is left.
+const lastBytes = 200 * time.Millisecond
+
+// closeCallers closes the connections of callers, those without an answer on its way
+// at once and the others when it is sent.
+func (s *Server) closeCallers() {
+	ctx, cancel := context.WithTimeout(context.Background(), lastBytes)
+	defer cancel()
+	if err := s.callers.Shutdown(ctx); err != nil {
+		s.log.Info("callers cut", zap.Error(err))
+	}
+	_ = s.callers.Close() // those that are left; its error is one of closing them
+}
+
 // drain waits until no request runs, or the time has come.
 func (s *Server) drain(until time.Time) {
 	for s.gateway.InFlight() > 0 && time.Now().Before(until) {
