Soak: processes, proxies, callers and the command

Change: make soak SEED=n runs gaplink-gateway processes on loopback over the stand-in of the platform.

--- a/Makefile
+++ b/Makefile
@@ -44,3 +44,10 @@
 .PHONY: moves
 moves: build
 	./bin/gaplink-lab moves
+
+# A random run of real routers under faults, checked while it runs: make soak SEED=7
+SEED ?= 1
+SECONDS ?= 20
+.PHONY: soak
+soak: build
+	./bin/gaplink-lab soak --seed $(SEED) --seconds $(SECONDS)
--- /dev/null
+++ b/lab/soak/server.go
@@ -0,0 +1,144 @@
+package soak
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/gaplink/gaplink/platform/standin"
+)
+
+// place is where one backend server runs after another, each under an id of its
+// own and all at the same address, behind a proxy.
+type place struct {
+	number int
+	seed   uint64
+	oracle *Oracle
+	store  *standin.Store
+	tally  *tally
+	proxy  *Proxy
+
+	mu       sync.Mutex
+	id       string
+	life     int
+	scripted *standin.Scripted
+	leaving  bool
+	refusing int
+}
+
+func newPlace(number int, seed uint64, o *Oracle, s *standin.Store, t *tally) (*place, error) {
+	p := &place{number: number, seed: seed, oracle: o, store: s, tally: t}
+	var err error
+	if p.proxy, err = NewProxy(""); err != nil {
+		return nil, err
+	}
+	return p, p.open()
+}
+
+// open starts the next server and registers it.
+func (p *place) open() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.life++
+	id := fmt.Sprintf("s%d-%d", p.number, p.life)
+	scripted, err := standin.NewScripted(standin.NewPlay(func(r standin.Run) standin.Answer { return p.answer(id, r) }))
+	if err != nil {
+		return err
+	}
+	p.id, p.scripted, p.leaving = id, scripted, false
+	p.proxy.Retarget(scripted.Addr())
+	return p.store.Register(id, p.proxy.Addr(), false)
+}
+
+// answer is the script of the server with that id.
+func (p *place) answer(id string, r standin.Run) standin.Answer {
+	if !r.MeantFor(id) {
+		return standin.Elsewhere(id)
+	}
+	now := time.Now()
+	request, before, ok := p.oracle.Arrived(r.RequestID, id, p.number, now)
+	if !ok {
+		return standin.Elsewhere(id)
+	}
+	a, e := DrawAnswer(p.seed, r, before, request)
+	if p.refuses() {
+		a, e = refusal(r.RequestID), Refusal
+	}
+	p.tally.ending(e)
+	if !e.NotRun() {
+		p.oracle.Ran(r.RequestID, p.number, e, a, now)
+	}
+	return a
+}
+
+func (p *place) refuses() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refusing > 0
+}
+
+// refuse makes the server refuse for a while.
+func (p *place) refuse(lasts time.Duration) {
+	p.addRefusing(1)
+	time.Sleep(lasts)
+	p.addRefusing(-1)
+}
+
+func (p *place) addRefusing(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refusing += n
+}
+
+// claim takes the server for its end, which only one may bring about.
+func (p *place) claim() (id string, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ok = !p.leaving
+	p.leaving = true
+	return p.id, ok
+}
+
+// leave registers the server as leaving, lets it serve on for a while, and puts
+// another one in its place. It returns false if its end was under way already.
+func (p *place) leave(serveOn time.Duration) (bool, error) {
+	id, ok := p.claim()
+	if !ok {
+		return false, nil
+	}
+	if err := p.store.Register(id, p.proxy.Addr(), true); err != nil {
+		return true, err
+	}
+	p.oracle.Leaving(id, time.Now())
+	time.Sleep(serveOn)
+	p.oracle.Disturbed(ServerAt(p.number), time.Now(), time.Now())
+	defer p.oracle.Left(id)
+	return true, p.replace(id)
+}
+
+// crash ends the server at once; another one takes its place later.
+func (p *place) crash(away time.Duration) (bool, error) {
+	id, ok := p.claim()
+	if !ok {
+		return false, nil
+	}
+	now := time.Now()
+	p.oracle.Disturbed(ServerAt(p.number), now, now.Add(away))
+	p.close()
+	time.Sleep(away)
+	return true, p.replace(id)
+}
+
+func (p *place) replace(id string) error {
+	p.close()
+	if err := p.store.Unregister(id); err != nil {
+		return err
+	}
+	return p.open()
+}
+
+func (p *place) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.scripted.Close()
+}
