Soak: give each run ports of its own

A fault of the soak, not of the router.

Change: a run holds the first port of a block for its life and takes all others from it.

--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -48,10 +48,10 @@
 	gone   chan struct{}
 }
 
-func newRouter(dir string, number int, storeAddr string, spawn *spawner, o *Oracle) (*router, error) {
+func newRouter(dir string, number int, storeAddr string, p *ports, spawn *spawner, o *Oracle) (*router, error) {
 	s := settings.DefaultGateway()
 	s.Instance = settings.GatewayInstance{ID: fmt.Sprint("r", number), Domain: "z"}
-	s.Listen = settings.GatewayListen{Callers: freeAddr(), Ready: freeAddr(), Peers: freeAddr()}
+	s.Listen = settings.GatewayListen{Callers: p.addr(), Ready: p.addr(), Peers: p.addr()}
 	s.Store.Address = storeAddr
 	s.Stop = settings.GatewayStop{Grace: settings.Duration(grace), Notice: settings.Duration(notice)}
 	r := &router{
@@ -61,17 +61,41 @@
 	return r, r.writeSettings()
 }
 
-// freeAddr returns an address that nothing listens at, below the ports that the
-// kernel gives to outgoing connections.
-func freeAddr() string {
-	const first, last = 10000, 30000
+// ports are a run's own: it holds the first of them, so that another run beside it
+// takes others, also while a router is away.
+type ports struct {
+	held net.Listener
+	next int
+}
+
+const (
+	// firstPort and lastPort are below those that the kernel gives to outgoing
+	// connections, and portsOfRun is how many of them a run takes.
+	firstPort, lastPort = 10000, 30000
+	portsOfRun          = 250
+	portsOfRouter       = 3
+)
+
+func takePorts() *ports {
 	for {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(last-first)))
-		if err != nil {
-			continue // in use
+		first := firstPort + portsOfRun*rand.IntN((lastPort-firstPort)/portsOfRun)
+		if l, err := net.Listen("tcp", loopback(first)); err == nil {
+			return &ports{held: l, next: first + 1}
+		}
+	}
+}
+
+func loopback(port int) string { return fmt.Sprint("127.0.0.1:", port) }
+
+// addr returns the next address at which nothing listens.
+func (p *ports) addr() string {
+	for {
+		addr := loopback(p.next)
+		p.next++
+		if l, err := net.Listen("tcp", addr); err == nil {
+			_ = l.Close()
+			return addr
 		}
-		defer func() { _ = l.Close() }()
-		return l.Addr().String()
 	}
 }
 
