Soak: catch events that come twice, and draw more of them

Change: the ids of a run's own answer must rise from where the caller is, and 0.3 of the runs that go on with a stream begin elsewhere.

Run: go test ./lab/soak, with the new case: passed.

--- a/lab/soak/ending.go
+++ b/lab/soak/ending.go
@@ -46,6 +46,11 @@
 // wholeShare of the answers end well.
 const wholeShare = 0.7
 
+// misjoinShare of the runs that go on with a stream do not begin where it broke off.
+const misjoinShare = 0.3
+
+var misjoined = []Ending{GapInIDs, EventsFromTheStart}
+
 var (
 	wholeEndings = []Ending{EndsByChunks, EndsByChunks, EndsByLength}
 	otherEndings = []Ending{
@@ -85,6 +90,9 @@
 	if rng.Float64() >= wholeShare {
 		e = others[rng.IntN(len(others))]
 	}
+	if before > 0 && r.LastEvent != "" && rng.Float64() < misjoinShare {
+		e = misjoined[rng.IntN(len(misjoined))]
+	}
 	from, _ := strconv.Atoi(r.LastEvent) // absent: from the start
 	return answer(rng, e, r.RequestID, from, q.Events), e
 }
--- a/lab/soak/oracle.go
+++ b/lab/soak/oracle.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -458,8 +459,8 @@
 			continue
 		}
 		proved = true
-		if r.answer.StatusCode() == a.Status && r.answer.SentBody() == a.Body && a.Signed && !r.answer.Unsigned {
-			return // one run's own answer
+		if r.answer.StatusCode() == a.Status && r.answer.SentBody() == a.Body && a.Signed && !r.answer.Unsigned && idsRise(a.Body, b.From) {
+			return // one run's own answer; a gap in it is the server's
 		}
 	}
 	switch {
@@ -474,6 +475,23 @@
 	}
 }
 
+// idsRise tells whether the ids of all events are larger than the one before, the
+// first than from. An answer without events has none.
+func idsRise(body string, from int) bool {
+	for _, line := range strings.Split(body, "\n") {
+		text, named := strings.CutPrefix(line, "id: ")
+		if !named {
+			continue
+		}
+		id, err := strconv.Atoi(text)
+		if err != nil || id <= from {
+			return false
+		}
+		from = id
+	}
+	return true
+}
+
 // checkCut checks that a request whose one server answered it whole and in time,
 // with nothing disturbed, was not cut.
 func (o *Oracle) checkCut(b *book) {
--- a/lab/soak/oracle_test.go
+++ b/lab/soak/oracle_test.go
@@ -131,6 +131,10 @@
 			r := s.sends(func(r *Request) { r.Events = 5 })
 			s.gets(r, Complete, s.runs(r, GapInIDs).Body())
 		}, ""},
+		{"events from before where the caller is", func(s *scene) {
+			r := s.sends(func(r *Request) { r.From = 2 })
+			s.gets(r, Complete, s.runs(r, EventsFromTheStart).Body())
+		}, Whole},
 		{"another request's body", func(s *scene) {
 			r := s.sends(plain)
 			s.runs(r, EndsByLength)
