--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -19,6 +19,8 @@
 	Bytes []byte
 	// Events is how many they are, without comments and settings of the stream.
 	Events int
+	// Repeated is how many events were left out, since the caller has them.
+	Repeated int
 	// FirstID and LastID are the ids of the first and the last event that have one;
 	// empty if none has.
 	FirstID, LastID string
@@ -71,6 +73,7 @@
 		}
 		s.done += end
 		if what == drop {
+			b.Repeated++
 			continue
 		}
 		kept += copy(s.buf[kept:], text)
@@ -142,7 +145,7 @@
 		text = rest
 		name, value, _ := bytes.Cut(bytes.TrimSuffix(line, []byte{'\r'}), []byte{':'})
 		switch {
-		case bytes.Equal(name, idField) && !e.named:
+		case bytes.Equal(name, idField): // the last one counts
 			e.id, e.named = string(bytes.TrimSpace(value)), true
 		case bytes.Equal(name, dataField):
 			e.hasData = true
--- a/eventstream/position.go
+++ b/eventstream/position.go
@@ -24,6 +24,8 @@
 	// always been the same; 0: not known.
 	step   int64
 	uneven bool
+	// unnamed tells that an event without an id came after the last one with one.
+	unnamed bool
 	// passed tells that the caller has got events in this answer.
 	passed bool
 }
@@ -40,7 +42,7 @@
 
 // Resumable tells whether another run can be joined: nothing was passed on yet, or
 // the last event can be compared with those of another run.
-func (p *Position) Resumable() bool { return !p.passed || p.comparable }
+func (p *Position) Resumable() bool { return !p.passed || p.comparable && !p.unnamed }
 
 // number reads an id; ok is false for what is no whole number of 0 or more.
 func number(id string) (n int64, ok bool) {
@@ -79,7 +81,7 @@
 		return drop, fmt.Errorf("%w: an event without an id after %q", ErrOrder, p.lastID)
 	}
 	p.passed = true
-	p.comparable = false
+	p.unnamed = true
 	return pass, nil
 }
 
@@ -88,7 +90,7 @@
 	if !r.joined {
 		return drop, fmt.Errorf("%w: %q cannot be compared with %q", ErrOrder, id, p.lastID)
 	}
-	p.lastID, p.number, p.comparable = id, n, numbered
+	p.lastID, p.number, p.comparable, p.unnamed = id, n, numbered, false
 	p.step, p.uneven = 0, false
 	p.passed, r.passed = true, true
 	return pass, nil
@@ -101,18 +103,23 @@
 	switch {
 	case step <= 0 && !r.passed:
 		r.repeated = n
+		r.repeats = true
 		return drop, nil
 	case step <= 0:
 		return drop, fmt.Errorf("%w: %d after %d", ErrOrder, n, p.number)
-	case !r.joined && p.step > 0 && step != p.step:
-		return drop, fmt.Errorf("%w: %d after %d, with a distance of %d before", ErrOrder, n, p.number, p.step)
+	case !r.joined && !p.uneven && step != p.distance():
+		return drop, fmt.Errorf("%w: %d after %d, with a distance of %d", ErrOrder, n, p.number, p.distance())
 	}
 	p.learn(step)
-	p.lastID, p.number = id, n
+	p.lastID, p.number, p.unnamed = id, n, false
 	p.passed, r.passed, r.joined = true, true, true
 	return pass, nil
 }
 
+// distance is that of the next event, as long as all were the same. A caller that
+// has one event shows none; only the next whole number is known to follow then.
+func (p *Position) distance() int64 { return max(p.step, 1) }
+
 // learn notes the distance between two ids.
 func (p *Position) learn(step int64) {
 	switch {
@@ -130,15 +137,20 @@
 	joined bool
 	// passed tells that an event of the run with an id was passed on.
 	passed bool
-	// repeated is the number of the last event that the caller had already.
+	// repeated is the number of the last event that the caller had already, if the run
+	// repeats any.
 	repeated int64
+	repeats  bool
 }
 
-// end tells whether the run, which is over, is one with what the caller has: one
-// that only repeated events must have come as far as the caller is.
+// end tells whether the run, which is over, is one with what the caller has. One
+// that brought nothing new and only repeated events must have come as far as the
+// caller is. One that was to be joined must have shown an event: without any it does
+// not show that the stream was over there, and its server may have failed as well.
 func (p *Position) end(r *run) error {
-	if !r.passed && r.repeated > 0 && r.repeated < p.number {
-		return fmt.Errorf("%w: the run ended at %d, before %d", ErrOrder, r.repeated, p.number)
+	atPoint := r.repeats && r.repeated == p.number
+	if r.passed || atPoint || r.joined && !r.repeats {
+		return nil
 	}
-	return nil
+	return fmt.Errorf("%w: the run ended and did not show event %d", ErrOrder, p.number)
 }
--- a/lab/demo.go
+++ b/lab/demo.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -16,6 +17,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/gaplink/gaplink/admin"
+	"github.com/gaplink/gaplink/backend"
 	"github.com/gaplink/gaplink/membership"
 	"github.com/gaplink/gaplink/store/standin"
 	"github.com/gaplink/gaplink/table"
@@ -41,6 +43,8 @@
 	RanTwice      int   `json:"ran_twice"`
 	NotRunButRan  int   `json:"not_run_but_ran"`
 	WrongAnswers  int   `json:"wrong_answers"`
+	FalseEnds     int   `json:"false_ends"`
+	FaultsMissed  int   `json:"faults_missed"`
 	CutStreams    int   `json:"cut_streams"`
 	CutByKill     int   `json:"cut_by_kill"`
 	LateToLeaving int   `json:"late_to_leaving"`
@@ -66,6 +70,8 @@
 		"ran_twice":        int64(r.RanTwice),
 		"not_run_but_ran":  int64(r.NotRunButRan),
 		"wrong_answers":    int64(r.WrongAnswers),
+		"false_ends":       int64(r.FalseEnds),
+		"faults_missed":    int64(r.FaultsMissed),
 		"cut_streams":      int64(r.CutStreams),
 		"late_to_leaving":  int64(r.LateToLeaving),
 		"table_reverted":   int64(r.TableReverted),
@@ -93,7 +99,7 @@
 	cmd.Flags().IntVar(&o.routers, "routers", 3, "routers")
 	cmd.Flags().IntVar(&o.engines, "engines", 4, "model backend servers")
 	cmd.Flags().Uint64Var(&o.seed, "seed", 1, "decides the load")
-	cmd.Flags().StringVar(&o.faults, "faults", "", "comma-separated: kill, freeze, outage, cut, race, drain, lost, engine")
+	cmd.Flags().StringVar(&o.faults, "faults", "", "comma-separated: kill, freeze, outage, cut, race, drain, lost, short, engine")
 	cmd.Flags().BoolVar(&o.keep, "keep", false, "keep the directory with settings and logs")
 	return cmd
 }
@@ -143,6 +149,9 @@
 	mu     sync.Mutex
 	killed map[string]bool // caller addresses of killed routers
 	notes  []string
+
+	// goneRuns are the runs of backend servers that were ended.
+	goneRuns []backend.Run
 }
 
 func (d *demoRun) note(format string, args ...any) {
@@ -184,16 +193,7 @@
 	s := newSender(d.loadSpec(accounts, keys), limitsOf(accounts))
 	d.sender = s
 	began := time.Now()
-	ctx, cancel := context.WithCancel(context.Background())
-	var faults sync.WaitGroup
-	faults.Add(1)
-	go func() {
-		defer faults.Done()
-		d.inject(ctx)
-	}()
-	outcomes := s.run(s.jobs())
-	cancel()
-	faults.Wait()
+	outcomes := d.load(s)
 	d.report.Millis = time.Since(began).Milliseconds()
 	for _, w := range s.wrongLog {
 		d.note("%s", w)
@@ -202,6 +202,30 @@
 	return &d.report, d.audit(outcomes, s.limits)
 }
 
+// load sends the requests, and goes on in further rounds until all faults are
+// through, a minute at most.
+func (d *demoRun) load(s *sender) []outcome {
+	ctx, cancel := context.WithTimeout(context.Background(), faultsWithin)
+	defer cancel()
+	injected := make(chan struct{})
+	go func() {
+		defer close(injected)
+		d.inject(ctx)
+	}()
+	var outcomes []outcome
+	for round := 0; ; round++ {
+		outcomes = append(outcomes, s.run(s.jobs(round))...)
+		select {
+		case <-injected:
+			return outcomes
+		default:
+		}
+	}
+}
+
+// faultsWithin bounds the playing of all faults.
+const faultsWithin = time.Minute
+
 func limitsOf(accounts []accountSpec) map[string]int64 {
 	limits := map[string]int64{}
 	for _, a := range accounts {
@@ -270,16 +294,31 @@
 		if name == "" {
 			continue
 		}
-		if wait.For(ctx, 300*time.Millisecond) != nil {
-			d.note("fault %s not injected: the load had ended", name)
+		if wait.For(ctx, faultsPause) != nil {
+			d.missed(name, errLoadEnded)
 			continue
 		}
 		if err := d.fault(ctx, name); err != nil {
-			d.note("fault %s: %v", name, err)
+			d.missed(name, err)
 		}
 	}
 }
 
+// faultsPause is the pause before each fault.
+const faultsPause = 300 * time.Millisecond
+
+// errLoadEnded is why a fault was not injected.
+var errLoadEnded = errors.New("the load had ended")
+
+// missed counts a fault that was not played as asked: a demo that withstood
+// fewer faults must not pass for one that withstood them all.
+func (d *demoRun) missed(name string, err error) {
+	d.note("fault %s: %v", name, err)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.report.FaultsMissed++
+}
+
 func (d *demoRun) fault(ctx context.Context, name string) error {
 	last := d.fleet.routers[len(d.fleet.routers)-1]
 	switch name {
@@ -300,6 +339,8 @@
 		return d.race()
 	case "drain":
 		return d.drain(ctx, last)
+	case "short":
+		return d.shortAnswers(ctx)
 	case "engine":
 		return d.killEngine()
 	default:
@@ -416,15 +457,56 @@
 	return d.fleet.startRouter(r)
 }
 
-// killEngine ends a model backend server with open streams. A stream that had
-// begun cannot be made whole by the router; its caller retries.
-func (d *demoRun) killEngine() error {
+// shortEvery makes one in so many answers of the backend servers short, and
+// shortFor is how long each way of it lasts.
+const (
+	shortEvery = 5
+	shortFor   = 700 * time.Millisecond
+)
+
+// shortAnswers lets the backend servers end some answers half way: broken off,
+// without framing, and framed as whole.
+func (d *demoRun) shortAnswers(ctx context.Context) error {
+	d.excuseCuts()
+	for _, kind := range []backend.Fault{backend.Cut, backend.Unframed, backend.Early} {
+		if err := d.setFaults(backend.Faults{Kind: kind, Every: shortEvery}); err != nil {
+			return err
+		}
+		_ = wait.For(ctx, shortFor)
+	}
+	return d.setFaults(backend.Faults{})
+}
+
+func (d *demoRun) setFaults(f backend.Faults) error {
+	for _, p := range append(slices.Clone(d.fleet.engines), d.fleet.service) {
+		if err := d.fleet.putTo(p.addr, "/standin/faults", f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// excuseCuts tells that streams may be cut from now on at every router: one
+// that had begun when its backend server failed cannot be made whole by the
+// router; its caller retries.
+func (d *demoRun) excuseCuts() {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	for _, r := range d.fleet.routers {
 		d.killed[r.settings.Listen.Callers] = true
 	}
-	d.mu.Unlock()
+}
+
+// killEngine ends a model backend server with open streams. What it has run is
+// asked for just before, since nobody else can tell what it served.
+func (d *demoRun) killEngine() error {
+	d.excuseCuts()
 	last := d.fleet.engines[len(d.fleet.engines)-1]
+	runs, err := d.fleet.runs(last)
+	if err != nil {
+		return err
+	}
+	d.goneRuns = append(d.goneRuns, runs...)
 	last.end()
 	d.fleet.engines = d.fleet.engines[:len(d.fleet.engines)-1]
 	return nil
