--- a/lab/soak/ending.go
+++ b/lab/soak/ending.go
@@ -155,11 +155,20 @@
 // cut ends an answer after some events, inside one or before the first.
 func cut(rng *rand.Rand, e Ending, a *standin.Answer) {
 	a.Cut = true
-	whole := rng.IntN(max(len(a.Pieces), 1))
-	a.Sent = len(strings.Join(a.Pieces[:min(whole, len(a.Pieces))], ""))
+	setCut(e, a)
+	most := len(a.Pieces) - 1
+	if a.Framing == standin.Chunked {
+		most++ // all but the last chunk
+	}
+	whole := rng.IntN(max(most+1, 1))
+	a.Sent = len(strings.Join(a.Pieces[:whole], ""))
 	if whole < len(a.Pieces) && rng.IntN(2) == 0 {
 		a.Sent += rng.IntN(len(a.Pieces[whole]))
 	}
+}
+
+// setCut sets the framing and what becomes of the connection.
+func setCut(e Ending, a *standin.Answer) {
 	a.Ending = standin.Closed
 	switch e {
 	case CutReset:
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -58,7 +58,6 @@
 	tally  *tally
 	store  *standin.Store
 	listen net.Listener
-	ports  *ports
 	links  []*Proxy // of each router to the store
 	places []*place
 
@@ -72,7 +71,7 @@
 }
 
 func newFleet(o *Oracle, t *tally) (*fleet, error) {
-	f := &fleet{oracle: o, tally: t, store: standin.NewStore(), storeFaults: map[Fault]int{}, budgets: map[string]int64{}, ports: takePorts()}
+	f := &fleet{oracle: o, tally: t, store: standin.NewStore(), storeFaults: map[Fault]int{}, budgets: map[string]int64{}}
 	var err error
 	if f.listen, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return nil, err
@@ -100,7 +99,7 @@
 			return err
 		}
 		f.links = append(f.links, link)
-		r, err := newRouter(dir, i, link.Addr(), f.ports, spawn, f.oracle)
+		r, err := newRouter(dir, i, link.Addr(), spawn, f.oracle)
 		if err != nil {
 			return err
 		}
@@ -357,5 +356,4 @@
 		p.close()
 	}
 	_ = f.listen.Close()
-	_ = f.ports.held.Close()
 }
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -16,6 +14,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"github.com/gaplink/gaplink/lab/loopback"
 	"github.com/gaplink/gaplink/platform"
 	"github.com/gaplink/gaplink/settings"
 )
@@ -48,10 +47,15 @@
 	gone   chan struct{}
 }
 
-func newRouter(dir string, number int, storeAddr string, p *ports, spawn *spawner, o *Oracle) (*router, error) {
+func newRouter(dir string, number int, storeAddr string, spawn *spawner, o *Oracle) (*router, error) {
 	s := settings.DefaultGateway()
 	s.Instance = settings.GatewayInstance{ID: fmt.Sprint("r", number), Domain: "z"}
-	s.Listen = settings.GatewayListen{Callers: p.addr(), Ready: p.addr(), Peers: p.addr()}
+	for _, addr := range []*string{&s.Listen.Callers, &s.Listen.Ready, &s.Listen.Peers} {
+		var err error
+		if *addr, err = loopback.FreeAddr("127.0.0.1"); err != nil {
+			return nil, err
+		}
+	}
 	s.Store.Address = storeAddr
 	s.Stop = settings.GatewayStop{Grace: settings.Duration(grace), Notice: settings.Duration(notice)}
 	r := &router{
@@ -61,44 +65,6 @@
 	return r, r.writeSettings()
 }
 
-// ports are a run's own: it holds the first of them, so that another run beside it
-// takes others, also while a router is away.
-type ports struct {
-	held net.Listener
-	next int
-}
-
-const (
-	// firstPort and lastPort are below those that the kernel gives to outgoing
-	// connections, and portsOfRun is how many of them a run takes.
-	firstPort, lastPort = 10000, 30000
-	portsOfRun          = 250
-	portsOfRouter       = 3
-)
-
-func takePorts() *ports {
-	for {
-		first := firstPort + portsOfRun*rand.IntN((lastPort-firstPort)/portsOfRun)
-		if l, err := net.Listen("tcp", loopback(first)); err == nil {
-			return &ports{held: l, next: first + 1}
-		}
-	}
-}
-
-func loopback(port int) string { return fmt.Sprint("127.0.0.1:", port) }
-
-// addr returns the next address at which nothing listens.
-func (p *ports) addr() string {
-	for {
-		addr := loopback(p.next)
-		p.next++
-		if l, err := net.Listen("tcp", addr); err == nil {
-			_ = l.Close()
-			return addr
-		}
-	}
-}
-
 func (r *router) writeSettings() error {
 	text, err := toml.Marshal(r.settings)
 	if err != nil {
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -59,8 +59,8 @@
 
 // Run makes one run. The context ends it early.
 func Run(ctx context.Context, o Options) (Summary, error) {
-	if o.Routers+1 > min(o.Processes, portsOfRun/portsOfRouter) {
-		return Summary{}, fmt.Errorf("%w: %d routers and this one, of %d", ErrTooMany, o.Routers, min(o.Processes, portsOfRun/portsOfRouter))
+	if o.Routers+1 > o.Processes {
+		return Summary{}, fmt.Errorf("%w: %d routers and this one, of %d", ErrTooMany, o.Routers, o.Processes)
 	}
 	dir, err := os.MkdirTemp("", "gaplink-soak-")
 	if err != nil {
