Take SIGHUP from the start of the process on

Cause: the handler was set after the server had started, and a SIGHUP before it ends the process. Found when a soak that reloads starting routers was read through.

Ruled out: closing the gap altogether; until main runs, the system's default holds.

No test: the moment cannot be set.

--- a/cli/gateway/gateway.go
+++ b/cli/gateway/gateway.go
@@ -25,6 +25,8 @@
 func serve(path string, s settings.Gateway, out io.Writer) error {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP) // before anything else: unnoticed, it ends the process
 	srv, err := server.New(s, platform.New(s.Store.Address, s.Store.Timeout.Std()), logs.NewWriter(out))
 	if err != nil {
 		return err
@@ -32,8 +34,6 @@
 	if err := srv.Start(); err != nil {
 		return err
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	go watchSettings(path, srv, reload)
 	<-signals
 	srv.Stop()
