--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 
 # A random run of real routers under faults, checked while it runs: make soak SEED=7
 SEED ?= 1
-SECONDS ?= 20
+SOAK_SECONDS ?= 20
 .PHONY: soak
 soak: build
-	./bin/gaplink-lab soak --seed $(SEED) --seconds $(SECONDS)
+	./bin/gaplink-lab soak --seed $(SEED) --seconds $(SOAK_SECONDS)
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -39,6 +39,8 @@
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	life int
+	// started is when the present process was.
+	started time.Time
 	// told tells that the present process was told to end, and away is how long
 	// the router stays away then.
 	told   bool
@@ -121,6 +123,7 @@
 	}
 	r.cmd, r.told = cmd, r.closed
 	r.life++
+	r.started = time.Now()
 	if r.closed {
 		_ = cmd.Process.Signal(syscall.SIGTERM)
 	}
@@ -178,13 +181,21 @@
 	return r.cmd != nil && r.life == life
 }
 
+// bootTime is how long after its start a process is not told of changed settings: a
+// SIGHUP that comes before the program runs ends it, and it reads the file at its
+// start and every few seconds anyway.
+const bootTime = 200 * time.Millisecond
+
 // reload changes the settings and tells the process.
 func (r *router) reload(slack float64) error {
 	r.mu.Lock()
 	r.settings.Retries.Slack = slack
 	err := r.writeSettings()
+	booted := time.Since(r.started) > bootTime
 	r.mu.Unlock()
-	r.signal(syscall.SIGHUP)
+	if booted {
+		r.signal(syscall.SIGHUP)
+	}
 	return err
 }
 
