--- a/gateway/patience.go
+++ b/gateway/patience.go
@@ -15,6 +15,13 @@
 var errTooSlow = errors.New("the server has sent nothing for too long")
 
 const (
+	// patience is the share of the latency objective after which a request that
+	// may be repeated is taken from a server that has sent nothing.
+	patience = 0.66
+	// streamPatience is the same for a stream. A prompt is read anew elsewhere,
+	// which costs another server's time and comes late anyway, so only a server that
+	// seems to be gone is left: most late first events wait for large prompts.
+	streamPatience = 2.0
 	// pausePatience is how many of the sheet's longest pauses between two events
 	// a stream waits before it goes on elsewhere.
 	pausePatience = 3
