--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/gaplink/gaplink/engine"
+	"github.com/gaplink/gaplink/lab/tcptest"
 	"github.com/gaplink/gaplink/result"
 )
 
@@ -33,21 +34,7 @@
 // the connection.
 func serveRaw(t *testing.T, answer string, e ending) (addr string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go answerRaw(conn.(*net.TCPConn), answer, e)
-		}
-	}()
-	return l.Addr().String()
+	return tcptest.Listen(t, func(c net.Conn, _ int) { answerRaw(c.(*net.TCPConn), answer, e) })
 }
 
 func answerRaw(conn *net.TCPConn, answer string, e ending) {
--- a/lab/soak/proxy_test.go
+++ b/lab/soak/proxy_test.go
@@ -8,29 +8,17 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/gaplink/gaplink/lab/tcptest"
 )
 
 // echo starts a server that sends back what it gets.
 func echo(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				_, _ = io.Copy(c, c)
-				_ = c.Close()
-			}()
-		}
-	}()
-	return l.Addr().String()
+	return tcptest.Listen(t, func(c net.Conn, _ int) {
+		_, _ = io.Copy(c, c)
+		_ = c.Close()
+	})
 }
 
 func proxied(t *testing.T) (*Proxy, func() net.Conn) {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/gaplink/gaplink/lab/tcptest"
 	"github.com/gaplink/gaplink/peer"
 )
 
@@ -54,21 +55,7 @@
 
 func (c *cutter) listen(t *testing.T) (addr string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go c.relay(conn)
-		}
-	}()
-	return l.Addr().String()
+	return tcptest.Listen(t, func(conn net.Conn, _ int) { c.relay(conn) })
 }
 
 func (c *cutter) relay(conn net.Conn) {
--- a/store/httpstore/httpstore_test.go
+++ b/store/httpstore/httpstore_test.go
@@ -1,7 +1,6 @@
 package httpstore_test
 
 import (
-	"bufio"
 	"bytes"
 	"compress/gzip"
 	"context"
@@ -9,10 +8,10 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"testing"
 	"time"
 
+	"github.com/gaplink/gaplink/lab/tcptest"
 	"github.com/gaplink/gaplink/store"
 	"github.com/gaplink/gaplink/store/httpstore"
 )
@@ -20,31 +19,8 @@
 // rawStore answers one call a connection with these bytes and closes it.
 func rawStore(t *testing.T, answer string) *httpstore.Client {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			answerRaw(conn, answer)
-		}
-	}()
-	return httpstore.New("http://"+l.Addr().String(), time.Second)
-}
-
-func answerRaw(conn net.Conn, answer string) {
-	defer func() { _ = conn.Close() }()
-	req, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	_, _ = io.Copy(io.Discard, req.Body)
-	_, _ = io.WriteString(conn, answer)
+	addr := tcptest.Listen(t, func(c net.Conn, _ int) { tcptest.AnswerOnce(c, answer) })
+	return httpstore.New("http://"+addr, time.Second)
 }
 
 const head = "HTTP/1.1 200 OK\r\nConnection: close\r\n" + httpstore.VersionHeader + ": 5\r\n"
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -12,27 +12,14 @@
 	"testing"
 	"time"
 
+	"github.com/gaplink/gaplink/lab/tcptest"
 	"github.com/gaplink/gaplink/upstream"
 )
 
 // listen returns a listener whose connections are handed to serve.
 func listen(t *testing.T, serve func(net.Conn)) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return l.Addr().String()
+	return tcptest.Listen(t, func(c net.Conn, _ int) { serve(c) })
 }
 
 func newPool() *upstream.Pool {
