Soak: more answers that take long, so that stops meet some at work

Change: a quarter of the paced answers take eight times as long. The oracle's case of a joined stream that lacks an event drew its gap anew and relied on where it fell; its second run now begins where the first broke off, as it says.

--- a/lab/soak/ending.go
+++ b/lab/soak/ending.go
@@ -100,6 +100,9 @@
 const (
 	// longestPause bounds the time between two pieces of an answer.
 	longestPause = 15 * time.Millisecond
+	// slowShare of the answers take so much longer, so that stops meet some at work.
+	slowShare  = 0.25
+	slowFactor = 8
 	// lateness is when a late second answer comes.
 	lateness = 20 * time.Millisecond
 )
@@ -112,6 +115,9 @@
 	if rng.IntN(2) == 0 {
 		a.Pause = time.Duration(rng.Int64N(int64(longestPause)))
 	}
+	if rng.Float64() < slowShare {
+		a.Pause *= slowFactor
+	}
 	switch e {
 	case EndsByLength:
 		a.Framing = standin.Length
--- a/lab/soak/oracle_test.go
+++ b/lab/soak/oracle_test.go
@@ -34,8 +34,11 @@
 	return r
 }
 
-func (s *scene) runs(r Request, e Ending) standin.Answer {
-	a := answer(drawn(1, r.ID, 0), e, r.ID, r.From, r.Events)
+func (s *scene) runs(r Request, e Ending) standin.Answer { return s.runsFrom(r, e, r.From) }
+
+// runsFrom is a run that is asked to go on after the event with that number.
+func (s *scene) runsFrom(r Request, e Ending, from int) standin.Answer {
+	a := answer(drawn(1, r.ID, 0), e, r.ID, from, r.Events)
 	s.Arrived(r.ID, "s0", 0, s.now)
 	s.Ran(r.ID, 0, e, a, s.now)
 	return a
@@ -118,7 +121,7 @@
 		{"a stream of two runs that lacks an event", func(s *scene) {
 			r := s.sends(func(r *Request) { r.Events = 5 })
 			s.runs(r, CutReset)
-			s.runs(r, GapInIDs)
+			s.runsFrom(r, GapInIDs, 1)
 			s.gets(r, Complete, stream(r, 0, 1)+stream(r, 2, 5))
 		}, Whole},
 		{"an event that comes twice", func(s *scene) {
