Say once what proves an answer's end; simplify the soak's endings

- The same check (a length, chunks, or no body) stood in upstream, engine, httpstore, the load sender and the soak's callers, four of them new, and one could have been changed without the others. framing.Proved serves all five.
- The soak and the table of endings each wrote the bytes of a whole answer by hand, the soak with header names of the platform. standin.WholeAnswer has them.
- The soak set framing and connection of an answer in three switches over the same endings; one table has both now.
A disturbance has one way to be noted.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -21,6 +21,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gaplink/gaplink/framing"
 	"github.com/gaplink/gaplink/result"
 )
 
@@ -176,7 +177,7 @@
 // closes alike, and the caller would get the part with a length, and again at
 // each retry of a request that runs at most once.
 func (r *Response) Whole(ctx context.Context) ([]byte, *Failure) {
-	if !r.framed() {
+	if !framing.Proved(r.http) {
 		return nil, sendFailure(ctx, errUnframed, true)
 	}
 	body, err := io.ReadAll(io.LimitReader(r.http.Body, maxReply+1))
@@ -189,11 +190,6 @@
 	return body, nil
 }
 
-// framed tells whether a length or chunks mark the end of the body.
-func (r *Response) framed() bool {
-	return r.http.ContentLength >= 0 || len(r.http.TransferEncoding) > 0
-}
-
 // Chunk is one event of a streamed answer.
 type Chunk struct {
 	// Data is the event's JSON as the engine sent it.
--- a/lab/load.go
+++ b/lab/load.go
@@ -15,6 +15,7 @@
 
 	"github.com/gaplink/gaplink/backend"
 	"github.com/gaplink/gaplink/filter"
+	"github.com/gaplink/gaplink/framing"
 	"github.com/gaplink/gaplink/result"
 )
 
@@ -299,7 +300,7 @@
 	if want, _ := backend.Answer(o.job.prompt(), o.job.maxTokens); !strings.HasPrefix(want, text) {
 		return s.wrong(o, text, want)
 	}
-	if err == nil && framed(resp) {
+	if err == nil && framing.Proved(resp) { // it claims to be whole
 		o.falseEnds++
 		s.noteWrong("%s: framed as whole at %q, without an end marker", o.job.nonce, text)
 	}
@@ -329,12 +330,6 @@
 	return b.String(), done, lines.Err()
 }
 
-// framed tells whether the answer has a length or chunks, so that a body that
-// ends without an error was claimed to be whole.
-func framed(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-}
-
 // noteCut counts a cut stream; the tokens received so far are spent.
 func (s *sender) noteCut(o *outcome, addr string, tokens int64) {
 	s.mu.Lock()
--- a/lab/soak/caller.go
+++ b/lab/soak/caller.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/gaplink/gaplink/framing"
 	"github.com/gaplink/gaplink/platform/standin"
 )
 
@@ -170,7 +171,7 @@
 	switch {
 	case err != nil:
 		return Cut
-	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
+	case !framing.Proved(resp):
 		return Unframed
 	default:
 		return Complete
--- a/lab/soak/disruption.go
+++ b/lab/soak/disruption.go
@@ -30,13 +30,13 @@
 	spans map[Subject][]*span
 }
 
-// Add notes a disturbance; a zero end is one that still lasts, until the function
-// that is returned is called with its end.
-func (d *Disruptions) Add(s Subject, from, to time.Time) (end func(time.Time)) {
+// Add notes a disturbance that lasts until the function that is returned is called
+// with its end.
+func (d *Disruptions) Add(s Subject, from time.Time) (end func(time.Time)) {
 	if d.spans == nil {
 		d.spans = map[Subject][]*span{}
 	}
-	one := &span{from, to}
+	one := &span{from: from}
 	d.spans[s] = append(d.spans[s], one)
 	return func(at time.Time) { one.to = at }
 }
--- a/lab/soak/ending.go
+++ b/lab/soak/ending.go
@@ -65,6 +65,39 @@
 // it got, so that a charge that is missing shows.
 var exactEndings = []Ending{EndsByChunks, Refusal, OtherRequest, Unsigned, SecondAnswer, SecondAnswerLate}
 
+// connection is how an answer is framed and what becomes of its connection.
+type connection struct {
+	framing standin.Framing
+	ending  standin.Ending
+}
+
+// connections are those of the endings that are not in chunks, or do not leave the
+// connection open.
+var connections = map[Ending]connection{
+	EndsByLength:     {standin.Length, standin.Open},
+	EndsByClose:      {standin.ByClose, standin.Closed},
+	CutClosed:        {standin.Chunked, standin.Closed},
+	CutReset:         {standin.Chunked, standin.Aborted},
+	CutSilent:        {standin.Chunked, standin.Silent},
+	CutUnframed:      {standin.ByClose, standin.Closed},
+	CutUnframedReset: {standin.ByClose, standin.Aborted},
+	CutShortOfLength: {standin.Length, standin.Closed},
+	ClosedAtOnce:     {standin.Chunked, standin.Closed},
+	ResetAtOnce:      {standin.Chunked, standin.Aborted},
+	SilentAtOnce:     {standin.Chunked, standin.Silent},
+	Garbage:          {standin.Chunked, standin.Closed},
+	ServerError:      {standin.Length, standin.Open},
+	ErrorCut:         {standin.Length, standin.Closed},
+	Refusal:          {standin.Length, standin.Open},
+	RefusalUnnamed:   {standin.Length, standin.Open},
+	FalsePromise:     {standin.Length, standin.Open},
+}
+
+func connect(e Ending, a *standin.Answer) {
+	c := connections[e]
+	a.Framing, a.Ending = c.framing, c.ending
+}
+
 // NotRun tells whether the server says that it did not run the request.
 func (e Ending) NotRun() bool { return e == Refusal || e == RefusalUnnamed }
 
@@ -118,13 +151,10 @@
 	if rng.Float64() < slowShare {
 		a.Pause *= slowFactor
 	}
+	connect(e, &a)
 	switch e {
-	case EndsByLength:
-		a.Framing = standin.Length
-	case EndsByClose:
-		a.Framing, a.Ending = standin.ByClose, standin.Closed
 	case CutClosed, CutReset, CutSilent, CutUnframed, CutUnframedReset, CutShortOfLength:
-		cut(rng, e, &a)
+		cut(rng, &a)
 	case ClosedAtOnce, ResetAtOnce, SilentAtOnce, Garbage:
 		headless(e, &a)
 	case ServerError, ErrorCut, Refusal, RefusalUnnamed, FalsePromise:
@@ -134,7 +164,7 @@
 	case Unsigned:
 		a.Unsigned = true
 	case SecondAnswer, SecondAnswerLate:
-		a.After = secondAnswer(id)
+		a.After = standin.WholeAnswer(id, "second "+standin.PlainBody(id))
 		if e == SecondAnswerLate {
 			a.AfterDelay = lateness
 		}
@@ -159,9 +189,8 @@
 }
 
 // cut ends an answer after some events, inside one or before the first.
-func cut(rng *rand.Rand, e Ending, a *standin.Answer) {
+func cut(rng *rand.Rand, a *standin.Answer) {
 	a.Cut = true
-	setCut(e, a)
 	most := len(a.Pieces) - 1
 	if a.Framing == standin.Chunked {
 		most++ // all but the last chunk
@@ -173,35 +202,11 @@
 	}
 }
 
-// setCut sets the framing and what becomes of the connection.
-func setCut(e Ending, a *standin.Answer) {
-	a.Ending = standin.Closed
-	switch e {
-	case CutReset:
-		a.Ending = standin.Aborted
-	case CutSilent:
-		a.Ending = standin.Silent
-	case CutUnframed:
-		a.Framing = standin.ByClose
-	case CutUnframedReset:
-		a.Framing, a.Ending = standin.ByClose, standin.Aborted
-	case CutShortOfLength:
-		a.Framing = standin.Length
-	}
-}
-
 func headless(e Ending, a *standin.Answer) {
 	a.Headless = true
 	a.Pieces = nil
-	switch e {
-	case ClosedAtOnce:
-		a.Ending = standin.Closed
-	case ResetAtOnce:
-		a.Ending = standin.Aborted
-	case SilentAtOnce:
-		a.Ending = standin.Silent
-	case Garbage:
-		a.Raw, a.Ending = "\x00\x01 no answer\r\n\r\n", standin.Closed
+	if e == Garbage {
+		a.Raw = "\x00\x01 no answer\r\n\r\n"
 	}
 }
 
@@ -209,13 +214,12 @@
 	a.Status = http.StatusServiceUnavailable
 	a.Fields = nil
 	a.Pieces = []string{"failure of " + a.RequestID + "\n"}
-	a.Framing = standin.Length
 	switch e {
 	case ServerError:
 		a.Status = http.StatusInternalServerError
 	case ErrorCut:
 		a.Status = http.StatusInternalServerError
-		a.Cut, a.Sent, a.Ending = true, 3, standin.Closed
+		a.Cut, a.Sent = true, 3
 	case Refusal:
 		a.NotExecuted = true
 	case RefusalUnnamed:
@@ -225,12 +229,6 @@
 	}
 }
 
-// secondAnswer is an answer to the same request that nobody asked for.
-func secondAnswer(id string) string {
-	body := "second " + standin.PlainBody(id)
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
-}
-
 // leaveOneOut leaves out the first event of a resumed run, or one in the middle.
 func leaveOneOut(rng *rand.Rand, from int, a *standin.Answer) {
 	if len(a.Pieces) < 3 {
@@ -249,6 +247,7 @@
 // refusal is the answer of a server that takes no work.
 func refusal(id string) standin.Answer {
 	a := standin.Answer{RequestID: id}
+	connect(Refusal, &a)
 	fail(Refusal, &a)
 	return a
 }
--- a/lab/soak/oracle.go
+++ b/lab/soak/oracle.go
@@ -189,14 +189,14 @@
 func (o *Oracle) Disturbed(s Subject, from, to time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.dis.Add(s, from, to)
+	o.dis.Add(s, from)(to)
 }
 
 // Disturb notes a disturbance that begins, and returns the function that ends it.
 func (o *Oracle) Disturb(s Subject, from time.Time) (end func(at time.Time)) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	endLocked := o.dis.Add(s, from, time.Time{})
+	endLocked := o.dis.Add(s, from)
 	return func(at time.Time) {
 		o.mu.Lock()
 		defer o.mu.Unlock()
--- a/lab/soak/oracle_test.go
+++ b/lab/soak/oracle_test.go
@@ -259,7 +259,7 @@
 func TestDisruptionsEnd(t *testing.T) {
 	var d Disruptions
 	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
-	end := d.Add(StoreItself, at(10), time.Time{})
+	end := d.Add(StoreItself, at(10))
 	if d.Calm(at(20), at(30), StoreItself) {
 		t.Error("calm while it lasts")
 	}
--- a/store/httpstore/httpstore.go
+++ b/store/httpstore/httpstore.go
@@ -18,6 +18,7 @@
 	"strconv"
 	"time"
 
+	"github.com/gaplink/gaplink/framing"
 	"github.com/gaplink/gaplink/membership"
 	"github.com/gaplink/gaplink/store"
 )
@@ -139,7 +140,7 @@
 	if err != nil {
 		return store.Object{}, store.ErrUnknown
 	}
-	if method == http.MethodGet && !framed(resp) {
+	if method == http.MethodGet && !endProved(resp) {
 		return store.Object{}, store.ErrUnknown
 	}
 	if method == http.MethodGet {
@@ -173,12 +174,10 @@
 	return nil
 }
 
-// framed tells whether a length, chunks or the trailer of gzip mark the end of
-// the body. Nothing in a value tells its end, so that one that was cut by a
-// close would look whole.
-func framed(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Uncompressed
-}
+// endProved tells whether the framing or the trailer of gzip marks the end of the
+// body. Nothing in a value tells its end, so that one that was cut by a close would
+// look whole.
+func endProved(resp *http.Response) bool { return framing.Proved(resp) || resp.Uncompressed }
 
 // transportError tells a call that was never sent from one whose answer is
 // missing.
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/gaplink/gaplink/framing"
 )
 
 const (
@@ -120,12 +122,8 @@
 	return a.Framed() && !a.resp.Close && a.conn.reader.Buffered() == 0
 }
 
-// Framed tells whether the answer's own framing proves its end: a length, chunks,
-// or a kind of answer that has no body. Any other answer ends with its connection,
-// and nothing tells whether it was whole.
-func (a *Answer) Framed() bool {
-	return a.resp.Body == http.NoBody || a.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
-}
+// Framed tells whether the answer's own framing proves its end.
+func (a *Answer) Framed() bool { return framing.Proved(a.resp) }
 
 // discard ends an exchange before its end. The connection is reset, so that a
 // request whose bytes are held up on the way never reaches the server later.
