Registrations: other writers name no server, an id may be used again

Cause: platform.DecodeServer filled what an entry lacked with zeros, so that an entry without address, slots or state, with an unknown state, or null, was a ready server; one that could not be read kept the server before. All that was known of a server hung on its id, so that one that starts again under it stayed leaving, down, and judged by its predecessor's requests. Ruled out: ordering processes by their start time; a server's clock may be set back between two starts. The store's revision orders them. Counts of a server that lapses and returns no longer fall below zero.

--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -70,7 +70,8 @@
 	gone    map[string]deletion
 	changes changeLog
 	// slow are the servers that long prompts avoided at the last tick.
-	slow map[string]time.Duration
+	slow       map[string]time.Duration
+	unreadable unreadable
 }
 
 // New returns a controller that knows no server.
@@ -115,11 +116,11 @@
 	c.pool.Sweep(now, c.keeps)
 }
 
-// keeps tells whether connections to a server are worth keeping.
-func (c *Controller) keeps(id string) bool {
+// keeps tells whether connections to a process are worth keeping.
+func (c *Controller) keeps(l placement.Life) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.servers.Has(id)
+	return c.servers.Runs(l)
 }
 
 func (c *Controller) dropMissing(now time.Time) {
@@ -164,11 +165,11 @@
 func (c *Controller) probe(ctx context.Context, s placement.Server) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	if err := c.pool.Probe(ctx, s.Address, s.ID); err != nil {
+	if err := c.pool.Probe(ctx, s.Address, s.Life()); err != nil {
 		return // it stays down; the next probe is due in probeEvery
 	}
 	c.mu.Lock()
-	c.servers.Revived(s.ID)
+	c.servers.Revived(s.Life())
 	delete(c.probedAt, s.ID)
 	c.mu.Unlock()
 	c.log.Info("server reachable again", zap.String("server", s.ID), zap.String("service", s.Service))
@@ -264,18 +265,24 @@
 	c.regained = time.Now()
 }
 
+// put takes a registration. One that cannot be read names no server, whatever stood
+// there before: its process is not used until it has registered anew.
 func (c *Controller) put(o store.Object) {
 	id := idOf(o.Key)
-	s, err := c.decode(id, o.Value)
-	if err != nil {
-		c.log.Error("registration is not readable; the server keeps its last one", zap.String("server", id), zap.Int64("version", o.Version), zap.Error(err))
-		return
-	}
-	if o.Version != c.entries[o.Key].Version {
+	fresh := o.Version != c.entries[o.Key].Version
+	if fresh {
 		c.changes.add(o)
 	}
 	c.entries[o.Key] = o
 	delete(c.missing, id)
+	s, err := c.decode(id, o.Value)
+	if err != nil {
+		c.servers.Remove(id)
+		if fresh {
+			c.unreadable.note(c.log, time.Now(), o, err)
+		}
+		return
+	}
 	c.note(s, o.Version)
 	c.servers.Put(s)
 }
@@ -283,14 +290,21 @@
 // note logs what a registration changes.
 func (c *Controller) note(s placement.Server, version int64) {
 	old, known := c.servers.Get(s.ID)
-	if known && old.Leaving == s.Leaving {
+	if known && old.Leaving == s.Leaving && old.Life() == s.Life() {
 		return
 	}
 	c.log.Info("server registered",
-		zap.String("server", s.ID), zap.String("service", s.Service), zap.String("address", s.Address),
+		zap.String("server", s.ID), zap.Int64("started", s.Started), zap.String("service", s.Service), zap.String("address", s.Address),
 		zap.Bool("leaving", s.Leaving), zap.Int64("version", version))
 }
 
+// Unreadable returns how many registrations could not be read so far.
+func (c *Controller) Unreadable() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unreadable.count
+}
+
 // absent notes that a registration is missing. The server is kept for a while,
 // atMost so long.
 func (c *Controller) absent(id string, atMost time.Duration) {
@@ -322,43 +336,43 @@
 	defer c.mu.Unlock()
 	s, ok := c.servers.Pick(c.rng, q)
 	if ok {
-		c.servers.Started(s.ID, q.Tokens)
+		c.servers.Sent(s.Life(), q.Tokens)
 	}
 	return s, ok
 }
 
 // Read tells that a server has read the prompt of a request, or will not any
 // more.
-func (c *Controller) Read(id string, tokens int64) {
+func (c *Controller) Read(l placement.Life, tokens int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.servers.Read(id, tokens)
+	c.servers.Read(l, tokens)
 }
 
 // Paced notes the time between two events of a stream.
-func (c *Controller) Paced(id string, gap time.Duration) {
+func (c *Controller) Paced(l placement.Life, gap time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.servers.Paced(id, gap)
+	c.servers.Paced(l, gap)
 }
 
 // Ended counts the end of a request at a server.
-func (c *Controller) Ended(id string, outcome placement.Outcome) {
+func (c *Controller) Ended(l placement.Life, outcome placement.Outcome) {
 	c.mu.Lock()
-	was := c.servers.IsDown(id)
-	down := c.servers.Ended(id, outcome)
+	was := c.servers.IsDown(l)
+	down := c.servers.Ended(l, outcome)
 	c.mu.Unlock()
 	if down && !was {
-		c.log.Warn("server out of use", zap.String("server", id))
+		c.log.Warn("server out of use", zap.String("server", l.ID), zap.Int64("started", l.Started))
 	}
 }
 
 // Replaced tells that another server answers at the address of this one.
-func (c *Controller) Replaced(id string) {
+func (c *Controller) Replaced(l placement.Life) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.servers.Leave(id)
-	c.log.Info("server replaced at its address", zap.String("server", id))
+	c.servers.Leave(l)
+	c.log.Info("server replaced at its address", zap.String("server", l.ID), zap.Int64("started", l.Started))
 }
 
 // Draw returns a random number in [0, n); n must be positive.
--- a/controller/roster/roster.go
+++ b/controller/roster/roster.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
@@ -70,8 +71,8 @@
 		return err
 	}
 	for _, o := range objects {
-		var r peer.Router
-		if err := json.Unmarshal(o.Value, &r); err != nil {
+		r, err := decode(o.Value)
+		if err != nil {
 			c.log.Error("registration of a router is not readable", zap.String("key", o.Key), zap.Error(err))
 			continue
 		}
@@ -82,6 +83,25 @@
 	return nil
 }
 
+// decode reads a router's registration. One without an id or an address to call is
+// none.
+func decode(value []byte) (peer.Router, error) {
+	var r peer.Router
+	if err := json.Unmarshal(value, &r); err != nil {
+		return peer.Router{}, err
+	}
+	if r.ID == "" {
+		return peer.Router{}, errNoID
+	}
+	if _, err := netip.ParseAddrPort(r.Addr); err != nil {
+		return peer.Router{}, err
+	}
+	return r, nil
+}
+
+// errNoID is a registration that does not say whose it is.
+var errNoID = errors.New("no id")
+
 func (c *Controller) key() string { return Kind + "/" + c.self.ID }
 
 func (c *Controller) register(ctx context.Context) error {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -71,7 +71,7 @@
 	told := a.g.Protocol.Answer(answer.StatusCode, answer.Header)
 	switch {
 	case told.OtherServer:
-		a.g.Servers.Replaced(a.server.ID)
+		a.g.Servers.Replaced(a.server.Life())
 		return a.end(notRun, "replaced", placement.Failed, errOther)
 	case told.NotRun:
 		return a.end(notRun, "refused", placement.Failed, fmt.Errorf("status %d", answer.StatusCode))
@@ -133,7 +133,7 @@
 	a.g.Protocol.Dispatch(h, d)
 	return &upstream.Request{
 		Address:        a.server.Address,
-		Owner:          a.server.ID,
+		Owner:          a.server.Life(),
 		MaxConnections: a.connections(),
 		Method:         a.r.Method,
 		Target:         a.r.RequestURI,
@@ -169,7 +169,7 @@
 		return
 	}
 	a.read = true
-	a.g.Servers.Read(a.server.ID, a.newTokens)
+	a.g.Servers.Read(a.server.Life(), a.newTokens)
 }
 
 // connections is this router's share of the server's connections. In a large
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -30,9 +30,9 @@
 )
 
 // Paced notes the time between two events of a stream.
-func (f *Servers) Paced(id string, gap time.Duration) {
-	s, ok := f.byID[id]
-	if !ok || gap <= 0 {
+func (f *Servers) Paced(l Life, gap time.Duration) {
+	s := f.of(l)
+	if s == nil || gap <= 0 {
 		return
 	}
 	if s.pace == 0 {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -35,9 +35,20 @@
 	silentFailures = 2
 )
 
-// Server is one registered backend server. Its id names one process life.
+// Life names one process of a backend server. A server that starts again may keep
+// its id; what was known of the process before says nothing of the new one.
+type Life struct {
+	ID string
+	// Started is when the process started, in Unix milliseconds by the server's
+	// clock; 0 if the server does not tell.
+	Started int64
+}
+
+// Server is one registered backend server.
 type Server struct {
-	ID      string
+	ID string
+	// Started is the process's start, as in Life.
+	Started int64
 	Service string
 	// Address is IP:port.
 	Address string
@@ -49,7 +60,10 @@
 	Leaving bool
 }
 
-// state is what the router knows of a server.
+// Life returns which process of the server this is.
+func (s Server) Life() Life { return Life{ID: s.ID, Started: s.Started} }
+
+// state is what the router knows of one process of a server.
 type state struct {
 	Server
 	hash     uint64
@@ -63,8 +77,8 @@
 	down   bool
 }
 
-func (s *state) usable(tried map[string]bool) bool {
-	return !s.Leaving && !tried[s.ID]
+func (s *state) usable(tried map[Life]bool) bool {
+	return !s.Leaving && !tried[s.Life()]
 }
 
 // Servers is the router's knowledge of all backend servers. It is not safe for
@@ -81,11 +95,13 @@
 	return &Servers{byID: map[string]*state{}, byService: map[string][]*state{}, meanPrompt: map[string]float64{}}
 }
 
-// Put adds a server or updates it. A server that was said to be leaving stays
-// so: its id is used for one life only.
+// Put adds a server or updates it. A process that was said to be leaving stays
+// so. Another process under the same id takes the place of the one before, and
+// nothing known of that one holds for it. Which of two is the later one is for the
+// caller to know: the clock of a server may have been set back between its starts.
 func (f *Servers) Put(s Server) {
 	old, ok := f.byID[s.ID]
-	if !ok {
+	if !ok || s.Started != old.Started {
 		f.byID[s.ID] = &state{Server: s, hash: xxhash.Sum64String(s.ID)}
 		f.index()
 		return
@@ -98,7 +114,18 @@
 	}
 }
 
-// Remove forgets a server.
+// of returns what is known of a process, or nil once it is gone or another one
+// runs under its id.
+func (f *Servers) of(l Life) *state {
+	s, ok := f.byID[l.ID]
+	if !ok || s.Life() != l {
+		return nil
+	}
+	return s
+}
+
+// Remove forgets a server. If it comes back, its counts start anew, and requests
+// that were sent before end without being counted.
 func (f *Servers) Remove(id string) {
 	if _, ok := f.byID[id]; !ok {
 		return
@@ -107,9 +134,9 @@
 	f.index()
 }
 
-// Leave marks a server that takes no new work.
-func (f *Servers) Leave(id string) {
-	if s, ok := f.byID[id]; ok {
+// Leave marks a process that takes no new work.
+func (f *Servers) Leave(l Life) {
+	if s := f.of(l); s != nil {
 		s.Leaving = true
 	}
 }
@@ -142,6 +169,9 @@
 	return ok
 }
 
+// Runs tells whether this process is the one known of its server.
+func (f *Servers) Runs(l Life) bool { return f.of(l) != nil }
+
 // Get returns a known server.
 func (f *Servers) Get(id string) (Server, bool) {
 	s, ok := f.byID[id]
@@ -151,10 +181,10 @@
 	return s.Server, true
 }
 
-// IsDown tells whether the server is out of use until Revived.
-func (f *Servers) IsDown(id string) bool {
-	s, ok := f.byID[id]
-	return ok && s.down
+// IsDown tells whether the process is out of use until Revived.
+func (f *Servers) IsDown(l Life) bool {
+	s := f.of(l)
+	return s != nil && s.down
 }
 
 // Down returns the servers that are out of use until Revived.
@@ -178,8 +208,8 @@
 	Tokens int64
 	// Prompt are all tokens of the prompt.
 	Prompt int64
-	// Tried are servers that the request was already sent to.
-	Tried map[string]bool
+	// Tried are those that the request was already sent to.
+	Tried map[Life]bool
 	// Domain is the router's failure domain; it decides between servers that
 	// are alike.
 	Domain string
@@ -300,10 +330,10 @@
 	Silent
 )
 
-// Started counts a request that is being sent to a server, with the prompt
-// tokens that it has to read.
-func (f *Servers) Started(id string, tokens int64) {
-	if s, ok := f.byID[id]; ok {
+// Sent counts a request that is being sent to a server, with the prompt tokens
+// that it has to read.
+func (f *Servers) Sent(l Life, tokens int64) {
+	if s := f.of(l); s != nil {
 		s.inFlight++
 		s.pending += tokens
 	}
@@ -311,20 +341,20 @@
 
 // Read tells that a server has read the tokens of a prompt, or will not any
 // more.
-func (f *Servers) Read(id string, tokens int64) {
-	if s, ok := f.byID[id]; ok {
-		s.pending -= tokens
+func (f *Servers) Read(l Life, tokens int64) {
+	if s := f.of(l); s != nil {
+		s.pending = max(s.pending-tokens, 0)
 	}
 }
 
 // Ended counts the end of a request. It tells whether the server is out of use
 // because of it.
-func (f *Servers) Ended(id string, outcome Outcome) (down bool) {
-	s, ok := f.byID[id]
-	if !ok {
+func (f *Servers) Ended(l Life, outcome Outcome) (down bool) {
+	s := f.of(l)
+	if s == nil {
 		return false
 	}
-	s.inFlight--
+	s.inFlight = max(s.inFlight-1, 0)
 	switch outcome {
 	case Answered:
 		s.silent = 0
@@ -341,8 +371,8 @@
 }
 
 // Revived takes a server that was down back into use.
-func (f *Servers) Revived(id string) {
-	if s, ok := f.byID[id]; ok {
+func (f *Servers) Revived(l Life) {
+	if s := f.of(l); s != nil {
 		s.down = false
 		s.silent = 0
 	}
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -30,6 +30,7 @@
 	s.gauge("gaplink_config_age_seconds", "Time since the configuration was last known to be the newest.", func() float64 { return s.configs.Age().Seconds() })
 	s.gauge("gaplink_requests_in_flight", "Requests being served.", func() float64 { return float64(s.gateway.InFlight()) })
 	s.gauge("gaplink_caller_connections", "Open connections of callers.", func() float64 { return float64(s.crowd.open.Load()) })
+	s.gauge("gaplink_registrations_unreadable", "Registrations of backend servers that could not be read, since the start.", func() float64 { return float64(s.servers.Unreadable()) })
 	s.gauge("gaplink_link_load_in", "Part of the link's capacity that was used inwards in the last window.", func() float64 { return s.meter.Load().In })
 	s.gauge("gaplink_link_load_out", "The same outwards.", func() float64 { return s.meter.Load().Out })
 	s.gauge("gaplink_log_lines_dropped", "Log lines left out because the reader was slow.", func() float64 { return float64(s.writer.Dropped()) })
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/gaplink/gaplink/link"
+	"github.com/gaplink/gaplink/placement"
 )
 
 // conn is one connection to a backend server.
@@ -18,10 +19,11 @@
 	net.Conn
 	reader *bufio.Reader
 	meter  *link.Meter
-	// addr is the server's address and owner the id of the server that it was
-	// opened for: an address may pass to another server.
-	addr, owner string
-	expires     time.Time
+	addr string
+	// owner is the process that it was opened for: an address may pass to another
+	// server.
+	owner   placement.Life
+	expires time.Time
 	// used tells that it has carried a request.
 	used bool
 }
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -4,12 +4,16 @@
 	"net"
 	"net/http"
 	"strconv"
+
+	"github.com/gaplink/gaplink/placement"
 )
 
 // Request is one request to a backend server.
 type Request struct {
-	// Address is IP:port, Owner the id of the server expected there.
-	Address, Owner string
+	// Address is IP:port.
+	Address string
+	// Owner is the process of a server that is expected there.
+	Owner placement.Life
 	// MaxConnections bounds the open connections to the address; 0 means no
 	// bound.
 	MaxConnections int
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/gaplink/gaplink/link"
+	"github.com/gaplink/gaplink/placement"
 )
 
 const (
@@ -170,7 +171,7 @@
 
 // Probe opens a connection to a server and keeps it for a request; an error
 // means that the server cannot be reached.
-func (p *Pool) Probe(ctx context.Context, address, owner string) error {
+func (p *Pool) Probe(ctx context.Context, address string, owner placement.Life) error {
 	c, err := p.dial(ctx, &Request{Address: address, Owner: owner})
 	if err != nil {
 		return err
@@ -181,7 +182,7 @@
 
 // Sweep closes idle connections that are past their time or whose server is
 // not kept.
-func (p *Pool) Sweep(now time.Time, keep func(owner string) bool) {
+func (p *Pool) Sweep(now time.Time, keep func(owner placement.Life) bool) {
 	var stale []*conn
 	p.mu.Lock()
 	for addr, list := range p.idle {
