--- a/controller/configs/configs.go
+++ b/controller/configs/configs.go
@@ -63,7 +63,7 @@
 }
 
 // Listed implements follow.Handler.
-func (c *Controller) Listed(objects []store.Object) { c.Changed(objects) }
+func (c *Controller) Listed(objects []store.Object, _ int64) { c.Changed(objects) }
 
 // Changed implements follow.Handler.
 func (c *Controller) Changed(objects []store.Object) {
--- a/controller/follow/follow.go
+++ b/controller/follow/follow.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -14,21 +15,25 @@
 )
 
 const (
-	// watchWait is how long a watch waits at the store. A watch may go deaf
-	// while its connection lives, when the store forgets its history; what
-	// changed meanwhile is found after this time and the client's slack, which
-	// must together be well below the two seconds within which a leaving server
-	// and a new configuration count. Each renewal is one call.
-	watchWait = 1200 * time.Millisecond
 	// retryPause is the pause after a failed call. Two followers of each router
 	// then make at most eight calls a second while the store is away.
 	retryPause = 250 * time.Millisecond
-	// deputyPause is the same for a router that only stands in for those whose
-	// task it is to follow: they look for the store often enough for all.
-	deputyPause = 1200 * time.Millisecond
-	// freshFor is how long after an answer of the store what is known from it
-	// counts as the newest: a watch's wait and the time of a slow answer.
-	freshFor = watchWait + 600*time.Millisecond
+	// gatherPause is the pause after a watch that brought changes. A release of
+	// servers or a series of configurations changes objects many times a second;
+	// each pause gathers them for one call.
+	gatherPause = 150 * time.Millisecond
+	// freshSlack is how long beyond a watch's wait an answer of the store counts as
+	// the newest: the time of a slow answer and of a pause.
+	freshSlack = 600 * time.Millisecond
+	// firstSpread is the time over which the first tries of all deputies are spread,
+	// well within the bound on a change: the store may answer this one alone.
+	firstSpread = 1200 * time.Millisecond
+	// deputySpread is the time over which the further tries of deputiesAtOnce deputies
+	// are spread. More deputies take longer in proportion, so that a fleet of any size
+	// asks a store that is away some thirteen times a second, and finds within a
+	// fraction of a second that it is back.
+	deputySpread   = 2400 * time.Millisecond
+	deputiesAtOnce = 16
 )
 
 // Part is what a follower does now.
@@ -46,104 +51,157 @@
 
 // Handler takes what a follower learns. Its calls come one after the other.
 type Handler interface {
-	// Listed takes all objects.
-	Listed(objects []store.Object)
+	// Listed takes all objects as they were at a revision of the store.
+	Listed(objects []store.Object, revision int64)
 	// Changed takes changed objects, oldest first.
 	Changed(objects []store.Object)
-	// Lost tells that the store does not answer, Regained that it does again.
+	// Lost tells that the store does not answer, or that nobody tells what is new
+	// there, Regained that it answers again.
 	Lost()
 	Regained()
 }
 
+// Options are what a follower works with.
+type Options struct {
+	Store store.Store
+	// Prefix is the kind to follow.
+	Prefix  string
+	Handler Handler
+	// Part tells whether to follow now, or to leave it to other routers.
+	Part func() Part
+	// Deputies tells how many routers may be deputies when this one is.
+	Deputies func() int
+	// Scout tells whether the store answers a follower of another kind that looks for
+	// it for this one too, when both are deputies. nil: this one looks itself.
+	Scout func() bool
+	// Wait is how long a watch waits at the store. A watch may go deaf while its
+	// connection lives; what changed meanwhile is found after this time and the
+	// client's slack. Each renewal is one call.
+	Wait func() time.Duration
+	Log  *zap.Logger
+}
+
 // Follower follows one kind.
 type Follower struct {
-	store   store.Store
-	prefix  string
-	handler Handler
-	log     *zap.Logger
-	// part tells whether to follow now, or to leave it to other routers.
-	part func() Part
+	Options
 
-	revision int64 // of the store; 0: a list is due
+	due     time.Time // when a deputy tries the store; zero: that is not drawn yet
+	tries   int       // of a deputy in a row
+	doubted bool      // the handler was told that nothing is heard
 
 	mu       sync.Mutex
+	revision int64 // of the store; 0: a list is due
 	lost     bool
 	lostAt   time.Time
 	answered time.Time // when the store answered last
 }
 
-// New returns a follower of the objects under prefix.
-// It makes no calls while its part is to rest.
-func New(s store.Store, prefix string, h Handler, part func() Part, log *zap.Logger) *Follower {
-	return &Follower{store: s, prefix: prefix, handler: h, part: part, log: log.With(zap.String("kind", prefix))}
+// New returns a follower. It makes no calls while its part is to rest.
+func New(o Options) *Follower {
+	o.Log = o.Log.With(zap.String("kind", o.Prefix))
+	return &Follower{Options: o}
 }
 
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		part := f.part()
+		part := f.Part()
 		if part == Rests {
 			f.rest()
+		}
+		if part == Rests || part == Deputy && !f.isDue(time.Now()) {
+			f.doubt(part)
 			_ = wait.For(ctx, retryPause)
 			continue
 		}
+		f.due = time.Time{}
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.failed(err)
-			_ = wait.For(ctx, pause(part))
+			_ = wait.For(ctx, retryPause)
 		}
 	}
 }
 
-// pause is the pause after a failed call.
-func pause(p Part) time.Duration {
-	if p == Deputy {
-		return deputyPause
+// isDue tells whether a deputy may make a call: one that the store answers goes on,
+// the others take turns by chance.
+func (f *Follower) isDue(now time.Time) bool {
+	if f.Fresh() {
+		return true
+	}
+	if f.Scout != nil {
+		return f.Scout()
+	}
+	if f.due.IsZero() {
+		f.due = now.Add(time.Duration(rand.Float64() * float64(f.spread())))
+		f.tries++
+	}
+	return !now.Before(f.due)
+}
+
+// spread is the time within which a deputy's next try falls.
+func (f *Follower) spread() time.Duration {
+	if f.tries == 0 {
+		return firstSpread
+	}
+	crowd := max(float64(f.Deputies())/deputiesAtOnce, 1)
+	return time.Duration(crowd * float64(deputySpread))
+}
+
+// doubt tells the handler, once, when nobody tells this router what is new and it
+// does not ask either.
+func (f *Follower) doubt(part Part) {
+	doubts := part == Deputy
+	if doubts && !f.doubted {
+		f.Handler.Lost()
 	}
-	return retryPause
+	f.doubted = doubts
 }
 
-// rest ends a loss: others tell what is new, and whether the store answers is
-// not known.
+// rest ends a loss, and what is known from the store is not the newest any more:
+// others tell what is new, and whether the store answers is not known.
 func (f *Follower) rest() {
+	f.due = time.Time{}
+	f.tries = 0
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lost = false
+	f.answered = time.Time{}
 }
 
 // step makes one call.
 func (f *Follower) step(ctx context.Context) error {
-	if f.revision == 0 {
+	since := f.Revision()
+	if since == 0 {
 		return f.list(ctx)
 	}
-	wait := watchWait
+	waits := f.Wait()
 	if f.Lost() {
-		wait = time.Millisecond // an answer at once shows that the store is back
+		waits = time.Millisecond // an answer at once shows that the store is back
 	}
-	ev, err := f.store.Watch(ctx, f.prefix, f.revision, wait)
+	ev, err := f.Store.Watch(ctx, f.Prefix, since, waits)
 	if err != nil {
 		return err
 	}
 	if ev.Gap {
-		f.log.Info("history is gone; listing again", zap.Int64("revision", f.revision))
-		f.revision = 0
+		f.Log.Info("history is gone; listing again", zap.Int64("revision", since))
+		f.at(0)
 		return nil
 	}
-	f.succeeded()
-	f.revision = max(f.revision, ev.Revision)
+	f.succeeded(max(since, ev.Revision))
 	if len(ev.Objects) > 0 {
-		f.handler.Changed(ev.Objects)
+		f.Handler.Changed(ev.Objects)
+		_ = wait.For(ctx, gatherPause)
 	}
 	return nil
 }
 
 func (f *Follower) list(ctx context.Context) error {
-	objects, revision, err := f.store.List(ctx, f.prefix)
+	objects, revision, err := f.Store.List(ctx, f.Prefix)
 	if err != nil {
 		return err
 	}
-	f.succeeded()
-	f.revision = revision
-	f.handler.Listed(objects)
+	f.succeeded(revision)
+	f.Handler.Listed(objects, revision)
 	return nil
 }
 
@@ -154,25 +212,46 @@
 		f.lost = true
 		f.lostAt = time.Now()
 	}
+	revision := f.revision
 	f.mu.Unlock()
 	if first {
-		f.log.Warn("store lost", zap.Error(err), zap.Int64("revision", f.revision))
-		f.handler.Lost()
+		f.Log.Warn("store lost", zap.Error(err), zap.Int64("revision", revision))
+		f.Handler.Lost()
 	}
 }
 
-func (f *Follower) succeeded() {
+// succeeded notes an answer that tells all changes up to a revision.
+func (f *Follower) succeeded(revision int64) {
 	f.mu.Lock()
 	was, since := f.lost, f.lostAt
 	f.lost = false
 	f.answered = time.Now()
+	f.revision = revision
 	f.mu.Unlock()
+	if f.doubted && !was {
+		f.Handler.Regained()
+	}
+	f.doubted = false
 	if was {
-		f.log.Info("store regained", zap.Duration("after_ms", time.Since(since)), zap.Int64("revision", f.revision))
-		f.handler.Regained()
+		f.Log.Info("store regained", zap.Duration("after_ms", time.Since(since)), zap.Int64("revision", revision))
+		f.Handler.Regained()
 	}
 }
 
+// at sets the revision from which the next call goes on.
+func (f *Follower) at(revision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision = revision
+}
+
+// Revision returns the store's revision up to which all changes are known.
+func (f *Follower) Revision() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision
+}
+
 // Lost tells whether the last call failed.
 func (f *Follower) Lost() bool {
 	f.mu.Lock()
@@ -184,5 +263,5 @@
 func (f *Follower) Fresh() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.lost && time.Since(f.answered) < freshFor
+	return !f.lost && time.Since(f.answered) < f.Wait()+freshSlack
 }
--- a/controller/members/members.go
+++ b/controller/members/members.go
@@ -31,6 +31,7 @@
 	view   *membership.View
 	onList []func([]membership.Member)
 	ranked map[string]ranked // what First found lately
+	lists  map[string]list   // what rankLargest found lately
 	live   counted
 	// excused tells that failed calls say nothing about the members.
 	excused func() bool
@@ -50,6 +51,12 @@
 	until time.Time
 }
 
+// list is the members found for a role, as ranked.
+type list struct {
+	ids   []string
+	until time.Time
+}
+
 // rankFor is how long a found member is taken without ranking anew. Ranking
 // costs time in proportion to the members, and is asked for at every request
 // and for every budget in use.
@@ -64,6 +71,7 @@
 		self:   self,
 		view:   membership.NewView(self),
 		ranked: map[string]ranked{},
+		lists:  map[string]list{},
 
 		excused: func() bool { return false },
 	}
@@ -110,7 +118,7 @@
 	}
 	c.mu.Lock()
 	c.view.SetList(list)
-	clear(c.ranked)
+	c.viewChanged()
 	c.mu.Unlock()
 	for _, fn := range c.onList {
 		fn(backends)
@@ -153,21 +161,32 @@
 func (c *Controller) RankLargest(now time.Time, role string) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.rankLargest(now, role)
+	return slices.Clone(c.rankLargest(now, role))
 }
 
+// rankLargest returns a list that the caller must not change.
 func (c *Controller) rankLargest(now time.Time, role string) []string {
+	if l, ok := c.lists[role]; ok && now.Before(l.until) {
+		return l.ids
+	}
 	ids := c.view.Rank(now, role)
 	slices.SortStableFunc(ids, func(a, b string) int { return cmp.Compare(c.linkOf(b), c.linkOf(a)) })
+	c.lists[role] = list{ids: ids, until: now.Add(rankFor)}
 	return ids
 }
 
+// viewChanged drops what was found in the view as it was.
+func (c *Controller) viewChanged() {
+	clear(c.ranked)
+	clear(c.lists)
+}
+
 // RankIn returns the usable members of a failure domain for a role, best first:
 // those with the largest links, in the order of the role.
 func (c *Controller) RankIn(now time.Time, role, domain string) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return slices.DeleteFunc(c.rankLargest(now, role), func(id string) bool {
+	return slices.DeleteFunc(slices.Clone(c.rankLargest(now, role)), func(id string) bool {
 		m, _ := c.view.Member(id)
 		return m.Domain != domain
 	})
@@ -238,7 +257,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.view.Add(m)
-	clear(c.ranked)
+	c.viewChanged()
 }
 
 // Domains returns the failure domains of the listed routers, in order.
@@ -262,7 +281,7 @@
 	now := time.Now()
 	known := c.view.Suspected(now, id)
 	c.view.Failed(now, id)
-	clear(c.ranked)
+	c.viewChanged()
 	c.mu.Unlock()
 	if !known {
 		c.log.Info("router passed over", zap.String("router", id), zap.Error(cause))
@@ -274,7 +293,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.view.Suspected(time.Now(), id) {
-		clear(c.ranked)
+		c.viewChanged()
 	}
 	c.view.Reached(id)
 }
@@ -284,5 +303,5 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.view.SetLeaving(id)
-	clear(c.ranked)
+	c.viewChanged()
 }
--- /dev/null
+++ b/controller/news/fleet_test.go
@@ -0,0 +1,396 @@
+package news_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gaplink/gaplink/catalog"
+	"github.com/gaplink/gaplink/controller/configs"
+	"github.com/gaplink/gaplink/controller/follow"
+	"github.com/gaplink/gaplink/controller/members"
+	"github.com/gaplink/gaplink/controller/news"
+	"github.com/gaplink/gaplink/controller/registry"
+	"github.com/gaplink/gaplink/membership"
+	"github.com/gaplink/gaplink/peer"
+	"github.com/gaplink/gaplink/placement"
+	"github.com/gaplink/gaplink/store"
+	"github.com/gaplink/gaplink/store/memory"
+	"github.com/gaplink/gaplink/upstream"
+	"github.com/gaplink/gaplink/wait"
+)
+
+// The tests here play how a fleet of many small routers in five failure domains, of
+// which a few have large links, learns what is new in the store: in virtual time,
+// with followers and questions between routers, without a network. The bound on a
+// change is that of a large deployment, 4 s.
+const (
+	routers   = 60
+	domains   = 5
+	bound     = 4 * time.Second
+	watchWait = 2400 * time.Millisecond
+	configKey = "config/main"
+)
+
+// fleet is the routers with their store.
+type fleet struct {
+	objects *memory.Store
+
+	mu      sync.Mutex
+	calls   int
+	cutOff  func(router int) bool // from the store
+	deaf    func(router int) bool // watches of it hear nothing
+	stopped map[string]bool       // routers that do not answer, by address
+	all     []*one
+}
+
+// one is one router.
+type one struct {
+	fleet   *fleet
+	number  int
+	addr    string
+	configs *configs.Controller
+	servers *registry.Controller
+	news    *news.Controller
+	stop    context.CancelFunc
+}
+
+// errCut is the silence of a store that a router cannot reach.
+var errCut = fmt.Errorf("%w: cut off", store.ErrUnknown)
+
+// view is the store as one router sees it.
+type view struct {
+	store.Store
+	router int
+	fleet  *fleet
+}
+
+// counted counts a call and tells whether it gets through.
+func (v view) counted() error {
+	v.fleet.mu.Lock()
+	defer v.fleet.mu.Unlock()
+	v.fleet.calls++
+	if v.fleet.cutOff(v.router) {
+		return errCut
+	}
+	return nil
+}
+
+func (v view) List(ctx context.Context, prefix string) ([]store.Object, int64, error) {
+	if err := v.counted(); err != nil {
+		return nil, 0, err
+	}
+	return v.Store.List(ctx, prefix)
+}
+
+func (v view) Watch(ctx context.Context, prefix string, since int64, waits time.Duration) (store.Events, error) {
+	if err := v.counted(); err != nil {
+		return store.Events{}, err
+	}
+	v.fleet.mu.Lock()
+	deaf := v.fleet.deaf(v.router)
+	v.fleet.mu.Unlock()
+	if deaf {
+		return store.Events{}, errors.Join(errCut, wait.For(ctx, waits+400*time.Millisecond))
+	}
+	return v.Store.Watch(ctx, prefix, since, waits)
+}
+
+// errDown is the silence of a router that is gone.
+var errDown = errors.New("no answer")
+
+// calls carries questions within the fleet in a millisecond.
+type calls struct{ fleet *fleet }
+
+func (c calls) at(ctx context.Context, addr string) (*one, error) {
+	if err := wait.For(ctx, time.Millisecond); err != nil {
+		return nil, err
+	}
+	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
+	for _, r := range c.fleet.all {
+		if r.addr == addr && !c.fleet.stopped[addr] {
+			return r, nil
+		}
+	}
+	return nil, errDown
+}
+
+// News implements news.Calls.
+func (c calls) News(ctx context.Context, addr string, req *peer.NewsRequest) (*peer.NewsAnswer, error) {
+	r, err := c.at(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return r.news.Answer(ctx, req)
+}
+
+// Config implements news.Calls.
+func (c calls) Config(ctx context.Context, addr string) (*peer.ConfigAnswer, error) {
+	r, err := c.at(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return r.news.Config(ctx, &peer.Empty{})
+}
+
+func decodeServer(id string, value []byte) (placement.Server, error) {
+	s := placement.Server{}
+	err := json.Unmarshal(value, &s)
+	s.ID = id
+	return s, err
+}
+
+func decodeConfig(value []byte) (*catalog.Catalog, error) {
+	var version int64
+	if err := json.Unmarshal(value, &version); err != nil {
+		return nil, err
+	}
+	return catalog.New(version, catalog.Limits{}, nil, nil, nil)
+}
+
+func nobody(int) bool { return false }
+
+// play starts a fleet whose store holds a configuration and a server, lets it settle,
+// and runs body in virtual time.
+func play(t *testing.T, body func(*fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{objects: memory.New(), cutOff: nobody, deaf: nobody, stopped: map[string]bool{}}
+		f.configure(t, 1)
+		f.register(t, "first", false)
+		for n := range routers {
+			f.add(t, n)
+		}
+		time.Sleep(3 * time.Second)
+		if late := f.without(1, 1); len(late) > 0 {
+			t.Fatalf("routers %v know nothing three seconds after their start", late)
+		}
+		body(f)
+	})
+}
+
+func (f *fleet) put(t *testing.T, key string, value any) {
+	t.Helper()
+	text, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	old, err := f.objects.Get(t.Context(), key)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		t.Fatal(err)
+	}
+	if _, err := store.Put(t.Context(), f.objects, key, old.Version, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (f *fleet) configure(t *testing.T, version int64) { f.put(t, configKey, version) }
+
+func (f *fleet) register(t *testing.T, id string, leaving bool) {
+	f.put(t, "servers/"+id, placement.Server{Service: "svc", Leaving: leaving})
+}
+
+// member is a router; every twentieth has a large link.
+func member(n int) membership.Member {
+	m := membership.Member{
+		ID: fmt.Sprintf("r%03d", n), Kind: "router", Addr: fmt.Sprintf("10.0.0.%d:1", n),
+		Domain: fmt.Sprint("z", n%domains), State: membership.Live, LinkMbps: 20,
+	}
+	if n < routers/20 {
+		m.LinkMbps = 200
+	}
+	return m
+}
+
+// add starts a router.
+func (f *fleet) add(t *testing.T, n int) {
+	ctx, cancel := context.WithCancel(t.Context())
+	self := member(n)
+	known := members.New(self, nil, 0, zap.NewNop())
+	for other := range routers {
+		known.Met(member(other))
+	}
+	r := &one{fleet: f, number: n, addr: self.Addr, stop: cancel}
+	r.configs = configs.New(configKey, decodeConfig, func(*catalog.Catalog) {}, zap.NewNop())
+	r.servers = registry.New(decodeServer, upstream.New(upstream.Options{}), rand.New(rand.NewPCG(1, uint64(n))), zap.NewNop())
+	var followers []*follow.Follower
+	both := func(holds func(*follow.Follower) bool) (n int) {
+		for _, w := range followers {
+			if holds(w) {
+				n++
+			}
+		}
+		return n
+	}
+	r.news = news.New(news.Options{
+		Configs: r.configs, Servers: r.servers, Members: known, Calls: calls{f},
+		Self: self.ID + "/1", Domain: self.Domain,
+		Lost:     func() bool { return both((*follow.Follower).Lost) > 0 },
+		Fresh:    func() bool { return both((*follow.Follower).Fresh) == 2 },
+		Revision: func() int64 { return followers[1].Revision() },
+		Large:    func() bool { return true },
+		Log:      zap.NewNop(),
+	})
+	following := func(kind string, handler follow.Handler) follow.Options {
+		return follow.Options{
+			Store: view{f.objects, n, f}, Prefix: kind, Handler: handler, Part: r.news.Part, Deputies: r.news.Deputies,
+			Wait: func() time.Duration { return watchWait }, Log: zap.NewNop(),
+		}
+	}
+	servers := follow.New(following("servers", r.servers))
+	config := following("config", r.configs)
+	config.Scout = servers.Fresh
+	followers = []*follow.Follower{follow.New(config), servers}
+	f.mu.Lock()
+	f.all = append(f.all, r)
+	f.mu.Unlock()
+	for _, w := range followers {
+		go w.Run(ctx)
+	}
+	go r.news.Run(ctx)
+	go r.servers.Run(ctx)
+}
+
+// without returns the routers that do not know a configuration and so many servers
+// in use.
+func (f *fleet) without(version int64, servers int) []int {
+	var late []int
+	for _, r := range f.all {
+		f.mu.Lock()
+		gone := f.stopped[r.addr]
+		f.mu.Unlock()
+		if !gone && (r.configs.Version() != version || r.servers.Counts()["svc"].Up != servers) {
+			late = append(late, r.number)
+		}
+	}
+	return late
+}
+
+// counted returns the calls since the last time.
+func (f *fleet) counted() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := f.calls
+	f.calls = 0
+	return n
+}
+
+// cut cuts routers off from the store.
+func (f *fleet) cut(off func(int) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cutOff = off
+}
+
+// change makes a change of each kind and checks that all routers follow in time.
+func (f *fleet) change(t *testing.T, version int64) {
+	t.Helper()
+	f.configure(t, version)
+	f.register(t, fmt.Sprint("s", version), false)
+	begun := time.Now()
+	for {
+		late := f.without(version, int(version))
+		if len(late) == 0 {
+			t.Logf("version %d at all routers after %v", version, time.Since(begun))
+			return
+		}
+		if time.Since(begun) > bound {
+			t.Fatalf("version %d has not reached routers %v within %v", version, late, bound)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestQuietFleetAsksTheStoreSeldom: two routers watch for all, so that calls do not
+// grow with the fleet, and still a change is everywhere within a second.
+func TestQuietFleetAsksTheStoreSeldom(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.counted()
+		time.Sleep(24 * time.Second)
+		if n := f.counted(); n > 50 {
+			t.Errorf("%d calls in 24 quiet seconds", n)
+		}
+		f.change(t, 2)
+	})
+}
+
+// TestChangeArrivesWithADeafWatch: the connection of a watching router goes silent,
+// and nobody is told. The other one makes up for it, whichever it is.
+func TestChangeArrivesWithADeafWatch(t *testing.T) {
+	play(t, func(f *fleet) {
+		for n := range routers / 20 {
+			f.mu.Lock()
+			f.deaf = func(router int) bool { return router == n }
+			f.mu.Unlock()
+			time.Sleep(watchWait)
+			f.change(t, int64(n)+2)
+		}
+	})
+}
+
+// TestChangeArrivesWhileTheStoreTurnsAwayWatchers: the store turns away those that
+// watch, or them and all that tell, and serves the others.
+func TestChangeArrivesWhileTheStoreTurnsAwayWatchers(t *testing.T) {
+	for name, away := range map[string]func(int) bool{
+		"watchers":             func(n int) bool { return n < routers/20 },
+		"two thirds":           func(n int) bool { return n%3 > 0 },
+		"four fifths":          func(n int) bool { return n < routers*4/5 },
+		"one failure domain":   func(n int) bool { return n%domains == 0 },
+		"all but one of these": func(n int) bool { return n%domains != 0 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(f *fleet) {
+				f.cut(away)
+				time.Sleep(2 * time.Second)
+				f.change(t, 2)
+			})
+		})
+	}
+}
+
+// TestOutageOfTheStoreCostsFewCalls: all routers are cut off from the store for eight
+// seconds, which still reach each other, as on days with large deployments. A change
+// made meanwhile must be everywhere soon after.
+func TestOutageOfTheStoreCostsFewCalls(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.counted()
+		f.cut(func(int) bool { return true })
+		time.Sleep(8 * time.Second)
+		if n := f.counted(); n > routers+2*8*8+160 { // a first try each, two watchers, further tries
+			t.Errorf("%d calls in eight seconds without the store", n)
+		}
+		for _, r := range f.all {
+			if !r.news.StoreLost() {
+				t.Errorf("router %d does not know that the store is away", r.number)
+			}
+		}
+		f.cut(nobody)
+		f.change(t, 2)
+	})
+}
+
+// TestChangeArrivesAfterWatchersDied: the routers that watch and half of those that
+// tell are gone without a word.
+func TestChangeArrivesAfterWatchersDied(t *testing.T) {
+	play(t, func(f *fleet) {
+		for _, r := range f.all {
+			if r.number < routers/20 || r.number%7 == 0 {
+				r.stop()
+				f.mu.Lock()
+				f.stopped[r.addr] = true
+				f.mu.Unlock()
+			}
+		}
+		f.change(t, 2)
+		time.Sleep(5 * time.Second)
+		f.change(t, 3)
+	})
+}
--- a/controller/news/news.go
+++ b/controller/news/news.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -18,11 +19,17 @@
 	"github.com/gaplink/gaplink/controller/registry"
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/store"
+	"github.com/gaplink/gaplink/wait"
 )
 
 const (
-	// askEvery is how often another router is asked.
+	// askEvery is how often another router is asked. askFirst is how often until the
+	// first answer: a router that has just started can serve nobody before it. askSoon
+	// is how often those ask that hear no news and for whom others wait: some ten
+	// others may have it.
 	askEvery = 250 * time.Millisecond
+	askFirst = 50 * time.Millisecond
+	askSoon  = 100 * time.Millisecond
 	// callTimeout bounds the question.
 	callTimeout = 400 * time.Millisecond
 	// fetchTimeout bounds the fetching of a configuration: a large one, compressed,
@@ -31,26 +38,45 @@
 	// trust is how long a router goes by news before it watches the store
 	// itself: three questions.
 	trust = 800 * time.Millisecond
-	// watchersEach is how many routers of a failure domain watch the store in a
-	// large fleet: one more than is needed.
-	watchersEach = 2
-	// watchRole is the role by which they are ranked.
+	// lostFor is how long a router takes the store to be away after one that watches
+	// it said so and no other said otherwise: a round of questions to all tellers of
+	// five failure domains.
+	lostFor = 3 * time.Second
+	// watchers is how many routers of a large fleet watch the store: one more than
+	// is needed. Each watches on its own, and they ask each other, so that a watch
+	// that hears nothing any more is made up for by the other one.
+	watchers = 2
+	// tellersEach is how many routers of a failure domain pass on what the watchers
+	// know: one more than is needed.
+	tellersEach = 2
+	// watchRole is the role by which both are ranked.
 	watchRole = "watch"
+	// strayEvery is which of the questions in a row without news goes to a router
+	// that is neither: the store may answer it and none of them.
+	strayEvery = 4
 )
 
+// TellingTime is how long news takes from a watcher to the last router: a question
+// from the teller, one from the router, and the time of both on links that are busy.
+const TellingTime = 2*askEvery + 300*time.Millisecond
+
 // Options are what a controller works with.
 type Options struct {
 	Configs *configs.Controller
 	Servers *registry.Controller
 	Members *members.Controller
-	Peers   *peer.Client
+	// Calls carries the questions.
+	Calls Calls
 	// Self is this process.
 	Self string
 	// Domain is this router's failure domain.
 	Domain string
-	// Lost tells whether the store does not answer this router, and Fresh whether
-	// it answered just now.
+	// Lost tells whether the store did not answer this router's last call, and Fresh
+	// whether it answered just now.
 	Lost, Fresh func() bool
+	// Revision is the store's revision up to which this router has heard all
+	// changes of registrations from the store itself.
+	Revision func() int64
 	// Large tells whether the fleet is so large that few watch for all.
 	Large func() bool
 	Log   *zap.Logger
@@ -60,103 +86,193 @@
 type Controller struct {
 	Options
 
-	mu      sync.Mutex
-	source  string // whose registrations were taken last
-	seq     int64
-	current time.Time // when a watching router last answered
-	next    int       // which of the ranked routers is asked
-	told    bool      // the log has the present source of news
+	mu       sync.Mutex
+	source   string // whose registrations were taken last
+	seq      int64
+	revision int64     // up to which that source knew all changes
+	current  time.Time // when a router last told what is newest
+	lost     time.Time // when one last told that the store does not answer it
+	teller   string    // which one did; empty: another is looked for
+	origin   string    // which router that one had it from, or itself
+	next     int       // which of the candidates is asked
+	told     bool      // the log has the present source of news
 
 	fetching atomic.Bool // a configuration is being fetched
 }
 
 // New returns a controller.
-func New(o Options) *Controller { return &Controller{Options: o} }
+func New(o Options) *Controller {
+	return &Controller{Options: o, next: rand.IntN(tellersEach)} // so that tellers share the questions
+}
 
-// Part tells whether this router follows the store: all do in a small fleet,
-// else the first of each failure domain, and whoever hears no news.
+// Part tells whether this router follows the store: all do in a small fleet, else
+// the watchers, and whoever hears no news. Of several deputies that the store
+// answers the one that is ranked first goes on; without an order all would rest as
+// soon as they hear each other, and nobody would watch.
 func (c *Controller) Part() follow.Part {
 	if !c.Large() || c.isWatcher() {
 		return follow.Follows
 	}
-	if !c.Heard() {
+	origin, heard := c.heardOf()
+	if !heard || c.Fresh() && c.goesFirst(origin) {
 		return follow.Deputy
 	}
 	return follow.Rests
 }
 
+// heardOf returns the router that had the news from the store which this one was told
+// lately.
+func (c *Controller) heardOf() (origin string, heard bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.origin, c.heard()
+}
+
+// goesFirst tells whether this router is ranked before another one.
+func (c *Controller) goesFirst(other string) bool {
+	ranked := c.Members.RankLargest(time.Now(), watchRole)
+	self, theirs := slices.Index(ranked, c.Members.Self().ID), slices.Index(ranked, other)
+	return theirs < 0 || self >= 0 && self <= theirs
+}
+
+// Deputies returns how many routers look for the store, beside the watchers, when
+// this one does: the tellers first, for whom everybody waits, and then all.
+func (c *Controller) Deputies() int {
+	if c.isTeller() {
+		return len(c.tellers())
+	}
+	return c.Members.Live()
+}
+
 // Heard tells whether another router has told lately what it knows from the
 // store.
 func (c *Controller) Heard() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return time.Since(c.current) <= trust
+	return c.heard()
 }
 
-func (c *Controller) isWatcher() bool {
-	for _, id := range c.watchers(c.Domain) {
-		if id == c.Members.Self().ID {
-			return true
-		}
+func (c *Controller) heard() bool { return time.Since(c.current) <= trust }
+
+// StoreLost tells whether the store does not answer this router, or those that
+// watch it for the fleet.
+func (c *Controller) StoreLost() bool {
+	if c.Lost() {
+		return true
 	}
-	return false
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.toldLost()
+}
+
+func (c *Controller) toldLost() bool { return !c.heard() && time.Since(c.lost) <= lostFor }
+
+func (c *Controller) isWatcher() bool {
+	return slices.Contains(c.watchers(), c.Members.Self().ID)
 }
 
-// watchers are the routers of a failure domain that watch the store.
-func (c *Controller) watchers(domain string) []string {
+// watchers are the routers that watch the store for a large fleet.
+func (c *Controller) watchers() []string {
+	ranked := c.Members.RankLargest(time.Now(), watchRole)
+	return ranked[:min(len(ranked), watchers)]
+}
+
+func (c *Controller) isTeller() bool {
+	return slices.Contains(c.tellersIn(c.Domain), c.Members.Self().ID)
+}
+
+// tellersIn are the routers of a failure domain that pass news on.
+func (c *Controller) tellersIn(domain string) []string {
 	ranked := c.Members.RankIn(time.Now(), watchRole, domain)
-	return ranked[:min(len(ranked), watchersEach)]
+	return ranked[:min(len(ranked), tellersEach)]
+}
+
+// tellers are those of all failure domains, this one's first.
+func (c *Controller) tellers() []string {
+	ids := c.tellersIn(c.Domain)
+	for _, domain := range c.Members.Domains() {
+		if domain != c.Domain {
+			ids = append(ids, c.tellersIn(domain)...)
+		}
+	}
+	return ids
 }
 
-// Run asks another router every so often while it is not this one's task to
-// watch the store, or the store does not answer.
+// Run asks another router every so often in a large fleet, and in a small one while
+// the store does not answer.
 func (c *Controller) Run(ctx context.Context) {
-	ticker := time.NewTicker(askEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			if c.Lost() || c.Large() && !c.isWatcher() {
-				c.ask(ctx)
-			}
-		case <-ctx.Done():
-			return
+	for ctx.Err() == nil {
+		if c.Lost() || c.Large() {
+			c.ask(ctx)
 		}
+		_ = wait.For(ctx, c.pause())
 	}
 }
 
-// candidates are the routers to ask: all others in a small fleet, else those
-// that watch the store, the ones of this failure domain first.
+// pause is the time until the next question.
+func (c *Controller) pause() time.Duration {
+	switch {
+	case !c.Large() && !c.Lost():
+		return askEvery
+	case !c.Servers.Ready():
+		return askFirst
+	case !c.Heard() && !c.Fresh() && c.Large() && c.passesOn():
+		return askSoon
+	default:
+		return askEvery
+	}
+}
+
+// candidates are the routers to ask, the best first: all others in a small fleet. In
+// a large one tellers ask the watchers, which ask each other, and the others ask the
+// tellers.
 func (c *Controller) candidates() []string {
 	if !c.Large() {
 		return c.Members.Others(time.Now())
 	}
-	ids := c.watchers(c.Domain)
-	for _, domain := range c.Members.Domains() {
-		if domain != c.Domain {
-			ids = append(ids, c.watchers(domain)...)
-		}
+	ids := c.tellers()
+	if c.isTeller() || c.isWatcher() {
+		ids = append(c.watchers(), ids...)
 	}
 	return slices.DeleteFunc(ids, func(id string) bool { return id == c.Members.Self().ID })
 }
 
-func (c *Controller) ask(ctx context.Context) {
+// choose returns the router to ask: the one that told the newest last, or else the
+// next one.
+func (c *Controller) choose() (string, bool) {
+	c.mu.Lock()
+	teller, next := c.teller, c.next
+	c.mu.Unlock()
+	if teller != "" {
+		return teller, true
+	}
 	ids := c.candidates()
+	if next%strayEvery == strayEvery-1 {
+		ids = c.Members.Others(time.Now())
+		next = rand.IntN(max(len(ids), 1))
+	}
 	if len(ids) == 0 {
+		return "", false
+	}
+	return ids[next%len(ids)], true
+}
+
+func (c *Controller) ask(ctx context.Context) {
+	id, ok := c.choose()
+	if !ok {
 		return
 	}
-	c.mu.Lock()
-	id := ids[c.next%len(ids)]
-	req := &peer.NewsRequest{Source: c.source, Seq: c.seq}
-	c.mu.Unlock()
 	addr, ok := c.Members.Addr(id)
 	if !ok {
 		c.failed()
 		return
 	}
+	c.mu.Lock()
+	req := &peer.NewsRequest{Source: c.source, Seq: c.seq}
+	c.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	answer, err := peer.Call[peer.NewsRequest, peer.NewsAnswer](callCtx, c.Peers, addr, peer.MethodNews, req)
+	answer, err := c.Calls.News(callCtx, addr, req)
 	if err != nil {
 		c.Members.Failed(id, err)
 		c.failed()
@@ -171,32 +287,60 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.next++
+	c.teller = ""
 	c.told = false
 }
 
+// turnTo asks a router next that another one has its news from.
+func (c *Controller) turnTo(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.teller = id
+}
+
+// noteLost notes that the store does not answer a router that watches it.
+func (c *Controller) noteLost() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lost = time.Now()
+}
+
+// passesOn tells whether other routers take news from this one.
+func (c *Controller) passesOn() bool { return !c.Large() || c.isTeller() || c.isWatcher() }
+
 func (c *Controller) take(ctx context.Context, id string, answer *peer.NewsAnswer) {
 	newer := answer.Config > c.Configs.Version()
 	if newer {
 		c.fetchOnce(ctx, id)
 	}
-	if !answer.Current {
+	believed := answer.Direct || !c.passesOn()
+	switch {
+	case answer.Current && !believed && answer.Origin != c.Members.Self().ID:
+		c.turnTo(answer.Origin)
+		return
+	case !answer.Current || !believed:
+		if answer.Lost && believed {
+			c.noteLost()
+		}
 		c.failed()
 		return
 	}
 	if !newer {
 		c.Configs.Confirmed()
 	}
-	if answer.Full {
-		c.Servers.Listed(objects(answer.Servers))
-	} else if len(answer.Servers) > 0 {
+	switch {
+	case answer.Full && !c.Fresh():
+		c.Servers.Listed(objects(answer.Servers), answer.Revision)
+	case len(answer.Servers) > 0:
 		c.Servers.Changed(objects(answer.Servers))
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.source, c.seq, c.current = answer.Source, answer.Seq, time.Now()
+	c.source, c.seq, c.revision = answer.Source, answer.Seq, answer.Revision
+	c.current, c.teller, c.origin = time.Now(), id, answer.Origin
 	if !c.told {
 		c.told = true
-		c.Log.Info("news through another router", zap.String("router", id))
+		c.Log.Info("news through another router", zap.String("router", id), zap.String("origin", answer.Origin), zap.Int64("revision", answer.Revision))
 	}
 }
 
@@ -222,7 +366,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	answer, err := peer.Call[peer.Empty, peer.ConfigAnswer](ctx, c.Peers, addr, peer.MethodConfig, &peer.Empty{})
+	answer, err := c.Calls.Config(ctx, addr)
 	if err != nil {
 		return err
 	}
@@ -237,7 +381,8 @@
 
 // Answer answers another router's question.
 func (c *Controller) Answer(_ context.Context, req *peer.NewsRequest) (*peer.NewsAnswer, error) {
-	answer := &peer.NewsAnswer{Current: c.Fresh() && c.Servers.Ready(), Config: c.Configs.Version(), Source: c.Self}
+	answer := &peer.NewsAnswer{Config: c.Configs.Version(), Source: c.Self}
+	c.tell(answer)
 	if !answer.Current {
 		return answer, nil
 	}
@@ -250,6 +395,29 @@
 	return answer, nil
 }
 
+// tell fills in what is known of the store, from itself or, at a teller, from those
+// that watch it.
+func (c *Controller) tell(answer *peer.NewsAnswer) {
+	answer.Lost = c.Lost()
+	answer.Current = c.Fresh() && c.Servers.Ready()
+	if answer.Lost || answer.Current {
+		answer.Direct = true
+		answer.Origin = c.Members.Self().ID
+		answer.Revision = c.Revision()
+		return
+	}
+	relays := c.Large() && c.isTeller()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !relays {
+		return
+	}
+	answer.Lost = c.toldLost()
+	answer.Current = c.heard()
+	answer.Origin = c.origin
+	answer.Revision = c.revision
+}
+
 func registrations(entries []store.Object) []peer.Registration {
 	list := make([]peer.Registration, 0, len(entries))
 	for _, e := range entries {
--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -117,10 +117,10 @@
 }
 
 // keeps tells whether connections to a process are worth keeping.
-func (c *Controller) keeps(l placement.Life) bool {
+func (c *Controller) keeps(in placement.Incarnation) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.servers.Runs(l)
+	return c.servers.Runs(in)
 }
 
 func (c *Controller) dropMissing(now time.Time) {
@@ -165,11 +165,11 @@
 func (c *Controller) probe(ctx context.Context, s placement.Server) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	if err := c.pool.Probe(ctx, s.Address, s.Life()); err != nil {
+	if err := c.pool.Probe(ctx, s.Address, s.Incarnation()); err != nil {
 		return // it stays down; the next probe is due in probeEvery
 	}
 	c.mu.Lock()
-	c.servers.Revived(s.Life())
+	c.servers.Revived(s.Incarnation())
 	delete(c.probedAt, s.ID)
 	c.mu.Unlock()
 	c.log.Info("server reachable again", zap.String("server", s.ID), zap.String("service", s.Service))
@@ -180,8 +180,10 @@
 	return id
 }
 
-// Listed implements follow.Handler.
-func (c *Controller) Listed(objects []store.Object) {
+// Listed implements follow.Handler. What has changed after the list's revision
+// holds, whatever the list says: another router may tell a list that is older than
+// what is known here.
+func (c *Controller) Listed(objects []store.Object, revision int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	present := make(map[string]bool, len(objects))
@@ -192,6 +194,11 @@
 		_, known := c.entries[o.Key]
 		present[idOf(o.Key)] = known
 	}
+	for key, o := range c.entries {
+		if o.Version > revision {
+			present[idOf(key)] = true
+		}
+	}
 	for _, s := range c.servers.All() {
 		if !present[s.ID] {
 			c.absent(s.ID, lapseGrace)
@@ -290,7 +297,7 @@
 // note logs what a registration changes.
 func (c *Controller) note(s placement.Server, version int64) {
 	old, known := c.servers.Get(s.ID)
-	if known && old.Leaving == s.Leaving && old.Life() == s.Life() {
+	if known && old.Leaving == s.Leaving && old.Incarnation() == s.Incarnation() {
 		return
 	}
 	c.log.Info("server registered",
@@ -336,43 +343,50 @@
 	defer c.mu.Unlock()
 	s, ok := c.servers.Pick(c.rng, q)
 	if ok {
-		c.servers.Sent(s.Life(), q.Tokens)
+		c.servers.Sent(s.Incarnation(), q.Tokens)
 	}
 	return s, ok
 }
 
+// TakesWork tells whether a process that was picked may still be sent to.
+func (c *Controller) TakesWork(in placement.Incarnation) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.servers.TakesWork(in)
+}
+
 // Read tells that a server has read the prompt of a request, or will not any
 // more.
-func (c *Controller) Read(l placement.Life, tokens int64) {
+func (c *Controller) Read(in placement.Incarnation, tokens int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.servers.Read(l, tokens)
+	c.servers.Read(in, tokens)
 }
 
 // Paced notes the time between two events of a stream.
-func (c *Controller) Paced(l placement.Life, gap time.Duration) {
+func (c *Controller) Paced(in placement.Incarnation, gap time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.servers.Paced(l, gap)
+	c.servers.Paced(in, gap)
 }
 
 // Ended counts the end of a request at a server.
-func (c *Controller) Ended(l placement.Life, outcome placement.Outcome) {
+func (c *Controller) Ended(in placement.Incarnation, outcome placement.Outcome) {
 	c.mu.Lock()
-	was := c.servers.IsDown(l)
-	down := c.servers.Ended(l, outcome)
+	was := c.servers.IsDown(in)
+	down := c.servers.Ended(in, outcome)
 	c.mu.Unlock()
 	if down && !was {
-		c.log.Warn("server out of use", zap.String("server", l.ID), zap.Int64("started", l.Started))
+		c.log.Warn("server out of use", zap.String("server", in.ID), zap.Int64("started", in.Started))
 	}
 }
 
 // Replaced tells that another server answers at the address of this one.
-func (c *Controller) Replaced(l placement.Life) {
+func (c *Controller) Replaced(in placement.Incarnation) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.servers.Leave(l)
-	c.log.Info("server replaced at its address", zap.String("server", l.ID), zap.Int64("started", l.Started))
+	c.servers.Leave(in)
+	c.log.Info("server replaced at its address", zap.String("server", in.ID), zap.Int64("started", in.Started))
 }
 
 // Draw returns a random number in [0, n); n must be positive.
--- a/controller/registry/registry_test.go
+++ b/controller/registry/registry_test.go
@@ -27,6 +27,9 @@
 	return store.Object{Key: "servers/" + id, Version: version, Value: value}
 }
 
+// newest is the revision of lists that are not older than anything known.
+const newest = int64(1) << 40
+
 func gone(id string) store.Object { return store.Object{Key: "servers/" + id, Deleted: true} }
 
 func run(t *testing.T, body func(*registry.Controller)) {
@@ -42,7 +45,7 @@
 // TestGoneServerIsDroppedSoon: well before the bound on leaving servers.
 func TestGoneServerIsDroppedSoon(t *testing.T) {
 	run(t, func(c *registry.Controller) {
-		c.Listed([]store.Object{entry("a", 1, false), entry("b", 2, false)})
+		c.Listed([]store.Object{entry("a", 1, false), entry("b", 2, false)}, newest)
 		c.Changed([]store.Object{gone("a")})
 		time.Sleep(1200 * time.Millisecond)
 		if count(c) != 1 {
@@ -55,14 +58,14 @@
 // missing for two seconds.
 func TestLapsedServersAreKept(t *testing.T) {
 	run(t, func(c *registry.Controller) {
-		c.Listed([]store.Object{entry("a", 1, false), entry("b", 2, false)})
+		c.Listed([]store.Object{entry("a", 1, false), entry("b", 2, false)}, newest)
 		c.Lost()
 		time.Sleep(5 * time.Second)
 		if count(c) != 2 {
 			t.Fatal("dropped while the store is away")
 		}
 		c.Regained()
-		c.Listed(nil)
+		c.Listed(nil, newest)
 		time.Sleep(2 * time.Second)
 		if count(c) != 2 {
 			t.Fatal("dropped before registrations are back")
@@ -95,7 +98,7 @@
 // place of a server's; the others hold, and the server is back with its next one.
 func TestUnreadableRegistrationNamesNoServer(t *testing.T) {
 	run(t, func(c *registry.Controller) {
-		c.Listed([]store.Object{entry("a", 1, false), unreadableEntry("b", 2), entry("c", 3, false)})
+		c.Listed([]store.Object{entry("a", 1, false), unreadableEntry("b", 2), entry("c", 3, false)}, newest)
 		if count(c) != 2 {
 			t.Fatalf("%d servers, want the two that can be read", count(c))
 		}
@@ -116,7 +119,7 @@
 func TestUnreadableRegistrationIsToldOnce(t *testing.T) {
 	run(t, func(c *registry.Controller) {
 		for range 5 {
-			c.Listed([]store.Object{entry("a", 1, false), unreadableEntry("b", 2)})
+			c.Listed([]store.Object{entry("a", 1, false), unreadableEntry("b", 2)}, newest)
 		}
 		c.Changed([]store.Object{unreadableEntry("b", 3)})
 		if n := c.Unreadable(); n != 2 {
@@ -128,8 +131,8 @@
 	})
 }
 
-// lifeEntry is the registration of a server's process.
-func lifeEntry(id string, version, started int64, leaving bool) store.Object {
+// incarnationEntry is the registration of a server's process.
+func incarnationEntry(id string, version, started int64, leaving bool) store.Object {
 	value, _ := json.Marshal(placement.Server{Service: "svc", Started: started, Leaving: leaving}) // plain fields always encode
 	return store.Object{Key: "servers/" + id, Version: version, Value: value}
 }
@@ -139,18 +142,18 @@
 // another router, changes nothing.
 func TestServerThatStartsAgainUnderItsIDIsUsed(t *testing.T) {
 	run(t, func(c *registry.Controller) {
-		c.Listed([]store.Object{lifeEntry("a", 1, 1000, false)})
-		c.Replaced(placement.Life{ID: "a", Started: 1000})
-		c.Changed([]store.Object{lifeEntry("a", 2, 1000, true), lifeEntry("a", 4, 2000, false)})
+		c.Listed([]store.Object{incarnationEntry("a", 1, 1000, false)}, newest)
+		c.Replaced(placement.Incarnation{ID: "a", Started: 1000})
+		c.Changed([]store.Object{incarnationEntry("a", 2, 1000, true), incarnationEntry("a", 4, 2000, false)})
 		if count(c) != 1 {
 			t.Fatal("the new process is not used")
 		}
-		c.Changed([]store.Object{lifeEntry("a", 3, 1000, true)})
-		c.Replaced(placement.Life{ID: "a", Started: 1000})
+		c.Changed([]store.Object{incarnationEntry("a", 3, 1000, true)})
+		c.Replaced(placement.Incarnation{ID: "a", Started: 1000})
 		if count(c) != 1 {
 			t.Fatal("the old process's news took the new one out of use")
 		}
-		c.Changed([]store.Object{lifeEntry("a", 5, 2000, true)})
+		c.Changed([]store.Object{incarnationEntry("a", 5, 2000, true)})
 		if count(c) != 0 {
 			t.Fatal("the new process leaves and is used")
 		}
@@ -161,11 +164,11 @@
 // the store is back is a server that leaves, and no lapse.
 func TestDeletionAfterReturnIsFollowed(t *testing.T) {
 	run(t, func(c *registry.Controller) {
-		c.Listed([]store.Object{entry("a", 1, false), entry("b", 2, false)})
+		c.Listed([]store.Object{entry("a", 1, false), entry("b", 2, false)}, newest)
 		c.Lost()
 		time.Sleep(5 * time.Second)
 		c.Regained()
-		c.Listed([]store.Object{entry("a", 1, false), entry("b", 2, false)})
+		c.Listed([]store.Object{entry("a", 1, false), entry("b", 2, false)}, newest)
 		time.Sleep(250 * time.Millisecond)
 		c.Changed([]store.Object{gone("a")})
 		time.Sleep(1900 * time.Millisecond)
@@ -179,14 +182,14 @@
 // server that has left long ago.
 func TestDeletedRegistrationStaysGone(t *testing.T) {
 	run(t, func(c *registry.Controller) {
-		c.Listed([]store.Object{entry("a", 5, false), entry("b", 2, false)})
+		c.Listed([]store.Object{entry("a", 5, false), entry("b", 2, false)}, newest)
 		c.Changed([]store.Object{gone("a")})
 		time.Sleep(1200 * time.Millisecond)
 		c.Changed([]store.Object{entry("a", 5, false), gone("a")})
 		if count(c) != 1 {
 			t.Fatal("a server that has left is in use again")
 		}
-		c.Listed([]store.Object{entry("a", 5, false), entry("b", 2, false)})
+		c.Listed([]store.Object{entry("a", 5, false), entry("b", 2, false)}, newest)
 		if count(c) != 1 {
 			t.Fatal("a server that has left is in use again after a list of another router")
 		}
@@ -201,7 +204,7 @@
 // another router tells of the lapse only now.
 func TestOlderDeletionChangesNothing(t *testing.T) {
 	run(t, func(c *registry.Controller) {
-		c.Listed([]store.Object{entry("a", 9, false)})
+		c.Listed([]store.Object{entry("a", 9, false)}, newest)
 		c.Changed([]store.Object{{Key: "servers/a", Version: 5, Deleted: true}})
 		time.Sleep(3 * time.Second)
 		if count(c) != 1 {
@@ -209,3 +212,24 @@
 		}
 	})
 }
+
+// TestOlderListForgetsNothingNewer: a router turns from one teller to another that is
+// a moment behind, and whose list lacks a server that has registered since. The
+// server must not be dropped: its entry does not change again for a long time.
+func TestOlderListForgetsNothingNewer(t *testing.T) {
+	run(t, func(c *registry.Controller) {
+		c.Listed([]store.Object{entry("a", 1, false)}, 1)
+		c.Changed([]store.Object{entry("b", 8, false)})
+		c.Listed([]store.Object{entry("a", 1, false)}, 7)
+		time.Sleep(5 * time.Second)
+		c.Changed([]store.Object{entry("b", 8, false)})
+		if count(c) != 2 {
+			t.Fatal("a server was dropped by a list that is older than its registration")
+		}
+		c.Listed([]store.Object{entry("a", 1, false)}, 9)
+		time.Sleep(5 * time.Second)
+		if count(c) != 1 {
+			t.Fatal("a server is kept that a newer list lacks")
+		}
+	})
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -71,7 +71,7 @@
 	told := a.g.Protocol.Answer(answer.StatusCode, answer.Header)
 	switch {
 	case told.OtherServer:
-		a.g.Servers.Replaced(a.server.Life())
+		a.g.Servers.Replaced(a.server.Incarnation())
 		return a.end(notRun, "replaced", placement.Failed, errOther)
 	case told.NotRun:
 		return a.end(notRun, "refused", placement.Failed, fmt.Errorf("status %d", answer.StatusCode))
@@ -133,13 +133,14 @@
 	a.g.Protocol.Dispatch(h, d)
 	return &upstream.Request{
 		Address:        a.server.Address,
-		Owner:          a.server.Life(),
+		Owner:          a.server.Incarnation(),
 		MaxConnections: a.connections(),
 		Method:         a.r.Method,
 		Target:         a.r.RequestURI,
 		Host:           a.r.Host,
 		Header:         h,
 		Body:           a.body,
+		Holds:          func() bool { return a.g.Servers.TakesWork(a.server.Incarnation()) },
 		Belongs:        a.belongs,
 	}
 }
@@ -169,7 +170,7 @@
 		return
 	}
 	a.read = true
-	a.g.Servers.Read(a.server.Life(), a.newTokens)
+	a.g.Servers.Read(a.server.Incarnation(), a.newTokens)
 }
 
 // connections is this router's share of the server's connections. In a large
@@ -202,7 +203,7 @@
 func (a *attempt) failedSend(ctx context.Context, f *upstream.Failure) verdict {
 	if f.Stage == upstream.NotSent {
 		judged := placement.Silent
-		if f.Full || a.g.Full() || a.r.Context().Err() != nil {
+		if f.Full || f.Outdated || a.g.Full() || a.r.Context().Err() != nil {
 			judged = placement.Neutral
 		}
 		return a.end(notReached, "not reached", judged, f)
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -44,7 +44,7 @@
 	c.g.Retries.Request(c.service.Name)
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
-	tried := map[placement.Life]bool{}
+	tried := map[placement.Incarnation]bool{}
 	var so tally
 	for {
 		server, ok := c.g.Servers.Pick(c.query(tried))
@@ -52,7 +52,7 @@
 			c.giveUp(result.New(result.NoBackend, "no server of %s is in use", c.service.Name).After(noServerRetry))
 			return
 		}
-		tried[server.Life()] = true
+		tried[server.Incarnation()] = true
 		last := so.sent+1 >= c.route.Attempts || !c.g.Retries.Left(c.service.Name)
 		a := &attempt{call: c, server: server, last: last, note: attemptNote{server: server.ID}}
 		v := a.run(ctx)
@@ -86,7 +86,7 @@
 	}
 }
 
-func (c *call) query(tried map[placement.Life]bool) placement.Query {
+func (c *call) query(tried map[placement.Incarnation]bool) placement.Query {
 	return placement.Query{Service: c.service.Name, Affinity: c.affinity, Tokens: c.newTokens, Prompt: c.TokensIn, Tried: tried, Domain: c.g.Domain}
 }
 
@@ -170,6 +170,6 @@
 	a.note.after = time.Since(c.arrived)
 	c.attempts = append(c.attempts, a.note)
 	a.promptRead()
-	c.g.Servers.Ended(a.server.Life(), a.judged)
+	c.g.Servers.Ended(a.server.Incarnation(), a.judged)
 	c.g.Metrics.attempt(c.service.Name, a.name)
 }
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -72,7 +72,7 @@
 	t.Helper()
 	pool := upstream.New(upstream.Options{DialTimeout: time.Second, IdleTimeout: time.Second})
 	known := registry.New(decodeServer, pool, rand.New(rand.NewPCG(1, 2)), zap.NewNop())
-	known.Listed(startServers(t, servers, answer))
+	known.Listed(startServers(t, servers, answer), 0)
 	web := httptest.NewUnstartedServer(gateway.New(gateway.Parts{
 		Config:   config{newCatalog(t, attempts)},
 		Servers:  known,
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -208,7 +208,7 @@
 func (a *attempt) timeEvents(events int) {
 	now := time.Now()
 	if !a.eventAt.IsZero() {
-		a.g.Servers.Paced(a.server.Life(), now.Sub(a.eventAt)/time.Duration(events))
+		a.g.Servers.Paced(a.server.Incarnation(), now.Sub(a.eventAt)/time.Duration(events))
 	}
 	a.eventAt = now
 	a.stream.progressed(now)
--- a/gateway/unseen_test.go
+++ b/gateway/unseen_test.go
@@ -18,6 +18,7 @@
 	"github.com/gaplink/gaplink/controller/registry"
 	"github.com/gaplink/gaplink/exchange"
 	"github.com/gaplink/gaplink/placement"
+	"github.com/gaplink/gaplink/store"
 	"github.com/gaplink/gaplink/upstream"
 )
 
@@ -42,6 +43,7 @@
 			g: &Gateway{Parts: Parts{
 				Protocol: unsigned{},
 				Pool:     upstream.New(upstream.Options{DialTimeout: time.Second, IdleTimeout: time.Second}),
+				Servers:  knowing("s"),
 				Routers:  func() int { return 1 },
 			}},
 			r:        httptest.NewRequest(http.MethodPost, "/stream/x", nil),
@@ -108,6 +110,14 @@
 
 func chunked(text string) string { return fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(text), text) }
 
+// knowing returns a registry that knows the server with that id.
+func knowing(id string) *registry.Controller {
+	decode := func(string, []byte) (placement.Server, error) { return placement.Server{ID: id}, nil }
+	c := registry.New(decode, upstream.New(upstream.Options{}), nil, zap.NewNop())
+	c.Listed([]store.Object{{Key: "servers/" + id, Version: 1}}, 1)
+	return c
+}
+
 // streamAttempt is the last attempt at a stream of events of five tokens.
 func streamAttempt(address string) *attempt {
 	r := httptest.NewRequest(http.MethodGet, "/stream/x", nil)
@@ -116,7 +126,7 @@
 			g: &Gateway{Parts: Parts{
 				Protocol: signed{},
 				Pool:     upstream.New(upstream.Options{DialTimeout: time.Second, IdleTimeout: time.Second}),
-				Servers:  registry.New(nil, nil, nil, zap.NewNop()),
+				Servers:  knowing("s"),
 				Routers:  func() int { return 1 },
 			}},
 			r:        r,
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -134,9 +134,20 @@
 
 // NewsAnswer gives what is newer.
 type NewsAnswer struct {
-	// Current tells that the answering router watches the store, so that what
-	// it knows is the newest.
+	// Current tells that what the answering router knows is the newest: it watches
+	// the store, or one that does has just told it.
 	Current bool
+	// Lost tells that the store does not answer it.
+	Lost bool
+	// Direct tells that Current or Lost is what it has from the store itself. Those
+	// that pass news on take them only from such a router, so that no news goes round
+	// without end.
+	Direct bool
+	// Origin is the router that has Current from the store itself.
+	Origin string
+	// Revision is the store's revision up to which it knows all changes of
+	// registrations.
+	Revision int64
 	// Config is the version of the answering router's configuration.
 	Config int64
 	// Source is the answering process, Seq the number of its last change of a
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -30,8 +30,8 @@
 )
 
 // Paced notes the time between two events of a stream.
-func (f *Servers) Paced(l Life, gap time.Duration) {
-	s := f.of(l)
+func (f *Servers) Paced(in Incarnation, gap time.Duration) {
+	s := f.of(in)
 	if s == nil || gap <= 0 {
 		return
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -35,9 +35,9 @@
 	silentFailures = 2
 )
 
-// Life names one process of a backend server. A server that starts again may keep
-// its id; what was known of the process before says nothing of the new one.
-type Life struct {
+// Incarnation names one process of a backend server. A server that starts again may
+// keep its id; what was known of the process before says nothing of the new one.
+type Incarnation struct {
 	ID string
 	// Started is when the process started, in Unix milliseconds by the server's
 	// clock; 0 if the server does not tell.
@@ -47,7 +47,7 @@
 // Server is one registered backend server.
 type Server struct {
 	ID string
-	// Started is the process's start, as in Life.
+	// Started is the process's start, as in Incarnation.
 	Started int64
 	Service string
 	// Address is IP:port.
@@ -60,8 +60,8 @@
 	Leaving bool
 }
 
-// Life returns which process of the server this is.
-func (s Server) Life() Life { return Life{ID: s.ID, Started: s.Started} }
+// Incarnation returns which process of the server this is.
+func (s Server) Incarnation() Incarnation { return Incarnation{ID: s.ID, Started: s.Started} }
 
 // state is what the router knows of one process of a server.
 type state struct {
@@ -77,8 +77,8 @@
 	down   bool
 }
 
-func (s *state) usable(tried map[Life]bool) bool {
-	return !s.Leaving && !tried[s.Life()]
+func (s *state) usable(tried map[Incarnation]bool) bool {
+	return !s.Leaving && !tried[s.Incarnation()]
 }
 
 // Servers is the router's knowledge of all backend servers. It is not safe for
@@ -116,9 +116,9 @@
 
 // of returns what is known of a process, or nil once it is gone or another one
 // runs under its id.
-func (f *Servers) of(l Life) *state {
-	s, ok := f.byID[l.ID]
-	if !ok || s.Life() != l {
+func (f *Servers) of(in Incarnation) *state {
+	s, ok := f.byID[in.ID]
+	if !ok || s.Incarnation() != in {
 		return nil
 	}
 	return s
@@ -135,8 +135,8 @@
 }
 
 // Leave marks a process that takes no new work.
-func (f *Servers) Leave(l Life) {
-	if s := f.of(l); s != nil {
+func (f *Servers) Leave(in Incarnation) {
+	if s := f.of(in); s != nil {
 		s.Leaving = true
 	}
 }
@@ -170,7 +170,7 @@
 }
 
 // Runs tells whether this process is the one known of its server.
-func (f *Servers) Runs(l Life) bool { return f.of(l) != nil }
+func (f *Servers) Runs(in Incarnation) bool { return f.of(in) != nil }
 
 // Get returns a known server.
 func (f *Servers) Get(id string) (Server, bool) {
@@ -181,9 +181,16 @@
 	return s.Server, true
 }
 
+// TakesWork tells whether a process that was picked may still be sent to: it has
+// not gone since, and has not said that it leaves.
+func (f *Servers) TakesWork(in Incarnation) bool {
+	s := f.of(in)
+	return s != nil && !s.Leaving
+}
+
 // IsDown tells whether the process is out of use until Revived.
-func (f *Servers) IsDown(l Life) bool {
-	s := f.of(l)
+func (f *Servers) IsDown(in Incarnation) bool {
+	s := f.of(in)
 	return s != nil && s.down
 }
 
@@ -209,7 +216,7 @@
 	// Prompt are all tokens of the prompt.
 	Prompt int64
 	// Tried are those that the request was already sent to.
-	Tried map[Life]bool
+	Tried map[Incarnation]bool
 	// Domain is the router's failure domain; it decides between servers that
 	// are alike.
 	Domain string
@@ -332,8 +339,8 @@
 
 // Sent counts a request that is being sent to a server, with the prompt tokens
 // that it has to read.
-func (f *Servers) Sent(l Life, tokens int64) {
-	if s := f.of(l); s != nil {
+func (f *Servers) Sent(in Incarnation, tokens int64) {
+	if s := f.of(in); s != nil {
 		s.inFlight++
 		s.pending += tokens
 	}
@@ -341,16 +348,16 @@
 
 // Read tells that a server has read the tokens of a prompt, or will not any
 // more.
-func (f *Servers) Read(l Life, tokens int64) {
-	if s := f.of(l); s != nil {
+func (f *Servers) Read(in Incarnation, tokens int64) {
+	if s := f.of(in); s != nil {
 		s.pending = max(s.pending-tokens, 0)
 	}
 }
 
 // Ended counts the end of a request. It tells whether the server is out of use
 // because of it.
-func (f *Servers) Ended(l Life, outcome Outcome) (down bool) {
-	s := f.of(l)
+func (f *Servers) Ended(in Incarnation, outcome Outcome) (down bool) {
+	s := f.of(in)
 	if s == nil {
 		return false
 	}
@@ -371,8 +378,8 @@
 }
 
 // Revived takes a server that was down back into use.
-func (f *Servers) Revived(l Life) {
-	if s := f.of(l); s != nil {
+func (f *Servers) Revived(in Incarnation) {
+	if s := f.of(in); s != nil {
 		s.down = false
 		s.silent = 0
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -11,7 +11,7 @@
 func seeded() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
 
 // life is the process of a server of fleet.
-func life(id string) placement.Life { return placement.Life{ID: id} }
+func incarnation(id string) placement.Incarnation { return placement.Incarnation{ID: id} }
 
 func fleet(n int) *placement.Servers {
 	f := placement.New()
@@ -65,12 +65,12 @@
 	q := placement.Query{Affinity: 42, Tokens: 50000}
 	home := pick(t, f, q)
 	for range 2 {
-		f.Sent(life(home), 50000)
+		f.Sent(incarnation(home), 50000)
 	}
 	if got := pick(t, f, q); got == home {
 		t.Fatal("the busy server was chosen")
 	}
-	f.Read(life(home), 50000)
+	f.Read(incarnation(home), 50000)
 	if got := pick(t, f, q); got != home {
 		t.Fatalf("got %s after the prompt was read, want %s", got, home)
 	}
@@ -78,12 +78,12 @@
 
 func TestLeavingAndTriedServersAreNotChosen(t *testing.T) {
 	f := fleet(2)
-	f.Leave(life("s00"))
+	f.Leave(incarnation("s00"))
 	f.Put(placement.Server{ID: "s00", Service: "llm"}) // an older registration
 	if got := pick(t, f, placement.Query{}); got != "s01" {
 		t.Fatalf("got %s", got)
 	}
-	if _, ok := f.Pick(seeded(), placement.Query{Service: "llm", Tried: map[placement.Life]bool{life("s01"): true}}); ok {
+	if _, ok := f.Pick(seeded(), placement.Query{Service: "llm", Tried: map[placement.Incarnation]bool{incarnation("s01"): true}}); ok {
 		t.Fatal("a server was chosen twice")
 	}
 }
@@ -93,8 +93,8 @@
 func TestUnreachableServerIsOutOfUseUntilRevived(t *testing.T) {
 	f := fleet(2)
 	for i := range 2 {
-		f.Sent(life("s00"), 0)
-		if down := f.Ended(life("s00"), placement.Silent); down != (i == 1) {
+		f.Sent(incarnation("s00"), 0)
+		if down := f.Ended(incarnation("s00"), placement.Silent); down != (i == 1) {
 			t.Fatalf("down after %d failures: %t", i+1, down)
 		}
 	}
@@ -103,7 +103,7 @@
 			t.Fatalf("got %s", got)
 		}
 	}
-	f.Revived(life("s00"))
+	f.Revived(incarnation("s00"))
 	if len(f.Down()) != 0 {
 		t.Fatal("still down")
 	}
@@ -114,8 +114,8 @@
 func TestFailingServerIsAvoided(t *testing.T) {
 	f := fleet(4)
 	for range 30 {
-		f.Sent(life("s02"), 0)
-		f.Ended(life("s02"), placement.Failed)
+		f.Sent(incarnation("s02"), 0)
+		f.Ended(incarnation("s02"), placement.Failed)
 	}
 	for a := uint64(1); a < 100; a++ {
 		if got := pick(t, f, placement.Query{Affinity: a}); got == "s02" {
@@ -124,8 +124,8 @@
 	}
 	for range 30 {
 		for _, id := range []string{"s00", "s01", "s03"} {
-			f.Sent(life(id), 0)
-			f.Ended(life(id), placement.Failed)
+			f.Sent(incarnation(id), 0)
+			f.Ended(incarnation(id), placement.Failed)
 		}
 	}
 	chosen := map[string]bool{}
@@ -145,7 +145,7 @@
 	if got := pick(t, f, q); got != "s01" {
 		t.Fatalf("got %s, want the one in the same failure domain", got)
 	}
-	f.Sent(life("s01"), 0)
+	f.Sent(incarnation("s01"), 0)
 	if got := pick(t, f, q); got == "s01" {
 		t.Fatal("the busier server was chosen")
 	}
@@ -156,14 +156,14 @@
 func TestProcessUnderAnOldIDIsANewServer(t *testing.T) {
 	first := placement.Server{ID: "s", Service: "llm", Started: 1000}
 	for name, harm := range map[string]func(*placement.Servers){
-		"left": func(f *placement.Servers) { f.Leave(first.Life()) },
+		"left": func(f *placement.Servers) { f.Leave(first.Incarnation()) },
 		"said to be leaving": func(f *placement.Servers) {
 			f.Put(placement.Server{ID: "s", Service: "llm", Started: 1000, Leaving: true})
 		},
 		"unreachable": func(f *placement.Servers) {
 			for range 2 {
-				f.Sent(first.Life(), 0)
-				f.Ended(first.Life(), placement.Silent)
+				f.Sent(first.Incarnation(), 0)
+				f.Ended(first.Incarnation(), placement.Silent)
 			}
 		},
 	} {
@@ -175,7 +175,7 @@
 		}
 		for _, started := range []int64{2000, 500} {
 			f.Put(placement.Server{ID: "s", Service: "llm", Started: started})
-			tried := map[placement.Life]bool{first.Life(): true}
+			tried := map[placement.Incarnation]bool{first.Incarnation(): true}
 			if s, ok := f.Pick(seeded(), placement.Query{Service: "llm", Tried: tried}); !ok || s.Started != started {
 				t.Errorf("%s: the process started at %d is not used", name, started)
 			}
@@ -192,26 +192,26 @@
 	f.Put(first)
 	f.Put(placement.Server{ID: "b", Service: "llm"})
 	for range 3 {
-		f.Sent(first.Life(), 70000)
+		f.Sent(first.Incarnation(), 70000)
 	}
 	f.Put(second)
 	for range 3 {
-		f.Read(first.Life(), 70000)
-		f.Ended(first.Life(), placement.Silent)
-		f.Paced(first.Life(), 1)
+		f.Read(first.Incarnation(), 70000)
+		f.Ended(first.Incarnation(), placement.Silent)
+		f.Paced(first.Incarnation(), 1)
 	}
-	f.Leave(first.Life())
-	if f.IsDown(second.Life()) || len(f.Down()) > 0 {
+	f.Leave(first.Incarnation())
+	if f.IsDown(second.Incarnation()) || len(f.Down()) > 0 {
 		t.Fatal("the new process is down for what the old one did")
 	}
 	// With one request at b, the new process is the less busy one: its counts start
 	// anew and did not become negative either.
-	f.Sent(placement.Life{ID: "b"}, 0)
+	f.Sent(placement.Incarnation{ID: "b"}, 0)
 	if got := pick(t, f, placement.Query{}); got != "a" {
 		t.Fatalf("got %s", got)
 	}
-	f.Sent(second.Life(), 0)
-	f.Sent(second.Life(), 0)
+	f.Sent(second.Incarnation(), 0)
+	f.Sent(second.Incarnation(), 0)
 	if got := pick(t, f, placement.Query{}); got != "b" {
 		t.Fatalf("got %s", got)
 	}
@@ -222,15 +222,15 @@
 func TestCountsOfAServerThatComesBack(t *testing.T) {
 	f := fleet(2)
 	for range 3 {
-		f.Sent(life("s00"), 9000)
+		f.Sent(incarnation("s00"), 9000)
 	}
 	f.Remove("s00")
 	f.Put(placement.Server{ID: "s00", Service: "llm"})
 	for range 3 {
-		f.Read(life("s00"), 9000)
-		f.Ended(life("s00"), placement.Answered)
+		f.Read(incarnation("s00"), 9000)
+		f.Ended(incarnation("s00"), placement.Answered)
 	}
-	f.Sent(life("s00"), 9000)
+	f.Sent(incarnation("s00"), 9000)
 	if got := pick(t, f, placement.Query{}); got != "s01" {
 		t.Fatal("the busier server was chosen")
 	}
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -56,12 +56,14 @@
 
 var (
 	heldDesc = prometheus.NewDesc("gaplink_budget_tokens", "Tokens of an account that this router holds, by use.", []string{"account", "use"}, nil)
+	callsD   = prometheus.NewDesc("gaplink_store_calls_total", "Store calls, by kind of object and call; a list of several pages counts as one.", []string{"kind", "call"}, nil)
 	serversD = prometheus.NewDesc("gaplink_servers", "Backend servers known, by state.", []string{"service", "state"}, nil)
 )
 
 // Describe implements prometheus.Collector.
 func (c *stateCollector) Describe(ch chan<- *prometheus.Desc) {
 	ch <- heldDesc
+	ch <- callsD
 	ch <- serversD
 }
 
@@ -75,6 +77,9 @@
 		tell(heldDesc, h.Reserved, account, "reserved")
 		tell(heldDesc, h.Writing, account, "writing")
 	}
+	for p, n := range c.server.store.ByPurpose() {
+		ch <- prometheus.MustNewConstMetric(callsD, prometheus.CounterValue, float64(n), p.Kind, string(p.Call))
+	}
 	for service, n := range c.server.servers.Counts() {
 		tell(serversD, int64(n.Up), service, "up")
 		tell(serversD, int64(n.Down), service, "down")
--- a/server/server.go
+++ b/server/server.go
@@ -208,16 +208,34 @@
 		Configs: s.configs,
 		Servers: s.servers,
 		Members: s.members,
-		Peers:   s.peers,
+		Calls:   news.Over(s.peers),
 		Self:    s.incarnation,
 		Domain:  s.settings.Instance.Domain,
-		Lost:    s.storeLost,
+		Lost:    s.callLost,
 		Fresh:   s.storeFresh,
 		Large:   s.large,
 		Log:     s.log,
+
+		Revision: func() int64 { return s.followServers.Revision() },
 	})
-	s.followConfigs = follow.New(s.store, s.platform.ConfigKind, s.configs, s.news.Part, s.log)
-	s.followServers = follow.New(s.store, s.platform.ServerKind, s.servers, s.news.Part, s.log)
+	s.followServers = follow.New(s.following(s.platform.ServerKind, s.servers, s.settings.Bounds.Leave.Std()))
+	configs := s.following(s.platform.ConfigKind, s.configs, s.settings.Bounds.Apply.Std())
+	configs.Scout = s.followServers.Fresh
+	s.followConfigs = follow.New(configs)
+}
+
+// following returns the options of a follower of a kind whose changes must count at
+// every router within bound.
+func (s *Server) following(kind string, h follow.Handler, bound time.Duration) follow.Options {
+	return follow.Options{
+		Store:    s.store,
+		Prefix:   kind,
+		Handler:  h,
+		Part:     s.news.Part,
+		Deputies: s.news.Deputies,
+		Wait:     func() time.Duration { return s.watchWait(bound) },
+		Log:      s.log,
+	}
 }
 
 // drawers returns the number of routers that draw each budget from the store.
@@ -244,7 +262,15 @@
 	s.peers = peer.NewClient(peerDialTimeout, self.Addr)
 	s.members = members.New(membership.Member{ID: self.ID, Kind: "router", Addr: self.Addr, Domain: self.Domain, State: membership.Live, LinkMbps: self.LinkMbps}, nil, 0, s.log)
 	s.members.Excuse(s.link.Full)
-	s.roster = roster.New(self, s.seeds, s.store, s.members, s.peers, s.log)
+	s.roster = roster.New(roster.Options{
+		Self:       self,
+		Seeds:      s.seeds,
+		FirstStart: s.settings.Fleet.FirstStart,
+		Store:      s.store,
+		Members:    s.members,
+		Peers:      s.peers,
+		Log:        s.log,
+	})
 }
 
 // seeds returns the addresses of other routers as the settings name them now.
@@ -257,11 +283,15 @@
 	return s.settings
 }
 
-// storeLost tells whether the store does not answer this router.
-func (s *Server) storeLost() bool {
+// callLost tells whether the store did not answer this router's last call.
+func (s *Server) callLost() bool {
 	return s.followConfigs.Lost() || s.followServers.Lost()
 }
 
+// storeLost tells whether the store does not answer this router, or those that
+// watch it for the fleet.
+func (s *Server) storeLost() bool { return s.news.StoreLost() }
+
 // storeFresh tells whether what this router knows from the store is the newest.
 func (s *Server) storeFresh() bool {
 	return s.followConfigs.Fresh() && s.followServers.Fresh()
@@ -368,10 +398,8 @@
 		return trace.Wrap(err, "listening at %s", s.settings.Listen.Peers)
 	}
 	go func() { _ = peer.Serve(ctx, peerSide, s.peerMux()) }()
-	go s.followConfigs.Run(ctx)
-	go s.followServers.Run(ctx)
 	go s.roster.Run(ctx)
-	go s.news.Run(ctx)
+	go s.followStore(ctx)
 	go s.servers.Run(ctx)
 	go s.budgets.Run(ctx)
 	go s.watchLink(ctx)
@@ -380,6 +408,19 @@
 	return nil
 }
 
+// followStore follows the store, or those that do, once this router has met the
+// others: how much it asks the store for depends on how many they are.
+func (s *Server) followStore(ctx context.Context) {
+	select {
+	case <-s.roster.Introduced():
+	case <-ctx.Done():
+		return
+	}
+	go s.followConfigs.Run(ctx)
+	go s.followServers.Run(ctx)
+	s.news.Run(ctx)
+}
+
 // unbounded leaves a listener as it is.
 func unbounded(l net.Listener) net.Listener { return l }
 
@@ -444,6 +485,7 @@
 	s.budgets.Close(ctx)
 	s.roster.Leave(ctx)
 	s.cancel()
+	s.log.Info("store calls", zap.Stringer("calls", storeCalls(s.store.ByPurpose())))
 	s.log.Info("stopped", zap.Int64("cut", cut), zap.Duration("after_ms", time.Since(begun)))
 	_ = s.writer.Sync()
 }
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -15,6 +15,7 @@
 	Stop     GatewayStop     `toml:"stop"`
 	Memory   GatewayMemory   `toml:"memory"`
 	Link     GatewayLink     `toml:"link"`
+	Bounds   GatewayBounds   `toml:"bounds"`
 	Log      Log             `toml:"log"`
 }
 
@@ -51,6 +52,18 @@
 type GatewayFleet struct {
 	// Seeds are addresses of other routers for a start without the store.
 	Seeds []string `toml:"seeds"`
+	// FirstStart tells that the whole fleet starts for the first time. Each router
+	// then waits until it knows the others before it asks the store for anything.
+	FirstStart bool `toml:"first_start"`
+}
+
+// GatewayBounds are the times within which a change must count at every router,
+// from the store's answer to whoever made it.
+type GatewayBounds struct {
+	// Apply is for a new configuration, Leave for a backend server that takes no new
+	// work. The shorter they are, the more often routers ask the store.
+	Apply Duration `toml:"apply" validate:"min=1000000000"`
+	Leave Duration `toml:"leave" validate:"min=1000000000"`
 }
 
 // GatewayBudgets are the settings of the token budgets.
@@ -117,6 +130,7 @@
 		Retries: GatewayRetries{Ratio: 0.2, Slack: 50},
 		Stop:    GatewayStop{Grace: Duration(8 * time.Second), Notice: Duration(2900 * time.Millisecond)},
 		Memory:  GatewayMemory{LimitMB: 256},
+		Bounds:  GatewayBounds{Apply: Duration(2 * time.Second), Leave: Duration(2 * time.Second)},
 		Log:     Log{Level: "info"},
 	}
 }
--- a/store/counting.go
+++ b/store/counting.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"maps"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -19,15 +22,55 @@
 	BytesIn  int64 `json:"bytes_in"`
 }
 
+// Call names one kind of call. Each counts at the platform, also one that fails.
+type Call string
+
+// The calls. A list of several pages counts as one here.
+const (
+	CallGet       Call = "get"
+	CallList      Call = "list"
+	CallStaleList Call = "stale_list"
+	CallWatch     Call = "watch"
+	CallCreate    Call = "create"
+	CallUpdate    Call = "update"
+	CallDelete    Call = "delete"
+)
+
+// Purpose is what a call was made for: the kind of the objects, which is the first
+// part of their keys, and the call.
+type Purpose struct {
+	Kind string
+	Call Call
+}
+
 // Counting wraps a store and counts its calls.
 type Counting struct {
 	next                                   Store
 	reads, writes, watches, bytesO, bytesI atomic.Int64
+
+	mu        sync.Mutex
+	byPurpose map[Purpose]int64
 }
 
+var _ StaleLister = (*Counting)(nil)
+
 // NewCounting returns a counting store over next.
 func NewCounting(next Store) *Counting {
-	return &Counting{next: next}
+	return &Counting{next: next, byPurpose: map[Purpose]int64{}}
+}
+
+// ByPurpose returns the calls so far by what they were made for.
+func (c *Counting) ByPurpose() map[Purpose]int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.byPurpose)
+}
+
+func (c *Counting) note(key string, call Call) {
+	kind, _, _ := strings.Cut(key, "/")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.byPurpose[Purpose{Kind: kind, Call: call}]++
 }
 
 // Counts returns the calls so far.
@@ -43,6 +86,7 @@
 
 // Get implements Store.
 func (c *Counting) Get(ctx context.Context, key string) (Object, error) {
+	c.note(key, CallGet)
 	c.reads.Add(1)
 	o, err := c.next.Get(ctx, key)
 	c.bytesI.Add(int64(len(o.Value)))
@@ -51,6 +95,7 @@
 
 // Create implements Store.
 func (c *Counting) Create(ctx context.Context, key string, value []byte) (Object, error) {
+	c.note(key, CallCreate)
 	c.writes.Add(1)
 	c.bytesO.Add(int64(len(value)))
 	return c.next.Create(ctx, key, value)
@@ -58,6 +103,7 @@
 
 // Update implements Store.
 func (c *Counting) Update(ctx context.Context, key string, version int64, value []byte) (Object, error) {
+	c.note(key, CallUpdate)
 	c.writes.Add(1)
 	c.bytesO.Add(int64(len(value)))
 	return c.next.Update(ctx, key, version, value)
@@ -65,22 +111,37 @@
 
 // Delete implements Store.
 func (c *Counting) Delete(ctx context.Context, key string, version int64) error {
+	c.note(key, CallDelete)
 	c.writes.Add(1)
 	return c.next.Delete(ctx, key, version)
 }
 
 // List implements Store.
 func (c *Counting) List(ctx context.Context, prefix string) ([]Object, int64, error) {
-	c.reads.Add(1)
+	c.note(prefix, CallList)
 	objects, rev, err := c.next.List(ctx, prefix)
+	c.listed(objects)
+	return objects, rev, err
+}
+
+// ListStale implements StaleLister.
+func (c *Counting) ListStale(ctx context.Context, prefix string) ([]Object, int64, error) {
+	c.note(prefix, CallStaleList)
+	objects, rev, err := ListStale(ctx, c.next, prefix)
+	c.listed(objects)
+	return objects, rev, err
+}
+
+func (c *Counting) listed(objects []Object) {
+	c.reads.Add(1)
 	for _, o := range objects {
 		c.bytesI.Add(int64(len(o.Value)))
 	}
-	return objects, rev, err
 }
 
 // Watch implements Store.
 func (c *Counting) Watch(ctx context.Context, prefix string, since int64, wait time.Duration) (Events, error) {
+	c.note(prefix, CallWatch)
 	c.watches.Add(1)
 	ev, err := c.next.Watch(ctx, prefix, since, wait)
 	for _, o := range ev.Objects {
--- a/store/store.go
+++ b/store/store.go
@@ -68,6 +68,22 @@
 	Watch(ctx context.Context, prefix string, since int64, wait time.Duration) (Events, error)
 }
 
+// StaleLister is a store that also gives lists which may be some seconds old, for a
+// tenth of the price of a list.
+type StaleLister interface {
+	// ListStale is List, but neither the objects nor the revision need be the newest.
+	ListStale(ctx context.Context, prefix string) ([]Object, int64, error)
+}
+
+// ListStale lists what may be some seconds old, if the store has that, and else what
+// is newest.
+func ListStale(ctx context.Context, s Store, prefix string) ([]Object, int64, error) {
+	if stale, ok := s.(StaleLister); ok {
+		return stale.ListStale(ctx, prefix)
+	}
+	return s.List(ctx, prefix)
+}
+
 // Put writes value under key: a create for version 0, else an update.
 func Put(ctx context.Context, s Store, key string, version int64, value []byte) (Object, error) {
 	if version == 0 {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -19,10 +19,10 @@
 	net.Conn
 	reader *bufio.Reader
 	meter  *link.Meter
-	addr string
+	addr   string
 	// owner is the process that it was opened for: an address may pass to another
 	// server.
-	owner   placement.Life
+	owner   placement.Incarnation
 	expires time.Time
 	// used tells that it has carried a request.
 	used bool
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -13,7 +13,7 @@
 	// Address is IP:port.
 	Address string
 	// Owner is the process of a server that is expected there.
-	Owner placement.Life
+	Owner placement.Incarnation
 	// MaxConnections bounds the open connections to the address; 0 means no
 	// bound.
 	MaxConnections int
@@ -23,6 +23,10 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Holds tells, when the connection is there and before the first byte goes out,
+	// whether the request should still go to this server: on a link that is full a
+	// connection takes seconds, and the server may have left meanwhile. nil: it should.
+	Holds func() bool
 	// Belongs tells whose answer one is.
 	Belongs func(*http.Response) Belonging
 }
@@ -57,7 +61,9 @@
 	Stage Stage
 	// Full tells that the server's connections are all in use.
 	Full bool
-	Err  error
+	// Outdated tells that the request should not go to this server any more.
+	Outdated bool
+	Err      error
 }
 
 // Error implements error.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -83,6 +83,10 @@
 	if err != nil {
 		return nil, &Failure{Stage: NotSent, Full: errors.Is(err, errFull), Err: err}
 	}
+	if r.Holds != nil && !r.Holds() {
+		p.drop(c)
+		return nil, &Failure{Stage: NotSent, Outdated: true, Err: errOutdated}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	a := &Answer{pool: p, conn: c, stop: stop, ctx: ctx, first: !c.used}
 	c.used = true
@@ -100,6 +104,9 @@
 	return a, nil
 }
 
+// errOutdated means that the server should get no request any more.
+var errOutdated = errors.New("the server left while the connection was made")
+
 // errFull means that no connection may be opened to the server.
 var errFull = errors.New("all connections to the server are in use")
 
@@ -171,7 +178,7 @@
 
 // Probe opens a connection to a server and keeps it for a request; an error
 // means that the server cannot be reached.
-func (p *Pool) Probe(ctx context.Context, address string, owner placement.Life) error {
+func (p *Pool) Probe(ctx context.Context, address string, owner placement.Incarnation) error {
 	c, err := p.dial(ctx, &Request{Address: address, Owner: owner})
 	if err != nil {
 		return err
@@ -182,7 +189,7 @@
 
 // Sweep closes idle connections that are past their time or whose server is
 // not kept.
-func (p *Pool) Sweep(now time.Time, keep func(owner placement.Life) bool) {
+func (p *Pool) Sweep(now time.Time, keep func(owner placement.Incarnation) bool) {
 	var stale []*conn
 	p.mu.Lock()
 	for addr, list := range p.idle {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/gaplink/gaplink/lab/tcptest"
+	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/upstream"
 )
 
@@ -28,7 +29,7 @@
 
 func get(addr, id string) *upstream.Request {
 	return &upstream.Request{
-		Address: addr, Owner: placement.Life{ID: "s"}, Method: http.MethodGet, Target: "/" + id, Host: "h", Header: http.Header{"Request-Id": {id}},
+		Address: addr, Owner: placement.Incarnation{ID: "s"}, Method: http.MethodGet, Target: "/" + id, Host: "h", Header: http.Header{"Request-Id": {id}},
 		Belongs: func(r *http.Response) upstream.Belonging {
 			if r.Header.Get("Request-Id") == id {
 				return upstream.Mine
@@ -174,7 +175,7 @@
 	p := newPool()
 	body(t, p, get(addr, "a"))
 	second := get(addr, "b")
-	second.Owner = placement.Life{ID: "other"}
+	second.Owner = placement.Incarnation{ID: "other"}
 	body(t, p, second)
 	if s := p.Stats(); s.Dials != 2 {
 		t.Fatalf("want a new connection, got %+v", s)
@@ -265,3 +266,24 @@
 	body, err := io.ReadAll(a)
 	t.Errorf("%q, %v", body, err)
 }
+
+// TestServerThatLeftMeanwhileGetsNothing: the pattern is a router whose link is full,
+// so that a connection takes over a second, longer than what is left until a server
+// that leaves may get no work. The request must go to another server, unharmed.
+func TestServerThatLeftMeanwhileGetsNothing(t *testing.T) {
+	received := make(chan int, 1)
+	addr := listen(t, func(c net.Conn) {
+		text, _ := io.ReadAll(c) // how it ends says nothing: the count does
+		received <- len(text)
+	})
+	p := newPool()
+	req := get(addr, "a")
+	req.Holds = func() bool { return false }
+	_, failure := p.Send(context.Background(), req)
+	if failure == nil || failure.Stage != upstream.NotSent || !failure.Outdated {
+		t.Fatalf("want a request that was not sent, got %+v", failure)
+	}
+	if n := <-received; n > 0 {
+		t.Fatalf("the server got %d bytes", n)
+	}
+}
