Bound connections by the process's descriptors

Change: the settings name the limit; what is left after files and other routers is shared by callers and backend servers, a half each. At the bound the connection that was unused for the longest makes way, then a request finds none and goes to no server. Tests: TestDescriptorsBoundBothSides, TestUnusedConnectionMakesWay, TestNoConnectionBeyondTheBound.

--- a/server/crowd.go
+++ b/server/crowd.go
@@ -20,14 +20,44 @@
 )
 
 // crowd counts callers' connections. Those that a router cannot serve in time
-// pile up until the process is out of memory; callers do better elsewhere.
+// pile up until the process is out of memory or descriptors; callers do better
+// elsewhere.
 type crowd struct {
 	most int
 	open atomic.Int64
 }
 
-func newCrowd(memoryMB int64) *crowd {
-	return &crowd{most: int(connectionMemory * float64(memoryMB<<20) / connectionBytes)}
+func newCrowd(memoryMB int64, descriptors int) *crowd {
+	most := int(connectionMemory * float64(memoryMB<<20) / connectionBytes)
+	if descriptors > 0 {
+		most = min(most, sharedDescriptors(descriptors)/2)
+	}
+	return &crowd{most: most}
+}
+
+const (
+	// fileDescriptors are kept for files and listeners, as the platform does.
+	fileDescriptors = 200
+	// routerDescriptors are kept for connections to and from other routers and to the
+	// store: two for each of four hundred routers, which all greet each other when
+	// they start.
+	routerDescriptors = 800
+	// leastDescriptors are left for callers and backend servers in any case.
+	leastDescriptors = 128
+)
+
+// sharedDescriptors returns how many of a process's descriptors callers and backend
+// servers share, a half each: a request takes one on either side.
+func sharedDescriptors(limit int) int {
+	return max(limit-fileDescriptors-routerDescriptors, leastDescriptors)
+}
+
+// maxUpstream bounds the connections to all backend servers; 0: it does not.
+func maxUpstream(descriptors int) int {
+	if descriptors == 0 {
+		return 0
+	}
+	return sharedDescriptors(descriptors) / 2
 }
 
 // listener bounds the open connections; further ones wait to be accepted.
--- a/server/crowd_test.go
+++ b/server/crowd_test.go
@@ -12,7 +12,7 @@
 )
 
 func TestCrowdFollowsMemory(t *testing.T) {
-	small, large := newCrowd(184), newCrowd(536)
+	small, large := newCrowd(184, 0), newCrowd(536, 0)
 	if small.most < 1000 || small.most > 2500 {
 		t.Fatalf("%d connections in 184 MB", small.most)
 	}
@@ -21,8 +21,26 @@
 	}
 }
 
+// TestDescriptorsBoundBothSides: the pattern is a large account whose callers are all
+// handed to one small router: thousands of connections of callers, and one to a
+// backend server for each request. Together they must leave room for files and for
+// the other routers.
+func TestDescriptorsBoundBothSides(t *testing.T) {
+	for _, limit := range []int{2048, 4100, 8192} {
+		if sum := newCrowd(4096, limit).most + maxUpstream(limit); sum > limit-fileDescriptors-routerDescriptors {
+			t.Errorf("%d connections on both sides with %d descriptors", sum, limit)
+		}
+	}
+	if n := newCrowd(4096, 300).most; n < 50 {
+		t.Errorf("%d connections with few descriptors", n)
+	}
+	if newCrowd(184, 0).most != newCrowd(184, 100000).most {
+		t.Error("descriptors that are plenty change the bound")
+	}
+}
+
 func TestCrowdIsFullBeforeItsBound(t *testing.T) {
-	c := newCrowd(16)
+	c := newCrowd(16, 0)
 	for range c.most - 1 {
 		c.changed(nil, http.StateNew)
 	}
@@ -88,7 +106,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := link.New(0, time.Now()).Listener(newCrowd(16).listener(raw))
+	l := link.New(0, time.Now()).Listener(newCrowd(16, 0).listener(raw))
 	defer func() { _ = l.Close() }()
 	c, err := net.Dial("tcp", raw.Addr().String())
 	if err != nil {
--- a/server/server.go
+++ b/server/server.go
@@ -176,13 +176,14 @@
 // provision builds the controllers and the gateway.
 func (s *Server) provision() {
 	s.store = store.NewCounting(s.platform.Store)
-	s.crowd = newCrowd(s.settings.Memory.LimitMB)
+	s.crowd = newCrowd(s.settings.Memory.LimitMB, s.settings.Files.Limit)
 	s.meter = link.New(s.settings.Link.Mbps*bytesPerMbit, time.Now())
 	s.pool = upstream.New(upstream.Options{
 		DialTimeout: s.settings.Servers.DialTimeout.Std(),
 		IdleTimeout: s.settings.Servers.IdleTimeout.Std(),
 		Meter:       s.meter,
 		Congested:   s.link.Full,
+		MaxOpen:     maxUpstream(s.settings.Files.Limit),
 
 		CongestedDialTimeout: congestedDialTimeout,
 	})
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -14,6 +14,7 @@
 	Retries  GatewayRetries  `toml:"retries"`
 	Stop     GatewayStop     `toml:"stop"`
 	Memory   GatewayMemory   `toml:"memory"`
+	Files    GatewayFiles    `toml:"files"`
 	Link     GatewayLink     `toml:"link"`
 	Bounds   GatewayBounds   `toml:"bounds"`
 	Log      Log             `toml:"log"`
@@ -113,6 +114,13 @@
 	LimitMB int64 `toml:"limit_mb" validate:"min=16"`
 }
 
+// GatewayFiles bounds the process's descriptors.
+type GatewayFiles struct {
+	// Limit is the number of descriptors that the process may have open; 0: it is not
+	// known, and connections are bounded by memory alone.
+	Limit int `toml:"limit" validate:"min=0"`
+}
+
 // GatewayLink is the instance's network link.
 type GatewayLink struct {
 	// Mbps is its capacity in each direction, in Mbit/s. A router whose link is
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -22,8 +22,9 @@
 	addr   string
 	// owner is the process that it was opened for: an address may pass to another
 	// server.
-	owner   placement.Incarnation
-	expires time.Time
+	owner placement.Incarnation
+	// usedAt is when it was last put back, and expires until when it is kept.
+	usedAt, expires time.Time
 	// used tells that it has carried a request.
 	used bool
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -37,6 +37,9 @@
 	// IdleTimeout is how long an unused connection is kept when the server
 	// names no time itself.
 	IdleTimeout time.Duration
+	// MaxOpen bounds the connections to all servers together: an unused one makes way
+	// for a new one, and beyond that none is opened. 0: no bound.
+	MaxOpen int
 	// Meter counts the bytes of all connections; it may be nil.
 	Meter *link.Meter
 	// Congested tells whether the router's own link is full, so that a
@@ -60,6 +63,7 @@
 	mu   sync.Mutex
 	idle map[string][]*conn // by address, the last used at the end
 	open map[string]int     // by address
+	all  int                // open ones
 
 	dials, reuses atomic.Int64
 }
@@ -133,18 +137,22 @@
 		return nil
 	}
 	c := list[len(list)-1]
-	p.idle[addr] = list[:len(list)-1]
+	if list = list[:len(list)-1]; len(list) > 0 {
+		p.idle[addr] = list
+	} else {
+		delete(p.idle, addr)
+	}
 	return c
 }
 
 func (p *Pool) dial(ctx context.Context, r *Request) (*conn, error) {
-	p.mu.Lock()
-	if r.MaxConnections > 0 && p.open[r.Address] >= r.MaxConnections {
-		p.mu.Unlock()
+	unused, ok := p.admit(r)
+	if unused != nil {
+		p.drop(unused)
+	}
+	if !ok {
 		return nil, errFull
 	}
-	p.open[r.Address]++
-	p.mu.Unlock()
 	p.dials.Add(1)
 	dialer := net.Dialer{Timeout: p.opts.dialTimeout(), KeepAlive: -1, ControlContext: limitUnacked}
 	raw, err := dialer.DialContext(ctx, "tcp", r.Address)
@@ -155,9 +163,48 @@
 	return newConn(raw, r, p.opts.Meter), nil
 }
 
+// admit counts a connection that is about to be opened; false means that there may
+// be no more. An unused connection that has to make way is returned.
+func (p *Pool) admit(r *Request) (unused *conn, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r.MaxConnections > 0 && p.open[r.Address] >= r.MaxConnections {
+		return nil, false
+	}
+	if p.opts.MaxOpen > 0 && p.all >= p.opts.MaxOpen {
+		if unused = p.longestUnused(); unused == nil {
+			return nil, false
+		}
+	}
+	p.open[r.Address]++
+	p.all++
+	return unused, true
+}
+
+// longestUnused takes the idle connection out that was not used for the longest time;
+// nil if none is idle. It is called under the lock.
+func (p *Pool) longestUnused() *conn {
+	var oldest *conn
+	for _, list := range p.idle {
+		if c := list[0]; oldest == nil || c.usedAt.Before(oldest.usedAt) {
+			oldest = c
+		}
+	}
+	if oldest == nil {
+		return nil
+	}
+	if rest := p.idle[oldest.addr][1:]; len(rest) > 0 {
+		p.idle[oldest.addr] = rest
+	} else {
+		delete(p.idle, oldest.addr)
+	}
+	return oldest
+}
+
 func (p *Pool) closed(addr string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.all--
 	p.open[addr]--
 	if p.open[addr] <= 0 {
 		delete(p.open, addr)
@@ -170,7 +217,8 @@
 }
 
 func (p *Pool) put(c *conn, keep time.Duration) {
-	c.expires = time.Now().Add(keep)
+	c.usedAt = time.Now()
+	c.expires = c.usedAt.Add(keep)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[c.addr] = append(p.idle[c.addr], c)
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -287,3 +287,50 @@
 		t.Fatalf("the server got %d bytes", n)
 	}
 }
+
+// TestUnusedConnectionMakesWay: many servers, each with a connection kept for it, and
+// a bound on all of them together.
+func TestUnusedConnectionMakesWay(t *testing.T) {
+	const servers, bound = 6, 3
+	p := upstream.New(upstream.Options{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxOpen: bound})
+	closed := make(chan int, servers)
+	var addrs []string
+	for n := range servers {
+		addrs = append(addrs, listen(t, func(c net.Conn) {
+			answers(whole("a", "x"))(c)
+			closed <- n
+		}))
+	}
+	for _, addr := range addrs {
+		body(t, p, get(addr, "a"))
+	}
+	gone := map[int]bool{}
+	for range servers - bound {
+		gone[<-closed] = true
+	}
+	for n := range servers {
+		if longUnused := n < servers-bound; gone[n] != longUnused {
+			t.Errorf("the connection to server %d made way: %t", n, gone[n])
+		}
+	}
+}
+
+// TestNoConnectionBeyondTheBound: when all are in use, another request is told so, and
+// counts as sent to nobody.
+func TestNoConnectionBeyondTheBound(t *testing.T) {
+	hold := make(chan struct{})
+	defer close(hold)
+	addr := listen(t, func(net.Conn) { <-hold })
+	p := upstream.New(upstream.Options{DialTimeout: time.Second, IdleTimeout: time.Second, MaxOpen: 2})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for range 2 {
+		go func() { _, _ = p.Send(ctx, get(addr, "a")) }() // never answered
+	}
+	for p.Stats().Dials < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	if _, failure := p.Send(ctx, get(addr, "b")); failure == nil || !failure.Full || failure.Stage != upstream.NotSent {
+		t.Fatalf("want a request that found no connection, got %+v", failure)
+	}
+}
