Greet a large fleet over connections that are not kept

Cause: a router that starts greets every other one, and both sides kept each connection for a minute: 588 of them in a fleet of 295, at the moment that sets the peak of memory. Change: a client that keeps none, and 16 greetings at a time. Test: TestGreeterKeepsNoConnection.

--- a/controller/roster/roster.go
+++ b/controller/roster/roster.go
@@ -29,6 +29,9 @@
 	callTimeout = 500 * time.Millisecond
 	// retryEvery is the pause after a failed registration.
 	retryEvery = 500 * time.Millisecond
+	// greetAtOnce bounds the greetings under way. All of a fleet of hundreds at once
+	// would set the process's peak of memory.
+	greetAtOnce = 16
 	// introduceWithin bounds the wait for the answers to the first greetings: those
 	// that run answer within milliseconds.
 	introduceWithin = 250 * time.Millisecond
@@ -54,8 +57,9 @@
 	FirstStart bool
 	Store      store.Store
 	Members    *members.Controller
-	Peers      *peer.Client
-	Log        *zap.Logger
+	// Greeter calls the other routers, all of them once.
+	Greeter *peer.Client
+	Log     *zap.Logger
 }
 
 // Controller keeps this router registered.
@@ -145,6 +149,7 @@
 		return err
 	}
 	var greetings sync.WaitGroup
+	slots := make(chan struct{}, greetAtOnce)
 	for _, o := range objects {
 		r, err := decode(o.Value)
 		if err != nil {
@@ -156,7 +161,11 @@
 			continue
 		}
 		if _, known := c.Members.Addr(r.ID); !known {
-			greetings.Go(func() { c.greet(ctx, r.Addr, false) })
+			slots <- struct{}{}
+			greetings.Go(func() {
+				c.greet(ctx, r.Addr, false)
+				<-slots
+			})
 		}
 	}
 	greetings.Wait()
@@ -268,7 +277,7 @@
 func (c *Controller) greet(ctx context.Context, addr string, all bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	answer, err := peer.Call[peer.HelloRequest, peer.HelloAnswer](ctx, c.Peers, addr, peer.MethodHello, &peer.HelloRequest{Self: c.Self, All: all})
+	answer, err := peer.Call[peer.HelloRequest, peer.HelloAnswer](ctx, c.Greeter, addr, peer.MethodHello, &peer.HelloRequest{Self: c.Self, All: all})
 	if err != nil {
 		c.Log.Info("router does not answer", zap.String("address", addr), zap.Error(err))
 		return
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -120,7 +120,17 @@
 // calls from the IP of the address from, or from any if that is empty, so
 // that a firewall can tell instances apart.
 func NewClient(dialTimeout time.Duration, from string) *Client {
-	opts := drpcpool.Options{Expiration: idleExpiry, KeyCapacity: keptPerPeer}
+	return newClient(dialTimeout, from, drpcpool.Options{Expiration: idleExpiry, KeyCapacity: keptPerPeer})
+}
+
+// NewGreeter returns a client that keeps no connection: for calls to very many
+// processes, to most of which there will be no other call. A kept connection takes
+// some 20 KB on either side.
+func NewGreeter(dialTimeout time.Duration, from string) *Client {
+	return newClient(dialTimeout, from, drpcpool.Options{Capacity: -1})
+}
+
+func newClient(dialTimeout time.Duration, from string, opts drpcpool.Options) *Client {
 	c := &Client{pool: drpcpool.New[string, drpcpool.Conn](opts), dialer: net.Dialer{Timeout: dialTimeout}}
 	if host, _, err := net.SplitHostPort(from); err == nil {
 		if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -142,3 +142,38 @@
 		t.Errorf("answer: %+v", got)
 	}
 }
+
+// TestGreeterKeepsNoConnection: the server sees each connection end after its call,
+// and a client that keeps them uses the first one again.
+func TestGreeterKeepsNoConnection(t *testing.T) {
+	for name, c := range map[string]struct {
+		client *peer.Client
+		opened int64
+	}{
+		"greeter": {peer.NewGreeter(time.Second, ""), 3},
+		"client":  {peer.NewClient(time.Second, ""), 1},
+	} {
+		var calls, opened, ended atomic.Int64
+		target := echo(t, &calls)
+		addr := tcptest.Listen(t, func(conn net.Conn, _ int) {
+			opened.Add(1)
+			defer ended.Add(1)
+			whole := &cutter{target: target, request: -1, answer: -1}
+			whole.relay(conn)
+		})
+		for range 3 {
+			if _, err := peer.Call[message, message](t.Context(), c.client, addr, "echo", &message{Name: "n"}); err != nil {
+				t.Fatalf("%s: %v", name, err)
+			}
+		}
+		for range 200 {
+			if opened.Load()-ended.Load() == opened.Load()%3 {
+				break
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		if opened.Load() != c.opened || opened.Load()-ended.Load() != c.opened%3 {
+			t.Errorf("%s: %d connections opened, %d still open", name, opened.Load(), opened.Load()-ended.Load())
+		}
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -269,7 +269,7 @@
 		FirstStart: s.settings.Fleet.FirstStart,
 		Store:      s.store,
 		Members:    s.members,
-		Peers:      s.peers,
+		Greeter:    peer.NewGreeter(peerDialTimeout, self.Addr),
 		Log:        s.log,
 	})
 }
