Ask a store that is away seldom, and for a tenth of the price

Change: while the store does not answer, a follower asks first for one small object that may be old, at a tenth of the price; after four tries it waits about a second, unless another router tells that the store is back. A registration is tried again after 0.5 s to 8 s, and a list goes before a write. Tests: TestLostStoreIsAskedSeldom, TestFleetAsksALostStoreSeldom, TestOutageOfTheStoreCostsFewCalls.

--- a/controller/follow/follow.go
+++ b/controller/follow/follow.go
@@ -15,9 +15,12 @@
 )
 
 const (
-	// retryPause is the pause after a failed call. Two followers of each router
-	// then make at most eight calls a second while the store is away.
+	// retryPause is the pause after a failed call, and awayPause, more or less a half,
+	// after hastyTries in a row: then the store is away for long, and it is enough that
+	// one router of a fleet finds soon that it is back, and tells.
 	retryPause = 250 * time.Millisecond
+	awayPause  = time.Second
+	hastyTries = 4
 	// gatherPause is the pause after a watch that brought changes. A release of
 	// servers or a series of configurations changes objects many times a second;
 	// each pause gathers them for one call.
@@ -71,6 +74,11 @@
 	Part func() Part
 	// Deputies tells how many routers may be deputies when this one is.
 	Deputies func() int
+	// Probe asks the store for anything at all, as cheaply as can be. It goes before the
+	// calls of a follower that the store did not answer last, or not yet.
+	Probe func(context.Context) error
+	// Elsewhere tells whether the store answers another router.
+	Elsewhere func() bool
 	// Scout tells whether the store answers a follower of another kind that looks for
 	// it for this one too, when both are deputies. nil: this one looks itself.
 	Scout func() bool
@@ -85,9 +93,10 @@
 type Follower struct {
 	Options
 
-	due     time.Time // when a deputy tries the store; zero: that is not drawn yet
-	tries   int       // of a deputy in a row
-	doubted bool      // the handler was told that nothing is heard
+	due      time.Time // when a deputy tries the store; zero: that is not drawn yet
+	tries    int       // of a deputy in a row
+	failures int       // in a row
+	doubted  bool      // the handler was told that nothing is heard
 
 	mu       sync.Mutex
 	revision int64 // of the store; 0: a list is due
@@ -115,11 +124,31 @@
 			continue
 		}
 		f.due = time.Time{}
-		if err := f.step(ctx); err != nil && ctx.Err() == nil {
+		if err := f.try(ctx, part); err != nil && ctx.Err() == nil {
 			f.failed(err)
-			_ = wait.For(ctx, retryPause)
+			_ = wait.For(ctx, f.pause(part))
+		}
+	}
+}
+
+// try makes one call, after a probe if the store may not answer.
+func (f *Follower) try(ctx context.Context, part Part) error {
+	if f.Lost() || part == Deputy && !f.Fresh() {
+		if err := f.Probe(ctx); err != nil {
+			return err
 		}
 	}
+	return f.step(ctx)
+}
+
+// pause is the time until the next try after a failed one. That of a deputy is drawn
+// by isDue.
+func (f *Follower) pause(part Part) time.Duration {
+	f.failures++
+	if part == Deputy || f.failures <= hastyTries || f.Elsewhere() {
+		return retryPause
+	}
+	return time.Duration((0.5 + rand.Float64()) * float64(awayPause))
 }
 
 // isDue tells whether a deputy may make a call: one that the store answers goes on,
@@ -222,6 +251,7 @@
 
 // succeeded notes an answer that tells all changes up to a revision.
 func (f *Follower) succeeded(revision int64) {
+	f.failures = 0
 	f.mu.Lock()
 	was, since := f.lost, f.lostAt
 	f.lost = false
--- a/controller/follow/follow_test.go
+++ b/controller/follow/follow_test.go
@@ -16,8 +16,9 @@
 // fakeStore answers lists and watches, or fails them while it is down.
 type fakeStore struct {
 	store.Store
-	down  atomic.Bool
-	calls atomic.Int64
+	down atomic.Bool
+	// calls are those at the full price, probes the others.
+	calls, probes atomic.Int64
 }
 
 func (s *fakeStore) List(context.Context, string) ([]store.Object, int64, error) {
@@ -28,6 +29,14 @@
 	return nil, 1, nil
 }
 
+func (s *fakeStore) Get(context.Context, string) (store.Object, error) {
+	s.probes.Add(1)
+	if s.down.Load() {
+		return store.Object{}, store.ErrUnavailable
+	}
+	return store.Object{}, nil
+}
+
 func (s *fakeStore) Watch(ctx context.Context, _ string, since int64, wait time.Duration) (store.Events, error) {
 	s.calls.Add(1)
 	if s.down.Load() {
@@ -57,8 +66,13 @@
 		Handler:  ignore{},
 		Part:     part,
 		Deputies: func() int { return deputies },
-		Wait:     func() time.Duration { return 1200 * time.Millisecond },
-		Log:      zap.NewNop(),
+		Probe: func(ctx context.Context) error {
+			_, err := s.Get(ctx, "kind/self")
+			return err
+		},
+		Elsewhere: func() bool { return false },
+		Wait:      func() time.Duration { return 1200 * time.Millisecond },
+		Log:       zap.NewNop(),
 	}
 }
 
@@ -94,14 +108,16 @@
 	})
 }
 
-// TestDeputyAsksALostStoreSeldom.
-func TestDeputyAsksALostStoreSeldom(t *testing.T) {
-	for part, most := range map[follow.Part]int64{follow.Follows: 42, follow.Deputy: 10} {
+// TestLostStoreIsAskedSeldom: a store that does not answer is asked a few times soon,
+// then once a second, for a tenth of the price, and followed soon after it is back; at
+// once if another router tells that it is.
+func TestLostStoreIsAskedSeldom(t *testing.T) {
+	for part, most := range map[follow.Part]int64{follow.Follows: 26, follow.Deputy: 10} {
 		run(t, part, func(s *fakeStore, f *follow.Follower, _ *atomic.Int64) {
 			s.down.Store(true)
 			time.Sleep(10 * time.Second)
-			if n := s.calls.Load(); n > most {
-				t.Fatalf("%d calls in ten seconds, at most %d", n, most)
+			if n := s.calls.Load() + s.probes.Load(); n > most || s.calls.Load() > 1 {
+				t.Fatalf("%d calls and %d probes in ten seconds, at most %d", s.calls.Load(), s.probes.Load(), most)
 			}
 			s.down.Store(false)
 			time.Sleep(3 * time.Second)
@@ -130,8 +146,11 @@
 				go f.Run(t.Context())
 			}
 			time.Sleep(8 * time.Second)
-			if n := s.calls.Load(); n < 10 || n > int64(routers)+130 {
-				t.Errorf("%d routers made %d calls in eight seconds", routers, n)
+			if n := s.probes.Load(); n < 10 || n > int64(routers)+130 {
+				t.Errorf("%d routers asked %d times in eight seconds", routers, n)
+			}
+			if n := s.calls.Load(); n > 0 {
+				t.Errorf("%d calls at the full price without an answer to a probe", n)
 			}
 			s.down.Store(false)
 			time.Sleep(time.Second)
@@ -173,6 +192,10 @@
 	revision, calls atomic.Int64
 }
 
+func (s *changingStore) Get(context.Context, string) (store.Object, error) {
+	return store.Object{}, nil
+}
+
 func (s *changingStore) List(context.Context, string) ([]store.Object, int64, error) {
 	s.calls.Add(1)
 	return nil, s.revision.Load() + 1, nil
--- a/controller/news/fleet_test.go
+++ b/controller/news/fleet_test.go
@@ -45,7 +45,8 @@
 	objects *memory.Store
 
 	mu      sync.Mutex
-	calls   int
+	calls   int // at the full price
+	probes  int
 	cutOff  func(router int) bool // from the store
 	deaf    func(router int) bool // watches of it hear nothing
 	stopped map[string]bool       // routers that do not answer, by address
@@ -84,6 +85,17 @@
 	return nil
 }
 
+// probe asks at a tenth of the price.
+func (v view) probe() error {
+	v.fleet.mu.Lock()
+	defer v.fleet.mu.Unlock()
+	v.fleet.probes++
+	if v.fleet.cutOff(v.router) {
+		return errCut
+	}
+	return nil
+}
+
 func (v view) List(ctx context.Context, prefix string) ([]store.Object, int64, error) {
 	if err := v.counted(); err != nil {
 		return nil, 0, err
@@ -243,6 +255,8 @@
 		return follow.Options{
 			Store: view{f.objects, n, f}, Prefix: kind, Handler: handler, Part: r.news.Part, Deputies: r.news.Deputies,
 			Wait: func() time.Duration { return watchWait }, Log: zap.NewNop(),
+			Probe:     func(context.Context) error { return view{f.objects, n, f}.probe() },
+			Elsewhere: r.news.Heard,
 		}
 	}
 	servers := follow.New(following("servers", r.servers))
@@ -283,6 +297,13 @@
 	return n
 }
 
+// probed returns the probes so far.
+func (f *fleet) probed() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.probes
+}
+
 // cut cuts routers off from the store.
 func (f *fleet) cut(off func(int) bool) {
 	f.mu.Lock()
@@ -364,8 +385,11 @@
 		f.counted()
 		f.cut(func(int) bool { return true })
 		time.Sleep(8 * time.Second)
-		if n := f.counted(); n > routers+2*8*8+160 { // a first try each, two watchers, further tries
-			t.Errorf("%d calls in eight seconds without the store", n)
+		// The calls are what was under way; a probe each, those of the two watchers, and
+		// further tries follow.
+		calls, probes := f.counted(), f.probed()
+		if calls > 10 || probes > routers+60+120 {
+			t.Errorf("%d calls and %d probes in eight seconds without the store", calls, probes)
 		}
 		for _, r := range f.all {
 			if !r.news.StoreLost() {
--- a/controller/roster/roster.go
+++ b/controller/roster/roster.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -27,8 +28,11 @@
 	Kind = "routers"
 	// callTimeout bounds a call to another router.
 	callTimeout = 500 * time.Millisecond
-	// retryEvery is the pause after a failed registration.
-	retryEvery = 500 * time.Millisecond
+	// retryFirst is the pause after a failed registration, more or less a half. It
+	// doubles up to retryLongest: nobody waits for it, and while the store is away all
+	// that have started ask.
+	retryFirst   = 500 * time.Millisecond
+	retryLongest = 8 * time.Second
 	// greetAtOnce bounds the greetings under way. All of a fleet of hundreds at once
 	// would set the process's peak of memory.
 	greetAtOnce = 16
@@ -101,15 +105,20 @@
 	}
 }
 
-// registerAtLast registers the router, however often that takes.
+// registerAtLast registers the router, however often that takes. Between two tries it
+// looks for the others again: seeds know more of them by then, and a list is cheaper
+// than a write that finds the registration there.
 func (c *Controller) registerAtLast(ctx context.Context) {
+	pause := retryFirst
 	for ctx.Err() == nil {
 		err := c.register(ctx)
 		if err == nil {
 			return
 		}
 		c.Log.Warn("not registered yet", zap.Error(err))
-		_ = wait.For(ctx, retryEvery)
+		_ = wait.For(ctx, time.Duration((0.5+rand.Float64())*float64(pause)))
+		pause = min(2*pause, retryLongest)
+		c.introduce(ctx)
 	}
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -234,9 +234,22 @@
 		Handler:  h,
 		Part:     s.news.Part,
 		Deputies: s.news.Deputies,
+		Probe:    s.probeStore,
 		Wait:     func() time.Duration { return s.watchWait(bound) },
 		Log:      s.log,
+
+		Elsewhere: s.news.Heard,
+	}
+}
+
+// probeStore asks the store for this router's registration, which is small; that
+// there is none is an answer too.
+func (s *Server) probeStore(ctx context.Context) error {
+	_, err := store.GetStale(ctx, s.store, roster.Kind+"/"+s.settings.Instance.ID)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil
 	}
+	return err
 }
 
 // drawers returns the number of routers that draw each budget from the store.
--- a/store/counting.go
+++ b/store/counting.go
@@ -28,6 +28,7 @@
 // The calls. A list of several pages counts as one here.
 const (
 	CallGet       Call = "get"
+	CallStaleGet  Call = "stale_get"
 	CallList      Call = "list"
 	CallStaleList Call = "stale_list"
 	CallWatch     Call = "watch"
@@ -52,7 +53,7 @@
 	byPurpose map[Purpose]int64
 }
 
-var _ StaleLister = (*Counting)(nil)
+var _ StaleReader = (*Counting)(nil)
 
 // NewCounting returns a counting store over next.
 func NewCounting(next Store) *Counting {
@@ -124,7 +125,7 @@
 	return objects, rev, err
 }
 
-// ListStale implements StaleLister.
+// ListStale implements StaleReader.
 func (c *Counting) ListStale(ctx context.Context, prefix string) ([]Object, int64, error) {
 	c.note(prefix, CallStaleList)
 	objects, rev, err := ListStale(ctx, c.next, prefix)
@@ -132,6 +133,15 @@
 	return objects, rev, err
 }
 
+// GetStale implements StaleReader.
+func (c *Counting) GetStale(ctx context.Context, key string) (Object, error) {
+	c.note(key, CallStaleGet)
+	c.reads.Add(1)
+	o, err := GetStale(ctx, c.next, key)
+	c.bytesI.Add(int64(len(o.Value)))
+	return o, err
+}
+
 func (c *Counting) listed(objects []Object) {
 	c.reads.Add(1)
 	for _, o := range objects {
--- a/store/store.go
+++ b/store/store.go
@@ -68,22 +68,33 @@
 	Watch(ctx context.Context, prefix string, since int64, wait time.Duration) (Events, error)
 }
 
-// StaleLister is a store that also gives lists which may be some seconds old, for a
-// tenth of the price of a list.
-type StaleLister interface {
+// StaleReader is a store that also gives answers which may be some seconds old, for a
+// tenth of the price of others.
+type StaleReader interface {
 	// ListStale is List, but neither the objects nor the revision need be the newest.
 	ListStale(ctx context.Context, prefix string) ([]Object, int64, error)
+	// GetStale is Get, but the object need not be the newest.
+	GetStale(ctx context.Context, key string) (Object, error)
 }
 
 // ListStale lists what may be some seconds old, if the store has that, and else what
 // is newest.
 func ListStale(ctx context.Context, s Store, prefix string) ([]Object, int64, error) {
-	if stale, ok := s.(StaleLister); ok {
+	if stale, ok := s.(StaleReader); ok {
 		return stale.ListStale(ctx, prefix)
 	}
 	return s.List(ctx, prefix)
 }
 
+// GetStale reads what may be some seconds old, if the store has that, and else what
+// is newest.
+func GetStale(ctx context.Context, s Store, key string) (Object, error) {
+	if stale, ok := s.(StaleReader); ok {
+		return stale.GetStale(ctx, key)
+	}
+	return s.Get(ctx, key)
+}
+
 // Put writes value under key: a create for version 0, else an update.
 func Put(ctx context.Context, s Store, key string, version int64, value []byte) (Object, error) {
 	if version == 0 {
