Look whether the caller is there before its request goes to a server

Suspected, not proven: a request's context ends by the caller's close only when the goroutine that reads from the connection has had its turn, which takes long on an instance short of processor time or behind a full link. Change: right before the first byte goes out the socket itself is looked at, without taking bytes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -140,11 +140,17 @@
 		Host:           a.r.Host,
 		Header:         h,
 		Body:           a.body,
-		Holds:          func() bool { return a.g.Servers.TakesWork(a.server.Incarnation()) },
+		Holds:          a.holds,
 		Belongs:        a.belongs,
 	}
 }
 
+// holds tells, when a connection to the server is there, whether the request should
+// still go there.
+func (a *attempt) holds() bool {
+	return a.g.Servers.TakesWork(a.server.Incarnation()) && !callerGone(a.r)
+}
+
 // rankSizes are the prompt sizes, in new tokens, from which a request gives way
 // to smaller ones: an engine reads one prompt after the other, and a small one
 // behind a large one would miss its objective.
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -25,7 +25,8 @@
 	Body   []byte
 	// Holds tells, when the connection is there and before the first byte goes out,
 	// whether the request should still go to this server: on a link that is full a
-	// connection takes seconds, and the server may have left meanwhile. nil: it should.
+	// connection takes seconds, and the server or the caller may have left meanwhile.
+	// nil: it should.
 	Holds func() bool
 	// Belongs tells whose answer one is.
 	Belongs func(*http.Response) Belonging
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -108,8 +108,8 @@
 	return a, nil
 }
 
-// errOutdated means that the server should get no request any more.
-var errOutdated = errors.New("the server left while the connection was made")
+// errOutdated means that the request should not go to the server any more.
+var errOutdated = errors.New("the server or the caller left while the connection was made")
 
 // errFull means that no connection may be opened to the server.
 var errFull = errors.New("all connections to the server are in use")
