One cache of rankings, one count of store calls

The first router of a role among those with the largest links was remembered apart from the list it is the head of, so that the two ages added up; the tellers of a failure domain were found by copying the whole ranking and deleting from it, at each question a router answers; the store's calls were counted twice, as totals and by purpose. Change: members.FirstLargest is the head of the remembered ranking, FirstIn takes the first few of a domain and stops; reads, writes and watches are sums of the counts by purpose; news asks passesOn in place of its twin.

--- a/controller/members/members.go
+++ b/controller/members/members.go
@@ -130,30 +130,25 @@
 
 // First returns the best member for a role.
 func (c *Controller) First(now time.Time, role string) string {
-	return c.remembered(now, role, func() string { return c.view.First(now, role) })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r, ok := c.ranked[role]; ok && now.Before(r.until) {
+		return r.id
+	}
+	id := c.view.First(now, role)
+	c.ranked[role] = ranked{id: id, until: now.Add(rankFor)}
+	return id
 }
 
 // FirstLargest returns the best member for a role among those with the largest
 // links, or this router if there is none.
 func (c *Controller) FirstLargest(now time.Time, role string) string {
-	return c.remembered(now, role+"@largest", func() string {
-		if ids := c.rankLargest(now, role); len(ids) > 0 {
-			return ids[0]
-		}
-		return c.self.ID
-	})
-}
-
-// remembered returns the member found under key lately, or finds it anew.
-func (c *Controller) remembered(now time.Time, key string, find func() string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if r, ok := c.ranked[key]; ok && now.Before(r.until) {
-		return r.id
+	if ids := c.rankLargest(now, role); len(ids) > 0 {
+		return ids[0]
 	}
-	id := find()
-	c.ranked[key] = ranked{id: id, until: now.Add(rankFor)}
-	return id
+	return c.self.ID
 }
 
 // RankLargest returns the usable members for a role, best first: those with the
@@ -181,15 +176,21 @@
 	clear(c.lists)
 }
 
-// RankIn returns the usable members of a failure domain for a role, best first:
-// those with the largest links, in the order of the role.
-func (c *Controller) RankIn(now time.Time, role, domain string) []string {
+// FirstIn returns the best usable members of a failure domain for a role, at most so
+// many: those with the largest links, in the order of the role.
+func (c *Controller) FirstIn(now time.Time, role, domain string, most int) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(c.rankLargest(now, role)), func(id string) bool {
-		m, _ := c.view.Member(id)
-		return m.Domain != domain
-	})
+	var ids []string
+	for _, id := range c.rankLargest(now, role) {
+		if len(ids) == most {
+			break
+		}
+		if m, _ := c.view.Member(id); m.Domain == domain {
+			ids = append(ids, id)
+		}
+	}
+	return ids
 }
 
 func (c *Controller) linkOf(id string) float64 {
--- a/controller/news/news.go
+++ b/controller/news/news.go
@@ -183,8 +183,7 @@
 
 // tellersIn are the routers of a failure domain that pass news on.
 func (c *Controller) tellersIn(domain string) []string {
-	ranked := c.Members.RankIn(time.Now(), watchRole, domain)
-	return ranked[:min(len(ranked), tellersEach)]
+	return c.Members.FirstIn(time.Now(), watchRole, domain, tellersEach)
 }
 
 // tellers are those of all failure domains, this one's first.
@@ -231,7 +230,7 @@
 		return c.Members.Others(time.Now())
 	}
 	ids := c.tellers()
-	if c.isTeller() || c.isWatcher() {
+	if c.passesOn() {
 		ids = append(c.watchers(), ids...)
 	}
 	return slices.DeleteFunc(ids, func(id string) bool { return id == c.Members.Self().ID })
--- a/store/counting.go
+++ b/store/counting.go
@@ -46,8 +46,8 @@
 
 // Counting wraps a store and counts its calls.
 type Counting struct {
-	next                                   Store
-	reads, writes, watches, bytesO, bytesI atomic.Int64
+	next           Store
+	bytesO, bytesI atomic.Int64
 
 	mu        sync.Mutex
 	byPurpose map[Purpose]int64
@@ -76,19 +76,23 @@
 
 // Counts returns the calls so far.
 func (c *Counting) Counts() Counts {
-	return Counts{
-		Reads:    c.reads.Load(),
-		Writes:   c.writes.Load(),
-		Watches:  c.watches.Load(),
-		BytesOut: c.bytesO.Load(),
-		BytesIn:  c.bytesI.Load(),
+	counts := Counts{BytesOut: c.bytesO.Load(), BytesIn: c.bytesI.Load()}
+	for p, n := range c.ByPurpose() {
+		switch p.Call {
+		case CallWatch:
+			counts.Watches += n
+		case CallCreate, CallUpdate, CallDelete:
+			counts.Writes += n
+		default:
+			counts.Reads += n
+		}
 	}
+	return counts
 }
 
 // Get implements Store.
 func (c *Counting) Get(ctx context.Context, key string) (Object, error) {
 	c.note(key, CallGet)
-	c.reads.Add(1)
 	o, err := c.next.Get(ctx, key)
 	c.bytesI.Add(int64(len(o.Value)))
 	return o, err
@@ -97,7 +101,6 @@
 // Create implements Store.
 func (c *Counting) Create(ctx context.Context, key string, value []byte) (Object, error) {
 	c.note(key, CallCreate)
-	c.writes.Add(1)
 	c.bytesO.Add(int64(len(value)))
 	return c.next.Create(ctx, key, value)
 }
@@ -105,7 +108,6 @@
 // Update implements Store.
 func (c *Counting) Update(ctx context.Context, key string, version int64, value []byte) (Object, error) {
 	c.note(key, CallUpdate)
-	c.writes.Add(1)
 	c.bytesO.Add(int64(len(value)))
 	return c.next.Update(ctx, key, version, value)
 }
@@ -113,7 +115,6 @@
 // Delete implements Store.
 func (c *Counting) Delete(ctx context.Context, key string, version int64) error {
 	c.note(key, CallDelete)
-	c.writes.Add(1)
 	return c.next.Delete(ctx, key, version)
 }
 
@@ -136,14 +137,12 @@
 // GetStale implements StaleReader.
 func (c *Counting) GetStale(ctx context.Context, key string) (Object, error) {
 	c.note(key, CallStaleGet)
-	c.reads.Add(1)
 	o, err := GetStale(ctx, c.next, key)
 	c.bytesI.Add(int64(len(o.Value)))
 	return o, err
 }
 
 func (c *Counting) listed(objects []Object) {
-	c.reads.Add(1)
 	for _, o := range objects {
 		c.bytesI.Add(int64(len(o.Value)))
 	}
@@ -152,7 +151,6 @@
 // Watch implements Store.
 func (c *Counting) Watch(ctx context.Context, prefix string, since int64, wait time.Duration) (Events, error) {
 	c.note(prefix, CallWatch)
-	c.watches.Add(1)
 	ev, err := c.next.Watch(ctx, prefix, since, wait)
 	for _, o := range ev.Objects {
 		c.bytesI.Add(int64(len(o.Value)))
