Sight: how old what is known of the servers is, and why a router looks for the store

Each attempt of a request now says how old what was known of the servers was before its first byte, counted from the store's answer, also where other routers passed it on (the ages travel with the news); a histogram holds the same. A router says when it decides to look for the store and when it will, and by what a missing registration is taken for a lapse. No decision goes by any of it yet.

--- a/controller/follow/follow.go
+++ b/controller/follow/follow.go
@@ -107,6 +107,7 @@
 	// interrupt ends the call under way; nil: there is none.
 	interrupt context.CancelCauseFunc
 	answered  time.Time // when the store answered last
+	asOf      time.Time // see AsOf
 }
 
 // New returns a follower. It makes no calls while its part is to rest.
@@ -165,8 +166,11 @@
 		return f.Scout()
 	}
 	if f.due.IsZero() {
-		f.due = now.Add(time.Duration(rand.Float64() * float64(f.spread())))
+		wait := time.Duration(rand.Float64() * float64(f.spread()))
+		f.due = now.Add(wait)
 		f.tries++
+		f.Log.Info("nobody tells what is new; looking for the store", zap.Duration("in_ms", wait), zap.Int("try", f.tries),
+			zap.Duration("age_ms", clock.Since(f.AsOf())))
 	}
 	return !now.Before(f.due)
 }
@@ -251,7 +255,7 @@
 		f.at(0)
 		return nil
 	}
-	f.succeeded(max(since, ev.Revision))
+	f.succeeded(max(since, ev.Revision), clock.Now())
 	if len(ev.Objects) > 0 {
 		f.Handler.Changed(ev.Objects)
 		_ = wait.For(ctx, gatherPause)
@@ -260,11 +264,12 @@
 }
 
 func (f *Follower) list(ctx context.Context) error {
+	begun := clock.Now()
 	objects, revision, err := f.Store.List(ctx, f.Prefix)
 	if err != nil {
 		return err
 	}
-	f.succeeded(revision)
+	f.succeeded(revision, begun)
 	f.Handler.Listed(objects, revision)
 	return nil
 }
@@ -284,13 +289,15 @@
 	}
 }
 
-// succeeded notes an answer that tells all changes up to a revision.
-func (f *Follower) succeeded(revision int64) {
+// succeeded notes an answer that tells all changes up to a revision, the store's at a
+// moment.
+func (f *Follower) succeeded(revision int64, asOf time.Time) {
 	f.failures = 0
 	f.mu.Lock()
 	was, since := f.lost, f.lostAt
 	f.lost = false
 	f.answered = clock.Now()
+	f.asOf = asOf
 	f.revision = revision
 	f.mu.Unlock()
 	if f.doubted && !was {
@@ -317,6 +324,14 @@
 	return f.revision
 }
 
+// AsOf returns the moment up to which the store has told this router itself all changes;
+// zero: it has told nothing.
+func (f *Follower) AsOf() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.asOf
+}
+
 // Lost tells whether the last call failed.
 func (f *Follower) Lost() bool {
 	f.mu.Lock()
--- a/controller/news/fleet_test.go
+++ b/controller/news/fleet_test.go
@@ -43,6 +43,10 @@
 	bound     = 4 * time.Second
 	watchWait = 2400 * time.Millisecond
 	configKey = "config/main"
+	// callTimeout is when a call of the store is given up, and watchSlack how much later
+	// than its wait a watch is.
+	callTimeout = time.Second
+	watchSlack  = 400 * time.Millisecond
 )
 
 // fleet is the routers with their store.
@@ -57,7 +61,10 @@
 	reports int                   // of requests that end servers
 	cutOff  func(router int) bool // from the store
 	deaf    func(router int) bool // watches of it hear nothing
-	stopped map[string]bool       // routers that do not answer, by address
+	muted   func(router int) bool // the store does not say a word to it
+	// bound is the operator's bound on changes; 0: that of a large deployment.
+	bound   time.Duration
+	stopped map[string]bool // routers that do not answer, by address
 	all     []*one
 	// evacuates tells that routers follow evacuations.
 	evacuates bool
@@ -81,6 +88,11 @@
 // errCut is the silence of a store that a router cannot reach.
 var errCut = fmt.Errorf("%w: cut off", store.ErrUnknown)
 
+// silence is a call of a store that says nothing.
+func silence(ctx context.Context, timeout time.Duration) error {
+	return errors.Join(errCut, wait.For(ctx, timeout))
+}
+
 // view is the store as one router sees it.
 type view struct {
 	store.Store
@@ -88,46 +100,60 @@
 	fleet  *fleet
 }
 
-// counted counts a call and tells whether it gets through.
-func (v view) counted() error {
+// gets tells whether a call that was counted gets through; one that does not takes until
+// its timeout to be given up, or is refused at once.
+func (v view) gets(ctx context.Context, timeout time.Duration) error {
 	v.fleet.mu.Lock()
-	defer v.fleet.mu.Unlock()
-	v.fleet.calls++
-	if v.fleet.cutOff(v.router) {
+	refused, muted := v.fleet.cutOff(v.router), v.fleet.muted(v.router)
+	v.fleet.mu.Unlock()
+	if muted {
+		return silence(ctx, timeout)
+	}
+	if refused {
 		return errCut
 	}
 	return nil
 }
 
-// probe asks at a tenth of the price.
-func (v view) probe() error {
+// count counts a call.
+func (v view) count(calls *int) {
 	v.fleet.mu.Lock()
 	defer v.fleet.mu.Unlock()
-	v.fleet.probes++
-	if v.fleet.cutOff(v.router) {
-		return errCut
-	}
-	return nil
+	*calls++
+}
+
+// probe asks at a tenth of the price.
+func (v view) probe(ctx context.Context) error {
+	v.count(&v.fleet.probes)
+	return v.gets(ctx, callTimeout)
 }
 
 func (v view) List(ctx context.Context, prefix string) ([]store.Object, int64, error) {
-	if err := v.counted(); err != nil {
+	v.count(&v.fleet.calls)
+	if err := v.gets(ctx, callTimeout); err != nil {
 		return nil, 0, err
 	}
 	return v.Store.List(ctx, prefix)
 }
 
+// Watch gives an answer that was ready only to a router that still hears the store.
 func (v view) Watch(ctx context.Context, prefix string, since int64, waits time.Duration) (store.Events, error) {
-	if err := v.counted(); err != nil {
+	v.count(&v.fleet.calls)
+	if err := v.gets(ctx, waits+watchSlack); err != nil {
 		return store.Events{}, err
 	}
 	v.fleet.mu.Lock()
 	deaf := v.fleet.deaf(v.router)
 	v.fleet.mu.Unlock()
 	if deaf {
-		return store.Events{}, errors.Join(errCut, wait.For(ctx, waits+400*time.Millisecond))
+		return store.Events{}, silence(ctx, waits+watchSlack)
 	}
-	return v.Store.Watch(ctx, prefix, since, waits)
+	begun := time.Now()
+	ev, err := v.Store.Watch(ctx, prefix, since, waits)
+	if late := v.gets(ctx, waits+watchSlack-time.Since(begun)); late != nil {
+		return store.Events{}, late
+	}
+	return ev, err
 }
 
 // errDown is the silence of a router that is gone.
@@ -195,7 +221,7 @@
 func playWith(t *testing.T, f *fleet, body func(*fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		f.ctx = t.Context()
-		f.objects, f.cutOff, f.deaf, f.stopped = memory.New(), nobody, nobody, map[string]bool{}
+		f.objects, f.cutOff, f.deaf, f.muted, f.stopped = memory.New(), nobody, nobody, nobody, map[string]bool{}
 		f.configure(t, 1)
 		f.register(t, "first", false)
 		for n := range routers {
@@ -276,14 +302,15 @@
 		Lost:     func() bool { return both((*follow.Follower).Lost) > 0 },
 		Fresh:    func() bool { return both((*follow.Follower).Fresh) == len(followers) },
 		Revision: func() int64 { return followers[1].Revision() },
+		AsOf:     func() news.Moments { return asOf(followers) },
 		Large:    func() bool { return true },
 		Log:      zap.NewNop(),
 	})
 	following := func(kind string, handler follow.Handler) follow.Options {
 		return follow.Options{
 			Store: view{f.objects, n, f}, Prefix: kind, Handler: handler, Part: r.news.Part, Deputies: r.news.Deputies,
-			Wait: func() time.Duration { return watchWait }, Log: zap.NewNop(),
-			Probe:     func(context.Context) error { return view{f.objects, n, f}.probe() },
+			Wait: f.watchWait, Log: zap.NewNop(),
+			Probe:     view{f.objects, n, f}.probe,
 			Elsewhere: r.news.Heard,
 		}
 	}
@@ -308,6 +335,16 @@
 	go r.servers.Run(ctx)
 }
 
+// asOf are the moments of followers of configurations, servers and, if there is a third
+// one, evacuations.
+func asOf(followers []*follow.Follower) news.Moments {
+	m := news.Moments{Config: followers[0].AsOf(), Servers: followers[1].AsOf()}
+	if len(followers) > 2 {
+		m.Emptied = followers[2].AsOf()
+	}
+	return m
+}
+
 // restart ends a router and starts it anew.
 func (f *fleet) restart(n int) {
 	f.mu.Lock()
@@ -359,6 +396,21 @@
 	f.cutOff = off
 }
 
+// mute silences the store for routers.
+func (f *fleet) mute(off func(int) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.muted = off
+}
+
+// watchWait is how long watches wait in the fleet.
+func (f *fleet) watchWait() time.Duration {
+	if f.bound == 0 {
+		return watchWait
+	}
+	return watchWait - bound + f.bound
+}
+
 // change makes a change of each kind and checks that all routers follow in time.
 func (f *fleet) change(t *testing.T, version int64) {
 	t.Helper()
--- a/controller/news/news.go
+++ b/controller/news/news.go
@@ -80,6 +80,8 @@
 	// Revision is the store's revision up to which this router has heard all
 	// changes of registrations from the store itself.
 	Revision func() int64
+	// AsOf tells up to when the store itself has told this router all changes.
+	AsOf func() Moments
 	// Took is told how long each question took; nil: nobody wants to know.
 	Took func(time.Duration)
 	// Large tells whether the fleet is so large that few watch for all.
@@ -112,6 +114,7 @@
 	seq      int64
 	revision int64     // up to which that source knew all changes
 	current  time.Time // when a router last told what is newest
+	asOf     Moments   // up to when other routers have told all changes
 	lost     time.Time // when one last told that the store does not answer it
 	teller   string    // which one did; empty: another is looked for
 	origin   string    // which router that one had it from, or itself
@@ -235,7 +238,7 @@
 	}
 	c.Members.Reached(id)
 	c.takeVerdicts(answer)
-	c.take(ctx, id, answer)
+	c.take(ctx, id, answer, begun)
 }
 
 // noteQuestion notes how a question that was asked at a time has ended.
@@ -295,7 +298,8 @@
 	c.lost = clock.Now()
 }
 
-func (c *Controller) take(ctx context.Context, id string, answer *peer.NewsAnswer) {
+// take takes the answer of a router to a question that was asked at a moment.
+func (c *Controller) take(ctx context.Context, id string, answer *peer.NewsAnswer, asked time.Time) {
 	newer := answer.Config > c.Configs.Version()
 	if newer {
 		c.fetchOnce(ctx, id)
@@ -325,6 +329,11 @@
 	defer c.mu.Unlock()
 	c.source, c.seq, c.revision = answer.Source, answer.Seq, answer.Revision
 	c.current, c.teller, c.origin = clock.Now(), id, answer.Origin
+	told := momentsOf(answer.Ages, asked)
+	if newer {
+		told.Config = time.Time{} // it is being fetched
+	}
+	c.asOf = c.asOf.or(told)
 	if !c.told {
 		c.told = true
 		c.Log.Info("news through another router", zap.String("router", id), zap.String("origin", answer.Origin), zap.Int64("revision", answer.Revision))
--- a/controller/news/servers.go
+++ b/controller/news/servers.go
@@ -30,6 +30,8 @@
 	// seq is the number of the last change that it holds, and revision the store's
 	// revision up to which it holds all changes.
 	seq, revision int64
+	// age is how old it was when it was made.
+	age time.Duration
 }
 
 // tellAll puts all registrations into an answer, as they were when the list was packed.
@@ -43,9 +45,10 @@
 			return err
 		}
 		c.list.text, c.list.made = text, clock.Now()
-		c.list.seq, c.list.revision = last, answer.Revision
+		c.list.seq, c.list.revision, c.list.age = last, answer.Revision, answer.Ages.Servers
 	}
 	answer.All, answer.AllAge = c.list.text, clock.Since(c.list.made)
+	answer.Ages.Servers = c.list.age + answer.AllAge
 	answer.Seq, answer.Revision = c.list.seq, c.list.revision
 	return nil
 }
--- a/controller/news/tell.go
+++ b/controller/news/tell.go
@@ -26,6 +26,7 @@
 	}
 	answer.Verdicts, answer.VerdictSeq = c.Verdicts.Since(known)
 	c.tell(answer)
+	answer.Ages = c.Ages()
 	if !answer.Current {
 		return answer, nil
 	}
--- a/controller/registry/lapse.go
+++ b/controller/registry/lapse.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/guard"
 	"github.com/gaplink/gaplink/placement"
@@ -52,7 +54,12 @@
 		}
 	}
 	enough := compared >= comparedLeast && float64(renewed) >= renewedMost*float64(compared)
-	return enough && float64(present) >= renewedMost*float64(len(c.entries))
+	throughout := enough && float64(present) >= renewedMost*float64(len(c.entries))
+	if !c.regained.IsZero() && present < len(c.entries) {
+		c.log.Info("registrations missing after the store was lost", zap.Bool("may_have_lapsed", !throughout), zap.Int("known", len(c.entries)),
+			zap.Int("present", present), zap.Int("compared", compared), zap.Int("renewed", renewed), zap.Duration("regained_ms_ago", now.Sub(c.regained)))
+	}
+	return throughout
 }
 
 // expected is the least number of renewals in a time.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -149,6 +149,7 @@
 // holds tells, when a connection to the server is there, whether the request should
 // still go there.
 func (a *attempt) holds() bool {
+	a.noteAge()
 	return !a.overdue() && !callerGone(a.r) && a.g.Servers.Claim(a.server)
 }
 
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -57,7 +57,7 @@
 		}
 		tried[server.Incarnation()] = true
 		last := so.sent+1 >= c.route.Attempts || !c.g.Retries.Left(c.service.Name)
-		a := &attempt{call: c, server: server, last: last, note: attemptNote{server: server.ID}}
+		a := &attempt{call: c, server: server, last: last, note: attemptNote{server: server.ID, known: unknownAge}}
 		v := a.run(ctx)
 		c.noteEnd(a)
 		if v == served || v == ended {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,6 +57,9 @@
 	// heard nothing for too long to know which servers leave. nil: neither is known.
 	Behind func() time.Duration
 	Deaf   func() bool
+	// ServersAge is how old what is known of the servers is, counted from the store's
+	// answer; below 0: nothing was heard. nil: it is not known.
+	ServersAge func() time.Duration
 	// Away tells whether callers should go to other routers for a while, and Full
 	// whether the router's own network link is full, so that silence says nothing
 	// about a server.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -15,11 +16,15 @@
 	seconds  *prometheus.HistogramVec
 	tokens   *prometheus.CounterVec
 	replies  *prometheus.CounterVec
+	ages     prometheus.Histogram
 }
 
 // latencyBuckets span the latency objectives, in seconds.
 var latencyBuckets = []float64{0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3, 6, 15}
 
+// ageBuckets span the bounds on leaving servers, in seconds.
+var ageBuckets = []float64{0.1, 0.25, 0.5, 0.75, 1, 1.25, 1.5, 2, 2.5, 3, 4, 8}
+
 // NewMetrics returns metrics registered with reg.
 func NewMetrics(reg prometheus.Registerer) *Metrics {
 	m := &Metrics{
@@ -38,8 +43,11 @@
 		replies: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gaplink_gateway_replies_total", Help: "Ended requests by result code and by what their callers could take the answer for.",
 		}, []string{"code", "claim"}),
+		ages: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "gaplink_gateway_servers_age_seconds", Help: "Age of what was known of the backend servers when a request was sent to one.", Buckets: ageBuckets,
+		}),
 	}
-	reg.MustRegister(m.requests, m.attempts, m.seconds, m.tokens, m.replies)
+	reg.MustRegister(m.requests, m.attempts, m.seconds, m.tokens, m.replies, m.ages)
 	return m
 }
 
@@ -57,6 +65,13 @@
 	}
 }
 
+// serversAge counts the sending of a request by the age of what was known of the servers.
+func (m *Metrics) serversAge(age time.Duration) {
+	if age >= 0 {
+		m.ages.Observe(age.Seconds())
+	}
+}
+
 // attempt counts an attempt by its outcome.
 func (m *Metrics) attempt(service, outcome string) {
 	m.attempts.WithLabelValues(service, outcome).Inc()
--- a/gateway/note.go
+++ b/gateway/note.go
@@ -18,6 +18,9 @@
 	server  string
 	verdict string
 	after   time.Duration
+	// known is how old what was known of the servers was before the first byte went
+	// out, counted from the store's answer; below 0: that is not known.
+	known time.Duration
 	// status is 0 if no head came.
 	status int
 	// framed tells that the answer's own framing proves its end.
@@ -27,6 +30,18 @@
 	firstID, lastID string
 }
 
+// unknownAge stands for an age that is not known.
+const unknownAge = -1
+
+// noteAge notes how old what is known of the servers is.
+func (a *attempt) noteAge() {
+	if a.g.ServersAge == nil {
+		return
+	}
+	a.note.known = a.g.ServersAge()
+	a.g.Metrics.serversAge(a.note.known)
+}
+
 // answered notes the head of the server's answer.
 func (n *attemptNote) answered(answer *upstream.Answer) {
 	n.status = answer.StatusCode
@@ -46,10 +61,13 @@
 
 // String is one entry of the log line's list, such as
 //
-//	s1 broken (unexpected EOF) 1.213s, status 200 framed, 12 events 1..12
+//	s1 broken (unexpected EOF) 1.213s, servers as of 310ms before, status 200 framed, 12 events 1..12
 func (n *attemptNote) String() string {
 	var b strings.Builder
 	b.WriteString(n.server + " " + n.verdict + " " + n.after.Round(time.Millisecond).String())
+	if n.known >= 0 {
+		b.WriteString(", servers as of " + n.known.Round(time.Millisecond).String() + " before")
+	}
 	if n.status == 0 {
 		return b.String()
 	}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -143,6 +143,13 @@
 	Age time.Duration
 }
 
+// Ages tell for each kind of objects how long ago a router knew all changes that the store
+// had taken by then; Unheard: it has heard of none.
+type Ages struct{ Config, Servers, Emptied time.Duration }
+
+// Unheard is the age of what was never heard of.
+const Unheard time.Duration = -1
+
 // NewsAnswer gives what is newer.
 type NewsAnswer struct {
 	// Current tells that what the answering router knows is the newest: it watches
@@ -159,6 +166,8 @@
 	// Revision is the store's revision up to which it knows all changes of
 	// registrations.
 	Revision int64
+	// Ages tell how old that is, counted from the store's answers that it comes from.
+	Ages Ages
 	// Config is the version of the answering router's configuration.
 	Config int64
 	// Source is the answering process, Seq the number of its last change of a
--- a/server/provision.go
+++ b/server/provision.go
@@ -72,6 +72,8 @@
 		Full:     s.link.Full,
 		Behind:   s.behind,
 		Deaf:     s.deaf,
+
+		ServersAge: func() time.Duration { return s.news.Ages().Servers },
 	})
 	s.evacuations = evacuations.New(evacuations.Options{
 		Revision: func() int64 { return s.followEvacuations.Revision() },
@@ -96,6 +98,7 @@
 		Log:    s.log,
 
 		Revision: func() int64 { return s.followServers.Revision() },
+		AsOf:     s.storeAsOf,
 
 		Took: func(d time.Duration) { s.queue.Observe(clock.Now(), d) },
 	})
--- a/server/server.go
+++ b/server/server.go
@@ -238,6 +238,15 @@
 	return true
 }
 
+// storeAsOf tells up to when the store itself has told this router all changes.
+func (s *Server) storeAsOf() news.Moments {
+	m := news.Moments{Config: s.followConfigs.AsOf(), Servers: s.followServers.AsOf()}
+	if s.followEvacuations != nil {
+		m.Emptied = s.followEvacuations.AsOf()
+	}
+	return m
+}
+
 // followers are the followers of all kinds.
 func (s *Server) followers() []*follow.Follower {
 	all := []*follow.Follower{s.followConfigs, s.followServers}
