A server that left while only routers were cut off gets no further request

Callers' requests reached servers up to 4.2 s after those had left, at routers that had just found the store again. Such a router kept each server whose registration it did not find for 2.2 s, since it may have lapsed in an outage of the store.

Now the other registrations tell: those that lapsed went together and have new versions when they are back; where more than half stand as they did, nothing has lapsed, and what is missing is dropped at once. So is one that goes while the store is well, which was kept for 0.7 s: that time stood in no sum of the bound. A router that hears again through others judges alike. The count of renewals, its setting and its thresholds are gone.

The two tests of lapses that played a rising count are replaced: they showed a store that does not exist. The new ones ask that a server is dropped at once where 1.2 s were allowed, and play lapses by lists, by changes and through others.

--- a/controller/news/news.go
+++ b/controller/news/news.go
@@ -319,6 +319,9 @@
 	if !newer {
 		c.Configs.Confirmed()
 	}
+	if !c.Heard() && !c.Fresh() {
+		c.Servers.Regained()
+	}
 	c.Evacuations.Take(answer.Emptied, answer.EmptiedAt, id)
 	if err := c.takeServers(answer); err != nil {
 		c.Log.Error("list of registrations is not readable", zap.String("router", id), zap.Error(err))
--- a/controller/registry/lapse.go
+++ b/controller/registry/lapse.go
@@ -6,72 +6,112 @@
 	"go.uber.org/zap"
 
 	"github.com/gaplink/gaplink/clock"
-	"github.com/gaplink/gaplink/guard"
-	"github.com/gaplink/gaplink/placement"
 )
 
-// A registration that is missing after this router had lost the store may have lapsed,
-// because its server did not reach the store either, or it is gone for good. Where only
-// routers were cut off, the servers have renewed theirs all the while: then nothing has
-// lapsed, and a server that is missing must not be kept for two seconds more.
+// A registration that is missing after this router had lost touch with the store may have
+// lapsed, because its server did not reach the store either, or its server is gone for good.
+// What tells them apart is the other registrations. Those that lapsed in an outage of the
+// store went together, and have a new version once they are back. Where most stand as they
+// did, the store was well and only routers were cut off: then a server that is missing has
+// left, maybe as long ago as this router's last news, and gets no further request.
 const (
-	// comparedFor is the least time between two versions that says anything.
-	comparedFor = 3 * time.Second
-	// renewedPart is the part of the renewals that must have come; some come late.
-	renewedPart = 0.75
-	// renewedMost is the part of the servers that must have renewed, and may not be
-	// missing: after an outage of the store many are.
-	renewedMost = 0.75
-	// comparedLeast is how many servers must have been compared.
-	comparedLeast = 4
+	// lapseGrace is how long a lapsed registration may be missing after the store is back.
+	// Those of live servers are back within two seconds of its return.
+	lapseGrace = 2200 * time.Millisecond
+	// lapsedPart is the part of the servers in use beyond which a lapse strikes them.
+	lapsedPart = 0.5
 )
 
-// SetRenewal says how often servers renew their registrations. Call it before the first
-// is taken.
-func (c *Controller) SetRenewal(every time.Duration) { c.renewEvery = every }
+// Regained implements follow.Handler. What is known is current again after it was not.
+func (c *Controller) Regained() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.regained = clock.Now()
+	c.lapsing, c.judged = false, false
+}
 
-// renewedThroughout tells whether a list shows that servers reached the store all the
-// time since this router heard of them.
-func (c *Controller) renewedThroughout(objects []Heard) bool {
-	if c.renewEvery <= 0 {
-		return false
-	}
-	now := clock.Now()
-	var compared, renewed, present int
-	for _, o := range objects {
-		known, had := c.entries[o.Key]
-		if !had || !known.readable {
-			continue
-		}
-		present++
-		span := now.Add(-o.Age).Sub(known.heard)
-		if span < comparedFor {
+// judgesLapse tells whether an answer is the one that shows a lapse: the first after the
+// store was regained.
+func (c *Controller) judgesLapse() bool {
+	return !c.judged && clock.Since(c.regained) <= lapseGrace
+}
+
+// judgeLapse finds out whether registrations have lapsed: struck tells which of them an
+// answer lacks or has as made anew.
+func (c *Controller) judgeLapse(struck map[string]bool) {
+	inUse, lost := 0, 0
+	for key, e := range c.entries {
+		if !e.readable || e.server.Leaving {
 			continue
 		}
-		compared++
-		if c.renewals(o)-known.server.Renewals >= c.expected(span) {
-			renewed++
+		inUse++
+		if struck[key] {
+			lost++
 		}
 	}
-	enough := compared >= comparedLeast && float64(renewed) >= renewedMost*float64(compared)
-	throughout := enough && float64(present) >= renewedMost*float64(len(c.entries))
-	if !c.regained.IsZero() && present < len(c.entries) {
-		c.log.Info("registrations missing after the store was lost", zap.Bool("may_have_lapsed", !throughout), zap.Int("known", len(c.entries)),
-			zap.Int("present", present), zap.Int("compared", compared), zap.Int("renewed", renewed), zap.Duration("regained_ms_ago", now.Sub(c.regained)))
+	c.judged = true
+	if lost == 0 {
+		return
 	}
-	return throughout
+	c.lapsing = float64(lost) > lapsedPart*float64(inUse)
+	c.log.Info("registrations missing after the store was lost", zap.Bool("lapsed", c.lapsing), zap.Int("in_use", inUse),
+		zap.Int("missing_or_new", lost), zap.Duration("regained_ms_ago", clock.Since(c.regained)))
 }
 
-// expected is the least number of renewals in a time.
-func (c *Controller) expected(span time.Duration) int64 {
-	return int64(renewedPart * float64(span) / float64(c.renewEvery))
+// struckByList tells which known registrations a list lacks or has as a new version of the
+// same words.
+func (c *Controller) struckByList(present map[string]Heard) map[string]bool {
+	struck := map[string]bool{}
+	for key, known := range c.entries {
+		o, ok := present[key]
+		struck[key] = !ok || o.Version > known.Version && !c.leaves(o)
+	}
+	return struck
 }
 
-// renewals returns the count that a registration tells, 0 if it cannot be read.
-func (c *Controller) renewals(o Heard) int64 {
-	s, err := guard.Call(func() (placement.Server, error) { return c.decode(idOf(o.Key), o.Value) })
-	if err != nil {
-		return 0 // put logs it
+// struckByChanges tells which registrations changes delete, also where others of the
+// changes make them anew.
+func struckByChanges(objects []Heard) map[string]bool {
+	struck := map[string]bool{}
+	for _, o := range objects {
+		if o.Deleted {
+			struck[o.Key] = true
+		}
+	}
+	return struck
+}
+
+// leaves tells whether a registration says that its server leaves.
+func (c *Controller) leaves(o Heard) bool {
+	s, err := c.read(o)
+	return err == nil && s.Leaving
+}
+
+// absent notes that a registration is missing: its server is dropped at once, or kept for
+// as long as the registration may have lapsed.
+func (c *Controller) absent(id string) {
+	if _, already := c.missing[id]; already || !c.servers.Has(id) {
+		return
+	}
+	until := c.regained.Add(lapseGrace)
+	left := clock.Until(until)
+	if !c.lapsing || left <= 0 {
+		c.servers.Remove(id)
+		c.log.Info("server gone", zap.String("server", id))
+		return
+	}
+	c.missing[id] = until
+	c.log.Info("registration may have lapsed", zap.String("server", id), zap.Duration("kept_ms", left))
+}
+
+// dropMissing drops the servers whose registrations are not back in time.
+func (c *Controller) dropMissing(now time.Time) {
+	for id, until := range c.missing {
+		if now.Before(until) {
+			continue
+		}
+		delete(c.missing, id)
+		c.servers.Remove(id)
+		c.log.Info("server gone", zap.String("server", id))
 	}
-	return s.Renewals
 }
--- a/controller/registry/lapse_test.go
+++ b/controller/registry/lapse_test.go
@@ -1,67 +1,129 @@
 package registry_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/gaplink/gaplink/controller/registry"
-	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/store"
 )
 
-// renewEvery is how often the servers of these tests renew their registrations.
-const renewEvery = 1200 * time.Millisecond
+// staffed is how many servers the tests of lapses begin with.
+const staffed = 10
 
-// renewed returns the registrations of servers s0 to s(n-1) after so many renewals.
-func renewed(n int, renewals int64) (list []store.Object) {
+// registered are the registrations of servers s0 to s(n-1) with versions from first on.
+func registered(n int, first int64) (list []store.Object) {
 	for i := range n {
-		value, _ := json.Marshal(placement.Server{Service: "svc", Renewals: renewals}) // plain fields always encode
-		list = append(list, store.Object{Key: fmt.Sprint("servers/s", i), Version: renewals*100 + int64(i) + 1, Value: value})
+		list = append(list, entry(fmt.Sprint("s", i), first+int64(i), false))
 	}
 	return list
 }
 
-// cutOff plays that a router loses the store for nine seconds; then the list has some of
-// ten servers, which have renewed their registrations so often meanwhile.
-func cutOff(c *registry.Controller, present int, renewals int64) {
-	c.SetRenewal(renewEvery)
-	c.Listed(renewed(10, 5), 1)
+// lost plays that a router loses the store for nine seconds and regains it.
+func lost(c *registry.Controller) {
+	c.Listed(registered(staffed, 1), staffed)
 	c.Lost()
 	time.Sleep(9 * time.Second)
 	c.Regained()
-	c.Listed(renewed(present, 5+renewals), newest)
 }
 
-// TestServersThatLeftWhileRoutersWereCutOffAreDroppedSoon: the pattern is a fleet that is
-// cut off from the store, and regains it 2.6 s after the path is back; a server that has
-// left meanwhile got a request 3.5 s after its word, with 2.2 s of grace on top.
-func TestServersThatLeftWhileRoutersWereCutOffAreDroppedSoon(t *testing.T) {
-	run(t, func(c *registry.Controller) {
-		cutOff(c, 9, 7)
-		time.Sleep(1200 * time.Millisecond)
-		if count(c) != 9 {
-			t.Errorf("%d servers in use, one has left", count(c))
-		}
-	})
+// TestServersThatLeftWhileRoutersWereCutOffGetNoRequest: the pattern is a fleet that is cut
+// off from a store that is well, and of which the first router to reach it again found 16 of
+// 160 servers missing. It kept them for 2.2 s as lapsed, where the bound on the eldest of
+// them was over. The versions of all the others stood as they were.
+func TestServersThatLeftWhileRoutersWereCutOffGetNoRequest(t *testing.T) {
+	for name, answer := range map[string]func(*registry.Controller){
+		"by a list":         func(c *registry.Controller) { c.Listed(registered(staffed-2, 1), newest) },
+		"by another's list": func(c *registry.Controller) { c.TakeListed(heardOf(registered(staffed-2, 1)), newest) },
+		"by changes":        func(c *registry.Controller) { c.Changed([]store.Object{gone("s8"), gone("s9")}) },
+		"one change each": func(c *registry.Controller) {
+			c.Changed([]store.Object{gone("s8")})
+			c.Changed([]store.Object{gone("s9")})
+		},
+		"most say they leave":  func(c *registry.Controller) { c.Changed(append(leaving(0, 8), gone("s8"), gone("s9"))) },
+		"they are listed less": func(c *registry.Controller) { c.Listed(append(leaving(0, 4), registered(8, 1)[4:]...), newest) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(c *registry.Controller) {
+				lost(c)
+				answer(c)
+				for _, id := range []string{"s8", "s9"} {
+					if c.TakesWork(incarnationOf(id)) {
+						t.Errorf("%s has left and takes work", id)
+					}
+				}
+				if n := c.Counts()["svc"]; n.Up+n.Leaving != staffed-2 {
+					t.Errorf("%+v, two of %d have left", n, staffed)
+				}
+			})
+		})
+	}
 }
 
-// TestServersThatLapsedAreKept: they have not renewed either, or many are missing.
+// TestServersThatLapsedAreKept: most registrations went together, and some or none of them
+// are back.
 func TestServersThatLapsedAreKept(t *testing.T) {
-	for name, play := range map[string]func(*registry.Controller){
-		"nobody renewed":   func(c *registry.Controller) { cutOff(c, 9, 1) },
-		"many are missing": func(c *registry.Controller) { cutOff(c, 5, 7) },
-		"few are known":    func(c *registry.Controller) { cutOff(c, 3, 7) },
+	for name, answer := range map[string]func(*registry.Controller){
+		"none is back":          func(c *registry.Controller) { c.Listed(nil, newest) },
+		"three are back":        func(c *registry.Controller) { c.Listed(registered(3, 100), newest) },
+		"most are back":         func(c *registry.Controller) { c.Listed(registered(8, 100), newest) },
+		"by changes":            func(c *registry.Controller) { c.Changed(lapses(0, staffed)) },
+		"by changes, some back": func(c *registry.Controller) { c.Changed(append(lapses(0, staffed), registered(4, 100)...)) },
+		"told by another": func(c *registry.Controller) {
+			c.TakeChanged(heardOf(lapses(0, staffed)))
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			run(t, func(c *registry.Controller) {
-				play(c)
-				time.Sleep(1900 * time.Millisecond)
-				if count(c) != 10 {
+				lost(c)
+				answer(c)
+				time.Sleep(2 * time.Second)
+				if count(c) != staffed {
 					t.Errorf("%d servers in use", count(c))
 				}
+				c.Changed(registered(staffed-1, 200))
+				time.Sleep(time.Second)
+				if count(c) != staffed-1 {
+					t.Errorf("%d servers in use, one has not come back", count(c))
+				}
 			})
 		})
 	}
 }
+
+// TestServerThatGoesWhileTheStoreIsWellGetsNoRequest, however many go: nothing lapses where
+// nobody has lost the store.
+func TestServerThatGoesWhileTheStoreIsWellGetsNoRequest(t *testing.T) {
+	run(t, func(c *registry.Controller) {
+		c.Listed(registered(staffed, 1), staffed)
+		time.Sleep(5 * time.Second)
+		c.Changed(lapses(0, 9))
+		if count(c) != 1 {
+			t.Errorf("%d servers in use, nine have left", count(c))
+		}
+	})
+}
+
+// lapses are the ends of registrations from s(from) on.
+func lapses(from, n int) (list []store.Object) {
+	for i := range n {
+		list = append(list, gone(fmt.Sprint("s", from+i)))
+	}
+	return list
+}
+
+// leaving are registrations that say that their servers leave.
+func leaving(from, n int) (list []store.Object) {
+	for i := range n {
+		list = append(list, entry(fmt.Sprint("s", from+i), 100+int64(from+i), true))
+	}
+	return list
+}
+
+func heardOf(list []store.Object) (heard []registry.Heard) {
+	for _, o := range list {
+		heard = append(heard, registry.Heard{Object: o})
+	}
+	return heard
+}
--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -21,16 +21,6 @@
 )
 
 const (
-	// lapseGrace is how long a registration may be missing after the store was
-	// away. Those of live servers are back within two seconds of its return.
-	lapseGrace = 2200 * time.Millisecond
-	// deletedGrace bounds that for a registration whose deletion was heard as it
-	// happened. With a tick it stays below the two seconds after which a server
-	// that leaves may get no request.
-	deletedGrace = 1500 * time.Millisecond
-	// goneGrace is how long a server is kept after its registration went while
-	// the store was well; a server serves on for longer than that.
-	goneGrace = 700 * time.Millisecond
 	// goneFor is how long a deletion is remembered against routers that tell of
 	// the registration again; those are seconds behind.
 	goneFor = 10 * time.Minute
@@ -62,7 +52,9 @@
 	servers  *placement.Servers
 	rng      *rand.Rand
 	missing  map[string]time.Time // until when the server is kept
-	regained time.Time
+	regained time.Time            // when what is known was current again
+	judged   bool                 // whether registrations have lapsed before that
+	lapsing  bool                 // they have
 	listed   bool
 	probedAt map[string]time.Time
 	// entries are the registrations by key, as they lie in the store, and gone
@@ -74,8 +66,6 @@
 	slow       map[string]time.Duration
 	unreadable unreadable
 	warming    warming
-	// renewEvery is how often servers renew their registrations; 0: it is not known.
-	renewEvery time.Duration
 	emptied    []string
 	// noted counts the servers that the list or the changes being taken told anew.
 	noted int
@@ -131,17 +121,6 @@
 	return c.servers.Runs(in)
 }
 
-func (c *Controller) dropMissing(now time.Time) {
-	for id, until := range c.missing {
-		if now.Before(until) {
-			continue
-		}
-		delete(c.missing, id)
-		c.servers.Remove(id)
-		c.log.Info("server gone", zap.String("server", id))
-	}
-}
-
 // notePaces logs which servers long prompts avoid from now on, or do not any more.
 func (c *Controller) notePaces() {
 	slow := c.servers.Slow()
@@ -183,6 +162,11 @@
 	c.log.Info("server reachable again", zap.String("server", s.ID), zap.String("service", s.Service))
 }
 
+// read reads a registration; one that makes its reader panic cannot be read.
+func (c *Controller) read(o Heard) (placement.Server, error) {
+	return guard.Call(func() (placement.Server, error) { return c.decode(idOf(o.Key), o.Value) })
+}
+
 func idOf(key string) string {
 	_, id, _ := strings.Cut(key, "/")
 	return id
@@ -199,31 +183,24 @@
 func (c *Controller) TakeListed(objects []Heard, revision int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	present := make(map[string]bool, len(objects))
-	if c.renewedThroughout(objects) {
-		c.regained = time.Time{} // nothing has lapsed
+	present := make(map[string]Heard, len(objects))
+	for _, o := range objects {
+		present[o.Key] = o
+	}
+	if c.judgesLapse() {
+		c.judgeLapse(c.struckByList(present))
 	}
 	for _, o := range objects {
 		if !c.outdated(o.Object) {
 			c.put(o)
 		}
-		_, known := c.entries[o.Key]
-		present[idOf(o.Key)] = known
-	}
-	for key, o := range c.entries {
-		if o.Version > revision {
-			present[idOf(key)] = true
-		}
-	}
-	for _, s := range c.servers.All() {
-		if !present[s.ID] {
-			c.absent(s.ID, lapseGrace)
-		}
 	}
-	for key := range c.entries {
-		if !present[idOf(key)] {
-			c.forget(store.Object{Key: key})
+	for key, known := range c.entries {
+		if _, listed := present[key]; listed || known.Version > revision {
+			continue
 		}
+		c.forget(store.Object{Key: key})
+		c.absent(idOf(key))
 	}
 	c.listed = true
 	c.endNotes()
@@ -257,13 +234,16 @@
 func (c *Controller) TakeChanged(objects []Heard) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.judgesLapse() {
+		c.judgeLapse(struckByChanges(objects))
+	}
 	for _, o := range objects {
 		if c.outdated(o.Object) {
 			continue // from a router that knows less
 		}
 		if o.Deleted {
 			c.forget(o.Object)
-			c.absent(idOf(o.Key), deletedGrace)
+			c.absent(idOf(o.Key))
 			continue
 		}
 		c.put(o)
@@ -274,20 +254,13 @@
 // Lost implements follow.Handler. What is known stays in use.
 func (c *Controller) Lost() {}
 
-// Regained implements follow.Handler.
-func (c *Controller) Regained() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.regained = clock.Now()
-}
-
 // put takes a registration. One that cannot be read names no server, whatever stood
 // there before: its process is not used until it has registered anew.
 func (c *Controller) put(o Heard) {
 	id := idOf(o.Key)
 	known, had := c.entries[o.Key]
 	next := entry{Object: o.Object, heard: clock.Now().Add(-o.Age)}
-	s, err := guard.Call(func() (placement.Server, error) { return c.decode(id, o.Value) })
+	s, err := c.read(o)
 	next.server, next.readable = s, err == nil
 	renewed := o.Version != known.Version
 	c.entries[o.Key] = next
@@ -343,24 +316,6 @@
 	return c.unreadable.count
 }
 
-// absent notes that a registration is missing. The server is kept for a while,
-// atMost so long.
-func (c *Controller) absent(id string, atMost time.Duration) {
-	if _, already := c.missing[id]; already || !c.servers.Has(id) {
-		return
-	}
-	now := clock.Now()
-	until := now.Add(goneGrace)
-	if lapsed := c.regained.Add(lapseGrace); lapsed.After(until) {
-		until = lapsed
-	}
-	if latest := now.Add(atMost); until.After(latest) {
-		until = latest
-	}
-	c.missing[id] = until
-	c.log.Info("registration gone", zap.String("server", id), zap.Duration("kept_ms", until.Sub(now)))
-}
-
 // Ready tells whether the servers are known.
 func (c *Controller) Ready() bool {
 	c.mu.Lock()
--- a/controller/registry/registry_test.go
+++ b/controller/registry/registry_test.go
@@ -248,3 +248,5 @@
 		t.Errorf("%d servers, %d unreadable", count(c), c.Unreadable())
 	}
 }
+
+func incarnationOf(id string) placement.Incarnation { return placement.Incarnation{ID: id} }
--- a/server/provision.go
+++ b/server/provision.go
@@ -43,7 +43,6 @@
 	})
 	s.servers = registry.New(s.platform.DecodeServer, s.pool, newRand(), s.log)
 	s.provisionPeers()
-	s.servers.SetRenewal(s.settings.Servers.RenewEvery.Std())
 	s.servers.SetGate(warmup.NewGate(coldRoster{s.members}, s.rosterSettled))
 	s.verdicts = verdicts.New(verdicts.Options{
 		Checker: s.pool,
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -94,8 +94,6 @@
 	// IdleTimeout is how long an unused connection is kept when the server
 	// names no time itself.
 	IdleTimeout Duration `toml:"idle_timeout" validate:"min=1000000"`
-	// RenewEvery is how often a server renews its registration; 0: it is not known.
-	RenewEvery Duration `toml:"renew_every" validate:"min=0"`
 	// ColdTimes and ColdMore bound what a cold server may get within a second from all
 	// routers together: so many times the rate that its service names, and so many
 	// requests more.
