What another router lists is taken also by one that follows the store

Callers' requests went on to servers that had left, at single routers and for as long as those kept asking the same router, though they knew "all changes up to 0.2 s ago". A router that followed the store itself passed over the list of another router, but went on from the list's number: what had changed between the store's last answer and that list was told by nobody any more, as soon as the router rested. It happens where many routers find the store at once and rest again, as after an outage.

The list is always taken; what is older in it than what is known changes nothing, by the versions of the registrations. Tried and given up: passing over a list whose revision the store's last answer reaches. Test: two routers, the list between two answers of the store; red before.

--- a/controller/news/servers.go
+++ b/controller/news/servers.go
@@ -53,16 +53,14 @@
 	return nil
 }
 
-// takeServers takes the registrations of an answer. A router that follows the store
-// itself knows all of them.
+// takeServers takes the registrations of an answer. A list is read also by a router that
+// follows the store itself: it may hold changes that the store has not told this router
+// yet, and nobody tells those again, since the next question asks for what came after it.
 func (c *Controller) takeServers(answer *peer.NewsAnswer) error {
 	if answer.All == nil {
 		c.Servers.TakeChanged(heard(answer.Servers, 0))
 		return nil
 	}
-	if c.Fresh() {
-		return nil
-	}
 	list, err := unpackList(answer.All)
 	if err != nil {
 		return err
--- /dev/null
+++ b/controller/news/skipped_test.go
@@ -0,0 +1,113 @@
+package news_test
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gaplink/gaplink/catalog"
+	"github.com/gaplink/gaplink/controller/configs"
+	"github.com/gaplink/gaplink/controller/evacuations"
+	"github.com/gaplink/gaplink/controller/members"
+	"github.com/gaplink/gaplink/controller/news"
+	"github.com/gaplink/gaplink/controller/registry"
+	"github.com/gaplink/gaplink/controller/verdicts"
+	"github.com/gaplink/gaplink/peer"
+	"github.com/gaplink/gaplink/placement"
+	"github.com/gaplink/gaplink/store"
+	"github.com/gaplink/gaplink/upstream"
+)
+
+// pair is a router that asks another one.
+type pair struct {
+	asked, asking *news.Controller
+	// of the asked and of the asking router
+	theirs, ours *registry.Controller
+	// fresh tells that the asking router follows the store itself, up to a revision.
+	fresh    bool
+	revision int64
+}
+
+// News implements news.Calls.
+func (p *pair) News(ctx context.Context, _ string, req *peer.NewsRequest) (*peer.NewsAnswer, error) {
+	return p.asked.Answer(ctx, req)
+}
+
+// Config implements news.Calls.
+func (p *pair) Config(ctx context.Context, _ string) (*peer.ConfigAnswer, error) {
+	return p.asked.Config(ctx, &peer.Empty{})
+}
+
+// newPair returns two routers of a large fleet; the asked one follows the store.
+func newPair(theirRevision int64) *pair {
+	p := &pair{}
+	router := func(self int, servers *registry.Controller, fresh func() bool, revision func() int64) *news.Controller {
+		known := members.New(member(self), nil, 0, zap.NewNop())
+		known.Met(member(1 - self))
+		return news.New(news.Options{
+			Configs: configs.New(configKey, decodeConfig, func(*catalog.Catalog) {}, zap.NewNop()),
+			Servers: servers, Members: known, Calls: p,
+			Verdicts:    verdicts.New(verdicts.Options{Checker: gone{}, Servers: allWork{}, Log: zap.NewNop()}),
+			Evacuations: evacuations.New(evacuations.Options{Log: zap.NewNop()}),
+			Self:        member(self).ID + "/1", Domain: member(self).Domain,
+			Lost: func() bool { return false }, Fresh: fresh, Revision: revision,
+			AsOf:  func() news.Moments { return news.Moments{Config: time.Now(), Servers: time.Now()} },
+			Large: func() bool { return true },
+			Log:   zap.NewNop(),
+		})
+	}
+	p.theirs, p.ours = newRegistry(), newRegistry()
+	p.asked = router(0, p.theirs, func() bool { return true }, func() int64 { return theirRevision })
+	p.asking = router(1, p.ours, func() bool { return p.fresh }, func() int64 { return p.revision })
+	return p
+}
+
+func newRegistry() *registry.Controller {
+	return registry.New(decodeServer, upstream.New(upstream.Options{}), rand.New(rand.NewPCG(1, 1)), zap.NewNop())
+}
+
+func registration(id string, version int64) store.Object {
+	value, _ := json.Marshal(placement.Server{Service: "svc"}) // plain fields always encode
+	return store.Object{Key: "servers/" + id, Version: version, Value: value}
+}
+
+// TestListThatIsNewerThanTheStoresLastWordIsTaken: a router that follows the store itself
+// knows all registrations up to the store's last answer. A list of another router that is
+// newer than that answer holds what the store would tell next; if the router rests by then,
+// nobody tells it any more, and a server that left stays in use for good.
+func TestListThatIsNewerThanTheStoresLastWordIsTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(9)
+		p.theirs.Listed([]store.Object{registration("a", 1)}, 9)
+		p.ours.Listed([]store.Object{registration("a", 1), registration("b", 2)}, 5)
+		p.fresh, p.revision = true, 5
+		go p.asking.Run(t.Context())
+		time.Sleep(2 * time.Second)
+		p.fresh = false
+		time.Sleep(2 * time.Second)
+		if p.ours.TakesWork(placement.Incarnation{ID: "b"}) {
+			t.Error("a server that left between two answers of the store is in use for good")
+		}
+	})
+}
+
+// TestListThatTheStoreHasToldAlreadyChangesNothing: a list that was packed before the
+// store's last answer.
+func TestListThatTheStoreHasToldAlreadyChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(9)
+		p.theirs.Listed([]store.Object{registration("a", 1)}, 9)
+		p.ours.Listed([]store.Object{registration("a", 1), registration("c", 11)}, 12)
+		p.fresh, p.revision = true, 12
+		go p.asking.Run(t.Context())
+		time.Sleep(2 * time.Second)
+		if !p.ours.TakesWork(placement.Incarnation{ID: "c"}) {
+			t.Error("a server was dropped by a list that is older than its registration")
+		}
+	})
+}
