A router that hears nothing looks for the store within the bound, whatever the size of its fleet

Callers' requests reached servers over 3 s after those had left, and old configurations stayed in force, at routers that the store answered all the while or again: such a router tried the store at a moment drawn from a time that grew with the fleet (12.9 s for 86 routers), so that all together asked some thirteen times a second. It counted every other router as one that would find the store and tell, also where none of them could reach it. Regains 8 to 14 s after a loss were seen, and an answer of the store to another part of the process ended no wait.

Now the operator's bound on the change draws the line: one place (package bound) names its parts, the wait of a watch, telling, finding and the request's way, and a test adds them up for fleets of 6, 87 and 300. The first try falls within 0.25 s, further ones within the bound less a call's timeout, any answer of the store ends the wait, the first failed watch is renewed at once, and a router goes on from the revision that others have told it instead of a list. The router looks every 0.1 s (0.25 s) whether it must.

What it costs: 285 routers without a store probe it each 1.5 to 3 s, for a tenth of a call's price each, where all together made 13 probes a second. Waits of watches: 1.4 s of 3 s and 2.4 s of 4 s in a large fleet as before, 1.15 s of 2 s in a small one (1.2 s).

--- /dev/null
+++ b/bound/bound_test.go
@@ -0,0 +1,51 @@
+package bound_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gaplink/gaplink/bound"
+)
+
+// TestPartsAddUpToTheBound, for the bounds of deployments of 6, 87 and 300 routers, and for
+// stricter and wider ones.
+func TestPartsAddUpToTheBound(t *testing.T) {
+	for _, b := range []time.Duration{2 * time.Second, 2500 * time.Millisecond, 3 * time.Second, 4 * time.Second, 5 * time.Second, 20 * time.Second} {
+		for _, large := range []bool{false, true} {
+			p := bound.Divide(b, large)
+			if large && b < 2100*time.Millisecond {
+				continue // no time for a watch is left
+			}
+			if p.Sum() > b {
+				t.Errorf("%v, large %v: %+v add up to %v", b, large, p, p.Sum())
+			}
+			if sum := p.Watch + p.Telling + p.Finding + p.Way; sum != p.Sum() {
+				t.Errorf("%v, large %v: the parts are %v, their sum says %v", b, large, sum, p.Sum())
+			}
+			if p.Retry()+bound.CallTimeout > max(b, 2*bound.CallTimeout) {
+				t.Errorf("%v, large %v: a router that found no store is right again only after %v", b, large, p.Retry()+bound.CallTimeout)
+			}
+		}
+	}
+}
+
+// TestHealthyNewsAreNeverTooOld: in a fleet without faults nobody has to look for the store.
+func TestHealthyNewsAreNeverTooOld(t *testing.T) {
+	const calls = 4 * 10 * time.Millisecond // the store's answer and both questions, with some to spare
+	for _, b := range []time.Duration{3 * time.Second, 4 * time.Second} {
+		p := bound.Divide(b, true)
+		if eldest := p.Watch + 2*bound.AskEvery + calls; eldest >= p.TooOld() {
+			t.Errorf("%v: news are up to %v old, and too old from %v on", b, eldest, p.TooOld())
+		}
+	}
+}
+
+// TestTooShortABoundLeavesAWatch: the store is not asked all the time.
+func TestTooShortABoundLeavesAWatch(t *testing.T) {
+	if w := bound.Divide(time.Second, true).Watch; w < 500*time.Millisecond {
+		t.Errorf("watches of %v", w)
+	}
+	if w := bound.Divide(time.Hour, true).Watch; w > 30*time.Second {
+		t.Errorf("watches of %v, the store allows 30 s", w)
+	}
+}
--- a/controller/follow/follow.go
+++ b/controller/follow/follow.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/gaplink/gaplink/bound"
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/store"
 	"github.com/gaplink/gaplink/wait"
@@ -30,15 +31,10 @@
 	// freshSlack is how long beyond a watch's wait an answer of the store counts as
 	// the newest: the time of a slow answer and of a pause.
 	freshSlack = 600 * time.Millisecond
-	// firstSpread is the time over which the first tries of all deputies are spread,
-	// well within the bound on a change: the store may answer this one alone.
-	firstSpread = 1200 * time.Millisecond
-	// deputySpread is the time over which the further tries of deputiesAtOnce deputies
-	// are spread. More deputies take longer in proportion, so that a fleet of any size
-	// asks a store that is away some thirteen times a second, and finds within a
-	// fraction of a second that it is back.
-	deputySpread   = 2400 * time.Millisecond
-	deputiesAtOnce = 16
+	// lookEvery is how often a router that does not follow looks whether it should.
+	lookEvery = 100 * time.Millisecond
+	// atOnce is the wait of a watch that asks what has changed by now.
+	atOnce = time.Millisecond
 )
 
 // Part is what a follower does now.
@@ -74,8 +70,13 @@
 	Handler Handler
 	// Part tells whether to follow now, or to leave it to other routers.
 	Part func() Part
-	// Deputies tells how many routers may be deputies when this one is.
-	Deputies func() int
+	// Bound is how the operator's bound on a change of the kind is divided.
+	Bound func() bound.Parts
+	// Told is the store's revision up to which other routers have told all changes of the
+	// kind. nil: they tell none.
+	Told func() int64
+	// Answered tells when the store last answered any call of this process.
+	Answered func() time.Time
 	// Probe asks the store for anything at all, as cheaply as can be. It goes before the
 	// calls of a follower that the store did not answer last, or not yet.
 	Probe func(context.Context) error
@@ -84,11 +85,7 @@
 	// Scout tells whether the store answers a follower of another kind that looks for
 	// it for this one too, when both are deputies. nil: this one looks itself.
 	Scout func() bool
-	// Wait is how long a watch waits at the store. A watch may go deaf while its
-	// connection lives; what changed meanwhile is found after this time and the
-	// client's slack. Each renewal is one call.
-	Wait func() time.Duration
-	Log  *zap.Logger
+	Log   *zap.Logger
 }
 
 // Follower follows one kind.
@@ -96,12 +93,14 @@
 	Options
 
 	due      time.Time // when a deputy tries the store; zero: that is not drawn yet
+	drawn    time.Time // when that was drawn
 	tries    int       // of a deputy in a row
 	failures int       // in a row
 	doubted  bool      // the handler was told that nothing is heard
+	relist   bool      // changes were missed
 
 	mu       sync.Mutex
-	revision int64 // of the store; 0: a list is due
+	revision int64 // of the store; 0: nothing was heard from it
 	lost     bool
 	lostAt   time.Time
 	// interrupt ends the call under way; nil: there is none.
@@ -125,7 +124,7 @@
 		}
 		if part == Rests || part == Deputy && !f.isDue(clock.Now()) {
 			f.doubt(part)
-			_ = wait.For(ctx, retryPause)
+			_ = wait.For(ctx, lookEvery)
 			continue
 		}
 		f.due = time.Time{}
@@ -136,9 +135,10 @@
 	}
 }
 
-// try makes one call, after a probe if the store may not answer.
+// try makes one call, after a probe if the store may not answer and no other follower of
+// this router has found that it does.
 func (f *Follower) try(ctx context.Context, part Part) error {
-	if f.Lost() || part == Deputy && !f.Fresh() {
+	if f.Lost() || part == Deputy && !f.Fresh() && f.Scout == nil {
 		if err := f.Probe(ctx); err != nil {
 			return err
 		}
@@ -147,17 +147,23 @@
 }
 
 // pause is the time until the next try after a failed one. That of a deputy is drawn
-// by isDue.
+// by isDue. The first failure may be that of a watch which went deaf, and the store is
+// asked again at once.
 func (f *Follower) pause(part Part) time.Duration {
 	f.failures++
-	if part == Deputy || f.failures <= hastyTries || f.Elsewhere() {
+	if part == Deputy || f.failures == 1 {
+		return 0
+	}
+	if f.failures <= hastyTries || f.Elsewhere() {
 		return retryPause
 	}
 	return time.Duration((0.5 + rand.Float64()) * float64(awayPause))
 }
 
-// isDue tells whether a deputy may make a call: one that the store answers goes on,
-// the others take turns by chance.
+// isDue tells whether a deputy may make a call. One that the store answers goes on; the
+// others try at moments drawn by chance, which the bound on a change limits and the size
+// of the fleet does not: the store may answer this router alone, and what others find it
+// may not be told.
 func (f *Follower) isDue(now time.Time) bool {
 	if f.Fresh() {
 		return true
@@ -166,22 +172,23 @@
 		return f.Scout()
 	}
 	if f.due.IsZero() {
-		wait := time.Duration(rand.Float64() * float64(f.spread()))
-		f.due = now.Add(wait)
-		f.tries++
-		f.Log.Info("nobody tells what is new; looking for the store", zap.Duration("in_ms", wait), zap.Int("try", f.tries),
-			zap.Duration("age_ms", clock.Since(f.AsOf())))
+		f.draw(now)
 	}
-	return !now.Before(f.due)
+	return !now.Before(f.due) || f.Answered().After(f.drawn)
 }
 
-// spread is the time within which a deputy's next try falls.
-func (f *Follower) spread() time.Duration {
-	if f.tries == 0 {
-		return firstSpread
+// draw draws when a deputy tries the store.
+func (f *Follower) draw(now time.Time) {
+	least, spread := time.Duration(0), bound.FindWithin
+	if f.tries > 0 {
+		half := f.Bound().Retry() / 2
+		least, spread = half, half
 	}
-	crowd := max(float64(f.Deputies())/deputiesAtOnce, 1)
-	return time.Duration(crowd * float64(deputySpread))
+	in := least + rand.N(spread)
+	f.drawn, f.due = now, now.Add(in)
+	f.tries++
+	f.Log.Info("nobody tells what is new; looking for the store", zap.Duration("in_ms", in), zap.Int("try", f.tries),
+		zap.Duration("age_ms", clock.Since(f.AsOf())))
 }
 
 // doubt tells the handler, once, when nobody tells this router what is new and it
@@ -238,13 +245,13 @@
 func (f *Follower) step(ctx context.Context) error {
 	ctx, end := f.interruptible(ctx)
 	defer end()
-	since := f.Revision()
+	since := f.since()
 	if since == 0 {
 		return f.list(ctx)
 	}
-	waits := f.Wait()
-	if f.Lost() {
-		waits = time.Millisecond // an answer at once shows that the store is back
+	waits := f.Bound().Watch
+	if !f.Fresh() {
+		waits = atOnce
 	}
 	ev, err := f.Store.Watch(ctx, f.Prefix, since, waits)
 	if err != nil {
@@ -252,7 +259,7 @@
 	}
 	if ev.Gap {
 		f.Log.Info("history is gone; listing again", zap.Int64("revision", since))
-		f.at(0)
+		f.relist = true
 		return nil
 	}
 	f.succeeded(max(since, ev.Revision), clock.Now())
@@ -263,12 +270,26 @@
 	return nil
 }
 
+// since is the revision up to which this router knows all changes, from the store or
+// through others; 0: a list is due.
+func (f *Follower) since() int64 {
+	if f.relist {
+		return 0
+	}
+	since := f.Revision()
+	if f.Told != nil {
+		since = max(since, f.Told())
+	}
+	return since
+}
+
 func (f *Follower) list(ctx context.Context) error {
 	begun := clock.Now()
 	objects, revision, err := f.Store.List(ctx, f.Prefix)
 	if err != nil {
 		return err
 	}
+	f.relist = false
 	f.succeeded(revision, begun)
 	f.Handler.Listed(objects, revision)
 	return nil
@@ -292,7 +313,7 @@
 // succeeded notes an answer that tells all changes up to a revision, the store's at a
 // moment.
 func (f *Follower) succeeded(revision int64, asOf time.Time) {
-	f.failures = 0
+	f.failures, f.tries = 0, 0
 	f.mu.Lock()
 	was, since := f.lost, f.lostAt
 	f.lost = false
@@ -310,13 +331,6 @@
 	}
 }
 
-// at sets the revision from which the next call goes on.
-func (f *Follower) at(revision int64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.revision = revision
-}
-
 // Revision returns the store's revision up to which all changes are known.
 func (f *Follower) Revision() int64 {
 	f.mu.Lock()
@@ -343,5 +357,5 @@
 func (f *Follower) Fresh() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.lost && clock.Since(f.answered) < f.Wait()+freshSlack
+	return !f.lost && clock.Since(f.answered) < f.Bound().Watch+freshSlack
 }
--- a/controller/news/news.go
+++ b/controller/news/news.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/gaplink/gaplink/bound"
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/controller/configs"
 	"github.com/gaplink/gaplink/controller/members"
@@ -26,7 +27,7 @@
 	// first answer: a router that has just started can serve nobody before it. askSoon
 	// is how often those ask that hear no news and for whom others wait: some ten
 	// others may have it.
-	askEvery = 250 * time.Millisecond
+	askEvery = bound.AskEvery
 	askFirst = 50 * time.Millisecond
 	askSoon  = 100 * time.Millisecond
 	// callTimeout bounds the question.
@@ -55,10 +56,6 @@
 	strayEvery = 4
 )
 
-// TellingTime is how long news takes from a watcher to the last router: a question
-// from the teller, one from the router, and the time of both on links that are busy.
-const TellingTime = 2*askEvery + 300*time.Millisecond
-
 // Options are what a controller works with.
 type Options struct {
 	Configs *configs.Controller
@@ -113,7 +110,7 @@
 	source   string // whose registrations were taken last
 	seq      int64
 	revision int64     // up to which that source knew all changes
-	current  time.Time // when a router last told what is newest
+	current  time.Time // when a router last told what the store says
 	asOf     Moments   // up to when other routers have told all changes
 	lost     time.Time // when one last told that the store does not answer it
 	teller   string    // which one did; empty: another is looked for
@@ -241,6 +238,14 @@
 	c.take(ctx, id, answer, begun)
 }
 
+// ToldRevision returns the store's revision up to which other routers have told all changes of
+// registrations; 0: they have told none.
+func (c *Controller) ToldRevision() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.revision
+}
+
 // noteQuestion notes how a question that was asked at a time has ended.
 func (c *Controller) noteQuestion(begun time.Time, err error) {
 	if c.Took != nil {
--- a/controller/news/roles.go
+++ b/controller/news/roles.go
@@ -32,15 +32,6 @@
 	return theirs < 0 || self >= 0 && self <= theirs
 }
 
-// Deputies returns how many routers look for the store, beside the watchers, when
-// this one does: the tellers first, for whom everybody waits, and then all.
-func (c *Controller) Deputies() int {
-	if c.isTeller() {
-		return len(c.tellers())
-	}
-	return c.Members.Live()
-}
-
 func (c *Controller) isWatcher() bool {
 	return slices.Contains(c.watchers(), c.Members.Self().ID)
 }
--- a/server/provision.go
+++ b/server/provision.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/gaplink/gaplink/bound"
 	"github.com/gaplink/gaplink/budget"
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/controller/budgets"
@@ -101,28 +102,30 @@
 
 		Took: func(d time.Duration) { s.queue.Observe(clock.Now(), d) },
 	})
-	s.followServers = follow.New(s.following(s.platform.ServerKind, s.servers, s.settings.Bounds.Leave.Std()))
+	servers := s.following(s.platform.ServerKind, s.servers, s.settings.Bounds.Leave.Std())
+	servers.Told = s.news.ToldRevision
+	s.followServers = follow.New(servers)
 	configs := s.following(s.platform.ConfigKind, s.configs, s.settings.Bounds.Apply.Std())
 	configs.Scout = s.followServers.Fresh
 	s.followConfigs = follow.New(configs)
-	if bound := s.settings.Bounds.Evacuate.Std(); bound > 0 {
-		evacuations := s.following(s.platform.EvacuationKind, s.evacuations, bound)
+	if within := s.settings.Bounds.Evacuate.Std(); within > 0 {
+		evacuations := s.following(s.platform.EvacuationKind, s.evacuations, within)
 		evacuations.Scout = s.followServers.Fresh
 		s.followEvacuations = follow.New(evacuations)
 	}
 }
 
 // following returns the options of a follower of a kind whose changes must count at
-// every router within bound.
-func (s *Server) following(kind string, h follow.Handler, bound time.Duration) follow.Options {
+// every router within a time.
+func (s *Server) following(kind string, h follow.Handler, within time.Duration) follow.Options {
 	return follow.Options{
 		Store:    s.store,
 		Prefix:   kind,
 		Handler:  h,
 		Part:     s.news.Part,
-		Deputies: s.news.Deputies,
+		Bound:    func() bound.Parts { return s.parts(within) },
+		Answered: s.store.Answered,
 		Probe:    s.probeStore,
-		Wait:     func() time.Duration { return s.watchWait(bound) },
 		Log:      s.log,
 
 		Elsewhere: s.news.Heard,
--- a/store/counting.go
+++ b/store/counting.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/gaplink/gaplink/clock"
 )
 
 // Counts tells how many calls were made since the start.
@@ -49,6 +52,8 @@
 	next           Store
 	bytesO, bytesI atomic.Int64
 
+	answered atomic.Pointer[time.Time]
+
 	mu        sync.Mutex
 	byPurpose map[Purpose]int64
 }
@@ -74,6 +79,24 @@
 	c.byPurpose[Purpose{Kind: kind, Call: call}]++
 }
 
+// Answered tells when the store answered last, whatever call; zero: it has not.
+func (c *Counting) Answered() time.Time {
+	if t := c.answered.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
+}
+
+// ended notes how a call ended. That there is no such object, or that it has changed, is
+// an answer too.
+func (c *Counting) ended(err error) {
+	if err != nil && !errors.Is(err, ErrNotFound) && !errors.Is(err, ErrConflict) {
+		return
+	}
+	now := clock.Now()
+	c.answered.Store(&now)
+}
+
 // Counts returns the calls so far.
 func (c *Counting) Counts() Counts {
 	counts := Counts{BytesOut: c.bytesO.Load(), BytesIn: c.bytesI.Load()}
@@ -94,6 +117,7 @@
 func (c *Counting) Get(ctx context.Context, key string) (Object, error) {
 	c.note(key, CallGet)
 	o, err := c.next.Get(ctx, key)
+	c.ended(err)
 	c.bytesI.Add(int64(len(o.Value)))
 	return o, err
 }
@@ -102,26 +126,33 @@
 func (c *Counting) Create(ctx context.Context, key string, value []byte) (Object, error) {
 	c.note(key, CallCreate)
 	c.bytesO.Add(int64(len(value)))
-	return c.next.Create(ctx, key, value)
+	o, err := c.next.Create(ctx, key, value)
+	c.ended(err)
+	return o, err
 }
 
 // Update implements Store.
 func (c *Counting) Update(ctx context.Context, key string, version int64, value []byte) (Object, error) {
 	c.note(key, CallUpdate)
 	c.bytesO.Add(int64(len(value)))
-	return c.next.Update(ctx, key, version, value)
+	o, err := c.next.Update(ctx, key, version, value)
+	c.ended(err)
+	return o, err
 }
 
 // Delete implements Store.
 func (c *Counting) Delete(ctx context.Context, key string, version int64) error {
 	c.note(key, CallDelete)
-	return c.next.Delete(ctx, key, version)
+	err := c.next.Delete(ctx, key, version)
+	c.ended(err)
+	return err
 }
 
 // List implements Store.
 func (c *Counting) List(ctx context.Context, prefix string) ([]Object, int64, error) {
 	c.note(prefix, CallList)
 	objects, rev, err := c.next.List(ctx, prefix)
+	c.ended(err)
 	c.listed(objects)
 	return objects, rev, err
 }
@@ -130,6 +161,7 @@
 func (c *Counting) ListStale(ctx context.Context, prefix string) ([]Object, int64, error) {
 	c.note(prefix, CallStaleList)
 	objects, rev, err := ListStale(ctx, c.next, prefix)
+	c.ended(err)
 	c.listed(objects)
 	return objects, rev, err
 }
@@ -138,6 +170,7 @@
 func (c *Counting) GetStale(ctx context.Context, key string) (Object, error) {
 	c.note(key, CallStaleGet)
 	o, err := GetStale(ctx, c.next, key)
+	c.ended(err)
 	c.bytesI.Add(int64(len(o.Value)))
 	return o, err
 }
@@ -152,6 +185,7 @@
 func (c *Counting) Watch(ctx context.Context, prefix string, since int64, wait time.Duration) (Events, error) {
 	c.note(prefix, CallWatch)
 	ev, err := c.next.Watch(ctx, prefix, since, wait)
+	c.ended(err)
 	for _, o := range ev.Objects {
 		c.bytesI.Add(int64(len(o.Value)))
 	}
