What a router knows is as old as the store's answer that it comes from

Callers' requests reached servers 3.0 to 3.2 s after those had left, 3 s being allowed, at routers that the store answered. News told that they are current, by a flag without an age: a router whose watch had gone silent said so for two seconds more, a teller for 0.8 s after it was told, a router for 0.8 s again. Each kept to its limit, and 3.6 s went by before anybody looked for the store.

The ages that travel with the news decide now. A router goes by what others tell for as long as the wait of a watch and the telling take (2.2 s of a bound of 3 s), counted from the store's answer, and looks for the store then. A teller looks after 0.8 s without word that the store answers anybody, since those that the store turns away wait for it. That the store answers another router stays a matter of the last 0.8 s, for what budgets make of it. A configuration on its way is waited for.

--- a/controller/news/leaving_test.go
+++ b/controller/news/leaving_test.go
@@ -13,6 +13,16 @@
 // leaves, where 3 s are allowed. The router had been added during the day, and was one of
 // few that the store answered: nearly all others had just been cut off from it.
 //
+// How it came about: nobody told that router what was new, and it took seconds to find that
+// out. A watch that went silent was trusted for two seconds, those who asked its router went by
+// that for 0.8 s more, and so did those who asked them; then each tried the store at a moment
+// drawn from a time that grew with the fleet. What it found missing at last it kept for 2.2 s
+// as lapsed, and what it had passed over in the list of another router it never heard of again.
+//
+// The cause: every part kept to a time of its own, nothing held their sum against the bound, and
+// what routers knew carried no age. The proof: with any one of these mended alone the tests
+// below stay red, by what their messages say is known and since when.
+//
 // What these tests play: the store falls silent for nearly all routers of a fleet of sixty, or
 // turns a part of them away, while servers leave all the time, half of them without a word
 // before their registration goes. Every router that the store answers must know of each
--- a/controller/news/moments.go
+++ b/controller/news/moments.go
@@ -43,6 +43,14 @@
 	return Moments{Config: later(m.Config, other.Config), Servers: later(m.Servers, other.Servers), Emptied: later(m.Emptied, other.Emptied)}
 }
 
+// within tells whether no kind of objects that is followed is older than a limit.
+func within(ages, limits peer.Ages) bool {
+	holds := func(age, limit time.Duration) bool {
+		return limit == 0 || age != peer.Unheard && age <= limit
+	}
+	return holds(ages.Config, limits.Config) && holds(ages.Servers, limits.Servers) && holds(ages.Emptied, limits.Emptied)
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/controller/news/news.go
+++ b/controller/news/news.go
@@ -35,9 +35,9 @@
 	// fetchTimeout bounds the fetching of a configuration: a large one, compressed,
 	// takes half a second on a small router's link that serves several.
 	fetchTimeout = 2 * time.Second
-	// trust is how long a router goes by news before it watches the store
-	// itself: three questions.
-	trust = 800 * time.Millisecond
+	// lately is how long a router goes by the word that the store answers another one:
+	// three questions.
+	lately = 800 * time.Millisecond
 	// lostFor is how long a router takes the store to be away after one that watches
 	// it said so and no other said otherwise: a round of questions to all tellers of
 	// five failure domains.
@@ -79,6 +79,9 @@
 	Revision func() int64
 	// AsOf tells up to when the store itself has told this router all changes.
 	AsOf func() Moments
+	// TooOld are the ages from which this router does not go by what others tell, but
+	// looks for the store itself; 0: that kind of objects is not followed.
+	TooOld func() peer.Ages
 	// Took is told how long each question took; nil: nobody wants to know.
 	Took func(time.Duration)
 	// Large tells whether the fleet is so large that few watch for all.
@@ -142,15 +145,32 @@
 	return c.origin, c.heard()
 }
 
-// Heard tells whether another router has told lately what it knows from the
-// store.
+// Heard tells whether what other routers have told is new enough to go by.
 func (c *Controller) Heard() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.heard()
 }
 
-func (c *Controller) heard() bool { return clock.Since(c.current) <= trust }
+// heard goes by when the store said it, and not by when this router was told: its teller
+// may have passed on for seconds what was new once. A configuration that is on its way is
+// waited for.
+func (c *Controller) heard() bool {
+	ages := c.asOf.ages(clock.Now())
+	if c.fetching.Load() {
+		ages.Config = 0
+	}
+	return within(ages, c.TooOld())
+}
+
+// HeardLately tells whether the store answers another router that this one hears.
+func (c *Controller) HeardLately() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.heardLately()
+}
+
+func (c *Controller) heardLately() bool { return clock.Since(c.current) <= lately }
 
 // StoreLost tells whether the store does not answer this router, or those that
 // watch it for the fleet.
@@ -163,7 +183,7 @@
 	return c.toldLost()
 }
 
-func (c *Controller) toldLost() bool { return !c.heard() && clock.Since(c.lost) <= lostFor }
+func (c *Controller) toldLost() bool { return !c.heardLately() && clock.Since(c.lost) <= lostFor }
 
 // Run asks another router every so often in a large fleet, and in a small one while
 // the store does not answer.
@@ -183,7 +203,7 @@
 		return askEvery
 	case !c.Servers.Ready():
 		return askFirst
-	case !c.Heard() && !c.Fresh() && c.Large() && c.passesOn():
+	case !c.HeardLately() && !c.Fresh() && c.Large() && c.passesOn():
 		return askSoon
 	default:
 		return askEvery
--- a/controller/news/roles.go
+++ b/controller/news/roles.go
@@ -19,6 +19,9 @@
 		return follow.Follows
 	}
 	origin, heard := c.heardOf()
+	if c.isTeller() && !c.HeardLately() {
+		return follow.Deputy // others wait for it, also those that the store turns away
+	}
 	if !heard || c.Fresh() && c.goesFirst(origin) {
 		return follow.Deputy
 	}
--- a/server/provision.go
+++ b/server/provision.go
@@ -99,6 +99,7 @@
 
 		Revision: func() int64 { return s.followServers.Revision() },
 		AsOf:     s.storeAsOf,
+		TooOld:   s.tooOld,
 
 		Took: func(d time.Duration) { s.queue.Observe(clock.Now(), d) },
 	})
@@ -128,7 +129,7 @@
 		Probe:    s.probeStore,
 		Log:      s.log,
 
-		Elsewhere: s.news.Heard,
+		Elsewhere: s.news.HeardLately,
 	}
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -258,7 +258,7 @@
 
 // storeElsewhere tells whether the store does not answer this router but
 // another one.
-func (s *Server) storeElsewhere() bool { return s.storeLost() && s.news.Heard() }
+func (s *Server) storeElsewhere() bool { return s.storeLost() && s.news.HeardLately() }
 
 // retryBurst is this router's share of the repeats beyond the ratio.
 func (s *Server) retryBurst() float64 {
