Few look for the store first, and the others are told

Costs of the mend: with both watches of a fleet deaf at once (the store had forgotten its history) each of 75 routers made three calls of its own at the full price, since their news became too old at the same moment; 75 that start together each listed for themselves.

Those that pass news on look 0.4 s earlier than the others, which leave it to them for 0.2 s more and ask them every 0.1 s meanwhile; routers that know nothing yet spread their first tries over 1.2 s as before.

--- a/bound/bound.go
+++ b/bound/bound.go
@@ -18,11 +18,14 @@
 	// is given up.
 	WatchSlack = 400 * time.Millisecond
 	// findingSoon is how long a router of a large fleet needs to look for the store itself:
-	// FindWithin, the pause between two looks at what it knows, and two short calls.
-	findingSoon = 500 * time.Millisecond
+	// FindAfter and FindWithin, the pause between two looks at what it knows, and two short
+	// calls.
+	findingSoon = 700 * time.Millisecond
 	// FindWithin is the time over which routers that all lack news at the same moment
-	// spread their calls.
+	// spread their calls, and FindAfter how long they leave it to those that pass news on:
+	// what these find is told by then, and hundreds need not ask.
 	FindWithin = 250 * time.Millisecond
+	FindAfter  = 200 * time.Millisecond
 	// findingAgain is how long a router that watches the store for itself needs to notice a
 	// watch that hears nothing, and for two short calls in its place.
 	findingAgain = WatchSlack + 150*time.Millisecond
@@ -39,8 +42,8 @@
 	longestWatch = 25 * time.Second
 )
 
-// Parts are the parts of a bound. They add up to it, or to more for a bound under about 1.4 s in
-// a small fleet and 2.1 s in a large one.
+// Parts are the parts of a bound. They add up to it, or to more for a bound under 1.4 s in a
+// small fleet and 2.3 s in a large one.
 type Parts struct {
 	// Watch is how long a watch waits at the store before it is renewed: so old is what a
 	// router knows that watches the store for itself.
@@ -73,6 +76,9 @@
 // store itself.
 func (p Parts) TooOld() time.Duration { return p.Watch + p.Telling }
 
+// TooOldToTell is the same for a router that passes news on.
+func (p Parts) TooOldToTell() time.Duration { return p.Watch + p.Telling/2 }
+
 // UsableFor is the age up to which what is known may decide where a request is sent.
 func (p Parts) UsableFor() time.Duration { return p.TooOld() + p.Finding }
 
--- a/controller/follow/follow.go
+++ b/controller/follow/follow.go
@@ -31,6 +31,9 @@
 	// freshSlack is how long beyond a watch's wait an answer of the store counts as
 	// the newest: the time of a slow answer and of a pause.
 	freshSlack = 600 * time.Millisecond
+	// startWithin is the time over which routers that know nothing yet spread their first
+	// tries: most are told by others before.
+	startWithin = 1200 * time.Millisecond
 	// lookEvery is how often a router that does not follow looks whether it should.
 	lookEvery = 100 * time.Millisecond
 	// atOnce is the wait of a watch that asks what has changed by now.
@@ -77,6 +80,8 @@
 	Told func() int64
 	// Answered tells when the store last answered any call of this process.
 	Answered func() time.Time
+	// Yields is how long a deputy leaves it to others to find the store first.
+	Yields func() time.Duration
 	// Probe asks the store for anything at all, as cheaply as can be. It goes before the
 	// calls of a follower that the store did not answer last, or not yet.
 	Probe func(context.Context) error
@@ -179,18 +184,26 @@
 
 // draw draws when a deputy tries the store.
 func (f *Follower) draw(now time.Time) {
-	least, spread := time.Duration(0), bound.FindWithin
-	if f.tries > 0 {
-		half := f.Bound().Retry() / 2
-		least, spread = half, half
-	}
-	in := least + rand.N(spread)
+	in := f.drawWait()
 	f.drawn, f.due = now, now.Add(in)
 	f.tries++
 	f.Log.Info("nobody tells what is new; looking for the store", zap.Duration("in_ms", in), zap.Int("try", f.tries),
 		zap.Duration("age_ms", clock.Since(f.AsOf())))
 }
 
+// drawWait draws how long a deputy waits until it tries the store.
+func (f *Follower) drawWait() time.Duration {
+	switch {
+	case f.tries > 0:
+		half := f.Bound().Retry() / 2
+		return half + rand.N(half)
+	case f.since() == 0:
+		return rand.N(startWithin)
+	default:
+		return f.Yields() + rand.N(bound.FindWithin)
+	}
+}
+
 // doubt tells the handler, once, when nobody tells this router what is new and it
 // does not ask either.
 func (f *Follower) doubt(part Part) {
--- a/controller/follow/follow_test.go
+++ b/controller/follow/follow_test.go
@@ -71,6 +71,7 @@
 		Handler:  ignore{},
 		Part:     part,
 		Bound:    func() bound.Parts { return bound.Divide(within, true) },
+		Yields:   func() time.Duration { return 0 },
 		Answered: func() time.Time { return time.Time{} },
 		Probe: func(ctx context.Context) error {
 			_, err := s.Get(ctx, "kind/self")
--- a/controller/news/news.go
+++ b/controller/news/news.go
@@ -30,6 +30,9 @@
 	askEvery = bound.AskEvery
 	askFirst = 50 * time.Millisecond
 	askSoon  = 100 * time.Millisecond
+	// soonFor is how long after the last news a router that passes none on asks that often:
+	// the store is found for all by then, or away from all.
+	soonFor = 1500 * time.Millisecond
 	// callTimeout bounds the question.
 	callTimeout = 400 * time.Millisecond
 	// fetchTimeout bounds the fetching of a configuration: a large one, compressed,
@@ -80,8 +83,9 @@
 	// AsOf tells up to when the store itself has told this router all changes.
 	AsOf func() Moments
 	// TooOld are the ages from which this router does not go by what others tell, but
-	// looks for the store itself; 0: that kind of objects is not followed.
-	TooOld func() peer.Ages
+	// looks for the store itself, where it passes news on and where it does not; 0: that
+	// kind of objects is not followed.
+	TooOld func(passesOn bool) peer.Ages
 	// Took is told how long each question took; nil: nobody wants to know.
 	Took func(time.Duration)
 	// Large tells whether the fleet is so large that few watch for all.
@@ -160,7 +164,7 @@
 	if c.fetching.Load() {
 		ages.Config = 0
 	}
-	return within(ages, c.TooOld())
+	return within(ages, c.TooOld(c.isTeller()))
 }
 
 // HeardLately tells whether the store answers another router that this one hears.
@@ -203,13 +207,25 @@
 		return askEvery
 	case !c.Servers.Ready():
 		return askFirst
-	case !c.HeardLately() && !c.Fresh() && c.Large() && c.passesOn():
+	case c.Large() && c.isBehind():
 		return askSoon
 	default:
 		return askEvery
 	}
 }
 
+// isBehind tells whether this router should soon hear what others have found: others wait
+// for it, or its news have just become too old to be passed on.
+func (c *Controller) isBehind() bool {
+	if c.passesOn() {
+		return !c.HeardLately() && !c.Fresh()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ages := c.asOf.ages(clock.Now())
+	return clock.Since(c.current) <= soonFor && !within(ages, c.TooOld(true))
+}
+
 // choose returns the router to ask: the one that told the newest last, or else the
 // next one.
 func (c *Controller) choose() (string, bool) {
--- a/controller/news/roles.go
+++ b/controller/news/roles.go
@@ -2,7 +2,9 @@
 
 import (
 	"slices"
+	"time"
 
+	"github.com/gaplink/gaplink/bound"
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/controller/follow"
 )
@@ -28,6 +30,14 @@
 	return follow.Rests
 }
 
+// Yields is how long this router leaves it to the tellers to find the store first.
+func (c *Controller) Yields() time.Duration {
+	if c.isTeller() {
+		return 0
+	}
+	return bound.FindAfter
+}
+
 // goesFirst tells whether this router is ranked before another one.
 func (c *Controller) goesFirst(other string) bool {
 	ranked := c.Members.RankLargest(clock.Now(), watchRole)
--- a/server/provision.go
+++ b/server/provision.go
@@ -124,6 +124,7 @@
 		Prefix:   kind,
 		Handler:  h,
 		Part:     s.news.Part,
+		Yields:   s.news.Yields,
 		Bound:    func() bound.Parts { return s.parts(within) },
 		Answered: s.store.Answered,
 		Probe:    s.probeStore,
--- a/server/watch.go
+++ b/server/watch.go
@@ -8,20 +8,28 @@
 
 	"github.com/gaplink/gaplink/bound"
 	"github.com/gaplink/gaplink/peer"
+	"github.com/gaplink/gaplink/settings"
 	"github.com/gaplink/gaplink/store"
 )
 
 // parts divides a bound on changes for the fleet as it is now.
 func (s *Server) parts(within time.Duration) bound.Parts { return bound.Divide(within, s.large()) }
 
-// tooOld are the ages from which this router looks for the store itself.
-func (s *Server) tooOld() peer.Ages {
-	limits := s.settings.Bounds
-	ages := peer.Ages{Config: s.parts(limits.Apply.Std()).TooOld(), Servers: s.parts(limits.Leave.Std()).TooOld()}
-	if limits.Evacuate > 0 {
-		ages.Emptied = s.parts(limits.Evacuate.Std()).TooOld()
+// tooOld are the ages from which this router looks for the store itself, where it passes
+// news on and where it does not.
+func (s *Server) tooOld(passesOn bool) peer.Ages {
+	age := func(within settings.Duration) time.Duration {
+		switch p := s.parts(within.Std()); {
+		case within == 0:
+			return 0 // not followed
+		case passesOn:
+			return p.TooOldToTell()
+		default:
+			return p.TooOld()
+		}
 	}
-	return ages
+	limits := s.settings.Bounds
+	return peer.Ages{Config: age(limits.Apply), Servers: age(limits.Leave), Emptied: age(limits.Evacuate)}
 }
 
 // storeCalls prints calls by purpose.
