A request that waited in a busy router is not sent by old knowledge

A router refused such requests only if its link was full and no other router had answered for 1.5 s, and asked that on their arrival alone.

It refuses now, at once and as not run, when the age of what it knows and what its link takes exceed the operator's bound, asks that again before the first byte goes out, and counts a router without processor time like one with a full link. One that is merely cut off serves on: it may be all that its callers reach. The time since any router answered, which stood beside the ages, is gone. Test: a router that turns deaf while the connection is made sends nothing and does not go on to the next server.

--- a/controller/news/news.go
+++ b/controller/news/news.go
@@ -128,9 +128,6 @@
 	verdictSource string // whose verdicts were taken last
 	verdictSeq    int64  // up to which number of its log
 
-	// answered is when any router answered last, or when the first question was asked.
-	answered time.Time
-
 	fetching atomic.Bool // a configuration is being fetched
 
 	list packedList
@@ -263,7 +260,9 @@
 	defer cancel()
 	begun := clock.Now()
 	answer, err := c.Calls.News(callCtx, addr, req)
-	c.noteQuestion(begun, err)
+	if c.Took != nil {
+		c.Took(clock.Since(begun))
+	}
 	if err != nil {
 		c.Members.Failed(id, err)
 		c.failed()
@@ -282,28 +281,6 @@
 	return c.revision
 }
 
-// noteQuestion notes how a question that was asked at a time has ended.
-func (c *Controller) noteQuestion(begun time.Time, err error) {
-	if c.Took != nil {
-		c.Took(clock.Since(begun))
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if err == nil || c.answered.IsZero() {
-		c.answered = clock.Now()
-	}
-}
-
-// Silence is how long no router has answered this one's questions; 0 while it asks none.
-func (c *Controller) Silence() time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.answered.IsZero() {
-		return 0
-	}
-	return clock.Since(c.answered)
-}
-
 // takeVerdicts takes what a router tells of requests that end servers, whether or not
 // it has news from the store.
 func (c *Controller) takeVerdicts(answer *peer.NewsAnswer) {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -150,7 +150,7 @@
 // still go there.
 func (a *attempt) holds() bool {
 	a.noteAge()
-	return !a.overdue() && !callerGone(a.r) && a.g.Servers.Claim(a.server)
+	return !a.overdue() && !callerGone(a.r) && a.g.late() == nil && a.g.Servers.Claim(a.server)
 }
 
 // rankSizes are the prompt sizes, in new tokens, from which a request gives way
--- a/gateway/behind_test.go
+++ b/gateway/behind_test.go
@@ -46,6 +46,22 @@
 	}
 }
 
+// TestRequestIsNotSentWhenTheRouterTurnsDeafMeanwhile: on a played day a request waited for
+// 2.3 s in a router with a full link, and reached a server 3.6 s after that had left. Nothing of
+// it has gone out, so another router may take it at once.
+func TestRequestIsNotSentWhenTheRouterTurnsDeafMeanwhile(t *testing.T) {
+	g := &Gateway{Parts: Parts{Deaf: func() bool { return true }}}
+	r := httptest.NewRequest(http.MethodGet, "/r/x", nil)
+	a := &attempt{call: &call{g: g, r: r, deadline: clock.Now().Add(time.Minute)}}
+	if a.holds() {
+		t.Error("the request is sent")
+	}
+	stop := a.mayGoOn(r.Context(), notReached, a, tally{unreached: 1})
+	if stop == nil || stop.Code != result.NotAccepted || stop.RetryAfter != elsewhereRetry {
+		t.Errorf("it goes on to the next server, or ends with %+v", stop)
+	}
+}
+
 // TestDeafRouterTakesNoWork: it does not know which servers leave.
 func TestDeafRouterTakesNoWork(t *testing.T) {
 	g := &Gateway{Parts: Parts{Deaf: func() bool { return true }}}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -141,6 +141,9 @@
 	}
 	switch v {
 	case notReached:
+		if refusal := c.g.late(); refusal != nil {
+			return refusal.Wrap(cause)
+		}
 		if so.unreached >= dialsAtMost {
 			return result.New(result.NoBackend, "no server of %s could be reached", c.service.Name).After(noServerRetry).Wrap(cause)
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,8 +53,9 @@
 	// Routers returns the number of routers that share the servers.
 	Routers func() int
 	// Behind is how long requests and answers wait at the router's own link, in both
-	// directions together, and Deaf tells whether that is so full that the router has
-	// heard nothing for too long to know which servers leave. nil: neither is known.
+	// directions together, and Deaf tells whether, by that and the age of what the router
+	// knows, a request could reach a server too long after that has left. nil: neither is
+	// known.
 	Behind func() time.Duration
 	Deaf   func() bool
 	// ServersAge is how old what is known of the servers is, counted from the store's
--- a/gateway/steps.go
+++ b/gateway/steps.go
@@ -34,7 +34,7 @@
 	objectivePart = 5
 	// behindPart is the part of a request's time that a wait at the link may take of it.
 	behindPart = 2
-	// elsewhereRetry is when to come back after a router whose link is full: soon, since
+	// elsewhereRetry is when to come back after a router that is behind: soon, since
 	// the next connection is handed to another one.
 	elsewhereRetry = 50 * time.Millisecond
 	// minimumWait is the least time that a request may wait for tokens: a read
@@ -47,8 +47,8 @@
 	if g.refusing.Load() {
 		return result.New(result.Leaving, "the router is stopping").After(leavingRetry)
 	}
-	if g.Deaf != nil && g.Deaf() {
-		return result.New(result.NotAccepted, "the router's link is full").After(elsewhereRetry)
+	if refusal := g.late(); refusal != nil {
+		return refusal
 	}
 	c.catalog = g.Config.Catalog()
 	if c.catalog == nil || !g.Servers.Ready() {
@@ -57,6 +57,14 @@
 	return nil
 }
 
+// late refuses while a request could reach a server too long after that has left.
+func (g *Gateway) late() *result.Error {
+	if g.Deaf == nil || !g.Deaf() {
+		return nil
+	}
+	return result.New(result.NotAccepted, "the router is behind").After(elsewhereRetry)
+}
+
 func (g *Gateway) findRoute(c *call) *result.Error {
 	path, _, _ := strings.Cut(c.r.RequestURI, "?")
 	c.route = c.catalog.Route(c.r.Host, path)
--- a/server/link.go
+++ b/server/link.go
@@ -9,6 +9,7 @@
 
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/link"
+	"github.com/gaplink/gaplink/peer"
 )
 
 // bytesPerMbit converts a link's capacity.
@@ -18,11 +19,16 @@
 // own link is full: what waits there is about a second's worth.
 const congestedDialTimeout = 1500 * time.Millisecond
 
+// starvedWindow is how long a window takes whose end had to wait for processor time.
+const starvedWindow = link.Window + 150*time.Millisecond
+
 // linkState is what the router goes by while its link is full.
 type linkState struct {
 	mu    sync.Mutex
 	guard link.Guard
 	away  bool // as observed last
+	// starved tells that the last window ended late, since the process had no turn.
+	starved bool
 }
 
 // Away tells whether the router should get no new connections.
@@ -39,11 +45,21 @@
 	return l.guard.Full()
 }
 
-// observe takes the load of a window and tells whether Away has changed.
-func (l *linkState) observe(now time.Time, load link.Load) (changed bool) {
+// Busy tells whether the link is full or the processor time is used up, so that what this
+// router hears and sends is late.
+func (l *linkState) Busy() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.guard.Full() || l.starved
+}
+
+// observe takes the load of a window and how long that was, and tells whether Away has
+// changed.
+func (l *linkState) observe(now time.Time, load link.Load, window time.Duration) (changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.guard.Observe(now, load)
+	l.starved = window >= starvedWindow
 	was := l.away
 	l.away = l.guard.Away(now)
 	return was != l.away
@@ -56,12 +72,15 @@
 	}
 	ticker := time.NewTicker(link.Window)
 	defer ticker.Stop()
+	ended := clock.Now()
 	for {
 		select {
 		case <-ticker.C:
 			now := clock.Now()
 			load := s.meter.Tick(now)
-			if s.link.observe(now, load) {
+			window := now.Sub(ended)
+			ended = now
+			if s.link.observe(now, load, window) {
 				s.log.Info("link load", zap.Bool("full", s.link.Away()), zap.Float64("in", load.In), zap.Float64("out", load.Out), zap.Int64("in_flight", s.gateway.InFlight()))
 			}
 		case <-ctx.Done():
@@ -70,10 +89,6 @@
 	}
 }
 
-// deafAfter is how long a router whose link is full goes on without an answer from any
-// other one. With the time that news takes it stays below the bound on leaving servers.
-const deafAfter = 1500 * time.Millisecond
-
 // behind is how long requests and answers wait at the router's link together, while that
 // is full. Calls take long for other reasons too, of which callers' bytes know nothing.
 func (s *Server) behind() time.Duration {
@@ -83,6 +98,14 @@
 	return s.queue.Wait(clock.Now())
 }
 
-// deaf tells whether the link is so full that the router hears of nothing. One that is cut
-// off hears nothing either, but may be all that its callers reach.
-func (s *Server) deaf() bool { return s.link.Full() && s.news.Silence() >= deafAfter }
+// deaf tells whether a request sent now could reach a server that left longer ago than the
+// bound allows, through a fault of this router: its link is full or its processor time used
+// up, so that what it knows is old and what it sends is late. One that is cut off knows as
+// little, but may be all that its callers reach.
+func (s *Server) deaf() bool {
+	if !s.link.Busy() {
+		return false
+	}
+	age := s.news.Ages().Servers
+	return age == peer.Unheard || age+s.behind() > s.settings.Bounds.Leave.Std()
+}
