A configuration is as old as the store's answer, and claims nothing beyond its bound

The configuration had an age of its own, 0 as long as no flag said that the store was lost, also at a router that only heard others say so.

Its age is that of the news now, counted from the store's answer, and a router with an older one than the bound refuses what it does not know as "not run", with when to come back. The flag, the second clock and their calls on waking and on each answer are gone. The test of ages over a suspension moved from the flag to the news, with the store's own word besides.

--- a/controller/configs/configs.go
+++ b/controller/configs/configs.go
@@ -5,12 +5,10 @@
 import (
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/gaplink/gaplink/catalog"
-	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/guard"
 	"github.com/gaplink/gaplink/store"
 )
@@ -26,8 +24,6 @@
 	log     *zap.Logger
 
 	catalog atomic.Pointer[catalog.Catalog]
-	lost    atomic.Bool
-	heard   atomic.Pointer[time.Time]
 
 	mu     sync.Mutex
 	raw    []byte // the stored form, nil before the first
@@ -51,19 +47,6 @@
 	return 0
 }
 
-// Age is how long ago the configuration was last known to be the newest: 0
-// while the store is being watched.
-func (c *Controller) Age() time.Duration {
-	if !c.lost.Load() {
-		return 0
-	}
-	heard := c.heard.Load()
-	if heard == nil {
-		return 0
-	}
-	return clock.Since(*heard)
-}
-
 // Listed implements follow.Handler.
 func (c *Controller) Listed(objects []store.Object, _ int64) { c.Changed(objects) }
 
@@ -76,33 +59,11 @@
 	}
 }
 
-// Lost implements follow.Handler.
-func (c *Controller) Lost() {
-	if c.lost.Load() {
-		return // the configuration is as old as when nothing was heard first
-	}
-	now := clock.Now()
-	c.heard.Store(&now)
-	c.lost.Store(true)
-}
-
-// Woke tells that the machine was suspended: the configuration is as old as that, until
-// the store or another router has said that it is the newest.
-func (c *Controller) Woke(slept time.Duration) {
-	before := clock.Now().Add(-slept)
-	c.heard.Store(&before)
-	c.lost.Store(true)
-}
+// Lost implements follow.Handler. What is known stays in force.
+func (c *Controller) Lost() {}
 
 // Regained implements follow.Handler.
-func (c *Controller) Regained() { c.lost.Store(false) }
-
-// Confirmed tells that another router, which reaches the store, has no newer
-// version.
-func (c *Controller) Confirmed() {
-	now := clock.Now()
-	c.heard.Store(&now)
-}
+func (c *Controller) Regained() {}
 
 // Take reads a configuration and puts it in force if it is newer; source says
 // in the log where it came from.
--- a/controller/news/fleet_test.go
+++ b/controller/news/fleet_test.go
@@ -584,7 +584,17 @@
 		if last.news.Heard() {
 			t.Error("news of before the suspension count as heard lately")
 		}
+		if ages := last.news.Ages(); ages.Config < 10*time.Second || ages.Servers < 10*time.Second {
+			t.Errorf("they are %+v old after 10 s", ages)
+		}
+		watcher := f.all[0].news
+		if age := watcher.Ages().Config; age < 10*time.Second {
+			t.Errorf("what the store told before is %v old", age)
+		}
 		time.Sleep(2 * time.Second)
+		if age := last.news.Ages().Config; age > f.parts().TooOld() {
+			t.Errorf("the configuration is %v old 2 s after waking", age)
+		}
 		if !last.news.Heard() {
 			t.Error("no news 2 s after waking")
 		}
--- a/controller/news/news.go
+++ b/controller/news/news.go
@@ -334,9 +334,6 @@
 		c.failed()
 		return
 	}
-	if !newer {
-		c.Configs.Confirmed()
-	}
 	if !c.Heard() && !c.Fresh() {
 		c.Servers.Regained()
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,7 +31,8 @@
 type Config interface {
 	// Catalog returns the configuration, or nil before the first is known.
 	Catalog() *catalog.Catalog
-	// Age is how long ago the configuration was last known to be the newest.
+	// Age is how long ago the configuration was the newest for certain, counted from the
+	// store's answer; below 0: nothing was heard.
 	Age() time.Duration
 }
 
@@ -40,16 +41,19 @@
 	// Domain is the router's failure domain.
 	Domain string
 	// Regions names the region of each failure domain.
-	Regions  map[string]string
-	Config   Config
-	Servers  *registry.Controller
-	Budgets  *budgets.Controller
-	Protocol exchange.Protocol
-	Pool     *upstream.Pool
-	Retries  *retry.Budgets
-	Verdicts *verdicts.Controller
-	Logs     logs.Loggers
-	Metrics  *Metrics
+	Regions map[string]string
+	Config  Config
+	// ConfigBound is the operator's bound on a new configuration. A router whose
+	// configuration may be older does not claim that a route or key is unknown; 0: it does.
+	ConfigBound time.Duration
+	Servers     *registry.Controller
+	Budgets     *budgets.Controller
+	Protocol    exchange.Protocol
+	Pool        *upstream.Pool
+	Retries     *retry.Budgets
+	Verdicts    *verdicts.Controller
+	Logs        logs.Loggers
+	Metrics     *Metrics
 	// Routers returns the number of routers that share the servers.
 	Routers func() int
 	// Behind is how long requests and answers wait at the router's own link, in both
--- a/gateway/steps.go
+++ b/gateway/steps.go
@@ -20,10 +20,6 @@
 	// leavingRetry is when to come back after a router that stops refused: at
 	// once, since another one takes the connection.
 	leavingRetry = 10 * time.Millisecond
-	// doubtAfter is the age of the configuration from which a router does not
-	// trust that a route or key is unknown to all. It is a watch's wait and a
-	// little more.
-	doubtAfter = 8 * time.Second
 	// defaultDeadline is used when neither caller nor route names one.
 	defaultDeadline = 30 * time.Second
 	// timeoutMargin is how much before the end of its time a request is given
@@ -95,7 +91,7 @@
 // unknown refuses what the configuration does not hold. A router that may have
 // missed a change does not claim so.
 func (g *Gateway) unknown(refusal *result.Error) *result.Error {
-	if g.Config.Age() > doubtAfter {
+	if age := g.Config.Age(); g.ConfigBound > 0 && (age < 0 || age > g.ConfigBound) {
 		return result.New(result.Starting, "the configuration here may be out of date").After(startingRetry).Wrap(refusal)
 	}
 	return refusal
--- a/server/provision.go
+++ b/server/provision.go
@@ -56,9 +56,12 @@
 	s.budgets = budgets.New(s.budgetConfig(), s.store, s.members, s.peers, s.log, func() {})
 	s.configs = configs.New(s.platform.ConfigKey, s.platform.DecodeConfig, s.configChanged, s.log)
 	s.gateway = gateway.New(gateway.Parts{
-		Domain:   s.settings.Instance.Domain,
-		Regions:  s.settings.Regions,
-		Config:   s.configs,
+		Domain:  s.settings.Instance.Domain,
+		Regions: s.settings.Regions,
+		Config:  knownConfig{s.configs, s},
+
+		ConfigBound: s.settings.Bounds.Apply.Std(),
+
 		Servers:  s.servers,
 		Budgets:  s.budgets,
 		Protocol: s.platform.Protocol,
--- a/server/server.go
+++ b/server/server.go
@@ -265,6 +265,15 @@
 	return s.current().Retries.Slack * retryShare / float64(max(s.members.Live(), leastRouters))
 }
 
+// knownConfig is the configuration in force with its age.
+type knownConfig struct {
+	*configs.Controller
+	server *Server
+}
+
+// Age implements gateway.Config.
+func (k knownConfig) Age() time.Duration { return k.server.news.Ages().Config }
+
 // configChanged hands the budgets of a new configuration on before it is in
 // force.
 func (s *Server) configChanged(c *catalog.Catalog) {
--- a/server/woke.go
+++ b/server/woke.go
@@ -11,7 +11,6 @@
 // over. Ages that are only compared need nothing, since they go by package clock.
 func (s *Server) woke(slept time.Duration) {
 	s.log.Warn("machine was suspended", zap.Duration("for_ms", slept), zap.Int64("in_flight", s.gateway.InFlight()))
-	s.configs.Woke(slept)
 	for _, f := range s.followers() {
 		f.Woke()
 	}
