When an outage ends, few routers ask the store what was new

A store that is back answers the probes of all routers at the same moment, and each went on to two or three calls at the full price before the first could tell the others.

Each router probes soon (for a tenth of the price, within 0.1 s), and one that passes no news on leaves the full calls to those that do for 0.3 s, in which it asks them every 0.1 s; it goes on by itself if nobody tells. Test: sixty routers after eight seconds of silence, fewer than half make a call.

--- a/bound/bound.go
+++ b/bound/bound.go
@@ -18,14 +18,15 @@
 	// is given up.
 	WatchSlack = 400 * time.Millisecond
 	// findingSoon is how long a router of a large fleet needs to look for the store itself:
-	// FindAfter and FindWithin, the pause between two looks at what it knows, and two short
+	// FindWithin and FindAfter, the pause between two looks at what it knows, and two short
 	// calls.
 	findingSoon = 700 * time.Millisecond
 	// FindWithin is the time over which routers that all lack news at the same moment
-	// spread their calls, and FindAfter how long they leave it to those that pass news on:
-	// what these find is told by then, and hundreds need not ask.
-	FindWithin = 250 * time.Millisecond
-	FindAfter  = 200 * time.Millisecond
+	// spread their probes of the store, and FindAfter how long one that it answers then
+	// leaves the full calls to those that pass news on: they mostly tell it by then, and
+	// hundreds need not ask.
+	FindWithin = 100 * time.Millisecond
+	FindAfter  = 300 * time.Millisecond
 	// findingAgain is how long a router that watches the store for itself needs to notice a
 	// watch that hears nothing, and for two short calls in its place.
 	findingAgain = WatchSlack + 150*time.Millisecond
--- a/controller/follow/follow.go
+++ b/controller/follow/follow.go
@@ -80,7 +80,8 @@
 	Told func() int64
 	// Answered tells when the store last answered any call of this process.
 	Answered func() time.Time
-	// Yields is how long a deputy leaves it to others to find the store first.
+	// Yields is how long a deputy whose probe the store has answered leaves it to others to
+	// ask what is new there.
 	Yields func() time.Duration
 	// Probe asks the store for anything at all, as cheaply as can be. It goes before the
 	// calls of a follower that the store did not answer last, or not yet.
@@ -147,10 +148,20 @@
 		if err := f.Probe(ctx); err != nil {
 			return err
 		}
+		if part == Deputy && f.toldMeanwhile(ctx) {
+			return nil
+		}
 	}
 	return f.step(ctx)
 }
 
+// toldMeanwhile waits for others to tell what is new, since when an outage ends the store
+// answers all routers of a fleet at the same moment.
+func (f *Follower) toldMeanwhile(ctx context.Context) bool {
+	_ = wait.For(ctx, f.Yields())
+	return f.Part() == Rests
+}
+
 // pause is the time until the next try after a failed one. That of a deputy is drawn
 // by isDue. The first failure may be that of a watch which went deaf, and the store is
 // asked again at once.
@@ -200,7 +211,7 @@
 	case f.since() == 0:
 		return rand.N(startWithin)
 	default:
-		return f.Yields() + rand.N(bound.FindWithin)
+		return rand.N(bound.FindWithin)
 	}
 }
 
--- a/controller/news/fleet_test.go
+++ b/controller/news/fleet_test.go
@@ -304,6 +304,7 @@
 		Revision: func() int64 { return followers[1].Revision() },
 		AsOf:     func() news.Moments { return asOf(followers) },
 		TooOld:   f.tooOld,
+		Answered: never,
 		Large:    func() bool { return true },
 		Log:      zap.NewNop(),
 	})
@@ -508,6 +509,28 @@
 	})
 }
 
+// TestEndOfAnOutageSendsNoStampede: a store that was silent for all answers all again. Those
+// that pass news on ask what is new, and most others are told before they would.
+func TestEndOfAnOutageSendsNoStampede(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.mute(func(int) bool { return true })
+		time.Sleep(8 * time.Second)
+		f.counted()
+		f.mute(nobody)
+		f.change(t, 2)
+		time.Sleep(3 * time.Second)
+		asked := 0
+		for _, n := range f.askers() {
+			if n > 0 {
+				asked++
+			}
+		}
+		if asked >= routers/2 {
+			t.Errorf("%d of %d routers made calls, %d together", asked, routers, f.counted())
+		}
+	})
+}
+
 // TestChangeArrivesWhileTheStoreTurnsAwayWatchers: the store turns away those that
 // watch, or them and all that tell, and serves the others.
 func TestChangeArrivesWhileTheStoreTurnsAwayWatchers(t *testing.T) {
--- a/controller/news/news.go
+++ b/controller/news/news.go
@@ -30,8 +30,8 @@
 	askEvery = bound.AskEvery
 	askFirst = 50 * time.Millisecond
 	askSoon  = 100 * time.Millisecond
-	// soonFor is how long after the last news a router that passes none on asks that often:
-	// the store is found for all by then, or away from all.
+	// soonFor is how long after the last news, or a word of the store, a router that passes
+	// none on asks that often: the store is found for all by then, or away from all.
 	soonFor = 1500 * time.Millisecond
 	// callTimeout bounds the question.
 	callTimeout = 400 * time.Millisecond
@@ -86,6 +86,8 @@
 	// looks for the store itself, where it passes news on and where it does not; 0: that
 	// kind of objects is not followed.
 	TooOld func(passesOn bool) peer.Ages
+	// Answered tells when the store last answered any call of this process.
+	Answered func() time.Time
 	// Took is told how long each question took; nil: nobody wants to know.
 	Took func(time.Duration)
 	// Large tells whether the fleet is so large that few watch for all.
@@ -220,7 +222,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	ages := c.asOf.ages(clock.Now())
-	return clock.Since(c.current) <= soonFor && !within(ages, c.TooOld(true))
+	mayBeTold := clock.Since(c.current) <= soonFor || clock.Since(c.Answered()) <= soonFor
+	return mayBeTold && !within(ages, c.TooOld(true))
 }
 
 // choose returns the router to ask: the one that told the newest last, or else the
--- a/controller/news/pair_test.go
+++ b/controller/news/pair_test.go
@@ -59,9 +59,9 @@
 			Self:        member(self).ID + "/1", Domain: member(self).Domain,
 			Lost: func() bool { return false }, Fresh: fresh, Revision: revision,
 			AsOf:   asOf,
-			TooOld: (&fleet{}).tooOld,
-			Large:  func() bool { return true },
-			Log:    zap.NewNop(),
+			TooOld: (&fleet{}).tooOld, Answered: never,
+			Large: func() bool { return true },
+			Log:   zap.NewNop(),
 		})
 	}
 	p.theirs, p.ours = newRegistry(), newRegistry()
--- a/controller/news/roles.go
+++ b/controller/news/roles.go
@@ -30,7 +30,7 @@
 	return follow.Rests
 }
 
-// Yields is how long this router leaves it to the tellers to find the store first.
+// Yields is how long this router leaves it to the tellers to ask the store what is new.
 func (c *Controller) Yields() time.Duration {
 	if c.isTeller() {
 		return 0
--- a/server/provision.go
+++ b/server/provision.go
@@ -103,6 +103,7 @@
 		Revision: func() int64 { return s.followServers.Revision() },
 		AsOf:     s.storeAsOf,
 		TooOld:   s.tooOld,
+		Answered: s.store.Answered,
 
 		Took: func(d time.Duration) { s.queue.Observe(clock.Now(), d) },
 	})
