Homes of a budget that pass on to each other are asked once

Callers waited for tokens without end in sight, and were refused late, while the store was away from nearly all: a router that asked a budget's home and was told that another one is asked the same again before the first was passed over, then the next, and the first again as soon as any other call showed that it is there.

The next home is asked once the first has been passed over (effect AskAgain), and one that was passed over within half a second is not asked again: then every router that could be the home was asked, and what waits is refused at once as unreachable. Test: three routers that each name another; 1,000 questions before it was stopped, 2 after.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -191,8 +191,7 @@
 	switch m.Refused {
 	case "":
 	case Moved:
-		a.emit(Suspect{ID: m.From.ID})
-		p.unask()
+		a.passOver(now, p, m.From.ID)
 	default:
 		a.serveWaiters(p)
 		if _, ok := p.takeWaiter(m.Token); ok {
@@ -247,9 +246,9 @@
 
 func (a *Agent) tickPurse(now time.Time, p *purse) {
 	a.refreshEscrow(now, p)
+	p.passing = false
 	if p.silent(now, a.cfg.DrawTimeout) {
-		a.emit(Suspect{ID: p.askedOf})
-		p.unask()
+		a.passOver(now, p, p.askedOf)
 	}
 	if p.lenderSilent(now, a.cfg.LenderTimeout) {
 		a.emit(Suspect{ID: p.borrowing.from})
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -87,6 +87,8 @@
 				r.running = append(r.running, need)
 			}
 			delete(n.waiting, key)
+		case budget.AskAgain:
+			n.perform(r, r.agent.AskAgain(n.at(r), e.Budget))
 		case budget.ReadPage, budget.WritePage:
 			r.store = append(r.store, e)
 		}
--- a/budget/entry.go
+++ b/budget/entry.go
@@ -19,9 +19,46 @@
 	return p.ahead(now, a.cfg.EntryHorizon)
 }
 
+// passedFor is for how long a home that was of no use is not asked again.
+const passedFor = 500 * time.Millisecond
+
+// passOver turns from a home to the next one.
+func (a *Agent) passOver(now time.Time, p *purse, id string) {
+	p.unask()
+	p.passedOver[id] = now
+	p.passing = true
+	a.emit(Suspect{ID: id})
+	a.emit(AskAgain{Budget: p.id})
+}
+
+// AskAgain goes on with the home that a budget has now.
+func (a *Agent) AskAgain(now time.Time, id string) []Effect {
+	p := a.purse(id)
+	p.passing = false
+	a.pump(now, p)
+	return a.drain()
+}
+
+// refuseAsRound refuses what waits if the home was passed over just now: then every router
+// that could be it was asked. Homes that pass on to each other would go on without end.
+func (a *Agent) refuseAsRound(now time.Time, p *purse) bool {
+	passed, ok := p.passedOver[a.cfg.Home(now, p.id)]
+	if !ok || now.Sub(passed) >= passedFor {
+		return false
+	}
+	for _, w := range p.waiters {
+		a.emit(Resolve{Token: w.token, Cause: Unreachable})
+	}
+	p.waiters = nil
+	return true
+}
+
 // ask sends waiting reservations to the home: one at a time while tokens are
 // held ahead, since the answer brings more than one needs, else each by itself.
 func (a *Agent) ask(now time.Time, p *purse) {
+	if p.passing || a.refuseAsRound(now, p) {
+		return
+	}
 	for i := range p.waiters {
 		w := &p.waiters[i]
 		if !w.askedAt.IsZero() {
--- a/budget/messages.go
+++ b/budget/messages.go
@@ -97,9 +97,13 @@
 	Cause Cause
 }
 
-// Suspect tells that an instance did not answer in time.
+// Suspect tells that an instance did not answer in time, or that it is no home.
 type Suspect struct{ ID string }
 
+// AskAgain wants a call of Agent.AskAgain, after the effects before it were carried out:
+// only then another router is the home.
+type AskAgain struct{ Budget string }
+
 // Stop tells that this holder was fenced: its tokens are void, and the
 // process must end.
 type Stop struct{}
@@ -132,6 +136,7 @@
 func (WritePage) effect() {}
 func (Resolve) effect()   {}
 func (Suspect) effect()   {}
+func (AskAgain) effect()  {}
 func (Stop) effect()      {}
 func (TakenBack) effect() {}
 func (GivenUp) effect()   {}
--- a/budget/purse.go
+++ b/budget/purse.go
@@ -74,6 +74,8 @@
 	unknown     bool
 	scarce      bool
 	home        Peer
+	passedOver  map[string]time.Time // homes that were of no use, and when
+	passing     bool                 // the next home is not known yet
 	sent        map[string]int64 // by the receiver's incarnation
 	received    map[string]int64 // by the sender's incarnation
 	holders     map[string]*holder
@@ -85,7 +87,7 @@
 }
 
 func newPurse(id string, page int, window time.Duration) *purse {
-	return &purse{id: id, page: page, demand: rate{window: window}, small: rate{window: window}, sent: map[string]int64{}, received: map[string]int64{}, holders: map[string]*holder{}}
+	return &purse{id: id, page: page, demand: rate{window: window}, small: rate{window: window}, passedOver: map[string]time.Time{}, sent: map[string]int64{}, received: map[string]int64{}, holders: map[string]*holder{}}
 }
 
 // used notes that a request of need tokens asked for the budget.
--- a/controller/budgets/budgets.go
+++ b/controller/budgets/budgets.go
@@ -164,6 +164,8 @@
 		go c.write(e)
 	case budget.Suspect:
 		c.members.Failed(e.ID, errNoGrant)
+	case budget.AskAgain:
+		c.with(func(now time.Time, a *budget.Agent) []budget.Effect { return a.AskAgain(now, e.Budget) })
 	case budget.TakenBack:
 		c.log.Info("tokens of an earlier process taken back", zap.String("holder", e.Holder),
 			zap.Duration("age_ms", e.Age), zap.Any("tokens", e.Tokens))
--- a/lab/policy/agents.go
+++ b/lab/policy/agents.go
@@ -134,6 +134,8 @@
 			a.write(n, e)
 		case budget.Suspect:
 			a.suspect(n, e.ID)
+		case budget.AskAgain:
+			a.perform(n, n.agent.AskAgain(a.w.Now, e.Budget))
 		}
 	}
 }
