One line about a router that is passed over in two seconds

A router that failed and answered by turns wrote a line each time (11,088 lines of a fleet in 18 s, several within a millisecond). One line in two seconds now, with the number left out.

--- a/controller/members/members.go
+++ b/controller/members/members.go
@@ -34,6 +34,7 @@
 	ranked map[string]ranked // what First found lately
 	lists  map[string]list   // what rankLargest found lately
 	live   counted
+	notes  map[string]passedNote // of the routers that were passed over
 	// excused tells that failed calls say nothing about the members.
 	excused func() bool
 }
@@ -73,6 +74,7 @@
 		view:   membership.NewView(self),
 		ranked: map[string]ranked{},
 		lists:  map[string]list{},
+		notes:  map[string]passedNote{},
 
 		excused: func() bool { return false },
 	}
@@ -299,12 +301,35 @@
 	known := c.view.Suspected(now, id)
 	c.view.Failed(now, id)
 	c.viewChanged()
+	leftOut, due := c.noteDue(now, id)
 	c.mu.Unlock()
-	if !known {
-		c.log.Info("router passed over", zap.String("router", id), zap.Error(cause))
+	if !known && due {
+		c.log.Info("router passed over", zap.String("router", id), zap.Int("left_out", leftOut), zap.Error(cause))
 	}
 }
 
+// passedNote is the last line about a router that was passed over.
+type passedNote struct {
+	at time.Time
+	// leftOut are the lines since then that were not written.
+	leftOut int
+}
+
+// noteEvery bounds the lines about one router.
+const noteEvery = 2 * time.Second
+
+// noteDue tells whether a line about a router is due, and how many were left out before.
+func (c *Controller) noteDue(now time.Time, id string) (leftOut int, due bool) {
+	n := c.notes[id]
+	if now.Sub(n.at) < noteEvery {
+		n.leftOut++
+		c.notes[id] = n
+		return 0, false
+	}
+	c.notes[id] = passedNote{at: now}
+	return n.leftOut, true
+}
+
 // Reached records that a member answered.
 func (c *Controller) Reached(id string) {
 	c.mu.Lock()
