--- a/budget/purse.go
+++ b/budget/purse.go
@@ -76,8 +76,8 @@
 	home        Peer
 	passedOver  map[string]time.Time // homes that were of no use, and when
 	passing     bool                 // the next home is not known yet
-	sent        map[string]int64 // by the receiver's incarnation
-	received    map[string]int64 // by the sender's incarnation
+	sent        map[string]int64     // by the receiver's incarnation
+	received    map[string]int64     // by the sender's incarnation
 	holders     map[string]*holder
 	demand      rate    // tokens asked for
 	small       rate    // tokens asked for by requests that the tail serves
