A configuration that does not arrive from others is looked for at the store

A router that was told of a newer version fetched it from the teller, and went by others for as long as a fetching was under way: each that failed, as across a full link, was followed by the next, without end.

A fetching may make the configuration a second older than others' news may be, what two of them take; then the router asks the store. Test: two routers, the answers with the configuration never arrive; red before.

--- a/controller/news/news.go
+++ b/controller/news/news.go
@@ -36,6 +36,9 @@
 	// fetchTimeout bounds the fetching of a configuration: a large one, compressed,
 	// takes half a second on a small router's link that serves several.
 	fetchTimeout = 2 * time.Second
+	// fetchGrace is how much older a configuration may become while a newer one is being
+	// fetched: what two fetchings take, by a teller and from it.
+	fetchGrace = time.Second
 	// lately is how long a router goes by the word that the store answers another one:
 	// three questions.
 	lately = 800 * time.Millisecond
@@ -155,13 +158,13 @@
 
 // heard goes by when the store said it, and not by when this router was told: its teller
 // may have passed on for seconds what was new once. A configuration that is on its way is
-// waited for.
+// waited for, but not for as long as the fetching of it may be tried.
 func (c *Controller) heard() bool {
-	ages := c.asOf.ages(clock.Now())
+	limits := c.TooOld(c.isTeller())
 	if c.fetching.Load() {
-		ages.Config = 0
+		limits.Config += fetchGrace
 	}
-	return within(ages, c.TooOld(c.isTeller()))
+	return within(c.asOf.ages(clock.Now()), limits)
 }
 
 // HeardLately tells whether the store answers another router that this one hears.
--- a/controller/news/pair_test.go
+++ b/controller/news/pair_test.go
@@ -33,6 +33,10 @@
 	revision int64
 	// ages of the asked router's news.
 	ages func() news.Moments
+	// stuck tells that no configuration arrives.
+	stuck bool
+	// theirConfigs and ourConfigs are what both have in force.
+	theirConfigs, ourConfigs *configs.Controller
 }
 
 // News implements news.Calls.
@@ -42,17 +46,21 @@
 
 // Config implements news.Calls.
 func (p *pair) Config(ctx context.Context, _ string) (*peer.ConfigAnswer, error) {
+	if p.stuck {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	return p.asked.Config(ctx, &peer.Empty{})
 }
 
 // newPair returns two routers of a large fleet; the asked one follows the store.
 func newPair(theirRevision int64) *pair {
 	p := &pair{ages: func() news.Moments { return news.Moments{Config: time.Now(), Servers: time.Now()} }}
-	router := func(self int, servers *registry.Controller, fresh func() bool, revision func() int64, asOf func() news.Moments) *news.Controller {
+	router := func(self int, held *configs.Controller, servers *registry.Controller, fresh func() bool, revision func() int64, asOf func() news.Moments) *news.Controller {
 		known := members.New(member(self), nil, 0, zap.NewNop())
 		known.Met(member(1 - self))
 		return news.New(news.Options{
-			Configs: configs.New(configKey, decodeConfig, func(*catalog.Catalog) {}, zap.NewNop()),
+			Configs: held,
 			Servers: servers, Members: known, Calls: p,
 			Verdicts:    verdicts.New(verdicts.Options{Checker: gone{}, Servers: allWork{}, Log: zap.NewNop()}),
 			Evacuations: evacuations.New(evacuations.Options{Log: zap.NewNop()}),
@@ -65,11 +73,16 @@
 		})
 	}
 	p.theirs, p.ours = newRegistry(), newRegistry()
-	p.asked = router(0, p.theirs, func() bool { return true }, func() int64 { return theirRevision }, func() news.Moments { return p.ages() })
-	p.asking = router(1, p.ours, func() bool { return p.fresh }, func() int64 { return p.revision }, func() news.Moments { return news.Moments{} })
+	p.theirConfigs, p.ourConfigs = newConfigs(), newConfigs()
+	p.asked = router(0, p.theirConfigs, p.theirs, func() bool { return true }, func() int64 { return theirRevision }, func() news.Moments { return p.ages() })
+	p.asking = router(1, p.ourConfigs, p.ours, func() bool { return p.fresh }, func() int64 { return p.revision }, func() news.Moments { return news.Moments{} })
 	return p
 }
 
+func newConfigs() *configs.Controller {
+	return configs.New(configKey, decodeConfig, func(*catalog.Catalog) {}, zap.NewNop())
+}
+
 func newRegistry() *registry.Controller {
 	return registry.New(decodeServer, upstream.New(upstream.Options{}), rand.New(rand.NewPCG(1, 1)), zap.NewNop())
 }
@@ -153,3 +166,24 @@
 		}
 	})
 }
+
+// TestConfigurationThatDoesNotArriveIsLookedForAtTheStore: the router that tells of it cannot
+// bring it across a full link, and each failed fetching is followed by the next one.
+func TestConfigurationThatDoesNotArriveIsLookedForAtTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(9)
+		p.theirs.Listed([]store.Object{registration("a", 1)}, 9)
+		go p.asking.Run(t.Context())
+		time.Sleep(time.Second)
+		p.stuck = true
+		p.theirConfigs.Take([]byte("7"), "store")
+		parts := (&fleet{}).parts()
+		for range 100 { // a change is due within the bound
+			time.Sleep(parts.Sum() / 100)
+			if !p.asking.Heard() {
+				return
+			}
+		}
+		t.Errorf("goes by others after %v, with a configuration %v old that they cannot bring", parts.Sum(), p.asking.Ages().Config)
+	})
+}
