A lapse is judged by the first answer that can show one

Changes without an end of a registration say nothing of a lapse; after one of them, servers that lapsed in an outage would have been dropped for the two seconds until they are back. Test: another change before the lapses, and an answer without any.

--- a/controller/registry/lapse.go
+++ b/controller/registry/lapse.go
@@ -30,8 +30,8 @@
 	c.lapsing, c.judged = false, false
 }
 
-// judgesLapse tells whether an answer is the one that shows a lapse: the first after the
-// store was regained.
+// judgesLapse tells whether an answer may be the one that shows a lapse: the first list
+// after the store was regained, or the first changes that end registrations.
 func (c *Controller) judgesLapse() bool {
 	return !c.judged && clock.Since(c.regained) <= lapseGrace
 }
@@ -49,10 +49,10 @@
 			lost++
 		}
 	}
-	c.judged = true
 	if lost == 0 {
 		return
 	}
+	c.judged = true
 	c.lapsing = float64(lost) > lapsedPart*float64(inUse)
 	c.log.Info("registrations missing after the store was lost", zap.Bool("lapsed", c.lapsing), zap.Int("in_use", inUse),
 		zap.Int("missing_or_new", lost), zap.Duration("regained_ms_ago", clock.Since(c.regained)))
@@ -96,8 +96,7 @@
 	until := c.regained.Add(lapseGrace)
 	left := clock.Until(until)
 	if !c.lapsing || left <= 0 {
-		c.servers.Remove(id)
-		c.log.Info("server gone", zap.String("server", id))
+		c.drop(id)
 		return
 	}
 	c.missing[id] = until
@@ -111,7 +110,12 @@
 			continue
 		}
 		delete(c.missing, id)
-		c.servers.Remove(id)
-		c.log.Info("server gone", zap.String("server", id))
+		c.drop(id)
 	}
 }
+
+// drop takes a server out of use whose registration is gone.
+func (c *Controller) drop(id string) {
+	c.servers.Remove(id)
+	c.log.Info("server gone", zap.String("server", id))
+}
--- a/controller/registry/lapse_test.go
+++ b/controller/registry/lapse_test.go
@@ -70,6 +70,11 @@
 		"most are back":         func(c *registry.Controller) { c.Listed(registered(8, 100), newest) },
 		"by changes":            func(c *registry.Controller) { c.Changed(lapses(0, staffed)) },
 		"by changes, some back": func(c *registry.Controller) { c.Changed(append(lapses(0, staffed), registered(4, 100)...)) },
+		"after other changes": func(c *registry.Controller) {
+			c.Changed([]store.Object{entry("other", 50, true)})
+			c.Changed(nil)
+			c.Changed(lapses(0, staffed))
+		},
 		"told by another": func(c *registry.Controller) {
 			c.TakeChanged(heardOf(lapses(0, staffed)))
 		},
--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -189,6 +189,7 @@
 	}
 	if c.judgesLapse() {
 		c.judgeLapse(c.struckByList(present))
+		c.judged = true
 	}
 	for _, o := range objects {
 		if !c.outdated(o.Object) {
