A busy router serves on while the store is away from all

Found by reading the last changes: in an outage of the store what every router knows is older than the bound, and one with a full link or no processor time refused each request then, though no other knew more and nobody is bound. It refuses only if it has not been told that the store answers none of those that watch it. Test: the situations, one by one.

--- a/controller/news/news.go
+++ b/controller/news/news.go
@@ -187,4 +187,11 @@
 	return c.toldLost()
 }
 
+// ToldLost tells whether the store does not answer those that watch it, as they say.
+func (c *Controller) ToldLost() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.toldLost()
+}
+
 func (c *Controller) toldLost() bool { return !c.heardLately() && clock.Since(c.lost) <= lostFor }
--- a/server/link.go
+++ b/server/link.go
@@ -99,13 +99,33 @@
 }
 
 // deaf tells whether a request sent now could reach a server that left longer ago than the
-// bound allows, through a fault of this router: its link is full or its processor time used
-// up, so that what it knows is old and what it sends is late. One that is cut off knows as
-// little, but may be all that its callers reach.
+// bound allows, through a fault of this router.
 func (s *Server) deaf() bool {
-	if !s.link.Busy() {
+	return situation{
+		busy:     s.link.Busy(),
+		toldLost: s.news.ToldLost(),
+		age:      s.news.Ages().Servers,
+		wait:     s.behind(),
+	}.deaf(s.settings.Bounds.Leave.Std())
+}
+
+// situation is what tells whether a router is deaf.
+type situation struct {
+	// busy: its link is full or its processor time used up.
+	busy bool
+	// toldLost: it hears others, which say that the store answers none of them.
+	toldLost bool
+	// age is that of what it knows of the servers, and wait how long what it sends waits
+	// at its link.
+	age, wait time.Duration
+}
+
+// deaf tells whether callers are better off elsewhere. One that is cut off, or hears that
+// all are, knows as little, but others know no more, and it may be all that its callers
+// reach.
+func (s situation) deaf(within time.Duration) bool {
+	if !s.busy || s.toldLost {
 		return false
 	}
-	age := s.news.Ages().Servers
-	return age == peer.Unheard || age+s.behind() > s.settings.Bounds.Leave.Std()
+	return s.age == peer.Unheard || s.age+s.wait > within
 }
--- a/server/link_test.go
+++ b/server/link_test.go
@@ -5,8 +5,31 @@
 	"time"
 
 	"github.com/gaplink/gaplink/link"
+	"github.com/gaplink/gaplink/peer"
 )
 
+// TestRouterIsDeafByItsOwnFaultAlone: what it sends could reach a server too long after that
+// left, and others know better.
+func TestRouterIsDeafByItsOwnFaultAlone(t *testing.T) {
+	const within = 3 * time.Second
+	for name, c := range map[string]struct {
+		situation
+		deaf bool
+	}{
+		"all is well":                 {situation{age: time.Second}, false},
+		"busy, and knows":             {situation{busy: true, age: time.Second}, false},
+		"busy, and knows too little":  {situation{busy: true, age: 3100 * time.Millisecond}, true},
+		"what it sends waits as well": {situation{busy: true, age: 2 * time.Second, wait: 1100 * time.Millisecond}, true},
+		"busy, and has heard nothing": {situation{busy: true, age: peer.Unheard}, true},
+		"cut off":                     {situation{age: 10 * time.Second}, false},
+		"busy while all are cut off":  {situation{busy: true, toldLost: true, age: 10 * time.Second}, false},
+	} {
+		if got := c.situation.deaf(within); got != c.deaf {
+			t.Errorf("%s: deaf %v", name, got)
+		}
+	}
+}
+
 // TestRouterWithoutProcessorTimeIsBusy: the pattern is a router of a fifth of a core with
 // many callers whose timers fired up to 3.2 s late; what it knew was as old, with a link that
 // was nearly empty.
