--- a/Makefile
+++ b/Makefile
@@ -46,8 +46,10 @@
 	./bin/gaplink-lab moves
 
 # A random run of real routers under faults, checked while it runs: make soak SEED=7
+# SOAK_ROUTERS=18 makes a fleet in which few routers watch the store for the others.
 SEED ?= 1
 SOAK_SECONDS ?= 20
+SOAK_ROUTERS ?= 3
 .PHONY: soak
 soak: build
-	./bin/gaplink-lab soak --seed $(SEED) --seconds $(SOAK_SECONDS)
+	./bin/gaplink-lab soak --seed $(SEED) --seconds $(SOAK_SECONDS) --routers $(SOAK_ROUTERS)
--- a/bound/bound.go
+++ b/bound/bound.go
@@ -33,8 +33,7 @@
 	// way is how long a request takes from the last look at its server until it arrives
 	// there, on links that are not full.
 	way = 300 * time.Millisecond
-	// CallTimeout is how long a call of a store that says nothing takes, less what makes no
-	// difference here.
+	// CallTimeout is when a short call of a store that says nothing is given up.
 	CallTimeout = time.Second
 
 	// leastWatch keeps routers from asking all the time for bounds that they cannot keep
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -1,6 +1,10 @@
 package settings
 
-import "time"
+import (
+	"time"
+
+	"github.com/gaplink/gaplink/bound"
+)
 
 // Gateway are all static settings of a gateway: a router on a platform that
 // holds its configuration, server registrations and budgets.
@@ -150,7 +154,7 @@
 // DefaultGateway returns the settings that a file need not name.
 func DefaultGateway() Gateway {
 	return Gateway{
-		Store:   GatewayStore{Timeout: Duration(time.Second)},
+		Store:   GatewayStore{Timeout: Duration(bound.CallTimeout)},
 		Budgets: GatewayBudgets{Hold: Duration(20 * time.Second), Refill: 0.9, ScarceWithin: Duration(12 * time.Second)},
 		Servers: GatewayServers{DialTimeout: Duration(250 * time.Millisecond), IdleTimeout: Duration(10 * time.Second), ColdTimes: 1, ColdMore: 1},
 		Retries: GatewayRetries{Ratio: 0.2, Slack: 50},
