--- a/gateway/behind_test.go
+++ b/gateway/behind_test.go
@@ -33,7 +33,7 @@
 		900 * time.Millisecond: 1100 * time.Millisecond,
 		5 * time.Second:        time.Second,
 	} {
-		g := &Gateway{Parts: Parts{Config: still{c}, Behind: func() time.Duration { return waits }}}
+		g := &Gateway{Parts: Parts{Config: still{c}, LinkWait: func() time.Duration { return waits }}}
 		r := httptest.NewRequest(http.MethodGet, "/r/x", nil)
 		r.Host = "h"
 		one := &call{g: g, r: r, arrived: clock.Now(), catalog: c}
@@ -46,11 +46,11 @@
 	}
 }
 
-// TestRequestIsNotSentWhenTheRouterTurnsDeafMeanwhile: on a played day a request waited for
+// TestRequestIsNotSentWhenTheRouterTurnsStaleMeanwhile: on a played day a request waited for
 // 2.3 s in a router with a full link, and reached a server 3.6 s after that had left. Nothing of
 // it has gone out, so another router may take it at once.
-func TestRequestIsNotSentWhenTheRouterTurnsDeafMeanwhile(t *testing.T) {
-	g := &Gateway{Parts: Parts{Deaf: func() bool { return true }}}
+func TestRequestIsNotSentWhenTheRouterTurnsStaleMeanwhile(t *testing.T) {
+	g := &Gateway{Parts: Parts{Stale: func() bool { return true }}}
 	r := httptest.NewRequest(http.MethodGet, "/r/x", nil)
 	a := &attempt{call: &call{g: g, r: r, deadline: clock.Now().Add(time.Minute)}}
 	if a.holds() {
@@ -62,9 +62,9 @@
 	}
 }
 
-// TestDeafRouterTakesNoWork: it does not know which servers leave.
-func TestDeafRouterTakesNoWork(t *testing.T) {
-	g := &Gateway{Parts: Parts{Deaf: func() bool { return true }}}
+// TestStaleRouterTakesNoWork: it does not know which servers leave.
+func TestStaleRouterTakesNoWork(t *testing.T) {
+	g := &Gateway{Parts: Parts{Stale: func() bool { return true }}}
 	refusal := g.admit(&call{g: g})
 	if refusal == nil || refusal.Code != result.NotAccepted || refusal.RetryAfter <= 0 {
 		t.Errorf("refused with %+v", refusal)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,12 +56,12 @@
 	Metrics     *Metrics
 	// Routers returns the number of routers that share the servers.
 	Routers func() int
-	// Behind is how long requests and answers wait at the router's own link, in both
-	// directions together, and Deaf tells whether, by that and the age of what the router
+	// LinkWait is how long requests and answers wait at the router's own link, in both
+	// directions together, and Stale tells whether, by that and the age of what the router
 	// knows, a request could reach a server too long after that has left. nil: neither is
 	// known.
-	Behind func() time.Duration
-	Deaf   func() bool
+	LinkWait func() time.Duration
+	Stale    func() bool
 	// ServersAge is how old what is known of the servers is, counted from the store's
 	// answer; below 0: nothing was heard. nil: it is not known.
 	ServersAge func() time.Duration
--- a/gateway/steps.go
+++ b/gateway/steps.go
@@ -55,7 +55,7 @@
 
 // late refuses while a request could reach a server too long after that has left.
 func (g *Gateway) late() *result.Error {
-	if g.Deaf == nil || !g.Deaf() {
+	if g.Stale == nil || !g.Stale() {
 		return nil
 	}
 	return result.New(result.NotAccepted, "the router is behind").After(elsewhereRetry)
@@ -82,10 +82,10 @@
 // from before its bytes waited there, and the answer waits there again. At a full link
 // that is up to a second, and an answer at the end of the time would come late by it.
 func (g *Gateway) behind(limit time.Duration) time.Duration {
-	if g.Behind == nil {
+	if g.LinkWait == nil {
 		return 0
 	}
-	return min(g.Behind(), limit/behindPart)
+	return min(g.LinkWait(), limit/behindPart)
 }
 
 // unknown refuses what the configuration does not hold. A router that may have
--- a/server/link.go
+++ b/server/link.go
@@ -89,27 +89,27 @@
 	}
 }
 
-// behind is how long requests and answers wait at the router's link together, while that
+// linkWait is how long requests and answers wait at the router's link together, while that
 // is full. Calls take long for other reasons too, of which callers' bytes know nothing.
-func (s *Server) behind() time.Duration {
+func (s *Server) linkWait() time.Duration {
 	if !s.link.Full() {
 		return 0
 	}
 	return s.queue.Wait(clock.Now())
 }
 
-// deaf tells whether a request sent now could reach a server that left longer ago than the
+// stale tells whether a request sent now could reach a server that left longer ago than the
 // bound allows, through a fault of this router.
-func (s *Server) deaf() bool {
+func (s *Server) stale() bool {
 	return situation{
 		busy:     s.link.Busy(),
 		toldLost: s.news.ToldLost(),
 		age:      s.news.Ages().Servers,
-		wait:     s.behind(),
-	}.deaf(s.settings.Bounds.Leave.Std())
+		wait:     s.linkWait(),
+	}.stale(s.settings.Bounds.Leave.Std())
 }
 
-// situation is what tells whether a router is deaf.
+// situation is what tells whether a router is stale.
 type situation struct {
 	// busy: its link is full or its processor time used up.
 	busy bool
@@ -120,10 +120,10 @@
 	age, wait time.Duration
 }
 
-// deaf tells whether callers are better off elsewhere. One that is cut off, or hears that
+// stale tells whether callers are better off elsewhere. One that is cut off, or hears that
 // all are, knows as little, but others know no more, and it may be all that its callers
 // reach.
-func (s situation) deaf(within time.Duration) bool {
+func (s situation) stale(within time.Duration) bool {
 	if !s.busy || s.toldLost {
 		return false
 	}
--- a/server/link_test.go
+++ b/server/link_test.go
@@ -8,13 +8,13 @@
 	"github.com/gaplink/gaplink/peer"
 )
 
-// TestRouterIsDeafByItsOwnFaultAlone: what it sends could reach a server too long after that
+// TestRouterIsStaleByItsOwnFaultAlone: what it sends could reach a server too long after that
 // left, and others know better.
-func TestRouterIsDeafByItsOwnFaultAlone(t *testing.T) {
+func TestRouterIsStaleByItsOwnFaultAlone(t *testing.T) {
 	const within = 3 * time.Second
 	for name, c := range map[string]struct {
 		situation
-		deaf bool
+		stale bool
 	}{
 		"all is well":                 {situation{age: time.Second}, false},
 		"busy, and knows":             {situation{busy: true, age: time.Second}, false},
@@ -24,8 +24,8 @@
 		"cut off":                     {situation{age: 10 * time.Second}, false},
 		"busy while all are cut off":  {situation{busy: true, toldLost: true, age: 10 * time.Second}, false},
 	} {
-		if got := c.situation.deaf(within); got != c.deaf {
-			t.Errorf("%s: deaf %v", name, got)
+		if got := c.situation.stale(within); got != c.stale {
+			t.Errorf("%s: stale %v", name, got)
 		}
 	}
 }
--- a/server/provision.go
+++ b/server/provision.go
@@ -73,8 +73,8 @@
 		Routers:  s.members.Live,
 		Away:     s.away,
 		Full:     s.link.Full,
-		Behind:   s.behind,
-		Deaf:     s.deaf,
+		LinkWait: s.linkWait,
+		Stale:    s.stale,
 
 		ServersAge: func() time.Duration { return s.news.Ages().Servers },
 	})
