--- a/result/result.go
+++ b/result/result.go
@@ -103,7 +103,7 @@
 	{RateLimited, "RateLimited", 429, true, "The row's rate limit is reached.", "Retry after the time given."},
 	{TooManyInFlight, "TooManyInFlight", 429, true, "The row's limit on requests in flight is reached.", "Retry after the time given."},
 	{NoBackend, "NoBackend", 503, true, "No backend server can take the request now.", "Retry after the time given; operators: see the pool's health."},
-	{NotAccepted, "NotAccepted", 503, true, "Backend servers refused the request before running it.", "Retry after the time given."},
+	{NotAccepted, "NotAccepted", 503, true, "Backend servers refused the request before running it, none took it in time, or the router is too busy to know which servers leave.", "Retry after the time given."},
 	{DeadlinePassed, "DeadlinePassed", 504, true, "The caller's deadline passed before dispatch.", "Send a later deadline."},
 	{RetryBudgetSpent, "RetryBudgetSpent", 503, true, "An attempt did not run and the retry budget is spent.", "Retry after the time given."},
 	{HeldBack, "HeldBack", 503, true, "Backend servers ended each time they ran this request, so it was not sent to another one.", "Change the request; operators: `gaplinkctl verdict list`."},
