The tail of a budget is released by time, wherever its demand arises

Cause: each router admitted to the tail by the demand it saw, taken for its share of the fleet's (callers of an account come to one or two routers), and no request could take more than a quarter of what was left, which of a tail of 2,400 tokens none did. Now a schedule releases it: a third is left after 15 s, by the store's page, whichever router asks; one request may take half of it.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -70,7 +70,7 @@
 	p := a.purse(id)
 	p.used(now, need)
 	p.demand.add(now, need)
-	a.noteSmall(now, p, need)
+	a.noteTail(now, p)
 	a.refreshEscrow(now, p)
 	if p.take(need) {
 		a.prefetch(now, p)
@@ -125,6 +125,7 @@
 	switch m.Kind {
 	case Draw:
 		p.used(now, max(m.Need, 1))
+		a.noteTail(now, p)
 		a.drawAsked(now, p, m)
 	case Grant:
 		a.granted(now, p, m)
@@ -160,7 +161,6 @@
 		a.refuseDraw(p, d, Exhausted)
 		return
 	}
-	a.noteSmall(now, p, m.Need)
 	p.draws = append(p.draws, d)
 }
 
--- a/budget/config.go
+++ b/budget/config.go
@@ -75,8 +75,8 @@
 	// Routers is the number of routers that draw; it may be nil without
 	// ScarceWithin.
 	Routers func() int
-	// TailShare is the last share of a budget, which is spent slowly: so that it
-	// lasts about TailTime. 0: there is no tail.
+	// TailShare is the last share of a budget, which is spent slowly: a third of it is
+	// left after TailTime. 0: there is no tail.
 	TailShare float64
 	TailTime  time.Duration
 	// StarterShare is the part of a budget that all homes together hold of it
--- a/budget/purse.go
+++ b/budget/purse.go
@@ -79,15 +79,15 @@
 	sent        map[string]int64     // by the receiver's incarnation
 	received    map[string]int64     // by the sender's incarnation
 	holders     map[string]*holder
-	demand      rate    // tokens asked for
-	small       rate    // tokens asked for by requests that the tail serves
-	meanNeed    float64 // of one reservation, decayed by count
+	demand      rate      // tokens asked for
+	tailSince   time.Time // when only the tail was left; zero: more is
+	meanNeed    float64   // of one reservation, decayed by count
 	lastUse     time.Time
 	awake       bool // in the agent's list
 }
 
 func newPurse(id string, page int, window time.Duration) *purse {
-	return &purse{id: id, page: page, demand: rate{window: window}, small: rate{window: window}, passedOver: map[string]time.Time{}, sent: map[string]int64{}, received: map[string]int64{}, holders: map[string]*holder{}}
+	return &purse{id: id, page: page, demand: rate{window: window}, passedOver: map[string]time.Time{}, sent: map[string]int64{}, received: map[string]int64{}, holders: map[string]*holder{}}
 }
 
 // used notes that a request of need tokens asked for the budget.
--- a/budget/tail.go
+++ b/budget/tail.go
@@ -9,9 +9,9 @@
 // requests alone, so that an account whose budget runs out is still served a
 // little until it is topped up, and not refused altogether.
 
-// tailFraction is the largest part of the remaining tail that one request may
-// take.
-const tailFraction = 4
+// tailFraction is the part of the tail that one request may take at the most: one in two,
+// since the tail of a small budget holds but a few small requests.
+const tailFraction = 2
 
 // tail returns the size of a budget's tail in tokens.
 func (a *Agent) tail(r *Record) int64 {
@@ -24,6 +24,16 @@
 	return r != nil && a.cfg.TailShare > 0 && r.Free() <= a.tail(r)
 }
 
+// noteTail notes when a budget came to its tail.
+func (a *Agent) noteTail(now time.Time, p *purse) {
+	switch {
+	case !a.inTail(p):
+		p.tailSince = time.Time{}
+	case p.tailSince.IsZero():
+		p.tailSince = now
+	}
+}
+
 // record returns the budget in the router's copy of its page, nil if it has
 // none.
 func (a *Agent) record(p *purse) *Record {
@@ -34,24 +44,21 @@
 	return ps.page.Budgets[p.id]
 }
 
-// admitsTail tells whether a request may take from the tail: a small one, and
-// so many of those that the tail lasts for the configured time at the demand
-// that this router sees, which is taken for its share of the fleet's.
+// admitsTail tells whether a request may take from the tail: a small one, as far as the
+// schedule has released tokens for it. The schedule goes by time alone, and by what all
+// routers have left of the tail: at which routers the demand arises is not known.
 func (a *Agent) admitsTail(now time.Time, p *purse, need int64) bool {
-	free := a.record(p).Free()
-	if need > free/tailFraction {
-		return false
-	}
-	demand := float64(p.small.ahead(now, a.cfg.TailTime)) * float64(a.cfg.Routers())
-	return float64(free) > demand*chance(a.token)
+	r := a.record(p)
+	tail := a.tail(r)
+	return need <= tail/tailFraction && r.Free()-need >= a.keptOfTail(now, p, tail)
 }
 
-// noteSmall counts a request that the tail would serve.
-func (a *Agent) noteSmall(now time.Time, p *purse, need int64) {
-	r := a.record(p)
-	if r != nil && need <= a.tail(r)/tailFraction {
-		p.small.add(now, need)
-	}
+// keptOfTail is what must be left of the tail now: a third after the configured time, and
+// a little for long.
+func (a *Agent) keptOfTail(now time.Time, p *purse, tail int64) int64 {
+	a.noteTail(now, p)
+	times := now.Sub(p.tailSince).Seconds() / a.cfg.TailTime.Seconds()
+	return int64(float64(tail) * math.Exp(-times))
 }
 
 // chance spreads the numbers of reservations evenly over [0, 1).
--- a/budget/tail_test.go
+++ b/budget/tail_test.go
@@ -40,3 +40,39 @@
 		}
 	})
 }
+
+// TestTailIsSpentWhereTheDemandIs: all callers of an account come to one of six routers, and
+// its budget is small. On a played day 0.64 to all of the tails of ten accounts lay still to
+// the end, 15 to 30 s after their budgets were spent: each router took its own demand for a
+// sixth of the fleet's, and a request might take a quarter of what was left, which of a tail
+// of 2,400 tokens no request could. Meanwhile all were refused, and with few requests of
+// plain services in the mix the fleet counted as not recovered from its last fault.
+func TestTailIsSpentWhereTheDemandIs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const tailOf = 4000 // a fiftieth of the budget
+		n := &network{t: t, now: epoch.Add(time.Hour), page: budget.NewPage(), waiting: map[string]int64{}, limit: 50 * tailOf, limitVersion: 1, tail: true}
+		for i := range 6 {
+			n.routers = append(n.routers, &router{index: i})
+		}
+		for _, r := range n.routers {
+			n.bootOwnHome(r)
+		}
+		r := n.routers[0]
+		need := rapid.Int64Range(600, 1400).Draw(t, "need")
+		for range 600 { // 10 requests a second, 60 s
+			n.reserve(r, need)
+			n.perform(r, r.agent.Tick(n.at(r)))
+			for len(r.store) > 0 {
+				n.answer(r, "done")
+			}
+			for len(r.running) > 0 {
+				n.finish(r, need)
+			}
+			n.now = n.now.Add(100 * time.Millisecond)
+			n.checkSpent()
+		}
+		if left := n.limit - n.spent; left > tailOf/2 {
+			t.Fatalf("%d of a tail of %d tokens lie still 40 s after the rest was spent, by requests of %d", left, tailOf, need)
+		}
+	})
+}
