--- a/budget/backoff.go
+++ b/budget/backoff.go
@@ -1,6 +1,9 @@
 package budget
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // This file is how routers that write one page at the same time make way for each
 // other.
@@ -41,3 +44,10 @@
 	}
 	return now.Sub(ps.conflictedAt) < pause
 }
+
+// chance spreads the numbers of reservations evenly over [0, 1).
+func chance(n uint64) float64 {
+	const golden = 0.6180339887498949 // the fractional multiples of the golden ratio are spread evenly
+	_, f := math.Modf(float64(n) * golden)
+	return f
+}
--- a/budget/tail.go
+++ b/budget/tail.go
@@ -61,13 +61,6 @@
 	return int64(float64(tail) * math.Exp(-times))
 }
 
-// chance spreads the numbers of reservations evenly over [0, 1).
-func chance(n uint64) float64 {
-	const golden = 0.6180339887498949 // the fractional multiples of the golden ratio are spread evenly
-	_, f := math.Modf(float64(n) * golden)
-	return f
-}
-
 // spendable returns the free tokens of a budget that a draw may take.
 func (a *Agent) spendable(r *Record, fromTail bool) int64 {
 	free := r.Free()
