A router without descriptors does not send by old knowledge

Callers' requests reached servers 3.2 s and 4.2 s after those had left at two routers whose callers had used up their descriptors (a hot account; "too many open files"): each question to others and to the store failed at once, while kept connections served on, with what was known of the servers up to 9.4 s old. The rule for busy routers asked for a full link or lacking processor time. One call without a descriptor counts for a second now, and such a router refuses as not run what it could send too late.

Test: errors with and without that cause.

--- a/controller/news/ask.go
+++ b/controller/news/ask.go
@@ -91,6 +91,9 @@
 		c.Took(clock.Since(begun))
 	}
 	if err != nil {
+		if c.Failed != nil {
+			c.Failed(err)
+		}
 		c.Members.Failed(id, err)
 		c.failed()
 		return
--- a/controller/news/news.go
+++ b/controller/news/news.go
@@ -89,6 +89,8 @@
 	TooOld func(passesOn bool) peer.Ages
 	// Answered tells when the store last answered any call of this process.
 	Answered func() time.Time
+	// Failed is told why a question has failed; nil: nobody wants to know.
+	Failed func(error)
 	// Took is told how long each question took; nil: nobody wants to know.
 	Took func(time.Duration)
 	// Large tells whether the fleet is so large that few watch for all.
--- a/server/link.go
+++ b/server/link.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,6 +31,8 @@
 	away  bool // as observed last
 	// starved tells that the last window ended late, since the process had no turn.
 	starved bool
+	// noFilesUntil is until when the process counts as out of descriptors.
+	noFilesUntil time.Time
 }
 
 // Away tells whether the router should get no new connections.
@@ -45,12 +49,25 @@
 	return l.guard.Full()
 }
 
-// Busy tells whether the link is full or the processor time is used up, so that what this
-// router hears and sends is late.
+// Busy tells whether the link is full, or the processor time or the descriptors are used
+// up, so that what this router hears and sends is late.
 func (l *linkState) Busy() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.guard.Full() || l.starved
+	return l.guard.Full() || l.starved || clock.Now().Before(l.noFilesUntil)
+}
+
+// noFilesFor is how long one call without a descriptor counts: some questions to others.
+const noFilesFor = time.Second
+
+// failed takes how a question to another router has failed.
+func (l *linkState) failed(err error) {
+	if !errors.Is(err, syscall.EMFILE) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.noFilesUntil = clock.Now().Add(noFilesFor)
 }
 
 // observe takes the load of a window and how long that was, and tells whether Away has
@@ -111,7 +128,7 @@
 
 // situation is what tells whether a router is stale.
 type situation struct {
-	// busy: its link is full or its processor time used up.
+	// busy: its link is full, or its processor time or its descriptors are used up.
 	busy bool
 	// toldLost: it hears others, which say that the store answers none of them.
 	toldLost bool
--- a/server/link_test.go
+++ b/server/link_test.go
@@ -1,6 +1,11 @@
 package server
 
 import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -53,3 +58,18 @@
 		}
 	}
 }
+
+// TestRouterWithoutDescriptorsIsBusy: the pattern is a hot account whose callers used up the
+// descriptors of a router. Each of its questions to others and to the store failed at once, it
+// served on by kept connections, and what it knew of the servers grew 9 s old.
+func TestRouterWithoutDescriptorsIsBusy(t *testing.T) {
+	var l linkState
+	l.failed(fmt.Errorf("%w: %w", peer.ErrNotSent, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ETIMEDOUT)}))
+	if l.Busy() {
+		t.Error("busy since another router does not answer")
+	}
+	l.failed(errors.Join(peer.ErrNotSent, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}))
+	if !l.Busy() {
+		t.Error("not busy without descriptors")
+	}
+}
--- a/server/provision.go
+++ b/server/provision.go
@@ -104,6 +104,7 @@
 		AsOf:     s.storeAsOf,
 		TooOld:   s.tooOld,
 		Answered: s.store.Answered,
+		Failed:   s.link.failed,
 
 		Took: func(d time.Duration) { s.queue.Observe(clock.Now(), d) },
 	})
