--- a/controller/follow/follow.go
+++ b/controller/follow/follow.go
@@ -160,6 +160,9 @@
 // asked again at once.
 func (f *Follower) pause(part Part) time.Duration {
 	f.failures++
+	if part == Deputy && f.Scout != nil {
+		return retryPause // nothing is drawn for it
+	}
 	if part == Deputy || f.failures == 1 {
 		return 0
 	}
