--- a/controller/follow/follow_test.go
+++ b/controller/follow/follow_test.go
@@ -220,6 +220,23 @@
 	})
 }
 
+// TestFollowerWithAScoutPausesAfterARefusal: the store has just answered the scout and refuses
+// this kind. Asked again without a pause, it would be called in a hot loop, in which virtual
+// time stands still.
+func TestFollowerWithAScoutPausesAfterARefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{}
+		s.down.Store(true)
+		o := options(s, func() follow.Part { return follow.Deputy })
+		o.Scout = func() bool { return true }
+		go follow.New(o).Run(t.Context())
+		time.Sleep(time.Second)
+		if n := s.calls.Load() + s.probes.Load(); n > 5 {
+			t.Errorf("%d calls in a second", n)
+		}
+	})
+}
+
 // TestFollowerGoesOnFromWhatOthersHaveTold, without a list: the store tells what has changed
 // since, also what has gone.
 func TestFollowerGoesOnFromWhatOthersHaveTold(t *testing.T) {
