Read once more: one limiter of log lines, nothing asked at each request that only a busy router needs

No change of what is decided. The limiter of lines about unreadable registrations stood a second time in members; logs.Sparse serves both (left_out there counted also what would not have been written). Whether a router is stale looked at ages and locks at each request, twice; only a busy one does. Written twice and now once: refusing what waits, whether the store is lost, noting when a budget came to its tail. Parts.UsableFor had no reader. Tests unchanged; bound, budget, server and all of controller run: ok.

--- a/bound/bound.go
+++ b/bound/bound.go
@@ -70,7 +70,7 @@
 }
 
 // Sum is the longest time from a change until no request goes by what was before.
-func (p Parts) Sum() time.Duration { return p.UsableFor() + p.Way }
+func (p Parts) Sum() time.Duration { return p.Watch + p.Telling + p.Finding + p.Way }
 
 // TooOld is the age from which a router does not go by what others tell, but looks for the
 // store itself.
@@ -79,9 +79,6 @@
 // TooOldToTell is the same for a router that passes news on.
 func (p Parts) TooOldToTell() time.Duration { return p.Watch + p.Telling/2 }
 
-// UsableFor is the age up to which what is known may decide where a request is sent.
-func (p Parts) UsableFor() time.Duration { return p.TooOld() + p.Finding }
-
 // Retry is how long a router that found no store may wait until it tries again. With the
 // time of a try that began just before the store was back, it is right again within the bound.
 func (p Parts) Retry() time.Duration { return max(p.Sum()-CallTimeout, CallTimeout) }
--- a/budget/entry.go
+++ b/budget/entry.go
@@ -46,10 +46,7 @@
 	if !ok || now.Sub(passed) >= passedFor {
 		return false
 	}
-	for _, w := range p.waiters {
-		a.emit(Resolve{Token: w.token, Cause: Unreachable})
-	}
-	p.waiters = nil
+	a.refuseWaiters(p, Unreachable)
 	return true
 }
 
--- a/budget/search.go
+++ b/budget/search.go
@@ -134,12 +134,17 @@
 }
 
 func (a *Agent) refuseAll(p *purse, cause Cause) {
-	for _, w := range p.waiters {
-		a.emit(Resolve{Token: w.token, Cause: cause})
-	}
-	p.waiters = nil
+	a.refuseWaiters(p, cause)
 	for _, d := range p.draws {
 		a.refuseDraw(p, d, cause)
 	}
 	p.draws = nil
 }
+
+// refuseWaiters refuses the reservations of this router's own requests.
+func (a *Agent) refuseWaiters(p *purse, cause Cause) {
+	for _, w := range p.waiters {
+		a.emit(Resolve{Token: w.token, Cause: cause})
+	}
+	p.waiters = nil
+}
--- a/budget/tail.go
+++ b/budget/tail.go
@@ -53,10 +53,9 @@
 	return need <= tail/tailFraction && r.Free()-need >= a.keptOfTail(now, p, tail)
 }
 
-// keptOfTail is what must be left of the tail now: a third after the configured time, and
+// keptOfTail is what must be left of the tail now, which noteTail has seen come: a third after the configured time, and
 // a little for long.
 func (a *Agent) keptOfTail(now time.Time, p *purse, tail int64) int64 {
-	a.noteTail(now, p)
 	times := now.Sub(p.tailSince).Seconds() / a.cfg.TailTime.Seconds()
 	return int64(float64(tail) * math.Exp(-times))
 }
--- a/controller/members/members.go
+++ b/controller/members/members.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/gaplink/gaplink/clock"
+	"github.com/gaplink/gaplink/logs"
 	"github.com/gaplink/gaplink/membership"
 )
 
@@ -34,7 +35,7 @@
 	ranked map[string]ranked // what First found lately
 	lists  map[string]list   // what rankLargest found lately
 	live   counted
-	notes  map[string]passedNote // of the routers that were passed over
+	notes  map[string]*logs.Sparse // of the routers that were passed over
 	// excused tells that failed calls say nothing about the members.
 	excused func() bool
 }
@@ -74,7 +75,7 @@
 		view:   membership.NewView(self),
 		ranked: map[string]ranked{},
 		lists:  map[string]list{},
-		notes:  map[string]passedNote{},
+		notes:  map[string]*logs.Sparse{},
 
 		excused: func() bool { return false },
 	}
@@ -301,33 +302,25 @@
 	known := c.view.Suspected(now, id)
 	c.view.Failed(now, id)
 	c.viewChanged()
-	leftOut, due := c.noteDue(now, id)
+	leftOut, due := int64(0), false
+	if !known {
+		leftOut, due = c.sparse(id).Due(now, noteEvery)
+	}
 	c.mu.Unlock()
-	if !known && due {
-		c.log.Info("router passed over", zap.String("router", id), zap.Int("left_out", leftOut), zap.Error(cause))
+	if due {
+		c.log.Info("router passed over", zap.String("router", id), zap.Int64("left_out", leftOut), zap.Error(cause))
 	}
 }
 
-// passedNote is the last line about a router that was passed over.
-type passedNote struct {
-	at time.Time
-	// leftOut are the lines since then that were not written.
-	leftOut int
-}
-
-// noteEvery bounds the lines about one router.
+// noteEvery bounds the lines about one router that is passed over.
 const noteEvery = 2 * time.Second
 
-// noteDue tells whether a line about a router is due, and how many were left out before.
-func (c *Controller) noteDue(now time.Time, id string) (leftOut int, due bool) {
-	n := c.notes[id]
-	if now.Sub(n.at) < noteEvery {
-		n.leftOut++
-		c.notes[id] = n
-		return 0, false
+// sparse bounds the lines about a router. It is called under the lock.
+func (c *Controller) sparse(id string) *logs.Sparse {
+	if c.notes[id] == nil {
+		c.notes[id] = &logs.Sparse{}
 	}
-	c.notes[id] = passedNote{at: now}
-	return n.leftOut, true
+	return c.notes[id]
 }
 
 // Reached records that a member answered.
--- a/controller/news/news.go
+++ b/controller/news/news.go
@@ -181,12 +181,7 @@
 // StoreLost tells whether the store does not answer this router, or those that
 // watch it for the fleet.
 func (c *Controller) StoreLost() bool {
-	if c.Lost() {
-		return true
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.toldLost()
+	return c.Lost() || c.ToldLost()
 }
 
 // ToldLost tells whether the store does not answer those that watch it, as they say.
--- a/controller/news/roles.go
+++ b/controller/news/roles.go
@@ -20,10 +20,10 @@
 	if !c.Large() || c.isWatcher() {
 		return follow.Follows
 	}
-	origin, heard := c.heardOf()
 	if c.isTeller() && !c.HeardLately() {
 		return follow.Deputy // others wait for it, also those that the store turns away
 	}
+	origin, heard := c.heardOf()
 	if !heard || c.Fresh() && c.goesFirst(origin) {
 		return follow.Deputy
 	}
--- a/controller/registry/unreadable.go
+++ b/controller/registry/unreadable.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/gaplink/gaplink/logs"
 	"github.com/gaplink/gaplink/store"
 )
 
@@ -15,21 +16,17 @@
 // unreadable counts the registrations that could not be read.
 type unreadable struct {
 	count int64
-	// loggedAt is when the last line was written, and leftOut how many lines were
-	// not written since.
-	loggedAt time.Time
-	leftOut  int64
+	lines logs.Sparse
 }
 
 // note counts a version of a registration and logs it, unless a line was written
 // just now.
 func (u *unreadable) note(log *zap.Logger, now time.Time, o store.Object, cause error) {
 	u.count++
-	if now.Sub(u.loggedAt) < unreadableLogEvery {
-		u.leftOut++
+	leftOut, due := u.lines.Due(now, unreadableLogEvery)
+	if !due {
 		return
 	}
 	log.Error("registration is not readable; it names no server", zap.String("key", o.Key), zap.Int64("version", o.Version),
-		zap.Int64("lines_left_out", u.leftOut), zap.Error(cause))
-	u.loggedAt, u.leftOut = now, 0
+		zap.Int64("lines_left_out", leftOut), zap.Error(cause))
 }
--- a/server/link.go
+++ b/server/link.go
@@ -118,12 +118,14 @@
 // stale tells whether a request sent now could reach a server that left longer ago than the
 // bound allows, through a fault of this router.
 func (s *Server) stale() bool {
-	return situation{
-		busy:     s.link.Busy(),
-		toldLost: s.news.ToldLost(),
-		age:      s.news.Ages().Servers,
-		wait:     s.linkWait(),
-	}.stale(s.settings.Bounds.Leave.Std())
+	now := situation{busy: s.link.Busy()}
+	if !now.busy {
+		return false // asked for at each request, and mostly so
+	}
+	now.toldLost = s.news.ToldLost()
+	now.age = s.news.Ages().Servers
+	now.wait = s.linkWait()
+	return now.stale(s.settings.Bounds.Leave.Std())
 }
 
 // situation is what tells whether a router is stale.
