Propagation of reports between routers in a package of its own

What a router observes of poison requests is propagated by an outbox, a queue for each router, a log for routers that ask for updates, and catching up after a pause. No change of behaviour; the tests of verdicts, news and poison run unchanged: ok.

--- a/controller/verdicts/keep.go
+++ b/controller/verdicts/keep.go
@@ -50,7 +50,10 @@
 // keepLater has the store follow. It is called under the lock.
 func (c *Controller) keepLater(request poison.Fingerprint, k keeping) {
 	c.toKeep[request] = k
-	signal(c.kept)
+	select {
+	case c.kept <- struct{}{}:
+	default: // it is awake already
+	}
 }
 
 // keepVerdicts writes to the store what it should hold, one after the other.
--- a/controller/verdicts/verdicts.go
+++ b/controller/verdicts/verdicts.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/gaplink/gaplink/clock"
+	"github.com/gaplink/gaplink/controller/spread"
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/poison"
@@ -67,15 +68,12 @@
 	// while no server has ended.
 	watching atomic.Bool
 
-	mu     sync.Mutex
-	table  *poison.Table
-	looks  map[placement.Incarnation]*look
-	outbox poison.Report
-	wake   chan struct{} // there is something in the outbox
-	// queues are what routers are still to be told, by id; there is one for each router
-	// that somebody delivers to.
-	queues map[string]dated
-	news   newsLog
+	// spread propagates what this router observed.
+	spread *spread.Spreader[poison.Report]
+
+	mu    sync.Mutex
+	table *poison.Table
+	looks map[placement.Incarnation]*look
 	// toKeep are the verdicts that the store has not followed yet.
 	toKeep map[poison.Fingerprint]keeping
 	kept   chan struct{} // there is something to keep
@@ -92,24 +90,23 @@
 
 // New returns a controller that knows nothing.
 func New(o Options) *Controller {
-	return &Controller{
+	c := &Controller{
 		Options: o,
 		table:   poison.NewTable(),
 		looks:   map[placement.Incarnation]*look{},
-		wake:    make(chan struct{}, 1),
-		queues:  map[string]dated{},
 		kept:    make(chan struct{}, 1),
 		toKeep:  map[poison.Fingerprint]keeping{},
 	}
+	c.spread = c.newSpreader()
+	return c
 }
 
 // Run tells the other routers, keeps verdicts and forgets old ends until the context
 // ends. It begins by asking another router, and the store, what is known.
 func (c *Controller) Run(ctx context.Context) {
-	go c.tellOthers(ctx)
+	go c.spread.Run(ctx)
 	go c.keepVerdicts(ctx)
-	go c.noticePauses(ctx)
-	c.CatchUp(ctx)
+	c.spread.CatchUp(ctx)
 	go c.load(ctx)
 	ticker := time.NewTicker(expireEvery)
 	defer ticker.Stop()
@@ -138,7 +135,7 @@
 	v, refused, trial := c.table.Admit(clock.Now(), request)
 	if trial {
 		c.Log.Info("held back no more: one run is let through", zap.Stringer("fingerprint", request))
-		c.send(poison.Report{Trials: []poison.Fingerprint{request}})
+		c.spread.Send(poison.Report{Trials: []poison.Fingerprint{request}})
 	}
 	return v, refused
 }
@@ -211,19 +208,12 @@
 		return
 	}
 	if from.own {
-		c.send(news)
+		c.spread.Send(news)
 	} else {
-		c.news.add(news)
+		c.spread.Note(news)
 	}
 }
 
-// send has the others told. It is called under the lock.
-func (c *Controller) send(r poison.Report) {
-	c.news.add(r)
-	c.outbox.Add(r)
-	signal(c.wake)
-}
-
 // heldOf returns the requests of a report that are held back and that it may lift.
 func (c *Controller) heldOf(now time.Time, r poison.Report) (held []poison.Fingerprint) {
 	add := func(f poison.Fingerprint) {
--- a/poison/report.go
+++ b/poison/report.go
@@ -80,3 +80,11 @@
 	r.Liftings = append(r.Liftings, other.Liftings...)
 	r.Trials = append(r.Trials, other.Trials...)
 }
+
+// Merged returns a report that tells what this one does and then what a later one does.
+func (r Report) Merged(later Report) Report {
+	var merged Report
+	merged.Add(r)
+	merged.Add(later)
+	return merged
+}
