Enforce the rate limits that backend servers name, over all routers

What callers saw: nothing at once; a backend server that named a rate limit in its answers went on getting three to four times as much, which is what makes a server in need fail.

Cause: no code read the limit, and none could have kept it: what all routers may do together at a server was counted by each alone, or not at all.

Change: platform/ decodes the limit; controller/limits learns and propagates it; a request for a limited server needs a permit from an owner of the server's rate (package limiter). Cold servers use the same permits, so that package warmup with its turns goes, and with it the settings cold_times and cold_more, which sized the turns: permits keep the rate itself. A request picked before its server went cold needs a permit of its own now, also if its own turn would have been due.

One owner for every rate was tried and not kept: 27 requests in a second where 19.85 are allowed, when routers know two thirds of each other.

--- a/cli/ctl/ctl.go
+++ b/cli/ctl/ctl.go
@@ -62,7 +62,7 @@
 	flags.StringVar(&c.router, "router", envOr("GAPLINK_ROUTER", "127.0.0.1:7100"), "IP:port of a router's peer side")
 	flags.StringVar(&c.operator, "operator", envOr("USER", "operator"), "name for the audit trail")
 	flags.StringVarP(&c.output, "output", "o", "text", "text or json")
-	root.AddCommand(c.accountCommand(), c.budgetCommand(), c.poolCommand(), c.tableCommand(), c.auditCommand(), c.billsCommand(), c.statusCommand(), c.verdictCommand())
+	root.AddCommand(c.accountCommand(), c.budgetCommand(), c.poolCommand(), c.tableCommand(), c.auditCommand(), c.billsCommand(), c.statusCommand(), c.verdictCommand(), c.limitCommand())
 	return root
 }
 
--- /dev/null
+++ b/controller/limits/over.go
@@ -0,0 +1,44 @@
+package limits
+
+import (
+	"context"
+
+	"github.com/gaplink/gaplink/clock"
+	"github.com/gaplink/gaplink/controller/spread"
+	"github.com/gaplink/gaplink/limiter"
+	"github.com/gaplink/gaplink/peer"
+)
+
+// ownerRole is the role by which routers are ranked as owners of a server's rate.
+const ownerRole = "rate/"
+
+// Over is a Fleet over the protocol between routers.
+type Over struct {
+	spread.Audience
+	Client *peer.Client
+}
+
+var _ Fleet = Over{}
+
+// Owners implements Fleet.
+func (o Over) Owners(server string) []string {
+	return o.Members.Owners(clock.Now(), ownerRole+server, limiter.OwnersAtMost)
+}
+
+// Ask implements Fleet.
+func (o Over) Ask(ctx context.Context, id string, req *peer.PermitRequest) (*peer.PermitAnswer, error) {
+	addr, ok := o.Members.Addr(id)
+	if !ok {
+		return nil, peer.ErrNotSent
+	}
+	return peer.Call[peer.PermitRequest, peer.PermitAnswer](ctx, o.Client, addr, peer.MethodPermit, req)
+}
+
+// Report implements Fleet.
+func (o Over) Report(ctx context.Context, id string, req *peer.LimitsRequest) (*peer.LimitsAnswer, error) {
+	addr, ok := o.Members.Addr(id)
+	if !ok {
+		return nil, peer.ErrNotSent
+	}
+	return peer.Call[peer.LimitsRequest, peer.LimitsAnswer](ctx, o.Client, addr, peer.MethodLimits, req)
+}
--- a/controller/members/members.go
+++ b/controller/members/members.go
@@ -34,6 +34,7 @@
 	onList []func([]membership.Member)
 	ranked map[string]ranked // what First found lately
 	lists  map[string]list   // what rankLargest found lately
+	owners map[string]list   // what Owners found lately
 	live   counted
 	notes  map[string]*logs.Sparse // of the routers that were passed over
 	// excused tells that failed calls say nothing about the members.
@@ -75,6 +76,7 @@
 		view:   membership.NewView(self),
 		ranked: map[string]ranked{},
 		lists:  map[string]list{},
+		owners: map[string]list{},
 		notes:  map[string]*logs.Sparse{},
 
 		excused: func() bool { return false },
@@ -178,6 +180,7 @@
 func (c *Controller) viewChanged() {
 	clear(c.ranked)
 	clear(c.lists)
+	clear(c.owners)
 }
 
 // FirstIn returns the best usable members of a failure domain for a role, at most so
@@ -217,19 +220,17 @@
 	return m.Addr, ok
 }
 
-// Count returns the number of listed routers, usable or not, this one among them.
-func (c *Controller) Count() int {
+// Owners returns the first listed routers for a role, best first, whether they are
+// suspected or not.
+func (c *Controller) Owners(now time.Time, role string, most int) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.view.Count()
-}
-
-// IsAmong tells whether this router is one of the first few for a role over all listed
-// routers, usable or not.
-func (c *Controller) IsAmong(role string, first int) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.view.IsAmong(role, first)
+	if o, ok := c.owners[role]; ok && now.Before(o.until) {
+		return o.ids
+	}
+	ids := c.view.Owners(role, most)
+	c.owners[role] = list{ids: ids, until: now.Add(rankFor)}
+	return ids
 }
 
 // Incarnation returns the process last known at an instance; empty if none is.
--- a/controller/news/ask.go
+++ b/controller/news/ask.go
@@ -81,7 +81,7 @@
 		return
 	}
 	c.mu.Lock()
-	req := &peer.NewsRequest{Source: c.source, Seq: c.seq, VerdictSource: c.verdictSource, VerdictSeq: c.verdictSeq}
+	req := &peer.NewsRequest{Source: c.source, Seq: c.seq, ReportSource: c.reportSource, VerdictSeq: c.verdictSeq, LimitSeq: c.limitSeq}
 	c.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -99,7 +99,7 @@
 		return
 	}
 	c.Members.Reached(id)
-	c.takeVerdicts(answer)
+	c.takeReports(answer)
 	c.take(ctx, id, answer, begun)
 }
 
--- a/controller/news/fleet_test.go
+++ b/controller/news/fleet_test.go
@@ -19,11 +19,13 @@
 	"github.com/gaplink/gaplink/controller/configs"
 	"github.com/gaplink/gaplink/controller/evacuations"
 	"github.com/gaplink/gaplink/controller/follow"
+	"github.com/gaplink/gaplink/controller/limits"
 	"github.com/gaplink/gaplink/controller/members"
 	"github.com/gaplink/gaplink/controller/news"
 	"github.com/gaplink/gaplink/controller/registry"
 	"github.com/gaplink/gaplink/controller/verdicts"
 	"github.com/gaplink/gaplink/lab/clocktest"
+	"github.com/gaplink/gaplink/limiter"
 	"github.com/gaplink/gaplink/membership"
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/placement"
@@ -55,10 +57,12 @@
 	calls   int // at the full price
 	byEach  [routers]int
 	probes  int
-	reports int                   // of requests that end servers
-	cutOff  func(router int) bool // from the store
-	deaf    func(router int) bool // watches of it hear nothing
-	muted   func(router int) bool // the store does not say a word to it
+	reports int // of requests that end servers
+	// limitReports counts the reports of rate limits.
+	limitReports int
+	cutOff       func(router int) bool // from the store
+	deaf         func(router int) bool // watches of it hear nothing
+	muted        func(router int) bool // the store does not say a word to it
 	// within is the operator's bound on changes; 0: that of a large deployment.
 	within  time.Duration
 	stopped map[string]bool // routers that do not answer, by address
@@ -79,6 +83,7 @@
 	stop    context.CancelFunc
 
 	verdicts    *verdicts.Controller
+	limits      *limits.Controller
 	evacuations *evacuations.Controller
 }
 
@@ -295,9 +300,13 @@
 		Log:      zap.NewNop(),
 	})
 	r.verdicts = verdicts.New(verdicts.Options{Checker: gone{}, Servers: allWork{}, Fleet: peers{calls{f}, r}, Log: zap.NewNop()})
+	r.limits = limits.New(limits.Options{
+		Self: self.ID, Fleet: limitPeers{peers{calls{f}, r}}, Settled: func() bool { return true },
+		Runs: func(placement.Incarnation) bool { return true }, Log: zap.NewNop(),
+	})
 	r.news = news.New(news.Options{
 		Configs: r.configs, Servers: r.servers, Members: known, Calls: calls{f},
-		Verdicts: r.verdicts, Evacuations: r.evacuations,
+		Verdicts: r.verdicts, Limits: r.limits, Evacuations: r.evacuations,
 		Self: self.ID + "/1", Domain: self.Domain,
 		Lost:     func() bool { return both((*follow.Follower).Lost) > 0 },
 		Fresh:    func() bool { return both((*follow.Follower).Fresh) == len(followers) },
@@ -336,6 +345,7 @@
 	}
 	go r.news.Run(ctx)
 	go r.verdicts.Run(ctx)
+	go r.limits.Run(ctx)
 	go r.servers.Run(ctx)
 }
 
@@ -667,6 +677,58 @@
 	})
 }
 
+// limitPeers is how the routers of a test report rate limits to each other.
+type limitPeers struct{ peers }
+
+// Report implements limits.Fleet; members are called by their address.
+func (p limitPeers) Report(ctx context.Context, id string, req *peer.LimitsRequest) (*peer.LimitsAnswer, error) {
+	r, err := p.at(ctx, p.self.addrOf(id))
+	if err != nil {
+		return nil, err
+	}
+	p.fleet.mu.Lock()
+	p.fleet.limitReports++
+	p.fleet.mu.Unlock()
+	return r.limits.OnReport(ctx, req)
+}
+
+// Owners implements limits.Fleet.
+func (p limitPeers) Owners(string) []string { return nil }
+
+// Ask implements limits.Fleet.
+func (p limitPeers) Ask(context.Context, string, *peer.PermitRequest) (*peer.PermitAnswer, error) {
+	return nil, errCut
+}
+
+// Guards against routers of a large fleet that do not learn in time that the limit of a
+// server has begun or ended, also while the store is away from all, and against reports
+// from each router to each other one.
+func TestLimitReachesALargeFleet(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.cut(func(int) bool { return true })
+		time.Sleep(5 * time.Second)
+		f.mu.Lock()
+		f.limitReports = 0
+		f.mu.Unlock()
+		server := placement.Incarnation{ID: "s1"}
+		for n, named := range []bool{true, false} {
+			now := time.Now()
+			f.all[7*n+5].limits.Observe(limiter.Observation{Server: server, Named: named, Rate: 1.2, Sent: now, Received: now})
+			time.Sleep(time.Second)
+			for _, r := range f.all {
+				if got := r.limits.Limited() == 1; got != named {
+					t.Errorf("router %d: limited %v a second after an answer that said %v", r.number, got, named)
+				}
+			}
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if most := 2 * (2*domains + 2); f.limitReports > most {
+			t.Errorf("%d reports among %d routers", f.limitReports, routers)
+		}
+	})
+}
+
 // gone finds every server gone.
 type gone struct{}
 
--- a/controller/news/news.go
+++ b/controller/news/news.go
@@ -16,6 +16,7 @@
 	"github.com/gaplink/gaplink/controller/configs"
 	"github.com/gaplink/gaplink/controller/members"
 	"github.com/gaplink/gaplink/controller/registry"
+	"github.com/gaplink/gaplink/limiter"
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/poison"
 )
@@ -67,8 +68,10 @@
 	// Evacuations tells and takes which failure domains are emptied.
 	Evacuations Evacuations
 	Members     *members.Controller
-	// Verdicts tells and takes what is known of requests that end servers.
+	// Verdicts tells and takes what is known of requests that end servers, and Limits what
+	// is known of the rate limits that servers name.
 	Verdicts Verdicts
+	Limits   Limits
 	// Calls carries the questions.
 	Calls Calls
 	// Self is this process.
@@ -114,6 +117,14 @@
 	Receive(poison.Report)
 }
 
+// Limits is what routers know of the rate limits that servers name.
+type Limits interface {
+	// Since returns what came after a number of the log, and the number of its end.
+	Since(seq int64) (limiter.Report, int64)
+	// Receive takes what another router knows.
+	Receive(limiter.Report)
+}
+
 // Controller asks and answers. It is safe for concurrent use.
 type Controller struct {
 	Options
@@ -130,8 +141,9 @@
 	next     int       // which of the candidates is asked
 	told     bool      // the log has the present source of news
 
-	verdictSource string // whose verdicts were taken last
-	verdictSeq    int64  // up to which number of its log
+	reportSource string // whose reports were taken last
+	// verdictSeq and limitSeq are up to which numbers of its logs.
+	verdictSeq, limitSeq int64
 
 	fetching atomic.Bool // a configuration is being fetched
 
--- a/controller/news/pair_test.go
+++ b/controller/news/pair_test.go
@@ -13,6 +13,7 @@
 	"github.com/gaplink/gaplink/catalog"
 	"github.com/gaplink/gaplink/controller/configs"
 	"github.com/gaplink/gaplink/controller/evacuations"
+	"github.com/gaplink/gaplink/controller/limits"
 	"github.com/gaplink/gaplink/controller/members"
 	"github.com/gaplink/gaplink/controller/news"
 	"github.com/gaplink/gaplink/controller/registry"
@@ -63,6 +64,7 @@
 			Configs: held,
 			Servers: servers, Members: known, Calls: p,
 			Verdicts:    verdicts.New(verdicts.Options{Checker: gone{}, Servers: allWork{}, Log: zap.NewNop()}),
+			Limits:      limits.New(limits.Options{Log: zap.NewNop()}),
 			Evacuations: evacuations.New(evacuations.Options{Log: zap.NewNop()}),
 			Self:        member(self).ID + "/1", Domain: member(self).Domain,
 			Lost: func() bool { return false }, Fresh: fresh, Revision: revision,
--- a/controller/news/take.go
+++ b/controller/news/take.go
@@ -12,15 +12,16 @@
 
 // This file takes the answers of other routers.
 
-// takeVerdicts takes what a router tells of requests that end servers, whether or not
-// it has news from the store.
-func (c *Controller) takeVerdicts(answer *peer.NewsAnswer) {
+// takeReports takes what a router tells of requests that end servers and of rate limits,
+// whether or not it has news from the store.
+func (c *Controller) takeReports(answer *peer.NewsAnswer) {
 	c.Verdicts.Receive(answer.Verdicts)
+	c.Limits.Receive(answer.Limits)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.verdictSource, c.verdictSeq = "", answer.VerdictSeq
-	if answer.VerdictSeq > 0 { // an empty log need not be named
-		c.verdictSource = answer.Source
+	c.reportSource, c.verdictSeq, c.limitSeq = "", answer.VerdictSeq, answer.LimitSeq
+	if answer.VerdictSeq > 0 || answer.LimitSeq > 0 { // empty logs need not be named
+		c.reportSource = answer.Source
 	}
 }
 
--- a/controller/news/tell.go
+++ b/controller/news/tell.go
@@ -20,11 +20,12 @@
 // Answer answers another router's question.
 func (c *Controller) Answer(_ context.Context, req *peer.NewsRequest) (*peer.NewsAnswer, error) {
 	answer := &peer.NewsAnswer{Config: c.Configs.Version(), Source: c.Self}
-	known := req.VerdictSeq
-	if req.VerdictSource != c.Self {
-		known = unknownSeq
+	verdicts, limits := req.VerdictSeq, req.LimitSeq
+	if req.ReportSource != c.Self {
+		verdicts, limits = unknownSeq, unknownSeq
 	}
-	answer.Verdicts, answer.VerdictSeq = c.Verdicts.Since(known)
+	answer.Verdicts, answer.VerdictSeq = c.Verdicts.Since(verdicts)
+	answer.Limits, answer.LimitSeq = c.Limits.Since(limits)
 	c.tell(answer)
 	answer.Ages = c.Ages()
 	if !answer.Current {
--- a/controller/registry/cold.go
+++ b/controller/registry/cold.go
@@ -7,43 +7,24 @@
 	"go.uber.org/zap"
 
 	"github.com/gaplink/gaplink/clock"
+	"github.com/gaplink/gaplink/limiter"
 	"github.com/gaplink/gaplink/placement"
-	"github.com/gaplink/gaplink/warmup"
 )
 
-// warming is what decides of requests to servers that are cold.
-type warming struct {
-	// limits are what servers bear, by service.
-	limits map[string]warmup.Limits
-	// gate is nil where no server is ever cold.
-	gate *warmup.Gate
+// Warmup is what the servers of a service take while they are cold.
+type Warmup struct {
+	// Lasts is how long a server stays cold after its start.
+	Lasts time.Duration
+	// Rate is what a cold server takes from all routers together; 0: servers are never
+	// cold.
+	Rate limiter.Rate
 }
 
-// open tells whether a request may go to a cold server.
-func (w *warming) open(now time.Time, s placement.Server) bool {
-	return w.gate == nil || w.gate.Open(now, s.ID, w.limits[s.Service])
-}
-
-// take takes a turn at a cold server.
-func (w *warming) take(now time.Time, s placement.Server) bool {
-	return w.gate == nil || w.gate.Take(now, s.ID, w.limits[s.Service])
-}
-
-func (w *warming) forget(now time.Time) {
-	if w.gate != nil {
-		w.gate.Forget(now)
-	}
-}
-
-// SetGate sets what shares cold servers out among the routers. Call it before the first
-// registration is taken.
-func (c *Controller) SetGate(g *warmup.Gate) { c.warming.gate = g }
-
-// SetWarmups says what the servers of each service bear while they are cold.
-func (c *Controller) SetWarmups(limits map[string]warmup.Limits) {
+// SetWarmups sets what the servers of each service take while they are cold.
+func (c *Controller) SetWarmups(warmups map[string]Warmup) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.warming.limits = limits
+	c.warmups = warmups
 }
 
 // noteCold notes how long a server says that it stays cold, as heard at a time; it tells
@@ -70,7 +51,7 @@
 			continue
 		}
 		for _, s := range c.servers.In(domain) {
-			c.servers.Warms(s.Incarnation(), now.Add(c.warming.limits[s.Service].Lasts))
+			c.servers.Warms(s.Incarnation(), now.Add(c.warmups[s.Service].Lasts))
 		}
 	}
 	c.emptied = domains
--- a/controller/registry/cold_test.go
+++ b/controller/registry/cold_test.go
@@ -1,30 +1,36 @@
 package registry_test
 
 import (
+	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/gaplink/gaplink/clock"
+	"github.com/gaplink/gaplink/controller/limits"
 	"github.com/gaplink/gaplink/controller/registry"
+	"github.com/gaplink/gaplink/limiter"
 	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/store"
-	"github.com/gaplink/gaplink/warmup"
 )
 
-// alone is a roster of one router, which has all turns.
-type alone struct{}
+// alone is a fleet of one router, which owns the rates of all servers.
+type alone struct{ limits.Fleet }
 
-func (alone) Count() int               { return 1 }
-func (alone) IsAmong(string, int) bool { return true }
+func (alone) Owners(string) []string { return []string{"self"} }
 
-// coldLimits are those of the tests: a request each half second, for three seconds.
-var coldLimits = map[string]warmup.Limits{"svc": {Lasts: 3 * time.Second, PerSecond: 2, Bound: 4}}
+// coldRate is what a cold server takes in the tests, in requests a second, for three
+// seconds.
+const coldRate = 1
 
 func withCold(c *registry.Controller) {
-	c.SetGate(warmup.NewGate(alone{}, func() bool { return true }))
-	c.SetWarmups(coldLimits)
+	c.SetLimits(limits.New(limits.Options{
+		Self: "self", Fleet: alone{}, Settled: func() bool { return true }, Runs: c.TakesWork, Log: zap.NewNop(),
+	}))
+	c.SetWarmups(map[string]registry.Warmup{"svc": {Lasts: 3 * time.Second, Rate: coldRate}})
 }
 
 func coldEntry(id string, version int64, cold time.Duration) store.Object {
@@ -40,7 +46,7 @@
 		if !ok {
 			continue
 		}
-		if c.Claim(s) {
+		if p, ok := c.Admit(context.Background(), s); ok && c.Claim(s, p) {
 			n++
 		}
 		c.Ended(s.Incarnation(), placement.Answered)
@@ -55,7 +61,7 @@
 		withCold(c)
 		c.Listed([]store.Object{coldEntry("a", 1, 3*time.Second)}, newest)
 		if n := claims(c, 3*time.Second); n < 3 || n > 4 {
-			t.Errorf("%d requests in three seconds at one a second", n)
+			t.Errorf("%d requests in three seconds at %d a second", n, coldRate)
 		}
 		if n := claims(c, time.Second); n < 90 {
 			t.Errorf("%d requests in a second after its warming", n)
@@ -63,16 +69,28 @@
 	})
 }
 
-// TestRequestPickedBeforeAServerWentColdTakesATurn: it was chosen while the server was
-// warm and is sent when it is cold.
-func TestRequestPickedBeforeAServerWentColdTakesATurn(t *testing.T) {
+// Guards against a request that was admitted while its server was warm, and is sent when
+// the server is cold: it needs a permit.
+func TestRequestAdmittedBeforeAServerWentColdIsNotSent(t *testing.T) {
 	run(t, func(c *registry.Controller) {
 		withCold(c)
 		c.Listed([]store.Object{coldEntry("a", 1, 0)}, newest)
 		s, _ := c.Pick(placement.Query{Service: "svc"})
+		admitted, _ := c.Admit(context.Background(), s)
 		c.Changed([]store.Object{coldEntry("a", 2, 3*time.Second)})
-		if !c.Claim(s) || c.Claim(s) {
-			t.Error("one turn is due, and no second")
+		if c.Claim(s, admitted) {
+			t.Error("sent without a permit")
+		}
+		permit, ok := c.Admit(context.Background(), s)
+		if !ok || !c.Claim(s, permit) {
+			t.Error("the permit that is due was not granted")
+		}
+		if _, ok := c.Admit(context.Background(), s); ok {
+			t.Error("a second permit was granted at once")
+		}
+		time.Sleep(2 * limiter.PermitLife)
+		if c.Claim(s, permit) {
+			t.Error("sent with a permit that has expired")
 		}
 	})
 }
@@ -99,7 +117,7 @@
 		}
 		c.SetEmptied(nil)
 		if n := claims(c, time.Second); n < 1 || n > 3 {
-			t.Errorf("%d requests in a second at two a second", n)
+			t.Errorf("%d requests in a second at %d a second", n, coldRate)
 		}
 	})
 }
--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -65,8 +65,11 @@
 	// slow are the servers that long prompts avoided at the last tick.
 	slow       map[string]time.Duration
 	unreadable unreadable
-	warming    warming
-	emptied    []string
+	// warmups are what cold servers take, by service.
+	warmups map[string]Warmup
+	// limits is nil where no rate is enforced.
+	limits  Limits
+	emptied []string
 	// noted counts the servers that the list or the changes being taken told anew.
 	noted int
 }
@@ -106,7 +109,6 @@
 	maps.DeleteFunc(c.gone, func(_ string, d deletion) bool { return now.Sub(d.at) > goneFor })
 	due := c.probesDue(now)
 	c.notePaces()
-	c.warming.forget(now)
 	c.mu.Unlock()
 	for _, s := range due {
 		go c.probe(ctx, s)
@@ -329,7 +331,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	q.Now = clock.Now()
-	q.ColdTurn = func(s placement.Server) bool { return c.warming.open(q.Now, s) }
+	q.Open = func(s placement.Server, cold bool) bool { return c.open(q, s, cold) }
 	s, ok := c.servers.Pick(c.rng, q)
 	if ok {
 		c.servers.Sent(s.Incarnation(), q.Tokens)
@@ -337,18 +339,6 @@
 	return s, ok
 }
 
-// Claim tells whether a request may be sent now to a process that was picked for it. At
-// a cold server it takes this router's turn.
-func (c *Controller) Claim(s placement.Server) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := clock.Now()
-	if !c.servers.MaySend(s.Incarnation()) {
-		return false
-	}
-	return !c.servers.IsCold(now, s.Incarnation()) || c.warming.take(now, s)
-}
-
 // TakesWork tells whether a process runs and has not said that it leaves.
 func (c *Controller) TakesWork(in placement.Incarnation) bool {
 	c.mu.Lock()
@@ -364,6 +354,14 @@
 	c.servers.Read(in, tokens)
 }
 
+// Released takes back the choice of a process for a request that was not sent.
+func (c *Controller) Released(in placement.Incarnation, tokens int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.servers.Read(in, tokens)
+	c.servers.Ended(in, placement.Neutral)
+}
+
 // Paced notes the time between two events of a stream.
 func (c *Controller) Paced(in placement.Incarnation, gap time.Duration) {
 	c.mu.Lock()
--- /dev/null
+++ b/controller/spread/audience.go
@@ -0,0 +1,43 @@
+package spread
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/gaplink/gaplink/clock"
+	"github.com/gaplink/gaplink/controller/members"
+)
+
+// Audience are the routers that reports go to and come from.
+type Audience struct {
+	Members *members.Controller
+	// PassersOn returns the routers that all others ask for updates, in a fleet that is so
+	// large that not all get each report; nil: all do.
+	PassersOn func() []string
+}
+
+// Listeners implements Fleet.
+func (a Audience) Listeners() []string {
+	ids := a.passersOn()
+	if ids == nil {
+		for _, m := range a.Members.Members() {
+			ids = append(ids, m.ID)
+		}
+	}
+	self := a.Members.Self().ID
+	return slices.DeleteFunc(ids, func(id string) bool { return id == self })
+}
+
+func (a Audience) passersOn() []string {
+	if a.PassersOn == nil {
+		return nil
+	}
+	return a.PassersOn()
+}
+
+// Peers implements Fleet: in a random order, since a fleet of hundreds may start at once.
+func (a Audience) Peers() []string {
+	ids := a.Members.Others(clock.Now())
+	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	return ids
+}
--- a/controller/verdicts/over.go
+++ b/controller/verdicts/over.go
@@ -2,21 +2,15 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
 
-	"github.com/gaplink/gaplink/clock"
-	"github.com/gaplink/gaplink/controller/members"
+	"github.com/gaplink/gaplink/controller/spread"
 	"github.com/gaplink/gaplink/peer"
 )
 
 // Over is a Fleet over the protocol between routers.
 type Over struct {
-	Members *members.Controller
-	Client  *peer.Client
-	// PassersOn returns the routers from which all others have their news, in a fleet
-	// that is so large that not all are told; nil: all are.
-	PassersOn func() []string
+	spread.Audience
+	Client *peer.Client
 }
 
 var _ Fleet = Over{}
@@ -29,29 +23,3 @@
 	}
 	return peer.Call[peer.VerdictsRequest, peer.VerdictsAnswer](ctx, o.Client, addr, peer.MethodVerdicts, req)
 }
-
-// Listeners implements Fleet.
-func (o Over) Listeners() []string {
-	ids := o.passersOn()
-	if ids == nil {
-		for _, m := range o.Members.Members() {
-			ids = append(ids, m.ID)
-		}
-	}
-	self := o.Members.Self().ID
-	return slices.DeleteFunc(ids, func(id string) bool { return id == self })
-}
-
-func (o Over) passersOn() []string {
-	if o.PassersOn == nil {
-		return nil
-	}
-	return o.PassersOn()
-}
-
-// Peers implements Fleet: in a random order, since a fleet of hundreds may start at once.
-func (o Over) Peers() []string {
-	ids := o.Members.Others(clock.Now())
-	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
-	return ids
-}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -62,6 +62,19 @@
 	OtherServer bool
 	// Signed tells that the answer is one that the server made itself.
 	Signed bool
+	// Limit is the rate limit that the answer names.
+	Limit Limit
+}
+
+// Limit is the rate limit of a backend server, for the requests of all routers together.
+type Limit struct {
+	// Named tells that the answer names a limit, and PerSecond is the limit, in requests a
+	// second, 0 or more.
+	Named     bool
+	PerSecond float64
+	// Err tells why a limit that the answer names could not be read; nil: it could, or the
+	// answer names none.
+	Err error
 }
 
 // Protocol reads and writes the headers of one deployment.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/gaplink/gaplink/catalog"
 	"github.com/gaplink/gaplink/clock"
+	"github.com/gaplink/gaplink/controller/limits"
 	"github.com/gaplink/gaplink/exchange"
 	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/upstream"
@@ -26,6 +27,8 @@
 type attempt struct {
 	*call
 	server placement.Server
+	// permit is what a server with a rate limit gets the request by.
+	permit limits.Permit
 	// last tells that no further server may be asked.
 	last bool
 	// read tells that the server has read the prompt.
@@ -63,6 +66,7 @@
 	defer cancel(nil)
 	patience := a.impatient(cancel)
 	defer patience.stop()
+	sent := clock.Now()
 	answer, failure := a.g.Pool.Send(ctx, a.request())
 	if failure != nil {
 		return a.failedSend(ctx, failure)
@@ -70,6 +74,7 @@
 	defer answer.Close()
 	a.note.answered(answer)
 	told := a.g.Protocol.Answer(answer.StatusCode, answer.Header)
+	a.observeLimit(sent, answer, told)
 	switch {
 	case told.OtherServer:
 		a.g.Servers.Replaced(a.server.Incarnation())
@@ -150,7 +155,7 @@
 // still go there.
 func (a *attempt) holds() bool {
 	a.noteAge()
-	return !a.overdue() && !callerGone(a.r) && a.g.late() == nil && a.g.Servers.Claim(a.server)
+	return !a.overdue() && !callerGone(a.r) && a.g.late() == nil && a.g.Servers.Claim(a.server, a.permit)
 }
 
 // rankSizes are the prompt sizes, in new tokens, from which a request gives way
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -50,14 +50,13 @@
 	tried := map[placement.Incarnation]bool{}
 	var so tally
 	for {
-		server, ok := c.g.Servers.Pick(c.query(tried))
-		if !ok {
-			c.giveUp(result.New(result.NoBackend, "no server of %s is in use", c.service.Name).After(noServerRetry))
+		a, refusal := c.pick(ctx, tried)
+		if refusal != nil {
+			c.giveUp(refusal)
 			return
 		}
-		tried[server.Incarnation()] = true
-		last := so.sent+1 >= c.route.Attempts || !c.g.Retries.Left(c.service.Name)
-		a := &attempt{call: c, server: server, last: last, note: attemptNote{server: server.ID, known: unknownAge}}
+		tried[a.server.Incarnation()] = true
+		a.last = so.sent+1 >= c.route.Attempts || !c.g.Retries.Left(c.service.Name)
 		v := a.run(ctx)
 		c.noteEnd(a)
 		if v == served || v == ended {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -52,8 +53,10 @@
 	Pool        *upstream.Pool
 	Retries     *retry.Budgets
 	Verdicts    *verdicts.Controller
-	Logs        logs.Loggers
-	Metrics     *Metrics
+	// Limits learns the rate limits that servers name; nil: none is enforced.
+	Limits  Limits
+	Logs    logs.Loggers
+	Metrics *Metrics
 	// Routers returns the number of routers that share the servers.
 	Routers func() int
 	// LinkWait is how long requests and answers wait at the router's own link, in both
@@ -79,6 +82,11 @@
 	running  running
 	leaving  atomic.Bool
 	refusing atomic.Bool
+	// unreadable bounds the log lines about limits that cannot be read.
+	unreadable struct {
+		sync.Mutex
+		lines logs.Sparse
+	}
 }
 
 // New returns a gateway.
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -18,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"github.com/gaplink/gaplink/catalog"
+	"github.com/gaplink/gaplink/controller/limits"
 	"github.com/gaplink/gaplink/controller/registry"
 	"github.com/gaplink/gaplink/controller/verdicts"
 	"github.com/gaplink/gaplink/exchange"
@@ -51,7 +53,12 @@
 }
 
 func (protocol) Answer(_ int, h http.Header) exchange.Answer {
-	return exchange.Answer{RequestID: h.Get(headerID), Signed: h.Get(headerSigned) != "", NotRun: h.Get(headerNotRun) != ""}
+	a := exchange.Answer{RequestID: h.Get(headerID), Signed: h.Get(headerSigned) != "", NotRun: h.Get(headerNotRun) != ""}
+	if text := h.Get(headerLimit); text != "" {
+		a.Limit.PerSecond, a.Limit.Err = strconv.ParseFloat(text, 64)
+		a.Limit.Named = a.Limit.Err == nil
+	}
+	return a
 }
 
 func (protocol) Refusal(h http.Header, id string) { h.Set(headerID, id) }
@@ -70,15 +77,24 @@
 // says. Its routes are /stream/, which may resume, /once-stream/, which may not,
 // /safe/, /hasty/ and /once/, each with attempts attempts.
 func newGateway(t *testing.T, servers, attempts int, answer script) *httptest.Server {
+	t.Helper()
+	web, _ := newLimitedGateway(t, servers, attempts, answer)
+	return web
+}
+
+// newLimitedGateway returns a gateway, and the limits of servers that it enforces.
+func newLimitedGateway(t *testing.T, servers, attempts int, answer script) (*httptest.Server, *limits.Controller) {
 	t.Helper()
 	pool := upstream.New(upstream.Options{DialTimeout: time.Second, IdleTimeout: time.Second})
 	known := registry.New(decodeServer, pool, rand.New(rand.NewPCG(1, 2)), zap.NewNop())
+	enforced := withLimits(known)
 	known.Listed(startServers(t, servers, answer), 0)
 	web := httptest.NewUnstartedServer(gateway.New(gateway.Parts{
 		Config:   config{newCatalog(t, attempts)},
 		Servers:  known,
 		Protocol: protocol{},
 		Pool:     pool,
+		Limits:   enforced,
 		Verdicts: verdicts.New(verdicts.Options{Checker: pool, Servers: known, Log: zap.NewNop()}),
 		Retries:  retry.NewBudgets(0, func() float64 { return 100 }),
 		Logs:     logs.Loggers{All: zap.NewNop(), Sampled: zap.NewNop()},
@@ -90,7 +106,7 @@
 	web.Config.ConnContext = gateway.ConnContext
 	web.Start()
 	t.Cleanup(web.CloseClientConnections)
-	return web
+	return web, enforced
 }
 
 func decodeServer(id string, value []byte) (placement.Server, error) {
--- /dev/null
+++ b/limiter/gate.go
@@ -0,0 +1,41 @@
+package limiter
+
+import (
+	"time"
+
+	"github.com/gaplink/gaplink/placement"
+)
+
+// Gate remembers until when servers were denied to a router, so that it does not ask again
+// for each request. It is not safe for concurrent use.
+type Gate struct {
+	until map[share]time.Time
+}
+
+// share is the share of a server's rate that a router owns.
+type share struct {
+	server placement.Incarnation
+	owner  string
+}
+
+// NewGate returns a gate that is open for all servers.
+func NewGate() *Gate { return &Gate{until: map[share]time.Time{}} }
+
+// Close closes the gate for permits of an owner until a time.
+func (g *Gate) Close(server placement.Incarnation, owner string, until time.Time) {
+	g.until[share{server, owner}] = until
+}
+
+// Wait returns how long from now an owner is worth asking for a permit; 0: it is now.
+func (g *Gate) Wait(now time.Time, server placement.Incarnation, owner string) time.Duration {
+	return max(g.until[share{server, owner}].Sub(now), 0)
+}
+
+// Expire drops the denials that are over.
+func (g *Gate) Expire(now time.Time) {
+	for s, until := range g.until {
+		if !now.Before(until) {
+			delete(g.until, s)
+		}
+	}
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -7,6 +7,7 @@
 package membership
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -158,22 +159,49 @@
 	return ids
 }
 
-// Count returns the number of listed members, usable or not.
-func (v *View) Count() int { return len(v.members) }
-
-// IsAmong tells whether the router itself is one of the first few in the order of a role
-// over all listed members, usable or not: what must not be done by too many holds the
-// same whoever suspects whom.
-func (v *View) IsAmong(role string, first int) bool {
-	mine := xxhash.Sum64String(role + "\x00" + v.self)
-	before := 0
-	for id := range v.members {
-		score := xxhash.Sum64String(role + "\x00" + id)
-		if score > mine || score == mine && id < v.self {
-			before++
+// Owners returns the first members for a role over all listed ones, best first, whether
+// they are suspected or not: the members with the largest links, by rendezvous hashing.
+// So routers that suspect different members agree on the order.
+func (v *View) Owners(role string, most int) []string {
+	var first []candidate
+	for id, m := range v.members {
+		if m.State != Live || v.left[id] {
+			continue
 		}
+		c := candidate{id: id, link: m.LinkMbps, score: xxhash.Sum64String(role + "\x00" + id)}
+		at := len(first)
+		for at > 0 && c.precedes(first[at-1]) {
+			at--
+		}
+		if at < most {
+			first = slices.Insert(first, at, c)
+			first = first[:min(len(first), most)]
+		}
+	}
+	ids := make([]string, len(first))
+	for i, c := range first {
+		ids[i] = c.id
+	}
+	return ids
+}
+
+// candidate is a member that may become the owner of something.
+type candidate struct {
+	id    string
+	link  float64
+	score uint64
+}
+
+// precedes tells whether a candidate is ranked before another one.
+func (c candidate) precedes(other candidate) bool {
+	switch {
+	case c.link != other.link:
+		return c.link > other.link
+	case c.score != other.score:
+		return c.score > other.score
+	default:
+		return c.id < other.id
 	}
-	return before < first
 }
 
 // First returns the best member for a role, or the router itself when no
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -68,3 +69,26 @@
 		t.Fatal("a router that came back is not ranked")
 	}
 }
+
+// Guards against routers that suspect different members and so take different ones for the
+// owner of something.
+func TestOwnersAreTheSameWhoeverIsSuspected(t *testing.T) {
+	now := time.Unix(1, 0)
+	v, whole := view(9), view(9)
+	first := whole.Owners("role", 3)
+	v.Failed(now, first[0])
+	if got := v.Owners("role", 3); !slices.Equal(got, first) {
+		t.Errorf("%v, and %v where one is suspected", first, got)
+	}
+	if all := whole.Owners("role", 20); len(all) != 9 || !slices.Equal(all[:3], first) {
+		t.Errorf("all: %v, first: %v", all, first)
+	}
+	v.SetLeaving(first[0])
+	if got := v.Owners("role", 2); !slices.Equal(got, first[1:]) {
+		t.Errorf("%v, and %v after the first has left", first, got)
+	}
+	v.Add(membership.Member{ID: "wide", Kind: "router", State: membership.Live, LinkMbps: 1000})
+	if got := v.Owners("role", 1); got[0] != "wide" {
+		t.Errorf("%v is ranked before the member with the largest link", got)
+	}
+}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -5,6 +5,8 @@
 
 	"github.com/gaplink/gaplink/budget"
 	"github.com/gaplink/gaplink/ledger"
+	"github.com/gaplink/gaplink/limiter"
+	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/poison"
 	"github.com/gaplink/gaplink/table"
 )
@@ -27,6 +29,8 @@
 	MethodConfig  = "config.Fetch"
 
 	MethodVerdicts = "verdicts.Report"
+	MethodLimits   = "limits.Report"
+	MethodPermit   = "limits.Permit"
 )
 
 // Empty is an answer without content.
@@ -126,10 +130,12 @@
 	// from.
 	Source string
 	Seq    int64
-	// VerdictSource and VerdictSeq are the same for what it was told of requests that
-	// end servers.
-	VerdictSource string
-	VerdictSeq    int64
+	// ReportSource is the process that it was last told reports by, VerdictSeq the number
+	// of the last one on requests that end servers, and LimitSeq that of the last one on
+	// rate limits.
+	ReportSource string
+	VerdictSeq   int64
+	LimitSeq     int64
 }
 
 // Registration is a backend server's registration as it lies in the store, or
@@ -188,6 +194,34 @@
 	// after the asked number, and VerdictSeq the number of the last of that.
 	Verdicts   poison.Report
 	VerdictSeq int64
+	// Limits and LimitSeq are the same for the rate limits of servers.
+	Limits   limiter.Report
+	LimitSeq int64
+}
+
+// LimitsRequest reports rate limits that servers named, and asks for all that are known if
+// All is set.
+type LimitsRequest struct {
+	Report limiter.Report
+	All    bool
+}
+
+// LimitsAnswer is what was asked for.
+type LimitsAnswer struct{ Report limiter.Report }
+
+// PermitRequest asks for a permit for one request to a server.
+type PermitRequest struct {
+	Server placement.Incarnation
+	// Rate is what the server takes from all routers, as far as the asking one knows.
+	Rate limiter.Rate
+	// Fallback tells that the owner of the rate did not answer.
+	Fallback bool
+}
+
+// PermitAnswer grants a permit, or tells how long from now the next one can be granted.
+type PermitAnswer struct {
+	Granted bool
+	Wait    time.Duration
 }
 
 // VerdictsRequest tells news of requests that end servers, and asks for all that is
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -2,8 +2,6 @@
 
 import "time"
 
-// This file is what is known of servers that are cold.
-
 // Warms says that a process is cold until a time at least. It tells whether that is
 // news: the process was not known to be cold so long.
 func (f *Servers) Warms(in Incarnation, until time.Time) (news bool) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -256,9 +256,12 @@
 	Domain string
 	// Now is the time of the choice.
 	Now time.Time
-	// ColdTurn tells whether the request may go to a server that is cold; nil: it
-	// may. It is asked for the servers that would else be chosen from.
-	ColdTurn func(Server) bool
+	// Open tells whether a server may get the request by the rate that it takes; cold
+	// tells that it is cold. nil: all may. It is asked for the servers that would else be
+	// chosen from.
+	Open func(s Server, cold bool) bool
+	// Unrestricted leaves out servers that take requests at a limited rate.
+	Unrestricted bool
 	// InDomain tells whether the request may run in a failure domain; nil: in all.
 	InDomain func(domain string) bool
 }
@@ -268,7 +271,7 @@
 	if q.InDomain != nil && !q.InDomain(s.Domain) {
 		return false
 	}
-	return q.ColdTurn == nil || !q.Now.Before(s.coldUntil) || q.ColdTurn(s.Server)
+	return q.Open == nil || q.Open(s.Server, q.Now.Before(s.coldUntil))
 }
 
 // Pick chooses a server; false means that none can take the request.
--- a/router/router.go
+++ b/router/router.go
@@ -31,6 +31,7 @@
 	"github.com/gaplink/gaplink/controller/ledgers"
 	"github.com/gaplink/gaplink/controller/members"
 	"github.com/gaplink/gaplink/controller/reclaims"
+	"github.com/gaplink/gaplink/controller/spread"
 	"github.com/gaplink/gaplink/controller/tables"
 	"github.com/gaplink/gaplink/controller/verdicts"
 	"github.com/gaplink/gaplink/engine"
@@ -139,7 +140,7 @@
 	r.verdicts = verdicts.New(verdicts.Options{
 		Checker: r.probes,
 		Servers: staying{r.health},
-		Fleet:   verdicts.Over{Members: r.members, Client: r.peers},
+		Fleet:   verdicts.Over{Audience: spread.Audience{Members: r.members}, Client: r.peers},
 		Store:   r.store,
 		Log:     r.log,
 	})
--- a/server/cold.go
+++ b/server/cold.go
@@ -5,44 +5,44 @@
 
 	"github.com/gaplink/gaplink/catalog"
 	"github.com/gaplink/gaplink/clock"
-	"github.com/gaplink/gaplink/controller/members"
-	"github.com/gaplink/gaplink/warmup"
+	"github.com/gaplink/gaplink/controller/limits"
+	"github.com/gaplink/gaplink/controller/registry"
+	"github.com/gaplink/gaplink/controller/spread"
+	"github.com/gaplink/gaplink/limiter"
 )
 
-// coldRole is the role by which routers are ranked for turns at a cold server.
-const coldRole = "cold/"
-
 // rosterSettles is how long a process that has met the others takes its roster for too
-// small to go by at cold servers: lists of routers may be seconds old, and are read
-// again three seconds after the start.
+// small to grant or ask for permits by: lists of routers may be seconds old, and are read
+// again three seconds after the start. A process does not know either which permits the one
+// before it granted.
 const rosterSettles = 4 * time.Second
 
-// coldRoster ranks the routers for turns at cold servers. It implements warmup.Roster.
-type coldRoster struct{ members *members.Controller }
-
-// Count implements warmup.Roster.
-func (r coldRoster) Count() int { return r.members.Count() }
+// rosterSettled tells whether this process has run long enough to know the others.
+func (s *Server) rosterSettled() bool { return clock.Since(s.begun) >= rosterSettles }
 
-// IsAmong implements warmup.Roster.
-func (r coldRoster) IsAmong(server string, first int) bool {
-	return r.members.IsAmong(coldRole+server, first)
+// newLimits returns what enforces the rates of servers.
+func (s *Server) newLimits() *limits.Controller {
+	return limits.New(limits.Options{
+		Self:    s.settings.Instance.ID,
+		Fleet:   limits.Over{Audience: s.audience(), Client: s.peers},
+		Settled: s.rosterSettled,
+		Runs:    s.servers.TakesWork,
+		Log:     s.log,
+	})
 }
 
-// rosterSettled tells whether this process has run long enough to know the others.
-func (s *Server) rosterSettled() bool { return clock.Since(s.begun) >= rosterSettles }
+// audience are the routers to which this one reports what it observes.
+func (s *Server) audience() spread.Audience {
+	return spread.Audience{Members: s.members, PassersOn: s.passersOn}
+}
 
-// warmups are what the cold servers of each service bear.
-func (s *Server) warmups(c *catalog.Catalog) map[string]warmup.Limits {
-	limits := map[string]warmup.Limits{}
+// warmups are what the cold servers of each service take.
+func warmups(c *catalog.Catalog) map[string]registry.Warmup {
+	all := map[string]registry.Warmup{}
 	for name, service := range c.Services {
-		if service.WarmupRate == 0 {
-			continue
-		}
-		limits[name] = warmup.Limits{
-			Lasts:     service.Warmup,
-			PerSecond: service.WarmupRate,
-			Bound:     service.WarmupRate*s.settings.Servers.ColdTimes + s.settings.Servers.ColdMore,
+		if service.WarmupRate > 0 {
+			all[name] = registry.Warmup{Lasts: service.Warmup, Rate: limiter.Rate(service.WarmupRate)}
 		}
 	}
-	return limits
+	return all
 }
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -31,6 +31,7 @@
 	s.gauge("gaplink_config_age_seconds", "Age of what is known of the configuration, counted from the store's answer; below 0: nothing was heard.", func() float64 { return s.news.Ages().Config.Seconds() })
 	s.gauge("gaplink_domains_emptied", "Failure domains whose servers get no request, by the operator's word.", func() float64 { return float64(len(s.evacuations.Domains())) })
 	s.gauge("gaplink_servers_cold", "Backend servers that are known to be cold and get little work.", func() float64 { return float64(s.servers.Cold()) })
+	s.gauge("gaplink_servers_limited", "Backend servers that name a rate limit.", func() float64 { return float64(s.limits.Limited()) })
 	s.gauge("gaplink_requests_in_flight", "Requests being served.", func() float64 { return float64(s.gateway.InFlight()) })
 	s.gauge("gaplink_caller_connections", "Open connections of callers.", func() float64 { return float64(s.crowd.open.Load()) })
 	s.gauge("gaplink_registrations_unreadable", "Registrations of backend servers that could not be read, since the start.", func() float64 { return float64(s.servers.Unreadable()) })
@@ -75,6 +76,7 @@
 	callsD   = prometheus.NewDesc("gaplink_store_calls_total", "Store calls, by kind of object and call; a list of several pages counts as one.", []string{"kind", "call"}, nil)
 	peerD    = prometheus.NewDesc("gaplink_peer_bytes_total", "Bytes of this router's calls of other routers, by method and direction, without framing.", []string{"method", "direction"}, nil)
 	peersD   = prometheus.NewDesc("gaplink_peer_calls_total", "Calls of other routers, by method.", []string{"method"}, nil)
+	permitsD = prometheus.NewDesc("gaplink_permits_total", "Requests for servers with a rate limit, by what became of their permit.", []string{"outcome"}, nil)
 	serversD = prometheus.NewDesc("gaplink_servers", "Backend servers known, by state.", []string{"service", "state"}, nil)
 )
 
@@ -85,6 +87,7 @@
 	ch <- serversD
 	ch <- peerD
 	ch <- peersD
+	ch <- permitsD
 }
 
 // Collect implements prometheus.Collector.
@@ -105,6 +108,10 @@
 		ch <- prometheus.MustNewConstMetric(peerD, prometheus.CounterValue, float64(t.Received), method, "received")
 		ch <- prometheus.MustNewConstMetric(peersD, prometheus.CounterValue, float64(t.Calls), method)
 	}
+	permits := c.server.limits.Counts()
+	for outcome, n := range map[string]int64{"granted": permits.Granted, "denied": permits.Denied, "unanswered": permits.Unanswered} {
+		ch <- prometheus.MustNewConstMetric(permitsD, prometheus.CounterValue, float64(n), outcome)
+	}
 	for service, n := range c.server.servers.Counts() {
 		tell(serversD, int64(n.Up), service, "up")
 		tell(serversD, int64(n.Down), service, "down")
--- a/server/operate.go
+++ b/server/operate.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 
+	"github.com/gaplink/gaplink/controller/limits"
 	"github.com/gaplink/gaplink/filter/authenticate"
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/result"
@@ -16,7 +17,7 @@
 	if hash == "" || !authenticate.Matches(req.Key, hash) {
 		return nil, result.New(result.NotOperator, "the operator key is missing or wrong")
 	}
-	out, err := s.verdicts.Do(req.Operator, req.Command, req.Args)
+	out, err := s.command(req)
 	if err != nil {
 		return nil, err
 	}
@@ -26,3 +27,10 @@
 	}
 	return &peer.AdminAnswer{Result: body}, nil
 }
+
+func (s *Server) command(req *peer.AdminRequest) (any, error) {
+	if req.Command == limits.CommandList {
+		return s.limits.List(), nil
+	}
+	return s.verdicts.Do(req.Operator, req.Command, req.Args)
+}
--- a/server/provision.go
+++ b/server/provision.go
@@ -25,7 +25,6 @@
 	"github.com/gaplink/gaplink/retry"
 	"github.com/gaplink/gaplink/store"
 	"github.com/gaplink/gaplink/upstream"
-	"github.com/gaplink/gaplink/warmup"
 )
 
 // provision builds the controllers and the gateway.
@@ -44,11 +43,12 @@
 	})
 	s.servers = registry.New(s.platform.DecodeServer, s.pool, newRand(), s.log)
 	s.provisionPeers()
-	s.servers.SetGate(warmup.NewGate(coldRoster{s.members}, s.rosterSettled))
+	s.limits = s.newLimits()
+	s.servers.SetLimits(s.limits)
 	s.verdicts = verdicts.New(verdicts.Options{
 		Checker: s.pool,
 		Servers: s.servers,
-		Fleet:   verdicts.Over{Members: s.members, Client: s.peers, PassersOn: s.passersOn},
+		Fleet:   verdicts.Over{Audience: s.audience(), Client: s.peers},
 		Store:   s.store,
 		Stale:   s.large,
 		Log:     s.log,
@@ -67,6 +67,7 @@
 		Protocol: s.platform.Protocol,
 		Pool:     s.pool,
 		Verdicts: s.verdicts,
+		Limits:   s.limits,
 		Retries:  retry.NewBudgets(s.settings.Retries.Ratio*retryShare, s.retryBurst),
 		Logs:     s.logs,
 		Metrics:  gateway.NewMetrics(s.registry),
@@ -91,6 +92,7 @@
 		Evacuations: s.evacuations,
 
 		Verdicts: s.verdicts,
+		Limits:   s.limits,
 
 		Calls:  news.Over(s.peers),
 		Self:   s.incarnation,
@@ -180,6 +182,8 @@
 	peer.Handle(m, peer.MethodConfig, s.news.Config)
 	peer.Handle(m, peer.MethodBudget, s.onBudget)
 	peer.Handle(m, peer.MethodVerdicts, s.verdicts.OnReport)
+	peer.Handle(m, peer.MethodLimits, s.limits.OnReport)
+	peer.Handle(m, peer.MethodPermit, s.limits.OnPermit)
 	peer.Handle(m, peer.MethodAdmin, s.operate)
 	return m
 }
--- a/server/server.go
+++ b/server/server.go
@@ -29,6 +29,7 @@
 	"github.com/gaplink/gaplink/controller/configs"
 	"github.com/gaplink/gaplink/controller/evacuations"
 	"github.com/gaplink/gaplink/controller/follow"
+	"github.com/gaplink/gaplink/controller/limits"
 	"github.com/gaplink/gaplink/controller/members"
 	"github.com/gaplink/gaplink/controller/news"
 	"github.com/gaplink/gaplink/controller/registry"
@@ -132,6 +133,7 @@
 	servers  *registry.Controller
 	budgets  *budgets.Controller
 	verdicts *verdicts.Controller
+	limits   *limits.Controller
 	gateway  *gateway.Gateway
 	pool     *upstream.Pool
 	meter    *link.Meter
@@ -284,7 +286,7 @@
 		}
 	}
 	s.budgets.SetLimits(limits)
-	s.servers.SetWarmups(s.warmups(c))
+	s.servers.SetWarmups(warmups(c))
 }
 
 // Start binds the addresses and starts serving. A server that finds no store
@@ -342,6 +344,7 @@
 		return
 	}
 	go s.verdicts.Run(ctx)
+	go s.limits.Run(ctx)
 	for _, f := range s.followers() {
 		go f.Run(ctx)
 	}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -98,11 +98,6 @@
 	// IdleTimeout is how long an unused connection is kept when the server
 	// names no time itself.
 	IdleTimeout Duration `toml:"idle_timeout" validate:"min=1000000"`
-	// ColdTimes and ColdMore bound what a cold server may get within a second from all
-	// routers together: so many times the rate that its service names, and so many
-	// requests more.
-	ColdTimes float64 `toml:"cold_times" validate:"min=1"`
-	ColdMore  float64 `toml:"cold_more" validate:"min=0"`
 }
 
 // GatewayRetries bound the repeats of all routers together.
@@ -156,7 +151,7 @@
 	return Gateway{
 		Store:   GatewayStore{Timeout: Duration(bound.CallTimeout)},
 		Budgets: GatewayBudgets{Hold: Duration(20 * time.Second), Refill: 0.9, ScarceWithin: Duration(12 * time.Second)},
-		Servers: GatewayServers{DialTimeout: Duration(250 * time.Millisecond), IdleTimeout: Duration(10 * time.Second), ColdTimes: 1, ColdMore: 1},
+		Servers: GatewayServers{DialTimeout: Duration(250 * time.Millisecond), IdleTimeout: Duration(10 * time.Second)},
 		Retries: GatewayRetries{Ratio: 0.2, Slack: 50},
 		Stop:    GatewayStop{Grace: Duration(8 * time.Second), Notice: Duration(2900 * time.Millisecond)},
 		Memory:  GatewayMemory{LimitMB: 256},
