Soak: servers that name rate limits; limits under churn keep their use

The soak draws servers that name a limit of 0.5 to 9 requests a second for 8 to 15 s beside its other faults, and its oracle checks one and a half times the limit and five requests more in 4 s, from 3 s after it was first named, over all routers whose processes were left alone, also those that the server has not told. TestOracle has what keeps and what breaks it. The schedules of all seeds change, since a kind of fault is drawn more.

--- a/controller/limits/fleet_test.go
+++ b/controller/limits/fleet_test.go
@@ -372,27 +372,39 @@
 	}
 }
 
-// Guards against two owners of one rate: routers know two thirds of each other, processes
-// die and others start in their place, and some are paused.
+// Guards against several owners of one share of a rate: routers know two thirds of each
+// other, processes die and others start in their place, and some are paused.
 func TestColdRateHoldsWhileRoutersComeAndGo(t *testing.T) {
-	for seed := range uint64(30) {
-		play(t, func(ctx context.Context) {
-			routers := []int{7, 30, 87}[seed%3]
-			w := newWorld(ctx, seed, routers, 0.67)
-			const lasts = 8 * time.Second
-			go w.disturb(lasts)
-			w.load(3*busy*float64(coldRate), lasts, coldRate)
-			times := w.between(time.Time{}, time.Now())
-			if n := most(times, time.Second); float64(n) > coldBound {
-				t.Errorf("seed %d: %d requests within a second, %.2f are allowed", seed, n, coldBound)
-			}
-		})
+	const lasts = 8 * time.Second
+	for name, c := range map[string]struct {
+		// every is the longest time between two events, and use the least use of the rate.
+		every time.Duration
+		use   float64
+	}{
+		"now and then": {2 * time.Second, 0.5},
+		"all the time": {500 * time.Millisecond, 0},
+	} {
+		for seed := range uint64(30) {
+			play(t, func(ctx context.Context) {
+				routers := []int{7, 30, 87}[seed%3]
+				w := newWorld(ctx, seed, routers, 0.67)
+				go w.disturb(lasts, c.every)
+				w.load(3*busy*float64(coldRate), lasts, coldRate)
+				times := w.between(time.Time{}, time.Now())
+				if n := most(times, time.Second); float64(n) > coldBound {
+					t.Errorf("%s, seed %d: %d requests within a second, %.2f are allowed", name, seed, n, coldBound)
+				}
+				if use := float64(len(times)) / lasts.Seconds() / float64(coldRate); use < c.use {
+					t.Errorf("%s, seed %d: %.2f of the rate used", name, seed, use)
+				}
+			})
+		}
 	}
 }
 
 // disturb lets routers die, start anew, be paused and learn of others for a time.
-func (w *world) disturb(lasts time.Duration) {
-	for end := time.Now().Add(lasts); time.Now().Before(end); time.Sleep(w.delay(500 * time.Millisecond)) {
+func (w *world) disturb(lasts, every time.Duration) {
+	for end := time.Now().Add(lasts); time.Now().Before(end); time.Sleep(w.delay(every)) {
 		r := w.routers[w.delay(time.Duration(len(w.routers)))]
 		switch w.delay(4) {
 		case 0:
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -197,7 +197,7 @@
 	case ConfigChanged:
 		f.tally.fault(s.Fault)
 		return f.configure(true)
-	case ServerLeaves, ServerCrashes, ServerRefuses:
+	case ServerLeaves, ServerCrashes, ServerRefuses, ServerLimits:
 		return f.disturbServer(s)
 	}
 	f.tally.fault(s.Fault)
@@ -262,6 +262,8 @@
 		done, err = p.crash(s.Lasts)
 	case ServerRefuses:
 		p.refuse(s.Lasts)
+	case ServerLimits:
+		done = p.limitFor(s.Lasts)
 	}
 	if done {
 		f.tally.fault(s.Fault)
--- a/lab/soak/oracle.go
+++ b/lab/soak/oracle.go
@@ -28,6 +28,7 @@
 	KeepsRunning Promise = "a process ends only when it is told to"
 	PoisonKnown  Promise = "a request that ends servers is held back after the third"
 	OnlyPoison   Promise = "no other request is"
+	LimitKept    Promise = "a server does not get more than the rate limit that it names"
 )
 
 // Broken is one broken promise.
@@ -156,6 +157,7 @@
 	// be broken.
 	checked map[Promise]int
 	poison  map[string]*poisonBook // by body
+	limited map[string]*limited    // by the id of the server
 }
 
 // NewOracle returns an oracle for a run that starts now.
@@ -165,6 +167,7 @@
 		books: map[string]*book{}, limits: map[string]int64{}, handed: map[string]int64{},
 		leaving: map[string]time.Time{}, acked: map[int64]time.Time{}, sights: map[Process][]sight{},
 		checked: map[Promise]int{}, poison: map[string]*poisonBook{},
+		limited: map[string]*limited{},
 	}
 }
 
@@ -231,6 +234,7 @@
 		return Request{}, 0, false
 	}
 	o.checkLeaving(b, server, place, at)
+	o.checkLimit(b, server, place, at)
 	o.checkPoison(b, at)
 	b.arrive++
 	return b.Request, b.arrive - 1, true
--- a/lab/soak/oracle_test.go
+++ b/lab/soak/oracle_test.go
@@ -172,6 +172,35 @@
 			s.after(time.Second)
 			s.Arrived(s.sends(plain).ID, "s0", 0, s.now)
 		}, ""},
+		{"as many requests as a limit allows", func(s *scene) {
+			s.Limits("s0", 1, s.now)
+			s.after(8 * time.Second)
+			for range 11 {
+				s.Arrived(s.sends(plain).ID, "s0", 0, s.now)
+			}
+		}, ""},
+		{"more requests than a limit allows", func(s *scene) {
+			s.Limits("s0", 1, s.now)
+			s.after(8 * time.Second)
+			for range 12 {
+				s.Arrived(s.sends(plain).ID, "s0", 0, s.now)
+			}
+		}, LimitKept},
+		{"as many over a longer time", func(s *scene) {
+			s.Limits("s0", 1, s.now)
+			for range 30 {
+				s.after(time.Second)
+				s.Arrived(s.sends(plain).ID, "s0", 0, s.now)
+			}
+		}, ""},
+		{"more requests after a limit has ended", func(s *scene) {
+			s.Limits("s0", 1, s.now)
+			s.after(8 * time.Second)
+			s.Limits("s0", 0, s.now)
+			for range 12 {
+				s.Arrived(s.sends(plain).ID, "s0", 0, s.now)
+			}
+		}, ""},
 		{"a request to a server that leaves for long", func(s *scene) {
 			s.Leaving("s0", s.now)
 			s.after(4 * time.Second)
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -42,6 +42,7 @@
 	ServerLeaves      Fault = "server leaves"
 	ServerCrashes     Fault = "server crashes"
 	ServerRefuses     Fault = "server refuses"
+	ServerLimits      Fault = "server names a rate limit"
 )
 
 // target is what a fault strikes.
@@ -83,10 +84,11 @@
 	ServerLeaves:      {atServer, 0, 0},
 	ServerCrashes:     {atServer, 100 * time.Millisecond, 2 * time.Second},
 	ServerRefuses:     {atServer, 200 * time.Millisecond, 2 * time.Second},
+	ServerLimits:      {atServer, 8 * time.Second, 15 * time.Second},
 }
 
 // planned are drawn beside the faults of an epoch; a half of them in each.
-var planned = []Fault{ConfigChanged, ServerLeaves, RouterStopped, RouterReloads}
+var planned = []Fault{ConfigChanged, ServerLeaves, RouterStopped, RouterReloads, ServerLimits, ServerLimits}
 
 // Step is one fault at its time.
 type Step struct {
--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -26,6 +26,8 @@
 	scripted *standin.Scripted
 	leaving  bool
 	refusing int
+	// limit is the rate limit that the server names, in requests a second; 0: none.
+	limit float64
 }
 
 func newPlace(number int, seed uint64, f *fleet) (*place, error) {
@@ -47,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	p.id, p.scripted, p.leaving = id, scripted, false
+	p.id, p.scripted, p.leaving, p.limit = id, scripted, false, 0
 	p.proxy.Retarget(scripted.Addr())
 	return p.store.Register(id, p.proxy.Addr(), false)
 }
@@ -72,6 +74,9 @@
 	if p.refuses() {
 		a, e = refusal(r.RequestID), Refusal
 	}
+	if limit := p.named(); limit > 0 {
+		a.Fields = append(a.Fields, standin.Limit(limit))
+	}
 	p.tally.ending(e)
 	if !e.NotRun() {
 		p.oracle.Ran(r.RequestID, p.number, e, a, now)
@@ -79,6 +84,48 @@
 	return a
 }
 
+// limits are what servers name as their rate limits, in requests a second.
+var limits = []float64{0.5, 1.2, 4, 9}
+
+// limitFor makes the server name a rate limit for a while; false: it names one already.
+func (p *place) limitFor(lasts time.Duration) bool {
+	id, ok := p.setLimit(limits[lasts.Milliseconds()%int64(len(limits))])
+	if !ok {
+		return false
+	}
+	time.Sleep(lasts)
+	p.endLimit(id)
+	return true
+}
+
+func (p *place) setLimit(perSecond float64) (id string, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.limit > 0 {
+		return "", false
+	}
+	p.limit = perSecond
+	p.oracle.Limits(p.id, perSecond, time.Now())
+	return p.id, true
+}
+
+// endLimit ends the limit of a server, if it still runs.
+func (p *place) endLimit(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.oracle.Limits(id, 0, time.Now())
+	if p.id == id {
+		p.limit = 0
+	}
+}
+
+// named returns the limit that the server names.
+func (p *place) named() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limit
+}
+
 func (p *place) refuses() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
