A router that was paused or busy asks before it goes by old knowledge

Cause: a router whose link, processor time or descriptors are used up refuses what it cannot know in time, but only while that lasts: 250 ms after a pause, or a second after the last dial without a descriptor, it went by what it knew from before, whether or not anything had been asked since. Requests that a resumed process serves before its first timer fires were not refused at all. Ruled out: a router that is cut off (nobody it reaches knows more; it serves on) and one that hears that the store answers nobody.

Change: a router that was busy counts as behind, where what it knows is older than the bound, until it knows more, or has asked the store and another router since, while not busy, and got no answer. A question that failed for want of descriptors or while it was busy is none. An overdue timer counts as busy. The age in the log is "unknown" where nothing is known, and not ms.

TestRouterThatWasBusyAsksBeforeItGoesByOldKnowledge and three cases of TestRouterIsStaleByItsOwnFaultAlone fail on the rule as it was.

--- a/controller/follow/deputy.go
+++ b/controller/follow/deputy.go
@@ -37,7 +37,15 @@
 	f.drawn, f.due = now, now.Add(in)
 	f.tries++
 	f.Log.Info("nobody tells what is new; looking for the store", zap.Duration("in_ms", in), zap.Int("try", f.tries),
-		zap.Duration("age_ms", clock.Since(f.AsOf())))
+		f.ageField())
+}
+
+// ageField is the age of what is known, for the log.
+func (f *Follower) ageField() zap.Field {
+	if f.AsOf().IsZero() {
+		return zap.String("age_ms", "unknown")
+	}
+	return zap.Duration("age_ms", clock.Since(f.AsOf()))
 }
 
 // drawWait draws how long a deputy waits until it tries the store.
--- a/controller/news/ask.go
+++ b/controller/news/ask.go
@@ -92,7 +92,7 @@
 	}
 	if err != nil {
 		if c.Failed != nil {
-			c.Failed(err)
+			c.Failed(begun, err)
 		}
 		c.Members.Failed(id, err)
 		c.failed()
--- a/controller/news/news.go
+++ b/controller/news/news.go
@@ -92,8 +92,9 @@
 	TooOld func(passesOn bool) peer.Ages
 	// Answered tells when the store last answered any call of this process.
 	Answered func() time.Time
-	// Failed is told why a question has failed; nil: nobody wants to know.
-	Failed func(error)
+	// Failed is told when a question began that has failed, and why; nil: nobody wants to
+	// know.
+	Failed func(begun time.Time, cause error)
 	// Took is told how long each question took; nil: nobody wants to know.
 	Took func(time.Duration)
 	// Large tells whether the fleet is so large that few watch for all.
--- a/server/link.go
+++ b/server/link.go
@@ -31,8 +31,13 @@
 	away  bool // as observed last
 	// starved tells that the last window ended late, since the process had no turn.
 	starved bool
+	// observedAt is when the last window ended; zero: none has.
+	observedAt time.Time
 	// noFilesUntil is until when the process counts as out of descriptors.
 	noFilesUntil time.Time
+	// troubledAt is when the router was busy last, and unansweredFrom when the last question
+	// began to which nobody answered although the router was not busy.
+	troubledAt, unansweredFrom time.Time
 }
 
 // Away tells whether the router should get no new connections.
@@ -49,25 +54,52 @@
 	return l.guard.Full()
 }
 
-// Busy tells whether the link is full, or the processor time or the descriptors are used
-// up, so that what this router hears and sends is late.
+// Busy tells whether the link is full, the processor time or the descriptors are used up, or
+// the process was paused just now, so that what this router hears and sends is late.
 func (l *linkState) Busy() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.guard.Full() || l.starved || clock.Now().Before(l.noFilesUntil)
+	return l.busy(clock.Now())
+}
+
+// busy is Busy. A process that was paused may serve requests before its timers fire. It is
+// called under the lock.
+func (l *linkState) busy(now time.Time) bool {
+	overdue := !l.observedAt.IsZero() && now.Sub(l.observedAt) >= starvedWindow
+	return l.guard.Full() || l.starved || overdue || now.Before(l.noFilesUntil)
+}
+
+// WasBusy tells whether this router was busy since its start.
+func (l *linkState) WasBusy() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.troubledAt.IsZero()
+}
+
+// HasAsked tells whether this router has asked another one since it was busy, without an
+// answer.
+func (l *linkState) HasAsked() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.unansweredFrom.After(l.troubledAt)
 }
 
 // noFilesFor is how long one call without a descriptor counts: some questions to others.
 const noFilesFor = time.Second
 
-// failed takes how a question to another router has failed.
-func (l *linkState) failed(err error) {
-	if !errors.Is(err, syscall.EMFILE) {
-		return
-	}
+// failed takes how a question to another router has failed that began at a time. While this
+// router is busy that says nothing of the others.
+func (l *linkState) failed(begun time.Time, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.noFilesUntil = clock.Now().Add(noFilesFor)
+	now := clock.Now()
+	switch {
+	case errors.Is(err, syscall.EMFILE):
+		l.noFilesUntil = now.Add(noFilesFor)
+		l.troubledAt = now
+	case !l.busy(now):
+		l.unansweredFrom = begun
+	}
 }
 
 // observe takes the load of a window and how long that was, and tells whether Away has
@@ -77,6 +109,10 @@
 	defer l.mu.Unlock()
 	l.guard.Observe(now, load)
 	l.starved = window >= starvedWindow
+	l.observedAt = now
+	if l.busy(now) {
+		l.troubledAt = now
+	}
 	was := l.away
 	l.away = l.guard.Away(now)
 	return was != l.away
@@ -84,9 +120,6 @@
 
 // watchLink ends the meter's windows and tells the guard of their load.
 func (s *Server) watchLink(ctx context.Context) {
-	if s.settings.Link.Mbps == 0 {
-		return
-	}
 	ticker := time.NewTicker(link.Window)
 	defer ticker.Stop()
 	ended := clock.Now()
@@ -118,9 +151,9 @@
 // stale tells whether a request sent now could reach a server that left longer ago than the
 // bound allows, through a fault of this router.
 func (s *Server) stale() bool {
-	now := situation{busy: s.link.Busy()}
-	if !now.busy {
-		return false // asked for at each request, and mostly so
+	now := situation{busy: s.link.Busy(), asked: s.hasAsked()}
+	if !now.busy && now.asked {
+		return false // checked for each request, and mostly so
 	}
 	now.toldLost = s.news.ToldLost()
 	now.age = s.news.Ages().Servers
@@ -128,10 +161,23 @@
 	return now.stale(s.settings.Bounds.Leave.Std())
 }
 
+// hasAsked tells whether this router has asked the store and the other routers since it was
+// busy, and none answered, or has not been busy.
+func (s *Server) hasAsked() bool {
+	if !s.link.WasBusy() {
+		return true
+	}
+	alone := len(s.members.Members()) == 1
+	return s.callLost() && (alone || s.link.HasAsked())
+}
+
 // situation is what tells whether a router is stale.
 type situation struct {
-	// busy: its link is full, or its processor time or its descriptors are used up.
+	// busy: its link is full, its processor time or its descriptors are used up, or it was
+	// paused just now.
 	busy bool
+	// asked: it has not been busy, or has asked others since and got no answer.
+	asked bool
 	// toldLost: it hears others, which say that the store answers none of them.
 	toldLost bool
 	// age is that of what it knows of the servers, and wait how long what it sends waits
@@ -141,9 +187,9 @@
 
 // stale tells whether callers are better off elsewhere. One that is cut off, or hears that
 // all are, knows as little, but others know no more, and it may be all that its callers
-// reach.
+// reach. One that was busy asks first.
 func (s situation) stale(within time.Duration) bool {
-	if !s.busy || s.toldLost {
+	if !s.busy && s.asked || s.toldLost {
 		return false
 	}
 	return s.age == peer.Unheard || s.age+s.wait > within
--- a/server/link_test.go
+++ b/server/link_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/gaplink/gaplink/link"
@@ -21,13 +22,16 @@
 		situation
 		stale bool
 	}{
-		"all is well":                 {situation{age: time.Second}, false},
+		"all is well":                 {situation{asked: true, age: time.Second}, false},
 		"busy, and knows":             {situation{busy: true, age: time.Second}, false},
 		"busy, and knows too little":  {situation{busy: true, age: 3100 * time.Millisecond}, true},
 		"what it sends waits as well": {situation{busy: true, age: 2 * time.Second, wait: 1100 * time.Millisecond}, true},
 		"busy, and has heard nothing": {situation{busy: true, age: peer.Unheard}, true},
-		"cut off":                     {situation{age: 10 * time.Second}, false},
+		"cut off":                     {situation{asked: true, age: 10 * time.Second}, false},
 		"busy while all are cut off":  {situation{busy: true, toldLost: true, age: 10 * time.Second}, false},
+		"was paused":                  {situation{age: 4 * time.Second}, true},
+		"was paused, knows again":     {situation{age: time.Second}, false},
+		"was paused, all are cut off": {situation{toldLost: true, age: 4 * time.Second}, false},
 	} {
 		if got := c.situation.stale(within); got != c.stale {
 			t.Errorf("%s: stale %v", name, got)
@@ -64,12 +68,60 @@
 // served on by kept connections, and what it knew of the servers grew 9 s old.
 func TestRouterWithoutDescriptorsIsBusy(t *testing.T) {
 	var l linkState
-	l.failed(fmt.Errorf("%w: %w", peer.ErrNotSent, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ETIMEDOUT)}))
+	l.failed(time.Now(), fmt.Errorf("%w: %w", peer.ErrNotSent, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ETIMEDOUT)}))
 	if l.Busy() {
 		t.Error("busy since another router does not answer")
 	}
-	l.failed(errors.Join(peer.ErrNotSent, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}))
+	l.failed(time.Now(), errors.Join(peer.ErrNotSent, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}))
 	if !l.Busy() {
 		t.Error("not busy without descriptors")
 	}
 }
+
+// Guards against a router that is paused, or short of descriptors, and goes by what it knew
+// before until it happens to ask: it sent requests to servers that had left 3.9 s ago.
+func TestRouterThatWasBusyAsksBeforeItGoesByOldKnowledge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		unreachable := fmt.Errorf("%w: %w", peer.ErrNotSent, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ETIMEDOUT)})
+		noFiles := errors.Join(peer.ErrNotSent, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)})
+		var l linkState
+		window := func() {
+			time.Sleep(link.Window)
+			l.observe(time.Now(), link.Load{}, link.Window)
+		}
+		check := func(when string, busy, asked bool) {
+			t.Helper()
+			if l.Busy() != busy || l.HasAsked() != asked {
+				t.Errorf("%s: busy %v, has asked %v", when, l.Busy(), l.HasAsked())
+			}
+		}
+		window()
+		check("at the start", false, false)
+		if l.WasBusy() {
+			t.Error("was busy at the start")
+		}
+		before := time.Now()
+		time.Sleep(3 * time.Second)
+		check("resumed, before a timer fires", true, false)
+		l.observe(time.Now(), link.Load{}, 3*time.Second)
+		check("resumed", true, false)
+		if !l.WasBusy() {
+			t.Error("was not busy")
+		}
+		l.failed(before, unreachable)
+		window()
+		check("a question of before has failed", false, false)
+		l.failed(time.Now(), noFiles)
+		window()
+		check("a question had no descriptor", true, false)
+		time.Sleep(noFilesFor - link.Window)
+		l.observe(time.Now(), link.Load{}, link.Window)
+		check("descriptors are free again", false, false)
+		l.failed(time.Now(), unreachable)
+		check("nobody answers", false, true)
+		begun := time.Now()
+		l.failed(begun, unreachable)
+		window()
+		check("nobody answers still", false, true)
+	})
+}
