Package bound in the field's terms

Propagation, discovery and delivery in place of telling, finding and way; a staleness bound (StaleAfter, RelayStaleAfter) in place of TooOld and TooOldToTell; ProbeWithin and YieldFor say what they bound.

--- a/bound/bound_test.go
+++ b/bound/bound_test.go
@@ -7,8 +7,7 @@
 	"github.com/gaplink/gaplink/bound"
 )
 
-// TestPartsAddUpToTheBound, for the bounds of deployments of 6, 87 and 300 routers, and for
-// stricter and wider ones.
+// Covers the bounds of deployments of 6, 87 and 300 routers, and stricter and wider ones.
 func TestPartsAddUpToTheBound(t *testing.T) {
 	for _, b := range []time.Duration{2 * time.Second, 2500 * time.Millisecond, 3 * time.Second, 4 * time.Second, 5 * time.Second, 20 * time.Second} {
 		for _, large := range []bool{false, true} {
@@ -19,32 +18,33 @@
 			if p.Sum() > b {
 				t.Errorf("%v, large %v: %+v add up to %v", b, large, p, p.Sum())
 			}
-			if sum := p.Watch + p.Telling + p.Finding + p.Way; sum != p.Sum() {
+			if sum := p.Watch + p.Propagation + p.Discovery + p.Delivery; sum != p.Sum() {
 				t.Errorf("%v, large %v: the parts are %v, their sum says %v", b, large, sum, p.Sum())
 			}
 			if p.Retry()+bound.CallTimeout > max(b, 2*bound.CallTimeout) {
-				t.Errorf("%v, large %v: a router that found no store is right again only after %v", b, large, p.Retry()+bound.CallTimeout)
+				t.Errorf("%v, large %v: a router whose query failed is up to date again only after %v", b, large, p.Retry()+bound.CallTimeout)
 			}
 		}
 	}
 }
 
-// TestHealthyNewsAreNeverTooOld: in a fleet without faults nobody has to look for the store.
-func TestHealthyNewsAreNeverTooOld(t *testing.T) {
+// In a fleet without faults no router reaches its staleness bound and queries the store
+// directly.
+func TestUpdatesOfAHealthyFleetAreNeverStale(t *testing.T) {
 	const calls = 4 * 10 * time.Millisecond // the store's answer and both questions, with some to spare
 	for _, b := range []time.Duration{3 * time.Second, 4 * time.Second} {
 		p := bound.Divide(b, true)
-		if eldest := p.Watch + 2*bound.AskEvery + calls; eldest >= p.TooOld() {
-			t.Errorf("%v: news are up to %v old, and too old from %v on", b, eldest, p.TooOld())
+		if eldest := p.Watch + 2*bound.AskEvery + calls; eldest >= p.StaleAfter() {
+			t.Errorf("%v: updates are up to %v old, and stale from %v on", b, eldest, p.StaleAfter())
 		}
-		if eldest := p.Watch + bound.AskEvery + calls; eldest >= p.TooOldToTell() {
-			t.Errorf("%v: news are up to %v old where they are passed on, and too old from %v on", b, eldest, p.TooOldToTell())
+		if eldest := p.Watch + bound.AskEvery + calls; eldest >= p.RelayStaleAfter() {
+			t.Errorf("%v: updates are up to %v old at relays, and stale from %v on", b, eldest, p.RelayStaleAfter())
 		}
 	}
 }
 
-// TestTooShortABoundLeavesAWatch: the store is not asked all the time.
-func TestTooShortABoundLeavesAWatch(t *testing.T) {
+// The store is not asked without pause, however short the bound is.
+func TestShortBoundLeavesAWatch(t *testing.T) {
 	if w := bound.Divide(time.Second, true).Watch; w < 500*time.Millisecond {
 		t.Errorf("watches of %v", w)
 	}
--- a/controller/follow/deputy.go
+++ b/controller/follow/deputy.go
@@ -57,7 +57,7 @@
 	case f.since() == 0:
 		return rand.N(startWithin)
 	default:
-		return rand.N(bound.FindWithin)
+		return rand.N(bound.ProbeWithin)
 	}
 }
 
--- a/controller/news/fleet_test.go
+++ b/controller/news/fleet_test.go
@@ -445,9 +445,9 @@
 
 // tooOld are the ages from which routers look for the store.
 func (f *fleet) tooOld(passesOn bool) peer.Ages {
-	age := bound.Parts.TooOld
+	age := bound.Parts.StaleAfter
 	if passesOn {
-		age = bound.Parts.TooOldToTell
+		age = bound.Parts.RelayStaleAfter
 	}
 	ages := peer.Ages{Config: age(f.parts()), Servers: age(f.parts())}
 	if f.evacuates {
@@ -619,7 +619,7 @@
 			t.Errorf("what the store told before is %v old", age)
 		}
 		time.Sleep(2 * time.Second)
-		if age := last.news.Ages().Config; age > f.parts().TooOld() {
+		if age := last.news.Ages().Config; age > f.parts().StaleAfter() {
 			t.Errorf("the configuration is %v old 2 s after waking", age)
 		}
 		if !last.news.Heard() {
--- a/controller/news/leaving_test.go
+++ b/controller/news/leaving_test.go
@@ -114,7 +114,7 @@
 	}
 	for _, d := range p.left {
 		late := time.Since(d.at)
-		if late <= leaveBound-p.parts().Way || !r.servers.TakesWork(placement.Incarnation{ID: d.id}) {
+		if late <= leaveBound-p.parts().Delivery || !r.servers.TakesWork(placement.Incarnation{ID: d.id}) {
 			continue
 		}
 		p.broken[r.number] = true
--- a/controller/news/pair_test.go
+++ b/controller/news/pair_test.go
@@ -140,7 +140,7 @@
 		deaf := time.Now()
 		p.ages = func() news.Moments { return news.Moments{Config: deaf, Servers: deaf} }
 		go p.asking.Run(t.Context())
-		limit := (&fleet{}).parts().TooOldToTell() // both routers pass news on
+		limit := (&fleet{}).parts().RelayStaleAfter() // both routers pass news on
 		time.Sleep(limit - 50*time.Millisecond)
 		if !p.asking.Heard() {
 			t.Errorf("looks for the store after %v, though %v old news will do", limit-50*time.Millisecond, limit)
--- a/controller/news/roles.go
+++ b/controller/news/roles.go
@@ -35,7 +35,7 @@
 	if c.isTeller() {
 		return 0
 	}
-	return bound.FindAfter
+	return bound.YieldFor
 }
 
 // goesFirst tells whether this router is ranked before another one.
--- a/server/watch.go
+++ b/server/watch.go
@@ -23,9 +23,9 @@
 		case within == 0:
 			return 0 // not followed
 		case passesOn:
-			return p.TooOldToTell()
+			return p.RelayStaleAfter()
 		default:
-			return p.TooOld()
+			return p.StaleAfter()
 		}
 	}
 	limits := s.settings.Bounds
