A restarted owner of a rate is replaced until it knows the other routers

What callers saw: nothing yet; a limited server with one owner would get no request for 4 s after each restart of that router.

Cause: a process that has just started denied permits, and a denial is an answer, so nobody else was asked. Change: it returns result.Starting, which counts as no answer, and the next router grants half of the rate meanwhile. What the process before had granted and that half stay within one and a half times the rate. TestRestartedOwnerIsReplacedUntilItKnowsTheOthers: 0 requests in 4 s before, at least 2 now, and the bound of the rule holds.

--- a/controller/limits/fleet_test.go
+++ b/controller/limits/fleet_test.go
@@ -429,6 +429,33 @@
 	}
 }
 
+// Guards against a server with one owner that gets nothing until a restarted process of the
+// owner knows the other routers.
+func TestRestartedOwnerIsReplacedUntilItKnowsTheOthers(t *testing.T) {
+	play(t, func(ctx context.Context) {
+		w := newWorld(ctx, 7, 6, 1)
+		const limit limiter.Rate = 1.2
+		w.setLimit(limit)
+		w.load(busy*float64(limit), 6*time.Second, 0)
+		owner := w.routers[0].Owners(server.ID)[0]
+		for _, r := range w.routers {
+			if idOf(r.number) == owner {
+				r.die()
+				r.restart()
+			}
+		}
+		from := time.Now()
+		w.load(busy*float64(limit), 4*time.Second, 0)
+		if n := len(w.between(from, time.Now())); n < 2 {
+			t.Errorf("%d requests in 4 s at %g a second", n, limit)
+		}
+		times := w.between(from.Add(-countedIn), time.Now())
+		if n := most(times, countedIn); float64(n) > 1.5*float64(limit)*countedIn.Seconds()+5 {
+			t.Errorf("%d requests in %s at %g a second", n, countedIn, limit)
+		}
+	})
+}
+
 // Guards against a limit that is exceeded, or whose server is left alone, when the owner of
 // its rate dies, is paused or is cut off from the other routers.
 func TestLimitHoldsWithoutItsOwner(t *testing.T) {
--- a/controller/limits/permits.go
+++ b/controller/limits/permits.go
@@ -13,6 +13,7 @@
 	"github.com/gaplink/gaplink/limiter"
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/placement"
+	"github.com/gaplink/gaplink/result"
 )
 
 // Target is a process for which a request is meant, the rate that it takes while it is cold,
@@ -219,8 +220,12 @@
 	c.Log.Info("owner of a server's rate does not answer", zap.String("router", id), zap.String("server", server.ID), zap.Error(cause))
 }
 
-// OnPermit answers another router that asks for a permit.
+// OnPermit answers another router that asks for a permit. Until this router knows the others
+// it returns result.Starting, and the other one asks elsewhere.
 func (c *Controller) OnPermit(_ context.Context, req *peer.PermitRequest) (*peer.PermitAnswer, error) {
+	if !c.Settled() {
+		return nil, result.New(result.Starting, "the process has just started")
+	}
 	return c.grant(req), nil
 }
 
@@ -241,7 +246,7 @@
 	if req.Fallback {
 		share = rate.Fallback()
 	}
-	if !c.Settled() || !owns && !req.Fallback {
+	if !owns && !req.Fallback {
 		return &peer.PermitAnswer{Wait: retryAfter}
 	}
 	if !req.Again {
