A router that has just started asks the owners of rates for permits

What callers saw: nothing yet; where all servers of a service are limited, a router would refuse each of its callers for 4 s after its start.

Cause: such a router may not know the others and so must not grant permits, and was kept from asking for them as well. Whom it asks knows whether it is an owner, so asking is safe. Change: it asks, and neither grants nor turns to a router in an owner's place.

--- a/controller/limits/fleet_test.go
+++ b/controller/limits/fleet_test.go
@@ -429,6 +429,38 @@
 	}
 }
 
+// Guards against a router that refuses callers for seconds after its start where all servers
+// are limited, although the owners of their rates would grant it permits.
+func TestStartingRouterAsksTheOwners(t *testing.T) {
+	play(t, func(ctx context.Context) {
+		w := newWorld(ctx, 7, 6, 1)
+		w.setLimit(8)
+		w.load(8, 2*time.Second, 0)
+		var started *router
+		for _, r := range w.routers {
+			if !slices.Contains(r.Owners(server.ID)[:4], idOf(r.number)) {
+				started = r
+			}
+		}
+		started.die()
+		started.restart()
+		time.Sleep(time.Second) // it catches up with the limits
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			started.try(0, 0)
+		}
+		n := 0
+		for _, a := range w.arrivals {
+			if a.router == started.number && a.at.After(started.begun) {
+				n++
+			}
+		}
+		if n < 10 {
+			t.Errorf("%d of 30 requests admitted in its first 4 s", n)
+		}
+	})
+}
+
 // Guards against a server with one owner that gets nothing until a restarted process of the
 // owner knows the other routers.
 func TestRestartedOwnerIsReplacedUntilItKnowsTheOthers(t *testing.T) {
--- a/controller/limits/limits.go
+++ b/controller/limits/limits.go
@@ -61,8 +61,7 @@
 	Self string
 	// Fleet may be nil: limits are then learnt and not enforced.
 	Fleet Fleet
-	// Settled tells whether this router knows the others. Until then it neither asks for
-	// permits nor grants any.
+	// Settled tells whether this router knows the others. Until then it grants no permits.
 	Settled func() bool
 	// Runs tells whether a process is registered.
 	Runs func(placement.Incarnation) bool
--- a/controller/limits/permits.go
+++ b/controller/limits/permits.go
@@ -49,7 +49,7 @@
 
 // Open tells whether a permit for a server is worth asking for.
 func (c *Controller) Open(now time.Time, t Target) bool {
-	return !c.Restricted(t) || c.Settled() && c.Wait(now, t) == 0
+	return !c.Restricted(t) || c.Wait(now, t) == 0
 }
 
 // Restricted tells whether a server takes requests at a limited rate.
@@ -97,16 +97,18 @@
 // owners returns the routers that may be asked for a permit for a server: the owners of its
 // rate that have not failed to answer lately, or another router in place of an only owner.
 // For a cold server nobody grants in place of its owner, since nothing says which routers
-// would do so. It is called under the lock.
+// would do so. A router that may not know the others asks them, and grants nothing itself;
+// those that it asks know whether they are owners. It is called under the lock.
 func (c *Controller) owners(now time.Time, t Target, rate limiter.Rate) (list []owner) {
 	ids := c.Fleet.Owners(t.Server.ID)
 	split := rate.Split(len(ids))
+	settled := c.Settled()
 	for rank, id := range ids {
 		o := owner{id: id, share: split.Share, fallback: rank >= split.Owners}
 		switch {
-		case rank >= split.Owners && (split.Owners > 1 || t.Cold > 0 || rank > fallbacks || len(list) > 0):
+		case o.fallback && (split.Owners > 1 || t.Cold > 0 || !settled || rank > fallbacks || len(list) > 0):
 			return list
-		case now.Before(c.unanswered[id]):
+		case now.Before(c.unanswered[id]), id == c.Self && !settled:
 			continue
 		case o.fallback:
 			o.share = rate.Fallback()
@@ -159,7 +161,7 @@
 		return Permit{}, true
 	}
 	asked := clock.Now()
-	granted := c.Settled() && c.ask(ctx, t)
+	granted := c.ask(ctx, t)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !granted {
--- a/server/link.go
+++ b/server/link.go
@@ -167,10 +167,12 @@
 	if !s.link.WasBusy() {
 		return true
 	}
-	alone := len(s.members.Members()) == 1
-	return s.callLost() && (alone || s.link.HasAsked())
+	return s.callLost() && (s.link.HasAsked() || s.isAlone())
 }
 
+// isAlone tells whether this router knows no other one.
+func (s *Server) isAlone() bool { return len(s.members.Members()) == 1 }
+
 // situation is what tells whether a router is stale.
 type situation struct {
 	// busy: its link is full, its processor time or its descriptors are used up, or it was
