--- a/server/link.go
+++ b/server/link.go
@@ -120,6 +120,9 @@
 
 // watchLink ends the meter's windows and tells the guard of their load.
 func (s *Server) watchLink(ctx context.Context) {
+	if s.settings.Link.Mbps == 0 {
+		return
+	}
 	ticker := time.NewTicker(link.Window)
 	defer ticker.Stop()
 	ended := clock.Now()
