Requests of several ranks together keep a low rate

Found by reading: where more urgent requests asked lately, less urgent ones were not held to windows of one request, since a reserve left none of it; a server with a limit below about one request a second could get more than that from both together. Cause: the check of such a window was left out in place of being made without a reserve. Change: a window of one request has no reserve. TestRanksTogetherKeepTheRate (any rate from 0.1 to 12 a second, three ranks) fails before: 2 permits in a second at 1 a second; ok now. The package comment says that a rate may have several owners.

--- a/limiter/ledger.go
+++ b/limiter/ledger.go
@@ -70,17 +70,15 @@
 }
 
 // waitFor returns how long from now the windows of a rate hold no further permit beyond a
-// reserve.
+// reserve. Windows of one request have none.
 func waitFor(now time.Time, granted []event, rate Rate, reserve int) (wait time.Duration) {
 	for _, w := range rate.Windows() {
-		allowed := w.Requests - reserve
-		switch {
-		case allowed <= 0: // too few for a reserve
+		allowed := max(w.Requests-reserve, 1)
+		if len(granted) < allowed {
 			continue
-		case len(granted) >= allowed:
-			oldest := granted[len(granted)-allowed].at
-			wait = max(wait, oldest.Add(w.Length+margin).Sub(now))
 		}
+		oldest := granted[len(granted)-allowed].at
+		wait = max(wait, oldest.Add(w.Length+margin).Sub(now))
 	}
 	return wait
 }
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -60,6 +60,28 @@
 	})
 }
 
+// Guards against requests of several ranks that together get more than the rate.
+func TestRanksTogetherKeepTheRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := limiter.Rate(rapid.Float64Range(0.1, 12).Draw(t, "rate"))
+		l, now := limiter.NewLedger(), time.Unix(1000, 0)
+		var times []time.Time
+		for range 300 {
+			rank := limiter.Rank(rapid.IntRange(0, 2).Draw(t, "rank"))
+			l.Ask(now, server, rank)
+			if ok, _ := l.Grant(now, server, rate, rank); ok {
+				times = append(times, now)
+				for _, w := range rate.Windows() {
+					if n := within(times, now, w.Length); n > w.Requests {
+						t.Fatalf("permit %d in %s at %g a second", n, w.Length, float64(rate))
+					}
+				}
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+		}
+	})
+}
+
 // within counts the times in a window that ends now.
 func within(times []time.Time, now time.Time, window time.Duration) (n int) {
 	for _, at := range times {
--- a/limiter/rate.go
+++ b/limiter/rate.go
@@ -1,10 +1,10 @@
 // Package limiter enforces the request rate that a backend server takes from all routers
 // together: one that is cold, or one that names a limit in its answers.
 //
-// Each server has one router as the owner of its rate, the first in the server's
-// rendezvous order. A router asks the owner for a permit before it sends a request. A
-// Ledger is the owner's record of the permits that it granted, a Table what a router
-// knows of the limits that servers name, and a Gate what it knows of denials.
+// A rate has one owner among the routers, or several with equal shares of a high rate: the
+// first routers in the server's rendezvous order. A router asks an owner for a permit before
+// it sends a request. A Ledger is an owner's record of the permits that it granted, a Table
+// what a router knows of the limits that servers name, and a Gate what it knows of denials.
 //
 // The package is pure: callers pass the time.
 package limiter
