Read once more: one lock a candidate, owners worked out once, one call of a router by its id

No change of what is decided. Choosing a server asked for the limit of each candidate twice under the lock; a check without the lock and one with it do. Which routers own a rate was worked out in the same way for operators and when granting (sharers serves both). Three adapters looked up a router's address and called it in the same lines; spread.Call serves them. Two comments said what the code did before: the count of unanswered questions also holds those after which another router granted, and the pause of 250 ms follows a router that is no owner. Lint clean; tests of limits, verdicts, registry, server and gateway: ok, unchanged.

--- a/controller/limits/limits.go
+++ b/controller/limits/limits.go
@@ -29,7 +29,7 @@
 	// unansweredFor is how long a router that did not answer is not asked for permits.
 	unansweredFor = 2 * time.Second
 	// retryAfter is how long a server gets no request from this router after no owner
-	// answered, or before this router knows the others.
+	// answered, or after a router that was asked is no owner.
 	retryAfter = 250 * time.Millisecond
 	// askAtMost is how many other routers are asked for a permit for one request.
 	askAtMost = 3
@@ -71,7 +71,7 @@
 // Counts are what has happened since the start.
 type Counts struct {
 	// Granted and Denied are the requests of this router that got a permit and that did
-	// not, and Unanswered those of the denied ones for which no owner answered.
+	// not, and Unanswered the questions for one that a router did not answer.
 	Granted, Denied, Unanswered int64
 }
 
--- a/controller/limits/operate.go
+++ b/controller/limits/operate.go
@@ -1,9 +1,6 @@
 package limits
 
-import (
-	"github.com/gaplink/gaplink/clock"
-	"github.com/gaplink/gaplink/limiter"
-)
+import "github.com/gaplink/gaplink/clock"
 
 // CommandList is the operators' command that lists the limits in force.
 const CommandList = "limit.list"
@@ -28,16 +25,11 @@
 	defer c.mu.Unlock()
 	list := []Listed{}
 	for _, o := range c.table.Limits() {
+		owners, _ := c.sharers(o.Server, o.Rate)
 		list = append(list, Listed{
-			Server: o.Server.ID, Started: o.Server.Started, PerSecond: float64(o.Rate),
-			Owners:          c.ownersOf(o),
+			Server: o.Server.ID, Started: o.Server.Started, PerSecond: float64(o.Rate), Owners: owners,
 			NamedSecondsAgo: clock.Since(o.Received).Seconds(),
 		})
 	}
 	return list
 }
-
-func (c *Controller) ownersOf(o limiter.Observation) []string {
-	ids := c.Fleet.Owners(o.Server.ID)
-	return ids[:min(len(ids), o.Rate.Split(len(ids)).Owners)]
-}
--- a/controller/limits/over.go
+++ b/controller/limits/over.go
@@ -27,18 +27,10 @@
 
 // Ask implements Fleet.
 func (o Over) Ask(ctx context.Context, id string, req *peer.PermitRequest) (*peer.PermitAnswer, error) {
-	addr, ok := o.Members.Addr(id)
-	if !ok {
-		return nil, peer.ErrNotSent
-	}
-	return peer.Call[peer.PermitRequest, peer.PermitAnswer](ctx, o.Client, addr, peer.MethodPermit, req)
+	return spread.Call[peer.PermitRequest, peer.PermitAnswer](ctx, o.Audience, o.Client, id, peer.MethodPermit, req)
 }
 
 // Report implements Fleet.
 func (o Over) Report(ctx context.Context, id string, req *peer.LimitsRequest) (*peer.LimitsAnswer, error) {
-	addr, ok := o.Members.Addr(id)
-	if !ok {
-		return nil, peer.ErrNotSent
-	}
-	return peer.Call[peer.LimitsRequest, peer.LimitsAnswer](ctx, o.Client, addr, peer.MethodLimits, req)
+	return spread.Call[peer.LimitsRequest, peer.LimitsAnswer](ctx, o.Audience, o.Client, id, peer.MethodLimits, req)
 }
--- a/controller/limits/permits.go
+++ b/controller/limits/permits.go
@@ -49,12 +49,17 @@
 
 // Open tells whether a permit for a server is worth asking for.
 func (c *Controller) Open(now time.Time, t Target) bool {
-	return !c.Restricted(t) || c.Wait(now, t) == 0
+	return !c.mayBeLimited(t) || c.Wait(now, t) == 0
+}
+
+// mayBeLimited is false where a server has no limit for certain, which costs no lock.
+func (c *Controller) mayBeLimited(t Target) bool {
+	return c.Fleet != nil && (t.Cold > 0 || c.watching.Load())
 }
 
 // Restricted tells whether a server takes requests at a limited rate.
 func (c *Controller) Restricted(t Target) bool {
-	if c.Fleet == nil || t.Cold == 0 && !c.watching.Load() {
+	if !c.mayBeLimited(t) {
 		return false
 	}
 	c.mu.Lock()
@@ -118,6 +123,13 @@
 	return list
 }
 
+// sharers returns the owners of a server's rate and the share of each.
+func (c *Controller) sharers(server placement.Incarnation, rate limiter.Rate) (ids []string, share limiter.Rate) {
+	ids = c.Fleet.Owners(server.ID)
+	split := rate.Split(len(ids))
+	return ids[:min(len(ids), split.Owners)], split.Share
+}
+
 // wait returns how long from now an owner has no permit for this router. It is called under
 // the lock.
 func (c *Controller) wait(now time.Time, t Target, o owner) time.Duration {
@@ -241,14 +253,11 @@
 	if own, limited := c.table.Limit(req.Server); limited {
 		rate = min(rate, own)
 	}
-	owners := c.Fleet.Owners(req.Server.ID)
-	split := rate.Split(len(owners))
-	owns := slices.Contains(owners[:min(len(owners), split.Owners)], c.Self)
-	share := split.Share
+	ids, share := c.sharers(req.Server, rate)
 	if req.Fallback {
 		share = rate.Fallback()
 	}
-	if !owns && !req.Fallback {
+	if !req.Fallback && !slices.Contains(ids, c.Self) {
 		return &peer.PermitAnswer{Wait: retryAfter}
 	}
 	if !req.Again {
--- a/controller/spread/audience.go
+++ b/controller/spread/audience.go
@@ -1,11 +1,13 @@
 package spread
 
 import (
+	"context"
 	"math/rand/v2"
 	"slices"
 
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/controller/members"
+	"github.com/gaplink/gaplink/peer"
 )
 
 // Audience are the routers that reports go to and come from.
@@ -41,3 +43,12 @@
 	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 	return ids
 }
+
+// Call calls a method of a listed router; peer.ErrNotSent: there is none with that id.
+func Call[Req, Resp any](ctx context.Context, a Audience, c *peer.Client, id, method string, req *Req) (*Resp, error) {
+	addr, ok := a.Members.Addr(id)
+	if !ok {
+		return nil, peer.ErrNotSent
+	}
+	return peer.Call[Req, Resp](ctx, c, addr, method, req)
+}
--- a/controller/verdicts/over.go
+++ b/controller/verdicts/over.go
@@ -17,9 +17,5 @@
 
 // Report implements Fleet.
 func (o Over) Report(ctx context.Context, id string, req *peer.VerdictsRequest) (*peer.VerdictsAnswer, error) {
-	addr, ok := o.Members.Addr(id)
-	if !ok {
-		return nil, peer.ErrNotSent
-	}
-	return peer.Call[peer.VerdictsRequest, peer.VerdictsAnswer](ctx, o.Client, addr, peer.MethodVerdicts, req)
+	return spread.Call[peer.VerdictsRequest, peer.VerdictsAnswer](ctx, o.Audience, o.Client, id, peer.MethodVerdicts, req)
 }
