Test stand-in of the gateway announces that it closes the connection

The stand-in server closes its connection after each answer and did not say so, so the router kept the connection. A request that may not be repeated was then sent on it at the moment of the close, and 4004 is the right answer to that.

Ruled out: a limit that is applied late (the code was 4004 and not 3008 each time).

Change: the stand-in sends Connection: close, and waits a millisecond before it closes, so that an answer without the field fails each time.

--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -83,7 +83,8 @@
 // servers that could run its request take no more now.
 func TestCallerIsRefusedAtOnceWhenAllServersAreLimited(t *testing.T) {
 	web, _ := newLimitedGateway(t, 2, 2, func(c *net.TCPConn, r *http.Request, _ int) {
-		send(c, head(r, 200, "Content-Length: 2", named("0.5")), "ok")
+		send(c, head(r, 200, "Content-Length: 2", closeField, named("0.5")), "ok")
+		time.Sleep(time.Millisecond) // an answer that does not announce the close lets the next request use the connection
 	})
 	refused := 0
 	for range 6 {
@@ -115,7 +116,7 @@
 		mu.Lock()
 		arrived++
 		mu.Unlock()
-		send(c, head(r, 503, "Content-Length: 0", headerNotRun+": 1", named("0.2")))
+		send(c, head(r, 503, "Content-Length: 0", closeField, headerNotRun+": 1", named("0.2")))
 	})
 	for range 8 {
 		call(t, web, "HTTP/1.1", "GET", "/safe/x")
