Budgets: a question that fails is asked again alone, and after a pause

Cause: a small router whose link was full, or which was paused, held 28,000 goroutines and 123 MB of their stacks two seconds later, with 417 connections of callers; it was ended by memory, or ran out of descriptors before that. Each question for tokens that did not reach the home of a budget made the router ask anew for all requests that waited, at once and mostly the same home: a router with a full link passes over nobody. 40 waiting requests led to 1,600 questions under way after the first round of failures, and to 64,000 after the second.

Ruled out: callers' connections (417 of 1,534 allowed), unread answers, the heap (39 MB of 184).

Change: a question that failed is asked again for its own request only. A home that did not get the last question is asked again after 50 ms, with one question at a time, until one arrives. A home that was started anew is still asked at once.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -185,6 +185,9 @@
 func (a *Agent) granted(now time.Time, p *purse, m Message) {
 	p.scarce = m.Scarce
 	p.home = m.From
+	if p.failedHome == m.From.ID {
+		p.failedHome = ""
+	}
 	if m.Token == 0 {
 		p.prefetching = time.Time{}
 	}
@@ -214,7 +217,10 @@
 	}
 	switch m.Kind {
 	case Draw:
-		p.unask()
+		p.notAsked(m.Token)
+		if m.To.Incarnation == "" || !certain {
+			p.failedHome, p.failedAt = m.To.ID, now
+		}
 	case Recall:
 		p.recallAnswered(m.To.Incarnation)
 	case Borrow:
--- a/budget/entry.go
+++ b/budget/entry.go
@@ -50,18 +50,31 @@
 	return true
 }
 
-// ask sends waiting reservations to the home: one at a time while tokens are
-// held ahead, since the answer brings more than one needs, else each by itself.
+// unreachedPause is how long a home that did not get a question is not asked again.
+const unreachedPause = 50 * time.Millisecond
+
+// homeFails tells whether the last question did not reach the home that a budget has now.
+func (a *Agent) homeFails(now time.Time, p *purse) bool {
+	return p.failedHome != "" && p.failedHome == a.cfg.Home(now, p.id)
+}
+
+// ask sends waiting reservations to the home: one at a time while tokens are held ahead, since
+// the answer brings more than one needs, or while the home does not get what is sent; else each
+// by itself.
 func (a *Agent) ask(now time.Time, p *purse) {
 	if p.passing || a.refuseAsRound(now, p) {
 		return
 	}
+	fails := a.homeFails(now, p)
+	if fails && now.Sub(p.failedAt) < unreachedPause {
+		return
+	}
 	for i := range p.waiters {
 		w := &p.waiters[i]
 		if !w.askedAt.IsZero() {
 			continue
 		}
-		if a.holdsAhead(now, p) && p.asking() {
+		if (fails || a.holdsAhead(now, p)) && p.asking() {
 			return
 		}
 		w.askedAt = now
--- a/budget/purse.go
+++ b/budget/purse.go
@@ -74,6 +74,8 @@
 	unknown     bool
 	scarce      bool
 	home        Peer
+	failedHome  string    // the home that did not get the last question; empty: it got it
+	failedAt    time.Time // when that was known
 	passedOver  map[string]time.Time // homes that were of no use, and when
 	passing     bool                 // the next home is not known yet
 	sent        map[string]int64     // by the receiver's incarnation
@@ -167,6 +169,20 @@
 	p.prefetching = time.Time{}
 }
 
+// notAsked forgets one question, which did not reach the home: that of a waiting reservation, or
+// the one ahead of demand.
+func (p *purse) notAsked(token uint64) {
+	if token == 0 {
+		p.prefetching = time.Time{}
+		return
+	}
+	for i := range p.waiters {
+		if p.waiters[i].token == token {
+			p.waiters[i].askedAt = time.Time{}
+		}
+	}
+}
+
 // silent tells whether the home left a question open for too long.
 func (p *purse) silent(now time.Time, timeout time.Duration) bool {
 	for _, w := range p.waiters {
--- a/budget/search.go
+++ b/budget/search.go
@@ -58,7 +58,7 @@
 		}
 		return
 	}
-	if p.asking() || p.passing || p.balance >= a.entryHold(now, p)/shareOfFree {
+	if p.asking() || p.passing || a.homeFails(now, p) && now.Sub(p.failedAt) < unreachedPause || p.balance >= a.entryHold(now, p)/shareOfFree {
 		return
 	}
 	p.prefetching = now
