Sockets of a router are divided by purpose, with a share for control

Cause: callers and backend servers together were left all descriptors but 1,000. The connections to and from other routers had no bound at all: calls under way, kept connections (8 for each router) and what other routers open.

Change: package sockets divides the limit that the process is given at its start: backend servers and callers, connections to other routers, from other routers, readiness checks and metrics, with a rest for the store. A client of other routers bounds its calls under way, the connections that it keeps, and the dials at a time; the listeners of routers, readiness and metrics close the longest idle connection where all are open. The open sockets and their shares are metrics, and a process without a descriptor logs who holds how many. An error that ends the listener of other routers is logged.

--- a/cli/ctl/ctl.go
+++ b/cli/ctl/ctl.go
@@ -81,7 +81,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	p := peer.NewClient(callTimeout, "")
+	p := peer.NewClient(peer.Options{DialTimeout: callTimeout})
 	defer func() { _ = p.Close() }()
 	resp, err := peer.Call[peer.AdminRequest, peer.AdminAnswer](ctx, p, c.router, peer.MethodAdmin, &peer.AdminRequest{
 		Operator: c.operator,
--- a/controller/ledgers/ledgers_test.go
+++ b/controller/ledgers/ledgers_test.go
@@ -28,7 +28,7 @@
 func TestHeldBillsAreUnrecorded(t *testing.T) {
 	self := membership.Member{ID: "r0", Kind: "router", State: membership.Live}
 	m := members.New(self, nil, time.Hour, zap.NewNop())
-	p := peer.NewClient(time.Second, "")
+	p := peer.NewClient(peer.Options{DialTimeout: time.Second})
 	defer func() { _ = p.Close() }()
 	cfg := ledger.DefaultConfig()
 	cfg.Owner = "r0/1"
--- a/lab/operator.go
+++ b/lab/operator.go
@@ -24,7 +24,7 @@
 }
 
 func newOperator(name, addr string) *operator {
-	return &operator{peers: peer.NewClient(time.Second, ""), name: name, addr: addr}
+	return &operator{peers: peer.NewClient(peer.Options{DialTimeout: time.Second}), name: name, addr: addr}
 }
 
 func (o *operator) do(command string, args, into any) error {
--- a/lab/slopes.go
+++ b/lab/slopes.go
@@ -264,7 +264,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() { _ = peer.Serve(ctx, listener, mux) }()
-	c := peer.NewClient(time.Second, "")
+	c := peer.NewClient(peer.Options{DialTimeout: time.Second})
 	defer func() { _ = c.Close() }()
 	return each(func(int) {
 		_, _ = peer.Call[peer.Empty, peer.WhoAnswer](ctx, c, listener.Addr().String(), peer.MethodWho, &peer.Empty{})
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -86,7 +86,7 @@
 
 func callThrough(t *testing.T, c *cutter) (*message, error) {
 	t.Helper()
-	client := peer.NewClient(time.Second, "")
+	client := peer.NewClient(peer.Options{DialTimeout: time.Second})
 	defer func() { _ = client.Close() }()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
@@ -131,7 +131,7 @@
 		Count int64
 	}
 	var calls atomic.Int64
-	client := peer.NewClient(time.Second, "")
+	client := peer.NewClient(peer.Options{DialTimeout: time.Second})
 	t.Cleanup(func() { _ = client.Close() })
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
@@ -150,8 +150,8 @@
 		client *peer.Client
 		opened int64
 	}{
-		"greeter": {peer.NewGreeter(time.Second, ""), 3},
-		"client":  {peer.NewClient(time.Second, ""), 1},
+		"greeter": {peer.NewGreeter(peer.Options{DialTimeout: time.Second}), 3},
+		"client":  {peer.NewClient(peer.Options{DialTimeout: time.Second}), 1},
 	} {
 		var calls, opened, ended atomic.Int64
 		target := echo(t, &calls)
--- a/router/harness_test.go
+++ b/router/harness_test.go
@@ -145,7 +145,7 @@
 func (f *fleet) admin(i int, command string, args, into any) error {
 	body, err := json.Marshal(args)
 	Expect(err).NotTo(HaveOccurred())
-	p := peer.NewClient(time.Second, "")
+	p := peer.NewClient(peer.Options{DialTimeout: time.Second})
 	defer func() { _ = p.Close() }()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
@@ -176,7 +176,7 @@
 
 // peer calls a router as another router would.
 func (f *fleet) peer(i int, call func(context.Context, *peer.Client, string) error) error {
-	p := peer.NewClient(time.Second, "")
+	p := peer.NewClient(peer.Options{DialTimeout: time.Second})
 	defer func() { _ = p.Close() }()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
--- a/router/router.go
+++ b/router/router.go
@@ -108,7 +108,7 @@
 		incarnation: s.Instance.ID + "/" + uuid.NewString(),
 		metrics:     metrics.New(),
 		engines:     engine.NewClient(),
-		peers:       peer.NewClient(peerDialTimeout, s.Listen.Peers),
+		peers:       peer.NewClient(peer.Options{DialTimeout: peerDialTimeout, From: s.Listen.Peers}),
 		fenced:      make(chan struct{}),
 	}
 	r.provision()
--- a/server/crowd.go
+++ b/server/crowd.go
@@ -27,42 +27,16 @@
 	open atomic.Int64
 }
 
-func newCrowd(memoryMB int64, descriptors int) *crowd {
+// newCrowd bounds callers' connections by the process's memory, and by their share of its
+// descriptors; 0: that is not known.
+func newCrowd(memoryMB int64, share int) *crowd {
 	most := int(connectionMemory * float64(memoryMB<<20) / connectionBytes)
-	if descriptors > 0 {
-		most = min(most, sharedDescriptors(descriptors)/2)
+	if share > 0 {
+		most = min(most, share)
 	}
 	return &crowd{most: most}
 }
 
-const (
-	// fileDescriptors are kept for files and listeners, as the platform does.
-	fileDescriptors = 200
-	// routerDescriptors are kept for connections to and from other routers and to the
-	// store: two for each of four hundred routers, which all greet each other when
-	// they start.
-	routerDescriptors = 800
-	// leastDescriptors are left for callers and backend servers in any case.
-	leastDescriptors = 128
-)
-
-// sharedDescriptors returns how many of a process's descriptors callers and backend
-// servers share, a half each: a request takes one on either side.
-func sharedDescriptors(limit int) int {
-	return max(limit-fileDescriptors-routerDescriptors, leastDescriptors)
-}
-
-// maxUpstream bounds the connections to all backend servers; 0: it does not.
-func maxUpstream(descriptors int) int {
-	if descriptors == 0 {
-		return 0
-	}
-	return sharedDescriptors(descriptors) / 2
-}
-
-// listener bounds the open connections; further ones wait to be accepted.
-func (c *crowd) listener(l net.Listener) net.Listener { return bounded(l, c.most) }
-
 // changed is told of each connection's state by the HTTP server.
 func (c *crowd) changed(_ net.Conn, state http.ConnState) {
 	switch state {
--- a/server/link.go
+++ b/server/link.go
@@ -102,6 +102,12 @@
 	}
 }
 
+// questionFailed takes how a question to another router has failed that began at a time.
+func (s *Server) questionFailed(begun time.Time, err error) {
+	s.descriptors.failed(err)
+	s.link.failed(begun, err)
+}
+
 // observe takes the load of a window and how long that was, and tells whether Away has
 // changed.
 func (l *linkState) observe(now time.Time, load link.Load, window time.Duration) (changed bool) {
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -22,7 +22,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(MetricsPath, promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}))
 	s.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	return s.listen(s.settings.Listen.Metrics, s.metrics, unbounded)
+	return s.listen(s.settings.Listen.Metrics, s.metrics, s.boundChecks)
 }
 
 // registerState registers what is read when the counters are asked for.
@@ -48,6 +48,7 @@
 	s.storeCounter("gaplink_store_watches_total", "Store watches.", func(c store.Counts) int64 { return c.Watches })
 	s.gauge("gaplink_server_dials", "Connections opened to backend servers.", func() float64 { return float64(s.pool.Stats().Dials) })
 	s.gauge("gaplink_server_reuses", "Requests sent on kept connections.", func() float64 { return float64(s.pool.Stats().Reuses) })
+	s.registerSockets()
 	s.registry.MustRegister(&stateCollector{server: s})
 }
 
--- a/server/provision.go
+++ b/server/provision.go
@@ -23,6 +23,7 @@
 	"github.com/gaplink/gaplink/membership"
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/retry"
+	"github.com/gaplink/gaplink/sockets"
 	"github.com/gaplink/gaplink/store"
 	"github.com/gaplink/gaplink/upstream"
 )
@@ -30,14 +31,16 @@
 // provision builds the controllers and the gateway.
 func (s *Server) provision() {
 	s.store = store.NewCounting(s.platform.Store)
-	s.crowd = newCrowd(s.settings.Memory.LimitMB, s.settings.Files.Limit)
+	s.shares = sockets.Divide(s.settings.Files.Limit)
+	s.crowd = newCrowd(s.settings.Memory.LimitMB, s.shares.Callers)
+	s.descriptors = &descriptors{open: s.openSockets, log: s.log}
 	s.meter = link.New(s.settings.Link.Mbps*bytesPerMbit, clock.Now())
 	s.pool = upstream.New(upstream.Options{
 		DialTimeout: s.settings.Servers.DialTimeout.Std(),
 		IdleTimeout: s.settings.Servers.IdleTimeout.Std(),
 		Meter:       s.meter,
 		Congested:   s.link.Full,
-		MaxOpen:     maxUpstream(s.settings.Files.Limit),
+		MaxOpen:     s.shares.Backends,
 
 		CongestedDialTimeout: congestedDialTimeout,
 	})
@@ -106,7 +109,7 @@
 		AsOf:     s.storeAsOf,
 		TooOld:   s.tooOld,
 		Answered: s.store.Answered,
-		Failed:   s.link.failed,
+		Failed:   s.questionFailed,
 
 		Took: func(d time.Duration) { s.queue.Observe(clock.Now(), d) },
 	})
@@ -160,7 +163,9 @@
 		Incarnation: s.incarnation,
 		LinkMbps:    s.settings.Link.Mbps,
 	}
-	s.peers = peer.NewClient(peerDialTimeout, self.Addr)
+	greetings := s.shares.PeersOut / greetingShare
+	s.peers = peer.NewClient(peer.Options{DialTimeout: peerDialTimeout, From: self.Addr, MaxOpen: s.shares.PeersOut - greetings})
+	s.greeter = peer.NewGreeter(peer.Options{DialTimeout: peerDialTimeout, From: self.Addr, MaxOpen: greetings})
 	s.members = members.New(membership.Member{ID: self.ID, Kind: "router", Addr: self.Addr, Domain: self.Domain, State: membership.Live, LinkMbps: self.LinkMbps}, nil, 0, s.log)
 	s.members.Excuse(s.link.Full)
 	s.roster = roster.New(roster.Options{
@@ -169,7 +174,7 @@
 		FirstStart: s.settings.Fleet.FirstStart,
 		Store:      s.store,
 		Members:    s.members,
-		Greeter:    peer.NewGreeter(peerDialTimeout, self.Addr),
+		Greeter:    s.greeter,
 		Log:        s.log,
 	})
 }
--- a/server/server.go
+++ b/server/server.go
@@ -42,6 +42,7 @@
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/result"
 	"github.com/gaplink/gaplink/settings"
+	"github.com/gaplink/gaplink/sockets"
 	"github.com/gaplink/gaplink/store"
 	"github.com/gaplink/gaplink/upstream"
 )
@@ -140,7 +141,13 @@
 	link     linkState
 	queue    link.Queue
 	crowd    *crowd
-	registry *prometheus.Registry
+	// shares are how many sockets each purpose may have open.
+	shares sockets.Shares
+	// callerSide and peerSide are where callers and other routers connect; nil before Start.
+	callerSide, peerSide *sockets.Listener
+	greeter              *peer.Client
+	descriptors          *descriptors
+	registry             *prometheus.Registry
 
 	members       *members.Controller
 	peers         *peer.Client
@@ -307,20 +314,26 @@
 		ErrorLog:          zap.NewStdLog(s.log),
 	}
 	s.ready = &http.Server{Handler: http.HandlerFunc(s.answerReady), ReadHeaderTimeout: headerTimeout}
-	if err := s.listen(s.settings.Listen.Callers, s.callers, s.crowd.listener); err != nil {
+	if err := s.listen(s.settings.Listen.Callers, s.callers, s.boundCallers); err != nil {
 		return err
 	}
-	if err := s.listen(s.settings.Listen.Ready, s.ready, unbounded); err != nil {
-		return err
-	}
-	if err := s.serveMetrics(); err != nil {
+	if err := s.listen(s.settings.Listen.Ready, s.ready, s.boundChecks); err != nil {
 		return err
 	}
 	peerSide, err := net.Listen("tcp", s.settings.Listen.Peers)
 	if err != nil {
 		return trace.Wrap(err, "listening at %s", s.settings.Listen.Peers)
 	}
-	go func() { _ = peer.Serve(ctx, peerSide, s.peerMux()) }()
+	s.peerSide = sockets.BoundEvicting(peerSide, s.shares.PeersIn)
+	s.peerSide.Failed = s.descriptors.failed
+	if err := s.serveMetrics(); err != nil {
+		return err
+	}
+	go func() {
+		if err := peer.Serve(ctx, s.peerSide, s.peerMux()); err != nil && ctx.Err() == nil {
+			s.log.Error("listener ended", zap.String("address", s.settings.Listen.Peers), zap.Error(err))
+		}
+	}()
 	go s.roster.Run(ctx)
 	go s.followStore(ctx)
 	go s.servers.Run(ctx)
@@ -351,9 +364,6 @@
 	s.news.Run(ctx)
 }
 
-// unbounded leaves a listener as it is.
-func unbounded(l net.Listener) net.Listener { return l }
-
 // listen serves h at addr; bound may bound the connections.
 func (s *Server) listen(addr string, h *http.Server, bound func(net.Listener) net.Listener) error {
 	l, err := net.Listen("tcp", addr)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -80,6 +80,13 @@
 // Stats returns the counts.
 func (p *Pool) Stats() Stats { return Stats{Dials: p.dials.Load(), Reuses: p.reuses.Load()} }
 
+// Open returns how many connections are open or being opened.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.all
+}
+
 // Send sends a request and waits for the head of its answer. The context
 // bounds the whole exchange, the body of the answer included: when it ends,
 // the connection is closed, which cancels the run at the server.
