One rule for old knowledge, for servers, configuration and evacuations, at all routers

Cause: only a router that was busy since its start was asked whether it knew enough; one that was cut off, or whose questions had only just begun to fail, sent requests by servers of up to 4.5 s before, where the bound is 3 s. Configuration and evacuations had no such rule at all. And a router that refused for this kept the connection, so that its callers came back to it after 50 ms: up to 250 requests a second for seconds, which kept its link full and itself busy.

Where a kind of objects is older than the operator's bound when a request has waited at the link, the router sends nothing before it has asked the store and another router since, and got no answer. It refuses with code 3004, closes the connection and is not ready meanwhile. A router that has asked in vain serves on, as before. At a start 'no configuration yet' is told, not 'behind'. TestStaleRouterTakesNoWork went through a part of a gateway alone; its checks (code, Retry-After, nothing arrives) are in TestStaleRouterSendsItsCallersElsewhere, through a whole one.

--- a/gateway/behind_test.go
+++ b/gateway/behind_test.go
@@ -61,12 +61,3 @@
 		t.Errorf("it goes on to the next server, or ends with %+v", stop)
 	}
 }
-
-// TestStaleRouterTakesNoWork: it does not know which servers leave.
-func TestStaleRouterTakesNoWork(t *testing.T) {
-	g := &Gateway{Parts: Parts{Stale: func() bool { return true }}}
-	refusal := g.admit(&call{g: g})
-	if refusal == nil || refusal.Code != result.NotAccepted || refusal.RetryAfter <= 0 {
-		t.Errorf("refused with %+v", refusal)
-	}
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -116,7 +116,7 @@
 	defer g.inFlight.Add(-1)
 	c := g.newCall(w, r)
 	defer c.close()
-	if g.leaving.Load() || g.Away() {
+	if g.leaving.Load() || g.Away() || g.late() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	c.serve()
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -84,12 +84,18 @@
 
 // newLimitedGateway returns a gateway, and the limits of servers that it enforces.
 func newLimitedGateway(t *testing.T, servers, attempts int, answer script) (*httptest.Server, *limits.Controller) {
+	t.Helper()
+	return newGatewayWith(t, servers, attempts, answer, func(*gateway.Parts) {})
+}
+
+// newGatewayWith is newLimitedGateway with changed parts.
+func newGatewayWith(t *testing.T, servers, attempts int, answer script, change func(*gateway.Parts)) (*httptest.Server, *limits.Controller) {
 	t.Helper()
 	pool := upstream.New(upstream.Options{DialTimeout: time.Second, IdleTimeout: time.Second})
 	known := registry.New(decodeServer, pool, rand.New(rand.NewPCG(1, 2)), zap.NewNop())
 	enforced := withLimits(known)
 	known.Listed(startServers(t, servers, answer), 0)
-	web := httptest.NewUnstartedServer(gateway.New(gateway.Parts{
+	parts := gateway.Parts{
 		Config:   config{newCatalog(t, attempts)},
 		Servers:  known,
 		Protocol: protocol{},
@@ -102,7 +108,9 @@
 		Routers:  func() int { return 1 },
 		Away:     func() bool { return false },
 		Full:     func() bool { return false },
-	}))
+	}
+	change(&parts)
+	web := httptest.NewUnstartedServer(gateway.New(parts))
 	web.Config.ConnContext = gateway.ConnContext
 	web.Start()
 	t.Cleanup(web.CloseClientConnections)
@@ -242,6 +250,8 @@
 // reply is what a caller got.
 type reply struct {
 	status int
+	// closes tells that the answer announces the end of the connection.
+	closes bool
 	header http.Header
 	body   string
 	claim  claim
@@ -265,7 +275,7 @@
 		return reply{claim: broken}
 	}
 	body, err := io.ReadAll(resp.Body)
-	got := reply{status: resp.StatusCode, header: resp.Header, body: string(body), claim: complete}
+	got := reply{status: resp.StatusCode, closes: resp.Close, header: resp.Header, body: string(body), claim: complete}
 	switch {
 	case err != nil:
 		got.claim = broken
--- /dev/null
+++ b/gateway/stale_test.go
@@ -0,0 +1,39 @@
+package gateway_test
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/gaplink/gaplink/gateway"
+)
+
+// Guards against a router that sends requests by old knowledge, and against one that refuses
+// them and keeps its callers' connections: each came back to it after 50 ms, up to 250 times a
+// second, which kept it busy for seconds.
+func TestStaleRouterSendsItsCallersElsewhere(t *testing.T) {
+	var stale atomic.Bool
+	var arrived atomic.Int64
+	web, _ := newGatewayWith(t, 1, 1, func(c *net.TCPConn, r *http.Request, _ int) {
+		arrived.Add(1)
+		send(c, head(r, 200, "Content-Length: 2", closeField), "ok")
+	}, func(p *gateway.Parts) { p.Stale = stale.Load })
+	for _, c := range []struct {
+		stale  bool
+		status int
+		closes bool
+	}{{false, 200, false}, {true, 503, true}, {false, 200, false}} {
+		stale.Store(c.stale)
+		got := call(t, web, "HTTP/1.1", "GET", "/safe/x")
+		if got.status != c.status || got.closes != c.closes {
+			t.Errorf("stale %v: status %d, closes the connection %v", c.stale, got.status, got.closes)
+		}
+		if code, after := got.header.Get("Gaplink-Code"), got.header.Get("Retry-After"); c.stale && (code != "3004" || after == "" || after == "0") {
+			t.Errorf("refused with code %s, to come back after %q s", code, after)
+		}
+	}
+	if arrived.Load() != 2 {
+		t.Errorf("%d requests arrived, of which two should", arrived.Load())
+	}
+}
--- a/gateway/steps.go
+++ b/gateway/steps.go
@@ -30,8 +30,8 @@
 	objectivePart = 5
 	// behindPart is the part of a request's time that a wait at the link may take of it.
 	behindPart = 2
-	// elsewhereRetry is when to come back after a router that is behind: soon, since
-	// the next connection is handed to another one.
+	// elsewhereRetry is when to come back after a router that is behind: soon, since its
+	// connection is closed and the next one is handed to another router.
 	elsewhereRetry = 50 * time.Millisecond
 	// minimumWait is the least time that a request may wait for tokens: a read
 	// and a write at the store and some.
@@ -43,14 +43,11 @@
 	if g.refusing.Load() {
 		return result.New(result.Leaving, "the router is stopping").After(leavingRetry)
 	}
-	if refusal := g.late(); refusal != nil {
-		return refusal
-	}
 	c.catalog = g.Config.Catalog()
 	if c.catalog == nil || !g.Servers.Ready() {
 		return result.New(result.Starting, "the router has no configuration yet").After(startingRetry)
 	}
-	return nil
+	return g.late()
 }
 
 // late refuses while a request could reach a server too long after that has left.
--- a/server/link.go
+++ b/server/link.go
@@ -11,7 +11,6 @@
 
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/link"
-	"github.com/gaplink/gaplink/peer"
 )
 
 // bytesPerMbit converts a link's capacity.
@@ -69,19 +68,12 @@
 	return l.guard.Full() || l.starved || overdue || now.Before(l.noFilesUntil)
 }
 
-// WasBusy tells whether this router was busy since its start.
-func (l *linkState) WasBusy() bool {
+// HasAskedSince tells whether this router has asked another one after a moment, and after it was
+// busy last, and got no answer.
+func (l *linkState) HasAskedSince(moment time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.troubledAt.IsZero()
-}
-
-// HasAsked tells whether this router has asked another one since it was busy, without an
-// answer.
-func (l *linkState) HasAsked() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.unansweredFrom.After(l.troubledAt)
+	return l.unansweredFrom.After(l.troubledAt) && l.unansweredFrom.After(moment)
 }
 
 // noFilesFor is how long one call without a descriptor counts: some questions to others.
@@ -156,52 +148,3 @@
 	}
 	return s.queue.Wait(clock.Now())
 }
-
-// stale tells whether a request sent now could reach a server that left longer ago than the
-// bound allows, through a fault of this router.
-func (s *Server) stale() bool {
-	now := situation{busy: s.link.Busy(), asked: s.hasAsked()}
-	if !now.busy && now.asked {
-		return false // checked for each request, and mostly so
-	}
-	now.toldLost = s.news.ToldLost()
-	now.age = s.news.Ages().Servers
-	now.wait = s.linkWait()
-	return now.stale(s.settings.Bounds.Leave.Std())
-}
-
-// hasAsked tells whether this router has asked the store and the other routers since it was
-// busy, and none answered, or has not been busy.
-func (s *Server) hasAsked() bool {
-	if !s.link.WasBusy() {
-		return true
-	}
-	return s.callLost() && (s.link.HasAsked() || s.isAlone())
-}
-
-// isAlone tells whether this router knows no other one.
-func (s *Server) isAlone() bool { return len(s.members.Members()) == 1 }
-
-// situation is what tells whether a router is stale.
-type situation struct {
-	// busy: its link is full, its processor time or its descriptors are used up, or it was
-	// paused just now.
-	busy bool
-	// asked: it has not been busy, or has asked others since and got no answer.
-	asked bool
-	// toldLost: it hears others, which say that the store answers none of them.
-	toldLost bool
-	// age is that of what it knows of the servers, and wait how long what it sends waits
-	// at its link.
-	age, wait time.Duration
-}
-
-// stale tells whether callers are better off elsewhere. One that is cut off, or hears that
-// all are, knows as little, but others know no more, and it may be all that its callers
-// reach. One that was busy asks first.
-func (s situation) stale(within time.Duration) bool {
-	if !s.busy && s.asked || s.toldLost {
-		return false
-	}
-	return s.age == peer.Unheard || s.age+s.wait > within
-}
--- a/server/link_test.go
+++ b/server/link_test.go
@@ -14,31 +14,6 @@
 	"github.com/gaplink/gaplink/peer"
 )
 
-// TestRouterIsStaleByItsOwnFaultAlone: what it sends could reach a server too long after that
-// left, and others know better.
-func TestRouterIsStaleByItsOwnFaultAlone(t *testing.T) {
-	const within = 3 * time.Second
-	for name, c := range map[string]struct {
-		situation
-		stale bool
-	}{
-		"all is well":                 {situation{asked: true, age: time.Second}, false},
-		"busy, and knows":             {situation{busy: true, age: time.Second}, false},
-		"busy, and knows too little":  {situation{busy: true, age: 3100 * time.Millisecond}, true},
-		"what it sends waits as well": {situation{busy: true, age: 2 * time.Second, wait: 1100 * time.Millisecond}, true},
-		"busy, and has heard nothing": {situation{busy: true, age: peer.Unheard}, true},
-		"cut off":                     {situation{asked: true, age: 10 * time.Second}, false},
-		"busy while all are cut off":  {situation{busy: true, toldLost: true, age: 10 * time.Second}, false},
-		"was paused":                  {situation{age: 4 * time.Second}, true},
-		"was paused, knows again":     {situation{age: time.Second}, false},
-		"was paused, all are cut off": {situation{toldLost: true, age: 4 * time.Second}, false},
-	} {
-		if got := c.situation.stale(within); got != c.stale {
-			t.Errorf("%s: stale %v", name, got)
-		}
-	}
-}
-
 // TestRouterWithoutProcessorTimeIsBusy: the pattern is a router of a fifth of a core with
 // many callers whose timers fired up to 3.2 s late; what it knew was as old, with a link that
 // was nearly empty.
@@ -89,25 +64,24 @@
 			time.Sleep(link.Window)
 			l.observe(time.Now(), link.Load{}, link.Window)
 		}
+		known := time.Now()
 		check := func(when string, busy, asked bool) {
 			t.Helper()
-			if l.Busy() != busy || l.HasAsked() != asked {
-				t.Errorf("%s: busy %v, has asked %v", when, l.Busy(), l.HasAsked())
+			if l.Busy() != busy || l.HasAskedSince(known) != asked {
+				t.Errorf("%s: busy %v, has asked %v", when, l.Busy(), l.HasAskedSince(known))
 			}
 		}
 		window()
 		check("at the start", false, false)
-		if l.WasBusy() {
-			t.Error("was busy at the start")
-		}
+		l.failed(time.Now(), unreachable)
+		check("nobody answers from the start", false, true)
+		known = time.Now()
+		check("knows more since", false, false)
 		before := time.Now()
 		time.Sleep(3 * time.Second)
 		check("resumed, before a timer fires", true, false)
 		l.observe(time.Now(), link.Load{}, 3*time.Second)
 		check("resumed", true, false)
-		if !l.WasBusy() {
-			t.Error("was not busy")
-		}
 		l.failed(before, unreachable)
 		window()
 		check("a question of before has failed", false, false)
--- a/server/server.go
+++ b/server/server.go
@@ -400,6 +400,6 @@
 	case <-s.stopping:
 		return false
 	default:
-		return s.configs.Catalog() != nil && s.servers.Ready() && !s.away()
+		return s.configs.Catalog() != nil && s.servers.Ready() && !s.away() && !s.stale()
 	}
 }
--- /dev/null
+++ b/server/stale_test.go
@@ -0,0 +1,62 @@
+package server
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gaplink/gaplink/peer"
+)
+
+// Guards against a router that goes by old knowledge although others may know better, and
+// against one that refuses all callers although none does.
+func TestRouterIsStaleWhileOthersMayKnowBetter(t *testing.T) {
+	for name, c := range map[string]struct {
+		situation
+		stale bool
+	}{
+		"has not asked yet":             {situation{}, true},
+		"cut off":                       {situation{asked: true}, false},
+		"all are cut off":               {situation{toldLost: true}, false},
+		"busy":                          {situation{busy: true}, true},
+		"busy, questions without reply": {situation{busy: true, asked: true}, true},
+		"busy while all are cut off":    {situation{busy: true, toldLost: true}, false},
+	} {
+		if got := c.situation.stale(); got != c.stale {
+			t.Errorf("%s: stale %v", name, got)
+		}
+	}
+}
+
+// Guards against a kind of objects that no bound is held for, and against a bound that forgets
+// what a request waits at the link.
+func TestEachKindHasItsBound(t *testing.T) {
+	bounds := peer.Ages{Config: 4 * time.Second, Servers: 3 * time.Second, Emptied: 2 * time.Second}
+	known := peer.Ages{Config: time.Second, Servers: time.Second, Emptied: time.Second}
+	with := func(change func(*peer.Ages)) peer.Ages {
+		a := known
+		change(&a)
+		return a
+	}
+	unheard := peer.Ages{Config: peer.Unheard, Servers: peer.Unheard, Emptied: peer.Unheard}
+	noEvacuations := peer.Ages{Config: 4 * time.Second, Servers: 3 * time.Second}
+	for name, c := range map[string]struct {
+		ages, bounds peer.Ages
+		wait         time.Duration
+		least        time.Duration
+		outdated     bool
+	}{
+		"all is known":          {known, bounds, 0, 0, false},
+		"configuration":         {with(func(a *peer.Ages) { a.Config = 5 * time.Second }), bounds, 0, 5 * time.Second, true},
+		"servers":               {with(func(a *peer.Ages) { a.Servers = 3100 * time.Millisecond }), bounds, 0, 3100 * time.Millisecond, true},
+		"evacuations":           {with(func(a *peer.Ages) { a.Emptied = 3 * time.Second }), bounds, 0, 3 * time.Second, true},
+		"no evacuations":        {with(func(a *peer.Ages) { a.Emptied = peer.Unheard }), noEvacuations, 0, 0, false},
+		"waits at the link":     {known, bounds, 1500 * time.Millisecond, time.Second, true},
+		"nothing is known":      {unheard, bounds, 0, peer.Unheard, true},
+		"two, the newer counts": {peer.Ages{Config: 9 * time.Second, Servers: 5 * time.Second}, noEvacuations, 0, 5 * time.Second, true},
+		"one unheard, one old":  {peer.Ages{Config: peer.Unheard, Servers: 5 * time.Second}, noEvacuations, 0, 5 * time.Second, true},
+	} {
+		if least, is := outdated(c.ages, c.bounds, c.wait); least != c.least || is != c.outdated {
+			t.Errorf("%s: outdated %v, least age %v", name, is, least)
+		}
+	}
+}
