--- a/budget/purse.go
+++ b/budget/purse.go
@@ -74,8 +74,8 @@
 	unknown     bool
 	scarce      bool
 	home        Peer
-	failedHome  string    // the home that did not get the last question; empty: it got it
-	failedAt    time.Time // when that was known
+	failedHome  string               // the home that did not get the last question; empty: it got it
+	failedAt    time.Time            // when that was known
 	passedOver  map[string]time.Time // homes that were of no use, and when
 	passing     bool                 // the next home is not known yet
 	sent        map[string]int64     // by the receiver's incarnation
--- a/controller/follow/deputy.go
+++ b/controller/follow/fallback.go
@@ -12,18 +12,15 @@
 	"github.com/gaplink/gaplink/wait"
 )
 
-// This file is when a router looks for the store that others should follow for it.
-
-// isDue tells whether a deputy may make a call. One that the store answers goes on; the
-// others try at moments drawn by chance, which the bound on a change limits and the size
-// of the fleet does not: the store may answer this router alone, and what others find it
-// may not be told.
+// isDue tells whether a fallback watcher may make a call. One that the store answers goes on; the
+// others try at random times within the bound on a change, whatever the size of the fleet: the
+// store may answer this router alone.
 func (f *Follower) isDue(now time.Time) bool {
 	if f.Fresh() {
 		return true
 	}
-	if f.Scout != nil {
-		return f.Scout()
+	if f.Prober != nil {
+		return f.Prober()
 	}
 	if f.due.IsZero() {
 		f.draw(now)
@@ -31,16 +28,16 @@
 	return !now.Before(f.due) || f.Answered().After(f.drawn)
 }
 
-// draw draws when a deputy tries the store.
+// draw draws when a fallback watcher tries the store.
 func (f *Follower) draw(now time.Time) {
 	in := f.drawWait()
 	f.drawn, f.due = now, now.Add(in)
 	f.tries++
-	f.Log.Info("nobody tells what is new; looking for the store", zap.Duration("in_ms", in), zap.Int("try", f.tries),
+	f.Log.Info("no update source; querying the store directly", zap.Duration("in_ms", in), zap.Int("try", f.tries),
 		f.ageField())
 }
 
-// ageField is the age of what is known, for the log.
+// ageField returns the age of the state, for the log.
 func (f *Follower) ageField() zap.Field {
 	if f.AsOf().IsZero() {
 		return zap.String("age_ms", "unknown")
@@ -48,11 +45,11 @@
 	return zap.Duration("age_ms", clock.Since(f.AsOf()))
 }
 
-// drawWait draws how long a deputy waits until it tries the store.
+// drawWait draws how long a fallback watcher waits until it tries the store.
 func (f *Follower) drawWait() time.Duration {
 	switch {
-	case f.tries > 0 && f.Relays():
-		return drawnAwayPause() // others wait for what this router finds
+	case f.tries > 0 && f.IsRelay():
+		return drawnAwayPause() // others wait for its updates
 	case f.tries > 0:
 		half := f.Bound().Retry() / 2
 		return half + rand.N(half)
@@ -63,14 +60,14 @@
 	}
 }
 
-// toldMeanwhile waits for others to tell what is new, since when an outage ends the store
-// answers all routers of a fleet at the same moment.
-func (f *Follower) toldMeanwhile(ctx context.Context) bool {
-	if f.Relays() {
+// updatedMeanwhile waits for updates of other routers, and tells whether they came: when an outage
+// ends, the store answers all routers of a fleet at the same time.
+func (f *Follower) updatedMeanwhile(ctx context.Context) bool {
+	if f.IsRelay() {
 		return false
 	}
 	_ = wait.For(ctx, bound.YieldFor)
-	return f.Part() == Rests
+	return f.Role() == Idle
 }
 
 // probe probes the store. A probe that gets no answer is given up and sent again once the store
@@ -102,17 +99,16 @@
 	}
 }
 
-// drawnAwayPause is awayPause, more or less a half.
+// drawnAwayPause returns awayPause, more or less a half.
 func drawnAwayPause() time.Duration {
 	return time.Duration((0.5 + rand.Float64()) * float64(awayPause))
 }
 
-// doubt tells the handler, once, when nobody tells this router what is new and it
-// does not ask either.
-func (f *Follower) doubt(part Part) {
-	doubts := part == Deputy
-	if doubts && !f.doubted {
+// noteSource tells the handler, once, that this router has no source of updates.
+func (f *Follower) noteSource(role Role) {
+	lacksSource := role == Fallback
+	if lacksSource && !f.noSource {
 		f.Handler.Lost()
 	}
-	f.doubted = doubts
+	f.noSource = lacksSource
 }
--- a/controller/follow/follow.go
+++ b/controller/follow/follow.go
@@ -1,5 +1,5 @@
-// Package follow keeps up with one kind of objects in the store: it lists
-// them, waits for changes, and lists again when changes were missed.
+// Package follow follows one kind of objects in the store: it lists them, watches for changes, and
+// lists them again where changes were missed.
 package follow
 
 import (
@@ -17,49 +17,48 @@
 )
 
 const (
-	// retryPause is the pause after a failed call, and awayPause, more or less a half,
-	// after hastyTries in a row: then the store is away for long, and it is enough that
-	// one router of a fleet finds soon that it is back, and tells.
+	// retryPause is the pause after a failed call, and awayPause, more or less a half, after
+	// hastyTries in a row: in a long outage it is enough that one router of a fleet soon
+	// finds the store reachable again.
 	retryPause = 250 * time.Millisecond
 	awayPause  = time.Second
 	hastyTries = 4
-	// gatherPause is the pause after a watch that brought changes. A release of
-	// servers or a series of configurations changes objects many times a second;
-	// each pause gathers them for one call.
+	// gatherPause is the pause after a watch that returned changes. A release changes objects
+	// many times a second, and the pause gathers them for one call.
 	gatherPause = 150 * time.Millisecond
-	// freshSlack is how long beyond a watch's wait an answer of the store counts as
-	// the newest: the time of a slow answer and of a pause.
+	// freshSlack is how long beyond the wait of a watch the last answer of the store counts as
+	// current: the time of a slow answer and of a pause.
 	freshSlack = 600 * time.Millisecond
-	// startWithin is the time over which routers that know nothing yet spread their first
-	// tries: most are told by others before.
+	// startWithin is the time over which routers that start spread their first calls: most
+	// receive updates from others before.
 	startWithin = 1200 * time.Millisecond
-	// lookEvery is how often a router that does not follow looks whether it should.
+	// lookEvery is how often a router checks its role.
 	lookEvery = 100 * time.Millisecond
-	// atOnce is the wait of a watch that asks what has changed by now.
+	// atOnce is the wait of a watch that returns the changes so far.
 	atOnce = time.Millisecond
 )
 
-// Part is what a follower does now.
-type Part int
+// Role is what a follower does.
+type Role int
 
-// The parts.
+// The roles.
 const (
-	// Rests: other routers follow and tell this one.
-	Rests Part = iota
-	// Deputy: it follows, since nobody tells it what is new.
-	Deputy
-	// Follows: it is its task to follow.
-	Follows
+	// Idle makes no calls: other routers update this one.
+	Idle Role = iota
+	// Fallback queries the store, since no other router updates this one.
+	Fallback
+	// Watches watches the store, for other routers too in a large fleet.
+	Watches
 )
 
-// Handler takes what a follower learns. Its calls come one after the other.
+// Handler takes what a follower receives. Its methods are called one after the other.
 type Handler interface {
 	// Listed takes all objects as they were at a revision of the store.
 	Listed(objects []store.Object, revision int64)
 	// Changed takes changed objects, oldest first.
 	Changed(objects []store.Object)
-	// Lost tells that the store does not answer, or that nobody tells what is new
-	// there, Regained that it answers again.
+	// Lost tells that the store does not answer, or that there is no source of updates, and
+	// Regained that it answers again.
 	Lost()
 	Regained()
 }
@@ -70,43 +69,43 @@
 	// Prefix is the kind to follow.
 	Prefix  string
 	Handler Handler
-	// Part tells whether to follow now, or to leave it to other routers.
-	Part func() Part
-	// Bound is how the operator's bound on a change of the kind is divided.
+	// Role returns what the follower does now.
+	Role func() Role
+	// Bound returns how the operator's bound on a change of the kind is divided.
 	Bound func() bound.Parts
-	// Told is the store's revision up to which other routers have told all changes of the
-	// kind. nil: they tell none.
-	Told func() int64
-	// Answered tells when the store last answered any call of this process, or another router
-	// that waits for this one.
+	// ReceivedRevision returns the store's revision up to which other routers have sent all
+	// changes of the kind; nil: they send none.
+	ReceivedRevision func() int64
+	// Answered returns when the store last answered any call of this process, or of another
+	// router that waits for this one.
 	Answered func() time.Time
-	// Relays tells whether other routers are updated by this one: a deputy that relays makes
-	// full calls as soon as a probe is answered, and another one waits for its relay first.
-	Relays func() bool
-	// Probe asks the store for anything at all, as cheaply as can be. It goes before the
-	// calls of a follower that the store did not answer last, or not yet.
+	// IsRelay tells whether this router updates others: a fallback watcher that does makes full
+	// calls as soon as a probe is answered, and another one waits for updates first.
+	IsRelay func() bool
+	// Probe makes the cheapest call of the store. It precedes the calls of a follower that the
+	// store did not answer last, or not yet.
 	Probe func(context.Context) error
-	// Elsewhere tells whether the store answers another router.
-	Elsewhere func() bool
-	// Scout tells whether the store answers a follower of another kind that looks for
-	// it for this one too, when both are deputies. nil: this one looks itself.
-	Scout func() bool
-	Log   *zap.Logger
+	// AnsweredElsewhere tells whether the store answers another router.
+	AnsweredElsewhere func() bool
+	// Prober tells whether the store answers the follower that probes it for this one too while
+	// both are fallback watchers; nil: this one probes itself.
+	Prober func() bool
+	Log    *zap.Logger
 }
 
-// Follower follows one kind.
+// Follower follows one kind of objects.
 type Follower struct {
 	Options
 
-	due      time.Time // when a deputy tries the store; zero: that is not drawn yet
+	due      time.Time // when a fallback watcher tries the store; zero: that is not drawn yet
 	drawn    time.Time // when that was drawn
-	tries    int       // of a deputy in a row
+	tries    int       // of a fallback watcher in a row
 	failures int       // in a row
-	doubted  bool      // the handler was told that nothing is heard
+	noSource bool      // the handler was told that there is no source of updates
 	relist   bool      // changes were missed
 
 	mu       sync.Mutex
-	revision int64 // of the store; 0: nothing was heard from it
+	revision int64 // of the store; 0: it has not answered
 	lost     bool
 	lostAt   time.Time
 	// interrupt ends the call under way; nil: there is none.
@@ -115,7 +114,7 @@
 	asOf      time.Time // see AsOf
 }
 
-// New returns a follower. It makes no calls while its part is to rest.
+// New returns a follower. It makes no calls while its role is Idle.
 func New(o Options) *Follower {
 	o.Log = o.Log.With(zap.String("kind", o.Prefix))
 	return &Follower{Options: o}
@@ -124,56 +123,55 @@
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		part := f.Part()
-		if part == Rests {
+		role := f.Role()
+		if role == Idle {
 			f.rest()
 		}
-		if part == Rests || part == Deputy && !f.isDue(clock.Now()) {
-			f.doubt(part)
+		if role == Idle || role == Fallback && !f.isDue(clock.Now()) {
+			f.noteSource(role)
 			_ = wait.For(ctx, lookEvery)
 			continue
 		}
 		f.due = time.Time{}
-		if err := f.try(ctx, part); err != nil && ctx.Err() == nil {
+		if err := f.try(ctx, role); err != nil && ctx.Err() == nil {
 			f.failed(err)
-			f.waitUntilAnswered(ctx, f.pause(part))
+			f.waitUntilAnswered(ctx, f.pause(role))
 		}
 	}
 }
 
-// try makes one call, after a probe if the store may not answer and no other follower of
-// this router has found that it does.
-func (f *Follower) try(ctx context.Context, part Part) error {
-	if f.Lost() || part == Deputy && !f.Fresh() && f.Scout == nil {
+// try makes one call, after a probe where the store may not answer and no other follower of this
+// router has found that it does.
+func (f *Follower) try(ctx context.Context, role Role) error {
+	if f.Lost() || role == Fallback && !f.Fresh() && f.Prober == nil {
 		if err := f.probe(ctx); err != nil {
 			return err
 		}
-		if part == Deputy && f.toldMeanwhile(ctx) {
+		if role == Fallback && f.updatedMeanwhile(ctx) {
 			return nil
 		}
 	}
 	return f.step(ctx)
 }
 
-// pause is the time until the next try after a failed one. That of a deputy is drawn
-// by isDue. The first failure may be that of a watch which went deaf, and the store is
-// asked again at once.
-func (f *Follower) pause(part Part) time.Duration {
+// pause returns the time until the next try after a failed one. That of a fallback watcher is
+// drawn by isDue. The first failure may be a stalled watch, which is repeated at once.
+func (f *Follower) pause(role Role) time.Duration {
 	f.failures++
-	if part == Deputy && f.Scout != nil {
+	if role == Fallback && f.Prober != nil {
 		return retryPause // nothing is drawn for it
 	}
-	if part == Deputy || f.failures == 1 {
+	if role == Fallback || f.failures == 1 {
 		return 0
 	}
-	if f.failures <= hastyTries || f.Elsewhere() {
+	if f.failures <= hastyTries || f.AnsweredElsewhere() {
 		return retryPause
 	}
 	return drawnAwayPause()
 }
 
-// rest ends a loss, and what is known from the store is not the newest any more:
-// others tell what is new, and whether the store answers is not known.
+// rest ends the state of a lost store: other routers send updates now, and whether the store
+// answers is not known.
 func (f *Follower) rest() {
 	f.due = time.Time{}
 	f.tries = 0
@@ -183,22 +181,21 @@
 	f.answered = time.Time{}
 }
 
-// errWoken ends a call that stood still with the machine.
-var errWoken = errors.New("the machine was suspended")
+// errResumed ends a call that was under way while the machine was suspended.
+var errResumed = errors.New("the machine was suspended")
 
-// Woke tells that the machine was suspended. What was heard before is not the newest, and
-// the watch that stood still would wait out its time first, or hear nothing for good if
-// the store has closed its end meanwhile: the store counts as lost, and is asked at once.
-func (f *Follower) Woke() {
-	f.failed(errWoken)
+// Resumed tells that the machine was suspended. The store counts as lost and is called at once:
+// the watch under way would wait out its time, or stall if the store has closed its end.
+func (f *Follower) Resumed() {
+	f.failed(errResumed)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.interrupt != nil {
-		f.interrupt(errWoken)
+		f.interrupt(errResumed)
 	}
 }
 
-// interruptible returns a context that Woke ends, and what to call at the end.
+// interruptible returns a context that Resumed ends, and a function to call at the end.
 func (f *Follower) interruptible(ctx context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	f.mu.Lock()
@@ -241,15 +238,15 @@
 	return nil
 }
 
-// since is the revision up to which this router knows all changes, from the store or
-// through others; 0: a list is due.
+// since returns the revision up to which this router knows all changes, from the store or from
+// other routers; 0: a list is due.
 func (f *Follower) since() int64 {
 	if f.relist {
 		return 0
 	}
 	since := f.Revision()
-	if f.Told != nil {
-		since = max(since, f.Told())
+	if f.ReceivedRevision != nil {
+		since = max(since, f.ReceivedRevision())
 	}
 	return since
 }
@@ -281,8 +278,8 @@
 	}
 }
 
-// succeeded notes an answer that tells all changes up to a revision, the store's at a
-// moment.
+// succeeded notes an answer that holds all changes up to a revision, which was the store's at a
+// time.
 func (f *Follower) succeeded(revision int64, asOf time.Time) {
 	f.failures, f.tries = 0, 0
 	f.mu.Lock()
@@ -292,12 +289,12 @@
 	f.asOf = asOf
 	f.revision = revision
 	f.mu.Unlock()
-	if f.doubted && !was {
+	if f.noSource && !was {
 		f.Handler.Regained()
 	}
-	f.doubted = false
+	f.noSource = false
 	if was {
-		f.Log.Info("store regained", zap.Duration("after_ms", clock.Since(since)), zap.Int64("revision", revision))
+		f.Log.Info("store reachable again", zap.Duration("after_ms", clock.Since(since)), zap.Int64("revision", revision))
 		f.Handler.Regained()
 	}
 }
@@ -309,8 +306,8 @@
 	return f.revision
 }
 
-// AsOf returns the moment up to which the store has told this router itself all changes;
-// zero: it has told nothing.
+// AsOf returns the time up to which the store has sent this router all changes; zero: it has
+// sent none.
 func (f *Follower) AsOf() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -324,7 +321,7 @@
 	return f.lost
 }
 
-// Fresh tells whether what is known from the store is the newest.
+// Fresh tells whether the store's last answer is current.
 func (f *Follower) Fresh() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/controller/follow/follow_test.go
+++ b/controller/follow/follow_test.go
@@ -64,30 +64,30 @@
 const within = 4 * time.Second
 
 // options are those of a follower in a large fleet.
-func options(s store.Store, part func() follow.Part) follow.Options {
+func options(s store.Store, role func() follow.Role) follow.Options {
 	return follow.Options{
 		Store:    s,
 		Prefix:   "kind",
 		Handler:  ignore{},
-		Part:     part,
+		Role:     role,
 		Bound:    func() bound.Parts { return bound.Divide(within, true) },
-		Relays:   func() bool { return true },
+		IsRelay:  func() bool { return true },
 		Answered: func() time.Time { return time.Time{} },
 		Probe: func(ctx context.Context) error {
 			_, err := s.Get(ctx, "kind/self")
 			return err
 		},
-		Elsewhere: func() bool { return false },
-		Log:       zap.NewNop(),
+		AnsweredElsewhere: func() bool { return false },
+		Log:               zap.NewNop(),
 	}
 }
 
-func run(t *testing.T, part follow.Part, body func(*fakeStore, *follow.Follower, *atomic.Int64)) {
+func run(t *testing.T, role follow.Role, body func(*fakeStore, *follow.Follower, *atomic.Int64)) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &fakeStore{}
 		var now atomic.Int64
-		now.Store(int64(part))
-		f := follow.New(options(s, func() follow.Part { return follow.Part(now.Load()) }))
+		now.Store(int64(role))
+		f := follow.New(options(s, func() follow.Role { return follow.Role(now.Load()) }))
 		go f.Run(t.Context())
 		body(s, f, &now)
 	})
@@ -96,17 +96,17 @@
 // TestFreshOnlyAfterAnAnswer: a router that rested knows nothing of the store
 // until it has answered, though no call has failed.
 func TestFreshOnlyAfterAnAnswer(t *testing.T) {
-	run(t, follow.Rests, func(s *fakeStore, f *follow.Follower, part *atomic.Int64) {
+	run(t, follow.Idle, func(s *fakeStore, f *follow.Follower, role *atomic.Int64) {
 		time.Sleep(5 * time.Second)
 		if f.Fresh() || s.calls.Load() > 0 {
 			t.Fatal("fresh, or asked, while it rests")
 		}
-		part.Store(int64(follow.Follows))
+		role.Store(int64(follow.Watches))
 		time.Sleep(3 * time.Second)
 		if !f.Fresh() {
 			t.Fatal("not fresh although the store answers")
 		}
-		part.Store(int64(follow.Rests))
+		role.Store(int64(follow.Idle))
 		time.Sleep(5 * time.Second)
 		if f.Fresh() {
 			t.Fatal("fresh by an answer of five seconds ago")
@@ -118,8 +118,8 @@
 // then once a second, for a tenth of the price, and followed soon after it is back; at
 // once if another router tells that it is.
 func TestLostStoreIsAskedSeldom(t *testing.T) {
-	for part, most := range map[follow.Part]int64{follow.Follows: 26, follow.Deputy: 10} {
-		run(t, part, func(s *fakeStore, f *follow.Follower, _ *atomic.Int64) {
+	for role, most := range map[follow.Role]int64{follow.Watches: 26, follow.Fallback: 10} {
+		run(t, role, func(s *fakeStore, f *follow.Follower, _ *atomic.Int64) {
 			s.down.Store(true)
 			time.Sleep(10 * time.Second)
 			if n := s.calls.Load() + s.probes.Load(); n > most || s.calls.Load() > 1 {
@@ -149,8 +149,8 @@
 			s.down.Store(true)
 			var fleet []*follow.Follower
 			for range routers {
-				o := options(s, func() follow.Part { return follow.Deputy })
-				o.Relays = func() bool { return false }
+				o := options(s, func() follow.Role { return follow.Fallback })
+				o.IsRelay = func() bool { return false }
 				f := follow.New(o)
 				fleet = append(fleet, f)
 				go f.Run(t.Context())
@@ -183,7 +183,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			s := &fakeStore{}
 			s.down.Store(true)
-			f := follow.New(options(s, func() follow.Part { return follow.Deputy }))
+			f := follow.New(options(s, func() follow.Role { return follow.Fallback }))
 			go f.Run(t.Context())
 			time.Sleep(time.Duration(rand.N(int64(10 * time.Second))))
 			s.down.Store(false)
@@ -195,14 +195,14 @@
 	}
 }
 
-// TestAnswerToAnyCallOfTheProcessEndsTheWait: another part of the process has heard the
-// store, which was back for 3.4 s until the follower tried it.
+// TestAnswerToAnyCallOfTheProcessEndsTheWait: the store has answered another
+// call of the process, and the follower tried it only 3.4 s later.
 func TestAnswerToAnyCallOfTheProcessEndsTheWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &fakeStore{}
 		s.down.Store(true)
 		var answered atomic.Pointer[time.Time]
-		o := options(s, func() follow.Part { return follow.Deputy })
+		o := options(s, func() follow.Role { return follow.Fallback })
 		o.Answered = func() time.Time {
 			if at := answered.Load(); at != nil {
 				return *at
@@ -225,7 +225,7 @@
 // Guards against a probe without an answer that holds a follower until its timeout, although
 // the store has answered another call since.
 func TestProbeIsSentAgainOnceTheStoreAnswersAnotherCall(t *testing.T) {
-	for part, name := range map[follow.Part]string{follow.Follows: "follows", follow.Deputy: "deputy"} {
+	for role, name := range map[follow.Role]string{follow.Watches: "follows", follow.Fallback: "fallback watcher"} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := &fakeStore{}
@@ -233,7 +233,7 @@
 				var silent atomic.Bool
 				var answered atomic.Int64
 				silent.Store(true)
-				o := options(s, func() follow.Part { return part })
+				o := options(s, func() follow.Role { return role })
 				o.Answered = func() time.Time { return time.Unix(0, answered.Load()) }
 				o.Probe = func(ctx context.Context) error {
 					if silent.Load() {
@@ -257,15 +257,15 @@
 	}
 }
 
-// TestFollowerWithAScoutPausesAfterARefusal: the store has just answered the scout and refuses
+// TestFollowerWithAProberPausesAfterARefusal: the store has just answered the prober and refuses
 // this kind. Asked again without a pause, it would be called in a hot loop, in which virtual
 // time stands still.
-func TestFollowerWithAScoutPausesAfterARefusal(t *testing.T) {
+func TestFollowerWithAProberPausesAfterARefusal(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &fakeStore{}
 		s.down.Store(true)
-		o := options(s, func() follow.Part { return follow.Deputy })
-		o.Scout = func() bool { return true }
+		o := options(s, func() follow.Role { return follow.Fallback })
+		o.Prober = func() bool { return true }
 		go follow.New(o).Run(t.Context())
 		time.Sleep(time.Second)
 		if n := s.calls.Load() + s.probes.Load(); n > 5 {
@@ -274,14 +274,14 @@
 	})
 }
 
-// TestFollowerGoesOnFromWhatOthersHaveTold, without a list: the store tells what has changed
+// TestFollowerGoesOnFromReceivedUpdates, without a list: the store tells what has changed
 // since, also what has gone.
-func TestFollowerGoesOnFromWhatOthersHaveTold(t *testing.T) {
+func TestFollowerGoesOnFromReceivedUpdates(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &changingStore{}
 		s.revision.Store(20)
-		o := options(s, func() follow.Part { return follow.Deputy })
-		o.Told = func() int64 { return 17 }
+		o := options(s, func() follow.Role { return follow.Fallback })
+		o.ReceivedRevision = func() int64 { return 17 }
 		f := follow.New(o)
 		go f.Run(t.Context())
 		time.Sleep(500 * time.Millisecond)
@@ -296,7 +296,7 @@
 func TestChangesInSeriesAreGathered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &changingStore{}
-		f := follow.New(options(s, func() follow.Part { return follow.Follows }))
+		f := follow.New(options(s, func() follow.Role { return follow.Watches }))
 		go f.Run(t.Context())
 		for range 200 {
 			time.Sleep(20 * time.Millisecond)
--- a/controller/follow/suspended_test.go
+++ b/controller/follow/suspended_test.go
@@ -11,10 +11,10 @@
 
 // TestSuspensionEndsFreshness: what was the newest before is not so after waking, until
 // the store has answered again, which it is asked at once: the watch that stood still with
-// the machine would wait out its time first, or hear nothing for good.
+// the machine would wait out its time first, or stall for good.
 func TestSuspensionEndsFreshness(t *testing.T) {
 	machine := clocktest.New(t)
-	run(t, follow.Follows, func(s *fakeStore, f *follow.Follower, _ *atomic.Int64) {
+	run(t, follow.Watches, func(s *fakeStore, f *follow.Follower, _ *atomic.Int64) {
 		time.Sleep(100 * time.Millisecond)
 		if !f.Fresh() {
 			t.Fatal("not fresh while the store answers")
@@ -24,9 +24,9 @@
 			t.Error("fresh after a suspension of 30 s")
 		}
 		calls := s.calls.Load()
-		f.Woke()
+		f.Resumed()
 		if !f.Lost() {
-			t.Error("the store counts as heard of before it has answered")
+			t.Error("the store counts as reachable before it has answered")
 		}
 		time.Sleep(400 * time.Millisecond)
 		if !f.Fresh() || s.calls.Load() == calls {
--- a/controller/spread/audience.go
+++ b/controller/spread/audience.go
@@ -13,14 +13,14 @@
 // Audience are the routers that reports go to and come from.
 type Audience struct {
 	Members *members.Controller
-	// PassersOn returns the routers that all others ask for updates, in a fleet that is so
+	// RelayIDs returns the routers that all others ask for updates, in a fleet that is so
 	// large that not all get each report; nil: all do.
-	PassersOn func() []string
+	RelayIDs func() []string
 }
 
 // Listeners implements Fleet.
 func (a Audience) Listeners() []string {
-	ids := a.passersOn()
+	ids := a.relayIDs()
 	if ids == nil {
 		for _, m := range a.Members.Members() {
 			ids = append(ids, m.ID)
@@ -30,11 +30,11 @@
 	return slices.DeleteFunc(ids, func(id string) bool { return id == self })
 }
 
-func (a Audience) passersOn() []string {
-	if a.PassersOn == nil {
+func (a Audience) relayIDs() []string {
+	if a.RelayIDs == nil {
 		return nil
 	}
-	return a.PassersOn()
+	return a.RelayIDs()
 }
 
 // Peers implements Fleet: in a random order, since a fleet of hundreds may start at once.
--- a/controller/news/tell.go
+++ b/controller/updates/answer.go
@@ -1,4 +1,4 @@
-package news
+package updates
 
 import (
 	"context"
@@ -8,8 +8,6 @@
 	"github.com/gaplink/gaplink/peer"
 )
 
-// This file answers the questions of other routers.
-
 // Config answers another router that fetches the configuration.
 func (c *Controller) Config(context.Context, *peer.Empty) (*peer.ConfigAnswer, error) {
 	packed, err := c.Configs.Packed()
@@ -18,7 +16,7 @@
 
 // noteAnsweredElsewhere notes that the store answers another router, which waits for this one.
 func (c *Controller) noteAnsweredElsewhere() {
-	if !c.passesOn() || c.Fresh() {
+	if !c.updatesOthers() || c.Fresh() {
 		return
 	}
 	c.mu.Lock()
@@ -28,30 +26,30 @@
 	}
 }
 
-// StoreAnswered tells when the store last answered a call of this process, or another router
-// that waits for this one.
+// StoreAnswered returns when the store last answered a call of this process, or of another
+// router that waits for this one.
 func (c *Controller) StoreAnswered() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return later(c.Answered(), c.answeredElsewhere)
 }
 
-// unknownSeq is a number that no log goes back to.
+// unknownSeq is a sequence number that no log goes back to.
 const unknownSeq = -1
 
-// Answer answers another router's question.
-func (c *Controller) Answer(_ context.Context, req *peer.NewsRequest) (*peer.NewsAnswer, error) {
+// Answer answers another router's request for updates.
+func (c *Controller) Answer(_ context.Context, req *peer.UpdatesRequest) (*peer.UpdatesAnswer, error) {
 	if req.StoreAnswered {
 		c.noteAnsweredElsewhere()
 	}
-	answer := &peer.NewsAnswer{Config: c.Configs.Version(), Source: c.Self}
+	answer := &peer.UpdatesAnswer{Config: c.Configs.Version(), Source: c.Self}
 	verdicts, limits := req.VerdictSeq, req.LimitSeq
 	if req.ReportSource != c.Self {
 		verdicts, limits = unknownSeq, unknownSeq
 	}
 	answer.Verdicts, answer.VerdictSeq = c.Verdicts.Since(verdicts)
 	answer.Limits, answer.LimitSeq = c.Limits.Since(limits)
-	c.tell(answer)
+	c.describe(answer)
 	answer.Ages = c.Ages()
 	if !answer.Current {
 		return answer, nil
@@ -63,15 +61,15 @@
 	answer.Emptied, answer.EmptiedAt = c.Evacuations.Known()
 	changed, last, held := c.Servers.Since(seq)
 	if !held {
-		return answer, c.tellAll(answer)
+		return answer, c.listAll(answer)
 	}
 	answer.Servers, answer.Seq = registrations(changed), last
 	return answer, nil
 }
 
-// tell fills in what is known of the store, from itself or, at a teller, from those
-// that watch it.
-func (c *Controller) tell(answer *peer.NewsAnswer) {
+// describe sets what this router knows of the store: from the store itself or, at a relay, from
+// the watchers.
+func (c *Controller) describe(answer *peer.UpdatesAnswer) {
 	answer.Lost = c.Lost()
 	answer.Current = c.Fresh() && c.Servers.Ready()
 	if answer.Lost || answer.Current {
@@ -80,14 +78,14 @@
 		answer.Revision = c.Revision()
 		return
 	}
-	relays := c.Large() && c.isTeller()
+	relays := c.Large() && c.isRelay()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !relays {
 		return
 	}
-	answer.Lost = c.toldLost()
-	answer.Current = c.heard()
+	answer.Lost = c.lostAtRelays()
+	answer.Current = c.upToDate()
 	answer.Origin = c.origin
 	answer.Revision = c.revision
 }
--- /dev/null
+++ b/controller/updates/ask.go
@@ -0,0 +1,117 @@
+package updates
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gaplink/gaplink/clock"
+	"github.com/gaplink/gaplink/peer"
+	"github.com/gaplink/gaplink/wait"
+)
+
+// Run requests updates at intervals in a large fleet, and in a small one while the store does
+// not answer, until the context ends.
+func (c *Controller) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if c.Lost() || c.Large() {
+			c.ask(ctx)
+		}
+		_ = wait.For(ctx, c.pause())
+	}
+}
+
+// pause returns the time until the next request.
+func (c *Controller) pause() time.Duration {
+	switch {
+	case !c.Large() && !c.Lost():
+		return askEvery
+	case !c.Servers.Ready():
+		return askFirst
+	case c.Large() && c.isBehind():
+		return askSoon
+	default:
+		return askEvery
+	}
+}
+
+// isBehind tells whether this router lacks updates that it may get soon: others wait for them,
+// or its state has just exceeded the bound of a relay.
+func (c *Controller) isBehind() bool {
+	if c.updatesOthers() {
+		return !c.RecentlyUpdated() && !c.Fresh()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ages := c.known.ages(clock.Now())
+	expectsUpdate := clock.Since(c.updatedAt) <= soonFor || clock.Since(c.Answered()) <= soonFor
+	return expectsUpdate && !within(ages, c.StaleAfter(true))
+}
+
+// choose returns the router to ask: the one that sent the last update, or the next candidate.
+func (c *Controller) choose() (string, bool) {
+	c.mu.Lock()
+	relay, next := c.relay, c.next
+	c.mu.Unlock()
+	if relay != "" {
+		return relay, true
+	}
+	ids := c.candidates()
+	if next%strayEvery == strayEvery-1 {
+		ids = c.Members.Others(clock.Now())
+		next = rand.IntN(max(len(ids), 1))
+	}
+	if len(ids) == 0 {
+		return "", false
+	}
+	return ids[next%len(ids)], true
+}
+
+func (c *Controller) ask(ctx context.Context) {
+	id, ok := c.choose()
+	if !ok {
+		return
+	}
+	addr, ok := c.Members.Addr(id)
+	if !ok {
+		c.tryNext()
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	begun := clock.Now()
+	answer, err := c.Calls.Updates(callCtx, addr, c.request())
+	if c.Took != nil {
+		c.Took(clock.Since(begun))
+	}
+	if err != nil {
+		if c.Failed != nil {
+			c.Failed(begun, err)
+		}
+		c.Members.Failed(id, err)
+		c.tryNext()
+		return
+	}
+	c.Members.Reached(id)
+	c.receiveReports(answer)
+	c.receive(ctx, id, answer, begun)
+}
+
+// request returns a request for the changes after those received last.
+func (c *Controller) request() *peer.UpdatesRequest {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return &peer.UpdatesRequest{
+		Source: c.source, Seq: c.seq,
+		ReportSource: c.reportSource, VerdictSeq: c.verdictSeq, LimitSeq: c.limitSeq,
+		StoreAnswered: !c.upToDate() && clock.Since(c.Answered()) <= askEvery,
+	}
+}
+
+// ReceivedRevision returns the store's revision up to which other routers have sent all changes
+// of registrations; 0: they have sent none.
+func (c *Controller) ReceivedRevision() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.revision
+}
--- a/controller/news/calls.go
+++ b/controller/updates/calls.go
@@ -1,4 +1,4 @@
-package news
+package updates
 
 import (
 	"context"
@@ -6,10 +6,10 @@
 	"github.com/gaplink/gaplink/peer"
 )
 
-// Calls asks the router at an address.
+// Calls calls the router at an address.
 type Calls interface {
-	// News asks for what is newer than what the asking router has.
-	News(ctx context.Context, addr string, req *peer.NewsRequest) (*peer.NewsAnswer, error)
+	// Updates requests the changes after those that the calling router has.
+	Updates(ctx context.Context, addr string, req *peer.UpdatesRequest) (*peer.UpdatesAnswer, error)
 	// Config fetches the configuration.
 	Config(ctx context.Context, addr string) (*peer.ConfigAnswer, error)
 }
@@ -19,9 +19,9 @@
 
 type overPeers struct{ client *peer.Client }
 
-// News implements Calls.
-func (p overPeers) News(ctx context.Context, addr string, req *peer.NewsRequest) (*peer.NewsAnswer, error) {
-	return peer.Call[peer.NewsRequest, peer.NewsAnswer](ctx, p.client, addr, peer.MethodNews, req)
+// Updates implements Calls.
+func (p overPeers) Updates(ctx context.Context, addr string, req *peer.UpdatesRequest) (*peer.UpdatesAnswer, error) {
+	return peer.Call[peer.UpdatesRequest, peer.UpdatesAnswer](ctx, p.client, addr, peer.MethodUpdates, req)
 }
 
 // Config implements Calls.
--- a/controller/news/emptied_test.go
+++ b/controller/updates/emptied_test.go
@@ -1,4 +1,4 @@
-package news_test
+package updates_test
 
 import (
 	"testing"
@@ -62,7 +62,7 @@
 }
 
 // TestEvacuationReachesAllRouters: domains are emptied and taken back in turn, together
-// and all of them, while the watch of any of the watchers may be deaf.
+// and all of them, while the watch of any of the watchers may be stalled.
 func TestEvacuationReachesAllRouters(t *testing.T) {
 	playEmptying(t, func(f *fleet) {
 		f.empty(t, "z0", true)
@@ -70,7 +70,7 @@
 		f.empty(t, "z0", false)
 		for n := range routers / 20 {
 			f.mu.Lock()
-			f.deaf = func(router int) bool { return router == n }
+			f.stalled = func(router int) bool { return router == n }
 			f.mu.Unlock()
 			time.Sleep(evacuationParts().Watch)
 			f.empty(t, "z2", n%2 == 0)
@@ -79,14 +79,14 @@
 	})
 }
 
-// TestEvacuationReachesAllRoutersThroughFaults: watchers and tellers die, or the store
+// TestEvacuationReachesAllRoutersThroughFaults: watchers and relays die, or the store
 // turns them away, while a domain is emptied and while that is taken back.
 func TestEvacuationReachesAllRoutersThroughFaults(t *testing.T) {
 	faults := map[string]func(*fleet){
-		"watchers die":                  func(f *fleet) { f.end(func(n int) bool { return n < routers/20 }) },
-		"watchers and some tellers die": func(f *fleet) { f.end(func(n int) bool { return n < routers/20 || n%7 == 0 }) },
-		"watchers turned away":          func(f *fleet) { f.cut(func(n int) bool { return n < routers/20 }) },
-		"most turned away":              func(f *fleet) { f.cut(func(n int) bool { return n < routers*4/5 }) },
+		"watchers die":                 func(f *fleet) { f.end(func(n int) bool { return n < routers/20 }) },
+		"watchers and some relays die": func(f *fleet) { f.end(func(n int) bool { return n < routers/20 || n%7 == 0 }) },
+		"watchers turned away":         func(f *fleet) { f.cut(func(n int) bool { return n < routers/20 }) },
+		"most turned away":             func(f *fleet) { f.cut(func(n int) bool { return n < routers*4/5 }) },
 	}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
--- a/controller/news/fleet_test.go
+++ b/controller/updates/fleet_test.go
@@ -1,4 +1,4 @@
-package news_test
+package updates_test
 
 import (
 	"context"
@@ -21,8 +21,8 @@
 	"github.com/gaplink/gaplink/controller/follow"
 	"github.com/gaplink/gaplink/controller/limits"
 	"github.com/gaplink/gaplink/controller/members"
-	"github.com/gaplink/gaplink/controller/news"
 	"github.com/gaplink/gaplink/controller/registry"
+	"github.com/gaplink/gaplink/controller/updates"
 	"github.com/gaplink/gaplink/controller/verdicts"
 	"github.com/gaplink/gaplink/lab/clocktest"
 	"github.com/gaplink/gaplink/limiter"
@@ -61,7 +61,7 @@
 	// limitReports counts the reports of rate limits.
 	limitReports int
 	cutOff       func(router int) bool // from the store
-	deaf         func(router int) bool // watches of it hear nothing
+	stalled      func(router int) bool // watches of it stall
 	muted        func(router int) bool // the store does not say a word to it
 	// answered is when the store last answered each router.
 	answered [routers]time.Time
@@ -80,7 +80,7 @@
 	addr    string
 	configs *configs.Controller
 	servers *registry.Controller
-	news    *news.Controller
+	updates *updates.Controller
 	members *members.Controller
 	stop    context.CancelFunc
 
@@ -146,16 +146,16 @@
 	return v.Store.List(ctx, prefix)
 }
 
-// Watch gives an answer that was ready only to a router that still hears the store.
+// Watch gives an answer that was ready only to a router that the store still reaches.
 func (v view) Watch(ctx context.Context, prefix string, since int64, waits time.Duration) (store.Events, error) {
 	v.count()
 	if err := v.gets(ctx, waits+bound.WatchSlack); err != nil {
 		return store.Events{}, err
 	}
 	v.fleet.mu.Lock()
-	deaf := v.fleet.deaf(v.router)
+	stalled := v.fleet.stalled(v.router)
 	v.fleet.mu.Unlock()
-	if deaf {
+	if stalled {
 		return store.Events{}, silence(ctx, waits+bound.WatchSlack)
 	}
 	begun := time.Now()
@@ -186,22 +186,22 @@
 	return nil, errDown
 }
 
-// News implements news.Calls.
-func (c calls) News(ctx context.Context, addr string, req *peer.NewsRequest) (*peer.NewsAnswer, error) {
+// Updates implements updates.Calls.
+func (c calls) Updates(ctx context.Context, addr string, req *peer.UpdatesRequest) (*peer.UpdatesAnswer, error) {
 	r, err := c.at(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	return r.news.Answer(ctx, req)
+	return r.updates.Answer(ctx, req)
 }
 
-// Config implements news.Calls.
+// Config implements updates.Calls.
 func (c calls) Config(ctx context.Context, addr string) (*peer.ConfigAnswer, error) {
 	r, err := c.at(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	return r.news.Config(ctx, &peer.Empty{})
+	return r.updates.Config(ctx, &peer.Empty{})
 }
 
 func decodeServer(id string, value []byte) (placement.Server, error) {
@@ -231,7 +231,7 @@
 func playWith(t *testing.T, f *fleet, body func(*fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		f.ctx = t.Context()
-		f.objects, f.cutOff, f.deaf, f.muted, f.stopped = memory.New(), nobody, nobody, nobody, map[string]bool{}
+		f.objects, f.cutOff, f.stalled, f.muted, f.stopped = memory.New(), nobody, nobody, nobody, map[string]bool{}
 		f.configure(t, 1)
 		f.register(t, "first", false)
 		for n := range routers {
@@ -310,36 +310,36 @@
 		Self: self.ID, Fleet: limitPeers{peers{calls{f}, r}}, Settled: func() bool { return true },
 		Runs: func(placement.Incarnation) bool { return true }, Log: zap.NewNop(),
 	})
-	r.news = news.New(news.Options{
+	r.updates = updates.New(updates.Options{
 		Configs: r.configs, Servers: r.servers, Members: known, Calls: calls{f},
 		Verdicts: r.verdicts, Limits: r.limits, Evacuations: r.evacuations,
 		Self: self.ID + "/1", Domain: self.Domain,
-		Lost:     func() bool { return both((*follow.Follower).Lost) > 0 },
-		Fresh:    func() bool { return both((*follow.Follower).Fresh) == len(followers) },
-		Revision: func() int64 { return followers[1].Revision() },
-		AsOf:     func() news.Moments { return asOf(followers) },
-		TooOld:   f.tooOld,
-		Answered: answered,
-		Large:    func() bool { return true },
-		Log:      zap.NewNop(),
+		Lost:       func() bool { return both((*follow.Follower).Lost) > 0 },
+		Fresh:      func() bool { return both((*follow.Follower).Fresh) == len(followers) },
+		Revision:   func() int64 { return followers[1].Revision() },
+		AsOf:       func() updates.Timestamps { return asOf(followers) },
+		StaleAfter: f.staleAfter,
+		Answered:   answered,
+		Large:      func() bool { return true },
+		Log:        zap.NewNop(),
 	})
 	following := func(kind string, handler follow.Handler) follow.Options {
 		return follow.Options{
-			Store: view{f.objects, n, f}, Prefix: kind, Handler: handler, Part: r.news.Part,
-			Bound: f.parts, Relays: r.news.Relays, Answered: r.news.StoreAnswered, Log: zap.NewNop(),
-			Probe:     view{f.objects, n, f}.probe,
-			Elsewhere: r.news.HeardLately,
+			Store: view{f.objects, n, f}, Prefix: kind, Handler: handler, Role: r.updates.Role,
+			Bound: f.parts, IsRelay: r.updates.IsRelay, Answered: r.updates.StoreAnswered, Log: zap.NewNop(),
+			Probe:             view{f.objects, n, f}.probe,
+			AnsweredElsewhere: r.updates.RecentlyUpdated,
 		}
 	}
 	registrations := following("servers", r.servers)
-	registrations.Told = r.news.ToldRevision
+	registrations.ReceivedRevision = r.updates.ReceivedRevision
 	servers := follow.New(registrations)
 	config := following("config", r.configs)
-	config.Scout = servers.Fresh
+	config.Prober = servers.Fresh
 	followers = []*follow.Follower{follow.New(config), servers}
 	if f.evacuates {
 		evacuating := following("emptied", r.evacuations)
-		evacuating.Scout = servers.Fresh
+		evacuating.Prober = servers.Fresh
 		evacuating.Bound = evacuationParts
 		followers = append(followers, follow.New(evacuating))
 	}
@@ -349,16 +349,16 @@
 	for _, w := range followers {
 		go w.Run(ctx)
 	}
-	go r.news.Run(ctx)
+	go r.updates.Run(ctx)
 	go r.verdicts.Run(ctx)
 	go r.limits.Run(ctx)
 	go r.servers.Run(ctx)
 }
 
-// asOf are the moments of followers of configurations, servers and, if there is a third
+// asOf returns the timestamps of followers of configurations, servers and, if there is a third
 // one, evacuations.
-func asOf(followers []*follow.Follower) news.Moments {
-	m := news.Moments{Config: followers[0].AsOf(), Servers: followers[1].AsOf()}
+func asOf(followers []*follow.Follower) updates.Timestamps {
+	m := updates.Timestamps{Config: followers[0].AsOf(), Servers: followers[1].AsOf()}
 	if len(followers) > 2 {
 		m.Emptied = followers[2].AsOf()
 	}
@@ -449,10 +449,10 @@
 	return bound.Divide(f.within, true)
 }
 
-// tooOld are the ages from which routers look for the store.
-func (f *fleet) tooOld(passesOn bool) peer.Ages {
+// staleAfter are the ages from which routers look for the store.
+func (f *fleet) staleAfter(updatesOthers bool) peer.Ages {
 	age := bound.Parts.StaleAfter
-	if passesOn {
+	if updatesOthers {
 		age = bound.Parts.RelayStaleAfter
 	}
 	ages := peer.Ages{Config: age(f.parts()), Servers: age(f.parts())}
@@ -504,13 +504,13 @@
 	})
 }
 
-// TestChangeArrivesWithADeafWatch: the connection of a watching router goes silent,
-// and nobody is told. The other one makes up for it, whichever it is.
-func TestChangeArrivesWithADeafWatch(t *testing.T) {
+// TestChangeArrivesWithAStalledWatch: the connection of a watching router goes silent,
+// and nothing reports it. The other one makes up for it, whichever it is.
+func TestChangeArrivesWithAStalledWatch(t *testing.T) {
 	play(t, func(f *fleet) {
 		for n := range routers / 20 {
 			f.mu.Lock()
-			f.deaf = func(router int) bool { return router == n }
+			f.stalled = func(router int) bool { return router == n }
 			f.mu.Unlock()
 			time.Sleep(f.parts().Watch)
 			f.change(t, int64(n)+2)
@@ -518,15 +518,15 @@
 	})
 }
 
-// TestWatchersThatGoDeafTogetherSendNoStampede: the store forgets its history, and the
-// watches of both routers that watch it hear nothing from then on. Those that pass news on
+// TestWatchesThatStallTogetherSendNoStampede: the store forgets its history, and the
+// watches of both routers that watch it stall from then on. Relays
 // find the store for all: of sixty routers fewer than half make a call of their own, where
 // each of 75 made three on a played day.
-func TestWatchersThatGoDeafTogetherSendNoStampede(t *testing.T) {
+func TestWatchesThatStallTogetherSendNoStampede(t *testing.T) {
 	play(t, func(f *fleet) {
 		f.counted()
 		f.mu.Lock()
-		f.deaf = func(router int) bool { return router < routers/20 }
+		f.stalled = func(router int) bool { return router < routers/20 }
 		f.mu.Unlock()
 		time.Sleep(5 * time.Second)
 		f.fewAsked(t)
@@ -535,7 +535,7 @@
 }
 
 // TestEndOfAnOutageSendsNoStampede: a store that was silent for all answers all again. Those
-// that pass news on ask what is new, and most others are told before they would.
+// that relay updates query it first, and most others are updated before they would.
 func TestEndOfAnOutageSendsNoStampede(t *testing.T) {
 	for range 10 {
 		play(t, func(f *fleet) {
@@ -581,10 +581,10 @@
 
 // relaysUpdated returns how many relays are up to date.
 func (f *fleet) relaysUpdated() int {
-	relays := f.all[0].news.PassersOn()
+	relays := f.all[0].updates.RelayIDs()
 	n := 0
 	for _, r := range f.all {
-		if slices.Contains(relays, r.members.Self().ID) && (r.news.Fresh() || r.news.Heard()) {
+		if slices.Contains(relays, r.members.Self().ID) && (r.updates.Fresh() || r.updates.UpToDate()) {
 			n++
 		}
 	}
@@ -592,7 +592,7 @@
 }
 
 // TestChangeArrivesWhileTheStoreTurnsAwayWatchers: the store turns away those that
-// watch, or them and all that tell, and serves the others.
+// watch, or them and all relays, and serves the others.
 func TestChangeArrivesWhileTheStoreTurnsAwayWatchers(t *testing.T) {
 	for name, away := range map[string]func(int) bool{
 		"watchers":             func(n int) bool { return n < routers/20 },
@@ -627,7 +627,7 @@
 			t.Errorf("%d calls and %d probes in eight seconds without the store", calls, probes)
 		}
 		for _, r := range f.all {
-			if !r.news.StoreLost() {
+			if !r.updates.StoreLost() {
 				t.Errorf("router %d does not know that the store is away", r.number)
 			}
 		}
@@ -637,7 +637,7 @@
 }
 
 // TestChangeArrivesAfterWatchersDied: the routers that watch and half of those that
-// tell are gone without a word.
+// relay are gone without notice.
 func TestChangeArrivesAfterWatchersDied(t *testing.T) {
 	play(t, func(f *fleet) {
 		for _, r := range f.all {
@@ -654,37 +654,37 @@
 	})
 }
 
-// TestNewsAreOldAfterSuspension: a router that wakes does not go by what others told it
+// TestUpdatesAreStaleAfterSuspension: a router that wakes does not go by updates of others from
 // before.
-func TestNewsAreOldAfterSuspension(t *testing.T) {
+func TestUpdatesAreStaleAfterSuspension(t *testing.T) {
 	machine := clocktest.New(t)
 	play(t, func(f *fleet) {
 		last := f.all[routers-1]
-		if !last.news.Heard() {
+		if !last.updates.UpToDate() {
 			t.Fatal("the router watches the store for itself")
 		}
 		machine.Suspend(10 * time.Second)
-		if last.news.Heard() {
-			t.Error("news of before the suspension count as heard lately")
+		if last.updates.UpToDate() {
+			t.Error("updates from before the suspension count as recent")
 		}
-		if ages := last.news.Ages(); ages.Config < 10*time.Second || ages.Servers < 10*time.Second {
+		if ages := last.updates.Ages(); ages.Config < 10*time.Second || ages.Servers < 10*time.Second {
 			t.Errorf("they are %+v old after 10 s", ages)
 		}
-		watcher := f.all[0].news
+		watcher := f.all[0].updates
 		if age := watcher.Ages().Config; age < 10*time.Second {
-			t.Errorf("what the store told before is %v old", age)
+			t.Errorf("what the store sent before is %v old", age)
 		}
 		time.Sleep(2 * time.Second)
-		if age := last.news.Ages().Config; age > f.parts().StaleAfter() {
+		if age := last.updates.Ages().Config; age > f.parts().StaleAfter() {
 			t.Errorf("the configuration is %v old 2 s after waking", age)
 		}
-		if !last.news.Heard() {
-			t.Error("no news 2 s after waking")
+		if !last.updates.UpToDate() {
+			t.Error("no update 2 s after the suspension")
 		}
 	})
 }
 
-// peers is how the routers of a test tell each other of requests that end servers.
+// peers carries the reports of a test's routers on requests that crash servers.
 type peers struct {
 	calls
 	self *one
@@ -703,14 +703,14 @@
 }
 
 // Listeners implements verdicts.Fleet.
-func (p peers) Listeners() []string { return p.self.news.PassersOn() }
+func (p peers) Listeners() []string { return p.self.updates.RelayIDs() }
 
 // Peers implements verdicts.Fleet.
-func (p peers) Peers() []string { return p.self.news.PassersOn() }
+func (p peers) Peers() []string { return p.self.updates.RelayIDs() }
 
 // TestVerdictReachesALargeFleet, with the store away from all and three ends that three
 // routers see: all know within a second, which is a third of the time that counts as in
-// touch, and those that saw an end tell a few routers and not all.
+// touch, and those that observe a crash report it to a few routers.
 func TestVerdictReachesALargeFleet(t *testing.T) {
 	play(t, func(f *fleet) {
 		f.cut(func(int) bool { return true })
@@ -803,7 +803,7 @@
 }
 
 // TestListThatServesSeveralRoutersDropsNoNewServer: a router that begins while the list
-// for others is a moment old hears of servers that registered since by the next question.
+// for others is a moment old learns of servers that registered since by the next request.
 func TestListThatServesSeveralRoutersDropsNoNewServer(t *testing.T) {
 	play(t, func(f *fleet) {
 		for n := range 12 {
--- a/controller/news/pair_test.go
+++ b/controller/updates/pair_test.go
@@ -1,4 +1,4 @@
-package news_test
+package updates_test
 
 import (
 	"context"
@@ -15,8 +15,8 @@
 	"github.com/gaplink/gaplink/controller/evacuations"
 	"github.com/gaplink/gaplink/controller/limits"
 	"github.com/gaplink/gaplink/controller/members"
-	"github.com/gaplink/gaplink/controller/news"
 	"github.com/gaplink/gaplink/controller/registry"
+	"github.com/gaplink/gaplink/controller/updates"
 	"github.com/gaplink/gaplink/controller/verdicts"
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/placement"
@@ -26,26 +26,26 @@
 
 // pair is a router that asks another one.
 type pair struct {
-	asked, asking *news.Controller
+	asked, asking *updates.Controller
 	// of the asked and of the asking router
 	theirs, ours *registry.Controller
 	// fresh tells that the asking router follows the store itself, up to a revision.
 	fresh    bool
 	revision int64
-	// ages of the asked router's news.
-	ages func() news.Moments
+	// ages of the asked router's state.
+	ages func() updates.Timestamps
 	// stuck tells that no configuration arrives.
 	stuck bool
 	// theirConfigs and ourConfigs are what both have in force.
 	theirConfigs, ourConfigs *configs.Controller
 }
 
-// News implements news.Calls.
-func (p *pair) News(ctx context.Context, _ string, req *peer.NewsRequest) (*peer.NewsAnswer, error) {
+// Updates implements updates.Calls.
+func (p *pair) Updates(ctx context.Context, _ string, req *peer.UpdatesRequest) (*peer.UpdatesAnswer, error) {
 	return p.asked.Answer(ctx, req)
 }
 
-// Config implements news.Calls.
+// Config implements updates.Calls.
 func (p *pair) Config(ctx context.Context, _ string) (*peer.ConfigAnswer, error) {
 	if p.stuck {
 		<-ctx.Done()
@@ -56,11 +56,11 @@
 
 // newPair returns two routers of a large fleet; the asked one follows the store.
 func newPair(theirRevision int64) *pair {
-	p := &pair{ages: func() news.Moments { return news.Moments{Config: time.Now(), Servers: time.Now()} }}
-	router := func(self int, held *configs.Controller, servers *registry.Controller, fresh func() bool, revision func() int64, asOf func() news.Moments) *news.Controller {
+	p := &pair{ages: func() updates.Timestamps { return updates.Timestamps{Config: time.Now(), Servers: time.Now()} }}
+	router := func(self int, held *configs.Controller, servers *registry.Controller, fresh func() bool, revision func() int64, asOf func() updates.Timestamps) *updates.Controller {
 		known := members.New(member(self), nil, 0, zap.NewNop())
 		known.Met(member(1 - self))
-		return news.New(news.Options{
+		return updates.New(updates.Options{
 			Configs: held,
 			Servers: servers, Members: known, Calls: p,
 			Verdicts:    verdicts.New(verdicts.Options{Checker: gone{}, Servers: allWork{}, Log: zap.NewNop()}),
@@ -68,16 +68,16 @@
 			Evacuations: evacuations.New(evacuations.Options{Log: zap.NewNop()}),
 			Self:        member(self).ID + "/1", Domain: member(self).Domain,
 			Lost: func() bool { return false }, Fresh: fresh, Revision: revision,
-			AsOf:   asOf,
-			TooOld: (&fleet{}).tooOld, Answered: never,
+			AsOf:       asOf,
+			StaleAfter: (&fleet{}).staleAfter, Answered: never,
 			Large: func() bool { return true },
 			Log:   zap.NewNop(),
 		})
 	}
 	p.theirs, p.ours = newRegistry(), newRegistry()
 	p.theirConfigs, p.ourConfigs = newConfigs(), newConfigs()
-	p.asked = router(0, p.theirConfigs, p.theirs, func() bool { return true }, func() int64 { return theirRevision }, func() news.Moments { return p.ages() })
-	p.asking = router(1, p.ourConfigs, p.ours, func() bool { return p.fresh }, func() int64 { return p.revision }, func() news.Moments { return news.Moments{} })
+	p.asked = router(0, p.theirConfigs, p.theirs, func() bool { return true }, func() int64 { return theirRevision }, func() updates.Timestamps { return p.ages() })
+	p.asking = router(1, p.ourConfigs, p.ours, func() bool { return p.fresh }, func() int64 { return p.revision }, func() updates.Timestamps { return updates.Timestamps{} })
 	return p
 }
 
@@ -94,11 +94,11 @@
 	return store.Object{Key: "servers/" + id, Version: version, Value: value}
 }
 
-// TestListThatIsNewerThanTheStoresLastWordIsTaken: a router that follows the store itself
+// TestListThatIsNewerThanTheStoresLastAnswerIsTaken: a router that follows the store itself
 // knows all registrations up to the store's last answer. A list of another router that is
-// newer than that answer holds what the store would tell next; if the router rests by then,
-// nobody tells it any more, and a server that left stays in use for good.
-func TestListThatIsNewerThanTheStoresLastWordIsTaken(t *testing.T) {
+// newer than that answer holds what the store would send next; if the router is idle by then,
+// nobody sends it any more, and a server that left stays in use for good.
+func TestListThatIsNewerThanTheStoresLastAnswerIsTaken(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPair(9)
 		p.theirs.Listed([]store.Object{registration("a", 1)}, 9)
@@ -114,9 +114,9 @@
 	})
 }
 
-// TestListThatTheStoreHasToldAlreadyChangesNothing: a list that was packed before the
+// TestListThatTheStoreHasSentAlreadyChangesNothing: a list that was packed before the
 // store's last answer.
-func TestListThatTheStoreHasToldAlreadyChangesNothing(t *testing.T) {
+func TestListThatTheStoreHasSentAlreadyChangesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPair(9)
 		p.theirs.Listed([]store.Object{registration("a", 1)}, 9)
@@ -130,24 +130,24 @@
 	})
 }
 
-// TestNewsAreAsOldAsTheStoresAnswer, and not as the answer of the router that passes them on:
-// one whose watch went deaf calls its news the newest for two seconds more, and those that
+// TestUpdatesAreAsOldAsTheStoresAnswer, and not as the answer of the router that passes them on:
+// one whose watch stalls counts its state as current for two seconds more, and those that
 // asked it went by them for another second. They look for the store in time now.
-func TestNewsAreAsOldAsTheStoresAnswer(t *testing.T) {
+func TestUpdatesAreAsOldAsTheStoresAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPair(9)
 		p.theirs.Listed([]store.Object{registration("a", 1)}, 9)
-		deaf := time.Now()
-		p.ages = func() news.Moments { return news.Moments{Config: deaf, Servers: deaf} }
+		stalled := time.Now()
+		p.ages = func() updates.Timestamps { return updates.Timestamps{Config: stalled, Servers: stalled} }
 		go p.asking.Run(t.Context())
-		limit := (&fleet{}).parts().RelayStaleAfter() // both routers pass news on
+		limit := (&fleet{}).parts().RelayStaleAfter() // both routers are relays
 		time.Sleep(limit - 50*time.Millisecond)
-		if !p.asking.Heard() {
-			t.Errorf("looks for the store after %v, though %v old news will do", limit-50*time.Millisecond, limit)
+		if !p.asking.UpToDate() {
+			t.Errorf("queries the store after %v, though the bound is %v", limit-50*time.Millisecond, limit)
 		}
 		time.Sleep(100 * time.Millisecond)
-		if p.asking.Heard() {
-			t.Errorf("goes by news that are over %v old, of which it was told a moment ago", limit)
+		if p.asking.UpToDate() {
+			t.Errorf("goes by updates over %v old that it received just now", limit)
 		}
 		if age := p.asking.Ages().Servers; age < limit {
 			t.Errorf("takes them for %v old", age)
@@ -155,16 +155,16 @@
 	})
 }
 
-// TestUnheardKindsAreTooOld: news of servers say nothing of the configuration.
-func TestUnheardKindsAreTooOld(t *testing.T) {
+// TestUnknownKindsAreStale: updates of servers say nothing of the configuration.
+func TestUnknownKindsAreStale(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPair(9)
 		p.theirs.Listed([]store.Object{registration("a", 1)}, 9)
-		p.ages = func() news.Moments { return news.Moments{Servers: time.Now()} }
+		p.ages = func() updates.Timestamps { return updates.Timestamps{Servers: time.Now()} }
 		go p.asking.Run(t.Context())
 		time.Sleep(time.Second)
-		if p.asking.Heard() {
-			t.Error("goes by news of a router that has heard of no configuration")
+		if p.asking.UpToDate() {
+			t.Error("goes by updates of a router without a configuration")
 		}
 	})
 }
@@ -182,7 +182,7 @@
 		parts := (&fleet{}).parts()
 		for range 100 { // a change is due within the bound
 			time.Sleep(parts.Sum() / 100)
-			if !p.asking.Heard() {
+			if !p.asking.UpToDate() {
 				return
 			}
 		}
--- a/controller/news/leaving_test.go
+++ b/controller/updates/propagation_test.go
@@ -1,4 +1,4 @@
-package news_test
+package updates_test
 
 import (
 	"fmt"
@@ -13,11 +13,11 @@
 // leaves, where 3 s are allowed. The router had been added during the day, and was one of
 // few that the store answered: nearly all others had just been cut off from it.
 //
-// How it came about: nobody told that router what was new, and it took seconds to find that
+// How it came about: no router updated that one, and it took seconds to find that
 // out. A watch that went silent was trusted for two seconds, those who asked its router went by
 // that for 0.8 s more, and so did those who asked them; then each tried the store at a moment
 // drawn from a time that grew with the fleet. What it found missing at last it kept for 2.2 s
-// as lapsed, and what it had passed over in the list of another router it never heard of again.
+// as lapsed, and what it had skipped in the list of another router it never received again.
 //
 // The cause: every part kept to a time of its own, nothing held their sum against the bound, and
 // what routers knew carried no age. The proof: with any one of these mended alone the tests
@@ -56,7 +56,7 @@
 	broken map[int]bool
 }
 
-// reportedMost is how many routers that break the bound are told of in each play.
+// reportedMost is how many routers that break the bound are reported in each play.
 const reportedMost = 3
 
 // staff registers servers and waits until all routers know them.
@@ -122,13 +122,13 @@
 			t.Fail()
 			return
 		}
-		t.Errorf("router %d still sends to %s, which left %v ago; it knows all changes up to %v ago", r.number, d.id, late, r.news.Ages().Servers)
+		t.Errorf("router %d still sends to %s, which left %v ago; it knows all changes up to %v ago", r.number, d.id, late, r.updates.Ages().Servers)
 		return
 	}
 }
 
 // TestRoutersThatKeepTheStoreFollowServersThatLeave: all but one, or all but a few, are cut
-// off. Those know for themselves, or by each other, that they have no news.
+// off. They find by themselves, or from each other, that they lack updates.
 func TestRoutersThatKeepTheStoreFollowServersThatLeave(t *testing.T) {
 	for _, kept := range []int{1, 2, 13} {
 		t.Run(fmt.Sprint(kept, " of ", routers), func(t *testing.T) {
@@ -162,7 +162,7 @@
 }
 
 // TestRoutersThatAreTurnedAwayFollowServersThatLeave: the store refuses a third of the
-// routers, among them those that watch it, and answers the others, which can tell them.
+// routers, among them those that watch it, and answers the others, which can update them.
 func TestRoutersThatAreTurnedAwayFollowServersThatLeave(t *testing.T) {
 	for range plays {
 		playBound(t, func(p *promise) {
--- /dev/null
+++ b/controller/updates/receive.go
@@ -0,0 +1,124 @@
+package updates
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gaplink/gaplink/clock"
+	"github.com/gaplink/gaplink/peer"
+)
+
+// receiveReports takes the reports on requests that crash servers and on rate limits of an
+// answer, which may hold them without an update from the store.
+func (c *Controller) receiveReports(answer *peer.UpdatesAnswer) {
+	c.Verdicts.Receive(answer.Verdicts)
+	c.Limits.Receive(answer.Limits)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reportSource, c.verdictSeq, c.limitSeq = "", answer.VerdictSeq, answer.LimitSeq
+	if answer.VerdictSeq > 0 || answer.LimitSeq > 0 { // empty logs need not be named
+		c.reportSource = answer.Source
+	}
+}
+
+// tryNext turns to the next candidate.
+func (c *Controller) tryNext() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next++
+	c.relay = ""
+	c.logged = false
+}
+
+// askNext sends the next request to a router from which another one has its updates.
+func (c *Controller) askNext(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.relay = id
+}
+
+// noteStoreLost notes that the store does not answer a watcher.
+func (c *Controller) noteStoreLost() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lostAt = clock.Now()
+}
+
+// receive takes the answer of a router to a request sent at a time. A router that updates others
+// accepts only what the answering router has from the store itself.
+func (c *Controller) receive(ctx context.Context, id string, answer *peer.UpdatesAnswer, sent time.Time) {
+	newer := answer.Config > c.Configs.Version()
+	if newer {
+		c.fetchOnce(ctx, id)
+	}
+	accepted := answer.Direct || !c.updatesOthers()
+	switch {
+	case answer.Current && !accepted && answer.Origin != c.Members.Self().ID:
+		c.askNext(answer.Origin)
+		return
+	case !answer.Current || !accepted:
+		if answer.Lost && accepted {
+			c.noteStoreLost()
+		}
+		c.tryNext()
+		return
+	}
+	if !c.UpToDate() && !c.Fresh() {
+		c.Servers.Regained()
+	}
+	c.Evacuations.Take(answer.Emptied, answer.EmptiedAt, id)
+	if err := c.receiveServers(answer); err != nil {
+		c.Log.Error("list of registrations is not readable", zap.String("router", id), zap.Error(err))
+		c.tryNext()
+		return
+	}
+	c.noteUpdate(id, answer, sent, newer)
+}
+
+// noteUpdate notes an update that was received, but for its configuration where that is fetched.
+func (c *Controller) noteUpdate(id string, answer *peer.UpdatesAnswer, sent time.Time, fetchesConfig bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.source, c.seq, c.revision = answer.Source, answer.Seq, answer.Revision
+	c.updatedAt, c.relay, c.origin = clock.Now(), id, answer.Origin
+	received := timestampsOf(answer.Ages, sent)
+	if fetchesConfig {
+		received.Config = time.Time{}
+	}
+	c.known = c.known.or(received)
+	if !c.logged {
+		c.logged = true
+		c.Log.Info("receiving updates from another router", zap.String("router", id), zap.String("origin", answer.Origin), zap.Int64("revision", answer.Revision))
+	}
+}
+
+// fetchOnce fetches the configuration of another router in the background, unless a transfer is
+// under way.
+func (c *Controller) fetchOnce(ctx context.Context, id string) {
+	if !c.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer c.fetching.Store(false)
+		if err := c.fetch(ctx, id); err != nil {
+			c.Log.Info("configuration not fetched", zap.String("router", id), zap.Error(err))
+			c.tryNext()
+		}
+	}()
+}
+
+func (c *Controller) fetch(ctx context.Context, id string) error {
+	addr, ok := c.Members.Addr(id)
+	if !ok {
+		return peer.ErrNotSent
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	answer, err := c.Calls.Config(ctx, addr)
+	if err != nil {
+		return err
+	}
+	return c.Configs.TakePacked(answer.Packed, id)
+}
--- /dev/null
+++ b/controller/updates/roles.go
@@ -0,0 +1,94 @@
+package updates
+
+import (
+	"slices"
+
+	"github.com/gaplink/gaplink/clock"
+	"github.com/gaplink/gaplink/controller/follow"
+)
+
+// Role returns whether this router follows the store: all do in a small fleet, and in a large one
+// the watchers and those that receive no updates. Of several fallback watchers that the store
+// answers the first in rank goes on; without an order all would stop as soon as they update each
+// other, and no router would watch the store.
+func (c *Controller) Role() follow.Role {
+	if !c.Large() || c.isWatcher() {
+		return follow.Watches
+	}
+	if c.isRelay() && !c.RecentlyUpdated() {
+		return follow.Fallback // others wait for it, also those that the store turns away
+	}
+	origin, upToDate := c.updateOrigin()
+	if !upToDate || c.Fresh() && c.outranks(origin) {
+		return follow.Fallback
+	}
+	return follow.Idle
+}
+
+// IsRelay tells whether this router relays updates to others in a large fleet.
+func (c *Controller) IsRelay() bool { return c.isRelay() }
+
+// outranks tells whether this router ranks before another one.
+func (c *Controller) outranks(other string) bool {
+	ranked := c.Members.RankLargest(clock.Now(), watchRole)
+	self, theirs := slices.Index(ranked, c.Members.Self().ID), slices.Index(ranked, other)
+	return theirs < 0 || self >= 0 && self <= theirs
+}
+
+func (c *Controller) isWatcher() bool {
+	return slices.Contains(c.watchers(), c.Members.Self().ID)
+}
+
+func (c *Controller) isRelay() bool {
+	return slices.Contains(c.relaysIn(c.Domain), c.Members.Self().ID)
+}
+
+// RelayIDs returns the routers that update all others in a large fleet: the relays of all failure
+// domains, and the watchers.
+func (c *Controller) RelayIDs() []string {
+	ids := c.relays()
+	for _, id := range c.watchers() {
+		if !slices.Contains(ids, id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// relaysIn returns the relays of a failure domain.
+func (c *Controller) relaysIn(domain string) []string {
+	return c.Members.FirstIn(clock.Now(), watchRole, domain, relaysEach)
+}
+
+// candidates returns the routers to ask, the best first: all others in a small fleet. In a large
+// one relays ask the watchers, which ask each other, and the others ask the relays.
+func (c *Controller) candidates() []string {
+	if !c.Large() {
+		return c.Members.Others(clock.Now())
+	}
+	ids := c.relays()
+	if c.updatesOthers() {
+		ids = append(c.watchers(), ids...)
+	}
+	return slices.DeleteFunc(ids, func(id string) bool { return id == c.Members.Self().ID })
+}
+
+// updatesOthers tells whether other routers accept updates from this one.
+func (c *Controller) updatesOthers() bool { return !c.Large() || c.isRelay() || c.isWatcher() }
+
+// watchers returns the routers that watch the store for a large fleet.
+func (c *Controller) watchers() []string {
+	ranked := c.Members.RankLargest(clock.Now(), watchRole)
+	return ranked[:min(len(ranked), watchers)]
+}
+
+// relays returns the relays of all failure domains, those of this router's domain first.
+func (c *Controller) relays() []string {
+	ids := c.relaysIn(c.Domain)
+	for _, domain := range c.Members.Domains() {
+		if domain != c.Domain {
+			ids = append(ids, c.relaysIn(domain)...)
+		}
+	}
+	return ids
+}
--- a/controller/news/servers.go
+++ b/controller/updates/servers.go
@@ -1,4 +1,4 @@
-package news
+package updates
 
 import (
 	"sync"
@@ -16,26 +16,26 @@
 const (
 	// maxList bounds a list of registrations, in bytes: some ten thousand servers.
 	maxList = 16 << 20
-	// listServes is for how long a compressed list serves further routers: all of a
-	// fleet that start together ask within a second or two.
+	// listServes is how long a compressed list is reused: the routers of a fleet that start
+	// together ask within a second or two.
 	listServes = time.Second
 )
 
-// packedList is the last list of all registrations that was packed for other routers.
-// 3,000 registrations are 900 KB, and 100 KB compressed.
+// packedList is the last list of all registrations that was compressed for other routers. 3,000
+// registrations are 900 KB, and 100 KB compressed.
 type packedList struct {
 	mu   sync.Mutex
 	text []byte
 	made time.Time
-	// seq is the number of the last change that it holds, and revision the store's
+	// seq is the sequence number of the last change that it holds, and revision the store's
 	// revision up to which it holds all changes.
 	seq, revision int64
 	// age is how old it was when it was made.
 	age time.Duration
 }
 
-// tellAll puts all registrations into an answer, as they were when the list was packed.
-func (c *Controller) tellAll(answer *peer.NewsAnswer) error {
+// listAll sets all registrations in an answer, as of the time at which the list was compressed.
+func (c *Controller) listAll(answer *peer.UpdatesAnswer) error {
 	c.list.mu.Lock()
 	defer c.list.mu.Unlock()
 	if c.list.text == nil || clock.Since(c.list.made) >= listServes {
@@ -53,10 +53,10 @@
 	return nil
 }
 
-// takeServers takes the registrations of an answer. A list is read also by a router that
-// follows the store itself: it may hold changes that the store has not told this router
-// yet, and nobody tells those again, since the next question asks for what came after it.
-func (c *Controller) takeServers(answer *peer.NewsAnswer) error {
+// receiveServers takes the registrations of an answer. A router that follows the store itself
+// reads a list too: the list may hold changes that the store has not sent yet, and the next
+// request asks only for those after it.
+func (c *Controller) receiveServers(answer *peer.UpdatesAnswer) error {
 	if answer.All == nil {
 		c.Servers.TakeChanged(heard(answer.Servers, 0))
 		return nil
@@ -95,7 +95,7 @@
 	return list
 }
 
-// heard are registrations that another router told, some time after it read them.
+// heard converts registrations that another router sent some time after it read them.
 func heard(list []peer.Registration, since time.Duration) []registry.Heard {
 	entries := make([]registry.Heard, 0, len(list))
 	for _, r := range list {
--- /dev/null
+++ b/controller/updates/timestamps.go
@@ -0,0 +1,63 @@
+package updates
+
+import (
+	"time"
+
+	"github.com/gaplink/gaplink/clock"
+	"github.com/gaplink/gaplink/peer"
+)
+
+// Timestamps are the times up to which all changes in the store are known, by kind of object;
+// zero: none is known. They are those of the store's own answers, however many routers have
+// relayed them.
+type Timestamps struct{ Config, Servers, Emptied time.Time }
+
+// timestampsOf converts the ages in an answer to a request sent at a time. The answer was made
+// later, so the timestamps are never too new.
+func timestampsOf(ages peer.Ages, sent time.Time) Timestamps {
+	at := func(age time.Duration) time.Time {
+		if age < 0 {
+			return time.Time{}
+		}
+		return sent.Add(-age)
+	}
+	return Timestamps{Config: at(ages.Config), Servers: at(ages.Servers), Emptied: at(ages.Emptied)}
+}
+
+// ages returns the ages at a time.
+func (t Timestamps) ages(now time.Time) peer.Ages {
+	since := func(t time.Time) time.Duration {
+		if t.IsZero() {
+			return peer.Unheard
+		}
+		return max(now.Sub(t), 0)
+	}
+	return peer.Ages{Config: since(t.Config), Servers: since(t.Servers), Emptied: since(t.Emptied)}
+}
+
+// or returns the later timestamps of both.
+func (t Timestamps) or(other Timestamps) Timestamps {
+	return Timestamps{Config: later(t.Config, other.Config), Servers: later(t.Servers, other.Servers), Emptied: later(t.Emptied, other.Emptied)}
+}
+
+// within tells whether no kind of object exceeds its limit; a limit of 0 always holds.
+func within(ages, limits peer.Ages) bool {
+	holds := func(age, limit time.Duration) bool {
+		return limit == 0 || age != peer.Unheard && age <= limit
+	}
+	return holds(ages.Config, limits.Config) && holds(ages.Servers, limits.Servers) && holds(ages.Emptied, limits.Emptied)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Ages returns the ages of this router's state, received from the store or from other routers.
+func (c *Controller) Ages() peer.Ages {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.known.or(c.AsOf()).ages(clock.Now())
+}
--- /dev/null
+++ b/logs/messages_test.go
@@ -0,0 +1,117 @@
+package logs_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// messagesOf returns the messages that the code of the repository logs.
+func messagesOf(t *testing.T, root string) map[string]bool {
+	t.Helper()
+	logged := map[string]bool{}
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+		if err != nil {
+			return err
+		}
+		ast.Inspect(file, func(n ast.Node) bool {
+			if message, ok := loggedBy(n); ok {
+				logged[message] = true
+			}
+			return true
+		})
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return logged
+}
+
+// loggedBy returns the message of a call of a logger with a constant message.
+func loggedBy(n ast.Node) (string, bool) {
+	call, ok := n.(*ast.CallExpr)
+	if !ok || len(call.Args) == 0 {
+		return "", false
+	}
+	method, ok := call.Fun.(*ast.SelectorExpr)
+	if !ok {
+		return "", false
+	}
+	switch method.Sel.Name {
+	case "Debug", "Info", "Warn", "Error":
+	default:
+		return "", false
+	}
+	text, ok := call.Args[0].(*ast.BasicLit)
+	if !ok || text.Kind != token.STRING {
+		return "", false
+	}
+	message, err := strconv.Unquote(text.Value)
+	return message, err == nil
+}
+
+// renamedRow is a row of the table of renamed messages.
+var renamedRow = regexp.MustCompile(`(?m)^\| ([^|]+) \| ([^|]+) \|$`)
+
+// Guards against a page for operators that names log messages which the code does not write, and
+// against old messages that are written still.
+func TestRenamedMessagesAreThoseOfTheCode(t *testing.T) {
+	logged := messagesOf(t, "..")
+	if len(logged) < 30 {
+		t.Fatalf("only %d messages found in the code", len(logged))
+	}
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, table, found := strings.Cut(string(page), "### Renamed log messages")
+	if !found {
+		t.Fatal("the page has no table of renamed messages")
+	}
+	table, _, _ = strings.Cut(table, "\n## ")
+	rows := renamedRow.FindAllStringSubmatch(table, -1)
+	if len(rows) < 2 {
+		t.Fatalf("%d rows", len(rows))
+	}
+	for _, row := range rows[1:] {
+		if old := row[1]; logged[old] {
+			t.Errorf("%q is logged still", old)
+		}
+		if now := row[2]; !logged[now] {
+			t.Errorf("%q is not logged", now)
+		}
+	}
+}
+
+// example is a log line that the page shows.
+var example = regexp.MustCompile(`(?m)^    "([a-z][^"]*)",`)
+
+// Guards against examples of log lines that the code does not write.
+func TestExamplesAreMessagesOfTheCode(t *testing.T) {
+	logged := messagesOf(t, "..")
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	examples := example.FindAllStringSubmatch(string(page), -1)
+	if len(examples) < 3 {
+		t.Fatalf("%d examples", len(examples))
+	}
+	for _, e := range examples {
+		if message := e[1]; !strings.HasPrefix(message, "request ") && !logged[message] {
+			t.Errorf("%q is not logged", message)
+		}
+	}
+}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -25,7 +25,7 @@
 	MethodLeft    = "member.Left"
 	MethodBarrier = "reclaim.Barrier"
 	MethodHello   = "member.Hello"
-	MethodNews    = "member.News"
+	MethodUpdates = "member.News"
 	MethodConfig  = "config.Fetch"
 
 	MethodVerdicts = "verdicts.Report"
@@ -124,15 +124,14 @@
 // HelloAnswer names the asked router, and if so asked all that it knows.
 type HelloAnswer struct{ Routers []Router }
 
-// NewsRequest asks for what is newer than what the asking router has.
-type NewsRequest struct {
-	// Source and Seq are those of the last answer that it took registrations
-	// from.
+// UpdatesRequest asks for the changes after those that the asking router has.
+type UpdatesRequest struct {
+	// Source and Seq are those of the last answer that it received registrations from.
 	Source string
 	Seq    int64
-	// ReportSource is the process that it was last told reports by, VerdictSeq the number
-	// of the last one on requests that end servers, and LimitSeq that of the last one on
-	// rate limits.
+	// ReportSource is the process that it received reports from last, VerdictSeq the sequence
+	// number of the last one on requests that crash servers, and LimitSeq that of the last one
+	// on rate limits.
 	ReportSource string
 	VerdictSeq   int64
 	LimitSeq     int64
@@ -152,30 +151,29 @@
 	Age time.Duration
 }
 
-// Ages tell for each kind of objects how long ago a router knew all changes that the store
-// had taken by then; Unheard: it has heard of none.
+// Ages are the times since a router knew all changes in the store, by kind of object; Unheard:
+// it has received none.
 type Ages struct{ Config, Servers, Emptied time.Duration }
 
 // Unheard is the age of what was never heard of.
 const Unheard time.Duration = -1
 
-// NewsAnswer gives what is newer.
-type NewsAnswer struct {
-	// Current tells that what the answering router knows is the newest: it watches
-	// the store, or one that does has just told it.
+// UpdatesAnswer holds the changes since.
+type UpdatesAnswer struct {
+	// Current tells that the answering router's state is current: it watches the store, or
+	// has just received updates from a watcher.
 	Current bool
 	// Lost tells that the store does not answer it.
 	Lost bool
-	// Direct tells that Current or Lost is what it has from the store itself. Those
-	// that pass news on take them only from such a router, so that no news goes round
-	// without end.
+	// Direct tells that Current or Lost comes from the store itself. Relays accept updates
+	// only from such a router, so that none circulates without end.
 	Direct bool
 	// Origin is the router that has Current from the store itself.
 	Origin string
 	// Revision is the store's revision up to which it knows all changes of
 	// registrations.
 	Revision int64
-	// Ages tell how old that is, counted from the store's answers that it comes from.
+	// Ages are the ages of that, counted from the store's answers.
 	Ages Ages
 	// Config is the version of the answering router's configuration.
 	Config int64
@@ -190,7 +188,7 @@
 	All     []byte
 	AllAge  time.Duration
 	// Emptied are the failure domains that the operator has emptied, as they were at
-	// the store's revision EmptiedAt; 0: it has heard nothing of them.
+	// the store's revision EmptiedAt; 0: none is known.
 	Emptied   []string
 	EmptiedAt int64
 	// Verdicts is what the answering process has learnt of requests that end servers
@@ -230,7 +228,7 @@
 	Wait    time.Duration
 }
 
-// VerdictsRequest tells news of requests that end servers, and asks for all that is
+// VerdictsRequest reports requests that crash servers, and asks for all that is
 // known of them if All is set.
 type VerdictsRequest struct {
 	Report poison.Report
--- a/server/cold.go
+++ b/server/cold.go
@@ -33,7 +33,7 @@
 
 // audience are the routers to which this one reports what it observes.
 func (s *Server) audience() spread.Audience {
-	return spread.Audience{Members: s.members, PassersOn: s.passersOn}
+	return spread.Audience{Members: s.members, RelayIDs: s.relayIDs}
 }
 
 // warmups are what the cold servers of each service take.
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -29,7 +29,7 @@
 // registerState registers what is read when the counters are asked for.
 func (s *Server) registerState() {
 	s.gauge("gaplink_config_version", "Version of the configuration in force.", func() float64 { return float64(s.configs.Version()) })
-	s.gauge("gaplink_config_age_seconds", "Age of what is known of the configuration, counted from the store's answer; below 0: nothing was heard.", func() float64 { return s.news.Ages().Config.Seconds() })
+	s.gauge("gaplink_config_age_seconds", "Age of what is known of the configuration, counted from the store's answer; below 0: nothing was heard.", func() float64 { return s.updates.Ages().Config.Seconds() })
 	s.gauge("gaplink_domains_emptied", "Failure domains whose servers get no request, by the operator's word.", func() float64 { return float64(len(s.evacuations.Domains())) })
 	s.gauge("gaplink_servers_cold", "Backend servers that are known to be cold and get little work.", func() float64 { return float64(s.servers.Cold()) })
 	s.gauge("gaplink_servers_limited", "Backend servers that name a rate limit.", func() float64 { return float64(s.limits.Limited()) })
--- a/server/provision.go
+++ b/server/provision.go
@@ -14,9 +14,9 @@
 	"github.com/gaplink/gaplink/controller/evacuations"
 	"github.com/gaplink/gaplink/controller/follow"
 	"github.com/gaplink/gaplink/controller/members"
-	"github.com/gaplink/gaplink/controller/news"
 	"github.com/gaplink/gaplink/controller/registry"
 	"github.com/gaplink/gaplink/controller/roster"
+	"github.com/gaplink/gaplink/controller/updates"
 	"github.com/gaplink/gaplink/controller/verdicts"
 	"github.com/gaplink/gaplink/gateway"
 	"github.com/gaplink/gaplink/link"
@@ -80,14 +80,14 @@
 		LinkWait: s.linkWait,
 		Stale:    s.stale,
 
-		ServersAge: func() time.Duration { return s.news.Ages().Servers },
+		ServersAge: func() time.Duration { return s.updates.Ages().Servers },
 	})
 	s.evacuations = evacuations.New(evacuations.Options{
 		Revision: func() int64 { return s.followEvacuations.Revision() },
 		Changed:  s.servers.SetEmptied,
 		Log:      s.log,
 	})
-	s.news = news.New(news.Options{
+	s.updates = updates.New(updates.Options{
 		Configs: s.configs,
 		Servers: s.servers,
 		Members: s.members,
@@ -97,7 +97,7 @@
 		Verdicts: s.verdicts,
 		Limits:   s.limits,
 
-		Calls:  news.Over(s.peers),
+		Calls:  updates.Over(s.peers),
 		Self:   s.incarnation,
 		Domain: s.settings.Instance.Domain,
 		Lost:   s.callLost,
@@ -105,23 +105,23 @@
 		Large:  s.large,
 		Log:    s.log,
 
-		Revision: func() int64 { return s.followServers.Revision() },
-		AsOf:     s.storeAsOf,
-		TooOld:   s.tooOld,
-		Answered: s.store.Answered,
-		Failed:   s.questionFailed,
+		Revision:   func() int64 { return s.followServers.Revision() },
+		AsOf:       s.storeAsOf,
+		StaleAfter: s.staleAfter,
+		Answered:   s.store.Answered,
+		Failed:     s.questionFailed,
 
 		Took: func(d time.Duration) { s.queue.Observe(clock.Now(), d) },
 	})
 	servers := s.following(s.platform.ServerKind, s.servers, s.settings.Bounds.Leave.Std())
-	servers.Told = s.news.ToldRevision
+	servers.ReceivedRevision = s.updates.ReceivedRevision
 	s.followServers = follow.New(servers)
 	configs := s.following(s.platform.ConfigKind, s.configs, s.settings.Bounds.Apply.Std())
-	configs.Scout = s.followServers.Fresh
+	configs.Prober = s.followServers.Fresh
 	s.followConfigs = follow.New(configs)
 	if within := s.settings.Bounds.Evacuate.Std(); within > 0 {
 		evacuations := s.following(s.platform.EvacuationKind, s.evacuations, within)
-		evacuations.Scout = s.followServers.Fresh
+		evacuations.Prober = s.followServers.Fresh
 		s.followEvacuations = follow.New(evacuations)
 	}
 }
@@ -133,14 +133,14 @@
 		Store:    s.store,
 		Prefix:   kind,
 		Handler:  h,
-		Part:     s.news.Part,
-		Relays:   s.news.Relays,
+		Role:     s.updates.Role,
+		IsRelay:  s.updates.IsRelay,
 		Bound:    func() bound.Parts { return s.parts(within) },
-		Answered: s.news.StoreAnswered,
+		Answered: s.updates.StoreAnswered,
 		Probe:    s.probeStore,
 		Log:      s.log,
 
-		Elsewhere: s.news.HeardLately,
+		AnsweredElsewhere: s.updates.RecentlyUpdated,
 	}
 }
 
@@ -183,8 +183,8 @@
 func (s *Server) peerMux() *peer.Mux {
 	m := peer.NewMux()
 	peer.Handle(m, peer.MethodHello, s.roster.Hello)
-	peer.Handle(m, peer.MethodNews, s.news.Answer)
-	peer.Handle(m, peer.MethodConfig, s.news.Config)
+	peer.Handle(m, peer.MethodUpdates, s.updates.Answer)
+	peer.Handle(m, peer.MethodConfig, s.updates.Config)
 	peer.Handle(m, peer.MethodBudget, s.onBudget)
 	peer.Handle(m, peer.MethodVerdicts, s.verdicts.OnReport)
 	peer.Handle(m, peer.MethodLimits, s.limits.OnReport)
--- a/server/woke.go
+++ b/server/resumed.go
@@ -12,7 +12,7 @@
 func (s *Server) woke(slept time.Duration) {
 	s.log.Warn("machine was suspended", zap.Duration("for_ms", slept), zap.Int64("in_flight", s.gateway.InFlight()))
 	for _, f := range s.followers() {
-		f.Woke()
+		f.Resumed()
 	}
 	s.gateway.Woke()
 }
--- a/server/server.go
+++ b/server/server.go
@@ -31,9 +31,9 @@
 	"github.com/gaplink/gaplink/controller/follow"
 	"github.com/gaplink/gaplink/controller/limits"
 	"github.com/gaplink/gaplink/controller/members"
-	"github.com/gaplink/gaplink/controller/news"
 	"github.com/gaplink/gaplink/controller/registry"
 	"github.com/gaplink/gaplink/controller/roster"
+	"github.com/gaplink/gaplink/controller/updates"
 	"github.com/gaplink/gaplink/controller/verdicts"
 	"github.com/gaplink/gaplink/exchange"
 	"github.com/gaplink/gaplink/gateway"
@@ -152,7 +152,7 @@
 	members       *members.Controller
 	peers         *peer.Client
 	roster        *roster.Controller
-	news          *news.Controller
+	updates       *updates.Controller
 	followConfigs *follow.Follower
 	followServers *follow.Follower
 
@@ -204,13 +204,12 @@
 // store for the others.
 func (s *Server) large() bool { return s.members.Live() >= largeFleet }
 
-// passersOn are the routers from which the others have their news in a large fleet; nil
-// in a small one.
-func (s *Server) passersOn() []string {
+// relayIDs returns the routers that update the others in a large fleet; nil in a small one.
+func (s *Server) relayIDs() []string {
 	if !s.large() {
 		return nil
 	}
-	return s.news.PassersOn()
+	return s.updates.RelayIDs()
 }
 
 // seeds returns the addresses of other routers as the settings name them now.
@@ -235,7 +234,7 @@
 
 // storeLost tells whether the store does not answer this router, or those that
 // watch it for the fleet.
-func (s *Server) storeLost() bool { return s.news.StoreLost() }
+func (s *Server) storeLost() bool { return s.updates.StoreLost() }
 
 // storeFresh tells whether what this router knows from the store is the newest.
 func (s *Server) storeFresh() bool {
@@ -248,8 +247,8 @@
 }
 
 // storeAsOf tells up to when the store itself has told this router all changes.
-func (s *Server) storeAsOf() news.Moments {
-	m := news.Moments{Config: s.followConfigs.AsOf(), Servers: s.followServers.AsOf()}
+func (s *Server) storeAsOf() updates.Timestamps {
+	m := updates.Timestamps{Config: s.followConfigs.AsOf(), Servers: s.followServers.AsOf()}
 	if s.followEvacuations != nil {
 		m.Emptied = s.followEvacuations.AsOf()
 	}
@@ -267,7 +266,7 @@
 
 // storeElsewhere tells whether the store does not answer this router but
 // another one.
-func (s *Server) storeElsewhere() bool { return s.storeLost() && s.news.HeardLately() }
+func (s *Server) storeElsewhere() bool { return s.storeLost() && s.updates.RecentlyUpdated() }
 
 // retryBurst is this router's share of the repeats beyond the ratio.
 func (s *Server) retryBurst() float64 {
@@ -281,7 +280,7 @@
 }
 
 // Age implements gateway.Config.
-func (k knownConfig) Age() time.Duration { return k.server.news.Ages().Config }
+func (k knownConfig) Age() time.Duration { return k.server.updates.Ages().Config }
 
 // configChanged hands the budgets of a new configuration on before it is in
 // force.
@@ -361,7 +360,7 @@
 	for _, f := range s.followers() {
 		go f.Run(ctx)
 	}
-	s.news.Run(ctx)
+	s.updates.Run(ctx)
 }
 
 // listen serves h at addr; bound may bound the connections.
--- a/server/stale.go
+++ b/server/stale.go
@@ -15,14 +15,14 @@
 		Servers: s.settings.Bounds.Leave.Std(),
 		Emptied: s.settings.Bounds.Evacuate.Std(),
 	}
-	age, outdated := outdated(s.news.Ages(), bounds, s.linkWait())
+	age, outdated := outdated(s.updates.Ages(), bounds, s.linkWait())
 	if !outdated {
 		return false
 	}
 	return situation{
-		busy:     s.link.Busy(),
-		asked:    s.hasAskedSince(age),
-		toldLost: s.news.ToldLost(),
+		busy:         s.link.Busy(),
+		asked:        s.hasAskedSince(age),
+		lostAtRelays: s.updates.StoreLostAtRelays(),
 	}.stale()
 }
 
@@ -63,12 +63,12 @@
 	busy bool
 	// asked: it has asked all others since, and got no answer.
 	asked bool
-	// toldLost: it hears others, which say that the store answers none of them.
-	toldLost bool
+	// lostAtRelays: it hears others, which say that the store answers none of them.
+	lostAtRelays bool
 }
 
 // stale tells whether callers are better off elsewhere. A router that is cut off, or hears that
 // all are, knows as little, but others know no more, and it may be all that its callers reach.
 func (s situation) stale() bool {
-	return !s.toldLost && (s.busy || !s.asked)
+	return !s.lostAtRelays && (s.busy || !s.asked)
 }
--- a/server/stale_test.go
+++ b/server/stale_test.go
@@ -16,10 +16,10 @@
 	}{
 		"has not asked yet":             {situation{}, true},
 		"cut off":                       {situation{asked: true}, false},
-		"all are cut off":               {situation{toldLost: true}, false},
+		"all are cut off":               {situation{lostAtRelays: true}, false},
 		"busy":                          {situation{busy: true}, true},
 		"busy, questions without reply": {situation{busy: true, asked: true}, true},
-		"busy while all are cut off":    {situation{busy: true, toldLost: true}, false},
+		"busy while all are cut off":    {situation{busy: true, lostAtRelays: true}, false},
 	} {
 		if got := c.situation.stale(); got != c.stale {
 			t.Errorf("%s: stale %v", name, got)
--- a/server/watch.go
+++ b/server/watch.go
@@ -15,14 +15,14 @@
 // parts divides a bound on changes for the fleet as it is now.
 func (s *Server) parts(within time.Duration) bound.Parts { return bound.Divide(within, s.large()) }
 
-// tooOld are the ages from which this router looks for the store itself, where it passes
-// news on and where it does not.
-func (s *Server) tooOld(passesOn bool) peer.Ages {
+// staleAfter returns the staleness bounds from which this router queries the store directly, for
+// a relay and for other routers.
+func (s *Server) staleAfter(relay bool) peer.Ages {
 	age := func(within settings.Duration) time.Duration {
 		switch p := s.parts(within.Std()); {
 		case within == 0:
 			return 0 // not followed
-		case passesOn:
+		case relay:
 			return p.RelayStaleAfter()
 		default:
 			return p.StaleAfter()
