Requests for updates outlast a full link

Each failure closed the connection, so the next request had to open one. What such a router knew grew older for as long as its link was full.

Change: while the link is, or was in the last 3 s, full, calls between routers for updates and tokens, and dials, get 1.5 s. Beside a request that takes over 0.4 s the next candidate is asked, three at a time at most, so that a router that is gone holds up nobody.

--- a/controller/budgets/budgets.go
+++ b/controller/budgets/budgets.go
@@ -202,7 +202,7 @@
 	if !ok {
 		return peer.ErrNotSent
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), c.peers.Timeout(sendTimeout))
 	defer cancel()
 	_, err := peer.Call[peer.BudgetMessage, peer.Empty](ctx, c.peers, addr, peer.MethodBudget, &peer.BudgetMessage{Message: m})
 	if result.From(err).Code == result.WrongIncarnation {
--- a/controller/updates/ask.go
+++ b/controller/updates/ask.go
@@ -15,12 +15,44 @@
 func (c *Controller) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if c.Lost() || c.Large() {
-			c.ask(ctx)
+			c.startAsking(ctx)
 		}
 		_ = wait.For(ctx, c.pause())
 	}
 }
 
+// startAsking sends a request for updates, and waits for its end or for slowAfter. A slow request
+// goes on while the next candidate is asked.
+func (c *Controller) startAsking(ctx context.Context) {
+	select {
+	case c.asking <- struct{}{}:
+	default:
+		return
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		defer func() { <-c.asking }()
+		c.ask(ctx)
+	}()
+	slow := time.NewTimer(slowAfter)
+	defer slow.Stop()
+	select {
+	case <-ended:
+	case <-slow.C:
+		c.tryNext()
+	case <-ctx.Done():
+	}
+}
+
+// timeout returns the time that a request for updates may take now.
+func (c *Controller) timeout() time.Duration {
+	if c.Timeout == nil {
+		return callTimeout
+	}
+	return c.Timeout(callTimeout)
+}
+
 // pause returns the time until the next request.
 func (c *Controller) pause() time.Duration {
 	switch {
@@ -77,7 +109,7 @@
 		c.tryNext()
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, c.timeout())
 	defer cancel()
 	begun := clock.Now()
 	answer, err := c.Calls.Updates(callCtx, addr, c.request())
@@ -92,6 +124,8 @@
 		c.tryNext()
 		return
 	}
+	c.receiving.Lock()
+	defer c.receiving.Unlock()
 	c.Members.Reached(id)
 	c.receiveReports(answer)
 	c.receive(ctx, id, answer, begun)
--- a/controller/updates/updates.go
+++ b/controller/updates/updates.go
@@ -34,8 +34,14 @@
 	// retryEvery is the least time between two attempts to reach the store that are caused by
 	// other routers which the store answers.
 	retryEvery = 500 * time.Millisecond
-	// callTimeout bounds a request for updates.
+	// asksAtOnce bounds the requests for updates under way: beside one that waits at a full link
+	// others are sent.
+	asksAtOnce = 3
+	// callTimeout bounds a request for updates while the link is not full.
 	callTimeout = 400 * time.Millisecond
+	// slowAfter is how long after its begin a request counts as slow, and the next candidate is
+	// asked beside it.
+	slowAfter = callTimeout + 20*time.Millisecond
 	// fetchTimeout bounds the transfer of a configuration: a large one, compressed, takes half
 	// a second on a small router's link that serves several.
 	fetchTimeout = 2 * time.Second
@@ -93,6 +99,9 @@
 	// Failed takes when a request for updates began that has failed, and its error; nil: nobody
 	// wants to know.
 	Failed func(begun time.Time, cause error)
+	// Timeout returns the time that a request for updates may take which takes no longer than
+	// normal while this router's link is not full; nil: it takes no longer ever.
+	Timeout func(normal time.Duration) time.Duration
 	// Took takes the duration of each request for updates; nil: nobody wants to know.
 	Took func(time.Duration)
 	// Large tells whether the fleet is so large that few routers watch the store.
@@ -148,13 +157,20 @@
 	verdictSeq, limitSeq int64
 
 	fetching atomic.Bool // a configuration is being fetched
+	// asking has room for the requests under way, and receiving orders their answers.
+	asking    chan struct{}
+	receiving sync.Mutex
 
 	list packedList
 }
 
 // New returns a controller.
 func New(o Options) *Controller {
-	return &Controller{Options: o, next: rand.IntN(relaysEach)} // relays share the requests
+	return &Controller{
+		Options: o,
+		next:    rand.IntN(relaysEach), // relays share the requests
+		asking:  make(chan struct{}, asksAtOnce),
+	}
 }
 
 // updateOrigin returns the router that received the last update from the store, and whether that
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -110,12 +110,16 @@
 	// dialsAtOnce bounds the connections that a client opens at a time. After an outage many
 	// calls are due at once, and most of their peers are better reached one after the other.
 	dialsAtOnce = 32
+	// congestedTimeout bounds a call, and the opening of a connection, while this process's link
+	// is full: what waits there is about a second's worth.
+	congestedTimeout = 1500 * time.Millisecond
 )
 
 // Client calls other processes by address and keeps connections open.
 type Client struct {
 	pool   *drpcpool.Pool[string, drpcpool.Conn]
 	dialer net.Dialer
+	opts   Options
 	bytes  atomic.Int64
 	calls  atomic.Int64
 	open   atomic.Int64
@@ -135,6 +139,9 @@
 	// MaxOpen bounds the open connections: half of it may be in use, and half kept. 0: there
 	// is no bound.
 	MaxOpen int
+	// Congested tells whether this process's own link is full, so that calls and dials take
+	// longer; nil: it never is.
+	Congested func() bool
 }
 
 // NewClient returns a client that keeps connections.
@@ -152,7 +159,7 @@
 func newClient(o Options, calls int, kept drpcpool.Options) *Client {
 	c := &Client{
 		pool:    drpcpool.New[string, drpcpool.Conn](kept),
-		dialer:  net.Dialer{Timeout: o.DialTimeout},
+		opts:    o,
 		dialing: make(chan struct{}, dialsAtOnce),
 	}
 	if calls > 0 {
@@ -175,6 +182,15 @@
 // Calls returns the calls made so far.
 func (c *Client) Calls() int64 { return c.calls.Load() }
 
+// Timeout returns the time that a call may take which takes no longer than normal while this
+// process's link is not full.
+func (c *Client) Timeout(normal time.Duration) time.Duration {
+	if c.opts.Congested != nil && c.opts.Congested() {
+		return max(normal, congestedTimeout)
+	}
+	return normal
+}
+
 // Open returns how many connections are open.
 func (c *Client) Open() int64 { return c.open.Load() }
 
@@ -183,6 +199,8 @@
 		return nil, err
 	}
 	defer release(c.dialing)
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout(c.opts.DialTimeout))
+	defer cancel()
 	conn, err := c.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
--- a/server/provision.go
+++ b/server/provision.go
@@ -110,6 +110,7 @@
 		StaleAfter: s.staleAfter,
 		Answered:   s.store.Answered,
 		Failed:     s.questionFailed,
+		Timeout:    s.peers.Timeout,
 
 		Took: func(d time.Duration) { s.queue.Observe(clock.Now(), d) },
 	})
