--- /dev/null
+++ b/lab/account/refusals.go
@@ -0,0 +1,84 @@
+package account
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Refusal is a reason for which requests were not served, and how often.
+type Refusal struct {
+	// Name is the name of the result code, and Cause the reason in words.
+	Name, Cause string
+	Count       int
+	// First and Last are when the first and the last of them ended, and Median is the time that
+	// one of them took.
+	First, Last, Median time.Duration
+	// Router is where most of them ended, and AtRouter how many.
+	Router   string
+	AtRouter int
+}
+
+// Refusals returns the reasons for which requests were not served, the most frequent first.
+func (r *Run) Refusals() []Refusal {
+	type reason struct{ name, cause string }
+	byReason := map[reason][]Request{}
+	for _, q := range r.Requests {
+		if q.Name != "OK" {
+			k := reason{q.Name, q.Cause}
+			byReason[k] = append(byReason[k], q)
+		}
+	}
+	var all []Refusal
+	for k, requests := range byReason {
+		all = append(all, refusal(k.name, k.cause, requests))
+	}
+	slices.SortFunc(all, func(a, b Refusal) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Name, b.Name), cmp.Compare(a.Cause, b.Cause))
+	})
+	return all
+}
+
+func refusal(name, cause string, requests []Request) Refusal {
+	f := Refusal{Name: name, Cause: cause, Count: len(requests), First: requests[0].At, Last: requests[0].At}
+	byRouter := map[string]int{}
+	var took []time.Duration
+	for _, q := range requests {
+		f.First, f.Last = min(f.First, q.At), max(f.Last, q.At)
+		byRouter[q.Router]++
+		took = append(took, q.After)
+	}
+	slices.Sort(took)
+	f.Median = took[len(took)/2]
+	for router, n := range byRouter {
+		if n > f.AtRouter || n == f.AtRouter && router < f.Router {
+			f.Router, f.AtRouter = router, n
+		}
+	}
+	return f
+}
+
+// PerSecond returns how many requests of each result code but OK ended in each second of the run,
+// counted from the first one.
+func (r *Run) PerSecond() (first int, byName map[string][]int) {
+	byName = map[string][]int{}
+	if len(r.Requests) == 0 {
+		return 0, byName
+	}
+	second := func(q Request) int { return int(q.At / time.Second) }
+	first = second(r.Requests[0])
+	last := first
+	for _, q := range r.Requests {
+		first, last = min(first, second(q)), max(last, second(q))
+	}
+	for _, q := range r.Requests {
+		if q.Name == "OK" {
+			continue
+		}
+		if byName[q.Name] == nil {
+			byName[q.Name] = make([]int, last-first+1)
+		}
+		byName[q.Name][second(q)-first]++
+	}
+	return first, byName
+}
--- a/lab/lab.go
+++ b/lab/lab.go
@@ -27,7 +27,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(soloCommand(), demoCommand(), policyCommand(), slopesCommand(), movesCommand(), curveCommand(), latencyCommand(), platformCommand(), engineCommand(), serviceCommand(), soakCommand())
+	root.AddCommand(soloCommand(), demoCommand(), policyCommand(), slopesCommand(), movesCommand(), curveCommand(), latencyCommand(), platformCommand(), engineCommand(), serviceCommand(), soakCommand(), accountCommand())
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errOut)
