--- /dev/null
+++ b/controller/budgets/budgets_test.go
@@ -0,0 +1,146 @@
+package budgets_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gaplink/gaplink/budget"
+	"github.com/gaplink/gaplink/controller/budgets"
+	"github.com/gaplink/gaplink/lab/tcptest"
+	"github.com/gaplink/gaplink/membership"
+	"github.com/gaplink/gaplink/peer"
+	"github.com/gaplink/gaplink/result"
+	"github.com/gaplink/gaplink/store/memory"
+)
+
+// overloaded are the other routers as one with a full link sees them: it blames nobody for a
+// call that fails.
+type overloaded struct {
+	budgets.Members
+	addr string
+}
+
+func (overloaded) Self() membership.Member         { return membership.Member{ID: "self"} }
+func (overloaded) First(time.Time, string) string  { return "home" }
+func (o overloaded) Addr(id string) (string, bool) { return o.addr, id == "home" }
+func (overloaded) Failed(string, error)            {}
+func (overloaded) Reached(string)                  {}
+func grant(m *budget.Message)                      { m.Kind, m.Scarce = budget.Grant, true }
+
+// newController returns a controller whose home of all budgets is at an address, and its client.
+func newController(addr string) (*budgets.Controller, *peer.Client) {
+	client := peer.NewClient(peer.Options{DialTimeout: 200 * time.Millisecond})
+	cfg := budget.DefaultConfig()
+	cfg.Pages = 1
+	cfg.Self = budget.Peer{ID: "self", Incarnation: "self/1"}
+	return budgets.New(cfg, memory.New(), overloaded{addr: addr}, client, zap.NewNop(), func() {}), client
+}
+
+// scarce tells a controller that the tokens of a budget are scarce, so that each request is asked
+// for by itself.
+func scarce(t *testing.T, c *budgets.Controller) {
+	t.Helper()
+	m := budget.Message{Budget: "b", From: budget.Peer{ID: "home", Incarnation: "home/1"}, To: budget.Peer{ID: "self", Incarnation: "self/1"}}
+	grant(&m)
+	if err := c.Receive(m); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against calls and goroutines that multiply while the home of a budget takes no question.
+func TestWaitingRequestsDoNotMultiplyCalls(t *testing.T) {
+	const (
+		waiting = 40
+		within  = 1200 * time.Millisecond
+	)
+	silent := tcptest.Listen(t, func(c net.Conn, _ int) { time.Sleep(5 * time.Second) })
+	refusing, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = refusing.Close() // only its address is wanted
+	for name, addr := range map[string]string{"silent": silent, "refusing": refusing.Addr().String()} {
+		t.Run(name, func(t *testing.T) {
+			c, client := newController(addr)
+			defer func() { _ = client.Close() }()
+			scarce(t, c)
+			ctx, cancel := context.WithTimeout(t.Context(), within)
+			defer cancel()
+			go c.Run(ctx)
+			before := runtime.NumGoroutine()
+			var requests sync.WaitGroup
+			for range waiting {
+				requests.Go(func() {
+					err := c.Reserve(ctx, "b", 10)
+					var refused *result.Error
+					if !errors.As(err, &refused) || refused.Code != result.BudgetUnreachable || refused.RetryAfter <= 0 {
+						t.Errorf("ended with %v", err)
+					}
+				})
+			}
+			time.Sleep(within * 3 / 4)
+			if n := runtime.NumGoroutine() - before; n > 8*waiting {
+				t.Errorf("%d goroutines for %d waiting requests", n, waiting)
+			}
+			requests.Wait()
+			if n := client.Calls(); n < 2 || n > 4*waiting {
+				t.Errorf("%d calls for %d waiting requests", n, waiting)
+			}
+		})
+	}
+}
+
+// Guards against a home that is taken for silent although the way to it is slow: a full link gets
+// more time.
+func TestQuestionsOutlastAFullLink(t *testing.T) {
+	const takes = 500 * time.Millisecond
+	for name, c := range map[string]struct {
+		congested bool
+		arrives   bool
+	}{"idle link": {false, false}, "full link": {true, true}} {
+		t.Run(name, func(t *testing.T) {
+			arrived := make(chan budget.Message, 16)
+			m := peer.NewMux()
+			peer.Handle(m, peer.MethodBudget, func(ctx context.Context, req *peer.BudgetMessage) (*peer.Empty, error) {
+				select {
+				case <-time.After(takes):
+					arrived <- req.Message
+					return &peer.Empty{}, nil
+				case <-ctx.Done():
+					return nil, ctx.Err()
+				}
+			})
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() { _ = peer.Serve(t.Context(), l, m) }()
+			client := peer.NewClient(peer.Options{DialTimeout: time.Second, Congested: func() bool { return c.congested }})
+			defer func() { _ = client.Close() }()
+			cfg := budget.DefaultConfig()
+			cfg.Pages = 1
+			cfg.Self = budget.Peer{ID: "self", Incarnation: "self/1"}
+			controller := budgets.New(cfg, memory.New(), overloaded{addr: l.Addr().String()}, client, zap.NewNop(), func() {})
+			ctx, cancel := context.WithTimeout(t.Context(), 2*takes)
+			defer cancel()
+			go func() { _ = controller.Reserve(ctx, "b", 10) }()
+			select {
+			case q := <-arrived:
+				if !c.arrives || q.Kind != budget.Draw || q.Need != 10 {
+					t.Errorf("%+v arrived", q)
+				}
+			case <-ctx.Done():
+				if c.arrives {
+					t.Error("the question was given up")
+				}
+			}
+		})
+	}
+}
