Callers' connections are counted once

The listener counts open connections since sockets are divided, and the crowd counted them a second time by the states of the HTTP server. The limit, the part of it from which a router is not ready, and the metric go by the listener now; type crowd is gone. No bound has changed.

--- a/server/metrics.go
+++ b/server/metrics.go
@@ -34,7 +34,7 @@
 	s.gauge("gaplink_servers_cold", "Backend servers that are known to be cold and get little work.", func() float64 { return float64(s.servers.Cold()) })
 	s.gauge("gaplink_servers_limited", "Backend servers that name a rate limit.", func() float64 { return float64(s.limits.Limited()) })
 	s.gauge("gaplink_requests_in_flight", "Requests being served.", func() float64 { return float64(s.gateway.InFlight()) })
-	s.gauge("gaplink_caller_connections", "Open connections of callers.", func() float64 { return float64(s.crowd.open.Load()) })
+	s.gauge("gaplink_caller_connections", "Open connections of callers.", func() float64 { return float64(s.callerSide.Open()) })
 	s.gauge("gaplink_registrations_unreadable", "Registrations of backend servers that could not be read, since the start.", func() float64 { return float64(s.servers.Unreadable()) })
 	s.gauge("gaplink_link_load_in", "Part of the link's capacity that was used inwards in the last window.", func() float64 { return s.meter.Load().In })
 	s.gauge("gaplink_link_load_out", "The same outwards.", func() float64 { return s.meter.Load().Out })
--- a/server/provision.go
+++ b/server/provision.go
@@ -32,7 +32,7 @@
 func (s *Server) provision() {
 	s.store = store.NewCounting(s.platform.Store)
 	s.shares = sockets.Divide(s.settings.Files.Limit)
-	s.crowd = newCrowd(s.settings.Memory.LimitMB, s.shares.Callers)
+	s.callerLimit = callerLimit(s.settings.Memory.LimitMB, s.shares.Callers)
 	s.descriptors = &descriptors{open: s.openSockets, log: s.log}
 	s.meter = link.New(s.settings.Link.Mbps*bytesPerMbit, clock.Now())
 	s.pool = upstream.New(upstream.Options{
--- a/server/server.go
+++ b/server/server.go
@@ -140,9 +140,10 @@
 	meter    *link.Meter
 	link     linkState
 	queue    link.Queue
-	crowd    *crowd
-	// shares are how many sockets each purpose may have open.
-	shares sockets.Shares
+	// shares are how many sockets each purpose may have open, and callerLimit how many callers
+	// may by the memory too.
+	shares      sockets.Shares
+	callerLimit int
 	// callerSide and peerSide are where callers and other routers connect; nil before Start.
 	callerSide, peerSide *sockets.Listener
 	greeter              *peer.Client
@@ -308,7 +309,6 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         s.crowd.changed,
 		ConnContext:       gateway.ConnContext,
 		ErrorLog:          zap.NewStdLog(s.log),
 	}
@@ -379,7 +379,7 @@
 }
 
 // away tells whether callers should go to other routers for a while.
-func (s *Server) away() bool { return s.link.Away() || s.crowd.full() }
+func (s *Server) away() bool { return s.link.Away() || s.crowded() }
 
 // answerReady tells the balancer whether to send connections here.
 func (s *Server) answerReady(w http.ResponseWriter, r *http.Request) {
--- a/server/sockets.go
+++ b/server/sockets.go
@@ -19,14 +19,38 @@
 	// greetingShare is the part, one in so many, of the sockets to other routers that greetings
 	// may take.
 	greetingShare = 4
+	// connectionBytes is the memory that a caller's connection takes with its buffers and what
+	// has arrived and is not read.
+	connectionBytes = 48 << 10
+	// connectionMemory is the part of the process's memory that callers' connections may take.
+	connectionMemory = 0.5
+	// crowdedAt is the part of the allowed connections from which the router takes no new ones
+	// and closes those that it has answered: callers that it cannot serve in time do better
+	// elsewhere.
+	crowdedAt = 0.7
 	// socketLinesEvery is the least time between two log lines about sockets that could not be
 	// opened.
 	socketLinesEvery = time.Second
 )
 
+// callerLimit returns how many connections callers may have open: by the process's memory, and by
+// their share of its descriptors; a share of 0 is not known.
+func callerLimit(memoryMB int64, share int) int {
+	limit := int(connectionMemory * float64(memoryMB<<20) / connectionBytes)
+	if share > 0 {
+		limit = min(limit, share)
+	}
+	return limit
+}
+
+// crowded tells whether the router should get no new connections of callers.
+func (s *Server) crowded() bool {
+	return float64(s.callerSide.Open()) >= crowdedAt*float64(s.callerLimit)
+}
+
 // boundCallers bounds the connections of callers.
 func (s *Server) boundCallers(l net.Listener) net.Listener {
-	b := sockets.Bound(l, s.crowd.most)
+	b := sockets.Bound(l, s.callerLimit)
 	b.Failed = s.descriptors.failed
 	s.callerSide = b
 	return b
@@ -78,7 +102,7 @@
 		share int
 		open  func(openSockets) int64
 	}{
-		"callers":   {s.crowd.most, func(o openSockets) int64 { return o.callers }},
+		"callers":   {s.callerLimit, func(o openSockets) int64 { return o.callers }},
 		"backends":  {s.shares.Backends, func(o openSockets) int64 { return o.backends }},
 		"peers_in":  {s.shares.PeersIn, func(o openSockets) int64 { return o.peersIn }},
 		"peers_out": {s.shares.PeersOut, func(o openSockets) int64 { return o.peersOut }},
--- a/server/sockets_test.go
+++ b/server/sockets_test.go
@@ -22,11 +22,11 @@
 // Guards against a share that an operator cannot see, or one that is shown under another purpose.
 func TestSocketsAndTheirSharesAreShown(t *testing.T) {
 	s := &Server{
-		registry: prometheus.NewRegistry(),
-		shares:   sockets.Shares{Callers: 40, Backends: 30, PeersIn: 20, PeersOut: 10},
-		crowd:    newCrowd(4096, 40),
-		pool:     upstream.New(upstream.Options{}),
-		peers:    peer.NewClient(peer.Options{}), greeter: peer.NewGreeter(peer.Options{}),
+		registry:    prometheus.NewRegistry(),
+		shares:      sockets.Shares{Callers: 40, Backends: 30, PeersIn: 20, PeersOut: 10},
+		callerLimit: callerLimit(4096, 40),
+		pool:        upstream.New(upstream.Options{}),
+		peers:       peer.NewClient(peer.Options{}), greeter: peer.NewGreeter(peer.Options{}),
 	}
 	s.registerSockets()
 	families, err := s.registry.Gather()
