--- a/peer/bounds_test.go
+++ b/peer/bounds_test.go
@@ -108,6 +108,26 @@
 	close(p.answer)
 }
 
+// Guards against a bound of one that is taken for none.
+func TestSmallestBound(t *testing.T) {
+	p := &patient{answer: make(chan struct{})}
+	addr := p.listen(t)
+	client := peer.NewClient(peer.Options{DialTimeout: time.Second, MaxOpen: 1})
+	defer func() { _ = client.Close() }()
+	var waiting sync.WaitGroup
+	for range 5 {
+		waiting.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			_, _ = peer.Call[message, message](ctx, client, addr, "wait", &message{}) // none is answered
+		})
+	}
+	waiting.Wait()
+	if n := p.most.Load(); n != 1 {
+		t.Errorf("%d connections at once", n)
+	}
+}
+
 // Guards against a rush of dials: they are opened a few at a time, and none is lost.
 func TestDialsAreOpenedAFewAtATime(t *testing.T) {
 	var calls atomic.Int64
