Soak replaces the settings of a router whole

Its log ends with 'instance.id: must be set': for a reload the soak wrote the settings in place, and the router's next process, started at that moment, read an empty file.

Change: the settings are written beside and renamed.

--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -72,7 +72,16 @@
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(r.path, text, 0o644)
+	return replace(r.path, text)
+}
+
+// replace writes a file that a process may read meanwhile: it reads the old text or the new one.
+func replace(path string, text []byte) error {
+	next := path + ".next"
+	if err := os.WriteFile(next, text, 0o644); err != nil {
+		return err
+	}
+	return os.Rename(next, path)
 }
 
 // run keeps a process running until the router is closed.
