Soak: every second router has few descriptors

400 descriptors leave 70 connections for callers, 70 for backend servers and 17 each way between routers, so that faults meet those bounds. How often a bound was met is not counted.

--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -49,6 +49,9 @@
 	gone   chan struct{}
 }
 
+// fewDescriptors is the limit of every second router, so that its bounds on connections are met.
+const fewDescriptors = 400
+
 func newRouter(dir string, number int, storeAddr string, spawn *spawner, o *Oracle) (*router, error) {
 	s := settings.DefaultGateway()
 	s.Instance = settings.GatewayInstance{ID: fmt.Sprint("r", number), Domain: "z"}
@@ -59,6 +62,9 @@
 		}
 	}
 	s.Store.Address = storeAddr
+	if number%2 == 1 {
+		s.Files.Limit = fewDescriptors
+	}
 	s.Stop = settings.GatewayStop{Grace: settings.Duration(grace), Notice: settings.Duration(notice)}
 	r := &router{
 		number: number, settings: s, path: filepath.Join(dir, s.Instance.ID+".toml"),
