Requests wait a moment for a router that is behind

A process without processor time exceeds the staleness bound for tenths of a second at a time, and the rule on old knowledge refused what arrived then (503, code 3004).

Ruled out: a limit that does not end (none was refused with 3008).

Change: a request waits up to 0.25 s, the time between two requests for updates, for its router to be up to date. What is not by then is refused as before. The test tells by status and code what was not served.

--- a/gateway/stale_test.go
+++ b/gateway/stale_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/gaplink/gaplink/gateway"
 )
@@ -37,3 +38,23 @@
 		t.Errorf("%d requests arrived, of which two should", arrived.Load())
 	}
 }
+
+// Guards against a router that refuses requests although it is up to date a moment later: a
+// process without processor time knows less than it should for tenths of a second at a time.
+func TestRequestWaitsForARouterThatIsSoonUpToDate(t *testing.T) {
+	var until atomic.Int64
+	web, _ := newGatewayWith(t, 1, 1, func(c *net.TCPConn, r *http.Request, _ int) {
+		send(c, head(r, 200, "Content-Length: 2", closeField), "ok")
+	}, func(p *gateway.Parts) { p.Stale = func() bool { return time.Now().UnixNano() < until.Load() } })
+	for _, c := range []struct {
+		behind, within time.Duration
+		status         int
+	}{{100 * time.Millisecond, time.Second, 200}, {2 * time.Second, time.Second, 503}} {
+		begun := time.Now()
+		until.Store(begun.Add(c.behind).UnixNano())
+		got := call(t, web, "HTTP/1.1", "GET", "/once/x")
+		if took := time.Since(begun); got.status != c.status || took > c.within {
+			t.Errorf("behind for %v: status %d after %v", c.behind, got.status, took)
+		}
+	}
+}
--- a/gateway/steps.go
+++ b/gateway/steps.go
@@ -8,9 +8,12 @@
 	"strings"
 	"time"
 
+	"github.com/gaplink/gaplink/bound"
 	"github.com/gaplink/gaplink/catalog"
+	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/result"
+	"github.com/gaplink/gaplink/wait"
 )
 
 const (
@@ -33,6 +36,10 @@
 	// elsewhereRetry is when to come back after a router that is behind: soon, since its
 	// connection is closed and the next one is handed to another router.
 	elsewhereRetry = 50 * time.Millisecond
+	// updateWait is how long a request may wait for a router that is behind: the time between two
+	// requests for updates. updatePoll is how often it looks.
+	updateWait = bound.AskEvery
+	updatePoll = 10 * time.Millisecond
 	// minimumWait is the least time that a request may wait for tokens: a read
 	// and a write at the store and some.
 	minimumWait = 40 * time.Millisecond
@@ -47,7 +54,19 @@
 	if c.catalog == nil || !g.Servers.Ready() {
 		return result.New(result.Starting, "the router has no configuration yet").After(startingRetry)
 	}
-	return g.late()
+	return c.waitUntilCurrent()
+}
+
+// waitUntilCurrent waits for a router that is behind to be up to date, and refuses if it is not
+// soon: a request that waits costs less than one that comes back.
+func (c *call) waitUntilCurrent() *result.Error {
+	refusal := c.g.late()
+	for begun := clock.Now(); refusal != nil && clock.Since(begun) < updateWait; refusal = c.g.late() {
+		if err := wait.For(c.r.Context(), updatePoll); err != nil {
+			return c.timeEnded(err)
+		}
+	}
+	return refusal
 }
 
 // late refuses while a request could reach a server too long after that has left.
