peer: a connection counts until it is closed

A call that is given up returns a moment before its connection is closed, and its room was given to the next one.

Change: a connection has a slot of its own from before it is dialled until it is closed.

TestSmallestBound fails without its bound.

--- a/peer/client.go
+++ b/peer/client.go
@@ -32,9 +32,10 @@
 	calls  atomic.Int64
 	open   atomic.Int64
 	meter  meter
-	// running has room for the calls under way; nil: there is no bound. dialing has room for
+	// running has room for the calls under way, and conns for the open connections: one whose
+	// call was given up is closed a moment later. nil: there is no bound. dialing has room for
 	// the connections being opened.
-	running, dialing chan struct{}
+	running, conns, dialing chan struct{}
 }
 
 // Options are the settings of a client.
@@ -76,6 +77,7 @@
 	}
 	if calls > 0 {
 		c.running = make(chan struct{}, calls)
+		c.conns = make(chan struct{}, o.MaxOpen)
 	}
 	if host, _, err := net.SplitHostPort(o.From); err == nil {
 		if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
@@ -113,8 +115,12 @@
 	defer release(c.dialing)
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout(c.opts.DialTimeout))
 	defer cancel()
+	if err := acquire(ctx, c.conns); err != nil {
+		return nil, err
+	}
 	conn, err := c.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
+		release(c.conns)
 		return nil, errors.Join(ErrNotSent, err)
 	}
 	c.open.Add(1)
@@ -170,7 +176,10 @@
 // Close implements net.Conn.
 func (c *countingConn) Close() error {
 	err := c.Conn.Close()
-	c.once.Do(func() { c.client.open.Add(-1) })
+	c.once.Do(func() {
+		c.client.open.Add(-1)
+		release(c.client.conns)
+	})
 	return err
 }
 
