One lock for lines that are left out; one name for whether a router is a relay

logs.Sparse was not safe for concurrent use, so two of its users in this work brought a lock of their own.

--- a/controller/updates/answer.go
+++ b/controller/updates/answer.go
@@ -78,7 +78,7 @@
 		answer.Revision = c.Revision()
 		return
 	}
-	relays := c.Large() && c.isRelay()
+	relays := c.Large() && c.IsRelay()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !relays {
--- a/controller/updates/roles.go
+++ b/controller/updates/roles.go
@@ -15,7 +15,7 @@
 	if !c.Large() || c.isWatcher() {
 		return follow.Watches
 	}
-	if c.isRelay() && !c.RecentlyUpdated() {
+	if c.IsRelay() && !c.RecentlyUpdated() {
 		return follow.Fallback // others wait for it, also those that the store turns away
 	}
 	origin, upToDate := c.updateOrigin()
@@ -25,9 +25,6 @@
 	return follow.Idle
 }
 
-// IsRelay tells whether this router relays updates to others in a large fleet.
-func (c *Controller) IsRelay() bool { return c.isRelay() }
-
 // outranks tells whether this router ranks before another one.
 func (c *Controller) outranks(other string) bool {
 	ranked := c.Members.RankLargest(clock.Now(), watchRole)
@@ -39,7 +36,8 @@
 	return slices.Contains(c.watchers(), c.Members.Self().ID)
 }
 
-func (c *Controller) isRelay() bool {
+// IsRelay tells whether this router relays updates to others in a large fleet.
+func (c *Controller) IsRelay() bool {
 	return slices.Contains(c.relaysIn(c.Domain), c.Members.Self().ID)
 }
 
@@ -74,7 +72,7 @@
 }
 
 // updatesOthers tells whether other routers accept updates from this one.
-func (c *Controller) updatesOthers() bool { return !c.Large() || c.isRelay() || c.isWatcher() }
+func (c *Controller) updatesOthers() bool { return !c.Large() || c.IsRelay() || c.isWatcher() }
 
 // watchers returns the routers that watch the store for a large fleet.
 func (c *Controller) watchers() []string {
--- a/controller/updates/updates.go
+++ b/controller/updates/updates.go
@@ -191,7 +191,7 @@
 // upToDate goes by the time of the store's answer, not by that of the update: a relay may have
 // sent the same state for seconds. A configuration that is being fetched gets fetchGrace.
 func (c *Controller) upToDate() bool {
-	limits := c.StaleAfter(c.isRelay())
+	limits := c.StaleAfter(c.IsRelay())
 	if c.fetching.Load() {
 		limits.Config += fetchGrace
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,7 +9,6 @@
 
 import (
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -83,10 +82,7 @@
 	leaving  atomic.Bool
 	refusing atomic.Bool
 	// unreadable bounds the log lines about limits that cannot be read.
-	unreadable struct {
-		sync.Mutex
-		lines logs.Sparse
-	}
+	unreadable logs.Sparse
 }
 
 // New returns a gateway.
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -86,9 +86,7 @@
 
 // noteUnreadable logs a limit that could not be read, unless a line was written just now.
 func (g *Gateway) noteUnreadable(server string, cause error) {
-	g.unreadable.Lock()
-	defer g.unreadable.Unlock()
-	if leftOut, due := g.unreadable.lines.Due(clock.Now(), unreadableEvery); due {
+	if leftOut, due := g.unreadable.Due(clock.Now(), unreadableEvery); due {
 		g.Logs.All.Warn("server rate limit is not readable; it changes nothing", zap.String("server", server),
 			zap.Int64("lines_left_out", leftOut), zap.Error(cause))
 	}
--- a/server/sockets.go
+++ b/server/sockets.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net"
-	"sync"
 	"syscall"
 	"time"
 
@@ -73,10 +72,8 @@
 
 // descriptors logs when the process has no descriptor left.
 type descriptors struct {
-	open func() openSockets
-	log  *zap.Logger
-
-	mu    sync.Mutex
+	open  func() openSockets
+	log   *zap.Logger
 	lines logs.Sparse
 }
 
@@ -85,8 +82,6 @@
 	if !errors.Is(err, syscall.EMFILE) {
 		return
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	leftOut, due := d.lines.Due(clock.Now(), socketLinesEvery)
 	if !due {
 		return
