Tests of limits in a fleet draw from one source under a lock

The goroutines of a run drew from one unlocked source, which the race detector reports in TestUrgentRequestsGetTheRateFirst. The draws are as before. With the detector that race is gone; TestColdRateHoldsWhileRoutersComeAndGo still reports another one, between the restart of a router and a call of it in the test's fleet. Without it all tests pass.

--- a/controller/limits/fleet_test.go
+++ b/controller/limits/fleet_test.go
@@ -79,7 +79,7 @@
 
 // newWorld starts a fleet in which each router knows another one with a probability.
 func newWorld(ctx context.Context, seed uint64, routers int, knows float64) *world {
-	w := &world{ctx: ctx, tries: map[limiter.Rank]int{}, rng: rand.New(rand.NewPCG(seed, 44))}
+	w := &world{ctx: ctx, tries: map[limiter.Rank]int{}, rng: rand.New(&sharedSource{source: rand.NewPCG(seed, 44)})}
 	for n := range routers {
 		r := &router{world: w, number: n, view: membership.NewView(memberOf(n))}
 		for other := range routers {
@@ -141,6 +141,19 @@
 	return max(time.Until(r.pausedUntil), 0), !r.dead && !r.cut
 }
 
+// sharedSource is a source of random numbers for the goroutines of a run.
+type sharedSource struct {
+	mu     sync.Mutex
+	source rand.Source
+}
+
+// Uint64 implements rand.Source.
+func (s *sharedSource) Uint64() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.source.Uint64()
+}
+
 func (w *world) delay(most time.Duration) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
