Test fleet of limits reads the running process under its lock

A call of another router read its controller while a restart replaced it, which the race detector reports in TestColdRateHoldsWhileRoutersComeAndGo. The answer comes from the process that runs when the call arrives, as before. All tests of the package pass without the detector.

--- a/controller/limits/fleet_test.go
+++ b/controller/limits/fleet_test.go
@@ -161,7 +161,7 @@
 }
 
 // called finds the router that a call goes to, after the delay of the way there.
-func (r *router) called(ctx context.Context, id string) (*router, error) {
+func (r *router) called(ctx context.Context, id string) (*limits.Controller, error) {
 	time.Sleep(r.world.delay(oneWay))
 	var other *router
 	for _, one := range r.world.routers {
@@ -181,7 +181,9 @@
 	if !answers {
 		return nil, errNoAnswer
 	}
-	return other, nil
+	r.world.mu.Lock()
+	defer r.world.mu.Unlock()
+	return other.Controller, nil // that of the process which runs now
 }
 
 func (r *router) Owners(id string) []string {
