A choice of server looks at hashes, and at what is known of few servers

Cause: each choice listed all servers of a service twice, with what is known of each; it grew with the servers, in memory too. A router of a large fleet has sent requests to few of them. Change: what a router has observed is kept apart from the list; a choice goes through the hashes of the servers and looks at the few that rank first. Where no server is free of all reasons to spare it, all are looked at as before. Servers that are alike are ordered by the router, so that routers of a domain do not all begin with its first server. Ruled out: a ring of hashes, which moves the prefixes of a busy server to one neighbour.

--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -10,7 +10,7 @@
 )
 
 // sizes are the numbers of servers of deployments that are served or aimed at.
-var sizes = []int{94, 145, 1300, 3000}
+var sizes = []int{94, 145, 1300, 3000, 9695, 20000}
 
 func put(servers *placement.Servers, n int) {
 	for i := range n {
@@ -45,6 +45,7 @@
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				q.Affinity, q.Prompt = rng.Uint64(), int64(1000+i%9000)
+				q.Now = time.Unix(0, int64(i)*int64(time.Millisecond))
 				servers.Pick(rng, q)
 			}
 		})
--- /dev/null
+++ b/placement/open_test.go
@@ -0,0 +1,97 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/gaplink/gaplink/placement"
+)
+
+// TestChoiceIsTheFirstOfTheOrderThatIsNotSpared draws what a router knows of the servers, and
+// compares each choice with one made by looking at all of them.
+func TestChoiceIsTheFirstOfTheOrderThatIsNotSpared(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const servers = 12
+		f := fleet(servers)
+		for n := range rapid.IntRange(0, 60).Draw(t, "events") {
+			in := incarnation(fmt.Sprintf("s%02d", rapid.IntRange(0, servers-1).Draw(t, "server")))
+			switch rapid.IntRange(0, 6).Draw(t, "event") {
+			case 0:
+				f.Sent(in, int64(rapid.IntRange(0, 70000).Draw(t, "tokens")))
+			case 1:
+				f.Ended(in, placement.Outcome(rapid.IntRange(0, 3).Draw(t, "outcome")))
+			case 2:
+				f.Leave(in)
+			case 3:
+				f.Restored(in)
+			case 4:
+				f.Remove(in.ID)
+			case 5:
+				f.Put(placement.Server{ID: in.ID, Service: "llm", Domain: "z0", Leaving: n%4 == 0})
+			case 6:
+				f.Paced(in, time.Duration(1+n)*time.Millisecond)
+			}
+		}
+		f.SetEvacuated(rapid.SampledFrom([][]string{nil, {"z1"}, {"z0", "z2"}}).Draw(t, "evacuated"))
+		q := placement.Query{Service: "llm", Affinity: rapid.Uint64Range(1, 50).Draw(t, "prefix"), Domain: "z1"}
+		got, ok := f.Pick(seeded(), q)
+		if ok != f.PickByAll(q) {
+			t.Fatalf("chosen: %v, though a look at all says otherwise", ok)
+		}
+		if want, found := f.PickOfAll(q); found && ok && got.ID != want {
+			t.Fatalf("%s is chosen, and %s by a look at all", got.ID, want)
+		}
+	})
+}
+
+// TestIdleServersOfADomainAreSharedOut: many routers with few requests each must not all begin
+// with the same server, and one router keeps to few, whose connections it keeps.
+func TestIdleServersOfADomainAreSharedOut(t *testing.T) {
+	const routers, servers = 200, 305
+	chosen := map[string]int{}
+	for n := range routers {
+		f := placement.New()
+		f.SetOrder(rand.New(rand.NewPCG(7, uint64(n))).Uint64())
+		for i := range servers {
+			f.Put(placement.Server{ID: fmt.Sprintf("s%03d", i), Service: "app", Domain: fmt.Sprint("z", i%5)})
+		}
+		own := map[string]bool{}
+		for range 10 {
+			s, ok := f.Pick(seeded(), placement.Query{Service: "app", Domain: "z2"})
+			if !ok || s.Domain != "z2" {
+				t.Fatalf("%+v is chosen in another domain", s)
+			}
+			own[s.ID] = true
+			chosen[s.ID]++
+		}
+		if len(own) != 1 {
+			t.Fatalf("a router sends ten requests, one after the other, to %d servers", len(own))
+		}
+	}
+	most := 0
+	for _, n := range chosen {
+		most = max(most, n)
+	}
+	if mean := routers * 10 / (servers / 5); most > 5*mean {
+		t.Errorf("a server gets %d requests, the mean of its domain is %d", most, mean)
+	}
+}
+
+// TestChoiceDoesNotGrowWithTheServers: without memory, whatever their number.
+func TestChoiceDoesNotGrowWithTheServers(t *testing.T) {
+	servers := placement.New()
+	put(servers, 20000)
+	rng := seeded()
+	prefix := uint64(1)
+	if n := testing.AllocsPerRun(50, func() {
+		prefix++
+		s, _ := servers.Pick(rng, placement.Query{Service: "svc", Affinity: prefix, Prompt: int64(prefix), Now: time.Unix(int64(prefix), 0)})
+		servers.Sent(s.Incarnation(), 1000)
+	}); n > 1 {
+		t.Errorf("%v allocations a choice", n)
+	}
+}
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -24,6 +24,7 @@
 	if s := f.of(in); s != nil {
 		s.inFlight++
 		s.pending += tokens
+		f.note(s)
 	}
 }
 
@@ -53,6 +54,7 @@
 		s.failureRate += failureMemory * (1 - s.failureRate)
 		s.ejected = s.ejected || s.silent >= silentFailures
 	}
+	f.note(s)
 	return s.ejected
 }
 
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -37,6 +37,7 @@
 	}
 	if s.pace == 0 {
 		s.pace = gap.Seconds()
+		f.groupOf(s.Service).measure(s)
 		return
 	}
 	move := paceQuantile
@@ -49,9 +50,9 @@
 // Slow returns the servers that long prompts avoid, with their paces.
 func (f *Servers) Slow() map[string]time.Duration {
 	slow := map[string]time.Duration{}
-	for _, list := range f.lists() {
-		bound := fastBound(list)
-		for _, s := range list {
+	for _, g := range f.groups {
+		bound := fastBound(g.measured)
+		for _, s := range g.measured {
 			if s.pace > bound {
 				slow[s.ID] = time.Duration(s.pace * float64(time.Second))
 			}
@@ -75,6 +76,11 @@
 			paces = append(paces, s.pace)
 		}
 	}
+	return boundOf(paces)
+}
+
+// boundOf returns the pace up to which servers with these paces, which it sorts, are fast.
+func boundOf(paces []float64) float64 {
 	if len(paces) == 0 {
 		return math.Inf(1)
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -85,6 +85,9 @@
 	ejected bool
 	// coldUntil is until when the server is cold, as far as known.
 	coldUntil time.Time
+	// noted and measured tell that the state is in the lists of its group, and gone that the
+	// process is not known any more.
+	noted, measured, gone bool
 }
 
 func (s *state) usable(tried map[Incarnation]bool) bool {
@@ -95,9 +98,10 @@
 // concurrent use.
 type Servers struct {
 	byID map[string]*state
-	// byService are the lists by service, in the order of the ids; nil: they are to be
-	// made anew.
-	byService map[string][]*state
+	// groups are the servers by service.
+	groups map[string]*group
+	// order is the seed of this router's own order of servers that are alike.
+	order uint64
 	// meanPrompt is the mean size of prompts by service, in tokens.
 	meanPrompt map[string]float64
 	// evacuated are the failure domains whose servers get no work.
@@ -106,7 +110,21 @@
 
 // New returns a Servers that knows none.
 func New() *Servers {
-	return &Servers{byID: map[string]*state{}, meanPrompt: map[string]float64{}}
+	return &Servers{byID: map[string]*state{}, groups: map[string]*group{}, meanPrompt: map[string]float64{}}
+}
+
+// SetOrder sets the seed of this router's own order of servers that are alike. Routers with
+// different seeds spread their requests, and each keeps to few connections.
+func (f *Servers) SetOrder(seed uint64) { f.order = seed }
+
+// groupOf returns the group of a service.
+func (f *Servers) groupOf(service string) *group {
+	g, ok := f.groups[service]
+	if !ok {
+		g = newGroup()
+		f.groups[service] = g
+	}
+	return g
 }
 
 // Put adds a server or updates it. A process that was said to be leaving stays
@@ -116,16 +134,26 @@
 func (f *Servers) Put(s Server) {
 	old, ok := f.byID[s.ID]
 	if !ok || s.Started != old.Started {
-		f.byID[s.ID] = &state{Server: s, hash: xxhash.Sum64String(s.ID)}
-		f.byService = nil
+		f.Remove(s.ID)
+		next := &state{Server: s, hash: xxhash.Sum64String(s.ID)}
+		f.byID[s.ID] = next
+		f.groupOf(s.Service).insert(next)
 		return
 	}
 	s.Leaving = s.Leaving || old.Leaving
-	moved := old.Service != s.Service
-	old.Server = s
-	if moved {
-		f.byService = nil
+	if old.Service != s.Service || old.Domain != s.Domain {
+		f.groupOf(old.Service).remove(old)
+		old.Server = s
+		f.groupOf(s.Service).insert(old)
+		return
 	}
+	old.Server = s
+	f.note(old)
+}
+
+// note has the group of a server look at it when it sums up what is known.
+func (f *Servers) note(s *state) {
+	f.groupOf(s.Service).note(s)
 }
 
 // of returns what is known of a process, or nil once it is gone or another one
@@ -141,37 +169,23 @@
 // Remove forgets a server. If it comes back, its counts start anew, and requests
 // that were sent before end without being counted.
 func (f *Servers) Remove(id string) {
-	if _, ok := f.byID[id]; !ok {
+	s, ok := f.byID[id]
+	if !ok {
 		return
 	}
 	delete(f.byID, id)
-	f.byService = nil
+	f.groupOf(s.Service).remove(s)
+	s.gone = true
 }
 
 // Leave marks a process that takes no new work.
 func (f *Servers) Leave(in Incarnation) {
 	if s := f.of(in); s != nil {
 		s.Leaving = true
+		f.note(s)
 	}
 }
 
-// lists returns the servers by service, in the order of the ids so that seeded runs
-// repeat. They are made when they are asked for, since a fleet's first list brings
-// thousands of servers at once.
-func (f *Servers) lists() map[string][]*state {
-	if f.byService != nil {
-		return f.byService
-	}
-	f.byService = map[string][]*state{}
-	for _, s := range f.byID {
-		f.byService[s.Service] = append(f.byService[s.Service], s)
-	}
-	for _, list := range f.byService {
-		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-	}
-	return f.byService
-}
-
 // SetEvacuated sets the evacuated failure domains: none of their servers gets work,
 // until a call without them.
 func (f *Servers) SetEvacuated(domains []string) {
@@ -231,9 +245,11 @@
 // Ejected returns the servers that are ejected until Restored.
 func (f *Servers) Ejected() []Server {
 	var list []Server
-	for _, s := range f.byID {
-		if s.ejected && !s.Leaving && !f.evacuated[s.Domain] {
-			list = append(list, s.Server)
+	for _, g := range f.groups {
+		for _, s := range g.noted {
+			if !s.gone && s.ejected && !s.Leaving && !f.evacuated[s.Domain] {
+				list = append(list, s.Server)
+			}
 		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
@@ -279,17 +295,29 @@
 
 // Pick chooses a server; false means that none can take the request.
 func (f *Servers) Pick(rng *rand.Rand, q Query) (Server, bool) {
-	candidates := f.candidates(q)
-	if len(candidates) == 0 {
+	isLong := q.Affinity != 0 && f.long(q)
+	s := f.pickOpen(rng, q, isLong)
+	if s == nil {
+		s = f.pickAny(rng, q, isLong)
+	}
+	if s == nil {
 		return Server{}, false
 	}
-	if q.Affinity != 0 {
-		if f.long(q) {
-			candidates = fast(candidates)
-		}
-		return byPrefix(candidates, q.Affinity).Server, true
+	return s.Server, true
+}
+
+// pickAny is Pick where no server is free of all reasons to spare it.
+func (f *Servers) pickAny(rng *rand.Rand, q Query, isLong bool) *state {
+	candidates := f.candidates(q)
+	switch {
+	case len(candidates) == 0:
+		return nil
+	case q.Affinity == 0:
+		return f.leastBusy(rng, candidates, q.Domain)
+	case isLong:
+		candidates = fast(candidates)
 	}
-	return leastBusy(rng, candidates, q.Domain).Server, true
+	return byPrefix(candidates, q.Affinity)
 }
 
 // candidates are the servers worth a try: up and not failing far more than the
@@ -298,7 +326,7 @@
 func (f *Servers) candidates(q Query) []*state {
 	var up []*state
 	var sum float64
-	for _, s := range f.lists()[q.Service] {
+	for _, s := range f.groupOf(q.Service).list {
 		if s.usable(q.Tried) && !s.ejected && !f.evacuated[s.Domain] && q.allows(s) {
 			up = append(up, s)
 			sum += s.failureRate
@@ -358,7 +386,7 @@
 
 // leastBusy returns a server with the fewest own requests in flight, one of
 // the same failure domain if there is one among them.
-func leastBusy(rng *rand.Rand, list []*state, domain string) *state {
+func (f *Servers) leastBusy(rng *rand.Rand, list []*state, domain string) *state {
 	var best []*state
 	for _, s := range list {
 		switch {
@@ -368,11 +396,15 @@
 			best = append(best, s)
 		}
 	}
+	var near *state
 	for _, s := range best {
-		if s.Domain == domain {
-			return s
+		if s.Domain == domain && (near == nil || mix(f.order^s.hash) > mix(f.order^near.hash)) {
+			near = s
 		}
 	}
+	if near != nil {
+		return near
+	}
 	return best[rng.IntN(len(best))]
 }
 
