--- a/bound/bound.go
+++ b/bound/bound.go
@@ -9,12 +9,14 @@
 import "time"
 
 const (
-	// AskEvery is how often a router asks another one for updates.
+	// AskEvery is how often a relay asks a watcher for updates, and the least time between two
+	// questions of a router to a relay.
 	AskEvery = 250 * time.Millisecond
-	// propagation is the delay of an update from a router that watches the store to the last
-	// one: a relay's question, a router's question to the relay, and the time of both on busy
-	// links.
-	propagation = 2*AskEvery + 300*time.Millisecond
+	// askLongest is the longest time between two questions of a router to a relay.
+	askLongest = time.Second
+	// transfers is the time on busy links of a relay's question and of a router's question to the
+	// relay.
+	transfers = 300 * time.Millisecond
 	// WatchSlack is how much longer than its wait a watch of the store may take before it is
 	// given up.
 	WatchSlack = 400 * time.Millisecond
@@ -52,6 +54,8 @@
 	Watch time.Duration
 	// Propagation is added at routers that are updated by others; 0 in a small fleet.
 	Propagation time.Duration
+	// Ask is how often a router asks a relay for updates: a part of Propagation.
+	Ask time.Duration
 	// Discovery is how long a router that is not updated any more needs to query the store
 	// directly.
 	Discovery time.Duration
@@ -63,14 +67,24 @@
 // Divide returns the parts of a bound. In a large fleet few routers watch the store and update
 // the others.
 func Divide(bound time.Duration, large bool) Parts {
-	p := Parts{Discovery: discoveryInSmallFleet, Delivery: delivery}
+	p := Parts{Ask: AskEvery, Discovery: discoveryInSmallFleet, Delivery: delivery}
 	if large {
-		p.Propagation, p.Discovery = propagation, discoveryInLargeFleet
+		p.Discovery = discoveryInLargeFleet
+		p.Ask = askEvery(bound)
+		p.Propagation = AskEvery + p.Ask + transfers
 	}
 	p.Watch = min(max(bound-p.Propagation-p.Discovery-p.Delivery, leastWatch), longestWatch)
 	return p
 }
 
+// askEvery returns how often routers of a large fleet ask a relay for updates: a quarter of what a
+// bound has beyond the shortest that a large fleet can keep. A question costs both routers the
+// same whether there is news or not.
+func askEvery(bound time.Duration) time.Duration {
+	const shortest = 2 * time.Second
+	return min(max((bound-shortest)/4, AskEvery), askLongest)
+}
+
 // Sum is the longest time from a change until no request goes by the state before it.
 func (p Parts) Sum() time.Duration { return p.Watch + p.Propagation + p.Discovery + p.Delivery }
 
@@ -79,7 +93,9 @@
 func (p Parts) StaleAfter() time.Duration { return p.Watch + p.Propagation }
 
 // RelayStaleAfter is the staleness bound of a router that relays updates.
-func (p Parts) RelayStaleAfter() time.Duration { return p.Watch + p.Propagation/2 }
+func (p Parts) RelayStaleAfter() time.Duration {
+	return p.Watch + min(p.Propagation/2, AskEvery+transfers/2)
+}
 
 // Retry is how long a router whose query of the store failed may wait until the next one. With
 // the time of a query that began just before the store was back, it is up to date again within
--- a/bound/bound_test.go
+++ b/bound/bound_test.go
@@ -32,9 +32,9 @@
 // directly.
 func TestUpdatesOfAHealthyFleetAreNeverStale(t *testing.T) {
 	const calls = 4 * 10 * time.Millisecond // the store's answer and both questions, with some to spare
-	for _, b := range []time.Duration{3 * time.Second, 4 * time.Second} {
+	for _, b := range []time.Duration{3 * time.Second, 4 * time.Second, 5 * time.Second, 20 * time.Second} {
 		p := bound.Divide(b, true)
-		if eldest := p.Watch + 2*bound.AskEvery + calls; eldest >= p.StaleAfter() {
+		if eldest := p.Watch + bound.AskEvery + p.Ask + calls; eldest >= p.StaleAfter() {
 			t.Errorf("%v: updates are up to %v old, and stale from %v on", b, eldest, p.StaleAfter())
 		}
 		if eldest := p.Watch + bound.AskEvery + calls; eldest >= p.RelayStaleAfter() {
--- a/budget/agent.go
+++ b/budget/agent.go
@@ -250,6 +250,27 @@
 	return a.drain()
 }
 
+// IsIdle tells whether nothing is held or asked for, so that Tick changes nothing.
+func (a *Agent) IsIdle() bool { return len(a.awake) == 0 && !a.closing }
+
+// IsWaiting tells whether an answer, a pause or a timeout is awaited, so that Tick is due soon.
+func (a *Agent) IsWaiting() bool {
+	if a.closing {
+		return true
+	}
+	for _, p := range a.awake {
+		if p.waiting() || p.asking() || len(p.loans) > 0 || p.recall.active || p.borrowing.from != "" || p.lookup == lookupRunning {
+			return true
+		}
+	}
+	for _, ps := range a.pages {
+		if ps.reading || ps.writing || ps.write != nil || len(ps.ops) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (a *Agent) tickPurse(now time.Time, p *purse) {
 	a.refreshEscrow(now, p)
 	p.passing = false
--- /dev/null
+++ b/changelog/changelog_test.go
@@ -0,0 +1,135 @@
+package changelog_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/gaplink/gaplink/changelog"
+)
+
+// set is a replicated set of objects with its log.
+type set struct {
+	objects map[string]int
+	log     changelog.Log[update]
+}
+
+type update struct {
+	key     string
+	value   int
+	deleted bool
+}
+
+func newSet() *set { return &set{objects: map[string]int{}} }
+
+func (s *set) apply(u update) {
+	if u.deleted {
+		delete(s.objects, u.key)
+	} else {
+		s.objects[u.key] = u.value
+	}
+	s.log.Add(u.key, u)
+}
+
+// follow brings a replica up to date from another one.
+func (s *set) follow(source *set) {
+	changes, ok := source.log.Since(s.log.Revision())
+	if !ok {
+		s.objects = maps.Clone(source.objects)
+		s.log.Reset(source.log.Revision())
+		return
+	}
+	for _, u := range changes {
+		s.apply(u)
+	}
+	s.log.Advance(source.log.Revision())
+	s.log.Trim(len(s.objects))
+}
+
+// TestReplicaFollowsWhicheverSourceItTurnsTo plays replicas of one set that follow the store or
+// each other in any order: each has what the store had at its own revision.
+func TestReplicaFollowsWhicheverSourceItTurnsTo(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const replicas = 4
+		states := map[int64]map[string]int{0: {}}
+		origin := newSet()
+		origin.log.Reset(1)
+		states[1] = map[string]int{}
+		all := []*set{origin}
+		for range replicas {
+			all = append(all, newSet())
+		}
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "change") {
+				key := fmt.Sprint("k", rapid.IntRange(0, 5).Draw(t, "key"))
+				origin.apply(update{key: key, value: step, deleted: rapid.Bool().Draw(t, "deleted")})
+				origin.log.Advance(origin.log.Revision() + int64(rapid.IntRange(1, 3).Draw(t, "revisions")))
+				states[origin.log.Revision()] = maps.Clone(origin.objects)
+				continue
+			}
+			source := all[rapid.IntRange(0, replicas).Draw(t, "source")]
+			replica := all[rapid.IntRange(1, replicas).Draw(t, "replica")]
+			if replica == source || source.log.Revision() < replica.log.Revision() {
+				continue
+			}
+			replica.follow(source)
+			if want := states[replica.log.Revision()]; !maps.Equal(replica.objects, want) {
+				t.Fatalf("at revision %d: %v, the store had %v", replica.log.Revision(), replica.objects, want)
+			}
+		}
+	})
+}
+
+func TestChangesAreHeldUpToTheSizeOfTheSet(t *testing.T) {
+	for _, objects := range []int{10, 5000} {
+		var l changelog.Log[int]
+		l.Reset(1)
+		for n := range 20000 {
+			l.Add(fmt.Sprint(n), n)
+			l.Advance(int64(n) + 2)
+			l.Trim(objects)
+		}
+		most := max(objects, 1024)
+		if got, ok := l.Since(20001 - int64(most)/2); !ok || len(got) != most/2 {
+			t.Errorf("%d objects: the last %d changes: %d, held %v", objects, most/2, len(got), ok)
+		}
+		if _, ok := l.Since(20001 - 2*int64(most)); ok {
+			t.Errorf("%d objects: twice as many changes are held", objects)
+		}
+	}
+}
+
+func TestOnlyTheLastChangeOfAnObjectIsSent(t *testing.T) {
+	var l changelog.Log[string]
+	if _, ok := l.Since(0); ok {
+		t.Error("a log that knows nothing sends changes")
+	}
+	l.Reset(10)
+	for _, c := range []string{"a1", "b1", "a2"} {
+		l.Add(c[:1], c)
+	}
+	l.Advance(12)
+	if got, ok := l.Since(10); !ok || !slices.Equal(got, []string{"b1", "a2"}) {
+		t.Errorf("%v, held %v", got, ok)
+	}
+	if got, ok := l.Since(12); !ok || len(got) > 0 {
+		t.Errorf("%v, held %v, for a replica that has all", got, ok)
+	}
+	if got, ok := l.Since(99); !ok || len(got) > 0 {
+		t.Errorf("%v, held %v, for a replica that is ahead", got, ok)
+	}
+	if _, ok := l.Since(9); ok {
+		t.Error("changes before the set was read are sent")
+	}
+	l.Add("c", "c1")
+	if got, ok := l.Since(12); !ok || !slices.Equal(got, []string{"c1"}) || l.Revision() != 12 {
+		t.Errorf("%v, held %v, at %d while a change is being added", got, ok, l.Revision())
+	}
+	l.Advance(5)
+	if l.Revision() != 12 {
+		t.Errorf("an older revision takes back what is known: %d", l.Revision())
+	}
+}
--- a/clock/clock.go
+++ b/clock/clock.go
@@ -8,11 +8,10 @@
 // are taken here, by the steady clock plus the time for which the machine was suspended.
 //
 // Only what is told to others, or kept, is taken from time.Now. Timers still stand still
-// with the machine: Watch tells when it has woken.
+// with the machine: Suspensions tells when it has woken.
 package clock
 
 import (
-	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -135,23 +134,38 @@
 	return time.Duration(t.Nano()), nil
 }
 
-// watchEvery is how often Watch looks.
-const watchEvery = 100 * time.Millisecond
-
-// Watch calls woken each time the machine was suspended, with for how long, until the
-// context ends.
-func Watch(ctx context.Context, woken func(slept time.Duration)) {
-	ticker := time.NewTicker(watchEvery)
-	defer ticker.Stop()
-	for before := Suspended(); ; {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-		if now := Suspended(); now > before {
-			woken(now - before)
-			before = now
-		}
+// Suspensions tells of each suspension of the machine once. It is not safe for concurrent use.
+type Suspensions struct{ before time.Duration }
+
+// NewSuspensions returns a Suspensions that tells of those from now on.
+func NewSuspensions() *Suspensions { return &Suspensions{before: Suspended()} }
+
+// Since returns for how long the machine was suspended since the last call.
+func (s *Suspensions) Since() time.Duration {
+	now := Suspended()
+	slept := now - s.before
+	s.before = now
+	return slept
+}
+
+// pauseFor is how much later than it is due a call counts as after a pause of the process: a busy
+// machine is late by tenths of a second.
+const pauseFor = 750 * time.Millisecond
+
+// Pauses tells of each pause of the process, or of its machine. It is not safe for concurrent use.
+type Pauses struct{ last time.Time }
+
+// NewPauses returns a Pauses that tells of those from now on.
+func NewPauses() *Pauses { return &Pauses{last: Now()} }
+
+// Since returns for how long the process was paused since the last call, which was due a time ago;
+// 0: it was not.
+func (p *Pauses) Since(due time.Duration) time.Duration {
+	now := Now()
+	since := now.Sub(p.last)
+	p.last = now
+	if since <= due+pauseFor {
+		return 0
 	}
+	return since
 }
--- a/clock/clock_test.go
+++ b/clock/clock_test.go
@@ -29,20 +29,44 @@
 	})
 }
 
-// TestWatchTellsOfEachSuspension, soon after waking.
-func TestWatchTellsOfEachSuspension(t *testing.T) {
+// Guards against a suspension that is missed or told twice.
+func TestEachSuspensionIsToldOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		machine := clocktest.New(t)
-		var slept []time.Duration
-		go clock.Watch(t.Context(), func(d time.Duration) { slept = append(slept, d) })
+		suspensions := clock.NewSuspensions()
 		for _, d := range []time.Duration{2 * time.Second, 5 * time.Second} {
 			time.Sleep(time.Second)
+			if slept := suspensions.Since(); slept != 0 {
+				t.Errorf("told of %v without a suspension", slept)
+			}
 			machine.Suspend(d)
-			time.Sleep(200 * time.Millisecond)
+			if slept := suspensions.Since(); slept != d {
+				t.Errorf("told of %v, it was %v", slept, d)
+			}
 		}
-		synctest.Wait()
-		if len(slept) != 2 || slept[0] != 2*time.Second || slept[1] != 5*time.Second {
-			t.Errorf("told of %v", slept)
+	})
+}
+
+// A process is paused by a stop of its own or of its machine; one that is late for want of
+// processor time is not.
+func TestPausesAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const due = 250 * time.Millisecond
+		machine := clocktest.New(t)
+		pauses := clock.NewPauses()
+		for name, step := range map[string]struct {
+			pause func()
+			told  bool
+		}{
+			"in time":   {func() { time.Sleep(due) }, false},
+			"late":      {func() { time.Sleep(900 * time.Millisecond) }, false},
+			"stopped":   {func() { time.Sleep(2 * time.Second) }, true},
+			"suspended": {func() { time.Sleep(due); machine.Suspend(time.Second) }, true},
+		} {
+			step.pause()
+			if got := pauses.Since(due); got > 0 != step.told {
+				t.Errorf("%s: told of %v", name, got)
+			}
 		}
 	})
 }
--- a/controller/budgets/budgets.go
+++ b/controller/budgets/budgets.go
@@ -14,10 +14,16 @@
 	"github.com/gaplink/gaplink/membership"
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/store"
+	"github.com/gaplink/gaplink/wakeups"
 )
 
-// tickEvery is how often the agent is ticked.
-const tickEvery = 50 * time.Millisecond
+const (
+	// tickEvery is how often the agent is ticked while it waits for something, quietEvery while
+	// it only holds tokens, and idleEvery while it holds none.
+	tickEvery  = 50 * time.Millisecond
+	quietEvery = 500 * time.Millisecond
+	idleEvery  = 10 * time.Second
+)
 
 // Members is what the controller knows of the other routers.
 type Members interface {
@@ -30,6 +36,8 @@
 	// Failed and Reached tell how a call to an instance ended.
 	Failed(id string, cause error)
 	Reached(id string)
+	// Restarted tells that another process than the known one runs at an instance.
+	Restarted(id string)
 }
 
 // Controller runs the agent. It is safe for concurrent use.
@@ -43,6 +51,10 @@
 	agent   *budget.Agent
 	waiting map[uint64]chan answer
 	onStop  func()
+	// tickAfter is the time between the last tick and the next one, and busy wakes Run for a
+	// shorter one.
+	tickAfter time.Duration
+	busy      chan struct{}
 	// storeLost tells whether the store does not answer; it may be nil.
 	storeLost func() bool
 }
@@ -79,6 +91,7 @@
 		log:     log,
 		agent:   budget.NewAgent(cfg),
 		waiting: map[uint64]chan answer{},
+		busy:    make(chan struct{}, 1),
 		onStop:  onStop,
 
 		storeLost: cfg.StoreLost,
@@ -87,15 +100,38 @@
 
 // Run ticks the agent until the context ends.
 func (c *Controller) Run(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(c.untilTick())
+	defer timer.Stop()
 	for {
 		select {
-		case <-ticker.C:
+		case <-timer.C:
+			wakeups.Note(wakeups.Budgets)
 			c.with(func(now time.Time, a *budget.Agent) []budget.Effect { return a.Tick(now) })
+		case <-c.busy:
 		case <-ctx.Done():
 			return
 		}
+		timer.Reset(c.untilTick())
+	}
+}
+
+// untilTick returns the time until the agent is to be ticked.
+func (c *Controller) untilTick() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tickAfter = c.agentDue()
+	return c.tickAfter
+}
+
+// agentDue returns how long the agent need not be ticked. It is called under the lock.
+func (c *Controller) agentDue() time.Duration {
+	switch {
+	case c.agent.IsWaiting():
+		return tickEvery
+	case c.agent.IsIdle():
+		return idleEvery
+	default:
+		return quietEvery
 	}
 }
 
@@ -104,12 +140,27 @@
 	c.mu.Lock()
 	effects := call(steady(), c.agent)
 	c.resolve(effects)
+	c.hasten()
 	c.mu.Unlock()
 	for _, e := range effects {
 		c.perform(e)
 	}
 }
 
+// hasten has the agent ticked sooner if there is more to do than at the last tick. It is called
+// under the lock.
+func (c *Controller) hasten() {
+	due := c.agentDue()
+	if due >= c.tickAfter {
+		return
+	}
+	c.tickAfter = due
+	select {
+	case c.busy <- struct{}{}:
+	default: // Run is awake already
+	}
+}
+
 // resolve hands answers to waiting reservations. It is called under the lock.
 func (c *Controller) resolve(effects []budget.Effect) {
 	for _, e := range effects {
--- a/controller/budgets/messages.go
+++ b/controller/budgets/messages.go
@@ -36,6 +36,7 @@
 	certain := errors.Is(err, peer.ErrNotSent)
 	if errors.Is(err, errOtherProcess) {
 		certain = true // the instance is well; only its process is another
+		c.members.Restarted(m.To.ID)
 	} else {
 		c.members.Failed(m.To.ID, err)
 	}
--- a/controller/configs/configs.go
+++ b/controller/configs/configs.go
@@ -59,6 +59,9 @@
 	}
 }
 
+// Advanced implements follow.Handler.
+func (c *Controller) Advanced(int64) {}
+
 // Lost implements follow.Handler. What is known stays in force.
 func (c *Controller) Lost() {}
 
--- a/controller/evacuations/evacuations.go
+++ b/controller/evacuations/evacuations.go
@@ -17,9 +17,6 @@
 
 // Options are what a controller works with.
 type Options struct {
-	// Revision returns the store's revision up to which the store itself has sent this router
-	// all changes of evacuations.
-	Revision func() int64
 	// Changed is called with all evacuated failure domains whenever they change, one
 	// call after the other.
 	Changed func(domains []string)
@@ -35,6 +32,9 @@
 	since map[string]time.Time
 	// revision is the store's revision at which since was right; 0: none is known.
 	revision int64
+	// pending are the evacuated domains by changes whose revision is not known yet; nil: there
+	// are none.
+	pending map[string]bool
 }
 
 // New returns a controller that knows of no evacuation.
@@ -54,15 +54,27 @@
 // Changed implements follow.Handler. An object evacuates the failure domain of its name, whatever
 // it holds.
 func (c *Controller) Changed(objects []store.Object) {
-	domains := map[string]bool{}
-	for _, domain := range c.Domains() {
-		domains[domain] = true
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending = map[string]bool{}
+	for domain := range c.since {
+		c.pending[domain] = true
 	}
 	for _, o := range objects {
-		domains[domainOf(o.Key)] = !o.Deleted
+		c.pending[domainOf(o.Key)] = !o.Deleted
+	}
+	maps.DeleteFunc(c.pending, func(_ string, evacuated bool) bool { return !evacuated })
+}
+
+// Advanced implements follow.Handler.
+func (c *Controller) Advanced(revision int64) {
+	c.mu.Lock()
+	pending := c.pending
+	c.pending = nil
+	c.mu.Unlock()
+	if pending != nil {
+		c.Take(slices.Collect(maps.Keys(pending)), revision, "store")
 	}
-	maps.DeleteFunc(domains, func(_ string, evacuated bool) bool { return !evacuated })
-	c.Take(slices.Collect(maps.Keys(domains)), c.Revision(), "store")
 }
 
 // Take replaces the evacuated failure domains by those at a revision of the store; source is for
--- a/controller/evacuations/evacuations_test.go
+++ b/controller/evacuations/evacuations_test.go
@@ -13,23 +13,21 @@
 // known is a controller with what it told of itself.
 type known struct {
 	*evacuations.Controller
-	revision int64
-	told     [][]string
+	told [][]string
 }
 
 func newKnown() *known {
 	k := &known{}
 	k.Controller = evacuations.New(evacuations.Options{
-		Revision: func() int64 { return k.revision },
-		Changed:  func(domains []string) { k.told = append(k.told, domains) },
-		Log:      zap.NewNop(),
+		Changed: func(domains []string) { k.told = append(k.told, domains) },
+		Log:     zap.NewNop(),
 	})
 	return k
 }
 
 func (k *known) change(revision int64, objects ...store.Object) {
-	k.revision = revision
 	k.Changed(objects)
+	k.Advanced(revision)
 }
 
 func (k *known) expect(t *testing.T, domains ...string) {
--- a/controller/follow/follow.go
+++ b/controller/follow/follow.go
@@ -14,6 +14,7 @@
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/store"
 	"github.com/gaplink/gaplink/wait"
+	"github.com/gaplink/gaplink/wakeups"
 )
 
 const (
@@ -23,9 +24,12 @@
 	retryPause = 250 * time.Millisecond
 	awayPause  = time.Second
 	hastyTries = 4
-	// gatherPause is the pause after a watch that returned changes. A release changes objects
-	// many times a second, and the pause gathers them for one call.
+	// gatherPause is the longest pause after a watch that returned changes. A release changes
+	// objects many times a second, and the pause gathers them for one call.
 	gatherPause = 150 * time.Millisecond
+	// gatherMost is how many changes a call may gather: well under what the store puts into one
+	// answer, so that a watch catches up with any number of writers.
+	gatherMost = 300
 	// freshSlack is how long beyond the wait of a watch the last answer of the store counts as
 	// current: the time of a slow answer and of a pause.
 	freshSlack = 600 * time.Millisecond
@@ -57,6 +61,8 @@
 	Listed(objects []store.Object, revision int64)
 	// Changed takes changed objects, oldest first.
 	Changed(objects []store.Object)
+	// Advanced tells that all changes up to a revision of the store were taken.
+	Advanced(revision int64)
 	// Lost tells that the store does not answer, or that there is no source of updates, and
 	// Regained that it answers again.
 	Lost()
@@ -71,6 +77,9 @@
 	Handler Handler
 	// Role returns what the follower does now.
 	Role func() Role
+	// Changed returns a channel that is closed when the role is no longer Idle; nil: the role is
+	// checked regularly.
+	Changed func() <-chan struct{}
 	// Bound returns how the operator's bound on a change of the kind is divided.
 	Bound func() bound.Parts
 	// ReceivedRevision returns the store's revision up to which other routers have sent all
@@ -123,11 +132,16 @@
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		wakeups.Note(wakeups.Follow)
+		changed := f.roleChanged()
 		role := f.Role()
 		if role == Idle {
 			f.rest()
+			f.noteSource(role)
+			f.waitForRole(ctx, changed)
+			continue
 		}
-		if role == Idle || role == Fallback && !f.isDue(clock.Now()) {
+		if role == Fallback && !f.isDue(clock.Now()) {
 			f.noteSource(role)
 			_ = wait.For(ctx, lookEvery)
 			continue
@@ -140,6 +154,26 @@
 	}
 }
 
+// roleChanged returns a channel that is closed when the role changes; nil: nobody tells.
+func (f *Follower) roleChanged() <-chan struct{} {
+	if f.Changed == nil {
+		return nil
+	}
+	return f.Changed()
+}
+
+// waitForRole waits until the role may have changed.
+func (f *Follower) waitForRole(ctx context.Context, changed <-chan struct{}) {
+	if changed == nil {
+		_ = wait.For(ctx, lookEvery)
+		return
+	}
+	select {
+	case <-changed:
+	case <-ctx.Done():
+	}
+}
+
 // try makes one call, after a probe where the store may not answer and no other follower of this
 // router has found that it does.
 func (f *Follower) try(ctx context.Context, role Role) error {
@@ -230,14 +264,26 @@
 		f.relist = true
 		return nil
 	}
-	f.succeeded(max(since, ev.Revision), clock.Now())
+	f.answeredNow()
+	asOf, revision := clock.Now(), max(since, ev.Revision)
 	if len(ev.Objects) > 0 {
 		f.Handler.Changed(ev.Objects)
-		_ = wait.For(ctx, gatherPause)
+	}
+	f.Handler.Advanced(revision)
+	f.advance(revision, asOf)
+	if len(ev.Objects) > 0 {
+		_ = wait.For(ctx, gatherFor(len(ev.Objects)))
 	}
 	return nil
 }
 
+// gatherFor returns the pause after an answer of so many changes: the more of them come, the
+// shorter it is. At a steady rate of writes an answer then holds fewer than gatherMost.
+func gatherFor(changes int) time.Duration {
+	room := max(gatherMost-changes, 0)
+	return gatherPause * time.Duration(room) / gatherMost
+}
+
 // since returns the revision up to which this router knows all changes, from the store or from
 // other routers; 0: a list is due.
 func (f *Follower) since() int64 {
@@ -258,8 +304,10 @@
 		return err
 	}
 	f.relist = false
-	f.succeeded(revision, begun)
+	f.answeredNow()
 	f.Handler.Listed(objects, revision)
+	f.Handler.Advanced(revision)
+	f.advance(revision, begun)
 	return nil
 }
 
@@ -278,27 +326,33 @@
 	}
 }
 
-// succeeded notes an answer that holds all changes up to a revision, which was the store's at a
-// time.
-func (f *Follower) succeeded(revision int64, asOf time.Time) {
+// answeredNow notes that the store answers.
+func (f *Follower) answeredNow() {
 	f.failures, f.tries = 0, 0
 	f.mu.Lock()
 	was, since := f.lost, f.lostAt
 	f.lost = false
 	f.answered = clock.Now()
-	f.asOf = asOf
-	f.revision = revision
 	f.mu.Unlock()
 	if f.noSource && !was {
 		f.Handler.Regained()
 	}
 	f.noSource = false
 	if was {
-		f.Log.Info("store reachable again", zap.Duration("after_ms", clock.Since(since)), zap.Int64("revision", revision))
+		f.Log.Info("store reachable again", zap.Duration("after_ms", clock.Since(since)), zap.Int64("revision", f.Revision()))
 		f.Handler.Regained()
 	}
 }
 
+// advance notes that the handler has all changes up to a revision, which was the store's at a
+// time.
+func (f *Follower) advance(revision int64, asOf time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asOf = asOf
+	f.revision = revision
+}
+
 // Revision returns the store's revision up to which all changes are known.
 func (f *Follower) Revision() int64 {
 	f.mu.Lock()
--- a/controller/follow/follow_test.go
+++ b/controller/follow/follow_test.go
@@ -57,6 +57,7 @@
 
 func (ignore) Listed([]store.Object, int64) {}
 func (ignore) Changed([]store.Object)       {}
+func (ignore) Advanced(int64)               {}
 func (ignore) Lost()                        {}
 func (ignore) Regained()                    {}
 
--- a/controller/limits/limits.go
+++ b/controller/limits/limits.go
@@ -65,7 +65,13 @@
 	Settled func() bool
 	// Runs tells whether a process is registered.
 	Runs func(placement.Incarnation) bool
-	Log  *zap.Logger
+	// Updated tells that relays send this router all reports, so that it asks no other router
+	// at its start; nil: none do.
+	Updated func() bool
+	// Driven tells that the owner calls Tick regularly, and CatchUp after each pause of the
+	// process.
+	Driven bool
+	Log    *zap.Logger
 }
 
 // Counts are what has happened since the start.
@@ -79,6 +85,8 @@
 type Controller struct {
 	Options
 
+	expiredAt time.Time // by Tick
+
 	spread *spread.Spreader[limiter.Report]
 	// watching mirrors whether the table knows anything, so that answers cost nothing
 	// while no server names a limit.
@@ -114,19 +122,44 @@
 // Run propagates limits and drops what is not needed any more until the context ends.
 func (c *Controller) Run(ctx context.Context) {
 	go c.spread.Run(ctx)
-	c.spread.CatchUp(ctx)
+	if !c.Driven {
+		go c.spread.NoticePauses(ctx)
+		go c.tickRegularly(ctx)
+	}
+	c.CatchUp(ctx)
+	<-ctx.Done()
+}
+
+// tickRegularly ticks until the context ends.
+func (c *Controller) tickRegularly(ctx context.Context) {
 	ticker := time.NewTicker(expireEvery)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-			c.expire(clock.Now())
+			c.Tick(clock.Now())
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// Tick drops what is not needed any more. Call it a few times a second, if Run does not.
+func (c *Controller) Tick(now time.Time) {
+	if now.Sub(c.expiredAt) < expireEvery {
+		return
+	}
+	c.expiredAt = now
+	c.expire(now)
+}
+
+// CatchUp asks other routers what is known, unless relays send it anyway.
+func (c *Controller) CatchUp(ctx context.Context) {
+	if c.Updated == nil || !c.Updated() {
+		c.spread.CatchUp(ctx)
+	}
+}
+
 // expire drops what is known of processes that are gone, and permits and denials that are
 // long past. Runs is asked without the lock, since its owner asks this controller.
 func (c *Controller) expire(now time.Time) {
--- a/controller/members/members.go
+++ b/controller/members/members.go
@@ -4,9 +4,7 @@
 package members
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -33,7 +31,6 @@
 	view   *membership.View
 	onList []func([]membership.Member)
 	ranked map[string]ranked // what First found lately
-	lists  map[string]list   // what rankLargest found lately
 	owners map[string]list   // what Owners found lately
 	live   counted
 	notes  map[string]*logs.Sparse // of the routers that were passed over
@@ -55,7 +52,7 @@
 	until time.Time
 }
 
-// list is the members found for a role, as ranked.
+// list is the members found for a role, best first.
 type list struct {
 	ids   []string
 	until time.Time
@@ -75,7 +72,6 @@
 		self:   self,
 		view:   membership.NewView(self),
 		ranked: map[string]ranked{},
-		lists:  map[string]list{},
 		owners: map[string]list{},
 		notes:  map[string]*logs.Sparse{},
 
@@ -149,37 +145,45 @@
 // FirstLargest returns the best member for a role among those with the largest
 // links, or this router if there is none.
 func (c *Controller) FirstLargest(now time.Time, role string) string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if ids := c.rankLargest(now, role); len(ids) > 0 {
+	if ids := c.Largest(now, role, 1); len(ids) > 0 {
 		return ids[0]
 	}
 	return c.self.ID
 }
 
-// RankLargest returns the usable members for a role, best first: those with the
+// Largest returns the best usable members for a role, at most so many: those with the
 // largest links, in the order of the role.
-func (c *Controller) RankLargest(now time.Time, role string) []string {
+func (c *Controller) Largest(now time.Time, role string, most int) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return slices.Clone(c.rankLargest(now, role))
+	return c.largest(now, role, most, func(membership.Member) bool { return true })
 }
 
-// rankLargest returns a list that the caller must not change.
-func (c *Controller) rankLargest(now time.Time, role string) []string {
-	if l, ok := c.lists[role]; ok && now.Before(l.until) {
-		return l.ids
+// largest is Largest among the members that count. It is called under the lock.
+func (c *Controller) largest(now time.Time, role string, most int, counts func(membership.Member) bool) []string {
+	var ids []string
+	for m := range c.view.Largest(now, role) {
+		if len(ids) == most {
+			break
+		}
+		if counts(m) {
+			ids = append(ids, m.ID)
+		}
 	}
-	ids := c.view.Rank(now, role)
-	slices.SortStableFunc(ids, func(a, b string) int { return cmp.Compare(c.linkOf(b), c.linkOf(a)) })
-	c.lists[role] = list{ids: ids, until: now.Add(rankFor)}
 	return ids
 }
 
+// Outranks tells whether a member is ranked before another one for a role by Largest, suspected
+// or not.
+func (c *Controller) Outranks(role, id, other string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Precedes(role, id, other)
+}
+
 // viewChanged drops what was found in the view as it was.
 func (c *Controller) viewChanged() {
 	clear(c.ranked)
-	clear(c.lists)
 	clear(c.owners)
 }
 
@@ -188,21 +192,7 @@
 func (c *Controller) FirstIn(now time.Time, role, domain string, most int) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var ids []string
-	for _, id := range c.rankLargest(now, role) {
-		if len(ids) == most {
-			break
-		}
-		if m, _ := c.view.Member(id); m.Domain == domain {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
-func (c *Controller) linkOf(id string) float64 {
-	m, _ := c.view.Member(id)
-	return m.LinkMbps
+	return c.largest(now, role, most, func(m membership.Member) bool { return m.Domain == domain })
 }
 
 // Rank returns the usable members for a role, best first.
@@ -233,6 +223,13 @@
 	return ids
 }
 
+// Get returns a listed router.
+func (c *Controller) Get(id string) (membership.Member, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Member(id)
+}
+
 // Incarnation returns the process last known at an instance; empty if none is.
 func (c *Controller) Incarnation(id string) string {
 	c.mu.Lock()
@@ -268,7 +265,7 @@
 	if now.Before(c.live.until) {
 		return c.live.count
 	}
-	c.live.count = max(len(c.view.Rank(now, "live")), 1)
+	c.live.count = max(c.view.Live(now), 1)
 	c.live.until = now.Add(rankFor)
 	return c.live.count
 }
@@ -281,16 +278,52 @@
 	c.viewChanged()
 }
 
-// Domains returns the failure domains of the listed routers, in order.
-func (c *Controller) Domains() []string {
-	var domains []string
+// Registered adds routers that are registered, and removes those that are not any more.
+func (c *Controller) Registered(met []membership.Member, gone []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range gone {
+		c.view.Remove(id)
+		delete(c.notes, id)
+	}
+	for _, m := range met {
+		c.view.Add(m)
+	}
+	c.live = counted{}
+	c.viewChanged()
+}
+
+// Retain removes all routers but this one and those to be kept.
+func (c *Controller) Retain(keep func(id string) bool) {
+	var gone []string
 	for _, m := range c.Members() {
-		if !slices.Contains(domains, m.Domain) {
-			domains = append(domains, m.Domain)
+		if !keep(m.ID) {
+			gone = append(gone, m.ID)
 		}
 	}
-	slices.Sort(domains)
-	return domains
+	c.Registered(nil, gone)
+}
+
+// Restarted notes that another process than the known one runs at a router.
+func (c *Controller) Restarted(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view.SetIncarnation(id, "")
+}
+
+// Domains returns the failure domains of the listed routers, in order. The caller must not change
+// them.
+func (c *Controller) Domains() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Domains()
+}
+
+// Suspected tells whether a call to a router failed lately.
+func (c *Controller) Suspected(now time.Time, id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Suspected(now, id)
 }
 
 // Failed records that a call to a member failed, and why.
--- a/controller/registry/changes.go
+++ b/controller/registry/changes.go
@@ -1,6 +1,9 @@
 package registry
 
 import (
+	"cmp"
+	"github.com/gaplink/gaplink/changelog"
+	"slices"
 	"time"
 
 	"github.com/gaplink/gaplink/clock"
@@ -8,17 +11,11 @@
 	"github.com/gaplink/gaplink/store"
 )
 
-// Heard is a registration, or its deletion, and how long ago it was heard from the store.
-type Heard struct {
-	store.Object
-	Age time.Duration
-}
-
 // fresh are objects that the store has told just now.
-func fresh(objects []store.Object) []Heard {
-	heard := make([]Heard, 0, len(objects))
+func fresh(objects []store.Object) []changelog.Received {
+	heard := make([]changelog.Received, 0, len(objects))
 	for _, o := range objects {
-		heard = append(heard, Heard{Object: o})
+		heard = append(heard, changelog.Received{Object: o})
 	}
 	return heard
 }
@@ -45,63 +42,59 @@
 }
 
 // told is the entry for another router.
-func (e entry) told(now time.Time) Heard {
-	return Heard{Object: e.Object, Age: max(now.Sub(e.heard), 0)}
-}
-
-// heldChanges bounds the changes that are held for other routers: some
-// releases of all servers of a large fleet.
-const heldChanges = 1024
-
-// changeLog numbers the changes of registrations.
-type changeLog struct {
-	held    []entry
-	dropped int64 // the number of the last change that is not held any more
+func (e entry) told(now time.Time) changelog.Received {
+	return changelog.Received{Object: e.Object, Age: max(now.Sub(e.heard), 0)}
 }
 
-func (l *changeLog) add(e entry) {
-	l.held = append(l.held, e)
-	if len(l.held) > heldChanges {
-		drop := len(l.held) - heldChanges/2
-		l.held = append([]entry(nil), l.held[drop:]...)
-		l.dropped += int64(drop)
-	}
-}
-
-// last returns the number of the last change.
-func (l *changeLog) last() int64 { return l.dropped + int64(len(l.held)) }
-
-// since returns the changes after number seq, or false if they are not held.
-func (l *changeLog) since(seq int64) ([]entry, bool) {
-	if seq < l.dropped || seq > l.last() || seq == 0 {
-		return nil, false
-	}
-	return l.held[seq-l.dropped:], true
+// Revision returns the store's revision up to which all changes are known; 0: none is.
+func (c *Controller) Revision() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changes.Revision()
 }
 
-// Since returns the changes after number seq and the number of the last one; false: they
-// are not held any more.
-func (c *Controller) Since(seq int64) (changed []Heard, last int64, known bool) {
+// Since returns the last changes of the registrations that changed after a revision of the
+// store, and the revision up to which these are all; false: they are not held any more.
+func (c *Controller) Since(revision int64) (changed []changelog.Received, upTo int64, held bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	entries, ok := c.changes.since(seq)
+	entries, ok := c.changes.Since(revision)
 	if !ok {
-		return nil, c.changes.last(), false
+		return nil, c.changes.Revision(), false
 	}
 	now := clock.Now()
 	for _, e := range entries {
 		changed = append(changed, e.told(now))
 	}
-	return changed, c.changes.last(), true
+	return changed, c.changes.Revision(), true
 }
 
-// All returns all registrations, and the number of the last change that they hold.
-func (c *Controller) All() (all []Heard, last int64) {
+// All returns all registrations in the order of their keys, and the revision up to which all
+// changes are in them.
+func (c *Controller) All() (all []changelog.Received, revision int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := clock.Now()
+	all = make([]changelog.Received, 0, len(c.entries))
 	for _, e := range c.entries {
 		all = append(all, e.told(now))
 	}
-	return all, c.changes.last()
+	slices.SortFunc(all, func(a, b changelog.Received) int { return cmp.Compare(a.Key, b.Key) })
+	return all, c.changes.Revision()
+}
+
+// Advanced implements follow.Handler.
+func (c *Controller) Advanced(revision int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.advance(revision)
+}
+
+// advance notes that all changes up to a revision were taken. It is called under the lock.
+func (c *Controller) advance(revision int64) {
+	if !c.listed {
+		return // only a list shows what there was before
+	}
+	c.changes.Advance(revision)
+	c.changes.Trim(len(c.entries))
 }
--- a/controller/registry/cold_test.go
+++ b/controller/registry/cold_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"github.com/gaplink/gaplink/changelog"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -152,7 +153,7 @@
 func TestOldNewsOfAColdServerSaysThatItIsWarm(t *testing.T) {
 	run(t, func(c *registry.Controller) {
 		withCold(c)
-		c.TakeListed([]registry.Heard{{Object: coldEntry("a", 1, 3*time.Second), Age: 20 * time.Second}}, newest)
+		c.TakeListed([]changelog.Received{{Object: coldEntry("a", 1, 3*time.Second), Age: 20 * time.Second}}, newest)
 		if n := c.Cold(); n != 0 {
 			t.Errorf("%d servers are taken for cold", n)
 		}
--- a/controller/registry/lapse.go
+++ b/controller/registry/lapse.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"github.com/gaplink/gaplink/changelog"
 	"time"
 
 	"go.uber.org/zap"
@@ -60,7 +61,7 @@
 
 // struckByList tells which known registrations a list lacks or has as a new version of the
 // same words.
-func (c *Controller) struckByList(present map[string]Heard) map[string]bool {
+func (c *Controller) struckByList(present map[string]changelog.Received) map[string]bool {
 	struck := map[string]bool{}
 	for key, known := range c.entries {
 		o, ok := present[key]
@@ -71,7 +72,7 @@
 
 // struckByChanges tells which registrations changes delete, also where others of the
 // changes make them anew.
-func struckByChanges(objects []Heard) map[string]bool {
+func struckByChanges(objects []changelog.Received) map[string]bool {
 	struck := map[string]bool{}
 	for _, o := range objects {
 		if o.Deleted {
@@ -82,7 +83,7 @@
 }
 
 // leaves tells whether a registration says that its server leaves.
-func (c *Controller) leaves(o Heard) bool {
+func (c *Controller) leaves(o changelog.Received) bool {
 	s, err := c.read(o)
 	return err == nil && s.Leaving
 }
--- a/controller/registry/lapse_test.go
+++ b/controller/registry/lapse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"github.com/gaplink/gaplink/changelog"
 	"testing"
 	"time"
 
@@ -126,9 +127,9 @@
 	return list
 }
 
-func heardOf(list []store.Object) (heard []registry.Heard) {
+func heardOf(list []store.Object) (heard []changelog.Received) {
 	for _, o := range list {
-		heard = append(heard, registry.Heard{Object: o})
+		heard = append(heard, changelog.Received{Object: o})
 	}
 	return heard
 }
--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -13,11 +13,13 @@
 
 	"go.uber.org/zap"
 
+	"github.com/gaplink/gaplink/changelog"
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/guard"
 	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/store"
 	"github.com/gaplink/gaplink/upstream"
+	"github.com/gaplink/gaplink/wakeups"
 )
 
 const (
@@ -61,7 +63,7 @@
 	// the versions up to which registrations are known to be deleted.
 	entries map[string]entry
 	gone    map[string]deletion
-	changes changeLog
+	changes changelog.Log[entry]
 	// slow are the servers that long prompts avoided at the last tick.
 	slow       map[string]time.Duration
 	unreadable unreadable
@@ -76,11 +78,13 @@
 
 // New returns a controller that knows no server.
 func New(decode Decode, pool *upstream.Pool, rng *rand.Rand, log *zap.Logger) *Controller {
+	servers := placement.New()
+	servers.SetOrder(rand.Uint64())
 	return &Controller{
 		decode:   decode,
 		pool:     pool,
 		log:      log,
-		servers:  placement.New(),
+		servers:  servers,
 		rng:      rng,
 		missing:  map[string]time.Time{},
 		probedAt: map[string]time.Time{},
@@ -96,14 +100,17 @@
 	for {
 		select {
 		case <-ticker.C:
-			c.tick(ctx, clock.Now())
+			wakeups.Note(wakeups.Beat)
+			c.Tick(ctx, clock.Now())
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (c *Controller) tick(ctx context.Context, now time.Time) {
+// Tick drops missing servers and probes ejected ones. Call it a few times a second, if Run does
+// not.
+func (c *Controller) Tick(ctx context.Context, now time.Time) {
 	c.mu.Lock()
 	c.dropMissing(now)
 	maps.DeleteFunc(c.gone, func(_ string, d deletion) bool { return now.Sub(d.at) > goneFor })
@@ -165,7 +172,7 @@
 }
 
 // read reads a registration; one that makes its reader panic cannot be read.
-func (c *Controller) read(o Heard) (placement.Server, error) {
+func (c *Controller) read(o changelog.Received) (placement.Server, error) {
 	return guard.Call(func() (placement.Server, error) { return c.decode(idOf(o.Key), o.Value) })
 }
 
@@ -182,10 +189,10 @@
 }
 
 // TakeListed takes all registrations as another router has heard them.
-func (c *Controller) TakeListed(objects []Heard, revision int64) {
+func (c *Controller) TakeListed(objects []changelog.Received, revision int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	present := make(map[string]Heard, len(objects))
+	present := make(map[string]changelog.Received, len(objects))
 	for _, o := range objects {
 		present[o.Key] = o
 	}
@@ -202,22 +209,28 @@
 		if _, listed := present[key]; listed || known.Version > revision {
 			continue
 		}
-		c.forget(store.Object{Key: key})
+		c.forget(store.Object{Key: key}, revision)
 		c.absent(idOf(key))
 	}
-	c.listed = true
+	if c.listed {
+		c.advance(revision)
+	} else {
+		c.changes.Reset(revision)
+		c.listed = true
+	}
 	c.endNotes()
 }
 
-// forget drops a registration that is gone. Another router may tell of it
-// again later: what it knew up to that version is void.
-func (c *Controller) forget(o store.Object) {
+// forget drops a registration that is gone. Another router may tell of it again later: what it
+// knew up to that version is void. absentAt is the revision of a list that lacks it, whose
+// readers may know a later version than this router; 0: it was deleted.
+func (c *Controller) forget(o store.Object, absentAt int64) {
 	known, had := c.entries[o.Key]
 	last := max(c.gone[o.Key].version, o.Version, known.Version)
 	c.gone[o.Key] = deletion{version: last, at: clock.Now()}
 	if had {
 		delete(c.entries, o.Key)
-		c.changes.add(entry{Object: store.Object{Key: o.Key, Version: last, Deleted: true}, heard: clock.Now()})
+		c.changes.Add(o.Key, entry{Object: store.Object{Key: o.Key, Version: max(last, absentAt), Deleted: true}, heard: clock.Now()})
 	}
 }
 
@@ -233,8 +246,14 @@
 // Changed implements follow.Handler.
 func (c *Controller) Changed(objects []store.Object) { c.TakeChanged(fresh(objects)) }
 
+// TakeUpdate takes all changes up to a revision as another router has heard them.
+func (c *Controller) TakeUpdate(objects []changelog.Received, revision int64) {
+	c.TakeChanged(objects)
+	c.Advanced(revision)
+}
+
 // TakeChanged takes changes as another router has heard them.
-func (c *Controller) TakeChanged(objects []Heard) {
+func (c *Controller) TakeChanged(objects []changelog.Received) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.judgesLapse() {
@@ -245,7 +264,7 @@
 			continue // from a router that knows less
 		}
 		if o.Deleted {
-			c.forget(o.Object)
+			c.forget(o.Object, 0)
 			c.absent(idOf(o.Key))
 			continue
 		}
@@ -259,7 +278,7 @@
 
 // put takes a registration. One that cannot be read names no server, whatever stood
 // there before: its process is not used until it has registered anew.
-func (c *Controller) put(o Heard) {
+func (c *Controller) put(o changelog.Received) {
 	id := idOf(o.Key)
 	known, had := c.entries[o.Key]
 	next := entry{Object: o.Object, heard: clock.Now().Add(-o.Age)}
@@ -269,7 +288,7 @@
 	c.entries[o.Key] = next
 	delete(c.missing, id)
 	if renewed && (!had || !next.alike(known)) {
-		c.changes.add(next)
+		c.changes.Add(o.Key, next)
 	}
 	if err != nil {
 		c.servers.Remove(id)
@@ -281,7 +300,7 @@
 	c.note(s, o.Version)
 	c.servers.Put(s)
 	if renewed && c.noteCold(s, next.heard) && had && next.alike(known) {
-		c.changes.add(next)
+		c.changes.Add(o.Key, next)
 	}
 }
 
--- a/controller/roster/roster.go
+++ b/controller/roster/roster.go
@@ -1,8 +1,11 @@
-// Package roster registers this router in the store and learns of the others:
-// from their registrations, from the seeds, and from one another.
+// Package roster registers this router in the store and keeps the registrations of the others.
 //
-// Nothing rests on the roster for safety. It serves borrowing, news and fair
-// shares.
+// A router that starts learns from a seed how large the fleet is and from which routers it gets
+// updates. In a small fleet it greets all others. In a large one it follows their registrations,
+// which routers propagate as those of backend servers, and calls few: what each does for the fleet
+// must not grow with the fleet.
+//
+// Nothing rests on the roster for safety. It serves borrowing, updates and fair shares.
 package roster
 
 import (
@@ -10,15 +13,14 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
-	"net/netip"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/gaplink/gaplink/changelog"
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/controller/members"
-	"github.com/gaplink/gaplink/membership"
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/store"
 	"github.com/gaplink/gaplink/wait"
@@ -27,6 +29,9 @@
 const (
 	// Kind is the kind of the registrations in the store.
 	Kind = "routers"
+	// Large is the number of routers from which a fleet is large: few routers watch the store
+	// for the others, and budgets have owners.
+	Large = 16
 	// callTimeout bounds a call to another router.
 	callTimeout = 500 * time.Millisecond
 	// retryFirst is the pause after a failed registration, more or less a half. It
@@ -34,59 +39,96 @@
 	// that have started ask.
 	retryFirst   = 500 * time.Millisecond
 	retryLongest = 8 * time.Second
-	// greetAtOnce bounds the greetings under way. All of a fleet of hundreds at once
-	// would set the process's peak of memory.
-	greetAtOnce = 16
-	// introduceWithin bounds the wait for the answers to the first greetings: those
-	// that run answer within milliseconds.
-	introduceWithin = 250 * time.Millisecond
 	// firstStartWait is how long routers that all start for the first time wait before
 	// they look for each other: they start within a third of a second, and callers come
-	// many seconds later. One that asks at once finds few others, takes the fleet for a
-	// small one and asks the store for what others could tell it.
+	// many seconds later.
 	firstStartWait = 1500 * time.Millisecond
 )
 
-// refreshAt is when, after the start, the registrations are listed again. Lists may be
-// seconds old, so that of two routers that start together neither may see the other
-// in its first one.
+// refreshAt is when, after the start, the registrations of a small fleet are listed again. Lists
+// may be seconds old, so that of two routers that start together neither may see the other in its
+// first one.
 var refreshAt = []time.Duration{3 * time.Second, 8 * time.Second}
 
 // Options are what a controller works with.
 type Options struct {
 	// Self is this router.
 	Self peer.Router
-	// Seeds are the addresses of other routers to ask when the store cannot be.
+	// Seeds are the addresses of routers to ask for the others.
 	Seeds func() []string
+	// Contacts returns the routers from which routers of a failure domain get updates.
+	Contacts func(domain string) []string
 	// FirstStart tells that the whole fleet starts for the first time.
 	FirstStart bool
 	Store      store.Store
 	Members    *members.Controller
-	// Greeter calls the other routers, all of them once.
-	Greeter *peer.Client
-	Log     *zap.Logger
+	// Calls introduces this router to others.
+	Calls Calls
+	Log   *zap.Logger
+}
+
+// Calls calls the router at an address.
+type Calls interface {
+	Hello(ctx context.Context, addr string, req *peer.HelloRequest) (*peer.HelloAnswer, error)
+}
+
+// Over returns calls over the protocol between routers.
+func Over(client *peer.Client) Calls { return overPeers{client} }
+
+type overPeers struct{ client *peer.Client }
+
+// Hello implements Calls.
+func (p overPeers) Hello(ctx context.Context, addr string, req *peer.HelloRequest) (*peer.HelloAnswer, error) {
+	return peer.Call[peer.HelloRequest, peer.HelloAnswer](ctx, p.client, addr, peer.MethodHello, req)
 }
 
-// Controller keeps this router registered.
+// Controller keeps this router registered, and what is known of the others. It is safe for
+// concurrent use. It implements follow.Handler and updates.Replica.
 type Controller struct {
 	Options
 
 	introduced chan struct{}
 
 	mu      sync.Mutex
-	version int64 // of the registration, as far as known; 0: it is not
+	version int64 // of this router's registration, as far as known; 0: it is not
+	// told is the number of routers that a seed told before their registrations were read.
+	told    int
+	entries map[string]changelog.Received // by key
+	changes changelog.Log[changelog.Received]
 }
 
 // New returns a controller.
-func New(o Options) *Controller { return &Controller{Options: o, introduced: make(chan struct{})} }
+func New(o Options) *Controller {
+	return &Controller{Options: o, introduced: make(chan struct{}), entries: map[string]changelog.Received{}}
+}
 
-// Introduced is closed when this router has met those that it could find, or has
-// waited for them long enough.
+// Introduced is closed when this router knows the size of the fleet and whom to ask for updates.
 func (c *Controller) Introduced() <-chan struct{} { return c.introduced }
 
-// Run registers the router and greets the others, until that is done once and the
-// registrations were looked at again, or the context ends. Later routers greet this
-// one.
+// Size returns the number of routers, as far as known, at least 1.
+func (c *Controller) Size() int {
+	c.mu.Lock()
+	told := c.told
+	if c.changes.Revision() > 0 {
+		told = 0
+	}
+	c.mu.Unlock()
+	return max(c.Members.Live(), told)
+}
+
+// IsLarge tells whether the fleet is large. One whose size is not known counts as large: what a
+// router does for itself in a small fleet would be too much for a large one.
+func (c *Controller) IsLarge() bool {
+	select {
+	case <-c.introduced:
+		return c.Size() >= Large
+	default:
+		return true
+	}
+}
+
+// Run registers the router and introduces it to the others, until both are done or the context
+// ends.
 func (c *Controller) Run(ctx context.Context) {
 	begun := clock.Now()
 	if c.FirstStart {
@@ -94,21 +136,24 @@
 		_ = wait.For(ctx, clock.Until(begun.Add(firstStartWait)))
 	}
 	c.introduce(ctx)
+	if ctx.Err() != nil {
+		return
+	}
 	close(c.introduced)
+	c.Log.Info("fleet known", zap.Int("routers", c.Size()), zap.Bool("large", c.IsLarge()), zap.Duration("after_ms", clock.Since(begun)))
 	c.registerAtLast(ctx)
 	for _, after := range refreshAt {
-		if wait.For(ctx, clock.Until(begun.Add(after))) != nil {
+		if wait.For(ctx, clock.Until(begun.Add(after))) != nil || c.IsLarge() {
 			return
 		}
-		if err := c.greetListed(ctx); err != nil {
+		if err := c.readStore(ctx, c.listStale); err != nil {
 			c.Log.Info("registrations of routers not listed again", zap.Error(err))
 		}
+		c.greetAll(ctx)
 	}
 }
 
-// registerAtLast registers the router, however often that takes. Between two tries it
-// looks for the others again: seeds know more of them by then, and a list is cheaper
-// than a write that finds the registration there.
+// registerAtLast registers the router, however often that takes.
 func (c *Controller) registerAtLast(ctx context.Context) {
 	pause := retryFirst
 	for ctx.Err() == nil {
@@ -119,69 +164,9 @@
 		c.Log.Warn("not registered yet", zap.Error(err))
 		_ = wait.For(ctx, time.Duration((0.5+rand.Float64())*float64(pause)))
 		pause = min(2*pause, retryLongest)
-		c.introduce(ctx)
 	}
 }
 
-// introduce greets the seeds and all that are registered, and waits for the answers
-// of those that run.
-func (c *Controller) introduce(ctx context.Context) {
-	var greetings sync.WaitGroup
-	for _, addr := range c.Seeds() {
-		if addr != c.Self.Addr {
-			greetings.Go(func() { c.greet(ctx, addr, true) })
-		}
-	}
-	greetings.Go(func() {
-		if err := c.greetListed(ctx); err != nil {
-			c.Log.Info("registrations of routers not listed", zap.Error(err))
-		}
-	})
-	done := make(chan struct{})
-	go func() {
-		greetings.Wait()
-		close(done)
-	}()
-	timer := time.NewTimer(introduceWithin)
-	defer timer.Stop()
-	select {
-	case <-done:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
-// greetListed greets the registered routers that are not known yet, and waits for
-// their answers.
-func (c *Controller) greetListed(ctx context.Context) error {
-	objects, _, err := store.ListStale(ctx, c.Store, Kind)
-	if err != nil {
-		return err
-	}
-	var greetings sync.WaitGroup
-	slots := make(chan struct{}, greetAtOnce)
-	for _, o := range objects {
-		r, err := decode(o.Value)
-		if err != nil {
-			c.Log.Error("registration of a router is not readable", zap.String("key", o.Key), zap.Error(err))
-			continue
-		}
-		if r.ID == c.Self.ID {
-			c.found(r, o.Version)
-			continue
-		}
-		if _, known := c.Members.Addr(r.ID); !known {
-			slots <- struct{}{}
-			greetings.Go(func() {
-				c.greet(ctx, r.Addr, false)
-				<-slots
-			})
-		}
-	}
-	greetings.Wait()
-	return nil
-}
-
 // found notes this instance's registration, if it still says where to call.
 func (c *Controller) found(r peer.Router, version int64) {
 	if r.Addr != c.Self.Addr || r.Domain != c.Self.Domain || r.LinkMbps != c.Self.LinkMbps {
@@ -200,29 +185,9 @@
 	return c.version
 }
 
-// decode reads a router's registration. One without an id or an address to call is
-// none.
-func decode(value []byte) (peer.Router, error) {
-	var r peer.Router
-	if err := json.Unmarshal(value, &r); err != nil {
-		return peer.Router{}, err
-	}
-	if r.ID == "" {
-		return peer.Router{}, errNoID
-	}
-	if _, err := netip.ParseAddrPort(r.Addr); err != nil {
-		return peer.Router{}, err
-	}
-	return r, nil
-}
-
-// errNoID is a registration that does not say whose it is.
-var errNoID = errors.New("no id")
+func (c *Controller) key() string { return keyOf(c.Self.ID) }
 
-func (c *Controller) key() string { return Kind + "/" + c.Self.ID }
-
-// register writes the registration, unless one of an earlier process at the same
-// address is there: which process runs is told by greetings.
+// register writes the registration, unless one of an earlier process at the same address is there.
 func (c *Controller) register(ctx context.Context) error {
 	if c.known() > 0 {
 		return nil
@@ -242,12 +207,17 @@
 	return nil
 }
 
-// replace writes the registration over an earlier one.
+// replace writes the registration over an earlier one that says something else.
 func (c *Controller) replace(ctx context.Context, value []byte) (store.Object, error) {
 	old, err := c.Store.Get(ctx, c.key())
 	if err != nil {
 		return store.Object{}, err
 	}
+	if r, err := decode(old.Value); err == nil {
+		if c.found(r, old.Version); c.known() > 0 {
+			return old, nil
+		}
+	}
 	return c.Store.Update(ctx, c.key(), old.Version, value)
 }
 
@@ -281,44 +251,3 @@
 	}
 	return c.remove(ctx, old.Version)
 }
-
-// greet tells the router at addr of this one, and meets it, or all that it
-// knows.
-func (c *Controller) greet(ctx context.Context, addr string, all bool) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	answer, err := peer.Call[peer.HelloRequest, peer.HelloAnswer](ctx, c.Greeter, addr, peer.MethodHello, &peer.HelloRequest{Self: c.Self, All: all})
-	if err != nil {
-		c.Log.Info("router does not answer", zap.String("address", addr), zap.Error(err))
-		return
-	}
-	for _, r := range answer.Routers {
-		c.meet(r)
-	}
-}
-
-// Hello answers another router's greeting.
-func (c *Controller) Hello(_ context.Context, req *peer.HelloRequest) (*peer.HelloAnswer, error) {
-	c.meet(req.Self)
-	c.Members.Reached(req.Self.ID)
-	known := []peer.Router{c.Self}
-	if !req.All {
-		return &peer.HelloAnswer{Routers: known}, nil
-	}
-	for _, m := range c.Members.Members() {
-		if m.ID != c.Self.ID {
-			known = append(known, peer.Router{ID: m.ID, Addr: m.Addr, Domain: m.Domain, Incarnation: m.Incarnation, LinkMbps: m.LinkMbps})
-		}
-	}
-	return &peer.HelloAnswer{Routers: known}, nil
-}
-
-func (c *Controller) meet(r peer.Router) {
-	if r.ID == c.Self.ID {
-		return
-	}
-	if _, known := c.Members.Addr(r.ID); !known {
-		c.Log.Info("router met", zap.String("router", r.ID), zap.String("address", r.Addr))
-	}
-	c.Members.Met(membership.Member{ID: r.ID, Kind: "router", Addr: r.Addr, Domain: r.Domain, State: membership.Live, Incarnation: r.Incarnation, LinkMbps: r.LinkMbps})
-}
--- a/controller/spread/spread.go
+++ b/controller/spread/spread.go
@@ -28,11 +28,8 @@
 	askAtMost = 3
 	// logged bounds the reports that are held for routers that ask for updates.
 	logged = 256
-	// beat is how often the process checks whether it was paused, and pauseFor how much
-	// longer than that a beat takes that counts as a pause: a busy instance is late by
-	// tenths of a second.
-	beat     = 250 * time.Millisecond
-	pauseFor = 750 * time.Millisecond
+	// beat is how often the process checks whether it was paused.
+	beat = 250 * time.Millisecond
 )
 
 // Report is what is propagated.
@@ -100,11 +97,9 @@
 	return &Spreader[R]{Options: o, wake: make(chan struct{}, 1), queues: map[string]dated[R]{}}
 }
 
-// Run sends reports until the context ends, and catches up when the process was paused.
-func (s *Spreader[R]) Run(ctx context.Context) {
-	go s.noticePauses(ctx)
-	s.sendAll(ctx)
-}
+// Run sends reports until the context ends. Unless the owner calls CatchUp after a pause of the
+// process, NoticePauses does.
+func (s *Spreader[R]) Run(ctx context.Context) { s.sendAll(ctx) }
 
 // Send sends a report to the other routers.
 func (s *Spreader[R]) Send(r R) {
@@ -270,16 +265,15 @@
 	}
 }
 
-// noticePauses catches up when the process or its machine was paused: reports that were
-// sent meanwhile may be lost.
-func (s *Spreader[R]) noticePauses(ctx context.Context) {
-	for last := clock.Now(); ctx.Err() == nil; {
+// NoticePauses catches up whenever the process or its machine was paused, until the context ends:
+// reports that were sent meanwhile may be lost.
+func (s *Spreader[R]) NoticePauses(ctx context.Context) {
+	pauses := clock.NewPauses()
+	for ctx.Err() == nil {
 		_ = wait.For(ctx, beat)
-		now := clock.Now()
-		if now.Sub(last) > beat+pauseFor {
-			s.Log.Info("process was paused", zap.Duration("for_ms", now.Sub(last)))
+		if paused := pauses.Since(beat); paused > 0 {
+			s.Log.Info("process was paused", zap.Duration("for_ms", paused))
 			s.CatchUp(ctx)
 		}
-		last = now
 	}
 }
--- a/controller/updates/answer.go
+++ b/controller/updates/answer.go
@@ -16,7 +16,7 @@
 
 // noteAnsweredElsewhere notes that the store answers another router, which waits for this one.
 func (c *Controller) noteAnsweredElsewhere() {
-	if !c.updatesOthers() || c.Fresh() {
+	if !c.UpdatesOthers() || c.Fresh() {
 		return
 	}
 	c.mu.Lock()
@@ -50,20 +50,13 @@
 	answer.Verdicts, answer.VerdictSeq = c.Verdicts.Since(verdicts)
 	answer.Limits, answer.LimitSeq = c.Limits.Since(limits)
 	c.describe(answer)
-	answer.Ages = c.Ages()
+	answer.Routers = c.changesSince(peer.KindRouters, req.Routers)
+	answer.Ages = c.Ages() // before the changes, which may be newer
 	if !answer.Current {
 		return answer, nil
 	}
-	seq := req.Seq
-	if req.Source != c.Self {
-		seq = 0
-	}
 	answer.Evacuated, answer.EvacuatedAt = c.Evacuations.Known()
-	changed, last, held := c.Servers.Since(seq)
-	if !held {
-		return answer, c.listAll(answer)
-	}
-	answer.Servers, answer.Seq = registrations(changed), last
+	answer.Servers = c.changesSince(peer.KindServers, req.Servers)
 	return answer, nil
 }
 
@@ -75,7 +68,6 @@
 	if answer.Lost || answer.Current {
 		answer.Direct = true
 		answer.Origin = c.Members.Self().ID
-		answer.Revision = c.Revision()
 		return
 	}
 	relays := c.Large() && c.IsRelay()
@@ -87,5 +79,4 @@
 	answer.Lost = c.lostAtRelays()
 	answer.Current = c.upToDate()
 	answer.Origin = c.origin
-	answer.Revision = c.revision
 }
--- a/controller/updates/ask.go
+++ b/controller/updates/ask.go
@@ -8,12 +8,15 @@
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/wait"
+	"github.com/gaplink/gaplink/wakeups"
 )
 
 // Run requests updates at intervals in a large fleet, and in a small one while the store does
 // not answer, until the context ends.
 func (c *Controller) Run(ctx context.Context) {
+	go c.watchRole(ctx)
 	for ctx.Err() == nil {
+		wakeups.Note(wakeups.Updates)
 		if c.Lost() || c.Large() {
 			c.startAsking(ctx)
 		}
@@ -45,12 +48,13 @@
 	}
 }
 
-// timeout returns the time that a request for updates may take now.
-func (c *Controller) timeout() time.Duration {
+// timeout returns the time that a call may take now which takes no longer than normal while the
+// link is not full.
+func (c *Controller) timeout(normal time.Duration) time.Duration {
 	if c.Timeout == nil {
-		return callTimeout
+		return normal
 	}
-	return c.Timeout(callTimeout)
+	return c.Timeout(normal)
 }
 
 // pause returns the time until the next request.
@@ -59,24 +63,37 @@
 	case !c.Large() && !c.Lost():
 		return askEvery
 	case !c.Servers.Ready():
-		return askFirst
+		return c.pauseBeforeFirst()
 	case c.Large() && c.isBehind():
 		return askSoon
 	default:
-		return askEvery
+		return c.interval()
+	}
+}
+
+// pauseBeforeFirst returns the pause before the first update, more or less a half: hundreds of
+// routers that start together ask the same relays.
+func (c *Controller) pauseBeforeFirst() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	pause := min(askFirst<<c.firstAsks, askEvery)
+	if pause < askEvery {
+		c.firstAsks++
 	}
+	return pause/2 + rand.N(pause)
 }
 
 // isBehind tells whether this router lacks updates that it may get soon: others wait for them,
 // or its state has just exceeded the bound of a relay.
 func (c *Controller) isBehind() bool {
-	if c.updatesOthers() {
+	if c.UpdatesOthers() {
 		return !c.RecentlyUpdated() && !c.Fresh()
 	}
+	expected := 2*c.interval() + soonFor
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	ages := c.known.ages(clock.Now())
-	expectsUpdate := clock.Since(c.updatedAt) <= soonFor || clock.Since(c.Answered()) <= soonFor
+	expectsUpdate := clock.Since(c.updatedAt) <= expected || clock.Since(c.Answered()) <= expected
 	return expectsUpdate && !within(ages, c.StaleAfter(true))
 }
 
@@ -109,7 +126,7 @@
 		c.tryNext()
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, c.timeout())
+	callCtx, cancel := context.WithTimeout(ctx, c.timeout(callTimeout))
 	defer cancel()
 	begun := clock.Now()
 	answer, err := c.Calls.Updates(callCtx, addr, c.request())
@@ -133,19 +150,15 @@
 
 // request returns a request for the changes after those received last.
 func (c *Controller) request() *peer.UpdatesRequest {
+	servers, routers := c.Servers.Revision(), int64(0)
+	if c.Routers != nil {
+		routers = c.Routers.Revision()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return &peer.UpdatesRequest{
-		Source: c.source, Seq: c.seq,
+		Servers: servers, Routers: routers,
 		ReportSource: c.reportSource, VerdictSeq: c.verdictSeq, LimitSeq: c.limitSeq,
 		StoreAnswered: !c.upToDate() && clock.Since(c.Answered()) <= askEvery,
 	}
 }
-
-// ReceivedRevision returns the store's revision up to which other routers have sent all changes
-// of registrations; 0: they have sent none.
-func (c *Controller) ReceivedRevision() int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.revision
-}
--- a/controller/updates/calls.go
+++ b/controller/updates/calls.go
@@ -12,6 +12,8 @@
 	Updates(ctx context.Context, addr string, req *peer.UpdatesRequest) (*peer.UpdatesAnswer, error)
 	// Config fetches the configuration.
 	Config(ctx context.Context, addr string) (*peer.ConfigAnswer, error)
+	// List reads a page of all objects of a kind.
+	List(ctx context.Context, addr string, req *peer.ListRequest) (*peer.ListAnswer, error)
 }
 
 // Over returns calls over the protocol between routers.
@@ -28,3 +30,8 @@
 func (p overPeers) Config(ctx context.Context, addr string) (*peer.ConfigAnswer, error) {
 	return peer.Call[peer.Empty, peer.ConfigAnswer](ctx, p.client, addr, peer.MethodConfig, &peer.Empty{})
 }
+
+// List implements Calls.
+func (p overPeers) List(ctx context.Context, addr string, req *peer.ListRequest) (*peer.ListAnswer, error) {
+	return peer.Call[peer.ListRequest, peer.ListAnswer](ctx, p.client, addr, peer.MethodList, req)
+}
--- a/controller/updates/fleet_test.go
+++ b/controller/updates/fleet_test.go
@@ -22,6 +22,7 @@
 	"github.com/gaplink/gaplink/controller/limits"
 	"github.com/gaplink/gaplink/controller/members"
 	"github.com/gaplink/gaplink/controller/registry"
+	"github.com/gaplink/gaplink/controller/roster"
 	"github.com/gaplink/gaplink/controller/updates"
 	"github.com/gaplink/gaplink/controller/verdicts"
 	"github.com/gaplink/gaplink/lab/clocktest"
@@ -53,10 +54,17 @@
 	ctx     context.Context
 	objects *memory.Store
 
-	mu      sync.Mutex
-	calls   int // at the full price
-	byEach  [routers]int
-	probes  int
+	// size is the number of routers; 0: routers.
+	size int
+
+	mu     sync.Mutex
+	calls  int // at the full price
+	byEach map[int]int
+	probes int
+	// questions are the requests for updates that were answered, pages those of lists, and
+	// hellos the introductions.
+	questions, pages, pageBytes, hellos int
+
 	reports int // of requests that end servers
 	// limitReports counts the reports of rate limits.
 	limitReports int
@@ -64,11 +72,12 @@
 	stalled      func(router int) bool // watches of it stall
 	muted        func(router int) bool // the store does not say a word to it
 	// answered is when the store last answered each router.
-	answered [routers]time.Time
+	answered map[int]time.Time
 	// within is the operator's bound on changes; 0: that of a large deployment.
 	within  time.Duration
 	stopped map[string]bool // routers that do not answer, by address
 	all     []*one
+	byAddr  map[string]*one
 	// evacuates tells that routers follow evacuations.
 	evacuates bool
 }
@@ -82,7 +91,12 @@
 	servers *registry.Controller
 	updates *updates.Controller
 	members *members.Controller
+	ctx     context.Context
 	stop    context.CancelFunc
+	// roster is nil at routers that know the others from the start.
+	roster        *roster.Controller
+	followRouters *follow.Follower
+	followers     []*follow.Follower
 
 	verdicts    *verdicts.Controller
 	limits      *limits.Controller
@@ -130,6 +144,13 @@
 	v.fleet.byEach[v.router]++
 }
 
+// count adds to a counter of the fleet.
+func (f *fleet) count(counter *int, n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	*counter += n
+}
+
 // probe asks at a tenth of the price.
 func (v view) probe(ctx context.Context) error {
 	v.fleet.mu.Lock()
@@ -178,12 +199,11 @@
 	}
 	c.fleet.mu.Lock()
 	defer c.fleet.mu.Unlock()
-	for _, r := range c.fleet.all {
-		if r.addr == addr && !c.fleet.stopped[addr] {
-			return r, nil
-		}
+	r, ok := c.fleet.byAddr[addr]
+	if !ok || c.fleet.stopped[addr] {
+		return nil, errDown
 	}
-	return nil, errDown
+	return r, nil
 }
 
 // Updates implements updates.Calls.
@@ -192,6 +212,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.fleet.count(&c.fleet.questions, 1)
 	return r.updates.Answer(ctx, req)
 }
 
@@ -204,6 +225,20 @@
 	return r.updates.Config(ctx, &peer.Empty{})
 }
 
+// List implements updates.Calls.
+func (c calls) List(ctx context.Context, addr string, req *peer.ListRequest) (*peer.ListAnswer, error) {
+	r, err := c.at(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := r.updates.List(ctx, req)
+	if err == nil {
+		c.fleet.count(&c.fleet.pages, 1)
+		c.fleet.count(&c.fleet.pageBytes, len(answer.Packed))
+	}
+	return answer, err
+}
+
 func decodeServer(id string, value []byte) (placement.Server, error) {
 	s := placement.Server{}
 	err := json.Unmarshal(value, &s)
@@ -230,9 +265,7 @@
 // playWith is play with a fleet of which some properties are set.
 func playWith(t *testing.T, f *fleet, body func(*fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		f.ctx = t.Context()
-		f.objects, f.cutOff, f.stalled, f.muted, f.stopped = memory.New(), nobody, nobody, nobody, map[string]bool{}
-		f.configure(t, 1)
+		f.prepare(t)
 		f.register(t, "first", false)
 		for n := range routers {
 			f.add(n)
@@ -245,6 +278,15 @@
 	})
 }
 
+// prepare gives a fleet its store, with a configuration.
+func (f *fleet) prepare(t *testing.T) {
+	t.Helper()
+	f.ctx = t.Context()
+	f.objects, f.cutOff, f.stalled, f.muted, f.stopped = memory.New(), nobody, nobody, nobody, map[string]bool{}
+	f.byAddr, f.byEach, f.answered = map[string]*one{}, map[int]int{}, map[int]time.Time{}
+	f.configure(t, 1)
+}
+
 func (f *fleet) put(t *testing.T, key string, value any) {
 	t.Helper()
 	text, err := json.Marshal(value)
@@ -278,15 +320,20 @@
 	return m
 }
 
-// add starts a router.
+// add starts a router that knows the others.
 func (f *fleet) add(n int) {
-	ctx, cancel := context.WithCancel(f.ctx)
-	self := member(n)
-	known := members.New(self, nil, 0, zap.NewNop())
+	r := f.build(n, member(n), nil)
 	for other := range routers {
-		known.Met(member(other))
+		r.members.Met(member(other))
 	}
-	r := &one{fleet: f, number: n, addr: self.Addr, stop: cancel}
+	r.run()
+}
+
+// build returns a router that has not started yet; with discover it finds the others by itself.
+func (f *fleet) build(n int, self membership.Member, discover func(*one) *roster.Controller) *one {
+	ctx, cancel := context.WithCancel(f.ctx)
+	known := members.New(self, nil, 0, zap.NewNop())
+	r := &one{fleet: f, number: n, addr: self.Addr, ctx: ctx, stop: cancel}
 	r.configs = configs.New(configKey, decodeConfig, func(*catalog.Catalog) {}, zap.NewNop())
 	r.servers = registry.New(decodeServer, upstream.New(upstream.Options{}), rand.New(rand.NewPCG(1, uint64(n))), zap.NewNop())
 	var followers []*follow.Follower
@@ -299,15 +346,20 @@
 		return n
 	}
 	r.members = known
+	isLarge := func() bool { return true }
+	if discover != nil {
+		r.roster = discover(r)
+		isLarge = r.roster.IsLarge
+	}
 	answered := func() time.Time { return f.lastAnswer(n) }
 	r.evacuations = evacuations.New(evacuations.Options{
-		Revision: func() int64 { return followers[2].Revision() },
-		Changed:  r.servers.SetEvacuated,
-		Log:      zap.NewNop(),
+		Changed: r.servers.SetEvacuated,
+		Log:     zap.NewNop(),
 	})
-	r.verdicts = verdicts.New(verdicts.Options{Checker: gone{}, Servers: allWork{}, Fleet: peers{calls{f}, r}, Log: zap.NewNop()})
+	r.verdicts = verdicts.New(verdicts.Options{Checker: gone{}, Servers: allWork{}, Fleet: peers{calls{f}, r}, Updated: r.fromRelays, PausesNoticed: true, Log: zap.NewNop()})
 	r.limits = limits.New(limits.Options{
 		Self: self.ID, Fleet: limitPeers{peers{calls{f}, r}}, Settled: func() bool { return true },
+		Updated: r.fromRelays, Driven: true,
 		Runs: func(placement.Incarnation) bool { return true }, Log: zap.NewNop(),
 	})
 	r.updates = updates.New(updates.Options{
@@ -316,23 +368,26 @@
 		Self: self.ID + "/1", Domain: self.Domain,
 		Lost:       func() bool { return both((*follow.Follower).Lost) > 0 },
 		Fresh:      func() bool { return both((*follow.Follower).Fresh) == len(followers) },
-		Revision:   func() int64 { return followers[1].Revision() },
 		AsOf:       func() updates.Timestamps { return asOf(followers) },
 		StaleAfter: f.staleAfter,
+		AskEvery:   func() time.Duration { return f.parts().Ask },
 		Answered:   answered,
-		Large:      func() bool { return true },
+		Large:      isLarge,
 		Log:        zap.NewNop(),
 	})
+	if r.roster != nil {
+		r.updates.Routers = r.roster
+	}
 	following := func(kind string, handler follow.Handler) follow.Options {
 		return follow.Options{
 			Store: view{f.objects, n, f}, Prefix: kind, Handler: handler, Role: r.updates.Role,
-			Bound: f.parts, IsRelay: r.updates.IsRelay, Answered: r.updates.StoreAnswered, Log: zap.NewNop(),
+			Bound: f.parts, Changed: r.updates.RoleChanged, IsRelay: r.updates.IsRelay, Answered: r.updates.StoreAnswered, Log: zap.NewNop(),
 			Probe:             view{f.objects, n, f}.probe,
 			AnsweredElsewhere: r.updates.RecentlyUpdated,
 		}
 	}
 	registrations := following("servers", r.servers)
-	registrations.ReceivedRevision = r.updates.ReceivedRevision
+	registrations.ReceivedRevision = r.servers.Revision
 	servers := follow.New(registrations)
 	config := following("config", r.configs)
 	config.Prober = servers.Fresh
@@ -343,16 +398,35 @@
 		evacuating.Bound = evacuationParts
 		followers = append(followers, follow.New(evacuating))
 	}
+	if r.roster != nil {
+		routers := following("routers", r.roster)
+		routers.Role = r.updates.RosterRole
+		routers.ReceivedRevision = r.roster.Revision
+		r.followRouters = follow.New(routers)
+	}
+	r.followers = followers
 	f.mu.Lock()
 	f.all = append(f.all, r)
+	f.byAddr[r.addr] = r
 	f.mu.Unlock()
-	for _, w := range followers {
-		go w.Run(ctx)
+	return r
+}
+
+// fromRelays tells whether relays send this router all reports.
+func (r *one) fromRelays() bool { return !r.updates.UpdatesOthers() }
+
+// run starts a router.
+func (r *one) run() {
+	for _, w := range r.followers {
+		go w.Run(r.ctx)
+	}
+	if r.followRouters != nil {
+		go r.followRouters.Run(r.ctx)
 	}
-	go r.updates.Run(ctx)
-	go r.verdicts.Run(ctx)
-	go r.limits.Run(ctx)
-	go r.servers.Run(ctx)
+	go r.updates.Run(r.ctx)
+	go r.verdicts.Run(r.ctx)
+	go r.limits.Run(r.ctx)
+	go r.servers.Run(r.ctx)
 }
 
 // asOf returns the timestamps of followers of configurations, servers and, if there is a third
@@ -399,7 +473,7 @@
 	defer f.mu.Unlock()
 	n := f.calls
 	f.calls = 0
-	f.byEach = [routers]int{}
+	f.byEach = map[int]int{}
 	return n
 }
 
--- /dev/null
+++ b/controller/updates/lists_test.go
@@ -0,0 +1,166 @@
+package updates_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gaplink/gaplink/controller/updates"
+	"github.com/gaplink/gaplink/packed"
+	"github.com/gaplink/gaplink/peer"
+	"github.com/gaplink/gaplink/placement"
+	"github.com/gaplink/gaplink/store"
+)
+
+// brokenCalls fail some pages of lists, and count the others.
+type brokenCalls struct {
+	updates.Calls
+	fails   func(page int64) bool
+	asked   atomic.Int64
+	pages   atomic.Int64
+	largest atomic.Int64
+}
+
+func (b *brokenCalls) List(ctx context.Context, addr string, req *peer.ListRequest) (*peer.ListAnswer, error) {
+	if b.fails(b.asked.Add(1)) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	answer, err := b.Calls.List(ctx, addr, req)
+	if err == nil {
+		b.pages.Add(1)
+		b.largest.Store(max(b.largest.Load(), int64(len(answer.Packed))))
+	}
+	return answer, err
+}
+
+// thousands returns registrations as servers write them.
+func thousands(n int) []store.Object {
+	list := make([]store.Object, 0, n)
+	for i := range n {
+		list = append(list, registration(fmt.Sprintf("i-%x-%05d", uint32(i)*2654435761, i), int64(i+1)))
+	}
+	return list
+}
+
+// Guards against a list of all servers of a large fleet that does not cross a small link within a
+// call's time, and is asked for anew each time that it does not: it comes in pages of a bounded
+// size, and one that breaks off goes on where it stopped.
+func TestLongListIsReadInPages(t *testing.T) {
+	const servers, pages, tolerated = 10000, 20, 30 << 10
+	for name, fails := range map[string]func(int64) bool{
+		"all pages come":       func(int64) bool { return false },
+		"every third is lost":  func(page int64) bool { return page%3 == 0 },
+		"two of three are not": func(page int64) bool { return page%3 != 0 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPair()
+				p.theirs.Listed(thousands(servers), servers)
+				broken := &brokenCalls{Calls: p, fails: fails}
+				p.asking.Calls = broken
+				go p.asking.Run(t.Context())
+				for begun := time.Now(); !p.ours.Ready(); time.Sleep(10 * time.Millisecond) {
+					if time.Since(begun) > 90*time.Second {
+						t.Fatalf("no list after %v and %d pages", time.Since(begun), broken.pages.Load())
+					}
+				}
+				if n := p.ours.Counts()["svc"].Up; n != servers {
+					t.Errorf("%d servers", n)
+				}
+				if n := broken.pages.Load(); n > pages && name != "two of three are not" {
+					t.Errorf("%d pages were read, the list has %d", n, pages)
+				}
+				if broken.largest.Load() > tolerated {
+					t.Errorf("a page has %d bytes", broken.largest.Load())
+				}
+			})
+		})
+	}
+}
+
+// Changes while a list is being read are not lost, whichever page they would have been in.
+func TestChangesDuringATransferAreReadAfterIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const servers = 3000
+		p := newPair()
+		all := thousands(servers)
+		p.theirs.Listed(all, servers)
+		slow := &brokenCalls{Calls: p, fails: func(page int64) bool {
+			revision := servers + 10*page
+			gone, left := all[page].Key, all[servers-int(page)].Key
+			p.theirs.Changed([]store.Object{{Key: gone, Version: revision, Deleted: true}, {Key: left, Version: revision + 1, Deleted: true}, registration(fmt.Sprint("new-", page), revision+2)})
+			p.theirs.Advanced(revision + 2)
+			time.Sleep(300 * time.Millisecond) // the pages are of different snapshots
+			return false
+		}}
+		p.asking.Calls = slow
+		go p.asking.Run(t.Context())
+		time.Sleep(10 * time.Second)
+		theirs, upTo := p.theirs.All()
+		ours, revision := p.ours.All()
+		if revision != upTo || len(ours) != len(theirs) {
+			t.Fatalf("%d servers at revision %d, the other router has %d at %d", len(ours), revision, len(theirs), upTo)
+		}
+		for i, o := range theirs {
+			if ours[i].Key != o.Key || ours[i].Version != o.Version {
+				t.Fatalf("%s of version %d, the other router has %s of %d", ours[i].Key, ours[i].Version, o.Key, o.Version)
+			}
+		}
+	})
+}
+
+// A registration whose end a list shows is gone for those too that know a later version than the
+// router that read the list: renewals are not propagated.
+func TestEndShownByAListReachesThoseWithALaterVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair()
+		p.theirs.Listed([]store.Object{registration("a", 1), registration("b", 2)}, 10)
+		p.ours.Listed([]store.Object{registration("a", 20), registration("b", 21)}, 30)
+		p.theirs.Listed([]store.Object{registration("a", 20)}, 40) // it knows b as of version 2
+		go p.asking.Run(t.Context())
+		time.Sleep(2 * time.Second)
+		if p.ours.TakesWork(placement.Incarnation{ID: "b"}) {
+			t.Error("a server that is gone is in use for good")
+		}
+		if !p.ours.TakesWork(placement.Incarnation{ID: "a"}) {
+			t.Error("a server that is registered is not in use")
+		}
+	})
+}
+
+// Lists that claim the impossible change nothing that is known.
+func TestBadListsChangeNothing(t *testing.T) {
+	for name, answer := range map[string]*peer.ListAnswer{
+		"not compressed":           {Revision: 50, Packed: []byte("x")},
+		"promises more and has no": {Revision: 50, Packed: packedNothing, More: true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			p := newPair()
+			p.theirs.Listed([]store.Object{registration("a", 1)}, 60)
+			p.ours.Listed([]store.Object{registration("b", 1)}, 30)
+			p.asking.Calls = answering{p, answer}
+			go p.asking.Run(t.Context())
+			time.Sleep(3 * time.Second)
+			if !p.ours.TakesWork(placement.Incarnation{ID: "b"}) || p.ours.Revision() != 30 {
+				t.Errorf("%s: took it, at revision %d", name, p.ours.Revision())
+			}
+		})
+	}
+}
+
+// packedNothing is an empty list, compressed.
+var packedNothing, _ = packed.Pack([]byte{0x90})
+
+// answering answers each request for a page alike.
+type answering struct {
+	updates.Calls
+	answer *peer.ListAnswer
+}
+
+func (a answering) List(context.Context, string, *peer.ListRequest) (*peer.ListAnswer, error) {
+	return a.answer, nil
+}
--- /dev/null
+++ b/controller/updates/model_test.go
@@ -0,0 +1,270 @@
+package updates_test
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gaplink/gaplink/controller/roster"
+	"github.com/gaplink/gaplink/membership"
+	"github.com/gaplink/gaplink/peer"
+	"github.com/gaplink/gaplink/placement"
+	"github.com/gaplink/gaplink/store"
+	"github.com/gaplink/gaplink/wait"
+	"github.com/gaplink/gaplink/wakeups"
+)
+
+// This is the model of a whole fleet that starts, rests and follows changes, in virtual time: the
+// controllers of membership, updates and servers are those of the product; the store answers in
+// some milliseconds with pages of 500, and servers renew their registrations. For large fleets:
+//
+//	go test ./controller/updates -run TestFleetStartsRestsAndFollows -v -fleet 984
+var fleetSize = flag.Int("fleet", 60, "routers of the modelled fleet, each with ten backend servers")
+
+const (
+	// modelBound is the operator's bound on a change in a fleet of a thousand routers.
+	modelBound = 5 * time.Second
+	// serversEach is how many backend servers there are for each router.
+	serversEach = 10
+	// storePage is how many objects the store puts into one answer, and storeTakes how long that
+	// takes.
+	storePage  = 500
+	storeTakes = 6 * time.Millisecond
+	// renewEvery is how often a backend server writes its registration.
+	renewEvery = 3 * time.Second
+)
+
+// pagedStore is a store whose lists come in pages, each of which is a call.
+type pagedStore struct{ view }
+
+func (s pagedStore) List(ctx context.Context, kind string) ([]store.Object, int64, error) {
+	all, revision, err := s.view.List(ctx, kind)
+	pages := 1 + len(all)/storePage
+	for range pages - 1 {
+		s.count()
+	}
+	if err == nil {
+		err = wait.For(ctx, time.Duration(pages)*storeTakes)
+	}
+	return all, revision, err
+}
+
+func (s pagedStore) ListStale(ctx context.Context, kind string) ([]store.Object, int64, error) {
+	return s.List(ctx, kind)
+}
+
+// modelMember is a router of the model; one in twenty has a large link, in every failure domain.
+func modelMember(n int) membership.Member {
+	m := membership.Member{
+		ID: fmt.Sprintf("r%04d", n), Kind: "router", Addr: fmt.Sprintf("10.1.%d.%d:1", n/250, n%250),
+		Domain: fmt.Sprint("z", n%domains), State: membership.Live, LinkMbps: 20,
+	}
+	if n%(20*domains) < domains {
+		m.LinkMbps = 1000
+	}
+	return m
+}
+
+// Hello implements roster.Calls.
+func (c calls) Hello(ctx context.Context, addr string, req *peer.HelloRequest) (*peer.HelloAnswer, error) {
+	r, err := c.at(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	c.fleet.count(&c.fleet.hellos, 1)
+	return r.roster.Hello(ctx, req)
+}
+
+// startModel starts a router of the model.
+func (f *fleet) startModel(n int, first bool) *one {
+	self := modelMember(n)
+	seeds := []string{modelMember(11).Addr, modelMember(12).Addr, modelMember(13).Addr}
+	r := f.build(n, self, func(r *one) *roster.Controller {
+		return roster.New(roster.Options{
+			Self:       peer.Router{ID: self.ID, Addr: self.Addr, Domain: self.Domain, Incarnation: self.ID + "/1", LinkMbps: self.LinkMbps},
+			Seeds:      func() []string { return seeds },
+			Contacts:   func(domain string) []string { return r.updates.ContactIDs(domain) },
+			FirstStart: first,
+			Store:      pagedStore{view{f.objects, n, f}},
+			Members:    r.members,
+			Calls:      calls{f},
+			Log:        zap.NewNop(),
+		})
+	})
+	go r.roster.Run(r.ctx)
+	go func() {
+		select {
+		case <-r.roster.Introduced():
+			r.run()
+		case <-r.ctx.Done():
+		}
+	}()
+	return r
+}
+
+// renew writes registrations anew until the context ends.
+func (f *fleet) renew(ctx context.Context, servers int) {
+	for ctx.Err() == nil {
+		for n := range servers {
+			key := fmt.Sprintf("servers/s%05d", n)
+			if o, err := f.objects.Get(ctx, key); err == nil {
+				_, _ = f.objects.Update(ctx, key, o.Version, renewed(o.Value)) // it may have left meanwhile
+			}
+			if n%100 == 99 {
+				_ = wait.For(ctx, renewEvery*100/time.Duration(servers))
+			}
+		}
+	}
+}
+
+// renewed returns a registration as its server writes it next.
+func renewed(value []byte) []byte {
+	var s placement.Server
+	if json.Unmarshal(value, &s) != nil {
+		return value
+	}
+	s.Renewals++
+	text, err := json.Marshal(s)
+	if err != nil {
+		return value
+	}
+	return text
+}
+
+// figures are what the fleet has done.
+type figures struct{ calls, questions, pages, pageBytes, hellos int }
+
+func (f *fleet) figures() figures {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return figures{f.calls, f.questions, f.pages, f.pageBytes, f.hellos}
+}
+
+// untilAll waits until all routers know a configuration and so many servers.
+func (f *fleet) untilAll(t *testing.T, version int64, servers int, within time.Duration) time.Duration {
+	t.Helper()
+	for begun := time.Now(); ; time.Sleep(50 * time.Millisecond) {
+		late := f.without(version, servers)
+		if len(late) == 0 {
+			return time.Since(begun)
+		}
+		if time.Since(begun) > within {
+			t.Fatalf("%d routers are behind after %v, the first is %d: %d servers", len(late), within, late[0], f.all[late[0]].servers.Counts()["svc"].Up)
+		}
+	}
+}
+
+// TestFleetStartsRestsAndFollows checks what must not grow with the fleet: the calls of the store
+// at a start and at rest, and each router's questions; and that a change is followed in time.
+func TestFleetStartsRestsAndFollows(t *testing.T) {
+	size := *fleetSize
+	for _, first := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fleet{within: modelBound, size: size}
+			f.prepare(t)
+			servers := size * serversEach
+			for n := range servers {
+				f.put(t, fmt.Sprintf("servers/s%05d", n), placement.Server{Service: "svc", Address: fmt.Sprintf("10.9.%d.%d:80", n/250, n%250), Domain: fmt.Sprint("z", n%domains), Slots: 32})
+			}
+			if !first {
+				for n := range size {
+					m := modelMember(n)
+					f.put(t, "routers/"+m.ID, peer.Router{ID: m.ID, Addr: m.Addr, Domain: m.Domain, LinkMbps: m.LinkMbps})
+				}
+			}
+			go f.renew(t.Context(), servers)
+			for n := range size {
+				f.startModel(n, first)
+			}
+			took := f.untilAll(t, 1, servers, 8*time.Second)
+			start := f.figures()
+			t.Logf("first start %v: all know all after %v; %d store calls, %d introductions, %d questions, %d pages of %d KB", first, took,
+				start.calls, start.hellos, start.questions, start.pages, start.pageBytes/1024)
+			lists := 2*(1+servers/storePage) + 5*(1+size/storePage)
+			if most := lists + size + 200; start.calls > most {
+				t.Errorf("%d calls of the store, %d are expected", start.calls, most)
+			}
+			f.rest(t, size)
+			f.follow(t, servers)
+			f.turn(t)
+		})
+		runtime.GC()
+	}
+}
+
+func sum(counts map[wakeups.Purpose]int64) (all int64) {
+	for _, n := range counts {
+		all += n
+	}
+	return all
+}
+
+// rest checks what a fleet does while nothing happens.
+func (f *fleet) rest(t *testing.T, size int) {
+	t.Helper()
+	const span = 10 * time.Second
+	time.Sleep(3 * time.Second)
+	before, woken := f.figures(), wakeups.Counts()
+	time.Sleep(span)
+	now := f.figures()
+	perRouter := func(n int64) float64 { return float64(n) / span.Seconds() / float64(size) }
+	for purpose, n := range wakeups.Counts() {
+		t.Logf("woken %.2f times a second for %v", perRouter(n-woken[purpose]), purpose)
+	}
+	if all := perRouter(sum(wakeups.Counts()) - sum(woken)); all >= 10 {
+		t.Errorf("a router wakes %.1f times a second", all)
+	}
+	each := float64(now.questions-before.questions) / span.Seconds() / float64(size)
+	calls := float64(now.calls-before.calls) / span.Seconds()
+	t.Logf("at rest: %.1f store calls a second, %.2f questions a second and router", calls, each)
+	if each > 2 {
+		t.Errorf("%.2f questions a second and router", each)
+	}
+	renewals := float64(size*serversEach) / renewEvery.Seconds()
+	if most := 4 + 2*(7+renewals/300); calls > most { // by the two watchers
+		t.Errorf("%.1f calls of the store a second", calls)
+	}
+	if now.pages != before.pages {
+		t.Errorf("%d pages of lists were read", now.pages-before.pages)
+	}
+}
+
+// follow checks that servers that leave and a configuration reach all routers in time.
+func (f *fleet) follow(t *testing.T, servers int) {
+	t.Helper()
+	f.configure(t, 2)
+	for n := range servers / 20 {
+		key := fmt.Sprintf("servers/s%05d", n)
+		if err := f.remove(strings.TrimPrefix(key, "servers/")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Logf("changes at all routers after %v", f.untilAll(t, 2, servers-servers/20, modelBound))
+}
+
+// turn has every router lose the relay that updates it: no list is read for that.
+func (f *fleet) turn(t *testing.T) {
+	t.Helper()
+	before := f.figures()
+	relay := f.all[0].updates.ContactIDs(modelMember(1).Domain)[0]
+	for _, r := range f.all {
+		if r.members.Self().ID == relay {
+			r.stop()
+			f.mu.Lock()
+			f.stopped[r.addr] = true
+			f.mu.Unlock()
+		}
+	}
+	time.Sleep(3 * time.Second)
+	if now := f.figures(); now.pages > before.pages {
+		t.Errorf("%d pages of lists were read after a relay was lost", now.pages-before.pages)
+	}
+}
--- a/controller/updates/pair_test.go
+++ b/controller/updates/pair_test.go
@@ -29,9 +29,8 @@
 	asked, asking *updates.Controller
 	// of the asked and of the asking router
 	theirs, ours *registry.Controller
-	// fresh tells that the asking router follows the store itself, up to a revision.
-	fresh    bool
-	revision int64
+	// fresh tells that the asking router follows the store itself.
+	fresh bool
 	// ages of the asked router's state.
 	ages func() updates.Timestamps
 	// stuck tells that no configuration arrives.
@@ -54,10 +53,15 @@
 	return p.asked.Config(ctx, &peer.Empty{})
 }
 
+// List implements updates.Calls.
+func (p *pair) List(ctx context.Context, _ string, req *peer.ListRequest) (*peer.ListAnswer, error) {
+	return p.asked.List(ctx, req)
+}
+
 // newPair returns two routers of a large fleet; the asked one follows the store.
-func newPair(theirRevision int64) *pair {
+func newPair() *pair {
 	p := &pair{ages: func() updates.Timestamps { return updates.Timestamps{Config: time.Now(), Servers: time.Now()} }}
-	router := func(self int, held *configs.Controller, servers *registry.Controller, fresh func() bool, revision func() int64, asOf func() updates.Timestamps) *updates.Controller {
+	router := func(self int, held *configs.Controller, servers *registry.Controller, fresh func() bool, asOf func() updates.Timestamps) *updates.Controller {
 		known := members.New(member(self), nil, 0, zap.NewNop())
 		known.Met(member(1 - self))
 		return updates.New(updates.Options{
@@ -67,7 +71,7 @@
 			Limits:      limits.New(limits.Options{Log: zap.NewNop()}),
 			Evacuations: evacuations.New(evacuations.Options{Log: zap.NewNop()}),
 			Self:        member(self).ID + "/1", Domain: member(self).Domain,
-			Lost: func() bool { return false }, Fresh: fresh, Revision: revision,
+			Lost: func() bool { return false }, Fresh: fresh,
 			AsOf:       asOf,
 			StaleAfter: (&fleet{}).staleAfter, Answered: never,
 			Large: func() bool { return true },
@@ -76,8 +80,8 @@
 	}
 	p.theirs, p.ours = newRegistry(), newRegistry()
 	p.theirConfigs, p.ourConfigs = newConfigs(), newConfigs()
-	p.asked = router(0, p.theirConfigs, p.theirs, func() bool { return true }, func() int64 { return theirRevision }, func() updates.Timestamps { return p.ages() })
-	p.asking = router(1, p.ourConfigs, p.ours, func() bool { return p.fresh }, func() int64 { return p.revision }, func() updates.Timestamps { return updates.Timestamps{} })
+	p.asked = router(0, p.theirConfigs, p.theirs, func() bool { return true }, func() updates.Timestamps { return p.ages() })
+	p.asking = router(1, p.ourConfigs, p.ours, func() bool { return p.fresh }, func() updates.Timestamps { return updates.Timestamps{} })
 	return p
 }
 
@@ -100,10 +104,10 @@
 // nobody sends it any more, and a server that left stays in use for good.
 func TestListThatIsNewerThanTheStoresLastAnswerIsTaken(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newPair(9)
+		p := newPair()
 		p.theirs.Listed([]store.Object{registration("a", 1)}, 9)
 		p.ours.Listed([]store.Object{registration("a", 1), registration("b", 2)}, 5)
-		p.fresh, p.revision = true, 5
+		p.fresh = true
 		go p.asking.Run(t.Context())
 		time.Sleep(2 * time.Second)
 		p.fresh = false
@@ -118,10 +122,10 @@
 // store's last answer.
 func TestListThatTheStoreHasSentAlreadyChangesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newPair(9)
+		p := newPair()
 		p.theirs.Listed([]store.Object{registration("a", 1)}, 9)
 		p.ours.Listed([]store.Object{registration("a", 1), registration("c", 11)}, 12)
-		p.fresh, p.revision = true, 12
+		p.fresh = true
 		go p.asking.Run(t.Context())
 		time.Sleep(2 * time.Second)
 		if !p.ours.TakesWork(placement.Incarnation{ID: "c"}) {
@@ -135,7 +139,7 @@
 // asked it went by them for another second. They look for the store in time now.
 func TestUpdatesAreAsOldAsTheStoresAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newPair(9)
+		p := newPair()
 		p.theirs.Listed([]store.Object{registration("a", 1)}, 9)
 		stalled := time.Now()
 		p.ages = func() updates.Timestamps { return updates.Timestamps{Config: stalled, Servers: stalled} }
@@ -158,7 +162,7 @@
 // TestUnknownKindsAreStale: updates of servers say nothing of the configuration.
 func TestUnknownKindsAreStale(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newPair(9)
+		p := newPair()
 		p.theirs.Listed([]store.Object{registration("a", 1)}, 9)
 		p.ages = func() updates.Timestamps { return updates.Timestamps{Servers: time.Now()} }
 		go p.asking.Run(t.Context())
@@ -173,7 +177,7 @@
 // bring it across a full link, and each failed fetching is followed by the next one.
 func TestConfigurationThatDoesNotArriveIsLookedForAtTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newPair(9)
+		p := newPair()
 		p.theirs.Listed([]store.Object{registration("a", 1)}, 9)
 		go p.asking.Run(t.Context())
 		time.Sleep(time.Second)
--- a/controller/updates/receive.go
+++ b/controller/updates/receive.go
@@ -53,7 +53,12 @@
 	if newer {
 		c.fetchOnce(ctx, id)
 	}
-	accepted := answer.Direct || !c.updatesOthers()
+	var due []peer.Kind
+	if c.take(peer.KindRouters, answer.Routers) {
+		due = append(due, peer.KindRouters)
+	}
+	defer func() { c.readLists(ctx, id, due) }()
+	accepted := answer.Direct || !c.UpdatesOthers()
 	switch {
 	case answer.Current && !accepted && answer.Origin != c.Members.Self().ID:
 		c.askNext(answer.Origin)
@@ -69,28 +74,26 @@
 		c.Servers.Regained()
 	}
 	c.Evacuations.Take(answer.Evacuated, answer.EvacuatedAt, id)
-	if err := c.receiveServers(answer); err != nil {
-		c.Log.Error("list of registrations is not readable", zap.String("router", id), zap.Error(err))
-		c.tryNext()
-		return
+	received := timestampsOf(answer.Ages, sent)
+	if newer {
+		received.Config = time.Time{} // it is being fetched
+	}
+	if c.take(peer.KindServers, answer.Servers) {
+		due = append(due, peer.KindServers)
+		received.Servers = time.Time{}
 	}
-	c.noteUpdate(id, answer, sent, newer)
+	c.noteUpdate(id, answer, received)
 }
 
-// noteUpdate notes an update that was received, but for its configuration where that is fetched.
-func (c *Controller) noteUpdate(id string, answer *peer.UpdatesAnswer, sent time.Time, fetchesConfig bool) {
+// noteUpdate notes an update and up to when all changes have come with it.
+func (c *Controller) noteUpdate(id string, answer *peer.UpdatesAnswer, received Timestamps) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.source, c.seq, c.revision = answer.Source, answer.Seq, answer.Revision
 	c.updatedAt, c.relay, c.origin = clock.Now(), id, answer.Origin
-	received := timestampsOf(answer.Ages, sent)
-	if fetchesConfig {
-		received.Config = time.Time{}
-	}
 	c.known = c.known.or(received)
 	if !c.logged {
 		c.logged = true
-		c.Log.Info("receiving updates from another router", zap.String("router", id), zap.String("origin", answer.Origin), zap.Int64("revision", answer.Revision))
+		c.Log.Info("receiving updates from another router", zap.String("router", id), zap.String("origin", answer.Origin), zap.Int64("revision", answer.Servers.UpTo))
 	}
 }
 
--- a/controller/updates/roles.go
+++ b/controller/updates/roles.go
@@ -25,11 +25,19 @@
 	return follow.Idle
 }
 
-// outranks tells whether this router ranks before another one.
+// RosterRole returns whether this router follows the registrations of routers: the watchers of a
+// large fleet do. In a small one routers greet each other.
+func (c *Controller) RosterRole() follow.Role {
+	if c.Large() && c.isWatcher() {
+		return follow.Watches
+	}
+	return follow.Idle
+}
+
+// outranks tells whether this router ranks before another one, or that one does not answer.
 func (c *Controller) outranks(other string) bool {
-	ranked := c.Members.RankLargest(clock.Now(), watchRole)
-	self, theirs := slices.Index(ranked, c.Members.Self().ID), slices.Index(ranked, other)
-	return theirs < 0 || self >= 0 && self <= theirs
+	self := c.Members.Self().ID
+	return self == other || c.Members.Suspected(clock.Now(), other) || c.Members.Outranks(watchRole, self, other)
 }
 
 func (c *Controller) isWatcher() bool {
@@ -41,6 +49,18 @@
 	return slices.Contains(c.relaysIn(c.Domain), c.Members.Self().ID)
 }
 
+// ContactIDs returns the routers from which routers of a failure domain get updates in a large
+// fleet, those of that domain first.
+func (c *Controller) ContactIDs(domain string) []string {
+	ids := c.relaysIn(domain)
+	for _, id := range c.RelayIDs() {
+		if !slices.Contains(ids, id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // RelayIDs returns the routers that update all others in a large fleet: the relays of all failure
 // domains, and the watchers.
 func (c *Controller) RelayIDs() []string {
@@ -65,19 +85,18 @@
 		return c.Members.Others(clock.Now())
 	}
 	ids := c.relays()
-	if c.updatesOthers() {
+	if c.UpdatesOthers() {
 		ids = append(c.watchers(), ids...)
 	}
 	return slices.DeleteFunc(ids, func(id string) bool { return id == c.Members.Self().ID })
 }
 
-// updatesOthers tells whether other routers accept updates from this one.
-func (c *Controller) updatesOthers() bool { return !c.Large() || c.IsRelay() || c.isWatcher() }
+// UpdatesOthers tells whether other routers accept updates from this one.
+func (c *Controller) UpdatesOthers() bool { return !c.Large() || c.IsRelay() || c.isWatcher() }
 
 // watchers returns the routers that watch the store for a large fleet.
 func (c *Controller) watchers() []string {
-	ranked := c.Members.RankLargest(clock.Now(), watchRole)
-	return ranked[:min(len(ranked), watchers)]
+	return c.Members.Largest(clock.Now(), watchRole, watchers)
 }
 
 // relays returns the relays of all failure domains, those of this router's domain first.
--- a/controller/updates/slow_test.go
+++ b/controller/updates/slow_test.go
@@ -39,7 +39,7 @@
 func TestRouterWithAFullLinkIsUpdated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const takes = 1100 * time.Millisecond
-		p := newPair(9)
+		p := newPair()
 		p.theirs.Listed([]store.Object{registration("a", 1)}, 9)
 		slow := &slowCalls{Calls: p, takes: takes}
 		p.asking.Calls = slow
@@ -66,7 +66,7 @@
 // full.
 func TestSlowRequestsAreGivenUpOnAnIdleLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newPair(9)
+		p := newPair()
 		p.theirs.Listed([]store.Object{registration("a", 1)}, 9)
 		slow := &slowCalls{Calls: p, takes: time.Second}
 		p.asking.Calls = slow
--- a/controller/updates/timestamps.go
+++ b/controller/updates/timestamps.go
@@ -15,13 +15,19 @@
 // timestampsOf converts the ages in an answer to a request sent at a time. The answer was made
 // later, so the timestamps are never too new.
 func timestampsOf(ages peer.Ages, sent time.Time) Timestamps {
-	at := func(age time.Duration) time.Time {
-		if age < 0 {
-			return time.Time{}
-		}
-		return sent.Add(-age)
+	return Timestamps{
+		Config:    timestampOf(ages.Config, sent),
+		Servers:   timestampOf(ages.Servers, sent),
+		Evacuated: timestampOf(ages.Evacuated, sent),
+	}
+}
+
+// timestampOf converts an age in an answer to a request sent at a time.
+func timestampOf(age time.Duration, sent time.Time) time.Time {
+	if age < 0 {
+		return time.Time{}
 	}
-	return Timestamps{Config: at(ages.Config), Servers: at(ages.Servers), Evacuated: at(ages.Evacuated)}
+	return sent.Add(-age)
 }
 
 // ages returns the ages at a time.
--- a/controller/updates/updates.go
+++ b/controller/updates/updates.go
@@ -22,15 +22,16 @@
 )
 
 const (
-	// askEvery is the interval between requests for updates. askFirst is the interval until the
-	// first answer: a router that has just started can serve nobody before it. askSoon is the
-	// interval of a router without updates for which others wait.
+	// askEvery is the interval between requests for updates of a router that updates others.
+	// askFirst is the first interval until the first answer, which doubles up to askEvery: a
+	// router that has just started can serve nobody before it. askSoon is the interval of a
+	// router without updates for which others wait.
 	askEvery = bound.AskEvery
 	askFirst = 50 * time.Millisecond
 	askSoon  = 100 * time.Millisecond
-	// soonFor is how long after the last update, or the last answer of the store, a router that
-	// updates no others asks at askSoon.
-	soonFor = 1500 * time.Millisecond
+	// soonFor is how much longer than two intervals after the last update, or the last answer of
+	// the store, a router that updates no others asks at askSoon.
+	soonFor = time.Second
 	// retryEvery is the least time between two attempts to reach the store that are caused by
 	// other routers which the store answers.
 	retryEvery = 500 * time.Millisecond
@@ -48,9 +49,10 @@
 	// fetchGrace is how much older a configuration may become while a newer one is being
 	// fetched: the time of two transfers, to a relay and from it.
 	fetchGrace = time.Second
-	// recent is how long an update counts as proof that the store answers another router: three
-	// requests.
-	recent = 800 * time.Millisecond
+	// recentRequests is for how many intervals an update counts as proof that the store answers
+	// another router, and recentSlack how much longer.
+	recentRequests = 3
+	recentSlack    = 50 * time.Millisecond
 	// lostFor is how long the store counts as unreachable after a watcher said so and no other
 	// router said otherwise: one request to each relay of five failure domains.
 	lostFor = 3 * time.Second
@@ -70,6 +72,8 @@
 type Options struct {
 	Configs *configs.Controller
 	Servers *registry.Controller
+	// Routers are the registrations of routers; nil: they are not propagated.
+	Routers Replica
 	// Evacuations holds the evacuated failure domains.
 	Evacuations Evacuations
 	Members     *members.Controller
@@ -86,14 +90,14 @@
 	// Lost tells whether the store did not answer this router's last call, and Fresh whether it
 	// answered within the last watch.
 	Lost, Fresh func() bool
-	// Revision returns the store's revision up to which the store itself has sent this router
-	// all changes of registrations.
-	Revision func() int64
 	// AsOf returns the times up to which the store itself has sent this router all changes.
 	AsOf func() Timestamps
 	// StaleAfter returns the staleness bounds from which this router queries the store directly,
 	// for a relay and for other routers; 0: objects of that kind are not followed.
 	StaleAfter func(relay bool) peer.Ages
+	// AskEvery returns the interval between requests for updates of a router that updates no
+	// others; nil: it is that of relays.
+	AskEvery func() time.Duration
 	// Answered returns when the store last answered any call of this process.
 	Answered func() time.Time
 	// Failed takes when a request for updates began that has failed, and its error; nil: nobody
@@ -137,11 +141,8 @@
 type Controller struct {
 	Options
 
-	mu       sync.Mutex
-	source   string // the process whose registrations were received last
-	seq      int64
-	revision int64      // up to which that process knew all changes
-	known    Timestamps // up to when other routers have sent all changes
+	mu    sync.Mutex
+	known Timestamps // up to when other routers have sent all changes
 	// updatedAt is when another router last sent what the store holds, and lostAt when one last
 	// said that the store does not answer it.
 	updatedAt, lostAt time.Time
@@ -156,12 +157,18 @@
 	// verdictSeq and limitSeq are the last sequence numbers of its logs.
 	verdictSeq, limitSeq int64
 
+	firstAsks int // before the first update
+
 	fetching atomic.Bool // a configuration is being fetched
 	// asking has room for the requests under way, and receiving orders their answers.
 	asking    chan struct{}
 	receiving sync.Mutex
 
-	list packedList
+	// lists are the lists that are being read, and snapshots those that other routers read.
+	lists     lists
+	snapshots map[peer.Kind]*snapshot
+
+	role roleWatch
 }
 
 // New returns a controller.
@@ -170,6 +177,9 @@
 		Options: o,
 		next:    rand.IntN(relaysEach), // relays share the requests
 		asking:  make(chan struct{}, asksAtOnce),
+
+		lists:     lists{transfers: map[peer.Kind]*transfer{}},
+		snapshots: map[peer.Kind]*snapshot{peer.KindServers: {}, peer.KindRouters: {}},
 	}
 }
 
@@ -205,7 +215,17 @@
 	return c.recentlyUpdated()
 }
 
-func (c *Controller) recentlyUpdated() bool { return clock.Since(c.updatedAt) <= recent }
+func (c *Controller) recentlyUpdated() bool {
+	return clock.Since(c.updatedAt) <= recentRequests*c.interval()+recentSlack
+}
+
+// interval returns the interval between requests for updates while there are updates.
+func (c *Controller) interval() time.Duration {
+	if c.AskEvery == nil || c.UpdatesOthers() {
+		return askEvery
+	}
+	return c.AskEvery()
+}
 
 // StoreLost tells whether the store answers neither this router's calls nor the watchers.
 func (c *Controller) StoreLost() bool {
--- a/controller/verdicts/verdicts.go
+++ b/controller/verdicts/verdicts.go
@@ -57,7 +57,12 @@
 	// Stale tells that a store's list that may be seconds old will do, as it must in a
 	// large fleet, whose routers may all start together.
 	Stale func() bool
-	Log   *zap.Logger
+	// Updated tells that relays send this router all reports, so that it asks neither another
+	// router nor the store at its start; nil: none do.
+	Updated func() bool
+	// PausesNoticed tells that the owner calls CatchUp after each pause of the process.
+	PausesNoticed bool
+	Log           *zap.Logger
 }
 
 // Controller is safe for concurrent use.
@@ -102,12 +107,17 @@
 }
 
 // Run tells the other routers, keeps verdicts and forgets old ends until the context
-// ends. It begins by asking another router, and the store, what is known.
+// ends. It begins by asking another router, and the store, what is known, unless relays send that.
 func (c *Controller) Run(ctx context.Context) {
 	go c.spread.Run(ctx)
+	if !c.PausesNoticed {
+		go c.spread.NoticePauses(ctx)
+	}
 	go c.keepVerdicts(ctx)
-	c.spread.CatchUp(ctx)
-	go c.load(ctx)
+	c.CatchUp(ctx)
+	if !c.updated() {
+		go c.load(ctx)
+	}
 	ticker := time.NewTicker(expireEvery)
 	defer ticker.Stop()
 	for {
@@ -123,6 +133,15 @@
 	}
 }
 
+// CatchUp asks other routers what is known, unless relays send it anyway.
+func (c *Controller) CatchUp(ctx context.Context) {
+	if !c.updated() {
+		c.spread.CatchUp(ctx)
+	}
+}
+
+func (c *Controller) updated() bool { return c.Updated != nil && c.Updated() }
+
 // Watching tells whether anything is known of any request. While nothing is, no request
 // needs its fingerprint.
 func (c *Controller) Watching() bool { return c.watching.Load() }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -7,6 +7,8 @@
 package membership
 
 import (
+	"iter"
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -53,6 +55,31 @@
 	members map[string]Member
 	suspect map[string]time.Time
 	left    map[string]bool
+	// orders are the listed members by role, in the order of Largest. They are dropped when the
+	// list changes.
+	orders map[string][]string
+	// domains are the failure domains of the members, in order; nil: they are to be listed anew.
+	domains []string
+}
+
+// changed drops what was worked out from the list.
+func (v *View) changed() {
+	clear(v.orders)
+	v.domains = nil
+}
+
+// Domains returns the failure domains of the listed members, in order. The caller must not change
+// them.
+func (v *View) Domains() []string {
+	if v.domains != nil {
+		return v.domains
+	}
+	seen := map[string]bool{}
+	for _, m := range v.members {
+		seen[m.Domain] = true
+	}
+	v.domains = slices.Sorted(maps.Keys(seen))
+	return v.domains
 }
 
 // NewView returns a view that holds only the router itself.
@@ -62,13 +89,43 @@
 		members: map[string]Member{self.ID: self},
 		suspect: make(map[string]time.Time),
 		left:    make(map[string]bool),
+		orders:  make(map[string][]string),
 	}
 }
 
-// Add adds a member that was met, or updates it.
+// Add adds a member that was met, or updates it. A member at the same address whose process is not
+// told keeps the one that is known.
 func (v *View) Add(m Member) {
-	if m.ID != v.self {
-		v.members[m.ID] = m
+	known, had := v.members[m.ID]
+	if m.ID == v.self {
+		return
+	}
+	if m.Incarnation == "" && m.Addr == known.Addr {
+		m.Incarnation = known.Incarnation
+	}
+	v.members[m.ID] = m
+	known.Incarnation = m.Incarnation
+	if !had || known != m {
+		v.changed()
+	}
+}
+
+// Remove removes a member.
+func (v *View) Remove(id string) {
+	if _, had := v.members[id]; !had || id == v.self {
+		return
+	}
+	delete(v.members, id)
+	delete(v.suspect, id)
+	delete(v.left, id)
+	v.changed()
+}
+
+// SetIncarnation sets the process that runs at a member; empty: it is not known.
+func (v *View) SetIncarnation(id, incarnation string) {
+	if m, ok := v.members[id]; ok && id != v.self {
+		m.Incarnation = incarnation
+		v.members[id] = m
 	}
 }
 
@@ -89,11 +146,13 @@
 		}
 	}
 	v.members = next
+	v.changed()
 }
 
 // SetLeaving records that a member said itself that it is leaving.
 func (v *View) SetLeaving(id string) {
 	v.left[id] = true
+	v.changed()
 }
 
 // Failed records that a call to the member failed.
@@ -159,6 +218,67 @@
 	return ids
 }
 
+// Live returns the number of usable members.
+func (v *View) Live(now time.Time) int {
+	n := 0
+	for _, m := range v.members {
+		if v.usable(now, m) {
+			n++
+		}
+	}
+	return n
+}
+
+// Largest yields the usable members for a role, best first: those with the largest links, by
+// rendezvous hashing. The order is kept until the list changes.
+func (v *View) Largest(now time.Time, role string) iter.Seq[Member] {
+	return func(yield func(Member) bool) {
+		for _, id := range v.order(role) {
+			if v.Suspected(now, id) {
+				continue
+			}
+			if !yield(v.members[id]) {
+				return
+			}
+		}
+	}
+}
+
+// order returns the listed members for a role, suspected or not.
+func (v *View) order(role string) []string {
+	if ids, ok := v.orders[role]; ok {
+		return ids
+	}
+	list := make([]candidate, 0, len(v.members))
+	for id, m := range v.members {
+		if m.State == Live && !v.left[id] {
+			list = append(list, candidate{id: id, link: m.LinkMbps, score: xxhash.Sum64String(role + "\x00" + id)})
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].precedes(list[j]) })
+	ids := make([]string, len(list))
+	for i, c := range list {
+		ids[i] = c.id
+	}
+	v.orders[role] = ids
+	return ids
+}
+
+// Precedes tells whether a member is ranked before another one for a role; one that is not listed
+// is ranked last.
+func (v *View) Precedes(role, id, other string) bool {
+	m, ok := v.members[id]
+	if !ok {
+		return false
+	}
+	o, ok := v.members[other]
+	if !ok {
+		return true
+	}
+	score := func(id string) uint64 { return xxhash.Sum64String(role + "\x00" + id) }
+	return candidate{id, m.LinkMbps, score(id)}.precedes(candidate{other, o.LinkMbps, score(other)})
+}
+
 // Owners returns the first members for a role over all listed ones, best first, whether
 // they are suspected or not: the members with the largest links, by rendezvous hashing.
 // So routers that suspect different members agree on the order.
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -27,6 +27,7 @@
 	MethodHello   = "member.Hello"
 	MethodUpdates = "member.News"
 	MethodConfig  = "config.Fetch"
+	MethodList    = "updates.List"
 
 	MethodVerdicts = "verdicts.Report"
 	MethodLimits   = "limits.Report"
@@ -113,22 +114,26 @@
 	LinkMbps float64
 }
 
-// HelloRequest tells a router of this one.
-type HelloRequest struct {
+// HelloRequest introduces a router to another one.
+type HelloRequest struct{ Self Router }
+
+// HelloAnswer tells an introduced router of the fleet.
+type HelloAnswer struct {
+	// Self is the asked router.
 	Self Router
-	// All asks for all routers that the asked one knows. It is for a start
-	// without the store, which lists them else.
-	All bool
+	// Known tells that the asked router has read the list of all routers.
+	Known bool
+	// Fleet is then the number of routers, and Contacts are those from which the asking one
+	// gets updates; in a small fleet all.
+	Fleet    int
+	Contacts []Router
 }
 
-// HelloAnswer names the asked router, and if so asked all that it knows.
-type HelloAnswer struct{ Routers []Router }
-
 // UpdatesRequest asks for the changes after those that the asking router has.
 type UpdatesRequest struct {
-	// Source and Seq are those of the last answer that it received registrations from.
-	Source string
-	Seq    int64
+	// Servers and Routers are the store's revisions up to which it knows all changes of the
+	// registrations of backend servers and of routers; 0: it knows none.
+	Servers, Routers int64
 	// ReportSource is the process that it received reports from last, VerdictSeq the sequence
 	// number of the last one on requests that crash servers, and LimitSeq that of the last one
 	// on rate limits.
@@ -140,8 +145,40 @@
 	StoreAnswered bool
 }
 
-// Registration is a backend server's registration as it lies in the store, or
-// its deletion.
+// Kind is a kind of objects of which routers send each other lists.
+type Kind string
+
+// The kinds.
+const (
+	// KindServers are the registrations of backend servers, and KindRouters those of routers.
+	KindServers Kind = "servers"
+	KindRouters Kind = "routers"
+)
+
+// ListRequest asks for a page of all objects of a kind.
+type ListRequest struct {
+	Kind Kind
+	// After is the last key of the page before; empty: the first page is asked for.
+	After string
+}
+
+// ListAnswer is a page of all objects of a kind in the order of their keys. Pages may be of
+// different revisions: the changes after that of the first one are to be read after the last one.
+type ListAnswer struct {
+	// Revision is the store's revision up to which all changes are in the page.
+	Revision int64
+	// Age is how long ago that was the newest state, by the store's answer.
+	Age time.Duration
+	// Packed is a compressed list of Registration, of which each was as old as it says
+	// SnapshotAge ago.
+	Packed      []byte
+	SnapshotAge time.Duration
+	// More tells that another page follows.
+	More bool
+}
+
+// Registration is the registration of a backend server or a router as it lies in the store, or its
+// deletion.
 type Registration struct {
 	Key     string
 	Version int64
@@ -158,6 +195,16 @@
 // Unheard is the age of what was never heard of.
 const Unheard time.Duration = -1
 
+// Changes are the changes of one kind of registrations.
+type Changes struct {
+	// UpTo is the store's revision up to which these are all changes; 0: the answering router
+	// knows none.
+	UpTo int64
+	// List tells that the changes are not held any more: all objects are to be read.
+	List    bool
+	Changed []Registration
+}
+
 // UpdatesAnswer holds the changes since.
 type UpdatesAnswer struct {
 	// Current tells that the answering router's state is current: it watches the store, or
@@ -170,23 +217,14 @@
 	Direct bool
 	// Origin is the router that has Current from the store itself.
 	Origin string
-	// Revision is the store's revision up to which it knows all changes of
-	// registrations.
-	Revision int64
-	// Ages are the ages of that, counted from the store's answers.
+	// Ages are the ages of its state, counted from the store's answers.
 	Ages Ages
 	// Config is the version of the answering router's configuration.
 	Config int64
-	// Source is the answering process, Seq the number of its last change of a
-	// registration.
+	// Source is the answering process.
 	Source string
-	Seq    int64
-	// Servers are the registrations that changed after the asked number. Where that is
-	// no part of the answering process's log, All are all of them instead: a
-	// compressed list of Registration, made AllAge ago.
-	Servers []Registration
-	All     []byte
-	AllAge  time.Duration
+	// Servers are the changes of backend servers' registrations, and Routers those of routers.
+	Servers, Routers Changes
 	// Evacuated are the failure domains that the operator has evacuated, as they were at
 	// the store's revision EvacuatedAt; 0: none is known.
 	Evacuated   []string
--- a/server/cold.go
+++ b/server/cold.go
@@ -27,7 +27,10 @@
 		Fleet:   limits.Over{Audience: s.audience(), Client: s.peers},
 		Settled: s.rosterSettled,
 		Runs:    s.servers.TakesWork,
+		Updated: s.updatedByRelays,
 		Log:     s.log,
+
+		Driven: true,
 	})
 }
 
--- a/server/home.go
+++ b/server/home.go
@@ -11,12 +11,6 @@
 )
 
 const (
-	// largeFleet is the number of routers from which budgets have homes and few
-	// routers watch the store for the others. With fewer routers each draws from
-	// the store for itself, so that little is lost with one; with more, their
-	// conditional updates of the same page would mostly conflict (measured: half
-	// of all writes with six routers).
-	largeFleet = 16
 	// homeGroups is the number of groups that budgets are split into; each group
 	// has one router of a large fleet as its home. More homes lose less with one
 	// of them, and write the page more often.
@@ -53,7 +47,7 @@
 // heirs returns the other routers that are homes next for a role, or were
 // before: those that may hold tokens.
 func (s *Server) heirs(role string) []string {
-	ids := s.members.RankLargest(clock.Now(), role)
+	ids := s.members.Largest(clock.Now(), role, heirsAtMost+1)
 	ids = slices.DeleteFunc(ids, func(id string) bool { return id == s.settings.Instance.ID })
 	return ids[:min(len(ids), heirsAtMost)]
 }
--- a/server/link.go
+++ b/server/link.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"context"
 	"errors"
 	"sync"
 	"syscall"
@@ -116,27 +115,14 @@
 	return was != l.away
 }
 
-// watchLink ends the meter's windows and tells the guard of their load.
-func (s *Server) watchLink(ctx context.Context) {
+// endLinkWindow ends a window of the meter, which began at a time, and tells the guard of its load.
+func (s *Server) endLinkWindow(begun, now time.Time) {
 	if s.settings.Link.Mbps == 0 {
 		return
 	}
-	ticker := time.NewTicker(link.Window)
-	defer ticker.Stop()
-	ended := clock.Now()
-	for {
-		select {
-		case <-ticker.C:
-			now := clock.Now()
-			load := s.meter.Tick(now)
-			window := now.Sub(ended)
-			ended = now
-			if s.link.observe(now, load, window) {
-				s.log.Info("link load", zap.Bool("full", s.link.Away()), zap.Float64("in", load.In), zap.Float64("out", load.Out), zap.Int64("in_flight", s.gateway.InFlight()))
-			}
-		case <-ctx.Done():
-			return
-		}
+	load := s.meter.Tick(now)
+	if s.link.observe(now, load, now.Sub(begun)) {
+		s.log.Info("link load", zap.Bool("full", s.link.Away()), zap.Float64("in", load.In), zap.Float64("out", load.Out), zap.Int64("in_flight", s.gateway.InFlight()))
 	}
 }
 
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/gaplink/gaplink/controller/verdicts"
 	"github.com/gaplink/gaplink/store"
+	"github.com/gaplink/gaplink/wakeups"
 )
 
 // MetricsPath is where the counters are served.
@@ -78,6 +79,7 @@
 	heldDesc = prometheus.NewDesc("gaplink_budget_tokens", "Tokens of an account that this router holds, by use.", []string{"account", "use"}, nil)
 	callsD   = prometheus.NewDesc("gaplink_store_calls_total", "Store calls, by kind of object and call; a list of several pages counts as one.", []string{"kind", "call"}, nil)
 	peerD    = prometheus.NewDesc("gaplink_peer_bytes_total", "Bytes of this router's calls of other routers, by method and direction, without framing.", []string{"method", "direction"}, nil)
+	wakesD   = prometheus.NewDesc("gaplink_wakeups_total", "Times that the process woke by its own timers, by purpose.", []string{"purpose"}, nil)
 	peersD   = prometheus.NewDesc("gaplink_peer_calls_total", "Calls of other routers, by method.", []string{"method"}, nil)
 	permitsD = prometheus.NewDesc("gaplink_permits_total", "Requests for servers with a rate limit, by what became of their permit.", []string{"outcome"}, nil)
 	serversD = prometheus.NewDesc("gaplink_servers", "Backend servers known, by state.", []string{"service", "state"}, nil)
@@ -91,6 +93,7 @@
 	ch <- peerD
 	ch <- peersD
 	ch <- permitsD
+	ch <- wakesD
 }
 
 // Collect implements prometheus.Collector.
@@ -111,6 +114,9 @@
 		ch <- prometheus.MustNewConstMetric(peerD, prometheus.CounterValue, float64(t.Received), method, "received")
 		ch <- prometheus.MustNewConstMetric(peersD, prometheus.CounterValue, float64(t.Calls), method)
 	}
+	for purpose, n := range wakeups.Counts() {
+		ch <- prometheus.MustNewConstMetric(wakesD, prometheus.CounterValue, float64(n), purpose.String())
+	}
 	permits := c.server.limits.Counts()
 	for outcome, n := range map[string]int64{"granted": permits.Granted, "denied": permits.Denied, "unanswered": permits.Unanswered} {
 		ch <- prometheus.MustNewConstMetric(permitsD, prometheus.CounterValue, float64(n), outcome)
--- a/server/provision.go
+++ b/server/provision.go
@@ -28,6 +28,10 @@
 	"github.com/gaplink/gaplink/upstream"
 )
 
+// routersWithin is how long a change of the routers' registrations may take to reach all. No
+// promise rests on it: a router that has gone is noticed by calls.
+const routersWithin = 12 * time.Second
+
 // provision builds the controllers and the gateway.
 func (s *Server) provision() {
 	s.store = store.NewCounting(s.platform.Store)
@@ -54,7 +58,10 @@
 		Fleet:   verdicts.Over{Audience: s.audience(), Client: s.peers},
 		Store:   s.store,
 		Stale:   s.large,
+		Updated: s.updatedByRelays,
 		Log:     s.log,
+
+		PausesNoticed: true,
 	})
 	s.budgets = budgets.New(s.budgetConfig(), s.store, s.members, s.peers, s.log, func() {})
 	s.configs = configs.New(s.platform.ConfigKey, s.platform.DecodeConfig, s.configChanged, s.log)
@@ -74,7 +81,7 @@
 		Retries:  retry.NewBudgets(s.settings.Retries.Ratio*retryShare, s.retryBurst),
 		Logs:     s.logs,
 		Metrics:  gateway.NewMetrics(s.registry),
-		Routers:  s.members.Live,
+		Routers:  s.roster.Size,
 		Away:     s.away,
 		Full:     s.link.Full,
 		LinkWait: s.linkWait,
@@ -83,13 +90,13 @@
 		ServersAge: func() time.Duration { return s.updates.Ages().Servers },
 	})
 	s.evacuations = evacuations.New(evacuations.Options{
-		Revision: func() int64 { return s.followEvacuations.Revision() },
-		Changed:  s.servers.SetEvacuated,
-		Log:      s.log,
+		Changed: s.servers.SetEvacuated,
+		Log:     s.log,
 	})
 	s.updates = updates.New(updates.Options{
 		Configs: s.configs,
 		Servers: s.servers,
+		Routers: s.roster,
 		Members: s.members,
 
 		Evacuations: s.evacuations,
@@ -105,9 +112,9 @@
 		Large:  s.large,
 		Log:    s.log,
 
-		Revision:   func() int64 { return s.followServers.Revision() },
 		AsOf:       s.storeAsOf,
 		StaleAfter: s.staleAfter,
+		AskEvery:   s.askEvery,
 		Answered:   s.store.Answered,
 		Failed:     s.questionFailed,
 		Timeout:    s.peers.Timeout,
@@ -115,11 +122,15 @@
 		Took: func(d time.Duration) { s.queue.Observe(clock.Now(), d) },
 	})
 	servers := s.following(s.platform.ServerKind, s.servers, s.settings.Bounds.Leave.Std())
-	servers.ReceivedRevision = s.updates.ReceivedRevision
+	servers.ReceivedRevision = s.servers.Revision
 	s.followServers = follow.New(servers)
 	configs := s.following(s.platform.ConfigKind, s.configs, s.settings.Bounds.Apply.Std())
 	configs.Prober = s.followServers.Fresh
 	s.followConfigs = follow.New(configs)
+	routers := s.following(roster.Kind, s.roster, routersWithin)
+	routers.Role = s.updates.RosterRole
+	routers.ReceivedRevision = s.roster.Revision
+	s.followRouters = follow.New(routers)
 	if within := s.settings.Bounds.Evacuate.Std(); within > 0 {
 		evacuations := s.following(s.platform.EvacuationKind, s.evacuations, within)
 		evacuations.Prober = s.followServers.Fresh
@@ -137,6 +148,7 @@
 		Role:     s.updates.Role,
 		IsRelay:  s.updates.IsRelay,
 		Bound:    func() bound.Parts { return s.parts(within) },
+		Changed:  s.updates.RoleChanged,
 		Answered: s.updates.StoreAnswered,
 		Probe:    s.probeStore,
 		Log:      s.log,
@@ -172,10 +184,11 @@
 	s.roster = roster.New(roster.Options{
 		Self:       self,
 		Seeds:      s.seeds,
+		Contacts:   func(domain string) []string { return s.updates.ContactIDs(domain) },
 		FirstStart: s.settings.Fleet.FirstStart,
 		Store:      s.store,
 		Members:    s.members,
-		Greeter:    s.greeter,
+		Calls:      roster.Over(s.greeter),
 		Log:        s.log,
 	})
 }
@@ -186,6 +199,7 @@
 	peer.Handle(m, peer.MethodHello, s.roster.Hello)
 	peer.Handle(m, peer.MethodUpdates, s.updates.Answer)
 	peer.Handle(m, peer.MethodConfig, s.updates.Config)
+	peer.Handle(m, peer.MethodList, s.updates.List)
 	peer.Handle(m, peer.MethodBudget, s.onBudget)
 	peer.Handle(m, peer.MethodVerdicts, s.verdicts.OnReport)
 	peer.Handle(m, peer.MethodLimits, s.limits.OnReport)
--- a/server/server.go
+++ b/server/server.go
@@ -156,6 +156,8 @@
 	updates       *updates.Controller
 	followConfigs *follow.Follower
 	followServers *follow.Follower
+	// followRouters follows the registrations of routers for a large fleet.
+	followRouters *follow.Follower
 
 	evacuations *evacuations.Controller
 	// followEvacuations is nil where the platform knows none.
@@ -198,12 +200,13 @@
 	if s.large() {
 		return 1
 	}
-	return s.members.Live()
+	return s.roster.Size()
 }
 
-// large tells whether the fleet is so large that few routers speak with the
-// store for the others.
-func (s *Server) large() bool { return s.members.Live() >= largeFleet }
+// large tells whether the fleet is so large, or may be, that few routers speak with the store for
+// the others. With fewer routers each draws budgets from the store for itself, so that little is
+// lost with one; with more, their conditional updates of the same page would mostly conflict.
+func (s *Server) large() bool { return s.roster.IsLarge() }
 
 // relayIDs returns the routers that update the others in a large fleet; nil in a small one.
 func (s *Server) relayIDs() []string {
@@ -213,6 +216,9 @@
 	return s.updates.RelayIDs()
 }
 
+// updatedByRelays tells whether this router gets the updates of a large fleet from relays.
+func (s *Server) updatedByRelays() bool { return s.large() && !s.updates.UpdatesOthers() }
+
 // seeds returns the addresses of other routers as the settings name them now.
 func (s *Server) seeds() []string { return s.current().Fleet.Seeds }
 
@@ -256,7 +262,7 @@
 	return m
 }
 
-// followers are the followers of all kinds.
+// followers are the followers of the kinds whose age is bounded.
 func (s *Server) followers() []*follow.Follower {
 	all := []*follow.Follower{s.followConfigs, s.followServers}
 	if s.followEvacuations != nil {
@@ -271,7 +277,7 @@
 
 // retryBurst is this router's share of the repeats beyond the ratio.
 func (s *Server) retryBurst() float64 {
-	return s.current().Retries.Slack * retryShare / float64(max(s.members.Live(), leastRouters))
+	return s.current().Retries.Slack * retryShare / float64(max(s.roster.Size(), leastRouters))
 }
 
 // knownConfig is the configuration in force with its age.
@@ -335,13 +341,11 @@
 	}()
 	go s.roster.Run(ctx)
 	go s.followStore(ctx)
-	go s.servers.Run(ctx)
 	go s.budgets.Run(ctx)
-	go s.watchLink(ctx)
 	if !clock.Known() {
 		s.log.Warn("the kernel does not tell for how long the machine was suspended; ages leave that out")
 	}
-	go clock.Watch(ctx, s.woke)
+	go s.runBeats(ctx)
 	s.log.Info("started", zap.String("boot", s.boot), zap.String("instance", s.settings.Instance.ID), zap.String("incarnation", s.incarnation),
 		zap.String("domain", s.settings.Instance.Domain), zap.String("callers", s.settings.Listen.Callers))
 	return nil
@@ -360,6 +364,7 @@
 	for _, f := range s.followers() {
 		go f.Run(ctx)
 	}
+	go s.followRouters.Run(ctx)
 	s.updates.Run(ctx)
 }
 
--- a/server/watch.go
+++ b/server/watch.go
@@ -15,6 +15,16 @@
 // parts divides a bound on changes for the fleet as it is now.
 func (s *Server) parts(within time.Duration) bound.Parts { return bound.Divide(within, s.large()) }
 
+// askEvery returns how often this router asks a relay for updates: by the shortest bound.
+func (s *Server) askEvery() time.Duration {
+	limits := s.settings.Bounds
+	within := min(limits.Apply.Std(), limits.Leave.Std())
+	if evacuate := limits.Evacuate.Std(); evacuate > 0 {
+		within = min(within, evacuate)
+	}
+	return s.parts(within).Ask
+}
+
 // staleAfter returns the staleness bounds from which this router queries the store directly, for
 // a relay and for other routers.
 func (s *Server) staleAfter(relay bool) peer.Ages {
