Answers for updates are bounded and compressed once; lines about servers are bounded by time

Change: an answer holds about 512 changes, compressed, and the same bytes serve all routers of the same revision; whoever lacks more asks at once, and claims no age meanwhile. A router that reads a list does not query the store beside that, and first queries spread over 10 ms for each router of the fleet.

--- a/changelog/changelog.go
+++ b/changelog/changelog.go
@@ -7,6 +7,7 @@
 
 import (
 	"slices"
+	"sort"
 	"time"
 
 	"github.com/gaplink/gaplink/store"
@@ -76,24 +77,46 @@
 // Revision returns the revision up to which all changes are known; 0: none is.
 func (l *Log[T]) Revision() int64 { return l.complete }
 
-// Since returns the last change of each object that changed after a revision, in the order of
-// their changes; false: they are not held any more. A replica that is ahead lacks nothing.
-func (l *Log[T]) Since(revision int64) ([]T, bool) {
+// Changes are the changes of a set after a revision.
+type Changes[T any] struct {
+	// Values are the changes in their order, of each object the last one.
+	Values []T
+	// UpTo is the revision up to which these are all.
+	UpTo int64
+	// More tells that there are further changes after UpTo.
+	More bool
+}
+
+// Since returns the changes after a revision, at most so many and those that belong to the same
+// revision as the last of them; false: they are not held any more. A replica that is ahead lacks
+// nothing. As long as there are more, the same changes are returned after the same revision.
+func (l *Log[T]) Since(revision int64, most int) (Changes[T], bool) {
 	if l.floor == 0 || revision < l.floor {
-		return nil, false
+		return Changes[T]{UpTo: l.complete}, false
 	}
-	var latest []T
-	seen := map[string]bool{}
-	for n := len(l.held) - 1; n >= 0; n-- {
-		c := l.held[n]
-		if n < len(l.held)-l.pending && c.revision <= revision {
-			break
-		}
+	done := l.held[:len(l.held)-l.pending]
+	first := sort.Search(len(done), func(n int) bool { return done[n].revision > revision })
+	end := min(first+most, len(done))
+	for end > first && end < len(done) && done[end].revision == done[end-1].revision {
+		end++
+	}
+	changes := Changes[T]{Values: latest(done[first:end]), UpTo: l.complete, More: end < len(done)}
+	if changes.More {
+		changes.UpTo = done[end-1].revision
+	}
+	return changes, true
+}
+
+// latest returns the last change of each object, in the order of the changes.
+func latest[T any](changes []change[T]) []T {
+	seen := make(map[string]bool, len(changes))
+	var values []T
+	for _, c := range slices.Backward(changes) {
 		if !seen[c.key] {
 			seen[c.key] = true
-			latest = append(latest, c.value)
+			values = append(values, c.value)
 		}
 	}
-	slices.Reverse(latest)
-	return latest, true
+	slices.Reverse(values)
+	return values
 }
--- a/controller/follow/fallback.go
+++ b/controller/follow/fallback.go
@@ -54,12 +54,20 @@
 		half := f.Bound().Retry() / 2
 		return half + rand.N(half)
 	case f.since() == 0:
-		return rand.N(startWithin)
+		return rand.N(f.startSpread())
 	default:
 		return rand.N(bound.ProbeWithin)
 	}
 }
 
+// startSpread returns the time over which the routers of the fleet spread their first calls.
+func (f *Follower) startSpread() time.Duration {
+	if f.Fleet == nil || f.IsRelay() {
+		return startWithin
+	}
+	return max(startWithin, time.Duration(f.Fleet())*startEach)
+}
+
 // updatedMeanwhile waits for updates of other routers, and tells whether they came: when an outage
 // ends, the store answers all routers of a fleet at the same time.
 func (f *Follower) updatedMeanwhile(ctx context.Context) bool {
--- a/controller/follow/follow.go
+++ b/controller/follow/follow.go
@@ -33,9 +33,10 @@
 	// freshSlack is how long beyond the wait of a watch the last answer of the store counts as
 	// current: the time of a slow answer and of a pause.
 	freshSlack = 600 * time.Millisecond
-	// startWithin is the time over which routers that start spread their first calls: most
-	// receive updates from others before.
+	// startWithin is the least time over which routers that start spread their first calls, and
+	// startEach what each router of the fleet adds to it: most receive updates from others before.
 	startWithin = 1200 * time.Millisecond
+	startEach   = 10 * time.Millisecond
 	// lookEvery is how often a router checks its role.
 	lookEvery = 100 * time.Millisecond
 	// atOnce is the wait of a watch that returns the changes so far.
@@ -88,6 +89,8 @@
 	// Answered returns when the store last answered any call of this process, or of another
 	// router that waits for this one.
 	Answered func() time.Time
+	// Fleet returns the number of routers; nil: they are few.
+	Fleet func() int
 	// IsRelay tells whether this router updates others: a fallback watcher that does makes full
 	// calls as soon as a probe is answered, and another one waits for updates first.
 	IsRelay func() bool
--- a/controller/registry/changes.go
+++ b/controller/registry/changes.go
@@ -53,20 +53,18 @@
 	return c.changes.Revision()
 }
 
-// Since returns the last changes of the registrations that changed after a revision of the
-// store, and the revision up to which these are all; false: they are not held any more.
-func (c *Controller) Since(revision int64) (changed []changelog.Received, upTo int64, held bool) {
+// Since returns the changes of registrations after a revision of the store, some at a time;
+// false: they are not held any more.
+func (c *Controller) Since(revision int64, most int) (changelog.Changes[changelog.Received], bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	entries, ok := c.changes.Since(revision)
-	if !ok {
-		return nil, c.changes.Revision(), false
-	}
+	entries, held := c.changes.Since(revision, most)
+	changes := changelog.Changes[changelog.Received]{UpTo: entries.UpTo, More: entries.More}
 	now := clock.Now()
-	for _, e := range entries {
-		changed = append(changed, e.told(now))
+	for _, e := range entries.Values {
+		changes.Values = append(changes.Values, e.told(now))
 	}
-	return changed, c.changes.Revision(), true
+	return changes, held
 }
 
 // All returns all registrations in the order of their keys, and the revision up to which all
--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -72,8 +72,10 @@
 	// limits is nil where no rate is enforced.
 	limits    Limits
 	evacuated []string
-	// noted counts the servers that the list or the changes being taken told anew.
-	noted int
+	// notes counts the lines about servers since notesBegun, and notNoted those that were left
+	// out since summedAt.
+	notes, notNoted      int
+	notesBegun, summedAt time.Time
 }
 
 // New returns a controller that knows no server.
@@ -281,6 +283,10 @@
 func (c *Controller) put(o changelog.Received) {
 	id := idOf(o.Key)
 	known, had := c.entries[o.Key]
+	if had && o.Version == known.Version && c.servers.Has(id) {
+		delete(c.missing, id)
+		return // it says what is known
+	}
 	next := entry{Object: o.Object, heard: clock.Now().Add(-o.Age)}
 	s, err := c.read(o)
 	next.server, next.readable = s, err == nil
@@ -310,8 +316,7 @@
 	if known && old.Leaving == s.Leaving && old.Incarnation() == s.Incarnation() {
 		return
 	}
-	c.noted++
-	if c.noted > notesAtOnce {
+	if !c.mayNote() {
 		return
 	}
 	c.log.Info("server registered",
@@ -319,16 +324,35 @@
 		zap.Bool("leaving", s.Leaving), zap.Int64("version", version))
 }
 
-// notesAtOnce bounds the lines about servers that one answer tells anew: the first list of
-// a large fleet would write thousands.
-const notesAtOnce = 20
+// notesEach bounds the lines about servers within notesSpan: at the start of a large fleet
+// thousands register.
+const (
+	notesEach = 20
+	notesSpan = 5 * time.Second
+)
+
+// mayNote tells whether a line about a server may be written, and counts those that may not.
+func (c *Controller) mayNote() bool {
+	now := clock.Now()
+	if now.Sub(c.notesBegun) >= notesSpan {
+		c.notesBegun, c.notes = now, 0
+	}
+	c.notes++
+	if c.notes > notesEach {
+		c.notNoted++
+		return false
+	}
+	return true
+}
 
-// endNotes logs how many servers an answer told anew beyond those that have a line each.
+// endNotes logs, once in notesSpan, how many servers have registered without a line.
 func (c *Controller) endNotes() {
-	if c.noted > notesAtOnce {
-		c.log.Info("further servers registered", zap.Int("servers", c.noted-notesAtOnce), zap.Int("known", len(c.entries)))
+	now := clock.Now()
+	if c.notNoted == 0 || now.Sub(c.summedAt) < notesSpan {
+		return
 	}
-	c.noted = 0
+	c.log.Info("further servers registered", zap.Int("servers", c.notNoted), zap.Int("known", len(c.entries)))
+	c.notNoted, c.summedAt = 0, now
 }
 
 // Unreadable returns how many registrations could not be read so far.
--- a/controller/roster/replica.go
+++ b/controller/roster/replica.go
@@ -57,11 +57,10 @@
 }
 
 // Since implements updates.Replica.
-func (c *Controller) Since(revision int64) (changed []changelog.Received, upTo int64, held bool) {
+func (c *Controller) Since(revision int64, most int) (changelog.Changes[changelog.Received], bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	changed, held = c.changes.Since(revision)
-	return changed, c.changes.Revision(), held
+	return c.changes.Since(revision, most)
 }
 
 // All implements updates.Replica.
--- a/controller/updates/ask.go
+++ b/controller/updates/ask.go
@@ -64,6 +64,8 @@
 		return askEvery
 	case !c.Servers.Ready():
 		return c.pauseBeforeFirst()
+	case c.lacksChanges():
+		return askAtOnce
 	case c.Large() && c.isBehind():
 		return askSoon
 	default:
@@ -71,6 +73,13 @@
 	}
 }
 
+// lacksChanges tells whether the last answer held a part of the changes.
+func (c *Controller) lacksChanges() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lacks
+}
+
 // pauseBeforeFirst returns the pause before the first update, more or less a half: hundreds of
 // routers that start together ask the same relays.
 func (c *Controller) pauseBeforeFirst() time.Duration {
--- a/controller/updates/lists.go
+++ b/controller/updates/lists.go
@@ -42,9 +42,9 @@
 type Replica interface {
 	// Revision returns the store's revision up to which all changes are known; 0: none is.
 	Revision() int64
-	// Since returns the changes after a revision, and the revision up to which these are all;
-	// false: they are not held any more.
-	Since(revision int64) (changed []changelog.Received, upTo int64, held bool)
+	// Since returns the changes after a revision, at most about so many; false: they are not
+	// held any more.
+	Since(revision int64, most int) (changes changelog.Changes[changelog.Received], held bool)
 	// All returns all objects in the order of their keys, and the revision up to which all
 	// changes are in them.
 	All() (all []changelog.Received, revision int64)
@@ -131,29 +131,6 @@
 	c.known = c.known.or(Timestamps{Servers: asOf})
 }
 
-// changesSince returns the changes of a kind after a revision.
-func (c *Controller) changesSince(kind peer.Kind, revision int64) peer.Changes {
-	replica, ok := c.replica(kind)
-	if !ok || replica.Revision() == 0 {
-		return peer.Changes{}
-	}
-	changed, upTo, held := replica.Since(revision)
-	return peer.Changes{UpTo: upTo, List: !held, Changed: registrations(changed)}
-}
-
-// take takes the changes of a kind that another router sent, and tells whether a list is due.
-func (c *Controller) take(kind peer.Kind, changes peer.Changes) (listDue bool) {
-	replica, ok := c.replica(kind)
-	switch {
-	case !ok || changes.UpTo == 0:
-		return false
-	case changes.List:
-		return true
-	}
-	replica.TakeUpdate(receivedFrom(changes.Changed, 0), changes.UpTo)
-	return false
-}
-
 // List answers another router that reads all objects of a kind.
 func (c *Controller) List(_ context.Context, req *peer.ListRequest) (*peer.ListAnswer, error) {
 	replica, ok := c.replica(req.Kind)
@@ -185,6 +162,21 @@
 	transfers map[peer.Kind]*transfer // that broke off
 }
 
+// readsList tells whether pages of a list are arriving.
+func (c *Controller) readsList() bool {
+	if !c.lists.reading.Load() {
+		return false
+	}
+	c.lists.mu.Lock()
+	defer c.lists.mu.Unlock()
+	for _, t := range c.lists.transfers {
+		if clock.Since(t.pageAt) <= 2*pageTimeout {
+			return true
+		}
+	}
+	return false
+}
+
 // readLists begins to read the lists that are due from another router, unless that is under way.
 func (c *Controller) readLists(ctx context.Context, id string, due []peer.Kind) {
 	if len(due) == 0 || !c.lists.reading.CompareAndSwap(false, true) {
--- a/controller/updates/model_test.go
+++ b/controller/updates/model_test.go
@@ -194,6 +194,7 @@
 			}
 			f.rest(t, size)
 			f.follow(t, servers)
+			f.flood(t, servers-servers/20)
 			f.turn(t)
 		})
 		runtime.GC()
@@ -250,6 +251,27 @@
 	t.Logf("changes at all routers after %v", f.untilAll(t, 2, servers-servers/20, modelBound))
 }
 
+// flood has many servers register within a second: no answer is too large for a small link, and
+// all routers follow.
+func (f *fleet) flood(t *testing.T, servers int) {
+	t.Helper()
+	const parts, answerMost = 10, 64 << 10
+	more := servers / 2
+	for n := range more {
+		f.put(t, fmt.Sprintf("servers/t%05d", n), placement.Server{Service: "svc", Address: fmt.Sprintf("10.8.%d.%d:80", n/250, n%250), Domain: fmt.Sprint("z", n%domains), Slots: 32})
+		if n%(more/parts) == 0 {
+			time.Sleep(time.Second / parts)
+		}
+	}
+	took := f.untilAll(t, 2, servers+more, modelBound)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t.Logf("%d new servers at all routers after %v, in answers of %d bytes at the most", more, took, f.largest)
+	if f.largest > answerMost {
+		t.Errorf("an answer has %d bytes", f.largest)
+	}
+}
+
 // turn has every router lose the relay that updates it: no list is read for that.
 func (f *fleet) turn(t *testing.T) {
 	t.Helper()
--- a/controller/updates/receive.go
+++ b/controller/updates/receive.go
@@ -29,6 +29,7 @@
 	defer c.mu.Unlock()
 	c.next++
 	c.relay = ""
+	c.lacks = false
 	c.logged = false
 }
 
@@ -54,10 +55,15 @@
 		c.fetchOnce(ctx, id)
 	}
 	var due []peer.Kind
-	if c.take(peer.KindRouters, answer.Routers) {
+	defer func() { c.readLists(ctx, id, due) }()
+	routers, err := c.take(peer.KindRouters, answer.Routers)
+	if err != nil {
+		c.unreadable(id, err)
+		return
+	}
+	if routers == takenNone {
 		due = append(due, peer.KindRouters)
 	}
-	defer func() { c.readLists(ctx, id, due) }()
 	accepted := answer.Direct || !c.UpdatesOthers()
 	switch {
 	case answer.Current && !accepted && answer.Origin != c.Members.Self().ID:
@@ -78,19 +84,33 @@
 	if newer {
 		received.Config = time.Time{} // it is being fetched
 	}
-	if c.take(peer.KindServers, answer.Servers) {
+	servers, err := c.take(peer.KindServers, answer.Servers)
+	if err != nil {
+		c.unreadable(id, err)
+		return
+	}
+	if servers == takenNone {
 		due = append(due, peer.KindServers)
-		received.Servers = time.Time{}
 	}
-	c.noteUpdate(id, answer, received)
+	if servers != takenAll {
+		received.Servers = time.Time{} // not all changes have come
+	}
+	c.noteUpdate(id, answer, received, servers == takenSome)
+}
+
+// unreadable turns to another router than one whose changes cannot be read.
+func (c *Controller) unreadable(id string, cause error) {
+	c.Log.Error("changes are not readable", zap.String("router", id), zap.Error(cause))
+	c.tryNext()
 }
 
-// noteUpdate notes an update and up to when all changes have come with it.
-func (c *Controller) noteUpdate(id string, answer *peer.UpdatesAnswer, received Timestamps) {
+// noteUpdate notes an update, up to when all changes have come with it, and whether some lack.
+func (c *Controller) noteUpdate(id string, answer *peer.UpdatesAnswer, received Timestamps, lacks bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.updatedAt, c.relay, c.origin = clock.Now(), id, answer.Origin
 	c.known = c.known.or(received)
+	c.lacks = lacks
 	if !c.logged {
 		c.logged = true
 		c.Log.Info("receiving updates from another router", zap.String("router", id), zap.String("origin", answer.Origin), zap.Int64("revision", answer.Servers.UpTo))
--- a/controller/updates/roles.go
+++ b/controller/updates/roles.go
@@ -18,6 +18,9 @@
 	if c.IsRelay() && !c.RecentlyUpdated() {
 		return follow.Fallback // others wait for it, also those that the store turns away
 	}
+	if c.readsList() {
+		return follow.Idle // the store would send nothing else
+	}
 	origin, upToDate := c.updateOrigin()
 	if !upToDate || c.Fresh() && c.outranks(origin) {
 		return follow.Fallback
--- a/controller/updates/updates.go
+++ b/controller/updates/updates.go
@@ -29,6 +29,8 @@
 	askEvery = bound.AskEvery
 	askFirst = 50 * time.Millisecond
 	askSoon  = 100 * time.Millisecond
+	// askAtOnce is the pause where the last answer held a part of the changes.
+	askAtOnce = 10 * time.Millisecond
 	// soonFor is how much longer than two intervals after the last update, or the last answer of
 	// the store, a router that updates no others asks at askSoon.
 	soonFor = time.Second
@@ -167,6 +169,9 @@
 	// lists are the lists that are being read, and snapshots those that other routers read.
 	lists     lists
 	snapshots map[peer.Kind]*snapshot
+	packed    map[peer.Kind]*packedChanges
+	// lacks tells that the last answer held a part of the changes.
+	lacks bool
 
 	role roleWatch
 }
@@ -180,6 +185,10 @@
 
 		lists:     lists{transfers: map[peer.Kind]*transfer{}},
 		snapshots: map[peer.Kind]*snapshot{peer.KindServers: {}, peer.KindRouters: {}},
+		packed: map[peer.Kind]*packedChanges{
+			peer.KindServers: {byFrom: map[int64]packedChange{}},
+			peer.KindRouters: {byFrom: map[int64]packedChange{}},
+		},
 	}
 }
 
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -201,8 +201,14 @@
 	// knows none.
 	UpTo int64
 	// List tells that the changes are not held any more: all objects are to be read.
-	List    bool
-	Changed []Registration
+	List bool
+	// More tells that there are changes after UpTo, which another request brings.
+	More bool
+	// Changed are the changes. Where they are many, Packed is a compressed list of them instead,
+	// of which each was as old as it says PackedAge ago.
+	Changed   []Registration
+	Packed    []byte
+	PackedAge time.Duration
 }
 
 // UpdatesAnswer holds the changes since.
--- a/server/provision.go
+++ b/server/provision.go
@@ -146,6 +146,7 @@
 		Prefix:   kind,
 		Handler:  h,
 		Role:     s.updates.Role,
+		Fleet:    s.roster.Size,
 		IsRelay:  s.updates.IsRelay,
 		Bound:    func() bound.Parts { return s.parts(within) },
 		Changed:  s.updates.RoleChanged,
