Relays grow with their failure domain: one for each 128 routers, two at the least

A relay of 984 routers in five domains updates 98 others; with two a domain it would be 200 at 2,000 routers and 500 at 5,000. Nothing changes up to 1,280.

--- a/controller/members/members.go
+++ b/controller/members/members.go
@@ -319,6 +319,13 @@
 	return c.view.Domains()
 }
 
+// DomainSize returns how many listed routers a failure domain has.
+func (c *Controller) DomainSize(domain string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.DomainSize(domain)
+}
+
 // Suspected tells whether a call to a router failed lately.
 func (c *Controller) Suspected(now time.Time, id string) bool {
 	c.mu.Lock()
--- a/controller/updates/roles.go
+++ b/controller/updates/roles.go
@@ -78,7 +78,8 @@
 
 // relaysIn returns the relays of a failure domain.
 func (c *Controller) relaysIn(domain string) []string {
-	return c.Members.FirstIn(clock.Now(), watchRole, domain, relaysEach)
+	relays := max(relaysLeast, (c.Members.DomainSize(domain)+followersMost-1)/followersMost)
+	return c.Members.FirstIn(clock.Now(), watchRole, domain, relays)
 }
 
 // candidates returns the routers to ask, the best first: all others in a small fleet. In a large
--- a/controller/updates/updates.go
+++ b/controller/updates/updates.go
@@ -61,8 +61,10 @@
 	// watchers is how many routers of a large fleet watch the store: one more than needed. They
 	// also ask each other for updates, which makes up for a stalled watch.
 	watchers = 2
-	// relaysEach is how many relays a failure domain has: one more than needed.
-	relaysEach = 2
+	// relaysLeast is how many relays a failure domain has at least: one more than needed. A
+	// larger domain has one for each followersMost of its routers.
+	relaysLeast   = 2
+	followersMost = 128
 	// watchRole is the role by which watchers and relays are ranked.
 	watchRole = "watch"
 	// strayEvery is which of the requests in a row without an update goes to any router: the
@@ -180,7 +182,7 @@
 func New(o Options) *Controller {
 	return &Controller{
 		Options: o,
-		next:    rand.IntN(relaysEach), // relays share the requests
+		next:    rand.IntN(relaysLeast), // relays share the requests
 		asking:  make(chan struct{}, asksAtOnce),
 
 		lists:     lists{transfers: map[peer.Kind]*transfer{}},
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -58,28 +58,40 @@
 	// orders are the listed members by role, in the order of Largest. They are dropped when the
 	// list changes.
 	orders map[string][]string
-	// domains are the failure domains of the members, in order; nil: they are to be listed anew.
+	// domains are the failure domains of the members, in order, and sizes how many members each
+	// has; nil: they are to be worked out anew.
 	domains []string
+	sizes   map[string]int
 }
 
 // changed drops what was worked out from the list.
 func (v *View) changed() {
 	clear(v.orders)
-	v.domains = nil
+	v.domains, v.sizes = nil, nil
 }
 
 // Domains returns the failure domains of the listed members, in order. The caller must not change
 // them.
 func (v *View) Domains() []string {
+	v.countDomains()
+	return v.domains
+}
+
+// DomainSize returns how many listed members a failure domain has.
+func (v *View) DomainSize(domain string) int {
+	v.countDomains()
+	return v.sizes[domain]
+}
+
+func (v *View) countDomains() {
 	if v.domains != nil {
-		return v.domains
+		return
 	}
-	seen := map[string]bool{}
+	v.sizes = map[string]int{}
 	for _, m := range v.members {
-		seen[m.Domain] = true
+		v.sizes[m.Domain]++
 	}
-	v.domains = slices.Sorted(maps.Keys(seen))
-	return v.domains
+	v.domains = slices.Sorted(maps.Keys(v.sizes))
 }
 
 // NewView returns a view that holds only the router itself.
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -70,6 +70,42 @@
 	}
 }
 
+// The order for a role is that of Largest, whoever is suspected, and follows each change of the
+// list.
+func TestLargestFollowsTheList(t *testing.T) {
+	now := time.Unix(1, 0)
+	v := view(9)
+	order := func() (ids []string) {
+		for m := range v.Largest(now, "role") {
+			ids = append(ids, m.ID)
+		}
+		return ids
+	}
+	whole := order()
+	v.Failed(now, whole[0])
+	if got := order(); !slices.Equal(got, whole[1:]) {
+		t.Errorf("%v with the first of %v suspected", got, whole)
+	}
+	v.Reached(whole[0])
+	v.Remove(whole[3])
+	v.Add(membership.Member{ID: "wide", Kind: "router", Domain: "far", State: membership.Live, LinkMbps: 1000})
+	got := order()
+	if got[0] != "wide" || len(got) != 9 || slices.Contains(got, whole[3]) {
+		t.Errorf("%v after a member was removed and a wide one added", got)
+	}
+	if !v.Precedes("role", got[1], got[2]) || v.Precedes("role", got[2], got[1]) || v.Precedes("role", "unknown", got[2]) {
+		t.Error("Precedes differs from the order")
+	}
+	if v.Live(now) != 9 || v.DomainSize("far") != 1 || !slices.Equal(v.Domains(), []string{"", "far"}) {
+		t.Errorf("%d live, %d in the far domain, domains %q", v.Live(now), v.DomainSize("far"), v.Domains())
+	}
+	v.SetIncarnation(got[1], "p1")
+	v.Add(membership.Member{ID: got[1], Kind: "router", State: membership.Live})
+	if m, _ := v.Member(got[1]); m.Incarnation != "p1" {
+		t.Error("the process of a member is forgotten for its registration")
+	}
+}
+
 // Guards against routers that suspect different members and so take different ones for the
 // owner of something.
 func TestOwnersAreTheSameWhoeverIsSuspected(t *testing.T) {
