A router that starts waits for those that are about to know the servers

Relays and watchers answered at once that they did not know the servers yet; other routers then listed all 10,000 from the store, some 100 a second of 4 MB each, and the list of the watchers took 5.2 s beside that. Change: an answer of a relay or watcher that the store has not left is a promise for 1.5 s, for 10 s in all; a relay takes it from watchers alone. Lines about servers that go are bounded too.

--- /dev/null
+++ b/controller/registry/notes_test.go
@@ -0,0 +1,47 @@
+package registry_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/gaplink/gaplink/controller/registry"
+	"github.com/gaplink/gaplink/store"
+	"github.com/gaplink/gaplink/upstream"
+)
+
+// Guards against a log that grows with the fleet: thousands of servers register and go, and the
+// lines about them are bounded by time, with the number of those that have none.
+func TestLinesAboutServersAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const servers, span = 5000, 20 * time.Second
+		core, lines := observer.New(zapcore.InfoLevel)
+		c := registry.New(decode, upstream.New(upstream.Options{}), rand.New(rand.NewPCG(1, 1)), zap.New(core))
+		c.Listed(nil, 1)
+		revision := int64(1)
+		for n := range servers {
+			revision++
+			c.Changed([]store.Object{entry(fmt.Sprint("s", n), revision, false)})
+			if n%2 == 1 {
+				c.Changed([]store.Object{gone(fmt.Sprint("s", n))})
+			}
+			time.Sleep(span / servers)
+		}
+		if most := 25 * int(span/(5*time.Second)+1); lines.Len() > most {
+			t.Errorf("%d lines in %v", lines.Len(), span)
+		}
+		told := int64(0)
+		for _, l := range lines.FilterMessage("further servers registered or gone").All() {
+			told += l.ContextMap()["servers"].(int64)
+		}
+		if told < servers*3/4 {
+			t.Errorf("%d servers are counted in place of lines", told)
+		}
+	})
+}
--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -345,13 +345,13 @@
 	return true
 }
 
-// endNotes logs, once in notesSpan, how many servers have registered without a line.
+// endNotes logs, once in notesSpan, how many servers have registered or gone without a line.
 func (c *Controller) endNotes() {
 	now := clock.Now()
 	if c.notNoted == 0 || now.Sub(c.summedAt) < notesSpan {
 		return
 	}
-	c.log.Info("further servers registered", zap.Int("servers", c.notNoted), zap.Int("known", len(c.entries)))
+	c.log.Info("further servers registered or gone", zap.Int("servers", c.notNoted), zap.Int("known", len(c.entries)))
 	c.notNoted, c.summedAt = 0, now
 }
 
--- a/controller/updates/fleet_test.go
+++ b/controller/updates/fleet_test.go
@@ -64,6 +64,9 @@
 	// questions are the requests for updates that were answered, pages those of lists, and
 	// hellos the introductions.
 	questions, pages, pageBytes, hellos int
+	// lists are the lists of servers that the store sent, and linkFree is when its link is free.
+	lists    int
+	linkFree time.Time
 	// largest is the size of the largest answer to a request for updates, in bytes.
 	largest int
 
@@ -346,6 +349,14 @@
 	r.run()
 }
 
+// storeOf returns the store as a router sees it; that of a model has a link of its own.
+func (f *fleet) storeOf(n int) store.Store {
+	if f.size > 0 {
+		return pagedStore{view{f.objects, n, f}}
+	}
+	return view{f.objects, n, f}
+}
+
 // build returns a router that has not started yet; with discover it finds the others by itself.
 func (f *fleet) build(n int, self membership.Member, discover func(*one) *roster.Controller) *one {
 	ctx, cancel := context.WithCancel(f.ctx)
@@ -397,7 +408,7 @@
 	}
 	following := func(kind string, handler follow.Handler) follow.Options {
 		return follow.Options{
-			Store: view{f.objects, n, f}, Prefix: kind, Handler: handler, Role: r.updates.Role,
+			Store: f.storeOf(n), Prefix: kind, Handler: handler, Role: r.updates.Role,
 			Bound: f.parts, Changed: r.updates.RoleChanged, IsRelay: r.updates.IsRelay, Answered: r.updates.StoreAnswered, Log: zap.NewNop(),
 			Probe:             view{f.objects, n, f}.probe,
 			AnsweredElsewhere: r.updates.RecentlyUpdated,
--- a/controller/updates/model_test.go
+++ b/controller/updates/model_test.go
@@ -38,6 +38,9 @@
 	// takes.
 	storePage  = 500
 	storeTakes = 6 * time.Millisecond
+	// listTakes is how long the store's link is occupied by a list of all servers: one that each
+	// router asked for would take minutes.
+	listTakes = 300 * time.Millisecond
 	// renewEvery is how often a backend server writes its registration.
 	renewEvery = 3 * time.Second
 )
@@ -51,12 +54,30 @@
 	for range pages - 1 {
 		s.count()
 	}
+	takes := time.Duration(pages) * storeTakes
+	if kind == "servers" {
+		s.fleet.count(&s.fleet.lists, 1)
+		takes = s.fleet.occupyLink(listTakes)
+	}
 	if err == nil {
-		err = wait.For(ctx, time.Duration(pages)*storeTakes)
+		err = wait.For(ctx, takes)
 	}
 	return all, revision, err
 }
 
+// occupyLink reserves the store's link for a time after what it carries already, and returns when
+// that is over.
+func (f *fleet) occupyLink(takes time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	if f.linkFree.Before(now) {
+		f.linkFree = now
+	}
+	f.linkFree = f.linkFree.Add(takes)
+	return f.linkFree.Sub(now)
+}
+
 func (s pagedStore) ListStale(ctx context.Context, kind string) ([]store.Object, int64, error) {
 	return s.List(ctx, kind)
 }
@@ -192,6 +213,9 @@
 			if most := lists + size + 200; start.calls > most {
 				t.Errorf("%d calls of the store, %d are expected", start.calls, most)
 			}
+			if f.lists > 4 {
+				t.Errorf("%d lists of all servers were read from the store", f.lists)
+			}
 			f.rest(t, size)
 			f.follow(t, servers)
 			f.flood(t, servers-servers/20)
--- a/controller/updates/receive.go
+++ b/controller/updates/receive.go
@@ -50,6 +50,7 @@
 // receive takes the answer of a router to a request sent at a time. A router that updates others
 // accepts only what the answering router has from the store itself.
 func (c *Controller) receive(ctx context.Context, id string, answer *peer.UpdatesAnswer, sent time.Time) {
+	c.notePromise(id, answer)
 	newer := answer.Config > c.Configs.Version()
 	if newer {
 		c.fetchOnce(ctx, id)
--- a/controller/updates/roles.go
+++ b/controller/updates/roles.go
@@ -5,6 +5,7 @@
 
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/controller/follow"
+	"github.com/gaplink/gaplink/peer"
 )
 
 // Role returns whether this router follows the store: all do in a small fleet, and in a large one
@@ -15,12 +16,12 @@
 	if !c.Large() || c.isWatcher() {
 		return follow.Watches
 	}
+	if c.readsList() || c.expectsList() {
+		return follow.Idle // the store would send nothing else
+	}
 	if c.IsRelay() && !c.RecentlyUpdated() {
 		return follow.Fallback // others wait for it, also those that the store turns away
 	}
-	if c.readsList() {
-		return follow.Idle // the store would send nothing else
-	}
 	origin, upToDate := c.updateOrigin()
 	if !upToDate || c.Fresh() && c.outranks(origin) {
 		return follow.Fallback
@@ -28,6 +29,38 @@
 	return follow.Idle
 }
 
+// expectsList tells whether this router has started and those that are to update it are about to
+// know the servers.
+func (c *Controller) expectsList() bool {
+	if c.Servers.Ready() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return clock.Since(c.promisedAt) <= promiseHolds && clock.Since(c.waitingSince) <= waitLongest
+}
+
+// notePromise notes the answer of a router to one that has started. A relay waits for watchers
+// alone, since relays wait for each other.
+func (c *Controller) notePromise(id string, answer *peer.UpdatesAnswer) {
+	if answer.Current || answer.Lost || c.Servers.Ready() {
+		return
+	}
+	from := c.watchers()
+	if !c.UpdatesOthers() {
+		from = c.RelayIDs()
+	}
+	if !slices.Contains(from, id) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.promisedAt = clock.Now()
+	if c.waitingSince.IsZero() {
+		c.waitingSince = c.promisedAt
+	}
+}
+
 // RosterRole returns whether this router follows the registrations of routers: the watchers of a
 // large fleet do. In a small one routers greet each other.
 func (c *Controller) RosterRole() follow.Role {
--- a/controller/updates/updates.go
+++ b/controller/updates/updates.go
@@ -51,6 +51,11 @@
 	// fetchGrace is how much older a configuration may become while a newer one is being
 	// fetched: the time of two transfers, to a relay and from it.
 	fetchGrace = time.Second
+	// promiseHolds is how long a router that starts waits for another one that has answered and
+	// does not know all servers yet itself, and waitLongest how long it does so in all. The
+	// store would send the list of a large fleet to each router that asks, for minutes.
+	promiseHolds = 1500 * time.Millisecond
+	waitLongest  = 10 * time.Second
 	// recentRequests is for how many intervals an update counts as proof that the store answers
 	// another router, and recentSlack how much longer.
 	recentRequests = 3
@@ -162,6 +167,9 @@
 	verdictSeq, limitSeq int64
 
 	firstAsks int // before the first update
+	// promisedAt is when a router that is to update this one last said that it does not know all
+	// servers yet, and waitingSince when it did so first.
+	promisedAt, waitingSince time.Time
 
 	fetching atomic.Bool // a configuration is being fetched
 	// asking has room for the requests under way, and receiving orders their answers.
