--- a/changelog/changelog.go
+++ b/changelog/changelog.go
@@ -6,6 +6,7 @@
 package changelog
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 	"time"
@@ -19,6 +20,11 @@
 	Age time.Duration
 }
 
+// SortByKey sorts objects by their keys.
+func SortByKey(all []Received) {
+	slices.SortFunc(all, func(a, b Received) int { return cmp.Compare(a.Key, b.Key) })
+}
+
 // leastHeld is how many changes are held at least.
 const leastHeld = 1024
 
--- a/controller/registry/changes.go
+++ b/controller/registry/changes.go
@@ -1,9 +1,7 @@
 package registry
 
 import (
-	"cmp"
 	"github.com/gaplink/gaplink/changelog"
-	"slices"
 	"time"
 
 	"github.com/gaplink/gaplink/clock"
@@ -77,7 +75,7 @@
 	for _, e := range c.entries {
 		all = append(all, e.told(now))
 	}
-	slices.SortFunc(all, func(a, b changelog.Received) int { return cmp.Compare(a.Key, b.Key) })
+	changelog.SortByKey(all)
 	return all, c.changes.Revision()
 }
 
--- a/controller/registry/lapse.go
+++ b/controller/registry/lapse.go
@@ -118,7 +118,5 @@
 // drop removes a server whose registration is gone.
 func (c *Controller) drop(id string) {
 	c.servers.Remove(id)
-	if c.mayNote() {
-		c.log.Info("server gone", zap.String("server", id))
-	}
+	c.noteGone(id)
 }
--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -72,10 +72,7 @@
 	// limits is nil where no rate is enforced.
 	limits    Limits
 	evacuated []string
-	// notes counts the lines about servers since notesBegun, and notNoted those that were left
-	// out since summedAt.
-	notes, notNoted      int
-	notesBegun, summedAt time.Time
+	notes     notes
 }
 
 // New returns a controller that knows no server.
@@ -310,51 +307,6 @@
 	}
 }
 
-// note logs what a registration changes.
-func (c *Controller) note(s placement.Server, version int64) {
-	old, known := c.servers.Get(s.ID)
-	if known && old.Leaving == s.Leaving && old.Incarnation() == s.Incarnation() {
-		return
-	}
-	if !c.mayNote() {
-		return
-	}
-	c.log.Info("server registered",
-		zap.String("server", s.ID), zap.Int64("started", s.Started), zap.String("service", s.Service), zap.String("address", s.Address),
-		zap.Bool("leaving", s.Leaving), zap.Int64("version", version))
-}
-
-// notesEach bounds the lines about servers within notesSpan: at the start of a large fleet
-// thousands register.
-const (
-	notesEach = 20
-	notesSpan = 5 * time.Second
-)
-
-// mayNote tells whether a line about a server may be written, and counts those that may not.
-func (c *Controller) mayNote() bool {
-	now := clock.Now()
-	if now.Sub(c.notesBegun) >= notesSpan {
-		c.notesBegun, c.notes = now, 0
-	}
-	c.notes++
-	if c.notes > notesEach {
-		c.notNoted++
-		return false
-	}
-	return true
-}
-
-// endNotes logs, once in notesSpan, how many servers have registered or gone without a line.
-func (c *Controller) endNotes() {
-	now := clock.Now()
-	if c.notNoted == 0 || now.Sub(c.summedAt) < notesSpan {
-		return
-	}
-	c.log.Info("further servers registered or gone", zap.Int("servers", c.notNoted), zap.Int("known", len(c.entries)))
-	c.notNoted, c.summedAt = 0, now
-}
-
 // Unreadable returns how many registrations could not be read so far.
 func (c *Controller) Unreadable() int64 {
 	c.mu.Lock()
--- a/controller/roster/replica.go
+++ b/controller/roster/replica.go
@@ -1,11 +1,9 @@
 package roster
 
 import (
-	"cmp"
 	"encoding/json"
 	"errors"
 	"net/netip"
-	"slices"
 	"strings"
 
 	"go.uber.org/zap"
@@ -70,7 +68,7 @@
 	for _, e := range c.entries {
 		all = append(all, e)
 	}
-	slices.SortFunc(all, func(a, b changelog.Received) int { return cmp.Compare(a.Key, b.Key) })
+	changelog.SortByKey(all)
 	return all, c.changes.Revision()
 }
 
