--- a/controller/budgets/budgets_test.go
+++ b/controller/budgets/budgets_test.go
@@ -32,6 +32,7 @@
 func (o overloaded) Addr(id string) (string, bool) { return o.addr, id == "home" }
 func (overloaded) Failed(string, error)            {}
 func (overloaded) Reached(string)                  {}
+func (overloaded) Restarted(string)                {}
 func grant(m *budget.Message)                      { m.Kind, m.Scarce = budget.Grant, true }
 
 // newController returns a controller whose home of all budgets is at an address, and its client.
@@ -144,3 +145,43 @@
 		})
 	}
 }
+
+// restarted notes which routers run another process than the known one.
+type restarted struct {
+	overloaded
+	noted chan string
+}
+
+func (r restarted) Restarted(id string) { r.noted <- id }
+
+// Guards against a router that goes on asking a process which does not run any more: nobody tells
+// all routers of a large fleet of a restart.
+func TestOtherProcessOfARouterIsNoted(t *testing.T) {
+	m := peer.NewMux()
+	peer.Handle(m, peer.MethodBudget, func(context.Context, *peer.BudgetMessage) (*peer.Empty, error) {
+		return nil, result.New(result.WrongIncarnation, "meant for an earlier process")
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = peer.Serve(t.Context(), l, m) }()
+	client := peer.NewClient(peer.Options{DialTimeout: time.Second})
+	defer func() { _ = client.Close() }()
+	cfg := budget.DefaultConfig()
+	cfg.Pages = 1
+	cfg.Self = budget.Peer{ID: "self", Incarnation: "self/1"}
+	members := restarted{overloaded{addr: l.Addr().String()}, make(chan string, 16)}
+	c := budgets.New(cfg, memory.New(), members, client, zap.NewNop(), func() {})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	go func() { _ = c.Reserve(ctx, "b", 10) }()
+	select {
+	case id := <-members.noted:
+		if id != "home" {
+			t.Errorf("%s is noted", id)
+		}
+	case <-ctx.Done():
+		t.Error("the restart is not noted")
+	}
+}
