Test network of budgets: a message of which a copy was taken is not reported as certainly untaken

Trace: a grant was delivered to a process and a copy stayed on its way; the process was replaced; the copy was refused, and the test told the home that its message had certainly not been taken, so that it took back tokens that had been used. A call between routers has one outcome: a call that was taken cannot be refused as well. The rule was in the test for the copy that is refused first, and is now for the later one.

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -34,10 +34,11 @@
 	late    []budget.WritePage // sent, answer lost, not yet arrived
 	routers []*router
 	mail    []budget.Message
-	spent   int64    // tokens served, by the backend servers' count
-	left    string   // a dead incarnation that is not yet reclaimed
-	dead    []string // reclaimed ones
-	charged int64    // billed, and worst cases of dead attempts
+	taken   map[string]bool // messages that were taken while a copy is on its way
+	spent   int64           // tokens served, by the backend servers' count
+	left    string          // a dead incarnation that is not yet reclaimed
+	dead    []string        // reclaimed ones
+	charged int64           // billed, and worst cases of dead attempts
 	home    int
 	waiting map[string]int64
 
@@ -133,15 +134,26 @@
 		return
 	}
 	if fate == "refused" || !to.agent.Accepts(m) {
-		// Certain to its sender only if it is delivered at no other time.
-		if fate != "twice" {
+		// Certain to its sender only if it is delivered at no other time: a call has one outcome.
+		if fate != "twice" && !n.taken[fmt.Sprint(m)] {
 			n.undelivered(m, true)
 		}
 		return
 	}
+	if fate == "twice" {
+		n.take(m)
+	}
 	n.perform(to, to.agent.Receive(n.at(to), m))
 }
 
+// take notes that a message was taken of which another copy is on its way.
+func (n *network) take(m budget.Message) {
+	if n.taken == nil {
+		n.taken = map[string]bool{}
+	}
+	n.taken[fmt.Sprint(m)] = true
+}
+
 func (n *network) undelivered(m budget.Message, certain bool) {
 	from := n.byID(m.From.ID)
 	if from.incarnation() == m.From.Incarnation {
