--- a/changelog/changelog.go
+++ b/changelog/changelog.go
@@ -20,6 +20,15 @@
 	Age time.Duration
 }
 
+// Fresh returns objects that the store has sent just now.
+func Fresh(objects []store.Object) []Received {
+	list := make([]Received, 0, len(objects))
+	for _, o := range objects {
+		list = append(list, Received{Object: o})
+	}
+	return list
+}
+
 // SortByKey sorts objects by their keys.
 func SortByKey(all []Received) {
 	slices.SortFunc(all, func(a, b Received) int { return cmp.Compare(a.Key, b.Key) })
--- a/controller/evacuations/evacuations.go
+++ b/controller/evacuations/evacuations.go
@@ -5,7 +5,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -46,7 +45,7 @@
 func (c *Controller) Listed(objects []store.Object, revision int64) {
 	domains := make([]string, 0, len(objects))
 	for _, o := range objects {
-		domains = append(domains, domainOf(o.Key))
+		domains = append(domains, store.NameOf(o.Key))
 	}
 	c.Take(domains, revision, "store")
 }
@@ -61,7 +60,7 @@
 		c.pending[domain] = true
 	}
 	for _, o := range objects {
-		c.pending[domainOf(o.Key)] = !o.Deleted
+		c.pending[store.NameOf(o.Key)] = !o.Deleted
 	}
 	maps.DeleteFunc(c.pending, func(_ string, evacuated bool) bool { return !evacuated })
 }
@@ -147,8 +146,3 @@
 
 // Regained implements follow.Handler.
 func (c *Controller) Regained() {}
-
-func domainOf(key string) string {
-	_, domain, _ := strings.Cut(key, "/")
-	return domain
-}
--- a/controller/registry/changes.go
+++ b/controller/registry/changes.go
@@ -1,23 +1,14 @@
 package registry
 
 import (
-	"github.com/gaplink/gaplink/changelog"
 	"time"
 
+	"github.com/gaplink/gaplink/changelog"
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/store"
 )
 
-// fresh are objects that the store has told just now.
-func fresh(objects []store.Object) []changelog.Received {
-	heard := make([]changelog.Received, 0, len(objects))
-	for _, o := range objects {
-		heard = append(heard, changelog.Received{Object: o})
-	}
-	return heard
-}
-
 // entry is a registration as it lies in the store.
 type entry struct {
 	store.Object
--- a/controller/registry/cold_test.go
+++ b/controller/registry/cold_test.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"github.com/gaplink/gaplink/changelog"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/gaplink/gaplink/changelog"
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/controller/limits"
 	"github.com/gaplink/gaplink/controller/registry"
--- a/controller/registry/lapse.go
+++ b/controller/registry/lapse.go
@@ -1,11 +1,11 @@
 package registry
 
 import (
-	"github.com/gaplink/gaplink/changelog"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/gaplink/gaplink/changelog"
 	"github.com/gaplink/gaplink/clock"
 )
 
--- a/controller/registry/lapse_test.go
+++ b/controller/registry/lapse_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
-	"github.com/gaplink/gaplink/changelog"
 	"testing"
 	"time"
 
+	"github.com/gaplink/gaplink/changelog"
 	"github.com/gaplink/gaplink/controller/registry"
 	"github.com/gaplink/gaplink/store"
 )
--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -7,7 +7,6 @@
 	"context"
 	"maps"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"time"
 
@@ -172,19 +171,14 @@
 
 // read reads a registration; one that makes its reader panic cannot be read.
 func (c *Controller) read(o changelog.Received) (placement.Server, error) {
-	return guard.Call(func() (placement.Server, error) { return c.decode(idOf(o.Key), o.Value) })
-}
-
-func idOf(key string) string {
-	_, id, _ := strings.Cut(key, "/")
-	return id
+	return guard.Call(func() (placement.Server, error) { return c.decode(store.NameOf(o.Key), o.Value) })
 }
 
 // Listed implements follow.Handler. What has changed after the list's revision
 // holds, whatever the list says: another router may tell a list that is older than
 // what is known here.
 func (c *Controller) Listed(objects []store.Object, revision int64) {
-	c.TakeListed(fresh(objects), revision)
+	c.TakeListed(changelog.Fresh(objects), revision)
 }
 
 // TakeListed takes all registrations as another router has heard them.
@@ -209,7 +203,7 @@
 			continue
 		}
 		c.forget(store.Object{Key: key}, revision)
-		c.absent(idOf(key))
+		c.absent(store.NameOf(key))
 	}
 	if c.listed {
 		c.advance(revision)
@@ -243,7 +237,7 @@
 }
 
 // Changed implements follow.Handler.
-func (c *Controller) Changed(objects []store.Object) { c.TakeChanged(fresh(objects)) }
+func (c *Controller) Changed(objects []store.Object) { c.TakeChanged(changelog.Fresh(objects)) }
 
 // TakeUpdate takes all changes up to a revision as another router has heard them.
 func (c *Controller) TakeUpdate(objects []changelog.Received, revision int64) {
@@ -264,7 +258,7 @@
 		}
 		if o.Deleted {
 			c.forget(o.Object, 0)
-			c.absent(idOf(o.Key))
+			c.absent(store.NameOf(o.Key))
 			continue
 		}
 		c.put(o)
@@ -278,7 +272,7 @@
 // put takes a registration. One that cannot be read names no server, whatever stood
 // there before: its process is not used until it has registered anew.
 func (c *Controller) put(o changelog.Received) {
-	id := idOf(o.Key)
+	id := store.NameOf(o.Key)
 	known, had := c.entries[o.Key]
 	if had && o.Version == known.Version && c.servers.Has(id) {
 		delete(c.missing, id)
--- a/controller/roster/replica.go
+++ b/controller/roster/replica.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"net/netip"
-	"strings"
 
 	"go.uber.org/zap"
 
@@ -42,11 +41,6 @@
 
 func keyOf(id string) string { return Kind + "/" + id }
 
-func idOf(key string) string {
-	_, id, _ := strings.Cut(key, "/")
-	return id
-}
-
 // Revision implements updates.Replica.
 func (c *Controller) Revision() int64 {
 	c.mu.Lock()
@@ -74,11 +68,11 @@
 
 // Listed implements follow.Handler.
 func (c *Controller) Listed(objects []store.Object, revision int64) {
-	c.TakeListed(received(objects), revision)
+	c.TakeListed(changelog.Fresh(objects), revision)
 }
 
 // Changed implements follow.Handler.
-func (c *Controller) Changed(objects []store.Object) { c.takeChanged(received(objects)) }
+func (c *Controller) Changed(objects []store.Object) { c.takeChanged(changelog.Fresh(objects)) }
 
 // Advanced implements follow.Handler.
 func (c *Controller) Advanced(revision int64) {
@@ -97,14 +91,6 @@
 // Regained implements follow.Handler.
 func (c *Controller) Regained() {}
 
-func received(objects []store.Object) []changelog.Received {
-	list := make([]changelog.Received, 0, len(objects))
-	for _, o := range objects {
-		list = append(list, changelog.Received{Object: o})
-	}
-	return list
-}
-
 // TakeUpdate implements updates.Replica. One that is older than what is known changes nothing.
 func (c *Controller) TakeUpdate(changed []changelog.Received, revision int64) {
 	if revision < c.Revision() {
@@ -163,7 +149,7 @@
 			continue
 		}
 		if o.Deleted {
-			gone = append(gone, idOf(o.Key))
+			gone = append(gone, store.NameOf(o.Key))
 			continue
 		}
 		r, err := decode(o.Value)
--- a/controller/updates/lists.go
+++ b/controller/updates/lists.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"github.com/gaplink/gaplink/changelog"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -13,6 +12,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
+	"github.com/gaplink/gaplink/changelog"
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/packed"
 	"github.com/gaplink/gaplink/peer"
--- a/store/store.go
+++ b/store/store.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 )
 
@@ -39,6 +40,12 @@
 	Deleted bool `json:"deleted,omitempty"`
 }
 
+// NameOf returns the part of a key after its kind.
+func NameOf(key string) string {
+	_, name, _ := strings.Cut(key, "/")
+	return name
+}
+
 // Events is the answer of a watch.
 type Events struct {
 	// Objects are the changed objects, oldest first.
