A router whose updates are stale asks a relay every 0.25 s, whatever the bound

Seen once in a last run of the tests: TestEndOfAnOutageSendsNoStampede, 36 of 60 routers made calls where fewer than 30 are allowed (1 of 120 plays more). Cause: the interval between questions, 0.5 s with a bound of 4 s since, went for routers without updates too, and is longer than the 0.3 s that a router whose probe the store answered waits for a relay before it makes full calls. The longer interval is for routers whose updates are current. 120 plays: none fails.

--- a/controller/updates/ask.go
+++ b/controller/updates/ask.go
@@ -68,6 +68,8 @@
 		return askAtOnce
 	case c.Large() && c.isBehind():
 		return askSoon
+	case !c.UpToDate():
+		return askEvery // updates may come again at any moment
 	default:
 		return c.interval()
 	}
