Drain: heed a server that announces in its responses that it is leaving

What callers saw: requests were sent to a backend server for 12 s after its responses had announced that it was leaving; streams there break when it ends.

Cause: the announcement was not decoded. A router learnt that a server leaves from registrations alone, which the store, down, could not take. The class: a response says something about its server that no code reads; each such header had a path of its own, or none.

Ruled out: forgetting (no fall of the rate), late requests (7 ms from choice to arrival), kinds of answers (all routers, all routes).

Change: announcements are decoded in platform.Headers.Answer and applied in one place, gateway.attempt.observe, by the rule that rate limits used: signed responses, refusals and errors of the expected server. A 421 comes from another server, so none of its announcements count any more, rate limits included. A process that announced its leaving stays so for its life (placement/report.go), through lapses, returns and registrations that cannot be decoded; so does a server that was replaced at its address, which a lapse brought back before. Operators get a line, a gauge, the mark in a request's attempts, and a warning when the registration goes on saying ready.

--- a/controller/registry/log_limit.go
+++ b/controller/registry/log_limit.go
@@ -51,10 +51,11 @@
 	return leftOut
 }
 
-// logRegistered logs a registration that changes the server's process or its leaving state.
+// logRegistered logs a registration of a new process or of one that begins to leave. A process
+// that is leaving stays so, whatever its later registrations say.
 func (c *Controller) logRegistered(s placement.Server, version int64) {
 	old, known := c.servers.Get(s.ID)
-	if known && old.Leaving == s.Leaving && old.Incarnation() == s.Incarnation() {
+	if known && (old.Leaving || !s.Leaving) && old.Incarnation() == s.Incarnation() {
 		return
 	}
 	if !c.lines.allow(clock.Now()) {
--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -31,6 +31,11 @@
 	// probeTimeout bounds each connection attempt.
 	probeInterval = 500 * time.Millisecond
 	probeTimeout  = 250 * time.Millisecond
+	// reportTTL is how long what a process has announced in its responses is kept while the
+	// process is not registered, and reportCheckInterval the interval between scans for expired
+	// reports. A registration that lapsed returns when the store is reachable again.
+	reportTTL           = 10 * time.Minute
+	reportCheckInterval = 10 * time.Second
 )
 
 // Decode decodes a registration.
@@ -74,6 +79,7 @@
 	limits    Limits
 	evacuated []string
 	lines     lineLimiter
+	departing departing
 }
 
 // New returns a controller without servers.
@@ -116,6 +122,7 @@
 	maps.DeleteFunc(c.tombstones, func(_ string, d tombstone) bool { return now.Sub(d.at) > deletionTTL })
 	due := c.probesDue(now)
 	c.logSlowServers()
+	c.checkReports(now)
 	c.mu.Unlock()
 	for _, s := range due {
 		go c.probe(ctx, s)
@@ -372,14 +379,6 @@
 	}
 }
 
-// Replaced records that another server now answers at the address of this one.
-func (c *Controller) Replaced(in placement.Incarnation) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.servers.Leave(in)
-	c.log.Info("server replaced at its address", zap.String("server", in.ID), zap.Int64("started", in.Started))
-}
-
 // RandomInt returns a random number in [0, n); n must be positive.
 func (c *Controller) RandomInt(n int) int {
 	c.mu.Lock()
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -61,6 +61,11 @@
 	Signed bool
 	// Limit is the rate limit that the response announces.
 	Limit Limit
+	// Leaving reports that the response announces that its server is leaving.
+	Leaving bool
+	// Malformed is why announcements other than the limit could not be parsed; nil if all
+	// could. What could not be parsed counts as absent.
+	Malformed error
 }
 
 // Limit is the rate limit of a backend server, for the requests of all routers together.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -75,7 +75,8 @@
 	defer answer.Close()
 	a.record.setAnswer(answer)
 	info := a.g.Protocol.Answer(answer.StatusCode, answer.Header)
-	a.observeLimit(sent, answer, info)
+	a.observe(sent, answer.StatusCode, info)
+	a.record.leaving = info.Leaving
 	switch {
 	case info.WrongServer:
 		a.g.Servers.Replaced(a.server.Incarnation())
--- a/gateway/attempt_record.go
+++ b/gateway/attempt_record.go
@@ -25,6 +25,8 @@
 	status int
 	// framed reports that the response's own framing marks its end.
 	framed bool
+	// leaving reports that the response announced that the server is leaving.
+	leaving bool
 	// events is the number of events forwarded, and firstID and lastID are the ids of the
 	// first and the last of them.
 	events          int
@@ -78,6 +80,9 @@
 	} else {
 		b.WriteString(" unframed")
 	}
+	if n.leaving {
+		b.WriteString(", server leaving")
+	}
 	if n.events > 0 {
 		b.WriteString(", " + strconv.Itoa(n.events) + " events " + n.firstID + ".." + n.lastID)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,6 +85,8 @@
 	refusingNew atomic.Bool
 	// unreadableLimits rate-limits the log lines about limits that cannot be parsed.
 	unreadableLimits logs.RateLimit
+	// malformed does so for the lines about other announcements of servers.
+	malformed logs.RateLimit
 }
 
 // New returns a gateway with the given options.
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -37,6 +37,8 @@
 	headerSigned    = "Signed"
 	headerNotRun    = "Not-Run"
 	headerLastEvent = "Last-Event"
+	headerLeaving   = "Leaving"
+	headerElsewhere = "Elsewhere"
 )
 
 // testProtocol is the exchange.Protocol of these tests.
@@ -54,6 +56,7 @@
 
 func (testProtocol) Answer(_ int, h http.Header) exchange.Answer {
 	a := exchange.Answer{RequestID: h.Get(headerID), Signed: h.Get(headerSigned) != "", NotRun: h.Get(headerNotRun) != ""}
+	a.Leaving, a.WrongServer = h.Get(headerLeaving) != "", h.Get(headerElsewhere) != ""
 	if text := h.Get(headerLimit); text != "" {
 		a.Limit.PerSecond, a.Limit.Err = strconv.ParseFloat(text, 64)
 		a.Limit.Present = a.Limit.Err == nil
@@ -90,6 +93,13 @@
 
 // newGatewayWith is newLimitedGateway with modified options.
 func newGatewayWith(t *testing.T, servers, attempts int, answer script, change func(*gateway.Options)) (*httptest.Server, *limits.Controller) {
+	t.Helper()
+	web, enforced, _ := newRegisteredGateway(t, servers, attempts, answer, change)
+	return web, enforced
+}
+
+// newRegisteredGateway is newGatewayWith that returns the registry as well.
+func newRegisteredGateway(t *testing.T, servers, attempts int, answer script, change func(*gateway.Options)) (*httptest.Server, *limits.Controller, *registry.Controller) {
 	t.Helper()
 	pool := upstream.New(upstream.Options{DialTimeout: time.Second, IdleTimeout: time.Second})
 	known := registry.New(decodeServer, pool, rand.New(rand.NewPCG(1, 2)), zap.NewNop())
@@ -114,7 +124,7 @@
 	web.Config.ConnContext = gateway.ConnContext
 	web.Start()
 	t.Cleanup(web.CloseClientConnections)
-	return web, enforced
+	return web, enforced, known
 }
 
 func decodeServer(id string, value []byte) (placement.Server, error) {
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -3,17 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
-	"go.uber.org/zap"
-
-	"github.com/gaplink/gaplink/clock"
-	"github.com/gaplink/gaplink/exchange"
 	"github.com/gaplink/gaplink/limiter"
 	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/result"
-	"github.com/gaplink/gaplink/upstream"
 )
 
 const (
@@ -23,9 +17,6 @@
 	// limitedRetryJitter spreads the retries of callers that were refused because all servers
 	// are at their rate limit: their next permits are due at about the same time.
 	limitedRetryJitter = 500 * time.Millisecond
-	// unreadableLogInterval is the minimum time between two log lines about limits that cannot
-	// be parsed.
-	unreadableLogInterval = time.Second
 )
 
 // Limits observes the rate limits that servers announce.
@@ -64,31 +55,3 @@
 	wait += rand.N(limitedRetryJitter)
 	return result.New(result.ServersLimited, "the servers of %s take no further request now", c.service.Name).After(wait)
 }
-
-// observeLimit reports the rate limit that a response announces. Only the server itself can
-// end a limit, so a response without its signature ends none.
-func (a *attempt) observeLimit(sent time.Time, answer *upstream.Answer, info exchange.Answer) {
-	fromServer := info.Signed || info.NotRun || answer.StatusCode >= http.StatusMultipleChoices
-	switch {
-	case a.g.Limits == nil || info.WrongServer || !fromServer:
-		return
-	case info.Limit.Err != nil:
-		a.g.logUnreadableLimit(a.server.ID, info.Limit.Err)
-		return
-	case !info.Limit.Present && !info.Signed:
-		return
-	}
-	a.g.Limits.Observe(limiter.Observation{
-		Server: a.server.Incarnation(), Named: info.Limit.Present, Rate: limiter.Rate(info.Limit.PerSecond),
-		Sent: sent, Received: clock.Now(),
-	})
-}
-
-// logUnreadableLimit logs a limit that could not be parsed, at most once per
-// unreadableLogInterval.
-func (g *Gateway) logUnreadableLimit(server string, cause error) {
-	if omitted, allowed := g.unreadableLimits.Allow(clock.Now(), unreadableLogInterval); allowed {
-		g.Logs.All.Warn("cannot parse server rate limit; ignoring it", zap.String("server", server),
-			zap.Int64("lines_left_out", omitted), zap.Error(cause))
-	}
-}
--- a/placement/pick_test.go
+++ b/placement/pick_test.go
@@ -25,7 +25,7 @@
 			case 1:
 				f.RecordOutcome(in, placement.Outcome(rapid.IntRange(0, 3).Draw(t, "outcome")))
 			case 2:
-				f.Leave(in)
+				f.Leave(time.Time{}, in)
 			case 3:
 				f.Restored(in)
 			case 4:
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -84,6 +84,8 @@
 	eventInterval          float64
 	consecutiveUnreachable int
 	ejected                bool
+	// registeredReady reports that the registration does not say that the server is leaving.
+	registeredReady bool
 	// coldUntil is the latest known end of the slow start.
 	coldUntil time.Time
 	// observed and measured are set while the state is in the list of that name in its group, and
@@ -107,11 +109,14 @@
 	meanPrompt map[string]float64
 	// evacuated are the failure domains whose servers get no requests.
 	evacuated map[string]bool
+	// reports hold what processes have announced themselves. A report outlives the registration,
+	// which may lapse and return while the process runs on.
+	reports map[Incarnation]*report
 }
 
 // New returns an empty Servers.
 func New() *Servers {
-	return &Servers{byID: map[string]*state{}, groups: map[string]*group{}, meanPrompt: map[string]float64{}}
+	return &Servers{byID: map[string]*state{}, groups: map[string]*group{}, meanPrompt: map[string]float64{}, reports: map[Incarnation]*report{}}
 }
 
 // SetOrder sets the seed of the order in which this router prefers equivalent servers. Routers with
@@ -128,20 +133,26 @@
 	return g
 }
 
-// Put adds or updates a server. A process that is leaving stays so. Another process
+// Put adds or updates a server. A process that is leaving stays so, and one that was reported
+// as leaving with Leave does also after it was removed. Another process
 // under the same id replaces the previous one and starts with empty state. The caller
 // decides which of two processes is the later one: the clock of a server may have been
 // set back between its starts.
 func (f *Servers) Put(s Server) {
+	registeredReady := !s.Leaving
+	if r, ok := f.reports[s.Incarnation()]; ok {
+		s.Leaving = s.Leaving || r.leaving
+	}
 	old, ok := f.byID[s.ID]
 	if !ok || s.Started != old.Started {
 		f.Remove(s.ID)
-		next := &state{Server: s, hash: xxhash.Sum64String(s.ID)}
+		next := &state{Server: s, hash: xxhash.Sum64String(s.ID), registeredReady: registeredReady}
 		f.byID[s.ID] = next
 		f.groupOf(s.Service).insert(next)
 		return
 	}
 	s.Leaving = s.Leaving || old.Leaving
+	old.registeredReady = registeredReady
 	if old.Service != s.Service || old.Domain != s.Domain {
 		f.groupOf(old.Service).remove(old)
 		old.Server = s
@@ -179,14 +190,6 @@
 	s.removed = true
 }
 
-// Leave marks a process as leaving: it gets no new requests.
-func (f *Servers) Leave(in Incarnation) {
-	if s := f.lookup(in); s != nil {
-		s.Leaving = true
-		f.observe(s)
-	}
-}
-
 // SetEvacuated replaces the set of evacuated failure domains. Their servers get no
 // requests while they are in the set.
 func (f *Servers) SetEvacuated(domains []string) {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/gaplink/gaplink/placement"
 )
@@ -78,7 +79,7 @@
 
 func TestLeavingAndTriedServersAreNotChosen(t *testing.T) {
 	f := fleet(2)
-	f.Leave(incarnation("s00"))
+	f.Leave(time.Time{}, incarnation("s00"))
 	f.Put(placement.Server{ID: "s00", Service: "llm"}) // an older registration
 	if got := pick(t, f, placement.Query{}); got != "s01" {
 		t.Fatalf("got %s", got)
@@ -156,7 +157,7 @@
 func TestProcessUnderAnOldIDIsANewServer(t *testing.T) {
 	first := placement.Server{ID: "s", Service: "llm", Started: 1000}
 	for name, harm := range map[string]func(*placement.Servers){
-		"left": func(f *placement.Servers) { f.Leave(first.Incarnation()) },
+		"left": func(f *placement.Servers) { f.Leave(time.Time{}, first.Incarnation()) },
 		"said to be leaving": func(f *placement.Servers) {
 			f.Put(placement.Server{ID: "s", Service: "llm", Started: 1000, Leaving: true})
 		},
@@ -200,7 +201,7 @@
 		f.RecordOutcome(first.Incarnation(), placement.Unreachable)
 		f.RecordEventInterval(first.Incarnation(), 1)
 	}
-	f.Leave(first.Incarnation())
+	f.Leave(time.Time{}, first.Incarnation())
 	if f.IsEjected(second.Incarnation()) || len(f.Ejected()) > 0 {
 		t.Fatal("the new process is ejected for failures of the previous one")
 	}
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -33,6 +33,7 @@
 	s.gauge("gaplink_config_age_seconds", "Age of what is known of the configuration, counted from the store's answer; below 0: nothing was heard.", func() float64 { return s.updates.Ages().Config.Seconds() })
 	s.gauge("gaplink_domains_evacuated", "Failure domains whose servers get no request, by the operator's word.", func() float64 { return float64(len(s.evacuations.Domains())) })
 	s.gauge("gaplink_servers_cold", "Backend servers that are known to be cold and get little work.", func() float64 { return float64(s.servers.Cold()) })
+	s.gauge("gaplink_servers_announced_leaving", "Registered backend servers that announced in responses that they are leaving, or whose address another server has taken.", func() float64 { return float64(s.servers.Departures()) })
 	s.gauge("gaplink_servers_limited", "Backend servers that name a rate limit.", func() float64 { return float64(s.limits.Limited()) })
 	s.gauge("gaplink_requests_in_flight", "Requests being served.", func() float64 { return float64(s.gateway.InFlight()) })
 	s.gauge("gaplink_caller_connections", "Open connections of callers.", func() float64 { return float64(s.callerListener.Open()) })
