Budget: keep to the time for which a server asks for no requests

What callers saw: a server that had answered a router 503 with Retry-After got the next requests of that router at its usual rate. A request was sent from one refusing server to the next and ended 503 with Retry-After 0.25, while 13 of 18 servers answered.

Cause: Retry-After of servers was not decoded. What a 503 left behind was a moving failure rate: a lower share, no time, and one that outlasts the time since a server without requests cannot disprove it. The same class as the announcement of leaving.

Ruled out: requests on their way (they came 2.4 s after the 503), use for lack of other servers (13 of 18 answered).

Change: 503 with Retry-After keeps the server from this router's requests until then (placement/backoff.go): no candidate, whatever limits, poison isolation or retries say; checked again when a connection is there; kept through lapses, per process, by the clock that counts suspensions; extended by up to a tenth and bounded by an hour. It is no failure of the server any more. Afterwards requests resume step by step. When all servers back off a request is refused at once with the new code 3009 and the end of the first backoff, more urgent callers first.

--- a/controller/registry/rates.go
+++ b/controller/registry/rates.go
@@ -69,7 +69,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := clock.Now()
-	if !c.servers.MaySend(s.Incarnation()) {
+	if !c.servers.MaySend(now, s.Incarnation()) {
 		return false
 	}
 	return c.limits == nil || c.limits.Valid(now, c.limitTarget(s, c.servers.IsCold(now, s.Incarnation()), 0), p)
--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -15,6 +15,7 @@
 	"github.com/gaplink/gaplink/changelog"
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/guard"
+	"github.com/gaplink/gaplink/logs"
 	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/store"
 	"github.com/gaplink/gaplink/upstream"
@@ -80,6 +81,8 @@
 	evacuated []string
 	lines     lineLimiter
 	departing departing
+	// backoffLines limits the log lines about servers that ask for a backoff.
+	backoffLines logs.RateLimit
 }
 
 // New returns a controller without servers.
@@ -390,5 +393,5 @@
 func (c *Controller) Counts() map[string]placement.Count {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.servers.Counts()
+	return c.servers.Counts(clock.Now())
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -63,6 +63,9 @@
 	Limit Limit
 	// Leaving reports that the response announces that its server is leaving.
 	Leaving bool
+	// Backoff is the time for which a server that rejected the request asks this router for no
+	// further requests; 0 if it does not.
+	Backoff time.Duration
 	// Malformed is why announcements other than the limit could not be parsed; nil if all
 	// could. What could not be parsed counts as absent.
 	Malformed error
--- a/gateway/announce.go
+++ b/gateway/announce.go
@@ -24,6 +24,12 @@
 	if info.Leaving {
 		a.g.Servers.AnnouncedLeaving(a.server.Incarnation())
 	}
+	switch {
+	case info.Backoff > 0:
+		a.g.Servers.BackOff(a.server.Incarnation(), info.Backoff)
+	case !info.NotRun && status < http.StatusInternalServerError:
+		a.g.Servers.RecordAccepted(a.server.Incarnation())
+	}
 	if info.Malformed != nil {
 		a.g.logMalformed(a.server.ID, info.Malformed)
 	}
--- a/gateway/announce_test.go
+++ b/gateway/announce_test.go
@@ -3,7 +3,15 @@
 import (
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/gaplink/gaplink/gateway"
 )
@@ -69,3 +77,75 @@
 		t.Errorf("the request after it: %+v", got)
 	}
 }
+
+// refuseWithBackoff refuses a request, not run, and asks for a backoff.
+func refuseWithBackoff(c *net.TCPConn, r *http.Request, backoff time.Duration) {
+	send(c, head(r, 503, "Content-Length: 0", closeField, headerNotRun+": 1", headerBackoff+": "+backoff.String()))
+}
+
+// newRefusingGateway returns a gateway whose servers refuse all requests with a backoff, and the
+// number of requests that reached them.
+func newRefusingGateway(t *testing.T, servers, attempts int, backoff time.Duration) (web *httptest.Server, arrived *atomic.Int64) {
+	arrived = &atomic.Int64{}
+	return newGateway(t, servers, attempts, func(c *net.TCPConn, r *http.Request, _ int) {
+		arrived.Add(1)
+		refuseWithBackoff(c, r, backoff)
+	}), arrived
+}
+
+// Guards against callers that wait, that are told to come back while no server takes requests,
+// or whose requests are sent from server to server, when all servers asked for a backoff.
+func TestCallerIsRefusedAtOnceWhileAllServersBackOff(t *testing.T) {
+	const backoff = 2 * time.Second
+	web, arrived := newRefusingGateway(t, 2, 2, backoff)
+	for n := range 8 {
+		begun := time.Now()
+		got := call(t, web, "HTTP/1.1", "GET", "/once/x")
+		after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		if got.status != http.StatusServiceUnavailable || got.header.Get("Gaplink-Code") != "3009" || err != nil {
+			t.Fatalf("request %d: %+v", n, got)
+		}
+		if least, most := 1.8, 2.5; after < least || after > most {
+			t.Errorf("request %d: to come back after %g s, the servers asked for %s", n, after, backoff)
+		}
+		if took := time.Since(begun); took > 100*time.Millisecond {
+			t.Errorf("refused after %s", took)
+		}
+	}
+	if n := arrived.Load(); n != 2 {
+		t.Errorf("%d requests reached the two servers", n)
+	}
+}
+
+// Guards against refusals as if no server were free while another server takes the request.
+func TestServerInBackoffIsSkipped(t *testing.T) {
+	web := newGateway(t, 2, 2, func(c *net.TCPConn, r *http.Request, n int) {
+		if n == 1 {
+			refuseWithBackoff(c, r, time.Minute)
+			return
+		}
+		send(c, head(r, 200, "Content-Length: 2", closeField), "ok")
+	})
+	for n := range 8 {
+		if got := call(t, web, "HTTP/1.1", "GET", "/once/x"); got.status != http.StatusOK {
+			t.Errorf("request %d: %+v", n, got)
+		}
+	}
+}
+
+// Guards against the log of a request that does not show why its servers were left alone.
+func TestAttemptsShowWhatServersAnnounced(t *testing.T) {
+	core, logged := observer.New(zap.InfoLevel)
+	web, _ := newGatewayWith(t, 1, 1, func(c *net.TCPConn, r *http.Request, _ int) {
+		send(c, head(r, 503, "Content-Length: 0", headerNotRun+": 1", headerBackoff+": 3s", headerLeaving+": 1"))
+	}, func(o *gateway.Options) { o.Logs.All = zap.New(core) })
+	call(t, web, "HTTP/1.1", "GET", "/once/x")
+	lines := logged.FilterField(zap.Int("status", 503)).All()
+	if len(lines) != 1 {
+		t.Fatalf("%d lines", len(lines))
+	}
+	attempts, _ := lines[0].ContextMap()["attempts"].([]any)
+	if len(attempts) != 1 || !strings.HasSuffix(attempts[0].(string), "status 503 framed, server leaving, backoff 3s") {
+		t.Errorf("attempts %q", attempts)
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -76,13 +76,13 @@
 	a.record.setAnswer(answer)
 	info := a.g.Protocol.Answer(answer.StatusCode, answer.Header)
 	a.observe(sent, answer.StatusCode, info)
-	a.record.leaving = info.Leaving
+	a.record.leaving, a.record.backoff = info.Leaving, info.Backoff
 	switch {
 	case info.WrongServer:
 		a.g.Servers.Replaced(a.server.Incarnation())
 		return a.finish(notRun, "replaced", placement.Failed, errWrongServer)
 	case info.NotRun:
-		return a.finish(notRun, "refused", placement.Failed, fmt.Errorf("status %d", answer.StatusCode))
+		return a.finish(notRun, "refused", refusalOutcome(info), fmt.Errorf("status %d", answer.StatusCode))
 	}
 	a.mayHaveRun = true
 	if !info.Signed && answer.StatusCode < http.StatusMultipleChoices {
@@ -117,6 +117,15 @@
 	}
 }
 
+// refusalOutcome returns the placement outcome for a refusal. A server that says when it accepts
+// requests again has not failed.
+func refusalOutcome(info exchange.Answer) placement.Outcome {
+	if info.Backoff > 0 {
+		return placement.Refused
+	}
+	return placement.Failed
+}
+
 // outcomeForStatus returns the placement outcome for a response status.
 func outcomeForStatus(status int) placement.Outcome {
 	if status >= http.StatusInternalServerError {
--- a/gateway/attempt_record.go
+++ b/gateway/attempt_record.go
@@ -27,6 +27,8 @@
 	framed bool
 	// leaving reports that the response announced that the server is leaving.
 	leaving bool
+	// backoff is the time for which the response asks for no further requests; 0: none.
+	backoff time.Duration
 	// events is the number of events forwarded, and firstID and lastID are the ids of the
 	// first and the last of them.
 	events          int
@@ -83,6 +85,9 @@
 	if n.leaving {
 		b.WriteString(", server leaving")
 	}
+	if n.backoff > 0 {
+		b.WriteString(", backoff " + n.backoff.Round(time.Millisecond).String())
+	}
 	if n.events > 0 {
 		b.WriteString(", " + strconv.Itoa(n.events) + " events " + n.firstID + ".." + n.lastID)
 	}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -163,6 +163,9 @@
 		}
 		return nil // no server spent work on the request
 	case notRun:
+		if refusal := c.overloadRefusal(); refusal != nil {
+			return refusal.Wrap(cause)
+		}
 		if counts.sent+counts.refused >= c.route.Attempts+extraAfterRefusal {
 			return result.New(result.NotAccepted, "the servers are full").After(busyRetryAfter).Wrap(cause)
 		}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -39,6 +39,7 @@
 	headerLastEvent = "Last-Event"
 	headerLeaving   = "Leaving"
 	headerElsewhere = "Elsewhere"
+	headerBackoff   = "Backoff"
 )
 
 // testProtocol is the exchange.Protocol of these tests.
@@ -57,6 +58,7 @@
 func (testProtocol) Answer(_ int, h http.Header) exchange.Answer {
 	a := exchange.Answer{RequestID: h.Get(headerID), Signed: h.Get(headerSigned) != "", NotRun: h.Get(headerNotRun) != ""}
 	a.Leaving, a.WrongServer = h.Get(headerLeaving) != "", h.Get(headerElsewhere) != ""
+	a.Backoff, _ = time.ParseDuration(h.Get(headerBackoff)) // absent means none
 	if text := h.Get(headerLimit); text != "" {
 		a.Limit.PerSecond, a.Limit.Err = strconv.ParseFloat(text, 64)
 		a.Limit.Present = a.Limit.Err == nil
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -47,6 +47,9 @@
 
 // noServer returns the error for a request for which no server can be chosen.
 func (c *call) noServer(q placement.Query) *result.Error {
+	if refusal := c.overloadRefusal(); refusal != nil {
+		return refusal
+	}
 	q.Unrestricted = false
 	wait, limited := c.g.Servers.NextPermit(q)
 	if !limited {
--- a/placement/evacuated_test.go
+++ b/placement/evacuated_test.go
@@ -19,7 +19,7 @@
 	rng := rand.New(rand.NewPCG(1, 2))
 	held := placement.Incarnation{ID: "a1"}
 	servers.SetEvacuated([]string{"a", "unknown"})
-	if servers.MaySend(held) {
+	if servers.MaySend(noon, held) {
 		t.Error("MaySend allows a server of an evacuated domain that was picked before")
 	}
 	for affinity := range uint64(50) {
@@ -33,7 +33,7 @@
 		t.Errorf("picked %+v with all domains evacuated", s)
 	}
 	servers.SetEvacuated(nil)
-	if !servers.MaySend(held) {
+	if !servers.MaySend(noon, held) {
 		t.Error("MaySend refuses a server of a restored domain")
 	}
 }
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -16,6 +16,9 @@
 	Failed
 	// Unreachable: the server was unreachable.
 	Unreachable
+	// Refused: the server rejected the request and asked for a backoff, which alone decides when
+	// it is used again.
+	Refused
 )
 
 // Sent counts a request that is being sent to a server, and the prompt tokens
@@ -24,6 +27,7 @@
 	if s := f.lookup(in); s != nil {
 		s.inFlight++
 		s.pending += tokens
+		s.report.sent()
 		f.observe(s)
 	}
 }
@@ -44,6 +48,7 @@
 		return false
 	}
 	s.inFlight = max(s.inFlight-1, 0)
+	s.report.ended(outcome)
 	switch outcome {
 	case Answered:
 		s.consecutiveUnreachable = 0
@@ -55,6 +60,8 @@
 		s.consecutiveUnreachable++
 		s.failureRate += failureRateWeight * (1 - s.failureRate)
 		s.ejected = s.ejected || s.consecutiveUnreachable >= ejectAfterUnreachable
+	case Refused:
+		s.consecutiveUnreachable = 0
 	}
 	f.observe(s)
 	return s.ejected
--- a/placement/pick_test.go
+++ b/placement/pick_test.go
@@ -19,11 +19,11 @@
 		f := fleet(servers)
 		for n := range rapid.IntRange(0, 60).Draw(t, "events") {
 			in := incarnation(fmt.Sprintf("s%02d", rapid.IntRange(0, servers-1).Draw(t, "server")))
-			switch rapid.IntRange(0, 6).Draw(t, "event") {
+			switch rapid.IntRange(0, 8).Draw(t, "event") {
 			case 0:
 				f.Sent(in, int64(rapid.IntRange(0, 70000).Draw(t, "tokens")))
 			case 1:
-				f.RecordOutcome(in, placement.Outcome(rapid.IntRange(0, 3).Draw(t, "outcome")))
+				f.RecordOutcome(in, placement.Outcome(rapid.IntRange(0, 4).Draw(t, "outcome")))
 			case 2:
 				f.Leave(time.Time{}, in)
 			case 3:
@@ -34,10 +34,15 @@
 				f.Put(placement.Server{ID: in.ID, Service: "llm", Domain: "z0", Leaving: n%4 == 0})
 			case 6:
 				f.RecordEventInterval(in, time.Duration(1+n)*time.Millisecond)
+			case 7:
+				f.BackOff(noon, in, noon.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "backoff"))*time.Millisecond))
+			case 8:
+				f.RecordAccepted(in)
 			}
 		}
 		f.SetEvacuated(rapid.SampledFrom([][]string{nil, {"z1"}, {"z0", "z2"}}).Draw(t, "evacuated"))
 		q := placement.Query{Service: "llm", Affinity: rapid.Uint64Range(1, 50).Draw(t, "prefix"), Domain: "z1"}
+		q.Now = noon.Add(time.Duration(rapid.IntRange(0, 8000).Draw(t, "later")) * time.Millisecond)
 		got, ok := f.Pick(seeded(), q)
 		if ok != f.ScanFindsAny(q) {
 			t.Fatalf("Pick returned %v, the full scan the opposite", ok)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -86,6 +86,8 @@
 	ejected                bool
 	// registeredReady reports that the registration does not say that the server is leaving.
 	registeredReady bool
+	// report is what the process has announced; nil if nothing.
+	report *report
 	// coldUntil is the latest known end of the slow start.
 	coldUntil time.Time
 	// observed and measured are set while the state is in the list of that name in its group, and
@@ -93,8 +95,8 @@
 	observed, measured, removed bool
 }
 
-func (s *state) usable(tried map[Incarnation]bool) bool {
-	return !s.Leaving && !tried[s.Incarnation()]
+func (s *state) usable(q *Query) bool {
+	return !s.Leaving && !q.Tried[s.Incarnation()] && !s.report.backingOff(q.Now)
 }
 
 // Servers holds the state of one router for all backend servers. It is not safe
@@ -140,13 +142,12 @@
 // set back between its starts.
 func (f *Servers) Put(s Server) {
 	registeredReady := !s.Leaving
-	if r, ok := f.reports[s.Incarnation()]; ok {
-		s.Leaving = s.Leaving || r.leaving
-	}
+	r := f.reports[s.Incarnation()]
+	s.Leaving = s.Leaving || r != nil && r.leaving
 	old, ok := f.byID[s.ID]
 	if !ok || s.Started != old.Started {
 		f.Remove(s.ID)
-		next := &state{Server: s, hash: xxhash.Sum64String(s.ID), registeredReady: registeredReady}
+		next := &state{Server: s, hash: xxhash.Sum64String(s.ID), registeredReady: registeredReady, report: r}
 		f.byID[s.ID] = next
 		f.groupOf(s.Service).insert(next)
 		return
@@ -234,10 +235,11 @@
 }
 
 // MaySend reports whether a request may still be sent to a process that was picked for
-// it earlier: the process is registered, not leaving, and its failure domain is not evacuated.
-func (f *Servers) MaySend(in Incarnation) bool {
+// it earlier: the process is registered, not leaving, has not asked for a backoff since, and its
+// failure domain is not evacuated.
+func (f *Servers) MaySend(now time.Time, in Incarnation) bool {
 	s := f.lookup(in)
-	return s != nil && !s.Leaving && !f.evacuated[s.Domain]
+	return s != nil && !s.Leaving && !s.report.pausedAt(now) && !f.evacuated[s.Domain]
 }
 
 // IsEjected reports whether a process is ejected.
@@ -329,7 +331,7 @@
 	var up []*state
 	var sum float64
 	for _, s := range f.groupOf(q.Service).list {
-		if s.usable(q.Tried) && !s.ejected && !f.evacuated[s.Domain] && q.allows(s) {
+		if s.usable(&q) && !s.ejected && !f.evacuated[s.Domain] && q.allows(s) {
 			up = append(up, s)
 			sum += s.failureRate
 		}
@@ -421,10 +423,10 @@
 }
 
 // Count is the number of servers of a service by state.
-type Count struct{ Up, Ejected, Leaving, Evacuated int }
+type Count struct{ Up, Ejected, Leaving, Evacuated, BackingOff int }
 
 // Counts returns the number of servers by service and state.
-func (f *Servers) Counts() map[string]Count {
+func (f *Servers) Counts(now time.Time) map[string]Count {
 	counts := map[string]Count{}
 	for _, s := range f.byID {
 		c := counts[s.Service]
@@ -435,6 +437,8 @@
 			c.Evacuated++
 		case s.ejected:
 			c.Ejected++
+		case s.report.pausedAt(now):
+			c.BackingOff++
 		default:
 			c.Up++
 		}
--- a/placement/report.go
+++ b/placement/report.go
@@ -7,6 +7,7 @@
 	// leaving is set by Leave, and leavingSince is when.
 	leaving      bool
 	leavingSince time.Time
+	backoff      backoff
 	// registeredAt is when ExpireReports last found the process registered; zero before its
 	// first call.
 	registeredAt time.Time
@@ -18,6 +19,9 @@
 	if !ok {
 		r = &report{}
 		f.reports[in] = r
+		if s := f.lookup(in); s != nil {
+			s.report = r
+		}
 	}
 	return r
 }
@@ -41,11 +45,16 @@
 }
 
 // ExpireReports forgets the reports of processes that have not been registered for longer than
-// the given time.
+// the given time, and those of which nothing is in force any more.
 func (f *Servers) ExpireReports(now time.Time, after time.Duration) {
 	for in, r := range f.reports {
+		r.advance(now)
+		s := f.lookup(in)
 		switch {
-		case r.registeredAt.IsZero(), f.lookup(in) != nil:
+		case s != nil && !r.leaving && !r.hasBackoff():
+			s.report = nil
+			delete(f.reports, in)
+		case s != nil, r.registeredAt.IsZero():
 			r.registeredAt = now
 		case now.Sub(r.registeredAt) > after:
 			delete(f.reports, in)
--- a/placement/report_test.go
+++ b/placement/report_test.go
@@ -38,7 +38,7 @@
 			t.Fatalf("%s: the first announcement is the only one that changes something", name)
 		}
 		events(f)
-		if _, ok := f.Pick(seeded(), placement.Query{Service: "llm"}); ok || f.MaySend(server.Incarnation()) {
+		if _, ok := f.Pick(seeded(), placement.Query{Service: "llm"}); ok || f.MaySend(noon, server.Incarnation()) {
 			t.Errorf("%s: the server gets requests", name)
 		}
 	}
@@ -66,7 +66,7 @@
 	f.Remove("s01")
 	f.ExpireReports(noon.Add(time.Hour), time.Minute)
 	f.Put(placement.Server{ID: "s01", Service: "llm"})
-	if f.MaySend(incarnation("s00")) || !f.MaySend(incarnation("s01")) {
+	if f.MaySend(noon, incarnation("s00")) || !f.MaySend(noon, incarnation("s01")) {
 		t.Error("want the registered process to stay marked, and the other one to be forgotten after an hour")
 	}
 }
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -128,5 +128,6 @@
 		sendGauge(serversDesc, int64(n.Ejected), service, "ejected")
 		sendGauge(serversDesc, int64(n.Leaving), service, "leaving")
 		sendGauge(serversDesc, int64(n.Evacuated), service, "evacuated")
+		sendGauge(serversDesc, int64(n.BackingOff), service, "backing_off")
 	}
 }
