Soak: servers that announce their leaving, and backoffs, in answers alone

Two faults and two guarantees: a router sends nothing to a server whose answer it passed on and that announced its leaving (in touch with the store or not), and at most two requests between half a second after a refusal with Retry-After and the end of that time. Paused, restarted and cut-off components are excused; each excuse and each breach is a case of TestOracle.

--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -198,7 +198,7 @@
 	case ConfigChanged:
 		f.counters.countFault(s.Fault)
 		return f.configure(true)
-	case ServerLeaves, ServerCrashes, ServerRefuses, ServerLimits:
+	case ServerLeaves, ServerCrashes, ServerRefuses, ServerLimits, ServerAnnounces, ServerBacksOff:
 		return f.applyServerFault(s)
 	}
 	f.counters.countFault(s.Fault)
@@ -261,8 +261,12 @@
 		done, err = p.leave(DefaultBounds().Leaving + leaveMargin)
 	case ServerCrashes:
 		done, err = p.crash(s.Duration)
+	case ServerAnnounces:
+		done, err = p.announceLeaving(DefaultBounds().Leaving + leaveMargin)
 	case ServerRefuses:
 		p.refuseFor(s.Duration)
+	case ServerBacksOff:
+		done = p.backOffFor(s.Duration)
 	case ServerLimits:
 		done = p.nameLimitFor(s.Duration)
 	}
--- a/lab/soak/oracle.go
+++ b/lab/soak/oracle.go
@@ -29,6 +29,8 @@
 	PoisonHeldBack        Guarantee = "a request that ends servers is held back after the third"
 	OnlyPoisonHeldBack    Guarantee = "no other request is"
 	RateLimitKept         Guarantee = "a server does not get more than the rate limit that it names"
+	AnnouncedLeaveKept    Guarantee = "a router sends nothing to a server whose answer announced that it leaves"
+	BackoffKept           Guarantee = "a router sends nothing to a server that asked it for a backoff"
 )
 
 // Violation is one violated guarantee.
@@ -137,6 +139,9 @@
 	runs     []serverRun
 	arrivals int // includes arrivals that did not run
 	answer   *Answer
+	// leavingServer is the server that the request reached last, if its answer announced that it
+	// is leaving.
+	leavingServer string
 }
 
 // Oracle checks the guarantees during a run. It is safe for concurrent use.
@@ -160,6 +165,10 @@
 	checked     map[Guarantee]int
 	poison      map[string]*poisonRecord  // by request body
 	rateLimited map[string]*limitedServer // by server id
+	// announced holds when a router first passed on an answer that announced the leaving of its
+	// server, and backoffs the backoffs that servers have asked a router for.
+	announced map[routerServer]time.Time
+	backoffs  map[routerServer][]*askedBackoff
 }
 
 // NewOracle returns an oracle for a run that starts at start.
@@ -170,6 +179,7 @@
 		leaving: map[string]time.Time{}, acked: map[int64]time.Time{}, sightings: map[Process][]sighting{},
 		checked: map[Guarantee]int{}, poison: map[string]*poisonRecord{},
 		rateLimited: map[string]*limitedServer{},
+		announced:   map[routerServer]time.Time{}, backoffs: map[routerServer][]*askedBackoff{},
 	}
 }
 
@@ -236,8 +246,11 @@
 	}
 	o.checkLeaving(b, server, slot, at)
 	o.checkLimit(b, server, slot, at)
+	o.checkAnnounced(b, server, at)
+	o.checkBackoff(b, server, at)
 	o.checkPoison(b, at)
 	b.arrivals++
+	b.leavingServer = ""
 	return b.Request, b.arrivals - 1, true
 }
 
@@ -334,6 +347,7 @@
 	case a.Status == http.StatusUnauthorized || a.Status == http.StatusNotFound:
 		o.checkRefused(b, a.At)
 	}
+	o.recordAnnounced(b)
 	if a.Claim == Complete && (a.Signed || a.Status < http.StatusMultipleChoices) {
 		o.checkIntact(b)
 	}
--- a/lab/soak/oracle_test.go
+++ b/lab/soak/oracle_test.go
@@ -53,6 +53,42 @@
 	s.Answered(r.ID, Answer{At: s.now, Status: status, Claim: Complete, ID: r.ID})
 }
 
+// announces runs a request with an answer that announces the leaving of its server. The answer
+// reaches the caller or is lost.
+func (s *oracleScenario) announces(r Request, e Ending, reaches bool) {
+	a := s.runs(r, e)
+	s.AnnouncedLeaving(r.ID, "s0")
+	if reaches {
+		s.gets(r, Complete, a.Body())
+		return
+	}
+	s.Answered(r.ID, Answer{At: s.now, Status: 502, Claim: Complete, ID: r.ID})
+}
+
+// asksBackoff refuses a request with a backoff of two seconds.
+func (s *oracleScenario) asksBackoff() Request {
+	r := s.sends(func(r *Request) { plain(r); r.ID = "refused" })
+	s.Arrived(r.ID, "s0", 0, s.now)
+	s.AskedBackoff(r.ID, "s0", 0, 2*time.Second, s.now)
+	return r
+}
+
+// sendsInBackoff sends requests to a server at a time after it asked for two seconds without.
+func (s *oracleScenario) sendsInBackoff(requests int, after time.Duration) {
+	s.getsStatus(s.asksBackoff(), 503)
+	s.advance(after)
+	for range requests {
+		s.runs(s.sends(plain), EndsByLength)
+	}
+}
+
+// arrivesThrice sends three requests.
+func (s *oracleScenario) arrivesThrice() {
+	for range 3 {
+		s.runs(s.sends(plain), EndsByLength)
+	}
+}
+
 func plain(r *Request) { r.Events, r.EventTokens, r.TokensIn = 0, 0, 0 }
 
 func stream(r Request, from, to int) string { return strings.Join(pieces(r.ID, from, to), "") }
@@ -269,6 +305,47 @@
 			s.runs(r, EndsByLength)
 			s.Answered(r.ID, Answer{At: s.now, Canceled: true})
 		}, ""},
+		{"a request soon after an announcement of leaving", func(s *oracleScenario) {
+			s.announces(s.sends(plain), EndsByLength, true)
+			s.advance(3 * time.Second)
+			s.runs(s.sends(plain), EndsByLength)
+		}, ""},
+		{"a request long after one, while the store is down", func(s *oracleScenario) {
+			s.announces(s.sends(plain), EndsByLength, true)
+			s.BeginDisruption(StoreComponent, s.now)
+			s.advance(4 * time.Second)
+			s.runs(s.sends(plain), EndsByLength)
+		}, AnnouncedLeaveKept},
+		{"the same from the router's next process", func(s *oracleScenario) {
+			s.announces(s.sends(plain), EndsByLength, true)
+			s.advance(4 * time.Second)
+			s.runs(s.sends(func(r *Request) { plain(r); r.Process.Incarnation = 1 }), EndsByLength)
+		}, ""},
+		{"the same after a pause of the router", func(s *oracleScenario) {
+			s.announces(s.sends(plain), EndsByLength, true)
+			s.advance(4 * time.Second)
+			s.AddDisruption(RouterProcess(0), s.now, s.now)
+			s.runs(s.sends(plain), EndsByLength)
+		}, ""},
+		{"an announcement that the router may not have read", func(s *oracleScenario) {
+			s.announces(s.sends(plain), ResetAtOnce, false)
+			s.advance(4 * time.Second)
+			s.runs(s.sends(plain), EndsByLength)
+		}, ""},
+		{"two requests during a backoff", func(s *oracleScenario) { s.sendsInBackoff(2, time.Second) }, ""},
+		{"three requests during a backoff", func(s *oracleScenario) { s.sendsInBackoff(3, time.Second) }, BackoffKept},
+		{"three requests at its beginning", func(s *oracleScenario) { s.sendsInBackoff(3, 400*time.Millisecond) }, ""},
+		{"three requests after it", func(s *oracleScenario) { s.sendsInBackoff(3, 2*time.Second) }, ""},
+		{"three requests while the server is cut off", func(s *oracleScenario) {
+			s.BeginDisruption(ServerAtSlot(0), s.now)
+			s.sendsInBackoff(3, time.Second)
+		}, ""},
+		{"three requests after a refusal whose caller left", func(s *oracleScenario) {
+			r := s.asksBackoff()
+			s.Answered(r.ID, Answer{At: s.now, Canceled: true})
+			s.advance(time.Second)
+			s.arrivesThrice()
+		}, ""},
 		{"a process that ends by itself", func(s *oracleScenario) { s.Ended(Process{}, s.now, "exit status 2") }, NoUnexpectedExit},
 	}
 	for _, c := range cases {
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -42,6 +42,8 @@
 	ServerCrashes     Fault = "server crashes"
 	ServerRefuses     Fault = "server refuses"
 	ServerLimits      Fault = "server names a rate limit"
+	ServerAnnounces   Fault = "server announces its leaving in answers alone"
+	ServerBacksOff    Fault = "server asks for backoffs"
 )
 
 // targetKind is the kind of component that a fault affects.
@@ -84,10 +86,12 @@
 	ServerCrashes:     {serverTarget, 100 * time.Millisecond, 2 * time.Second},
 	ServerRefuses:     {serverTarget, 200 * time.Millisecond, 2 * time.Second},
 	ServerLimits:      {serverTarget, 8 * time.Second, 15 * time.Second},
+	ServerAnnounces:   {serverTarget, 0, 0},
+	ServerBacksOff:    {serverTarget, 500 * time.Millisecond, 4 * time.Second},
 }
 
 // plannedChanges are drawn in addition to the faults of an epoch; each epoch gets half of them.
-var plannedChanges = []Fault{ConfigChanged, ServerLeaves, RouterStopped, RouterReloads, ServerLimits, ServerLimits}
+var plannedChanges = []Fault{ConfigChanged, ServerLeaves, RouterStopped, RouterReloads, ServerLimits, ServerLimits, ServerAnnounces, ServerBacksOff, ServerBacksOff}
 
 // Step is one fault and when it occurs.
 type Step struct {
--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -26,6 +26,10 @@
 	scripted    *standin.Scripted
 	leaving     bool
 	refusing    int
+	// announcing is set while the server announces in its answers that it is leaving, and backoff
+	// is the time for which it asks for no requests in its refusals; 0 means that it does not.
+	announcing bool
+	backoff    time.Duration
 	// rateLimit is the rate limit that the server names, in requests per second; 0 means none.
 	rateLimit float64
 }
@@ -49,7 +53,7 @@
 	if err != nil {
 		return err
 	}
-	p.id, p.scripted, p.leaving, p.rateLimit = id, scripted, false, 0
+	p.id, p.scripted, p.leaving, p.rateLimit, p.announcing = id, scripted, false, 0, false
 	p.proxy.Retarget(scripted.Addr())
 	return p.store.Register(id, p.proxy.Addr(), false)
 }
@@ -71,9 +75,18 @@
 		return silentAnswer()
 	}
 	a, e := DrawAnswer(p.seed, r, before, request)
-	if p.isRefusing() {
+	backoff := p.askedBackoff()
+	if p.isRefusing() || backoff > 0 {
 		a, e = refusalAnswer(r.RequestID), Refusal
 	}
+	if backoff > 0 {
+		a.Fields = append(a.Fields, standin.RetryAfter(backoff))
+		p.oracle.AskedBackoff(r.RequestID, id, p.number, backoff, now)
+	}
+	if p.isAnnouncing() {
+		a.Fields = append(a.Fields, standin.Leaving())
+		p.oracle.AnnouncedLeaving(r.RequestID, id)
+	}
 	if limit := p.namedRateLimit(); limit > 0 {
 		a.Fields = append(a.Fields, standin.Limit(limit))
 	}
@@ -146,6 +159,62 @@
 	p.refusing += n
 }
 
+// backOffFor makes the server refuse requests for the given time and ask in each refusal for none
+// for one to three seconds. It returns false if the server already does.
+func (p *serverSlot) backOffFor(duration time.Duration) bool {
+	asked := time.Second + duration%(2*time.Second)
+	if !p.setBackoff(asked) {
+		return false
+	}
+	time.Sleep(duration)
+	p.setBackoff(0)
+	return true
+}
+
+// setBackoff sets the time for which the server asks for no requests; 0 ends that. It returns false
+// if the server already asks for one.
+func (p *serverSlot) setBackoff(asked time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if asked > 0 && p.backoff > 0 {
+		return false
+	}
+	p.backoff = asked
+	return true
+}
+
+func (p *serverSlot) askedBackoff() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.backoff
+}
+
+// announceLeaving makes the server announce in its answers that it is leaving, while its
+// registration says that it is ready, keeps it serving for the given time and then replaces it. It
+// returns false if a shutdown was already in progress.
+func (p *serverSlot) announceLeaving(serveFor time.Duration) (bool, error) {
+	id, ok := p.beginShutdown()
+	if !ok {
+		return false, nil
+	}
+	p.beginAnnouncing()
+	time.Sleep(serveFor)
+	p.oracle.AddDisruption(ServerAtSlot(p.number), time.Now(), time.Now())
+	return true, p.replace(id)
+}
+
+func (p *serverSlot) beginAnnouncing() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.announcing = true
+}
+
+func (p *serverSlot) isAnnouncing() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.announcing
+}
+
 // beginShutdown marks the server as shutting down. ok is false if a shutdown was already in
 // progress.
 func (p *serverSlot) beginShutdown() (id string, ok bool) {
