Gateway: log each unknown header of servers' responses once

Cause of both incidents: a response announced something that no code read, and nothing said so. Now the first response with a header that neither the platform package reads nor HTTP defines gives one line with name, value and server; 32 names at most, since a server may make up a new one each time.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -90,6 +90,9 @@
 	Dispatch(h http.Header, d Dispatch)
 	// Answer parses a backend server's response headers.
 	Answer(status int, h http.Header) Answer
+	// Unknown returns the names of response headers that are neither parsed by Answer nor
+	// standard. A deployment may have given them a meaning that the router does not implement.
+	Unknown(h http.Header) []string
 	// Refusal sets the headers of a response that the router generates itself.
 	Refusal(h http.Header, id string)
 }
--- a/gateway/announce.go
+++ b/gateway/announce.go
@@ -16,10 +16,11 @@
 const malformedLogInterval = time.Second
 
 // observe applies what a response announces about the state of its server.
-func (a *attempt) observe(sent time.Time, status int, info exchange.Answer) {
+func (a *attempt) observe(sent time.Time, status int, h http.Header, info exchange.Answer) {
 	if !fromServer(status, info) {
 		return
 	}
+	a.g.logUnknown(a.server.ID, h)
 	a.observeLimit(sent, info)
 	if info.Leaving {
 		a.g.Servers.AnnouncedLeaving(a.server.Incarnation())
--- a/gateway/announce_test.go
+++ b/gateway/announce_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -149,3 +150,25 @@
 		t.Errorf("attempts %q", attempts)
 	}
 }
+
+// Guards against announcements in headers that no code reads, forwarded without a line, and against
+// a line for each response or each name that a server makes up.
+func TestUnknownHeadersAreLoggedOnce(t *testing.T) {
+	core, logged := observer.New(zap.InfoLevel)
+	web, _ := newGatewayWith(t, 1, 1, func(c *net.TCPConn, r *http.Request, n int) {
+		send(c, head(r, 200, "Content-Length: 2", closeField, "New-Header: 1", fmt.Sprintf("New-%d: 1", n)), "ok")
+	}, func(o *gateway.Options) { o.Logs.All = zap.New(core) })
+	for range 50 {
+		if got := call(t, web, "HTTP/1.1", "GET", "/safe/x"); got.header.Get("New-Header") != "1" {
+			t.Fatalf("%+v", got)
+		}
+	}
+	lines := logged.FilterMessageSnippet("unknown header").All()
+	names := map[any]int{}
+	for _, l := range lines {
+		names[l.ContextMap()["header"]]++
+	}
+	if names["New-Header"] != 1 || len(names) != len(lines) || len(lines) > 40 || lines[len(lines)-1].ContextMap()["further_ones_not_logged"] != true {
+		t.Errorf("%d lines: %v", len(lines), names)
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -75,7 +75,7 @@
 	defer answer.Close()
 	a.record.setAnswer(answer)
 	info := a.g.Protocol.Answer(answer.StatusCode, answer.Header)
-	a.observe(sent, answer.StatusCode, info)
+	a.observe(sent, answer.StatusCode, answer.Header, info)
 	a.record.leaving, a.record.backoff = info.Leaving, info.Backoff
 	switch {
 	case info.WrongServer:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,6 +87,7 @@
 	unreadableLimits logs.RateLimit
 	// malformed does so for the lines about other announcements of servers.
 	malformed logs.RateLimit
+	unknown   unknownHeaders
 }
 
 // New returns a gateway with the given options.
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -66,6 +66,15 @@
 	return a
 }
 
+func (testProtocol) Unknown(h http.Header) (names []string) {
+	for name := range h {
+		if strings.HasPrefix(name, "New-") {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 func (testProtocol) Refusal(h http.Header, id string) { h.Set(headerID, id) }
 
 // script answers one request on a server's connection. n counts the requests of one gateway
--- a/gateway/unobserved_test.go
+++ b/gateway/unobserved_test.go
@@ -30,6 +30,7 @@
 func (unsigned) Dispatch(http.Header, exchange.Dispatch)     {}
 func (unsigned) Answer(_ int, _ http.Header) exchange.Answer { return exchange.Answer{} }
 func (unsigned) Refusal(http.Header, string)                 {}
+func (unsigned) Unknown(http.Header) []string                { return nil }
 
 // A server whose response is rejected for its missing signature has run the request and may
 // generate all of it. Both the charge and the reservation of the next attempt must include
