Placement: a window after a backoff, so that an overload ends with its load

One rejection costs a router a server for 2 s, so the next moment in which all servers are full closes all of them again.

When a refused caller returns is decided in package retry.

--- a/controller/registry/backoff.go
+++ b/controller/registry/backoff.go
@@ -7,6 +7,7 @@
 
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/placement"
+	"github.com/gaplink/gaplink/retry"
 )
 
 const (
@@ -50,7 +51,15 @@
 func (c *Controller) RecordAccepted(in placement.Incarnation) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.servers.RecordAccepted(in)
+	c.servers.RecordAccepted(clock.Now(), in)
+}
+
+// ReturnAfter returns when a caller should come back that was refused because no server takes
+// requests for the given time, as retry.ReturnAfter does.
+func (c *Controller) ReturnAfter(wait time.Duration, priority int) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return retry.ReturnAfter(c.rng, wait, priority)
 }
 
 // BackoffWait returns how long all servers that could run a request will be backing off. It
--- a/gateway/backoff.go
+++ b/gateway/backoff.go
@@ -1,35 +1,24 @@
 package gateway
 
 import (
-	"math/rand/v2"
-	"time"
-
 	"github.com/gaplink/gaplink/result"
 )
 
-const (
-	// Callers that are refused because all servers are backing off are told to come back at the
-	// end of the first backoff, and from then on in steps of returnStep by priority, the most
-	// urgent first, spread over a step. Priorities beyond maxReturnSteps share the last step.
-	returnStep     = 250 * time.Millisecond
-	maxReturnSteps = 3
-)
-
-// overloadRefusal returns an error if all servers that could run the request have asked for a
-// backoff, or nil.
+// overloadRefusal returns an error if all servers that could run the request are backing off, or
+// nil.
 func (c *call) overloadRefusal() *result.Error {
 	wait, backingOff := c.g.Servers.BackoffWait(c.query(nil))
 	if !backingOff {
 		return nil
 	}
-	return result.New(result.ServersOverloaded, "all servers of %s asked for a backoff", c.service.Name).After(wait + c.returnDelay())
+	after := c.g.Servers.ReturnAfter(wait, c.urgency())
+	return result.New(result.ServersOverloaded, "all servers of %s asked for a backoff", c.service.Name).After(after)
 }
 
-// returnDelay returns how much later than the first possible time a refused caller should return.
-func (c *call) returnDelay() time.Duration {
-	step := c.route.Priority
-	if c.account != nil {
-		step += c.account.Priority
+// urgency returns the priority of the request with that of its account; 0 is the most urgent.
+func (c *call) urgency() int {
+	if c.account == nil {
+		return c.route.Priority
 	}
-	return time.Duration(min(max(step, 0), maxReturnSteps))*returnStep + rand.N(returnStep)
+	return c.route.Priority + c.account.Priority
 }
--- a/placement/group.go
+++ b/placement/group.go
@@ -113,7 +113,7 @@
 		kept = append(kept, s)
 		switch {
 		case !allows(s.Domain):
-		case s.Leaving || s.ejected || s.report.backingOff(q.Now):
+		case s.Leaving || s.ejected || s.backingOff(q.Now):
 			l.up--
 		default:
 			l.inFlight += s.inFlight
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -27,7 +27,6 @@
 	if s := f.lookup(in); s != nil {
 		s.inFlight++
 		s.pending += tokens
-		s.report.sent()
 		f.observe(s)
 	}
 }
@@ -48,7 +47,6 @@
 		return false
 	}
 	s.inFlight = max(s.inFlight-1, 0)
-	s.report.ended(outcome)
 	switch outcome {
 	case Answered:
 		s.consecutiveUnreachable = 0
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -96,7 +96,7 @@
 }
 
 func (s *state) usable(q *Query) bool {
-	return !s.Leaving && !q.Tried[s.Incarnation()] && !s.report.backingOff(q.Now)
+	return !s.Leaving && !q.Tried[s.Incarnation()] && !s.backingOff(q.Now)
 }
 
 // Servers holds the state of one router for all backend servers. It is not safe
