Registry: log each unknown field of server registrations once

One registration a second is looked at, since thousands register at once with the same fields; 32 names at most, as for headers (logs.Names, which both use now).

--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -81,6 +81,8 @@
 	evacuated []string
 	lines     lineLimiter
 	departing departing
+	// unknownFields finds fields of registrations that the decoder does not know.
+	unknownFields unknownFields
 	// backoffLines limits the log lines about servers that ask for a backoff.
 	backoffLines logs.RateLimit
 }
@@ -307,6 +309,7 @@
 		}
 		return
 	}
+	c.unknownFields.check(c.log, clock.Now(), o.Object)
 	c.logRegistered(s, o.Version)
 	c.servers.Put(s)
 	if renewed && c.recordCold(s, next.receivedAt) && had && next.sameState(known) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,7 +87,8 @@
 	unreadableLimits logs.RateLimit
 	// malformed does so for the lines about other announcements of servers.
 	malformed logs.RateLimit
-	unknown   unknownHeaders
+	// unknown holds the unknown response headers that were logged.
+	unknown logs.Names
 }
 
 // New returns a gateway with the given options.
--- a/server/server.go
+++ b/server/server.go
@@ -115,6 +115,9 @@
 	ConfigKind, ConfigKey, ServerKind, EvacuationKind string
 	DecodeConfig                                      configs.Decode
 	DecodeServer                                      registry.Decode
+	// UnknownServerFields returns the fields of a server's registration that DecodeServer does not
+	// know.
+	UnknownServerFields func(value []byte) []string
 }
 
 // Server is one router process. Create it with New.
