Server: reloaded settings no longer race with requests

The settings of the start no longer change; what a reload affects reads the last ones through an atomic pointer. Bounds follow a reload as before.

--- a/server/bounds.go
+++ b/server/bounds.go
@@ -17,7 +17,7 @@
 
 // updateInterval returns how often this router requests updates from a relay, by the shortest bound.
 func (s *Server) updateInterval() time.Duration {
-	limits := s.settings.Bounds
+	limits := s.current().Bounds
 	within := min(limits.Apply.Std(), limits.Leave.Std())
 	if evacuate := limits.Evacuate.Std(); evacuate > 0 {
 		within = min(within, evacuate)
@@ -38,7 +38,7 @@
 			return p.StaleAfter()
 		}
 	}
-	limits := s.settings.Bounds
+	limits := s.current().Bounds
 	return peer.Ages{Config: age(limits.Apply), Servers: age(limits.Leave), Evacuated: age(limits.Evacuate)}
 }
 
--- a/server/reload.go
+++ b/server/reload.go
@@ -17,9 +17,9 @@
 	}
 	s.reloading.Lock()
 	defer s.reloading.Unlock()
-	if reflect.DeepEqual(next, s.settings) {
+	if reflect.DeepEqual(next, s.current()) {
 		return
 	}
-	s.settings = next
+	s.latest.Store(&next)
 	s.log.Info("settings reloaded", zap.Strings("seeds", next.Fleet.Seeds), zap.Duration("hold_ms", next.Budgets.Hold.Std()))
 }
--- a/server/server.go
+++ b/server/server.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -122,7 +123,10 @@
 
 // Server is one router process. Create it with New.
 type Server struct {
+	// settings are those that the process started with, and latest those that were loaded last.
+	// Code that a reload affects reads current.
 	settings    settings.Gateway
+	latest      atomic.Pointer[settings.Gateway]
 	platform    Platform
 	logs        logs.Loggers
 	log         *zap.Logger
@@ -173,6 +177,7 @@
 	cancel   context.CancelFunc
 	stopping chan struct{}
 
+	// reloading serializes reloads.
 	reloading sync.Mutex
 }
 
@@ -195,6 +200,7 @@
 		stopping:    make(chan struct{}),
 		startedAt:   clock.Now(),
 	}
+	srv.latest.Store(&s)
 	srv.provision()
 	return srv, nil
 }
@@ -228,11 +234,7 @@
 func (s *Server) seeds() []string { return s.current().Fleet.Seeds }
 
 // current returns the settings as last loaded.
-func (s *Server) current() settings.Gateway {
-	s.reloading.Lock()
-	defer s.reloading.Unlock()
-	return s.settings
-}
+func (s *Server) current() settings.Gateway { return *s.latest.Load() }
 
 // lastStoreCallFailed reports whether the store left this router's last call unanswered.
 func (s *Server) lastStoreCallFailed() bool {
--- a/server/stale.go
+++ b/server/stale.go
@@ -11,10 +11,11 @@
 // evacuations older than the operator's bounds while another router or the store may have newer
 // ones.
 func (s *Server) stale() bool {
+	limits := s.current().Bounds
 	bounds := peer.Ages{
-		Config:    s.settings.Bounds.Apply.Std(),
-		Servers:   s.settings.Bounds.Leave.Std(),
-		Evacuated: s.settings.Bounds.Evacuate.Std(),
+		Config:    limits.Apply.Std(),
+		Servers:   limits.Leave.Std(),
+		Evacuated: limits.Evacuate.Std(),
 	}
 	age, outdated := outdated(s.updates.Ages(), bounds, s.linkDelay())
 	if !outdated {
