--- a/logs/logs.go
+++ b/logs/logs.go
@@ -47,7 +47,7 @@
 	return len(line), nil
 }
 
-// Dropped returns the number of dropped lines and failed writes.
+// Dropped returns the number of lines that were dropped or whose write failed.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
 // flushTimeout bounds the wait for queued lines at process exit.
@@ -85,14 +85,16 @@
 	}
 }
 
-// write writes a line together with queued ones. An error cannot be logged, so it
-// counts as a dropped line.
-func (w *Writer) write(line []byte) {
-	for len(line) < batchBytes && len(w.lines) > 0 {
-		line = append(line, <-w.lines...)
+// write writes a line together with queued ones. An error cannot be logged, so all of them
+// count as dropped, although some may have been written.
+func (w *Writer) write(batch []byte) {
+	lines := int64(1)
+	for len(batch) < batchBytes && len(w.lines) > 0 {
+		batch = append(batch, <-w.lines...)
+		lines++
 	}
-	if _, err := w.out.Write(line); err != nil {
-		w.dropped.Add(1)
+	if _, err := w.out.Write(batch); err != nil {
+		w.dropped.Add(lines)
 	}
 }
 
