--- a/admin/admin.go
+++ b/admin/admin.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"go.uber.org/zap"
 
 	"github.com/gaplink/gaplink/controller/budgets"
 	"github.com/gaplink/gaplink/controller/members"
@@ -41,6 +42,7 @@
 	budgets  *budgets.Controller
 	verdicts *verdicts.Controller
 	peers    *peer.Client
+	log      *zap.Logger
 	commands map[string]command
 }
 
@@ -49,8 +51,8 @@
 
 // New returns a server that accepts the operator key with the hash keyHash. pages and shards are
 // the numbers of budget pages and ledger shards.
-func New(keyHash string, pages, shards int, s store.Store, m *members.Controller, t *tables.Controller, b *budgets.Controller, v *verdicts.Controller, p *peer.Client) *Server {
-	srv := &Server{keyHash: keyHash, pages: pages, shards: shards, store: s, members: m, tables: t, budgets: b, verdicts: v, peers: p}
+func New(keyHash string, pages, shards int, s store.Store, m *members.Controller, t *tables.Controller, b *budgets.Controller, v *verdicts.Controller, p *peer.Client, log *zap.Logger) *Server {
+	srv := &Server{keyHash: keyHash, pages: pages, shards: shards, store: s, members: m, tables: t, budgets: b, verdicts: v, peers: p, log: log}
 	srv.commands = map[string]command{
 		AccountCreate: withArgs(srv.accountCreate),
 		AccountKey:    withArgs(srv.accountKey),
@@ -270,8 +272,8 @@
 
 const auditPrefix = "audit/"
 
-// writeAudit writes an audit entry for a command that is not in the configuration log. Errors
-// of the store are ignored.
+// writeAudit writes an audit entry for a command that is not in the configuration log. The command
+// has been decided by then, so an entry that cannot be written goes to the log.
 func (s *Server) writeAudit(ctx context.Context, operator, what string, args any, err error) {
 	text, _ := json.Marshal(args)
 	entry := AuditEntry{At: time.Now().UTC(), Operator: operator, What: what + " " + string(text), Outcome: "accepted"}
@@ -280,7 +282,10 @@
 	}
 	value, _ := json.Marshal(entry)
 	key := fmt.Sprintf("%s%d-%s", auditPrefix, entry.At.UnixNano(), uuid.NewString())
-	_, _ = s.store.Create(ctx, key, value)
+	if _, err := s.store.Create(ctx, key, value); err != nil {
+		s.log.Error("cannot write audit entry; it may be missing", zap.String("operator", operator), zap.String("command", entry.What),
+			zap.String("outcome", entry.Outcome), zap.Error(err))
+	}
 }
 
 // audit returns the entries of the configuration log and the other audit entries, oldest first.
--- a/router/router.go
+++ b/router/router.go
@@ -144,7 +144,7 @@
 		Store:   r.store,
 		Log:     r.log,
 	})
-	r.admin = admin.New(s.Operator.KeyHash, s.Budgets.Pages, s.Ledger.Shards, r.store, r.members, r.tables, r.budgets, r.verdicts, r.peers)
+	r.admin = admin.New(s.Operator.KeyHash, s.Budgets.Pages, s.Ledger.Shards, r.store, r.members, r.tables, r.budgets, r.verdicts, r.peers, r.log)
 	r.tables.OnChange(r.health.SetState)
 	r.tables.OnChange(func(st *table.State) { r.metrics.Revision.Set(float64(st.Revision)) })
 	r.members.OnList(r.health.SetList)
