Ledger: a late claim for another try raises the charge of its attempt

A router that accepted the claim in memory commits it late when the store is slow. The budget was charged for one try of two: 20 of 40 tokens, three of seven orders in TestLateClaimRaisesTheCharge. Now the worst case rises with the claim until the bill arrives, which is final as before. TestShardUnderFaults passes.

--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -293,3 +293,38 @@
 		}
 	}
 }
+
+// TestLateClaimRaisesTheCharge guards against charging too little for an attempt that was given
+// another try: the claim with the higher maximum arrives after the attempt's holder was fenced, or
+// after another attempt superseded it.
+func TestLateClaimRaisesTheCharge(t *testing.T) {
+	now := time.Unix(1000, 0)
+	claim := func(id string, attempt int, maxTokens int64) ledger.Op {
+		return ledger.Op{Kind: ledger.Claim, Request: "k/a/1", Claim: id, Holder: "h", Budget: "b", Attempt: attempt, MaxTokens: maxTokens}
+	}
+	fence := ledger.Op{Kind: ledger.Fence, Holder: "h"}
+	bill := ledger.Op{Kind: ledger.Bill, Request: "k/a/1", Claim: "c1", Holder: "h", Budget: "b", Attempt: 1, Tokens: 7}
+	for name, c := range map[string]struct {
+		order []ledger.Op
+		want  int64
+	}{
+		"claims before the fence":           {[]ledger.Op{claim("c1", 1, 20), claim("c1", 1, 40), fence}, 40},
+		"second claim after the fence":      {[]ledger.Op{claim("c1", 1, 20), fence, claim("c1", 1, 40)}, 40},
+		"both claims after the fence":       {[]ledger.Op{fence, claim("c1", 1, 20), claim("c1", 1, 40)}, 40},
+		"the higher one first":              {[]ledger.Op{fence, claim("c1", 1, 40), claim("c1", 1, 20)}, 40},
+		"superseded, then the second one":   {[]ledger.Op{claim("c1", 1, 20), claim("c2", 2, 20), claim("c1", 1, 40), fence}, 60},
+		"billed, then the second one":       {[]ledger.Op{claim("c1", 1, 20), bill, claim("c1", 1, 40), fence}, 7},
+		"raised after the fence and billed": {[]ledger.Op{claim("c1", 1, 20), fence, claim("c1", 1, 40), bill}, 7},
+	} {
+		cfg := ledger.DefaultConfig()
+		cfg.Owner = "w"
+		s := ledger.NewShard(cfg)
+		s.Submit(now, ledger.Op{Kind: ledger.Fence, Holder: "other"}, 1)
+		s.Loaded(now, []*ledger.Segment{{Batches: []ledger.Batch{{ID: "x", Ops: c.order}}}}, 1, ledger.Done)
+		for _, e := range s.Appended(now, 2, ledger.Done) {
+			if r, ok := e.(ledger.Reply); ok && r.Outcome.Totals["b"] != c.want {
+				t.Errorf("%s: charged %d tokens, want %d", name, r.Outcome.Totals["b"], c.want)
+			}
+		}
+	}
+}
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -83,8 +83,8 @@
 	r, _ := s.record(op)
 	r.lastUsed = now
 	outcome := Outcome{Decision: Run, Attempt: op.Attempt}
-	if _, settled := r.charges[op.Claim]; settled {
-		return outcome, false
+	if c, settled := r.charges[op.Claim]; settled {
+		return outcome, s.raise(r, op, c)
 	}
 	if r.Running && r.Claim == op.Claim {
 		return r.extend(op)
@@ -98,6 +98,16 @@
 	return outcome, true
 }
 
+// raise raises the worst case of a settled attempt without a bill to that of a claim which allowed it
+// another try, and reports whether it did.
+func (s *state) raise(r *Record, op Op, c charge) bool {
+	if c.final || op.MaxTokens <= c.tokens {
+		return false
+	}
+	s.charge(r, op.Claim, worstCase(c.holder, c.attempt, op.MaxTokens, c.maxPerTry))
+	return true
+}
+
 // extend answers a repeated claim. A claim with a higher worst case, which allows
 // another try, belongs in the log.
 func (r *Record) extend(op Op) (Outcome, bool) {
