Ledger: a claim says what one try costs at most

After a fence one try of two was cancelled at the engines, and the tokens of the other one were not billed. A claim of 0 tokens that is raised divided by zero. TestTriesOfAnUnbilledAttempt: 1 try for 2 in two of six orders before, and the division. Claims carry the maximum of one try now; logs without it are read as before; an attempt of which it is unknown stays charged at its worst case.

--- a/controller/reclaims/unbilled.go
+++ b/controller/reclaims/unbilled.go
@@ -43,8 +43,7 @@
 	if found == 0 {
 		return
 	}
-	tries := l.MaxTokens / l.MaxPerTry
-	served += (tries - found) * l.MaxPerTry
+	served += (l.Tries() - found) * l.MaxPerTry
 	op := ledger.Op{
 		Kind:    ledger.Bill,
 		Request: l.Request,
@@ -65,7 +64,7 @@
 // returns the sum of the tokens served. found is the number of tries that an engine
 // knew.
 func (c *Controller) cancelTries(ctx context.Context, l ledger.UnbilledAttempt) (tokens, found int64) {
-	for try := int64(1); try <= l.MaxTokens/l.MaxPerTry; try++ {
+	for try := int64(1); try <= l.Tries(); try++ {
 		id := l.Claim + "." + strconv.FormatInt(try, 10)
 		if n, ok := c.cancelTry(ctx, l.Target, id); ok {
 			tokens += n
--- a/filter/deduplicate/deduplicate.go
+++ b/filter/deduplicate/deduplicate.go
@@ -90,6 +90,7 @@
 		NotRepeatable: x.NotRepeatable,
 		Durable:       x.NotRepeatable,
 		MaxTokens:     x.MaxTokens,
+		PerTry:        x.MaxTokens,
 	}
 }
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -63,6 +63,9 @@
 	// MaxTokens is the maximum cost, in tokens, of all tries of the attempt so
 	// far. Repeating a claim with a higher value allows another try.
 	MaxTokens int64 `msgpack:"x,omitempty"`
+	// PerTry is the maximum cost of one try in tokens. 0 means that MaxTokens is that of one try, as
+	// in logs of releases without this field.
+	PerTry int64 `msgpack:"p,omitempty"`
 	// SupersededHolder names a holder that no longer runs the request.
 	SupersededHolder string `msgpack:"s,omitempty"`
 	// Durable requires that the claim is committed before it is answered.
@@ -131,6 +134,15 @@
 	MaxPerTry, MaxTokens int64
 }
 
+// Tries returns the number of tries that the attempt may have made, or 0 if it is unknown because
+// the cost of one try is.
+func (u UnbilledAttempt) Tries() int64 {
+	if u.MaxPerTry <= 0 {
+		return 0
+	}
+	return max(u.MaxTokens/u.MaxPerTry, 1)
+}
+
 // Record is the state of one request in a shard.
 type Record struct {
 	Account, Budget      string
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -328,3 +328,40 @@
 		}
 	}
 }
+
+// TestTriesOfAnUnbilledAttempt guards against tries that nobody cancels, and tokens that are not
+// billed, when the claim for a second try is the first that a shard sees; and against a division by
+// zero for an attempt whose first claim allowed no tokens.
+func TestTriesOfAnUnbilledAttempt(t *testing.T) {
+	now := time.Unix(1000, 0)
+	claim := func(maxTokens, perTry int64) ledger.Op {
+		return ledger.Op{Kind: ledger.Claim, Request: "r", Claim: "c1", Holder: "h", Budget: "b", Attempt: 1, MaxTokens: maxTokens, PerTry: perTry}
+	}
+	fence := ledger.Op{Kind: ledger.Fence, Holder: "h"}
+	for name, c := range map[string]struct {
+		order []ledger.Op
+		tries int64
+	}{
+		"one try":                         {[]ledger.Op{claim(20, 20)}, 1},
+		"two tries":                       {[]ledger.Op{claim(20, 20), claim(40, 20)}, 2},
+		"the second first":                {[]ledger.Op{claim(40, 20)}, 2},
+		"the second first, after a fence": {[]ledger.Op{fence, claim(40, 20)}, 2},
+		"without the cost of one":         {[]ledger.Op{claim(20, 0), claim(40, 0)}, 2},
+		"no tokens at first":              {[]ledger.Op{claim(0, 0), claim(40, 0)}, 0},
+	} {
+		cfg := ledger.DefaultConfig()
+		cfg.Owner = "w"
+		s := ledger.NewShard(cfg)
+		s.Submit(now, fence, 1)
+		s.Loaded(now, []*ledger.Segment{{Batches: []ledger.Batch{{ID: "x", Ops: c.order}}}}, 1, ledger.Done)
+		for _, e := range s.Appended(now, 2, ledger.Done) {
+			r, ok := e.(ledger.Reply)
+			if !ok {
+				continue
+			}
+			if len(r.Outcome.Unbilled) != 1 || r.Outcome.Unbilled[0].Tries() != c.tries {
+				t.Errorf("%s: unbilled %+v, want %d tries", name, r.Outcome.Unbilled, c.tries)
+			}
+		}
+	}
+}
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -92,7 +92,7 @@
 	if !s.fenced[op.Holder] {
 		return s.startAttempt(r, op, op.Attempt), true
 	}
-	s.charge(r, op.Claim, worstCase(op.Holder, op.Attempt, op.MaxTokens, op.MaxTokens))
+	s.charge(r, op.Claim, worstCase(op.Holder, op.Attempt, op.MaxTokens, op.perTry()))
 	r.Attempt = max(r.Attempt, op.Attempt)
 	r.OutcomeUnknown = r.NotRepeatable
 	return outcome, true
@@ -108,6 +108,14 @@
 	return true
 }
 
+// perTry returns the maximum cost of one try of a claim, in tokens.
+func (op Op) perTry() int64 {
+	if op.PerTry > 0 {
+		return op.PerTry
+	}
+	return op.MaxTokens
+}
+
 // extend answers a repeated claim. A claim with a higher worst case, which allows
 // another try, belongs in the log.
 func (r *Record) extend(op Op) (Outcome, bool) {
@@ -128,7 +136,7 @@
 	r.Claim = op.Claim
 	r.Holder = op.Holder
 	r.Instance = op.Instance
-	r.MaxPerTry = op.MaxTokens
+	r.MaxPerTry = op.perTry()
 	r.MaxTokens = op.MaxTokens
 	return Outcome{Decision: Run, Attempt: attempt}
 }
