--- a/controller/health/health.go
+++ b/controller/health/health.go
@@ -169,30 +169,6 @@
 	return slices.Sorted(maps.Keys(c.leaving))
 }
 
-// fetchPeers is the number of routers that a new router asks for leaving servers.
-const fetchPeers = 3
-
-// FetchLeaving asks a few other routers which servers are leaving, so that a router that has
-// just started does not send requests to them.
-func (c *Controller) FetchLeaving(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
-	defer cancel()
-	asked := 0
-	for _, other := range c.members.Members() {
-		if other.ID == c.members.Self().ID || asked == fetchPeers {
-			continue
-		}
-		resp, err := peer.Call[peer.Empty, peer.LeftAnswer](ctx, c.peers, other.Addr, peer.MethodLeft, &peer.Empty{})
-		if err != nil {
-			continue
-		}
-		asked++
-		for _, id := range resp.Servers {
-			c.MarkLeaving(id)
-		}
-	}
-}
-
 // MarkLeaving marks a server as leaving after a notice of another router.
 func (c *Controller) MarkLeaving(id string) { c.recordLeaving(id) }
 
