Ledgers: an unavailable shard no longer delays the bills of the others

A suspected fault (FINDINGS), reproduced: bills that are not known to be recorded are submitted again every half second, in the order of a map, and the first one that failed ended the round. With one of two shards unavailable 35 of the 43 bills of the other one were unrecorded after 4 s (72 of 80 in all), and their tokens could not be reclaimed. Shards are resubmitted side by side now: none after 4 s (TestUnavailableShardDelaysNoOtherBills). Within a shard a round still ends at its first failure.

--- a/controller/ledgers/submit.go
+++ b/controller/ledgers/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"go.uber.org/zap"
 
@@ -217,17 +218,32 @@
 	}
 }
 
-// resubmit submits again the bills that are not known to be committed.
+// resubmit submits again the bills that are not known to be committed. An unavailable shard does
+// not delay the bills of the others.
 func (c *Controller) resubmit() {
+	byShard := map[int]map[string]ledger.Op{}
 	c.mu.Lock()
-	bills := make(map[string]ledger.Op, len(c.bills))
 	for key, op := range c.bills {
-		bills[key] = op
+		n := ledger.ShardOf(op.Request, c.shardCount)
+		if byShard[n] == nil {
+			byShard[n] = map[string]ledger.Op{}
+		}
+		byShard[n][key] = op
 	}
 	c.mu.Unlock()
+	var shards sync.WaitGroup
+	for n, bills := range byShard {
+		shards.Go(func() { c.resubmitTo(n, bills) })
+	}
+	shards.Wait()
+}
+
+// resubmitTo submits bills of one shard until one is not recorded.
+func (c *Controller) resubmitTo(n int, bills map[string]ledger.Op) {
 	for key, op := range bills {
 		outcome, _, err := c.submit(context.Background(), op)
 		if err != nil || outcome.Decision != ledger.Recorded {
+			c.log.Debug("bills of a shard stay unrecorded for now", zap.Int("shard", n), zap.Int("bills", len(bills)), zap.String("decision", string(outcome.Decision)), zap.Error(err))
 			return
 		}
 		c.mu.Lock()
