--- a/filter/limit/limit.go
+++ b/filter/limit/limit.go
@@ -98,10 +98,13 @@
 	if limits.MaxInFlight > 0 && g.inFlight >= int(math.Ceil(float64(limits.MaxInFlight)/routers)) {
 		return result.New(result.TooManyInFlight, "%s has its limit of requests in flight", name).After(inFlightRetryAfter)
 	}
-	if err := consume(g.requests, 1, "requests", name); err != nil {
+	now := clock.Now()
+	undo, err := consume(now, g.requests, 1, "requests", name)
+	if err != nil {
 		return err
 	}
-	if err := consume(g.tokens, int(x.MaxTokens), "tokens", name); err != nil {
+	if _, err := consume(now, g.tokens, int(x.MaxTokens), "tokens", name); err != nil {
+		undo()
 		return err
 	}
 	g.inFlight++
@@ -134,19 +137,20 @@
 	}
 }
 
-// consume consumes n tokens of a limiter, or fails with the time to wait.
-func consume(l *rate.Limiter, n int, what, name string) error {
+// consume consumes n tokens of a limiter, or fails with the time to wait. The returned function
+// gives them back.
+func consume(now time.Time, l *rate.Limiter, n int, what, name string) (undo func(), err error) {
 	if l.Limit() == rate.Inf {
-		return nil
+		return func() {}, nil
 	}
-	now := clock.Now()
 	r := l.ReserveN(now, min(n, l.Burst()))
+	undo = func() { r.CancelAt(now) }
 	delay := r.DelayFrom(now)
 	if delay == 0 {
-		return nil
+		return undo, nil
 	}
-	r.CancelAt(now)
-	return result.New(result.RateLimited, "%s has its limit of %s a second", name, what).After(delay)
+	undo()
+	return nil, result.New(result.RateLimited, "%s has its limit of %s a second", name, what).After(delay)
 }
 
 func (h *handler) release(name string) {
