Gateway: refuse a request whose size cannot be read

Cause: a value that could not be parsed counted as 0, and two counts of up to 2^63-1 gave a negative sum, so that a negative number of tokens was reserved.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -27,6 +27,9 @@
 	// TokensIn is the size of the prompt, and MaxTokensOut the maximum number of generated
 	// tokens. Both are 0 for a request without a prompt.
 	TokensIn, MaxTokensOut int64
+	// BadTokens is why the sizes cannot be read although the request states them; nil if they could
+	// be, or if it states none. Such a request cannot be charged.
+	BadTokens error
 	// Prefix lists the parts of the prompt in order; the last one is specific to the request.
 	Prefix []Part
 }
--- a/gateway/steps.go
+++ b/gateway/steps.go
@@ -176,7 +176,13 @@
 
 // reserve reserves the maximum cost of the request from its account's budget.
 func (g *Gateway) reserve(c *call) *result.Error {
-	if c.account == nil || !c.account.HasBudget || c.MaxTokens() == 0 {
+	if c.account == nil || !c.account.HasBudget {
+		return nil
+	}
+	if c.BadTokens != nil {
+		return result.New(result.BadHeader, "the size of the request cannot be read").Wrap(c.BadTokens)
+	}
+	if c.MaxTokens() == 0 {
 		return nil
 	}
 	wait := max(c.route.LatencyObjective/reserveWaitDivisor, minReserveWait)
