--- a/controller/registry/overload_test.go
+++ b/controller/registry/overload_test.go
@@ -31,7 +31,7 @@
 	burstFrom, burstTo, overloadEnd = 2 * time.Second, 4 * time.Second, 14 * time.Second
 	burstLoad, usualLoad            = 2.0, 0.6
 	// maxOverloadAttempts is the number of servers that a request may be sent to.
-	maxOverloadAttempts = 2
+	maxOverloadAttempts = 3
 )
 
 // event is something that happens at a time of the simulation.
