--- a/controller/registry/departing_test.go
+++ b/controller/registry/departing_test.go
@@ -1,18 +1,13 @@
 package registry_test
 
 import (
-	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"go.uber.org/zap"
-	"go.uber.org/zap/zaptest/observer"
-
 	"github.com/gaplink/gaplink/controller/limits"
 	"github.com/gaplink/gaplink/controller/registry"
 	"github.com/gaplink/gaplink/placement"
-	"github.com/gaplink/gaplink/upstream"
 )
 
 // Guards against servers that get requests again although their responses announced that they are
@@ -57,8 +52,7 @@
 // is leaving, and against operators who are not told that its registration says otherwise.
 func TestContradictionOfResponseAndRegistrationIsLogged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		core, logged := observer.New(zap.InfoLevel)
-		c := registry.New(decode, upstream.New(upstream.Options{}), rand.New(rand.NewPCG(1, 1)), zap.New(core))
+		c, logged := newLogged()
 		go c.Run(t.Context())
 		c.Listed(registered(1, 1), newest)
 		c.AnnouncedLeaving(placement.Incarnation{ID: "s0"})
--- a/controller/registry/log_limit_test.go
+++ b/controller/registry/log_limit_test.go
@@ -2,18 +2,11 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
-	"go.uber.org/zap/zaptest/observer"
-
-	"github.com/gaplink/gaplink/controller/registry"
 	"github.com/gaplink/gaplink/store"
-	"github.com/gaplink/gaplink/upstream"
 )
 
 // Guards against a log that grows with the fleet: when thousands of servers register and
@@ -21,8 +14,7 @@
 func TestLogLinesAboutServersAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const servers, span = 5000, 20 * time.Second
-		core, lines := observer.New(zapcore.InfoLevel)
-		c := registry.New(decode, upstream.New(upstream.Options{}), rand.New(rand.NewPCG(1, 1)), zap.New(core))
+		c, lines := newLogged()
 		c.Listed(nil, 1)
 		revision := int64(1)
 		for n := range servers {
--- a/controller/registry/registry_test.go
+++ b/controller/registry/registry_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/gaplink/gaplink/controller/registry"
 	"github.com/gaplink/gaplink/placement"
@@ -40,6 +41,12 @@
 	})
 }
 
+// newLogged returns a registry and its log lines from level info on.
+func newLogged() (*registry.Controller, *observer.ObservedLogs) {
+	core, lines := observer.New(zap.InfoLevel)
+	return registry.New(decode, upstream.New(upstream.Options{}), rand.New(rand.NewPCG(1, 1)), zap.New(core)), lines
+}
+
 func count(c *registry.Controller) int { return c.Counts()["svc"].Up }
 
 // Guards against requests to a deregistered server: it is removed well before the time limit
--- a/controller/registry/unknown_fields_test.go
+++ b/controller/registry/unknown_fields_test.go
@@ -2,24 +2,18 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
-	"go.uber.org/zap/zaptest/observer"
-
-	"github.com/gaplink/gaplink/controller/registry"
-	"github.com/gaplink/gaplink/upstream"
 )
 
 // Guards against a line about an unknown field for each registration, and against many checks when
 // a large fleet of servers registers.
 func TestUnknownFieldsAreLoggedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		core, logged := observer.New(zap.InfoLevel)
-		c := registry.New(decode, upstream.New(upstream.Options{}), rand.New(rand.NewPCG(1, 1)), zap.New(core))
+		c, logged := newLogged()
 		checks := 0
 		c.SetUnknownFields(func([]byte) []string {
 			checks++
--- a/lab/soak/oracle_test.go
+++ b/lab/soak/oracle_test.go
@@ -77,14 +77,12 @@
 func (s *oracleScenario) sendsInBackoff(requests int, after time.Duration) {
 	s.getsStatus(s.asksBackoff(), 503)
 	s.advance(after)
-	for range requests {
-		s.runs(s.sends(plain), EndsByLength)
-	}
+	s.runsPlain(requests)
 }
 
-// arrivesThrice sends three requests.
-func (s *oracleScenario) arrivesThrice() {
-	for range 3 {
+// runsPlain sends and runs plain requests.
+func (s *oracleScenario) runsPlain(requests int) {
+	for range requests {
 		s.runs(s.sends(plain), EndsByLength)
 	}
 }
@@ -344,7 +342,7 @@
 			r := s.asksBackoff()
 			s.Answered(r.ID, Answer{At: s.now, Canceled: true})
 			s.advance(time.Second)
-			s.arrivesThrice()
+			s.runsPlain(3)
 		}, ""},
 		{"a process that ends by itself", func(s *oracleScenario) { s.Ended(Process{}, s.now, "exit status 2") }, NoUnexpectedExit},
 	}
