Load of servers: types for what routers share, and switches of the parts

Cause: the parts of docs/design/hard-load.md are built side by side and need their interfaces first. placement.ServerLoad is what a router announces of its own requests (OwnLoad) and receives of the others' (SetFleetLoad, with the age of the observation); nothing uses it for a choice yet. The settings get [load] with a switch for each part, all on by default.

--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -371,7 +371,21 @@
 func (c *Controller) RecordEventInterval(in placement.Incarnation, gap time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.servers.RecordEventInterval(in, gap)
+	c.servers.RecordEventInterval(clock.Now(), in, gap)
+}
+
+// OwnLoad returns the load that this router causes at servers.
+func (c *Controller) OwnLoad() []placement.ServerLoad {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.servers.OwnLoad(clock.Now())
+}
+
+// SetFleetLoad replaces the load that other routers cause at servers.
+func (c *Controller) SetFleetLoad(loads []placement.ServerLoad) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.servers.SetFleetLoad(loads)
 }
 
 // RecordOutcome records the outcome of a request to a server process.
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -38,7 +38,7 @@
 			servers := placement.New()
 			put(servers, n)
 			for i, s := range servers.All() {
-				servers.RecordEventInterval(s.Incarnation(), time.Duration(20+i%7)*time.Millisecond)
+				servers.RecordEventInterval(time.Unix(1000, 0), s.Incarnation(), time.Duration(20+i%7)*time.Millisecond)
 			}
 			rng := rand.New(rand.NewPCG(1, 2))
 			q := placement.Query{Service: "svc", Tokens: 6000, Domain: "z1"}
--- a/placement/interval.go
+++ b/placement/interval.go
@@ -32,12 +32,13 @@
 )
 
 // RecordEventInterval updates the event interval of a server with the time between two events of a
-// stream.
-func (f *Servers) RecordEventInterval(in Incarnation, gap time.Duration) {
+// stream, the second of which arrived now.
+func (f *Servers) RecordEventInterval(now time.Time, in Incarnation, gap time.Duration) {
 	s := f.lookup(in)
 	if s == nil || gap <= 0 {
 		return
 	}
+	s.intervals.add(now, gap)
 	if s.eventInterval == 0 {
 		s.eventInterval = gap.Seconds()
 		f.groupOf(s.Service).addMeasured(s)
--- a/placement/interval_test.go
+++ b/placement/interval_test.go
@@ -27,10 +27,10 @@
 func stream(f *placement.Servers, id string, gap time.Duration) {
 	for event := range 60 {
 		if event%5 == 4 {
-			f.RecordEventInterval(incarnation(id), gap+eventDelay)
+			f.RecordEventInterval(time.Unix(1000, 0), incarnation(id), gap+eventDelay)
 			continue
 		}
-		f.RecordEventInterval(incarnation(id), gap)
+		f.RecordEventInterval(time.Unix(1000, 0), incarnation(id), gap)
 	}
 }
 
--- a/placement/pick_test.go
+++ b/placement/pick_test.go
@@ -33,7 +33,7 @@
 			case 5:
 				f.Put(placement.Server{ID: in.ID, Service: "llm", Domain: "z0", Leaving: n%4 == 0})
 			case 6:
-				f.RecordEventInterval(in, time.Duration(1+n)*time.Millisecond)
+				f.RecordEventInterval(time.Unix(1000, 0), in, time.Duration(1+n)*time.Millisecond)
 			case 7:
 				f.BackOff(noon, in, noon.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "backoff"))*time.Millisecond))
 			case 8:
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -93,6 +93,10 @@
 	// observed and measured are set while the state is in the list of that name in its group, and
 	// removed when the process is no longer registered.
 	observed, measured, removed bool
+	// intervals are this router's recent event intervals, and others is the load that other routers
+	// cause; its At is zero if unknown.
+	intervals intervalWindow
+	others    ServerLoad
 }
 
 func (s *state) usable(q *Query) bool {
@@ -114,6 +118,8 @@
 	// reports hold what processes have announced themselves. A report outlives the registration,
 	// which may lapse and return while the process runs on.
 	reports map[Incarnation]*report
+	// loaded lists the servers whose load by other routers is set.
+	loaded []Incarnation
 }
 
 // New returns an empty Servers.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -199,7 +199,7 @@
 	for range 3 {
 		f.RecordPromptRead(first.Incarnation(), 70000)
 		f.RecordOutcome(first.Incarnation(), placement.Unreachable)
-		f.RecordEventInterval(first.Incarnation(), 1)
+		f.RecordEventInterval(time.Unix(1000, 0), first.Incarnation(), 1)
 	}
 	f.Leave(time.Time{}, first.Incarnation())
 	if f.IsEjected(second.Incarnation()) || len(f.Ejected()) > 0 {
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -26,6 +26,22 @@
 	// regions are sent only to servers of the domains listed here.
 	Regions map[string]string `toml:"regions"`
 	Log     Log               `toml:"log"`
+	Load    GatewayLoad       `toml:"load"`
+}
+
+// GatewayLoad switches the parts that decide under high load. Each is on by default and takes
+// effect only where the configuration and the fleet call for it.
+type GatewayLoad struct {
+	// Budgets: routers return tokens that they do not need, and while tokens are short the most
+	// urgent routes get them first.
+	Budgets bool `toml:"budgets"`
+	// Servers: routers of a large fleet share the load of backend servers, and choose servers of
+	// routes with an event objective by predicted times.
+	Servers bool `toml:"servers"`
+	// Entry: how requests are treated that arrive over a saturated link of known capacity.
+	Entry bool `toml:"entry"`
+	// Returns: Retry-After is derived from the time at which the request can be served.
+	Returns bool `toml:"returns"`
 }
 
 // GatewayInstance identifies the process and its location.
@@ -159,6 +175,7 @@
 		Memory:  GatewayMemory{LimitMB: 256},
 		Bounds:  GatewayBounds{Apply: Duration(2 * time.Second), Leave: Duration(2 * time.Second)},
 		Log:     Log{Level: "info"},
+		Load:    GatewayLoad{Budgets: true, Servers: true, Entry: true, Returns: true},
 	}
 }
 
