Wait for tokens includes the delay at a saturated link

Cause: a request may wait for tokens for a fifth of its objective. At a saturated link the question for tokens and its answer queue there too, so requests that had already crossed the link were refused with code 2005 and crossed another one as retries.

Change: the wait is extended by the measured delay, up to half of the request's remaining time (also before another attempt). The measured delay is 0 unless the link is saturated. load.entry = false restores the previous wait.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,6 +66,8 @@
 	// neither is known.
 	LinkDelay func() time.Duration
 	Stale     func() bool
+	// TokenDelay returns by how much a saturated link extends the wait for tokens; nil: never.
+	TokenDelay func() time.Duration
 	// RegistrationAge returns the staleness of the server registrations, measured from the store's
 	// response; below 0: nothing has been received. nil: unknown.
 	RegistrationAge func() time.Duration
--- a/gateway/steps.go
+++ b/gateway/steps.go
@@ -186,7 +186,7 @@
 		return nil
 	}
 	wait := max(c.route.LatencyObjective/reserveWaitDivisor, minReserveWait)
-	ctx, cancel := context.WithTimeout(c.r.Context(), wait)
+	ctx, cancel := context.WithTimeout(c.r.Context(), c.tokenWait(wait))
 	defer cancel()
 	if err := g.Budgets.Reserve(ctx, c.account.Name, c.MaxTokens()); err != nil {
 		return result.From(err)
@@ -195,13 +195,25 @@
 	return nil
 }
 
+// tokenWait returns how long a request may wait for tokens: normal, and at a saturated link also
+// the queueing delay there, up to half of the request's remaining time. The question for tokens
+// and its answer queue at the same link, and a request that has crossed it would only cross it
+// again if it were refused.
+func (c *call) tokenWait(normal time.Duration) time.Duration {
+	if c.g.TokenDelay == nil {
+		return normal
+	}
+	most := c.deadline.Sub(clock.Now()) / linkDelayDivisor
+	return max(normal, min(normal+c.g.TokenDelay(), most))
+}
+
 // reserveAgain reserves the tokens that another attempt may generate, after an attempt that
 // may have generated its maximum without this router observing it.
 func (c *call) reserveAgain() *result.Error {
 	if c.reserved == 0 || c.MaxTokensOut == 0 || c.unobserved == 0 {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(c.r.Context(), minReserveWait)
+	ctx, cancel := context.WithTimeout(c.r.Context(), c.tokenWait(minReserveWait))
 	defer cancel()
 	if err := c.g.Budgets.Reserve(ctx, c.account.Name, c.MaxTokensOut); err != nil {
 		return result.New(result.BackendCut, "the budget does not cover another attempt").Wrap(err)
--- a/server/link.go
+++ b/server/link.go
@@ -136,3 +136,11 @@
 	}
 	return s.queue.Delay(clock.Now())
 }
+
+// entryDelay returns linkDelay if decisions about a saturated link are switched on, else 0.
+func (s *Server) entryDelay() time.Duration {
+	if !s.current().Load.Entry {
+		return 0
+	}
+	return s.linkDelay()
+}
--- a/server/provision.go
+++ b/server/provision.go
@@ -86,6 +86,7 @@
 		Shedding:      s.shedding,
 		LinkSaturated: s.link.Saturated,
 		LinkDelay:     s.linkDelay,
+		TokenDelay:    s.entryDelay,
 		Stale:         s.stale,
 
 		RegistrationAge: func() time.Duration { return s.updates.Ages().Servers },
