Calls of other routers have more time at a saturated link

Cause: peer.Client extends the timeouts of calls and dials to 1.5 s while the link is saturated, but no router told it so: peer.Options.LinkSaturated was not set. Updates were given up after 400 ms, messages on tokens after 150 ms and dials after 200 ms, though a second of traffic was queued, and the measured link delay could not exceed 400 ms.

Change: the server sets the option; load.entry = false leaves it unset.

--- a/server/link.go
+++ b/server/link.go
@@ -144,3 +144,6 @@
 	}
 	return s.linkDelay()
 }
+
+// entrySaturated reports whether the link is saturated and decisions about that are switched on.
+func (s *Server) entrySaturated() bool { return s.current().Load.Entry && s.link.Saturated() }
--- a/server/provision.go
+++ b/server/provision.go
@@ -180,8 +180,8 @@
 		LinkMbps:    s.settings.Link.Mbps,
 	}
 	helloSockets := s.shares.PeersOut / helloSocketsDivisor
-	s.peers = peer.NewClient(peer.Options{DialTimeout: peerDialTimeout, From: self.Addr, MaxOpen: s.shares.PeersOut - helloSockets})
-	s.helloClient = peer.NewUnpooledClient(peer.Options{DialTimeout: peerDialTimeout, From: self.Addr, MaxOpen: helloSockets})
+	s.peers = peer.NewClient(peer.Options{DialTimeout: peerDialTimeout, From: self.Addr, MaxOpen: s.shares.PeersOut - helloSockets, LinkSaturated: s.entrySaturated})
+	s.helloClient = peer.NewUnpooledClient(peer.Options{DialTimeout: peerDialTimeout, From: self.Addr, MaxOpen: helloSockets, LinkSaturated: s.entrySaturated})
 	s.members = members.New(membership.Member{ID: self.ID, Kind: "router", Addr: self.Addr, Domain: self.Domain, State: membership.Live, LinkMbps: self.LinkMbps}, nil, 0, s.log)
 	s.members.SetIgnoreFailures(s.link.Saturated)
 	s.roster = roster.New(roster.Options{
