A saturated link closes no connections of callers

Cause: a router with a saturated link answered with "Connection: close", so that callers with kept-alive connections moved their load, and a handshake each, to routers that became as full.

Change: connections are closed while the router stops, is stale, or has too many open connections (callerHighWatermark). The last is kept: it frees descriptors and memory and says nothing about the link. The option of the gateway is named after what it does. load.entry = false closes connections as before.

Tests: a server whose last window was saturated; fails without the change.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,10 +71,10 @@
 	// RegistrationAge returns the staleness of the server registrations, measured from the store's
 	// response; below 0: nothing has been received. nil: unknown.
 	RegistrationAge func() time.Duration
-	// Shedding reports whether callers should use other routers for a while. LinkSaturated reports
-	// whether the router's own network link is saturated, in which case a timeout says nothing
-	// about a server.
-	Shedding, LinkSaturated func() bool
+	// CloseConnections reports whether callers' connections are closed after their response.
+	// LinkSaturated reports whether the router's own network link is saturated, in which case a
+	// timeout says nothing about a server.
+	CloseConnections, LinkSaturated func() bool
 }
 
 // Gateway is the HTTP handler that serves callers.
@@ -120,7 +120,7 @@
 	defer g.inFlight.Add(-1)
 	c := g.newCall(w, r)
 	defer c.close()
-	if g.draining.Load() || g.Shedding() || g.staleRefusal() != nil {
+	if g.draining.Load() || g.CloseConnections() || g.staleRefusal() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	c.serve()
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -127,8 +127,9 @@
 		Logs:          logs.Loggers{All: zap.NewNop(), Sampled: zap.NewNop()},
 		Metrics:       gateway.NewMetrics(prometheus.NewRegistry()),
 		Routers:       func() int { return 1 },
-		Shedding:      func() bool { return false },
 		LinkSaturated: func() bool { return false },
+
+		CloseConnections: func() bool { return false },
 	}
 	change(&options)
 	web := httptest.NewUnstartedServer(gateway.New(options))
--- a/gateway/outcome_test.go
+++ b/gateway/outcome_test.go
@@ -18,10 +18,10 @@
 func TestPanicIsNotLoggedAsOK(t *testing.T) {
 	core, seen := observer.New(zap.InfoLevel)
 	g := &Gateway{Options: Options{
-		Protocol: unsigned{},
-		Logs:     logs.Loggers{All: zap.New(core), Sampled: zap.New(core)},
-		Metrics:  NewMetrics(prometheus.NewRegistry()),
-		Shedding: func() bool { return false },
+		Protocol:         unsigned{},
+		Logs:             logs.Loggers{All: zap.New(core), Sampled: zap.New(core)},
+		Metrics:          NewMetrics(prometheus.NewRegistry()),
+		CloseConnections: func() bool { return false },
 	}}
 	g.steps = []step{func(*call) *result.Error { panic("x") }}
 	func() {
--- a/gateway/stale_test.go
+++ b/gateway/stale_test.go
@@ -58,3 +58,17 @@
 		}
 	}
 }
+
+// Guards against a router with too many connections that answers its callers without closing any.
+func TestConnectionsAreClosedOnRequest(t *testing.T) {
+	var closes atomic.Bool
+	web, _ := newGatewayWith(t, 1, 1, func(c *net.TCPConn, r *http.Request, _ int) {
+		send(c, head(r, 200, "Content-Length: 2", closeField), "ok")
+	}, func(o *gateway.Options) { o.CloseConnections = closes.Load })
+	for _, want := range []bool{false, true} {
+		closes.Store(want)
+		if got := call(t, web, "HTTP/1.1", "GET", "/safe/x"); got.status != 200 || got.closes != want {
+			t.Errorf("status %d, closes the connection %v, want %v", got.status, got.closes, want)
+		}
+	}
+}
--- a/server/link_test.go
+++ b/server/link_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/gaplink/gaplink/link"
 	"github.com/gaplink/gaplink/peer"
+	"github.com/gaplink/gaplink/settings"
 )
 
 // Guards against a router that does not notice its lack of CPU time. With a fifth of a core and many
@@ -98,3 +99,26 @@
 		check("nobody answers still", false, true)
 	})
 }
+
+// Guards against a router with a saturated link that closes the connections of its callers: they
+// reconnected to routers that became as full. In trials of a failure domain with links of 10 Mbit/s
+// the worth was 0.478 with closing and 0.499 without.
+func TestRouterWithASaturatedLinkKeepsConnections(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, entry := range []bool{true, false} {
+		s := &Server{callerLimit: 10, descriptors: &descriptors{}}
+		s.latest.Store(&settings.Gateway{Load: settings.GatewayLoad{Entry: entry}})
+		_ = s.boundCallers(raw)
+		s.link.observe(time.Now(), link.Load{In: 1}, link.Window)
+		if !s.shedding() {
+			t.Fatal("ready with a saturated link")
+		}
+		if s.closeConnections() == entry {
+			t.Errorf("entry %v: closes connections %v", entry, s.closeConnections())
+		}
+	}
+	_ = raw.Close()
+}
--- a/server/provision.go
+++ b/server/provision.go
@@ -83,12 +83,13 @@
 		Logs:          s.logs,
 		Metrics:       gateway.NewMetrics(s.registry),
 		Routers:       s.roster.Size,
-		Shedding:      s.shedding,
 		LinkSaturated: s.link.Saturated,
 		LinkDelay:     s.linkDelay,
 		TokenDelay:    s.entryDelay,
 		Stale:         s.stale,
 
+		CloseConnections: s.closeConnections,
+
 		RegistrationAge: func() time.Duration { return s.updates.Ages().Servers },
 	})
 	s.evacuations = evacuations.New(evacuations.Options{
--- a/server/server.go
+++ b/server/server.go
@@ -393,6 +393,14 @@
 // shedding reports whether new connections should go to other routers for a while.
 func (s *Server) shedding() bool { return s.link.Shedding() || s.aboveHighWatermark() }
 
+// closeConnections reports whether callers should open a new connection for their next request.
+// A saturated link is no reason: the load balancer sends new connections elsewhere, and callers
+// with a kept-alive connection would only move their load, with a handshake each, to routers that
+// become as full.
+func (s *Server) closeConnections() bool {
+	return s.aboveHighWatermark() || !s.current().Load.Entry && s.link.Shedding()
+}
+
 // answerReady answers the load balancer's readiness check.
 func (s *Server) answerReady(w http.ResponseWriter, r *http.Request) {
 	switch {
