Updates are requested earlier at a saturated link

Cause: a saturated router waited for the answer to a request for updates, up to 420 ms, and then for another interval. With the delay of the answers its state exceeded the operator's bound, and requests that had crossed the link were refused with "the router is behind" (3004).

Change: at a saturated link the interval is shorter by the measured delay and at least halved, not below 100 ms, and requests do not wait for each other; at most six run at once.

Without the change the test fails.

--- a/controller/updates/ask.go
+++ b/controller/updates/ask.go
@@ -24,20 +24,28 @@
 	}
 }
 
-// startRequest sends an update request and waits until it ends or hedgeDelay has passed. A slow
-// request continues while the next candidate is queried.
+// startRequest sends an update request and waits until it ends or hedgeDelay has passed, unless
+// requests overlap. A slow request continues while the next candidate is queried. Only Run calls it.
 func (c *Controller) startRequest(ctx context.Context) {
-	select {
-	case c.inFlight <- struct{}{}:
-	default:
+	if len(c.inFlight) >= c.maxRequests() {
 		return
 	}
+	c.inFlight <- struct{}{}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
 		defer func() { <-c.inFlight }()
 		c.requestUpdates(ctx)
 	}()
+	if c.overlaps() {
+		go c.hedge(ctx, ended)
+		return
+	}
+	c.hedge(ctx, ended)
+}
+
+// hedge waits for a request to end and switches to the next candidate if it is slow.
+func (c *Controller) hedge(ctx context.Context, ended <-chan struct{}) {
 	slow := time.NewTimer(hedgeDelay)
 	defer slow.Stop()
 	select {
@@ -68,9 +76,9 @@
 	case c.Large() && c.isBehind():
 		return catchUpInterval
 	case !c.UpToDate():
-		return requestInterval // updates may resume at any time
+		return c.forLink(requestInterval) // updates may resume at any time
 	default:
-		return c.interval()
+		return c.forLink(c.interval())
 	}
 }
 
--- a/controller/updates/slow_test.go
+++ b/controller/updates/slow_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/gaplink/gaplink/bound"
 	"github.com/gaplink/gaplink/controller/updates"
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/store"
@@ -82,3 +83,44 @@
 		}
 	})
 }
+
+// TestRouterWithASaturatedLinkStaysWithinTheBound guards against refusing requests with "the router
+// is behind" because of a saturated link: requests for updates were sent 250 ms after the answer to
+// the last one, or after 420 ms without an answer, which together with the delay of the answer and
+// of the request exceeded the operator's bound.
+func TestRouterWithASaturatedLinkStaysWithinTheBound(t *testing.T) {
+	const (
+		within = 3 * time.Second
+		delay  = 650 * time.Millisecond
+	)
+	parts := bound.Divide(within, true)
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair()
+		p.ages = func() updates.Timestamps { // the oldest state of a relay
+			at := time.Now().Add(-parts.Watch - parts.RequestInterval)
+			return updates.Timestamps{Config: at, Servers: at}
+		}
+		p.theirs.Listed([]store.Object{registration("a", 1)}, 9)
+		slow := &slowCalls{Calls: p, delay: delay}
+		p.asking.Calls = slow
+		p.asking.Timeout = func(time.Duration) time.Duration { return 1500 * time.Millisecond }
+		p.asking.LinkDelay = func() (time.Duration, bool) { return delay, true }
+		go p.asking.Run(t.Context())
+		time.Sleep(4 * time.Second)
+		before, oldest := slow.calls.Load(), time.Duration(0)
+		for range 400 {
+			time.Sleep(10 * time.Millisecond)
+			oldest = max(oldest, p.asking.Ages().Servers)
+		}
+		if oldest == 0 || oldest+delay > within {
+			t.Errorf("the state is %v old when a request arrives, the bound is %v", oldest+delay, within)
+		}
+		if n := slow.calls.Load() - before; n > 40 {
+			t.Errorf("%d requests in 4 s", n)
+		}
+		if most := slow.maxRunning.Load(); most > 6 {
+			t.Errorf("%d concurrent requests", most)
+		}
+		t.Logf("oldest state %v, %d requests in 4 s, %d at a time", oldest, slow.calls.Load()-before, slow.maxRunning.Load())
+	})
+}
--- a/controller/updates/updates.go
+++ b/controller/updates/updates.go
@@ -115,6 +115,9 @@
 	// Timeout extends the normal timeout of a request while this router's link is saturated; if
 	// nil, the normal timeout always applies.
 	Timeout func(normal time.Duration) time.Duration
+	// LinkDelay returns the queueing delay at this router's link and whether the link is saturated;
+	// nil: it never is.
+	LinkDelay func() (delay time.Duration, saturated bool)
 	// ObserveDuration, if set, receives the duration of each update request.
 	ObserveDuration func(time.Duration)
 	// Large reports whether the fleet is so large that only a few routers watch the store.
@@ -193,7 +196,7 @@
 	return &Controller{
 		Options:   o,
 		nextIndex: rand.IntN(minRelays), // spreads the requests over the relays
-		inFlight:  make(chan struct{}, maxInFlight),
+		inFlight:  make(chan struct{}, max(maxInFlight, maxInFlightSaturated)),
 
 		lists:     listReader{transfers: map[peer.Kind]*transfer{}},
 		snapshots: map[peer.Kind]*snapshot{peer.KindServers: {}, peer.KindRouters: {}},
--- a/server/provision.go
+++ b/server/provision.go
@@ -121,6 +121,7 @@
 		Answered:        s.store.LastResponse,
 		OnFailure:       s.peerCallFailed,
 		Timeout:         s.peers.Timeout,
+		LinkDelay:       func() (time.Duration, bool) { return s.entryDelay(), s.entrySaturated() },
 
 		ObserveDuration: func(d time.Duration) { s.queue.Observe(clock.Now(), d) },
 	})
