Transfers between routers have their own kept connections

Cause: a call has its connection to itself while it runs, so no call waits behind a transfer. But a transfer of a list or a configuration took the idle connection of the short calls, and the next short call had to dial, which costs another round trip at a saturated link.

Change: transfers take and return connections of their own.

--- a/peer/client.go
+++ b/peer/client.go
@@ -26,7 +26,7 @@
 
 // Client calls other processes by address. It pools connections.
 type Client struct {
-	pool   *drpcpool.Pool[string, drpcpool.Conn]
+	pool   *drpcpool.Pool[poolKey, drpcpool.Conn]
 	dialer net.Dialer
 	opts   Options
 	bytes  atomic.Int64
@@ -39,6 +39,17 @@
 	running, conns, dialing chan struct{}
 }
 
+// poolKey identifies connections that may be used for each other's calls. A call has a connection
+// to itself while it runs. Transfers have their own idle connections: one that took the connection of
+// short calls would make the next of them dial, which costs another round trip on a saturated link.
+type poolKey struct {
+	addr     string
+	transfer bool
+}
+
+// isTransfer reports whether the answers of a method may be large.
+func isTransfer(method string) bool { return method == MethodConfig || method == MethodList }
+
 // Options are the settings of a client.
 type Options struct {
 	// DialTimeout is the timeout for opening a connection.
@@ -72,7 +83,7 @@
 
 func newClient(o Options, maxCalls int, poolOptions drpcpool.Options) *Client {
 	c := &Client{
-		pool:    drpcpool.New[string, drpcpool.Conn](poolOptions),
+		pool:    drpcpool.New[poolKey, drpcpool.Conn](poolOptions),
 		opts:    o,
 		dialing: make(chan struct{}, maxConcurrentDials),
 	}
@@ -109,7 +120,7 @@
 // Open returns the number of open connections.
 func (c *Client) Open() int64 { return c.open.Load() }
 
-func (c *Client) dial(ctx context.Context, addr string) (drpcpool.Conn, error) {
+func (c *Client) dial(ctx context.Context, key poolKey) (drpcpool.Conn, error) {
 	if err := acquire(ctx, c.dialing); err != nil {
 		return nil, err
 	}
@@ -119,7 +130,7 @@
 	if err := acquire(ctx, c.conns); err != nil {
 		return nil, err
 	}
-	conn, err := c.dialer.DialContext(ctx, "tcp", addr)
+	conn, err := c.dialer.DialContext(ctx, "tcp", key.addr)
 	if err != nil {
 		release(c.conns)
 		return nil, errors.Join(ErrNotSent, err)
@@ -159,7 +170,7 @@
 		return nil, err
 	}
 	defer release(c.running)
-	conn := c.pool.Get(ctx, addr, c.dial)
+	conn := c.pool.Get(ctx, poolKey{addr: addr, transfer: isTransfer(method)}, c.dial)
 	defer conn.Close()
 	resp := new(Resp)
 	if err := conn.Invoke(ctx, method, c.meter.encodingFor(method), req, resp); err != nil {
