--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,13 +66,15 @@
 	// neither is known.
 	LinkDelay func() time.Duration
 	Stale     func() bool
+	// TokenDelay returns by how much a saturated link extends the wait for tokens; nil: never.
+	TokenDelay func() time.Duration
 	// RegistrationAge returns the staleness of the server registrations, measured from the store's
 	// response; below 0: nothing has been received. nil: unknown.
 	RegistrationAge func() time.Duration
-	// Shedding reports whether callers should use other routers for a while. LinkSaturated reports
-	// whether the router's own network link is saturated, in which case a timeout says nothing
-	// about a server.
-	Shedding, LinkSaturated func() bool
+	// CloseConnections reports whether callers' connections are closed after their response.
+	// LinkSaturated reports whether the router's own network link is saturated, in which case a
+	// timeout says nothing about a server.
+	CloseConnections, LinkSaturated func() bool
 }
 
 // Gateway is the HTTP handler that serves callers.
@@ -118,7 +120,7 @@
 	defer g.inFlight.Add(-1)
 	c := g.newCall(w, r)
 	defer c.close()
-	if g.draining.Load() || g.Shedding() || g.staleRefusal() != nil {
+	if g.draining.Load() || g.CloseConnections() || g.staleRefusal() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	c.serve()
--- a/server/link.go
+++ b/server/link.go
@@ -136,3 +136,14 @@
 	}
 	return s.queue.Delay(clock.Now())
 }
+
+// entryDelay returns linkDelay if decisions about a saturated link are switched on, else 0.
+func (s *Server) entryDelay() time.Duration {
+	if !s.current().Load.Entry {
+		return 0
+	}
+	return s.linkDelay()
+}
+
+// entrySaturated reports whether the link is saturated and decisions about that are switched on.
+func (s *Server) entrySaturated() bool { return s.current().Load.Entry && s.link.Saturated() }
--- a/server/provision.go
+++ b/server/provision.go
@@ -83,11 +83,13 @@
 		Logs:          s.logs,
 		Metrics:       gateway.NewMetrics(s.registry),
 		Routers:       s.roster.Size,
-		Shedding:      s.shedding,
 		LinkSaturated: s.link.Saturated,
 		LinkDelay:     s.linkDelay,
+		TokenDelay:    s.entryDelay,
 		Stale:         s.stale,
 
+		CloseConnections: s.closeConnections,
+
 		RegistrationAge: func() time.Duration { return s.updates.Ages().Servers },
 	})
 	s.evacuations = evacuations.New(evacuations.Options{
@@ -119,6 +121,7 @@
 		Answered:        s.store.LastResponse,
 		OnFailure:       s.peerCallFailed,
 		Timeout:         s.peers.Timeout,
+		LinkDelay:       func() (time.Duration, bool) { return s.entryDelay(), s.entrySaturated() },
 
 		ObserveDuration: func(d time.Duration) { s.queue.Observe(clock.Now(), d) },
 	})
@@ -179,8 +182,8 @@
 		LinkMbps:    s.settings.Link.Mbps,
 	}
 	helloSockets := s.shares.PeersOut / helloSocketsDivisor
-	s.peers = peer.NewClient(peer.Options{DialTimeout: peerDialTimeout, From: self.Addr, MaxOpen: s.shares.PeersOut - helloSockets})
-	s.helloClient = peer.NewUnpooledClient(peer.Options{DialTimeout: peerDialTimeout, From: self.Addr, MaxOpen: helloSockets})
+	s.peers = peer.NewClient(peer.Options{DialTimeout: peerDialTimeout, From: self.Addr, MaxOpen: s.shares.PeersOut - helloSockets, LinkSaturated: s.entrySaturated})
+	s.helloClient = peer.NewUnpooledClient(peer.Options{DialTimeout: peerDialTimeout, From: self.Addr, MaxOpen: helloSockets, LinkSaturated: s.entrySaturated})
 	s.members = members.New(membership.Member{ID: self.ID, Kind: "router", Addr: self.Addr, Domain: self.Domain, State: membership.Live, LinkMbps: self.LinkMbps}, nil, 0, s.log)
 	s.members.SetIgnoreFailures(s.link.Saturated)
 	s.roster = roster.New(roster.Options{
