Budgets: no tokens taken back that a later message delivered

A message to a router carries the total of all tokens ever moved to it. If a message with tokens was reported as certainly undelivered, its sender took the tokens back, although a later message without tokens, which repeats the total, may have delivered them: they existed twice. That happens when a connection attempt times out while a later call gets through, as at the end of a partition.

The sender now counts the messages that carry its newest tokens and takes them back when all of them are known to be undelivered.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -208,13 +208,13 @@
 }
 
 // Undelivered handles a message that was not delivered. If certain is set, the receiver
-// certainly did not get it and its tokens return to this router's balance, unless the
-// receiver was fenced: then they were already reclaimed from it.
+// certainly did not get it. Its tokens return to this router's balance once no other message
+// can have carried them, unless the receiver was fenced: then they were already reclaimed
+// from it.
 func (a *Agent) Undelivered(now time.Time, m Message, certain bool) []Effect {
 	p := a.budgetState(m.Budget)
-	if certain && m.Delta > 0 && !a.fenced[m.To.Incarnation] && p.sent[m.To.Incarnation] == m.Total {
-		p.sent[m.To.Incarnation] -= m.Delta
-		p.balance += m.Delta
+	if certain && !a.fenced[m.To.Incarnation] {
+		p.takeBack(m)
 	}
 	if certain && p.owner == m.To {
 		p.owner = Peer{} // it may run under another incarnation now
--- a/budget/budget_state.go
+++ b/budget/budget_state.go
@@ -79,6 +79,7 @@
 	skippedOwners     map[string]time.Time // owners that redirected or did not answer, and when
 	awaitingSuccessor bool                 // the successor is not known yet
 	sent              map[string]int64     // by the receiver's incarnation
+	newest            map[string]transfer  // the last tokens sent, by the receiver's incarnation
 	received          map[string]int64     // by the sender's incarnation
 	holders           map[string]*holder
 	demand            rate      // rate of tokens asked for
@@ -89,7 +90,7 @@
 }
 
 func newBudgetState(id string, page int, window time.Duration) *budgetState {
-	return &budgetState{id: id, page: page, demand: rate{window: window}, skippedOwners: map[string]time.Time{}, sent: map[string]int64{}, received: map[string]int64{}, holders: map[string]*holder{}}
+	return &budgetState{id: id, page: page, demand: rate{window: window}, skippedOwners: map[string]time.Time{}, sent: map[string]int64{}, newest: map[string]transfer{}, received: map[string]int64{}, holders: map[string]*holder{}}
 }
 
 // recordUse records that a request of need tokens asked for the budget.
@@ -287,6 +288,7 @@
 func (a *Agent) move(p *budgetState, kind Kind, to Peer, amount int64) Message {
 	p.balance -= amount
 	p.sent[to.Incarnation] += amount
+	p.carry(to.Incarnation, amount)
 	return Message{
 		Kind:   kind,
 		Budget: p.id,
