Budgets: an isolated router draws little, and surplus goes back

Cause: a router that restarted while it could reach the store but not the other routers drew a tenth of a budget as the only owner that it saw, and kept it until all routers lost power. Tests reproduce why it kept it: - a router that keeps a buffer returned nothing at all, however much more than the buffer it held; - an owner whose process was unknown once was never looked up again; - tokens were returned to the store only if they were scarce or nothing had used the budget for 5 s; while the owner could not be reached, returns to it were attempted again and again; - a return without an answer stayed lost if no other message followed; - a router that suspects the others takes a large fleet for a small one.

Change: a router that draws as owner, but is not first of all registered routers or has been up for less than 10 s, draws 3 s of its own demand or four requests, at most its part of the free tokens by the demands in the page. A router that is not the owner returns what exceeds twice its target: to the owner, or to the store if the owner cannot be reached or the tokens are in escrow. A return without an answer is repeated without tokens. Whether the fleet is large is decided by the registered routers, suspected or not. Off with [load] budgets = false and in small fleets.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -148,7 +148,9 @@
 	if m.Kind == Draw && a.isOwner(now, p.id) {
 		a.prefetch(now, p)
 	}
-	a.returnSurplus(now, p)
+	if m.Kind != Back || !a.sharedOwner() { // two routers that each take the other for the owner
+		a.returnSurplus(now, p)
+	}
 	return a.takeEffects()
 }
 
@@ -229,6 +231,8 @@
 		p.recallAnswered(m.To.Incarnation)
 	case Borrow:
 		p.finishLoan(m.To.ID)
+	case Back:
+		p.backUndelivered(now, m, certain)
 	}
 	a.advance(now, p)
 	return a.takeEffects()
@@ -278,6 +282,9 @@
 
 func (a *Agent) tickBudget(now time.Time, p *budgetState) {
 	a.refreshEscrow(now, p)
+	if a.sharedOwner() {
+		a.repeatLostBack(now, p)
+	}
 	p.awaitingSuccessor = false
 	if p.drawTimedOut(now, a.cfg.DrawTimeout) {
 		a.skipOwner(now, p, p.drawTarget)
--- a/budget/budget_state.go
+++ b/budget/budget_state.go
@@ -82,6 +82,8 @@
 	newest            map[string]transfer  // the last tokens sent, by the receiver's incarnation
 	received          map[string]int64     // by the sender's incarnation
 	holders           map[string]*holder
+	backFailedAt      time.Time // when a return of tokens was last not delivered
+	repeatBack        Peer      // the receiver of a return that may have been lost; zero: none
 	demand            rate      // rate of tokens asked for
 	finalReserveSince time.Time // when only the final reserve was left; zero: more is left
 	meanNeed          float64   // mean tokens per reservation, exponentially weighted by count
@@ -136,7 +138,7 @@
 
 // idle reports whether nothing is held, awaited or asked for.
 func (p *budgetState) idle() bool {
-	return p.balance <= 0 && p.reserved == 0 && !p.waiting() && len(p.loans) == 0 && !p.drawPending() && !p.recall.active && p.borrowing.from == "" && p.lookup != lookupRunning
+	return p.balance <= 0 && p.reserved == 0 && p.repeatBack.ID == "" && !p.waiting() && len(p.loans) == 0 && !p.drawPending() && !p.recall.active && p.borrowing.from == "" && p.lookup != lookupRunning
 }
 
 func (p *budgetState) waiting() bool {
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -20,6 +20,7 @@
 	agent                    *budget.Agent
 	storeCalls               []budget.Effect // calls not yet answered
 	running                  []int64         // reserved by dispatched requests
+	cut                      bool            // cannot exchange messages with the other routers
 }
 
 func (r *router) incarnation() string { return fmt.Sprintf("r%d/%d", r.index, r.incarnationNumber) }
@@ -51,6 +52,11 @@
 	finalReserve bool
 	// sharedOwner makes one router the owner of the budget for all.
 	sharedOwner bool
+	// manyRouters configures the rules of a large fleet, in which one router should draw for
+	// all.
+	manyRouters bool
+	// ownerUnknown hides which process runs at the owner.
+	ownerUnknown bool
 	// scarceWithin bounds what is held of a scarce budget.
 	scarceWithin time.Duration
 }
@@ -134,7 +140,7 @@
 	if outcome == "lost" {
 		return
 	}
-	if outcome == "refused" || !to.agent.Accepts(m) {
+	if outcome == "refused" || n.separated(m) || !to.agent.Accepts(m) {
 		// The sender learns this for certain only if no copy is delivered at another time:
 		// a call has one outcome.
 		if outcome != "twice" && !n.taken[fmt.Sprint(m)] {
@@ -148,6 +154,11 @@
 	n.perform(to, to.agent.Receive(n.at(to), m))
 }
 
+// separated reports whether a message cannot reach its receiver.
+func (n *network) separated(m budget.Message) bool {
+	return m.From.ID != m.To.ID && (n.byID(m.From.ID).cut || n.byID(m.To.ID).cut)
+}
+
 // markTaken records that a message was delivered of which another copy is in transit.
 func (n *network) markTaken(m budget.Message) {
 	if n.taken == nil {
--- a/budget/config.go
+++ b/budget/config.go
@@ -12,6 +12,12 @@
 	// tokens. It should be the same for all budgets of a page, so that they are written
 	// together.
 	Owner func(now time.Time, budget string) string
+	// SharedOwner reports whether the fleet is so large that one router should draw a budget
+	// for all others; nil: no. Then a router that is not that one draws only for its own
+	// demand and returns what it holds beyond that. FirstInRank reports whether this router is
+	// the one, among all registered routers whether they are reachable or not; nil: it is.
+	SharedOwner func() bool
+	FirstInRank func(now time.Time, budget string) bool
 	// Running returns the process that is known to run at an instance; its incarnation is
 	// empty if none is known. nil: none ever is.
 	Running func(id string) Peer
--- a/budget/entry.go
+++ b/budget/entry.go
@@ -115,6 +115,10 @@
 // returnSurplus returns an unused balance to the owner unless the router keeps a buffer, so
 // that the tokens are where the next request is decided.
 func (a *Agent) returnSurplus(now time.Time, p *budgetState) {
+	if a.sharedOwner() {
+		a.returnBeyondTarget(now, p)
+		return
+	}
 	if p.balance <= 0 || p.waiting() || a.closing || a.isOwner(now, p.id) || a.keepsBuffer(now, p) {
 		return
 	}
@@ -128,17 +132,23 @@
 
 // returnToStore queues the whole balance for return.
 func (a *Agent) returnToStore(now time.Time, p *budgetState) {
-	amount := p.balance
-	p.balance = 0
+	a.returnPartToStore(now, p, p.balance)
+}
+
+// returnPartToStore queues a part of the balance for return.
+func (a *Agent) returnPartToStore(now time.Time, p *budgetState, amount int64) {
+	p.balance -= amount
 	a.queue(now, pageOp{budget: p.id, need: -amount})
 }
 
 // ownerKnown reports whether the current owner is another router whose incarnation is known.
 func (a *Agent) ownerKnown(now time.Time, p *budgetState) bool {
-	if owner := a.cfg.Owner(now, p.id); p.owner.ID != owner && a.cfg.Running != nil {
+	owner := a.cfg.Owner(now, p.id)
+	unknown := p.owner.ID != owner || a.sharedOwner() && p.owner.Incarnation == ""
+	if unknown && a.cfg.Running != nil {
 		p.owner = a.cfg.Running(owner)
 	}
-	return p.owner.Incarnation != "" && p.owner.ID != a.cfg.Self.ID && p.owner.ID == a.cfg.Owner(now, p.id)
+	return p.owner.Incarnation != "" && p.owner.ID != a.cfg.Self.ID && p.owner.ID == owner
 }
 
 // returnIdle returns a balance that nothing uses: to the owner, or from the owner (and from
@@ -150,7 +160,7 @@
 	if p.balance <= 0 || p.waiting() {
 		return
 	}
-	if a.ownerKnown(now, p) && !a.closing {
+	if !a.closing && a.ownerReachable(now, p) {
 		a.returnToPeer(p, p.owner)
 		return
 	}
--- a/budget/escrow_test.go
+++ b/budget/escrow_test.go
@@ -61,7 +61,7 @@
 	cfg.Routers = func() int { return len(n.routers) }
 	cfg.ScarceWithin = n.scarceWithin
 	if n.sharedOwner {
-		n.setSharedOwner(&cfg)
+		n.setSharedOwner(r, &cfg)
 	}
 	r.agent = budget.NewAgent(cfg)
 	n.perform(r, r.agent.SetLimits(n.at(r), n.limits()))
--- a/budget/hold.go
+++ b/budget/hold.go
@@ -11,6 +11,9 @@
 // within OwnerHorizon, at least a few requests' worth for a budget that is rarely used, and
 // at most its fair share of what is left.
 func (a *Agent) targetBalance(now time.Time, p *budgetState) int64 {
+	if a.drawsOnlyForItself(now, p) {
+		return a.ownNeed(now, p)
+	}
 	want := max(p.expectedDemand(now, a.cfg.OwnerHorizon), int64(a.cfg.HeldRequests*p.meanNeed), a.initialBalance(p))
 	return min(want, a.fairShare(now, p))
 }
@@ -27,6 +30,9 @@
 
 // refillThreshold returns the balance below which an owner draws more.
 func (a *Agent) refillThreshold(now time.Time, p *budgetState) int64 {
+	if a.drawsOnlyForItself(now, p) {
+		return int64(float64(a.ownNeed(now, p)) * a.cfg.RefillBelow)
+	}
 	horizon := time.Duration(float64(a.cfg.OwnerHorizon) * a.cfg.RefillBelow)
 	initial := int64(a.cfg.RefillBelow * float64(a.initialBalance(p)))
 	threshold := max(p.expectedDemand(now, horizon), int64(a.cfg.LowRequests*p.meanNeed), initial)
@@ -62,10 +68,16 @@
 	if a.cfg.Routers() == 1 {
 		return own, fleet
 	}
+	return own, fleet + a.othersDemand(p)
+}
+
+// othersDemand returns the demand that the page records for other holders, in tokens per
+// second.
+func (a *Agent) othersDemand(p *budgetState) (demand float64) {
 	for holder, e := range a.pages[p.page].page.Escrows {
 		if holder != a.cfg.Self.Incarnation {
-			fleet += float64(e.Parts[p.id].Demand)
+			demand += float64(e.Parts[p.id].Demand)
 		}
 	}
-	return own, fleet
+	return demand
 }
--- a/budget/holding.go
+++ b/budget/holding.go
@@ -58,6 +58,9 @@
 	if p.owner.Incarnation == incarnation {
 		p.owner = Peer{}
 	}
+	if p.repeatBack.Incarnation == incarnation {
+		p.repeatBack = Peer{}
+	}
 	delete(p.holders, incarnation)
 	kept := p.draws[:0]
 	for _, d := range p.draws {
--- a/budget/messages.go
+++ b/budget/messages.go
@@ -130,6 +130,23 @@
 	Tokens map[string]int64
 }
 
+// DrawnForItself reports that this router draws a budget only for its own demand, since
+// another router may draw for the fleet.
+type DrawnForItself struct {
+	Budget string
+	// Target is what the router should hold, Starting whether the reason is its recent start.
+	Target   int64
+	Starting bool
+}
+
+// SurplusReturned reports that this router returned what it holds beyond its target.
+type SurplusReturned struct {
+	Budget string
+	// Tokens went to Owner, or to the store if Owner is empty; Kept is the rest of the balance.
+	Tokens, Kept int64
+	Owner        string
+}
+
 func (Send) effect()            {}
 func (ReadPage) effect()        {}
 func (WritePage) effect()       {}
@@ -139,3 +156,5 @@
 func (HolderFenced) effect()    {}
 func (EscrowReclaimed) effect() {}
 func (EscrowForfeited) effect() {}
+func (DrawnForItself) effect()  {}
+func (SurplusReturned) effect() {}
--- a/budget/paging.go
+++ b/budget/paging.go
@@ -84,6 +84,9 @@
 	p.lookup = lookupRunning
 	p.lookedAt = now
 	want := a.targetBalance(now, p)
+	if a.drawsOnlyForItself(now, p) {
+		a.emit(DrawnForItself{Budget: p.id, Target: want, Starting: now.Sub(a.cfg.Started) < ownNeedPeriod})
+	}
 	a.queue(now, pageOp{budget: p.id, need: need, want: max(want-p.balance, need), finalReserve: a.inFinalReserve(p)})
 }
 
--- a/budget/shared_owner_test.go
+++ b/budget/shared_owner_test.go
@@ -12,11 +12,23 @@
 
 // setSharedOwner configures a router of a large fleet: one router is the owner for all, and
 // the others hold tokens only if they have many requests.
-func (n *network) setSharedOwner(cfg *budget.Config) {
-	cfg.Owner = func(time.Time, string) string { return fmt.Sprintf("r%d", n.owner) }
+func (n *network) setSharedOwner(r *router, cfg *budget.Config) {
+	cfg.Owner = func(time.Time, string) string {
+		if r.cut {
+			return cfg.Self.ID
+		}
+		return fmt.Sprintf("r%d", n.owner)
+	}
 	cfg.Running = func(id string) budget.Peer {
+		if n.ownerUnknown {
+			return budget.Peer{ID: id}
+		}
 		return budget.Peer{ID: id, Incarnation: n.byID(id).incarnation()}
 	}
+	if n.manyRouters {
+		cfg.SharedOwner = func() bool { return true }
+		cfg.FirstInRank = func(time.Time, string) bool { return r.index == n.owner }
+	}
 	cfg.Routers = func() int { return 1 }
 	cfg.EntryHorizon = 3 * time.Second
 	cfg.EntryMinRequests = 4
--- a/controller/budgets/budgets.go
+++ b/controller/budgets/budgets.go
@@ -11,6 +11,7 @@
 
 	"github.com/gaplink/gaplink/budget"
 	"github.com/gaplink/gaplink/clock"
+	"github.com/gaplink/gaplink/logs"
 	"github.com/gaplink/gaplink/membership"
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/store"
@@ -55,6 +56,7 @@
 	// interval again after it became shorter.
 	tickInterval time.Duration
 	wake         chan struct{}
+	decisionLogs map[string]*logs.RateLimit // rate limits of the log lines about decisions, by message
 	// storeLost reports whether the store does not answer. It may be nil.
 	storeLost func() bool
 }
@@ -94,6 +96,8 @@
 		wake:     make(chan struct{}, 1),
 		onFenced: onFenced,
 
+		decisionLogs: newDecisionLogs(),
+
 		storeLost: cfg.StoreLost,
 	}
 }
@@ -196,6 +200,8 @@
 			zap.Duration("steady_age_ms", e.Monotonic), zap.Duration("time_of_day_age_ms", e.WallClock), zap.Any("tokens", e.Tokens))
 	case budget.HolderFenced:
 		c.onFenced()
+	default:
+		c.logDecision(e)
 	}
 }
 
--- /dev/null
+++ b/controller/budgets/decisions.go
@@ -0,0 +1,44 @@
+package budgets
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gaplink/gaplink/budget"
+	"github.com/gaplink/gaplink/clock"
+	"github.com/gaplink/gaplink/logs"
+)
+
+// decisionLogInterval is the minimum time between two log lines about the same kind of decision.
+const decisionLogInterval = time.Second
+
+// The kinds of decisions that have a rate-limited log line.
+const (
+	ownNeedDecision = "own need"
+	surplusDecision = "surplus"
+)
+
+func newDecisionLogs() map[string]*logs.RateLimit {
+	return map[string]*logs.RateLimit{ownNeedDecision: {}, surplusDecision: {}}
+}
+
+// logDecision logs a decision of the agent, unless a line about its kind was written recently.
+func (c *Controller) logDecision(e budget.Effect) {
+	switch e := e.(type) {
+	case budget.DrawnForItself:
+		if suppressed, ok := c.allowLine(ownNeedDecision); ok {
+			c.log.Info("budget drawn for this router only", zap.String("budget", e.Budget), zap.Int64("target", e.Target),
+				zap.Bool("just_started", e.Starting), zap.Int64("suppressed", suppressed))
+		}
+	case budget.SurplusReturned:
+		if suppressed, ok := c.allowLine(surplusDecision); ok {
+			c.log.Info("surplus of a budget returned", zap.String("budget", e.Budget), zap.Int64("tokens", e.Tokens),
+				zap.Int64("kept", e.Kept), zap.String("owner", e.Owner), zap.Int64("suppressed", suppressed))
+		}
+	}
+}
+
+func (c *Controller) allowLine(kind string) (suppressed int64, ok bool) {
+	return c.decisionLogs[kind].Allow(clock.Now(), decisionLogInterval)
+}
--- a/server/owner.go
+++ b/server/owner.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/gaplink/gaplink/clock"
+	"github.com/gaplink/gaplink/controller/roster"
 )
 
 const (
@@ -18,6 +19,8 @@
 	// maxSuccessors is the number of routers besides its owner that may hold tokens of a
 	// budget in a large fleet: those that owned the budget recently.
 	maxSuccessors = 3
+	// registeredRole is the role for which the registered routers are counted.
+	registeredRole = "budgets"
 )
 
 // ownerRole returns the role for which routers are ranked to find a budget's owner.
@@ -44,6 +47,20 @@
 	return first
 }
 
+// sharesOwners reports whether one router should draw a budget for all. Unlike largeFleet it also
+// counts the registered routers that are suspected: a router that cannot reach the others must not
+// take the fleet for a small one and draw all tokens for itself.
+func (s *Server) sharesOwners() bool {
+	return s.largeFleet() || len(s.members.Owners(clock.Now(), registeredRole, roster.Large)) >= roster.Large
+}
+
+// firstInRank reports whether this router is ranked first of all registered routers for a budget,
+// whether they are suspected or not.
+func (s *Server) firstInRank(_ time.Time, budget string) bool {
+	first := s.members.Owners(clock.Now(), ownerRole(budget), 1)
+	return len(first) == 0 || first[0] == s.settings.Instance.ID
+}
+
 // successors returns the other routers ranked first for a role, which own the budgets next or
 // owned them before and so may hold tokens.
 func (s *Server) successors(role string) []string {
--- a/server/provision.go
+++ b/server/provision.go
@@ -240,6 +240,10 @@
 	cfg.Running = s.running
 	cfg.Lenders = s.lenders
 	cfg.StoreLost = s.storeUnreachable
+	if s.settings.Load.Budgets {
+		cfg.SharedOwner = s.sharesOwners
+		cfg.FirstInRank = s.firstInRank
+	}
 	s.escrowConfig(&cfg)
 	return cfg
 }
