Budgets: a short owner asks the holders with the most tokens first

Cause: an owner that the store had too few tokens for asked the successors in random order; tokens that another router held, such as a former owner, were found by chance or not at all.

Change: in a large fleet the owner first asks the routers for which the page records the most tokens (in escrow, then the net issue), and then the successors, eight at most as before. Holders that have ended or cannot be reached are left out. Off with [load] budgets = false.

TestLargestRecordedHolderIsAsked: without the rule a request of 3,475 tokens is refused while a router holds 13,900; with it it is served. go test ./budget ./controller/budgets ./server ./gateway ./logs passes; the random tests pass with 3,000 checks each.

--- a/budget/borrow.go
+++ b/budget/borrow.go
@@ -46,16 +46,20 @@
 	if b.from != "" {
 		return true
 	}
-	if a.cfg.Lenders == nil || now.Sub(b.failedAt) < a.cfg.LookupInterval {
+	if now.Sub(b.failedAt) < a.cfg.LookupInterval {
 		return false
 	}
-	for _, lender := range a.cfg.Lenders(now, p.id) {
+	lenders, recorded := a.lenders(now, p)
+	for i, lender := range lenders {
 		if len(b.asked) >= maxLendersAsked {
 			break
 		}
 		if b.asked[lender.ID] {
 			continue
 		}
+		if i < recorded {
+			a.emit(HolderAsked{Budget: p.id, Holder: lender.ID, Need: p.shortfall()})
+		}
 		a.requestLoan(now, p, lender.ID)
 		return true
 	}
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -55,6 +55,8 @@
 	// manyRouters configures the rules of a large fleet, in which one router should draw for
 	// all.
 	manyRouters bool
+	// successors makes r1 to r3 the only routers that others borrow from without the page.
+	successors bool
 	// ownerUnknown hides which process runs at the owner.
 	ownerUnknown bool
 	// scarceWithin bounds what is held of a scarce budget.
--- a/budget/config.go
+++ b/budget/config.go
@@ -24,6 +24,9 @@
 	// Lenders returns the other routers to borrow a budget's tokens from, best first; nil:
 	// none.
 	Lenders func(now time.Time, budget string) []Peer
+	// Holder returns the router process that a holder in a page is, and whether it may still
+	// run and be reached; nil: unknown.
+	Holder func(holder string) (Peer, bool)
 	// StoreLost reports whether the store does not answer; nil: unknown. A router that
 	// stops in the meantime hands its tokens to a lender.
 	StoreLost func() bool
--- a/budget/messages.go
+++ b/budget/messages.go
@@ -147,6 +147,13 @@
 	Owner        string
 }
 
+// HolderAsked reports that this router, short of Need tokens, asks a router for a loan because the
+// page records that it holds many.
+type HolderAsked struct {
+	Budget, Holder string
+	Need           int64
+}
+
 func (Send) effect()            {}
 func (ReadPage) effect()        {}
 func (WritePage) effect()       {}
@@ -158,3 +165,4 @@
 func (EscrowForfeited) effect() {}
 func (DrawnForItself) effect()  {}
 func (SurplusReturned) effect() {}
+func (HolderAsked) effect()     {}
--- a/budget/shared_owner_test.go
+++ b/budget/shared_owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,6 +28,13 @@
 	}
 	if n.manyRouters {
 		cfg.SharedOwner = func() bool { return true }
+		cfg.Holder = func(holder string) (budget.Peer, bool) {
+			id, _, _ := strings.Cut(holder, "/")
+			return budget.Peer{ID: id, Incarnation: holder}, n.byID(id).incarnation() == holder
+		}
+		if n.successors {
+			cfg.Lenders = func(time.Time, string) []budget.Peer { return []budget.Peer{{ID: "r1"}, {ID: "r2"}, {ID: "r3"}} }
+		}
 		cfg.FirstInRank = func(time.Time, string) bool { return r.index == n.owner }
 	}
 	cfg.Routers = func() int { return 1 }
--- a/controller/budgets/decisions.go
+++ b/controller/budgets/decisions.go
@@ -17,10 +17,11 @@
 const (
 	ownNeedDecision = "own need"
 	surplusDecision = "surplus"
+	holderDecision  = "holder"
 )
 
 func newDecisionLogs() map[string]*logs.RateLimit {
-	return map[string]*logs.RateLimit{ownNeedDecision: {}, surplusDecision: {}}
+	return map[string]*logs.RateLimit{ownNeedDecision: {}, surplusDecision: {}, holderDecision: {}}
 }
 
 // logDecision logs a decision of the agent, unless a line about its kind was written recently.
@@ -36,6 +37,11 @@
 			c.log.Info("surplus of a budget returned", zap.String("budget", e.Budget), zap.Int64("tokens", e.Tokens),
 				zap.Int64("kept", e.Kept), zap.String("owner", e.Owner), zap.Int64("suppressed", suppressed))
 		}
+	case budget.HolderAsked:
+		if suppressed, ok := c.allowLine(holderDecision); ok {
+			c.log.Info("asking a holder of a budget for tokens", zap.String("budget", e.Budget), zap.String("holder", e.Holder),
+				zap.Int64("short_of", e.Need), zap.Int64("suppressed", suppressed))
+		}
 	}
 }
 
--- a/server/escrow.go
+++ b/server/escrow.go
@@ -71,6 +71,17 @@
 	return budget.Peer{ID: id, Incarnation: s.members.Incarnation(id)}
 }
 
+// holder returns the router process that a holder in a budget page is, and whether it may still run
+// and be reached.
+func (s *Server) holder(incarnation string) (budget.Peer, bool) {
+	id := incarnation[:max(strings.LastIndexByte(incarnation, '/'), 0)]
+	m, listed := s.members.Get(id)
+	if !listed || m.Incarnation != "" && m.Incarnation != incarnation || s.members.Suspected(clock.Now(), id) {
+		return budget.Peer{}, false
+	}
+	return budget.Peer{ID: id, Incarnation: incarnation}, true
+}
+
 // lenders returns the other routers that may hold tokens of a budget, in random order.
 func (s *Server) lenders(_ time.Time, id string) []budget.Peer {
 	ids := s.members.Others(clock.Now())
--- a/server/provision.go
+++ b/server/provision.go
@@ -243,6 +243,7 @@
 	if s.settings.Load.Budgets {
 		cfg.SharedOwner = s.sharesOwners
 		cfg.FirstInRank = s.firstInRank
+		cfg.Holder = s.holder
 	}
 	s.escrowConfig(&cfg)
 	return cfg
