Budgets: the most urgent requests get the last tokens

Cause: while the store could not be reached, one large request of a less urgent route took the tokens that many small urgent ones needed, and so it went in the last part of a budget.

Change: reservations have a rank, the priority of the route. While neither the store nor the owner can be reached, a request is granted only if the tokens that are usable until then cover what the more urgent ranks are expected to need in the longest outage met (9 s if none was); in the last 5% of a budget, what they need in 10 s. An owner applies the rule to draws: the rank is in the top bits of a reservation's number, since a message with a further field could not be decoded by routers of an earlier version. With one rank in use nothing changes.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -27,6 +27,7 @@
 	sealed  bool
 	fenced  map[string]bool // incarnations whose messages are void
 	limits  map[string]Limit
+	outages outages
 	seed    uint64 // differs between most processes
 }
 
@@ -65,23 +66,37 @@
 	return a.cfg.Owner(now, id) == a.cfg.Self.ID
 }
 
-// Reserve asks for need tokens. It returns a reservation number; if granted is false, a
-// later Resolve effect with that number gives the answer.
+// Reserve asks for need tokens for a request of the most urgent rank; see ReserveRanked.
 func (a *Agent) Reserve(now time.Time, id string, need int64) (token uint64, granted bool, effects []Effect) {
+	return a.ReserveRanked(now, id, need, 0)
+}
+
+// ReserveRanked asks for need tokens for a request of a rank, 0 being the most urgent. It returns a reservation number; if granted is false, a
+// later Resolve effect with that number gives the answer.
+func (a *Agent) ReserveRanked(now time.Time, id string, need int64, rank int) (token uint64, granted bool, effects []Effect) {
 	a.token++
+	rank = boundedRank(rank)
+	token = rankedToken(a.token, rank)
 	p := a.budgetState(id)
 	p.recordUse(now, need)
 	p.demand.add(now, need)
+	a.recordRank(now, p, rank, need)
+	a.trackOutage(now)
 	a.trackFinalReserve(now, p)
 	a.refreshEscrow(now, p)
+	if cause, held := a.heldBack(now, p, need, rank); held {
+		a.emit(Resolve{Token: token, Cause: cause})
+		a.emitHeldBack(p, need, rank, cause)
+		return token, false, a.takeEffects()
+	}
 	if p.reserve(need) {
 		a.prefetch(now, p)
-		return a.token, true, a.takeEffects()
+		return token, true, a.takeEffects()
 	}
 	peersOnly := a.inFinalReserve(p) && !a.admitsFromFinalReserve(now, p, need)
-	p.waiters = append(p.waiters, waiter{token: a.token, need: need, peersOnly: peersOnly})
+	p.waiters = append(p.waiters, waiter{token: token, need: need, rank: rank, peersOnly: peersOnly})
 	a.advance(now, p)
-	return a.token, false, a.takeEffects()
+	return token, false, a.takeEffects()
 }
 
 // TryReserve reserves need tokens from the usable balance; it neither waits nor draws
@@ -157,7 +172,7 @@
 // handleDraw queues a peer's draw, or redirects it to the successor if this router is
 // closing.
 func (a *Agent) handleDraw(now time.Time, p *budgetState, m Message) {
-	d := draw{peer: m.From, token: m.Token, need: m.Need, want: m.Want}
+	d := draw{peer: m.From, token: m.Token, need: m.Need, want: m.Want, rank: rankOf(m.Token)}
 	switch {
 	case a.closing:
 		a.refuseDraw(p, d, Moved)
@@ -243,6 +258,7 @@
 	if a.sealed {
 		return nil
 	}
+	a.trackOutage(now)
 	for _, p := range slices.Clone(a.active) {
 		a.tickBudget(now, p)
 	}
--- a/budget/budget_state.go
+++ b/budget/budget_state.go
@@ -16,6 +16,7 @@
 type waiter struct {
 	token      uint64
 	need       int64
+	rank       int       // 0 is the most urgent
 	drawSentAt time.Time // zero: no draw has been sent to the owner
 	// peersOnly is set if the store has only the final reserve left, which this request
 	// may not take from: only tokens held by other routers can serve it.
@@ -27,6 +28,7 @@
 	peer       Peer
 	token      uint64
 	need, want int64
+	rank       int // 0 is the most urgent
 }
 
 // holder is a router that this router granted tokens to.
@@ -85,6 +87,7 @@
 	backFailedAt      time.Time // when a return of tokens was last not delivered
 	repeatBack        Peer      // the receiver of a return that may have been lost; zero: none
 	demand            rate      // rate of tokens asked for
+	ranks             []rate    // the same by rank, of requests and of draws for requests
 	finalReserveSince time.Time // when only the final reserve was left; zero: more is left
 	meanNeed          float64   // mean tokens per reservation, exponentially weighted by count
 	lastUse           time.Time
@@ -271,6 +274,9 @@
 	}
 	a.grants = true
 	p.demand.add(now, amount)
+	if d.token != 0 {
+		a.recordRank(now, p, d.rank, d.need)
+	}
 	p.holders[d.peer.Incarnation] = &holder{peer: d.peer, recallable: !p.scarce}
 	m := a.move(p, Grant, d.peer, amount)
 	m.Token = d.token
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -57,6 +57,8 @@
 	manyRouters bool
 	// successors makes r1 to r3 the only routers that others borrow from without the page.
 	successors bool
+	// byRank makes requests leave tokens to more urgent ones.
+	byRank bool
 	// ownerUnknown hides which process runs at the owner.
 	ownerUnknown bool
 	// scarceWithin bounds what is held of a scarce budget.
@@ -105,8 +107,10 @@
 	}
 }
 
-func (n *network) reserve(r *router, need int64) {
-	token, granted, effects := r.agent.Reserve(n.at(r), testBudget, need)
+func (n *network) reserve(r *router, need int64) { n.reserveRanked(r, need, 0) }
+
+func (n *network) reserveRanked(r *router, need int64, rank int) {
+	token, granted, effects := r.agent.ReserveRanked(n.at(r), testBudget, need, rank)
 	if granted {
 		r.running = append(r.running, need)
 	} else {
--- a/budget/config.go
+++ b/budget/config.go
@@ -18,6 +18,9 @@
 	// the one, among all registered routers whether they are reachable or not; nil: it is.
 	SharedOwner func() bool
 	FirstInRank func(now time.Time, budget string) bool
+	// ByRank makes requests leave the tokens to more urgent ones while no more can be obtained
+	// and in the last share of a budget.
+	ByRank bool
 	// Running returns the process that is known to run at an instance; its incarnation is
 	// empty if none is known. nil: none ever is.
 	Running func(id string) Peer
--- a/budget/escrow_test.go
+++ b/budget/escrow_test.go
@@ -60,6 +60,7 @@
 	}
 	cfg.Routers = func() int { return len(n.routers) }
 	cfg.ScarceWithin = n.scarceWithin
+	cfg.ByRank = n.byRank
 	if n.sharedOwner {
 		n.setSharedOwner(r, &cfg)
 	}
--- a/budget/isolated_test.go
+++ b/budget/isolated_test.go
@@ -200,15 +200,18 @@
 }
 
 // TestLargeFleetNeverOverspends is TestPooledNeverOverspends with the rules of a large fleet
-// and with routers that cannot reach the others.
+// routers that cannot reach the others, and requests of several ranks.
 func TestLargeFleetNeverOverspends(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := newSharedOwnerNetwork(t, 200)
-		n.manyRouters = true
+		n.manyRouters, n.byRank = true, true
 		for _, r := range n.routers {
 			n.bootSelfOwner(r)
 		}
 		all := escrowActions(n)
+		all["reserve ranked"] = func(t *rapid.T) {
+			n.reserveRanked(n.routers[rapid.IntRange(0, 2).Draw(t, "router")], rapid.Int64Range(1, 9).Draw(t, "need"), rapid.IntRange(0, 3).Draw(t, "rank"))
+		}
 		pick := rapid.IntRange(0, 2)
 		all["home"] = func(t *rapid.T) { n.owner = pick.Draw(t, "home") }
 		all["cut"] = func(t *rapid.T) {
--- a/budget/messages.go
+++ b/budget/messages.go
@@ -67,7 +67,7 @@
 	// Refused is set on a Grant that moves nothing.
 	Refused Cause
 	// Token identifies the drawing router's reservation; a Grant repeats it. 0 marks a
-	// draw ahead of demand.
+	// draw ahead of demand. The top bits are the rank of the request, see rankedToken.
 	Token uint64
 }
 
@@ -154,6 +154,14 @@
 	Need           int64
 }
 
+// HeldBack reports that a request was refused because the tokens are kept for more urgent ranks.
+type HeldBack struct {
+	Budget       string
+	Need, Usable int64
+	Rank         int
+	Cause        Cause
+}
+
 func (Send) effect()            {}
 func (ReadPage) effect()        {}
 func (WritePage) effect()       {}
@@ -166,3 +174,4 @@
 func (DrawnForItself) effect()  {}
 func (SurplusReturned) effect() {}
 func (HolderAsked) effect()     {}
+func (HeldBack) effect()        {}
--- /dev/null
+++ b/budget/rank.go
@@ -0,0 +1,224 @@
+package budget
+
+import (
+	"slices"
+	"time"
+)
+
+// This file decides which requests get the tokens while more cannot come, or while a budget is
+// nearly used up: those of a less urgent rank leave what the more urgent ranks are expected to need.
+
+const (
+	// maxRanks is the number of ranks that are distinguished; less urgent ones share the last.
+	maxRanks = 8
+	// rankShift is the position of the rank in a reservation's number, which fits three bits.
+	rankShift = 61
+	// defaultOutage is the assumed length of an outage of the store if none was met: outages of
+	// 5 to 9 s were seen on simulated days.
+	defaultOutage = 9 * time.Second
+	// minOutage is the shortest outage whose length is remembered; a lost call or two is no
+	// outage.
+	minOutage = time.Second
+	// maxOutage bounds the remembered length: what is kept for more urgent requests grows with
+	// it.
+	maxOutage = 30 * time.Second
+	// lastShareDivisor defines the last share of a budget, a twentieth, in which less urgent
+	// requests leave what the more urgent ones need within lastShareHorizon.
+	lastShareDivisor = 20
+	lastShareHorizon = 10 * time.Second
+)
+
+// outages records how long the store did not answer.
+type outages struct {
+	since   time.Time // start of the current outage; zero: there is none
+	longest time.Duration
+}
+
+// track updates the record.
+func (o *outages) track(now time.Time, lost bool) {
+	switch {
+	case lost && o.since.IsZero():
+		o.since = now
+	case !lost && !o.since.IsZero():
+		if length := now.Sub(o.since); length >= minOutage {
+			o.longest = min(max(o.longest, length), maxOutage)
+		}
+		o.since = time.Time{}
+	}
+}
+
+// expected returns how long an outage is expected to last.
+func (o *outages) expected(now time.Time) time.Duration {
+	d := o.longest
+	if d == 0 {
+		d = defaultOutage
+	}
+	if !o.since.IsZero() {
+		d = max(d, min(now.Sub(o.since), maxOutage))
+	}
+	return d
+}
+
+// trackOutage records whether the store answers.
+func (a *Agent) trackOutage(now time.Time) {
+	if a.cfg.ByRank && a.cfg.StoreLost != nil {
+		a.outages.track(now, a.cfg.StoreLost())
+	}
+}
+
+// recordRank records that a request of a rank asked for tokens.
+func (a *Agent) recordRank(now time.Time, p *budgetState, rank int, tokens int64) {
+	if !a.cfg.ByRank {
+		return
+	}
+	for len(p.ranks) <= rank {
+		p.ranks = append(p.ranks, rate{window: a.cfg.RateWindow})
+	}
+	p.ranks[rank].add(now, tokens)
+}
+
+// boundedRank returns the rank by which a request is treated.
+func boundedRank(rank int) int { return min(max(rank, 0), maxRanks-1) }
+
+// rankedToken returns the number of a reservation with its rank in the top bits. So an owner learns the
+// rank from a draw without a further field: messages are encoded as arrays, and a router of an earlier
+// version could not decode one that is longer.
+func rankedToken(number uint64, rank int) uint64 { return number | uint64(rank)<<rankShift }
+
+// rankOf returns the rank in a reservation's number.
+func rankOf(token uint64) int { return int(token >> rankShift) }
+
+// urgentShare returns the share of the demand that is of more urgent ranks.
+func (p *budgetState) urgentShare(now time.Time, rank int) float64 {
+	var urgent, all float64
+	for r := range p.ranks {
+		d := p.ranks[r].decayed(now)
+		all += d
+		if r < rank {
+			urgent += d
+		}
+	}
+	if urgent == 0 {
+		return 0
+	}
+	return urgent / all
+}
+
+// urgentWaiting returns the tokens that waiting requests of more urgent ranks ask for.
+func (p *budgetState) urgentWaiting(rank int) (tokens int64) {
+	for _, w := range p.waiters {
+		if w.rank < rank {
+			tokens += w.need
+		}
+	}
+	for _, d := range p.draws {
+		if d.rank < rank {
+			tokens += d.need
+		}
+	}
+	return tokens
+}
+
+// heldBack reports whether a request must leave the tokens to more urgent ranks, and the cause of its
+// refusal.
+func (a *Agent) heldBack(now time.Time, p *budgetState, need int64, rank int) (Cause, bool) {
+	if !a.cfg.ByRank || rank == 0 {
+		return "", false
+	}
+	share := p.urgentShare(now, rank)
+	if share == 0 {
+		return "", false
+	}
+	expected := func(d time.Duration) int64 {
+		return int64(share*float64(p.expectedDemand(now, d))) + p.urgentWaiting(rank)
+	}
+	if a.cutOff(now, p) {
+		d := a.outages.expected(now)
+		soon := min(d, a.cfg.UsableHorizon)
+		return Unreachable, a.usableAt(now, p, d)-need < expected(d) || p.usable()-need < expected(soon)
+	}
+	if a.inLastShare(p) {
+		return Exhausted, a.obtainable(now, p)-need < expected(lastShareHorizon)
+	}
+	return "", false
+}
+
+// cutOff reports whether no more tokens can be obtained: neither from the store nor from the owner.
+func (a *Agent) cutOff(now time.Time, p *budgetState) bool {
+	return a.storeUnavailable(p) && (a.isOwner(now, p.id) || a.ownerUnreachable(now, p))
+}
+
+// usableAt returns the tokens that will be usable after d if none are used or obtained before: escrow
+// is released meanwhile.
+func (a *Agent) usableAt(now time.Time, p *budgetState, d time.Duration) int64 {
+	ps := a.pages[p.page]
+	if !a.keepsEscrow() || ps == nil {
+		return p.usable()
+	}
+	left := ps.escrow.left(now.Add(d), p.id)
+	if ps.write != nil {
+		left = max(left, ps.write.escrow.left(now.Add(d), p.id))
+	}
+	return p.balance - min(left, p.escrow)
+}
+
+// inLastShare reports whether, by the router's copy of the page, only the last share is left.
+func (a *Agent) inLastShare(p *budgetState) bool {
+	r := a.record(p)
+	return r != nil && r.Free() <= r.Limit/lastShareDivisor
+}
+
+// obtainable returns the tokens held and this router's part of the free tokens in the store.
+func (a *Agent) obtainable(now time.Time, p *budgetState) int64 {
+	free := float64(a.spendable(a.record(p), a.inFinalReserve(p)))
+	if a.cfg.Routers != nil && a.cfg.Routers() > 1 {
+		if own, fleet := a.demands(now, p); fleet > 0 {
+			free *= own / fleet
+		}
+	}
+	return p.balance + int64(free)
+}
+
+// refuseHeldBack refuses the waiting requests and draws that must leave the tokens to more urgent ranks,
+// and orders the others by rank while that applies.
+func (a *Agent) refuseHeldBack(now time.Time, p *budgetState) {
+	if len(p.ranks) < 2 || !p.waiting() || !a.cutOff(now, p) && !a.inLastShare(p) {
+		return
+	}
+	slices.SortStableFunc(p.waiters, func(x, y waiter) int { return x.rank - y.rank })
+	slices.SortStableFunc(p.draws, func(x, y draw) int { return x.rank - y.rank })
+	var waiters []waiter
+	for _, w := range p.waiters {
+		cause, held := a.heldBack(now, p, w.need, w.rank)
+		if !held {
+			waiters = append(waiters, w)
+			continue
+		}
+		a.emit(Resolve{Token: w.token, Cause: cause})
+		a.emitHeldBack(p, w.need, w.rank, cause)
+	}
+	var draws []draw
+	for _, d := range p.draws {
+		cause, held := a.heldBack(now, p, d.need, d.rank)
+		if !held {
+			draws = append(draws, d)
+			continue
+		}
+		a.refuseDrawByRank(p, d, cause)
+	}
+	p.waiters, p.draws = waiters, draws
+}
+
+// refuseDrawByRank refuses a peer's draw that must leave the tokens to more urgent requests. Unlike
+// other refusals it does not ask the peer for its tokens.
+func (a *Agent) refuseDrawByRank(p *budgetState, d draw, cause Cause) {
+	a.emitHeldBack(p, d.need, d.rank, cause)
+	m := a.move(p, Grant, d.peer, 0)
+	m.Token = d.token
+	m.Refused = cause
+	a.emit(Send{m})
+}
+
+func (a *Agent) emitHeldBack(p *budgetState, need int64, rank int, cause Cause) {
+	a.emit(HeldBack{Budget: p.id, Need: need, Rank: rank, Usable: p.usable(), Cause: cause})
+}
--- a/controller/budgets/reserve.go
+++ b/controller/budgets/reserve.go
@@ -25,15 +25,20 @@
 	cause budget.Cause
 }
 
-// Reserve reserves tokens of a budget, waiting for an answer if needed. The error
-// gives the reason for a refusal.
+// Reserve reserves tokens of a budget for a request of the most urgent rank; see ReserveRanked.
 func (c *Controller) Reserve(ctx context.Context, id string, tokens int64) error {
+	return c.ReserveRanked(ctx, id, tokens, 0)
+}
+
+// ReserveRanked reserves tokens of a budget for a request of a rank, 0 being the most urgent,
+// waiting for an answer if needed. The error gives the reason for a refusal.
+func (c *Controller) ReserveRanked(ctx context.Context, id string, tokens int64, rank int) error {
 	ch := make(chan reservationResult, 1)
 	var token uint64
 	granted := false
 	c.withAgent(func(now time.Time, a *budget.Agent) []budget.Effect {
 		var effects []budget.Effect
-		token, granted, effects = a.Reserve(now, id, tokens)
+		token, granted, effects = a.ReserveRanked(now, id, tokens, rank)
 		if !granted {
 			c.waiting[token] = ch
 		}
--- a/gateway/steps.go
+++ b/gateway/steps.go
@@ -188,7 +188,7 @@
 	wait := max(c.route.LatencyObjective/reserveWaitDivisor, minReserveWait)
 	ctx, cancel := context.WithTimeout(c.r.Context(), wait)
 	defer cancel()
-	if err := g.Budgets.Reserve(ctx, c.account.Name, c.MaxTokens()); err != nil {
+	if err := g.Budgets.ReserveRanked(ctx, c.account.Name, c.MaxTokens(), c.route.Priority); err != nil {
 		return result.From(err)
 	}
 	c.reserved = c.MaxTokens()
@@ -203,7 +203,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.r.Context(), minReserveWait)
 	defer cancel()
-	if err := c.g.Budgets.Reserve(ctx, c.account.Name, c.MaxTokensOut); err != nil {
+	if err := c.g.Budgets.ReserveRanked(ctx, c.account.Name, c.MaxTokensOut, c.route.Priority); err != nil {
 		return result.New(result.BackendCut, "the budget does not cover another attempt").Wrap(err)
 	}
 	c.reserved += c.MaxTokensOut
--- a/server/provision.go
+++ b/server/provision.go
@@ -244,6 +244,7 @@
 		cfg.SharedOwner = s.sharesOwners
 		cfg.FirstInRank = s.firstInRank
 		cfg.Holder = s.holder
+		cfg.ByRank = true
 	}
 	s.escrowConfig(&cfg)
 	return cfg
