--- a/budget/agent.go
+++ b/budget/agent.go
@@ -27,6 +27,7 @@
 	sealed  bool
 	fenced  map[string]bool // incarnations whose messages are void
 	limits  map[string]Limit
+	outages outages
 	seed    uint64 // differs between most processes
 }
 
@@ -65,23 +66,37 @@
 	return a.cfg.Owner(now, id) == a.cfg.Self.ID
 }
 
-// Reserve asks for need tokens. It returns a reservation number; if granted is false, a
-// later Resolve effect with that number gives the answer.
+// Reserve asks for need tokens for a request of the most urgent rank; see ReserveRanked.
 func (a *Agent) Reserve(now time.Time, id string, need int64) (token uint64, granted bool, effects []Effect) {
+	return a.ReserveRanked(now, id, need, 0)
+}
+
+// ReserveRanked asks for need tokens for a request of a rank, 0 being the most urgent. It returns a reservation number; if granted is false, a
+// later Resolve effect with that number gives the answer.
+func (a *Agent) ReserveRanked(now time.Time, id string, need int64, rank int) (token uint64, granted bool, effects []Effect) {
 	a.token++
+	rank = boundedRank(rank)
+	token = rankedToken(a.token, rank)
 	p := a.budgetState(id)
 	p.recordUse(now, need)
 	p.demand.add(now, need)
+	a.recordRank(now, p, rank, need)
+	a.trackOutage(now)
 	a.trackFinalReserve(now, p)
 	a.refreshEscrow(now, p)
+	if cause, held := a.heldBack(now, p, need, rank); held {
+		a.emit(Resolve{Token: token, Cause: cause})
+		a.emitHeldBack(p, need, rank, cause)
+		return token, false, a.takeEffects()
+	}
 	if p.reserve(need) {
 		a.prefetch(now, p)
-		return a.token, true, a.takeEffects()
+		return token, true, a.takeEffects()
 	}
 	peersOnly := a.inFinalReserve(p) && !a.admitsFromFinalReserve(now, p, need)
-	p.waiters = append(p.waiters, waiter{token: a.token, need: need, peersOnly: peersOnly})
+	p.waiters = append(p.waiters, waiter{token: token, need: need, rank: rank, peersOnly: peersOnly})
 	a.advance(now, p)
-	return a.token, false, a.takeEffects()
+	return token, false, a.takeEffects()
 }
 
 // TryReserve reserves need tokens from the usable balance; it neither waits nor draws
@@ -148,14 +163,16 @@
 	if m.Kind == Draw && a.isOwner(now, p.id) {
 		a.prefetch(now, p)
 	}
-	a.returnSurplus(now, p)
+	if m.Kind != Back || !a.sharedOwner() { // two routers that each take the other for the owner
+		a.returnSurplus(now, p)
+	}
 	return a.takeEffects()
 }
 
 // handleDraw queues a peer's draw, or redirects it to the successor if this router is
 // closing.
 func (a *Agent) handleDraw(now time.Time, p *budgetState, m Message) {
-	d := draw{peer: m.From, token: m.Token, need: m.Need, want: m.Want}
+	d := draw{peer: m.From, token: m.Token, need: m.Need, want: m.Want, rank: rankOf(m.Token)}
 	switch {
 	case a.closing:
 		a.refuseDraw(p, d, Moved)
@@ -208,13 +225,13 @@
 }
 
 // Undelivered handles a message that was not delivered. If certain is set, the receiver
-// certainly did not get it and its tokens return to this router's balance, unless the
-// receiver was fenced: then they were already reclaimed from it.
+// certainly did not get it. Its tokens return to this router's balance once no other message
+// can have carried them, unless the receiver was fenced: then they were already reclaimed
+// from it.
 func (a *Agent) Undelivered(now time.Time, m Message, certain bool) []Effect {
 	p := a.budgetState(m.Budget)
-	if certain && m.Delta > 0 && !a.fenced[m.To.Incarnation] && p.sent[m.To.Incarnation] == m.Total {
-		p.sent[m.To.Incarnation] -= m.Delta
-		p.balance += m.Delta
+	if certain && !a.fenced[m.To.Incarnation] {
+		p.takeBack(m)
 	}
 	if certain && p.owner == m.To {
 		p.owner = Peer{} // it may run under another incarnation now
@@ -229,6 +246,8 @@
 		p.recallAnswered(m.To.Incarnation)
 	case Borrow:
 		p.finishLoan(m.To.ID)
+	case Back:
+		p.backUndelivered(now, m, certain)
 	}
 	a.advance(now, p)
 	return a.takeEffects()
@@ -239,6 +258,7 @@
 	if a.sealed {
 		return nil
 	}
+	a.trackOutage(now)
 	for _, p := range slices.Clone(a.active) {
 		a.tickBudget(now, p)
 	}
@@ -278,6 +298,9 @@
 
 func (a *Agent) tickBudget(now time.Time, p *budgetState) {
 	a.refreshEscrow(now, p)
+	if a.sharedOwner() {
+		a.repeatLostBack(now, p)
+	}
 	p.awaitingSuccessor = false
 	if p.drawTimedOut(now, a.cfg.DrawTimeout) {
 		a.skipOwner(now, p, p.drawTarget)
--- a/budget/budget_state.go
+++ b/budget/budget_state.go
@@ -16,6 +16,7 @@
 type waiter struct {
 	token      uint64
 	need       int64
+	rank       int       // 0 is the most urgent
 	drawSentAt time.Time // zero: no draw has been sent to the owner
 	// peersOnly is set if the store has only the final reserve left, which this request
 	// may not take from: only tokens held by other routers can serve it.
@@ -27,6 +28,7 @@
 	peer       Peer
 	token      uint64
 	need, want int64
+	rank       int // 0 is the most urgent
 }
 
 // holder is a router that this router granted tokens to.
@@ -79,9 +81,13 @@
 	skippedOwners     map[string]time.Time // owners that redirected or did not answer, and when
 	awaitingSuccessor bool                 // the successor is not known yet
 	sent              map[string]int64     // by the receiver's incarnation
+	newest            map[string]transfer  // the last tokens sent, by the receiver's incarnation
 	received          map[string]int64     // by the sender's incarnation
 	holders           map[string]*holder
+	backFailedAt      time.Time // when a return of tokens was last not delivered
+	repeatBack        Peer      // the receiver of a return that may have been lost; zero: none
 	demand            rate      // rate of tokens asked for
+	ranks             []rate    // the same by rank, of requests and of draws for requests
 	finalReserveSince time.Time // when only the final reserve was left; zero: more is left
 	meanNeed          float64   // mean tokens per reservation, exponentially weighted by count
 	lastUse           time.Time
@@ -89,7 +95,7 @@
 }
 
 func newBudgetState(id string, page int, window time.Duration) *budgetState {
-	return &budgetState{id: id, page: page, demand: rate{window: window}, skippedOwners: map[string]time.Time{}, sent: map[string]int64{}, received: map[string]int64{}, holders: map[string]*holder{}}
+	return &budgetState{id: id, page: page, demand: rate{window: window}, skippedOwners: map[string]time.Time{}, sent: map[string]int64{}, newest: map[string]transfer{}, received: map[string]int64{}, holders: map[string]*holder{}}
 }
 
 // recordUse records that a request of need tokens asked for the budget.
@@ -135,7 +141,7 @@
 
 // idle reports whether nothing is held, awaited or asked for.
 func (p *budgetState) idle() bool {
-	return p.balance <= 0 && p.reserved == 0 && !p.waiting() && len(p.loans) == 0 && !p.drawPending() && !p.recall.active && p.borrowing.from == "" && p.lookup != lookupRunning
+	return p.balance <= 0 && p.reserved == 0 && p.repeatBack.ID == "" && !p.waiting() && len(p.loans) == 0 && !p.drawPending() && !p.recall.active && p.borrowing.from == "" && p.lookup != lookupRunning
 }
 
 func (p *budgetState) waiting() bool {
@@ -268,6 +274,9 @@
 	}
 	a.grants = true
 	p.demand.add(now, amount)
+	if d.token != 0 {
+		a.recordRank(now, p, d.rank, d.need)
+	}
 	p.holders[d.peer.Incarnation] = &holder{peer: d.peer, recallable: !p.scarce}
 	m := a.move(p, Grant, d.peer, amount)
 	m.Token = d.token
@@ -287,6 +296,7 @@
 func (a *Agent) move(p *budgetState, kind Kind, to Peer, amount int64) Message {
 	p.balance -= amount
 	p.sent[to.Incarnation] += amount
+	p.carry(to.Incarnation, amount)
 	return Message{
 		Kind:   kind,
 		Budget: p.id,
--- a/budget/config.go
+++ b/budget/config.go
@@ -12,12 +12,24 @@
 	// tokens. It should be the same for all budgets of a page, so that they are written
 	// together.
 	Owner func(now time.Time, budget string) string
+	// SharedOwner reports whether the fleet is so large that one router should draw a budget
+	// for all others; nil: no. Then a router that is not that one draws only for its own
+	// demand and returns what it holds beyond that. FirstInRank reports whether this router is
+	// the one, among all registered routers whether they are reachable or not; nil: it is.
+	SharedOwner func() bool
+	FirstInRank func(now time.Time, budget string) bool
+	// ByRank makes requests leave the tokens to more urgent ones while no more can be obtained
+	// and in the last share of a budget.
+	ByRank bool
 	// Running returns the process that is known to run at an instance; its incarnation is
 	// empty if none is known. nil: none ever is.
 	Running func(id string) Peer
 	// Lenders returns the other routers to borrow a budget's tokens from, best first; nil:
 	// none.
 	Lenders func(now time.Time, budget string) []Peer
+	// Holder returns the router process that a holder in a page is, and whether it may still
+	// run and be reached; nil: unknown.
+	Holder func(holder string) (Peer, bool)
 	// StoreLost reports whether the store does not answer; nil: unknown. A router that
 	// stops in the meantime hands its tokens to a lender.
 	StoreLost func() bool
--- a/budget/messages.go
+++ b/budget/messages.go
@@ -67,7 +67,7 @@
 	// Refused is set on a Grant that moves nothing.
 	Refused Cause
 	// Token identifies the drawing router's reservation; a Grant repeats it. 0 marks a
-	// draw ahead of demand.
+	// draw ahead of demand. The top bits are the rank of the request, see rankedToken.
 	Token uint64
 }
 
@@ -130,6 +130,38 @@
 	Tokens map[string]int64
 }
 
+// DrawnForItself reports that this router draws a budget only for its own demand, since
+// another router may draw for the fleet.
+type DrawnForItself struct {
+	Budget string
+	// Target is what the router should hold, Starting whether the reason is its recent start.
+	Target   int64
+	Starting bool
+}
+
+// SurplusReturned reports that this router returned what it holds beyond its target.
+type SurplusReturned struct {
+	Budget string
+	// Tokens went to Owner, or to the store if Owner is empty; Kept is the rest of the balance.
+	Tokens, Kept int64
+	Owner        string
+}
+
+// HolderAsked reports that this router, short of Need tokens, asks a router for a loan because the
+// page records that it holds many.
+type HolderAsked struct {
+	Budget, Holder string
+	Need           int64
+}
+
+// HeldBack reports that a request was refused because the tokens are kept for more urgent ranks.
+type HeldBack struct {
+	Budget       string
+	Need, Usable int64
+	Rank         int
+	Cause        Cause
+}
+
 func (Send) effect()            {}
 func (ReadPage) effect()        {}
 func (WritePage) effect()       {}
@@ -139,3 +171,7 @@
 func (HolderFenced) effect()    {}
 func (EscrowReclaimed) effect() {}
 func (EscrowForfeited) effect() {}
+func (DrawnForItself) effect()  {}
+func (SurplusReturned) effect() {}
+func (HolderAsked) effect()     {}
+func (HeldBack) effect()        {}
--- a/budget/shared_owner_test.go
+++ b/budget/shared_owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,11 +13,30 @@
 
 // setSharedOwner configures a router of a large fleet: one router is the owner for all, and
 // the others hold tokens only if they have many requests.
-func (n *network) setSharedOwner(cfg *budget.Config) {
-	cfg.Owner = func(time.Time, string) string { return fmt.Sprintf("r%d", n.owner) }
+func (n *network) setSharedOwner(r *router, cfg *budget.Config) {
+	cfg.Owner = func(time.Time, string) string {
+		if r.cut {
+			return cfg.Self.ID
+		}
+		return fmt.Sprintf("r%d", n.owner)
+	}
 	cfg.Running = func(id string) budget.Peer {
+		if n.ownerUnknown {
+			return budget.Peer{ID: id}
+		}
 		return budget.Peer{ID: id, Incarnation: n.byID(id).incarnation()}
 	}
+	if n.manyRouters {
+		cfg.SharedOwner = func() bool { return true }
+		cfg.Holder = func(holder string) (budget.Peer, bool) {
+			id, _, _ := strings.Cut(holder, "/")
+			return budget.Peer{ID: id, Incarnation: holder}, n.byID(id).incarnation() == holder
+		}
+		if n.successors {
+			cfg.Lenders = func(time.Time, string) []budget.Peer { return []budget.Peer{{ID: "r1"}, {ID: "r2"}, {ID: "r3"}} }
+		}
+		cfg.FirstInRank = func(time.Time, string) bool { return r.index == n.owner }
+	}
 	cfg.Routers = func() int { return 1 }
 	cfg.EntryHorizon = 3 * time.Second
 	cfg.EntryMinRequests = 4
--- a/server/provision.go
+++ b/server/provision.go
@@ -243,6 +243,12 @@
 	cfg.Running = s.running
 	cfg.Lenders = s.lenders
 	cfg.StoreLost = s.storeUnreachable
+	if s.settings.Load.Budgets {
+		cfg.SharedOwner = s.sharesOwners
+		cfg.FirstInRank = s.firstInRank
+		cfg.Holder = s.holder
+		cfg.ByRank = true
+	}
 	s.escrowConfig(&cfg)
 	return cfg
 }
