Placement: servers of streams chosen by predicted times

A router counted only its own requests, took ten of them and 60,000 unread tokens for few at every server, and kept only long prompts from slow servers. For routes with objectives for the first event and for pauses, the choice now predicts both for the first four servers in the prefix's order and two drawn ones, with the harm to streams that run there and the tokens read again, and takes the least expected loss. Rules on eligibility are unchanged; without objectives, without recent figures and with load.servers = false the choice is the one by limits.

--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -70,9 +70,8 @@
 	entries    map[string]entry
 	tombstones map[string]tombstone
 	changes    changelog.Log[entry]
-	// slow are the servers that long prompts avoided at the last tick, with the
-	// time between events of their streams.
-	slow       map[string]time.Duration
+	// predicts is set if servers are chosen by predicted times for routes with objectives.
+	predicts   bool
 	unreadable unreadable
 	// warmups are the limits of cold servers, by service.
 	warmups map[string]Warmup
@@ -85,6 +84,8 @@
 	unknownFields unknownFields
 	// backoffLines limits the log lines about servers that ask for a backoff.
 	backoffLines logs.RateLimit
+	// speedLoggedAt is when the last log line about the speed of servers was written.
+	speedLoggedAt time.Time
 }
 
 // New returns a controller without servers.
@@ -126,7 +127,7 @@
 	c.removeMissing(now)
 	maps.DeleteFunc(c.tombstones, func(_ string, d tombstone) bool { return now.Sub(d.at) > deletionTTL })
 	due := c.probesDue(now)
-	c.logSlowServers()
+	c.logSpeedChanges(now)
 	c.checkReports(now)
 	c.mu.Unlock()
 	for _, s := range due {
@@ -142,22 +143,6 @@
 	return c.servers.IsRegistered(in)
 }
 
-// logSlowServers logs the servers that long prompts begin or cease to avoid.
-func (c *Controller) logSlowServers() {
-	slow := c.servers.Slow()
-	for id, pace := range slow {
-		if _, was := c.slow[id]; !was {
-			c.log.Info("server slow; long prompts avoid it", zap.String("server", id), zap.Duration("pace_ms", pace))
-		}
-	}
-	for id, pace := range c.slow {
-		if _, still := slow[id]; !still && c.servers.Has(id) {
-			c.log.Info("server no longer slow", zap.String("server", id), zap.Duration("pace_was_ms", pace))
-		}
-	}
-	c.slow = slow
-}
-
 func (c *Controller) probesDue(now time.Time) []placement.Server {
 	var due []placement.Server
 	for _, s := range c.servers.Ejected() {
@@ -337,6 +322,9 @@
 	defer c.mu.Unlock()
 	q.Now = clock.Now()
 	q.MayAdmit = func(s placement.Server, cold bool) bool { return c.allowedByRate(q, s, cold) }
+	if !c.predicts {
+		q.EventObjective = 0
+	}
 	s, ok := c.servers.Pick(c.rng, q)
 	if ok {
 		c.servers.Sent(s.Incarnation(), q.Tokens)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -34,6 +34,8 @@
 	isLast bool
 	// promptRead reports that the server has read the prompt.
 	promptRead bool
+	// sentAt is when the request was handed to the connection pool.
+	sentAt time.Time
 	// lastEventAt is when the server's last event arrived; zero if none has.
 	lastEventAt time.Time
 	// serverOutcome is the outcome reported to placement for the server.
@@ -67,7 +69,7 @@
 	defer cancel(nil)
 	wd := a.startWatchdog(cancel)
 	defer wd.stop()
-	sent := clock.Now()
+	a.sentAt = clock.Now()
 	answer, failure := a.g.Pool.Send(ctx, a.request())
 	if failure != nil {
 		return a.sendFailed(ctx, failure)
@@ -75,7 +77,7 @@
 	defer answer.Close()
 	a.record.setAnswer(answer)
 	info := a.g.Protocol.Answer(answer.StatusCode, answer.Header)
-	a.observe(sent, answer.StatusCode, answer.Header, info)
+	a.observe(a.sentAt, answer.StatusCode, answer.Header, info)
 	a.record.leaving, a.record.backoff = info.Leaving, info.Backoff
 	switch {
 	case info.WrongServer:
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -93,7 +93,7 @@
 	if isolated := c.poisonStatus().Affinity(); isolated != 0 {
 		affinity = isolated
 	}
-	return placement.Query{
+	q := placement.Query{
 		Service:  c.service.Name,
 		Affinity: affinity,
 		Tokens:   c.newTokens,
@@ -103,6 +103,11 @@
 		InDomain: c.allowedDomains(),
 		Rank:     c.rank(),
 	}
+	if e := c.service.Engine; e != nil && c.route.Kind == catalog.Stream {
+		q.FirstObjective, q.EventObjective = c.route.LatencyObjective, c.route.EventObjective
+		q.Slots, q.EventTokens = e.Slots, e.EventTokens
+	}
+	return q
 }
 
 // routePriorityLevels is the number of distinct route priorities; an account's priority takes
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -213,7 +213,9 @@
 // recordEventTiming records that this many events arrived now.
 func (a *attempt) recordEventTiming(events int) {
 	now := clock.Now()
-	if !a.lastEventAt.IsZero() {
+	if a.lastEventAt.IsZero() {
+		a.g.Servers.RecordFirstEvent(a.server.Incarnation(), a.newTokens, now.Sub(a.sentAt))
+	} else {
 		a.g.Servers.RecordEventInterval(a.server.Incarnation(), now.Sub(a.lastEventAt)/time.Duration(events))
 	}
 	a.lastEventAt = now
--- a/placement/choice_patterns_test.go
+++ b/placement/choice_patterns_test.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"testing"
+	"time"
+
+	"github.com/gaplink/gaplink/placement"
 )
 
 var (
@@ -12,14 +15,15 @@
 
 // pattern is a load: requests per second, and what disturbs it.
 type pattern struct {
-	name          string
-	short, long   float64
-	slowThird     bool    // a third of the servers at 1.7, others at 0.7 and 1, and 15% at a time 2.5 times slower
-	noise         bool    // one event in five arrives late by 100 ms
-	hot           float64 // share of long prompts with one prefix
-	burst         float64 // factor on long prompts from 5 s to 8 s
-	routers       int
-	shared, fresh bool // routers share their load; the new policy is used
+	name        string
+	short, long float64
+	slowThird   bool    // a third of the servers at 1.7, others at 0.7 and 1, and 15% at a time 2.5 times slower
+	noise       bool    // one event in five arrives late by 100 ms
+	hot         float64 // share of long prompts with one prefix
+	burst       float64 // factor on long prompts from 5 s to 8 s
+	routers     int
+	shared      bool // routers share their load
+	predicts    bool // the server is chosen by predicted times
 }
 
 func modelPatterns() []pattern {
@@ -67,6 +71,15 @@
 	return m.result
 }
 
+// query returns the query for a request. Without objectives the choice is the one by limits.
+func (m *model) query(now float64, r *modelRequest) placement.Query {
+	q := placement.Query{Service: "llm", Affinity: r.prefix, Tokens: int64(r.newTokens), Prompt: int64(r.prompt), Now: at(now)}
+	if m.predicts {
+		q.FirstObjective, q.EventObjective = time.Duration(r.first*1e6), time.Duration(r.pause*1e6)
+	}
+	return q
+}
+
 // TestModelOfTodaysChoice measures the choice by prefix and own requests in flight. It guards the model
 // itself: a pattern that leaves all streams in time, or none, would compare nothing.
 func TestModelOfTodaysChoice(t *testing.T) {
@@ -80,3 +93,16 @@
 		}
 	}
 }
+
+func TestModelOfPredictedChoice(t *testing.T) {
+	for _, p := range modelPatterns() {
+		for _, p.routers = range []int{7, 61, 300} {
+			t.Logf("%-22s %3d routers, today:  %v", p.name, p.routers, newModel(p, 1).run())
+			p.predicts = true
+			t.Logf("%-22s %3d routers, own:    %v", p.name, p.routers, newModel(p, 1).run())
+			p.shared = true
+			t.Logf("%-22s %3d routers, shared: %v", p.name, p.routers, newModel(p, 1).run())
+			p.predicts, p.shared = false, false
+		}
+	}
+}
--- a/placement/engine_model_test.go
+++ b/placement/engine_model_test.go
@@ -174,10 +174,6 @@
 	m.sent = append(m.sent, r)
 }
 
-func (m *model) query(now float64, r *modelRequest) placement.Query {
-	return placement.Query{Service: "llm", Affinity: r.prefix, Tokens: int64(r.newTokens), Prompt: int64(r.prompt), Now: at(now)}
-}
-
 // step ends the step that was due and begins the next one.
 func (m *model) step(s *modelServer, now float64) {
 	end := s.busyUntil
@@ -236,6 +232,7 @@
 	now = max(now, r.last)
 	if r.last == 0 {
 		f.RecordPromptRead(r.server.in, int64(r.newTokens))
+		f.RecordFirstEvent(at(now), r.server.in, int64(r.newTokens), time.Duration((now-r.arrived)*1e6))
 		r.late = now-r.arrived > r.first
 	} else {
 		r.late = r.late || now-r.last > r.pause
--- a/placement/fleet_load.go
+++ b/placement/fleet_load.go
@@ -93,6 +93,7 @@
 	for _, l := range loads {
 		if s := f.lookup(l.Server); s != nil {
 			s.others = l
+			f.groupOf(s.Service).addTimed(s)
 			f.loaded = append(f.loaded, l.Server)
 		}
 	}
--- a/placement/group.go
+++ b/placement/group.go
@@ -33,6 +33,7 @@
 	fastLimit   float64
 	fastLimitAt time.Time
 	intervals   []float64 // scratch buffer, reused between calls
+	speeds      speeds
 }
 
 func newGroup() *group { return &group{domains: map[string]int{}} }
@@ -47,6 +48,7 @@
 	g.observe(s)
 	if s.eventInterval > 0 {
 		g.addMeasured(s)
+		g.addTimed(s)
 	}
 }
 
@@ -62,7 +64,8 @@
 	isServer := func(other *state) bool { return other == s }
 	g.observed = slices.DeleteFunc(g.observed, isServer)
 	g.measured = slices.DeleteFunc(g.measured, isServer)
-	s.observed, s.measured = false, false
+	g.speeds.timed = slices.DeleteFunc(g.speeds.timed, isServer)
+	s.observed, s.measured, s.timed = false, false, false
 }
 
 // observe adds a server with observed state to the servers that load aggregates.
--- a/placement/interval.go
+++ b/placement/interval.go
@@ -39,6 +39,8 @@
 		return
 	}
 	s.intervals.add(now, gap)
+	s.recent.Add(now, gap, s.running(now))
+	f.groupOf(s.Service).addTimed(s)
 	if s.eventInterval == 0 {
 		s.eventInterval = gap.Seconds()
 		f.groupOf(s.Service).addMeasured(s)
@@ -51,20 +53,6 @@
 	s.eventInterval *= math.Exp(intervalGain * step)
 }
 
-// Slow returns the servers that get no long prompts, by id, with their event intervals.
-func (f *Servers) Slow() map[string]time.Duration {
-	slow := map[string]time.Duration{}
-	for _, g := range f.groups {
-		bound := fastLimitOf(g.measured)
-		for _, s := range g.measured {
-			if s.eventInterval > bound {
-				slow[s.ID] = time.Duration(s.eventInterval * float64(time.Second))
-			}
-		}
-	}
-	return slow
-}
-
 // fastServers returns the servers of a list whose event interval is at most fastFactor
 // times the median, in the same order. A server without a known interval counts as fast.
 func fastServers(list []*state) []*state {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/gaplink/gaplink/estimate"
 )
 
 const (
@@ -97,6 +99,16 @@
 	// cause; its At is zero if unknown.
 	intervals intervalWindow
 	others    ServerLoad
+	// recent are the latest event intervals, own and shared the samples as of the last update of the
+	// speeds, and speed is what follows from them. timed is set while the state is in that list of
+	// its group.
+	recent      estimate.Intervals
+	own, shared estimate.Sample
+	speed       estimate.Speed
+	timed       bool
+	// firstDelay is the excess time to first events, in seconds, as of firstDelayAt.
+	firstDelay   float64
+	firstDelayAt time.Time
 }
 
 func (s *state) usable(q *Query) bool {
@@ -120,6 +132,14 @@
 	reports map[Incarnation]*report
 	// loaded lists the servers whose load by other routers is set.
 	loaded []Incarnation
+	// prefixes are the prefixes that this router has sent to servers.
+	prefixes prefixMemory
+	// choices counts the choices by reason.
+	choices [reasonCount]int64
+	// speedChanges are the changes of class since the last call of SpeedChanges, and
+	// speedChangesDropped is the number of those that were too many.
+	speedChanges        []SpeedChange
+	speedChangesDropped int
 }
 
 // New returns an empty Servers.
@@ -293,6 +313,13 @@
 	Unrestricted bool
 	// InDomain reports whether the request may run in a failure domain; nil allows all.
 	InDomain func(domain string) bool
+	// FirstObjective and EventObjective are the latency objectives for the first event of a stream and
+	// for the time between two events. If both are set, the server is chosen by predicted times.
+	FirstObjective, EventObjective time.Duration
+	// Slots is the number of requests that a server of the service runs concurrently, if the server
+	// does not state it, and EventTokens the number of tokens in an event; 0: unknown.
+	Slots       int
+	EventTokens int64
 }
 
 // allows reports whether the domain restriction and the rate limit of a server admit the request.
@@ -306,6 +333,9 @@
 // Pick returns the server for the request; false means that no server can accept it.
 func (f *Servers) Pick(rng *rand.Rand, q Query) (Server, bool) {
 	isLong := q.Affinity != 0 && f.isLongPrompt(q)
+	if s := f.pickByPrediction(rng, &q); s != nil {
+		return s.Server, true
+	}
 	s := f.pickWithinLimits(rng, q, isLong)
 	if s == nil {
 		s = f.pickBeyondLimits(rng, q, isLong)
@@ -313,6 +343,7 @@
 	if s == nil {
 		return Server{}, false
 	}
+	f.choices[ByLimits]++
 	return s.Server, true
 }
 
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -84,6 +84,7 @@
 	wakeupsDesc      = prometheus.NewDesc("gaplink_wakeups_total", "Times that the process woke by its own timers, by purpose.", []string{"purpose"}, nil)
 	peerCallsDesc    = prometheus.NewDesc("gaplink_peer_calls_total", "Calls of other routers, by method.", []string{"method"}, nil)
 	permitsDesc      = prometheus.NewDesc("gaplink_permits_total", "Requests for servers with a rate limit, by what became of their permit.", []string{"outcome"}, nil)
+	choicesDesc      = prometheus.NewDesc("gaplink_server_choices_total", "Choices of a backend server, by reason.", []string{"reason"}, nil)
 	serversDesc      = prometheus.NewDesc("gaplink_servers", "Backend servers known, by state.", []string{"service", "state"}, nil)
 )
 
@@ -95,6 +96,7 @@
 	ch <- peerBytesDesc
 	ch <- peerCallsDesc
 	ch <- permitsDesc
+	ch <- choicesDesc
 	ch <- wakeupsDesc
 }
 
@@ -123,6 +125,9 @@
 	for outcome, n := range map[string]int64{"granted": permits.Granted, "denied": permits.Denied, "unanswered": permits.Unanswered} {
 		ch <- prometheus.MustNewConstMetric(permitsDesc, prometheus.CounterValue, float64(n), outcome)
 	}
+	for reason, n := range c.server.servers.Choices() {
+		ch <- prometheus.MustNewConstMetric(choicesDesc, prometheus.CounterValue, float64(n), reason)
+	}
 	for service, n := range c.server.servers.Counts() {
 		sendGauge(serversDesc, int64(n.Up), service, "up")
 		sendGauge(serversDesc, int64(n.Ejected), service, "ejected")
--- a/server/provision.go
+++ b/server/provision.go
@@ -49,6 +49,7 @@
 		SaturatedDialTimeout: saturatedDialTimeout,
 	})
 	s.servers = registry.New(s.platform.DecodeServer, s.pool, newRand(), s.log)
+	s.servers.SetPredictions(s.settings.Load.Servers)
 	s.servers.SetUnknownFields(s.platform.UnknownServerFields)
 	s.provisionPeers()
 	s.limits = s.newLimits()
