Speed: prefixes move from a server only after seconds, long-term factors outlast disuse

The first form took a prefix for cached at the second server as soon as the first was slow, and forgot slow servers within two seconds of disuse.

--- a/estimate/estimate_test.go
+++ b/estimate/estimate_test.go
@@ -17,8 +17,9 @@
 
 var reference = estimate.Reference{Own: usual.Seconds(), Shared: usual.Seconds()}
 
-func factorOf(now time.Time, own *estimate.Intervals) float64 {
-	return estimate.Factor(own.Sample(now), estimate.Sample{}, reference, 1)
+// update updates a speed from own intervals alone.
+func update(s *estimate.Speed, now time.Time, own *estimate.Intervals) (changed bool) {
+	return s.Update(now, own.Sample(now), estimate.Sample{}, reference)
 }
 
 // Guards against a server that stays normal for a whole stream after it has become slow, and against
@@ -31,7 +32,7 @@
 		for n := 1; n <= 50; n++ {
 			now = now.Add(interval)
 			own.Add(now, interval, 0)
-			speed.Update(now, factorOf(now, &own))
+			update(&speed, now, &own)
 			if speed.Slow() == until {
 				return n
 			}
@@ -54,7 +55,7 @@
 func TestOneReportTurnsAnUnusedServerSlow(t *testing.T) {
 	var speed estimate.Speed
 	report := estimate.Reported(5*usual/2, 30, 0, 500*time.Millisecond)
-	if !speed.Update(noon, estimate.Factor(estimate.Sample{}, report, reference, 1)) || !speed.Slow() {
+	if !speed.Update(noon, estimate.Sample{}, report, reference) || !speed.Slow() {
 		t.Error("not slow after one report")
 	}
 }
@@ -72,7 +73,7 @@
 		}
 		now = now.Add(interval)
 		own.Add(now, interval, 0)
-		if speed.Update(now, factorOf(now, &own)) {
+		if update(&speed, now, &own) {
 			changes++
 		}
 	}
@@ -87,7 +88,9 @@
 	for range 9 {
 		own.Add(noon, time.Duration(float64(usual)*estimate.BatchFactor(30)), 30)
 	}
-	if f := factorOf(noon, &own); math.Abs(f-1) > 0.01 {
+	var speed estimate.Speed
+	update(&speed, noon, &own)
+	if f := speed.Factor(); math.Abs(f-1) > 0.01 {
 		t.Errorf("factor %.2f with a full batch", f)
 	}
 }
@@ -102,11 +105,30 @@
 	for range 9 {
 		own.Add(noon, 3*usual, 0)
 	}
-	if f := factorOf(noon.Add(20*time.Second), &own); f != 1 {
+	var speed estimate.Speed
+	update(&speed, noon.Add(20*time.Second), &own)
+	if f := speed.Factor(); f != 1 {
 		t.Errorf("factor %.2f twenty seconds after the last event", f)
 	}
 }
 
+// Guards against a server that is always slow and is tried anew whenever it was not used for a while.
+func TestServerThatIsAlwaysSlowStaysSlowUnused(t *testing.T) {
+	var speed estimate.Speed
+	now := noon
+	for range 400 {
+		now = now.Add(50 * time.Millisecond)
+		speed.Update(now, estimate.Sample{Seconds: 2.4 * usual.Seconds(), Weight: 9}, estimate.Sample{}, reference)
+	}
+	for range 400 {
+		now = now.Add(50 * time.Millisecond)
+		speed.Update(now, estimate.Sample{}, estimate.Sample{}, reference)
+	}
+	if !speed.Slow() || speed.Factor() < 2 {
+		t.Errorf("slow %v, factor %.2f after 20 s without use", speed.Slow(), speed.Factor())
+	}
+}
+
 // Guards against changes of class in quick succession and outside the thresholds, whatever is observed.
 func TestClassChangesKeepTheirDistance(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -115,13 +137,14 @@
 		for range rapid.IntRange(1, 60).Draw(t, "updates") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 700).Draw(t, "ms")) * time.Millisecond)
 			factor := rapid.Float64Range(0.4, 4).Draw(t, "factor")
-			if !speed.Update(now, factor) {
+			sample := estimate.Sample{Seconds: factor * usual.Seconds(), Weight: 9}
+			if !speed.Update(now, sample, estimate.Sample{}, reference) {
 				continue
 			}
 			if !last.IsZero() && now.Sub(last) < 500*time.Millisecond {
 				t.Fatalf("two changes within %v", now.Sub(last))
 			}
-			if speed.Slow() && factor < 1.4 || !speed.Slow() && factor >= 1.15 {
+			if speed.Slow() && factor < 1.4-1e-9 || !speed.Slow() && factor >= 1.15 {
 				t.Fatalf("slow %v at factor %.2f", speed.Slow(), factor)
 			}
 			last = now
--- a/estimate/speed.go
+++ b/estimate/speed.go
@@ -1,6 +1,9 @@
 package estimate
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// slowFrom is the factor to the median of its service from which a server is slow, and normalBelow
@@ -12,6 +15,11 @@
 	// fullWeight is the number of recent intervals from which they alone decide; with fewer, the
 	// long-term factor counts for the rest, so that single late events change little.
 	fullWeight = 5.0
+	// longTermMemory is the time over which the long-term factor averages, and maxUpdateGap the longest
+	// time that one update counts for. Slow phases of servers last for seconds, and a server that is
+	// always slow must not count as the median when it has not been used for a while.
+	longTermMemory = 5 * time.Second
+	maxUpdateGap   = time.Second
 	// minFactor and maxFactor bound factors: a server beyond them is chosen or avoided anyway.
 	minFactor = 0.4
 	maxFactor = 8.0
@@ -21,11 +29,10 @@
 // Own and reported intervals have separate medians, since they are averaged differently.
 type Reference struct{ Own, Shared float64 }
 
-// Factor returns how much slower than the median of its service a server is: from the own and the
-// reported sample, and from its long-term factor as far as these have little weight. A server that was
-// never observed has the long-term factor 1.
-func Factor(own, shared Sample, ref Reference, longTerm float64) float64 {
-	var sum, weight float64
+// combined returns the factor of a server to the median of its service and its weight, from the own and
+// the reported sample; the weight is 0 if there is neither.
+func combined(own, shared Sample, ref Reference) (factor, weight float64) {
+	var sum float64
 	if own.Known() && ref.Own > 0 {
 		sum += own.Weight * own.Seconds / ref.Own
 		weight += own.Weight
@@ -34,25 +41,40 @@
 		sum += shared.Weight * shared.Seconds / ref.Shared
 		weight += shared.Weight
 	}
-	if missing := fullWeight - weight; missing > 0 {
-		sum += missing * longTerm
-		weight += missing
+	if weight == 0 {
+		return 0, 0
 	}
-	return Bound(sum / weight)
+	return min(max(sum/weight, minFactor), maxFactor), weight
 }
 
-// Bound limits a factor to plausible values.
-func Bound(factor float64) float64 { return min(max(factor, minFactor), maxFactor) }
-
 // Speed is the speed of one server relative to the median of its service. The zero value is the median.
 type Speed struct {
-	factor    float64
-	slow      bool
-	changedAt time.Time
+	// factor is the current factor, and longTerm its average while it was observed; 0: never observed.
+	factor, longTerm float64
+	slow             bool
+	changedAt        time.Time
+	updatedAt        time.Time
+}
+
+// Update sets the current factor from the own and the reported sample, and reports whether the class of
+// the server changed. As far as the samples have little weight, the long-term factor counts.
+func (s *Speed) Update(now time.Time, own, shared Sample, ref Reference) (changed bool) {
+	if s.longTerm == 0 {
+		s.longTerm = 1
+	}
+	factor, weight := combined(own, shared, ref)
+	if weight >= fullWeight {
+		share := 1 - math.Exp(-min(now.Sub(s.updatedAt), maxUpdateGap).Seconds()/longTermMemory.Seconds())
+		s.longTerm += share * (factor - s.longTerm)
+	} else {
+		factor = (weight*factor + (fullWeight-weight)*s.longTerm) / fullWeight
+	}
+	s.updatedAt = now
+	return s.set(now, factor)
 }
 
-// Update sets the current factor and reports whether the class of the server changed.
-func (s *Speed) Update(now time.Time, factor float64) (changed bool) {
+// set sets the current factor and updates the class.
+func (s *Speed) set(now time.Time, factor float64) (changed bool) {
 	s.factor = factor
 	slow := s.slow && factor >= normalBelow || factor >= slowFrom
 	if slow == s.slow || !s.changedAt.IsZero() && now.Sub(s.changedAt) < minClassTime {
@@ -65,6 +87,11 @@
 // Slow reports whether the server is classed as slow.
 func (s *Speed) Slow() bool { return s.slow }
 
+// SlowFor reports whether the server has been slow for at least a given time.
+func (s *Speed) SlowFor(now time.Time, atLeast time.Duration) bool {
+	return s.slow && now.Sub(s.changedAt) >= atLeast
+}
+
 // Factor returns the factor to use in predictions. Of a server that is classed as normal only half of
 // the difference to the median counts, and no more than up to the limit of its class.
 func (s *Speed) Factor() float64 {
--- a/placement/predict.go
+++ b/placement/predict.go
@@ -42,10 +42,12 @@
 	// eventsPerStream is the number of events after which a running stream frees its slot.
 	eventsPerStream = 30
 	// cachedSent is the probability that a server has a prefix cached that this router sent there
-	// within prefixTTL, and cachedHome that of the first server in the prefix's order that is not slow.
-	// It halves for each further one.
+	// within prefixTTL, and cachedHome that of the first server in the prefix's order that is not slow for long.
+	// It halves for each further one. The prefixes of a server have moved to the next one when it has
+	// been slow for movedAfter, since other routers avoid it too.
 	cachedSent = 0.95
 	cachedHome = 0.9
+	movedAfter = 5 * time.Second
 )
 
 // Reason is why a server was chosen.
@@ -183,7 +185,7 @@
 		cached := 0.0
 		if next.reason != ByDraw {
 			cached = home
-			if !next.server.speed.Slow() {
+			if !next.server.speed.SlowFor(q.Now, movedAfter) {
 				home /= 2
 			}
 		}
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -30,11 +30,10 @@
 	timed     []*state
 	updatedAt time.Time
 	reference estimate.Reference
-	// interval is the median event interval in seconds at an empty batch, and longTerm the median of
-	// the long-term estimates; 0 if unknown.
-	interval, longTerm  float64
-	reading             estimate.Reading
-	own, shared, slowly []float64 // scratch buffers, reused between calls
+	// interval is the median event interval in seconds at an empty batch; 0 if unknown.
+	interval    float64
+	reading     estimate.Reading
+	own, shared []float64 // scratch buffers, reused between calls
 }
 
 // SpeedChange is a change of the speed class of a server.
@@ -94,7 +93,7 @@
 		return
 	}
 	v.updatedAt = now
-	v.own, v.shared, v.slowly = v.own[:0], v.shared[:0], v.slowly[:0]
+	v.own, v.shared = v.own[:0], v.shared[:0]
 	for _, s := range v.timed {
 		s.own, s.shared = s.recent.Sample(now), s.sharedSample(now)
 		if s.own.Known() {
@@ -103,13 +102,10 @@
 		if s.shared.Known() {
 			v.shared = append(v.shared, s.shared.Seconds)
 		}
-		if s.eventInterval > 0 {
-			v.slowly = append(v.slowly, s.eventInterval)
-		}
 	}
 	v.setReference()
 	for _, s := range v.timed {
-		if s.speed.Update(now, estimate.Factor(s.own, s.shared, v.reference, v.longTermFactor(s))) {
+		if s.speed.Update(now, s.own, s.shared, v.reference) {
 			f.noteSpeedChange(s)
 		}
 	}
@@ -118,7 +114,7 @@
 // setReference computes the medians of the collected samples.
 func (v *speeds) setReference() {
 	own, shared := estimate.Median(v.own), estimate.Median(v.shared)
-	v.interval, v.longTerm = own, estimate.Median(v.slowly)
+	v.interval = own
 	v.reference = estimate.Reference{Own: own, Shared: shared}
 	if len(v.own) >= minReference {
 		return
@@ -129,14 +125,6 @@
 	}
 }
 
-// longTermFactor returns the factor of a server to the median by the long-term estimates.
-func (v *speeds) longTermFactor(s *state) float64 {
-	if s.eventInterval == 0 || len(v.slowly) < minReference {
-		return 1
-	}
-	return estimate.Bound(s.eventInterval / v.longTerm)
-}
-
 // known reports whether there are recent figures of any server.
 func (v *speeds) known() bool { return v.interval > 0 }
 
