Choice: waits of own requests, drained reports, and further servers for hot prefixes

Reports of pending prompts are half a second to a second old: with shared figures a burst was spread by prompts that had been read by then. Of reported prompts only what cannot have been read since counts. Own requests that wait for a first event, and late first events, now count as wait; servers with a wait over half the objective do not count among the four candidates, so that a hot prefix reaches up to eight; a prefix that this router sent often is taken for cached at further servers.

--- a/estimate/speed.go
+++ b/estimate/speed.go
@@ -20,6 +20,9 @@
 	// always slow must not count as the median when it has not been used for a while.
 	longTermMemory = 5 * time.Second
 	maxUpdateGap   = time.Second
+	// disuseMemory is the time over which the long-term factor of an unobserved server returns to the
+	// median: a server that was slow when it was last used is tried again.
+	disuseMemory = time.Minute
 	// minFactor and maxFactor bound factors: a server beyond them is chosen or avoided anyway.
 	minFactor = 0.4
 	maxFactor = 8.0
@@ -59,20 +62,28 @@
 // Update sets the current factor from the own and the reported sample, and reports whether the class of
 // the server changed. As far as the samples have little weight, the long-term factor counts.
 func (s *Speed) Update(now time.Time, own, shared Sample, ref Reference) (changed bool) {
-	if s.longTerm == 0 {
-		s.longTerm = 1
-	}
+	elapsed := min(now.Sub(s.updatedAt), maxUpdateGap)
+	s.updatedAt = now
 	factor, weight := combined(own, shared, ref)
-	if weight >= fullWeight {
-		share := 1 - math.Exp(-min(now.Sub(s.updatedAt), maxUpdateGap).Seconds()/longTermMemory.Seconds())
-		s.longTerm += share * (factor - s.longTerm)
-	} else {
+	switch {
+	case weight >= fullWeight && s.longTerm == 0:
+		s.longTerm = factor
+	case weight >= fullWeight:
+		s.longTerm += progress(elapsed, longTermMemory) * (factor - s.longTerm)
+	case s.longTerm == 0:
+		factor = (weight*factor + fullWeight - weight) / fullWeight
+	default:
+		s.longTerm += progress(elapsed, disuseMemory) * (1 - s.longTerm)
 		factor = (weight*factor + (fullWeight-weight)*s.longTerm) / fullWeight
 	}
-	s.updatedAt = now
 	return s.set(now, factor)
 }
 
+// progress returns the share by which an exponential average with the given memory moves in a time.
+func progress(elapsed, memory time.Duration) float64 {
+	return 1 - math.Exp(-elapsed.Seconds()/memory.Seconds())
+}
+
 // set sets the current factor and updates the class.
 func (s *Speed) set(now time.Time, factor float64) (changed bool) {
 	s.factor = factor
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -109,6 +109,9 @@
 	// firstDelay is the excess time to first events, in seconds, as of firstDelayAt.
 	firstDelay   float64
 	firstDelayAt time.Time
+	// waitingSince is when the last first event of an own request arrived, or when the first own request
+	// was sent that waits for its own.
+	waitingSince time.Time
 }
 
 func (s *state) usable(q *Query) bool {
--- a/placement/predict.go
+++ b/placement/predict.go
@@ -10,9 +10,15 @@
 // few candidates. The loss is in units of one late request.
 
 const (
-	// orderedCandidates is the number of candidates in the prefix's rendezvous order. They are the same
-	// at all routers, so that a prefix spreads over as few servers as it needs.
+	// orderedCandidates is the number of candidates in the prefix's rendezvous order that are not
+	// overloaded, and maxOrdered the number of servers among which they are sought. They are the same at
+	// all routers, so that a prefix spreads over as few servers as it needs. A prefix with a third of
+	// all long prompts overloads its first four.
 	orderedCandidates = 4
+	maxOrdered        = 8
+	// busyShare is the predicted wait, as a share of the objective for the first event, above which a
+	// server is overloaded.
+	busyShare = 0.5
 	// drawnCandidates is the number of candidates drawn at random, and maxDraws the number of draws for
 	// them. They keep routers with the same old figures from choosing the same server.
 	drawnCandidates = 2
@@ -24,14 +30,14 @@
 	riskSlope = 8.0
 	// delayPrice is the loss for each multiple of the objective in the predicted time to the first
 	// event: among late candidates the earliest is the best.
-	delayPrice = 0.1
+	delayPrice = 0.3
 	// loadPrice is the loss at a full batch. It spreads requests before any of them is late.
-	loadPrice = 0.1
+	loadPrice = 0.08
 	// harmShare is the part of the streams at a server for which a further prompt decides whether they
 	// are late; the others are in time or late without it.
 	harmShare = 0.3
 	// rereadPrice is the loss for each prompt token that is read again.
-	rereadPrice = 1.0 / 8000
+	rereadPrice = 1.0 / 3000
 	// pieceTokens is the size of the pieces in which engines read prompts between two steps.
 	pieceTokens = 1024
 	// longestToMean is the ratio of the longest usual prompt of a service to its mean.
@@ -43,7 +49,8 @@
 	eventsPerStream = 30
 	// cachedSent is the probability that a server has a prefix cached that this router sent there
 	// within prefixTTL, and cachedHome that of the first server in the prefix's order that is not slow for long.
-	// It halves for each further one. The prefixes of a server have moved to the next one when it has
+	// It halves for each further one. For a prefix that this router sent several times, each use counts
+	// as a further chance: other routers have sent it as often. The prefixes of a server have moved to the next one when it has
 	// been slow for movedAfter, since other routers avoid it too.
 	cachedSent = 0.95
 	cachedHome = 0.9
@@ -88,7 +95,7 @@
 
 // candidates of a request, in a fixed array because a choice must not allocate memory.
 type candidateList struct {
-	list  [orderedCandidates + drawnCandidates]candidate
+	list  [maxOrdered + drawnCandidates]candidate
 	count int
 }
 
@@ -101,10 +108,10 @@
 	return false
 }
 
-// insert adds a server to the ordered candidates, and drops the last of more than orderedCandidates.
+// insert adds a server to the ordered candidates, and drops the last of more than maxOrdered.
 func (c *candidateList) insert(s *state, rank uint64) {
 	at := c.count
-	if c.count == orderedCandidates {
+	if c.count == maxOrdered {
 		at--
 	} else {
 		c.count++
@@ -141,8 +148,12 @@
 		return nil
 	}
 	f.choices[best.reason]++
+	if best.server.pending == 0 {
+		best.server.waitingSince = q.Now
+	}
 	if q.Affinity != 0 {
 		f.prefixes.sent(q.Now, prefixKey(q.Affinity, best.server))
+		f.prefixes.sent(q.Now, q.Affinity)
 	}
 	return best.server
 }
@@ -155,7 +166,7 @@
 	}
 	for i, hash := range g.hashes {
 		rank := mix(key ^ hash)
-		if c.count == orderedCandidates && rank <= c.list[orderedCandidates-1].rank {
+		if c.count == maxOrdered && rank <= c.list[maxOrdered-1].rank {
 			continue
 		}
 		if s := g.list[i]; f.accepts(s, q, limits) {
@@ -165,31 +176,42 @@
 	if c.count > 0 {
 		c.list[0].reason = ByOrder
 	}
+	drawn := 0
 	for range maxDraws {
-		if c.count == 0 || c.count >= min(len(c.list), len(g.list)) {
+		if c.count == 0 || drawn == drawnCandidates {
 			return
 		}
 		s := g.list[rng.IntN(len(g.list))]
 		if !c.has(s) && f.accepts(s, q, limits) {
 			c.list[c.count] = candidate{server: s, reason: ByDraw}
 			c.count++
+			drawn++
 		}
 	}
 }
 
 // leastLoss returns a random one of the candidates with nearly the least loss.
 func (f *Servers) leastLoss(c *candidateList, g *group, rng *rand.Rand, q *Query) *candidate {
-	least, home := math.Inf(1), cachedHome
+	least, home, ordered := math.Inf(1), cachedHome, 0
+	uses := max(f.prefixes.uses(q.Now, q.Affinity), 1)
 	for i := range c.count {
 		next := &c.list[i]
+		p := f.predict(g, next.server, q)
 		cached := 0.0
 		if next.reason != ByDraw {
-			cached = home
-			if !next.server.speed.SlowFor(q.Now, movedAfter) {
-				home /= 2
+			if ordered == orderedCandidates {
+				next.loss = math.Inf(1)
+				continue
+			}
+			cached = 1 - math.Pow(1-home, uses)
+			if p.wait <= busyShare*q.FirstObjective.Seconds() {
+				ordered++
+				if !next.server.speed.SlowFor(q.Now, movedAfter) {
+					home /= 2
+				}
 			}
 		}
-		next.loss = f.loss(g, next.server, q, cached)
+		next.loss = f.loss(g, next.server, q, &p, cached)
 		least = min(least, next.loss)
 	}
 	var best *candidate
@@ -206,18 +228,41 @@
 	return best
 }
 
-// loss returns the expected loss of running a request at a server that has its prefix cached with the
-// given probability, as far as this router has not sent the prefix there itself.
-func (f *Servers) loss(g *group, s *state, q *Query, cached float64) float64 {
-	v := &g.speeds
-	requests, pending := s.requests(q.Now), float64(s.pending)
+// prediction is what is expected of a server, whatever the prompt of the request is.
+type prediction struct {
+	// slots is the number of requests that the server runs concurrently, and running how many it would
+	// run with this one.
+	slots, running int
+	// event is the time between two events, and wait the time until the server begins to read the
+	// prompt, in seconds.
+	event, wait float64
+}
+
+// predict returns the prediction for a server. The wait is the largest of what its pending prompts, its
+// full slots and the recent first events of this router's own requests suggest. Of the prompts that
+// other routers reported as pending, those count that cannot have been read since: without this, reports
+// a second old send prompts away from servers that are idle by then.
+func (f *Servers) predict(g *group, s *state, q *Query) prediction {
+	requests := s.requests(q.Now)
+	pending := g.speeds.readingTime(s, float64(s.pending))
 	if l, ok := s.freshLoad(q.Now); ok {
-		pending += float64(l.PendingTokens)
+		pending += max(g.speeds.readingTime(s, float64(l.PendingTokens))-q.Now.Sub(l.At).Seconds(), 0)
 	}
-	slots := s.slots(q)
-	running := min(requests+1, slots)
-	event := v.eventTime(s, running)
+	p := prediction{slots: s.slots(q)}
+	p.running = min(requests+1, p.slots)
+	p.event = g.speeds.eventTime(s, p.running)
+	p.wait = pending
+	if full := requests + 1 - p.slots; full > 0 {
+		p.wait += p.event * eventsPerStream * float64(full) / float64(p.slots)
+	}
+	p.wait = max(p.wait, s.delay(q.Now), s.waiting(q.Now))
+	return p
+}
 
+// loss returns the expected loss of running a request at a server that has its prefix cached with the
+// given probability, as far as this router has not sent the prefix there itself.
+func (f *Servers) loss(g *group, s *state, q *Query, p *prediction, cached float64) float64 {
+	v := &g.speeds
 	var again float64
 	if shared := q.Prompt - q.Tokens; shared > 0 && q.Affinity != 0 {
 		if f.prefixes.has(q.Now, prefixKey(q.Affinity, s)) {
@@ -226,30 +271,25 @@
 		again = (1 - cached) * float64(shared)
 	}
 	unread := float64(q.Tokens) + again
-
-	ahead := v.readingTime(s, pending)
-	if full := requests + 1 - slots; full > 0 {
-		ahead += event * eventsPerStream * float64(full) / float64(slots)
-	}
-	first := (event + v.readingTime(s, unread) + max(ahead, s.delay(q.Now))) / q.FirstObjective.Seconds()
+	first := (p.event + p.wait + v.readingTime(s, unread)) / q.FirstObjective.Seconds()
 
 	pause := q.EventObjective.Seconds()
-	longest := v.readingTime(s, f.piecesPerEvent(q, longestToMean*f.meanPrompt[q.Service])*pieceTokens)
-	own := risk((event + longest) / pause)
-	beside := risk((event + v.readingTime(s, f.piecesPerEvent(q, unread)*pieceTokens)) / pause)
+	longest := v.readingTime(s, q.readBesideEvent(longestToMean*f.meanPrompt[q.Service]))
+	own := risk((p.event + longest) / pause)
+	beside := risk((p.event + v.readingTime(s, q.readBesideEvent(unread))) / pause)
 
 	return 1 - (1-risk(first))*(1-own) + delayPrice*first +
-		harmShare*float64(running-1)*beside + loadPrice*float64(running)/float64(slots) + rereadPrice*again
+		harmShare*float64(p.running-1)*beside + loadPrice*float64(p.running)/float64(p.slots) + rereadPrice*again
 }
 
-// piecesPerEvent returns how many pieces of a prompt can be read during one event of a stream: at most
-// one in each step, of which an event takes as many as it has tokens.
-func (f *Servers) piecesPerEvent(q *Query, tokens float64) float64 {
+// readBesideEvent returns how many tokens of a prompt are read during one event of another stream: at
+// most one piece in each step, of which an event takes as many as it has tokens.
+func (q *Query) readBesideEvent(prompt float64) float64 {
 	steps := float64(q.EventTokens)
 	if steps == 0 {
 		steps = defaultEventTokens
 	}
-	return min(tokens/pieceTokens, steps)
+	return min(prompt, steps*pieceTokens)
 }
 
 // slots returns the number of requests that a server runs concurrently.
@@ -274,11 +314,13 @@
 	prefixTTL = 20 * time.Second
 )
 
-// prefixMemory remembers which prefixes this router has sent to which servers. Pairs that share a slot
-// replace each other.
+// prefixMemory remembers which prefixes this router has sent to which servers, and how often it sent
+// each prefix. Keys that share a slot replace each other.
 type prefixMemory struct {
 	keys [prefixSlots]uint64
 	at   [prefixSlots]int64 // in Unix nanoseconds
+	// count is the number of uses, of which older ones count less.
+	count [prefixSlots]float32
 }
 
 func prefixKey(affinity uint64, s *state) uint64 {
@@ -287,9 +329,19 @@
 
 func (m *prefixMemory) sent(now time.Time, key uint64) {
 	i := key % prefixSlots
+	m.count[i] = float32(m.uses(now, key)) + 1
 	m.keys[i], m.at[i] = key, now.UnixNano()
 }
 
+// uses returns how often a key was sent, less with age.
+func (m *prefixMemory) uses(now time.Time, key uint64) float64 {
+	i := key % prefixSlots
+	if m.keys[i] != key {
+		return 0
+	}
+	return float64(m.count[i]) * math.Exp(-float64(now.UnixNano()-m.at[i])/float64(prefixTTL))
+}
+
 func (m *prefixMemory) has(now time.Time, key uint64) bool {
 	i := key % prefixSlots
 	return m.keys[i] == key && now.UnixNano()-m.at[i] < int64(prefixTTL)
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -15,9 +15,9 @@
 	largeSpeedInterval = 250 * time.Millisecond
 	// minReference is the number of servers whose own samples give a median worth comparing with.
 	minReference = 3
-	// delayMemory is the time after which an observed delay of first events has fallen by a factor of e:
-	// the prompts that caused it are read within about a second.
-	delayMemory = time.Second
+	// minDelayMemory is the time after which a short delay of first events has fallen by a factor of e.
+	// A longer one takes as much longer as it is, since the queue that caused it has to drain.
+	minDelayMemory = 500 * time.Millisecond
 	// delayWeight is the weight of the newest first event in the delay of a server.
 	delayWeight = 0.5
 	// maxSpeedChanges bounds the changes of class that are kept for the log.
@@ -149,7 +149,7 @@
 	usual := v.eventTime(s, s.running(now))
 	delay := max(wait.Seconds()-usual-v.readingTime(s, float64(tokens)), 0)
 	s.firstDelay = (1-delayWeight)*s.delay(now) + delayWeight*delay
-	s.firstDelayAt = now
+	s.firstDelayAt, s.waitingSince = now, now
 	if v.known() {
 		v.reading.Add(wait, tokens, usual, s.speed.Factor())
 	}
@@ -161,7 +161,16 @@
 	if s.firstDelay == 0 {
 		return 0
 	}
-	return s.firstDelay * math.Exp(-now.Sub(s.firstDelayAt).Seconds()/delayMemory.Seconds())
+	memory := minDelayMemory.Seconds() + s.firstDelay
+	return s.firstDelay * math.Exp(-now.Sub(s.firstDelayAt).Seconds()/memory)
+}
+
+// waiting returns for how long, in seconds, own requests have waited at a server without any first event.
+func (s *state) waiting(now time.Time) float64 {
+	if s.pending == 0 {
+		return 0
+	}
+	return now.Sub(s.waitingSince).Seconds()
 }
 
 // noteSpeedChange keeps a change of class for SpeedChanges.
