--- /dev/null
+++ b/placement/predict.go
@@ -0,0 +1,348 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// A request of a route with an event objective goes to the server with the least expected loss among a
+// few candidates. The loss is in units of one late request.
+
+const (
+	// orderedCandidates is the number of candidates in the prefix's rendezvous order that are not
+	// overloaded, and maxOrdered the number of servers among which they are sought. They are the same at
+	// all routers, so that a prefix spreads over as few servers as it needs. A prefix with a third of
+	// all long prompts overloads its first four.
+	orderedCandidates = 4
+	maxOrdered        = 8
+	// busyShare is the predicted wait, as a share of the objective for the first event, above which a
+	// server is overloaded.
+	busyShare = 0.5
+	// drawnCandidates is the number of candidates drawn at random, and maxDraws the number of draws for
+	// them. They keep routers with the same old figures from choosing the same server.
+	drawnCandidates = 2
+	maxDraws        = 8
+	// nearEqual is the difference in loss up to which candidates are equal, and one is drawn.
+	nearEqual = 0.03
+	// riskSlope is how steeply the probability of being late rises around the objective: a prediction
+	// of 0.7 of the objective is late in one case of twelve.
+	riskSlope = 8.0
+	// delayPrice is the loss for each multiple of the objective in the predicted time to the first
+	// event: among late candidates the earliest is the best.
+	delayPrice = 0.3
+	// loadPrice is the loss at a full batch. It spreads requests before any of them is late.
+	loadPrice = 0.08
+	// harmShare is the part of the streams at a server for which a further prompt decides whether they
+	// are late; the others are in time or late without it.
+	harmShare = 0.3
+	// rereadPrice is the loss for each prompt token that is read again.
+	rereadPrice = 1.0 / 3000
+	// pieceTokens is the size of the pieces in which engines read prompts between two steps.
+	pieceTokens = 1024
+	// longestToMean is the ratio of the longest usual prompt of a service to its mean.
+	longestToMean = 1.5
+	// defaultSlots and defaultEventTokens hold for services that do not state theirs.
+	defaultSlots       = 32
+	defaultEventTokens = 5
+	// eventsPerStream is the number of events after which a running stream frees its slot.
+	eventsPerStream = 30
+	// cachedSent is the probability that a server has a prefix cached that this router sent there
+	// within prefixTTL, and cachedHome that of the first server in the prefix's order that is not slow for long.
+	// It halves for each further one. For a prefix that this router sent several times, each use counts
+	// as a further chance: other routers have sent it as often. The prefixes of a server have moved to the next one when it has
+	// been slow for movedAfter, since other routers avoid it too.
+	cachedSent = 0.95
+	cachedHome = 0.9
+	movedAfter = 5 * time.Second
+)
+
+// Reason is why a server was chosen.
+type Reason int
+
+// Reasons for a choice.
+const (
+	// ByLimits: without a prediction, by prefix and own requests in flight.
+	ByLimits Reason = iota
+	// ByOrder: the first server in the order of the prefix.
+	ByOrder
+	// BySpread: a further server in the order of the prefix.
+	BySpread
+	// ByDraw: a server drawn at random.
+	ByDraw
+	reasonCount
+)
+
+// String returns the reason as a metric label.
+func (r Reason) String() string { return [reasonCount]string{"limits", "order", "spread", "draw"}[r] }
+
+// Choices returns the number of requests by the reason for the choice of their server.
+func (f *Servers) Choices() map[string]int64 {
+	choices := make(map[string]int64, reasonCount)
+	for r, n := range f.choices {
+		choices[Reason(r).String()] = n
+	}
+	return choices
+}
+
+// candidate is a server that may be chosen.
+type candidate struct {
+	server *state
+	reason Reason
+	rank   uint64
+	loss   float64
+}
+
+// candidates of a request, in a fixed array because a choice must not allocate memory.
+type candidateList struct {
+	list  [maxOrdered + drawnCandidates]candidate
+	count int
+}
+
+func (c *candidateList) has(s *state) bool {
+	for i := range c.count {
+		if c.list[i].server == s {
+			return true
+		}
+	}
+	return false
+}
+
+// insert adds a server to the ordered candidates, and drops the last of more than maxOrdered.
+func (c *candidateList) insert(s *state, rank uint64) {
+	at := c.count
+	if c.count == maxOrdered {
+		at--
+	} else {
+		c.count++
+	}
+	for ; at > 0 && c.list[at-1].rank < rank; at-- {
+		c.list[at] = c.list[at-1]
+	}
+	c.list[at] = candidate{server: s, rank: rank, reason: BySpread}
+}
+
+// predicts reports whether the server of a request is chosen by prediction.
+func (q *Query) predicts() bool { return q.EventObjective > 0 && q.FirstObjective > 0 }
+
+// pickByPrediction returns the server with the least expected loss, or nil if the choice cannot be made
+// by prediction: the route has no objectives, there are no recent figures, or no candidate is eligible.
+func (f *Servers) pickByPrediction(rng *rand.Rand, q *Query) *state {
+	if !q.predicts() {
+		return nil
+	}
+	g := f.groupOf(q.Service)
+	f.updateSpeeds(g, q.Now)
+	if !g.speeds.known() {
+		return nil
+	}
+	limits, ok := f.limitsFor(g, *q, false)
+	if !ok {
+		return nil
+	}
+	limits.inFlight, limits.pending = math.MaxInt, math.MaxInt64
+	var c candidateList
+	f.collect(&c, g, rng, q, &limits)
+	best := f.leastLoss(&c, g, rng, q)
+	if best == nil {
+		return nil
+	}
+	f.choices[best.reason]++
+	if best.server.pending == 0 {
+		best.server.waitingSince = q.Now
+	}
+	if q.Affinity != 0 {
+		f.prefixes.sent(q.Now, prefixKey(q.Affinity, best.server))
+		f.prefixes.sent(q.Now, q.Affinity)
+	}
+	return best.server
+}
+
+// collect collects the candidates for a request.
+func (f *Servers) collect(c *candidateList, g *group, rng *rand.Rand, q *Query, limits *pickLimits) {
+	key := q.Affinity
+	if key == 0 {
+		key = f.order
+	}
+	for i, hash := range g.hashes {
+		rank := mix(key ^ hash)
+		if c.count == maxOrdered && rank <= c.list[maxOrdered-1].rank {
+			continue
+		}
+		if s := g.list[i]; f.accepts(s, q, limits) {
+			c.insert(s, rank)
+		}
+	}
+	if c.count > 0 {
+		c.list[0].reason = ByOrder
+	}
+	drawn := 0
+	for range maxDraws {
+		if c.count == 0 || drawn == drawnCandidates {
+			return
+		}
+		s := g.list[rng.IntN(len(g.list))]
+		if !c.has(s) && f.accepts(s, q, limits) {
+			c.list[c.count] = candidate{server: s, reason: ByDraw}
+			c.count++
+			drawn++
+		}
+	}
+}
+
+// leastLoss returns a random one of the candidates with nearly the least loss.
+func (f *Servers) leastLoss(c *candidateList, g *group, rng *rand.Rand, q *Query) *candidate {
+	least, home, ordered := math.Inf(1), cachedHome, 0
+	uses := max(f.prefixes.uses(q.Now, q.Affinity), 1)
+	for i := range c.count {
+		next := &c.list[i]
+		p := f.predict(g, next.server, q)
+		cached := 0.0
+		if next.reason != ByDraw {
+			if ordered == orderedCandidates {
+				next.loss = math.Inf(1)
+				continue
+			}
+			cached = 1 - math.Pow(1-home, uses)
+			if p.wait <= busyShare*q.FirstObjective.Seconds() {
+				ordered++
+				if !next.server.speed.SlowFor(q.Now, movedAfter) {
+					home /= 2
+				}
+			}
+		}
+		next.loss = f.loss(g, next.server, q, &p, cached)
+		least = min(least, next.loss)
+	}
+	var best *candidate
+	equal := 0
+	for i := range c.count {
+		if c.list[i].loss > least+nearEqual {
+			continue
+		}
+		equal++
+		if rng.IntN(equal) == 0 {
+			best = &c.list[i]
+		}
+	}
+	return best
+}
+
+// prediction is what is expected of a server, whatever the prompt of the request is.
+type prediction struct {
+	// slots is the number of requests that the server runs concurrently, and running how many it would
+	// run with this one.
+	slots, running int
+	// event is the time between two events, and wait the time until the server begins to read the
+	// prompt, in seconds.
+	event, wait float64
+}
+
+// predict returns the prediction for a server. The wait is the largest of what its pending prompts, its
+// full slots and the recent first events of this router's own requests suggest. Of the prompts that
+// other routers reported as pending, those count that cannot have been read since: without this, reports
+// a second old send prompts away from servers that are idle by then.
+func (f *Servers) predict(g *group, s *state, q *Query) prediction {
+	requests := s.requests(q.Now)
+	pending := g.speeds.readingTime(s, float64(s.pending))
+	if l, ok := s.freshLoad(q.Now); ok {
+		pending += max(g.speeds.readingTime(s, float64(l.PendingTokens))-q.Now.Sub(l.At).Seconds(), 0)
+	}
+	p := prediction{slots: s.slots(q)}
+	p.running = min(requests+1, p.slots)
+	p.event = g.speeds.eventTime(s, p.running)
+	p.wait = pending
+	if full := requests + 1 - p.slots; full > 0 {
+		p.wait += p.event * eventsPerStream * float64(full) / float64(p.slots)
+	}
+	p.wait = max(p.wait, s.delay(q.Now), s.waiting(q.Now))
+	return p
+}
+
+// loss returns the expected loss of running a request at a server that has its prefix cached with the
+// given probability, as far as this router has not sent the prefix there itself.
+func (f *Servers) loss(g *group, s *state, q *Query, p *prediction, cached float64) float64 {
+	v := &g.speeds
+	var again float64
+	if shared := q.Prompt - q.Tokens; shared > 0 && q.Affinity != 0 {
+		if f.prefixes.has(q.Now, prefixKey(q.Affinity, s)) {
+			cached = max(cached, cachedSent)
+		}
+		again = (1 - cached) * float64(shared)
+	}
+	unread := float64(q.Tokens) + again
+	first := (p.event + p.wait + v.readingTime(s, unread)) / q.FirstObjective.Seconds()
+
+	pause := q.EventObjective.Seconds()
+	longest := v.readingTime(s, q.readBesideEvent(longestToMean*f.meanPrompt[q.Service]))
+	own := risk((p.event + longest) / pause)
+	beside := risk((p.event + v.readingTime(s, q.readBesideEvent(unread))) / pause)
+
+	return 1 - (1-risk(first))*(1-own) + delayPrice*first +
+		harmShare*float64(p.running-1)*beside + loadPrice*float64(p.running)/float64(p.slots) + rereadPrice*again
+}
+
+// readBesideEvent returns how many tokens of a prompt are read during one event of another stream: at
+// most one piece in each step, of which an event takes as many as it has tokens.
+func (q *Query) readBesideEvent(prompt float64) float64 {
+	steps := float64(q.EventTokens)
+	if steps == 0 {
+		steps = defaultEventTokens
+	}
+	return min(prompt, steps*pieceTokens)
+}
+
+// slots returns the number of requests that a server runs concurrently.
+func (s *state) slots(q *Query) int {
+	switch {
+	case s.Slots > 0:
+		return s.Slots
+	case q.Slots > 0:
+		return q.Slots
+	default:
+		return defaultSlots
+	}
+}
+
+// risk returns the probability of being late for a prediction, as a multiple of the objective.
+func risk(multiple float64) float64 { return 1 / (1 + math.Exp(riskSlope*(1-multiple))) }
+
+const (
+	// prefixSlots is the number of pairs of prefix and server that are remembered; a power of two.
+	prefixSlots = 4096
+	// prefixTTL is how long a server is expected to have a prefix cached.
+	prefixTTL = 20 * time.Second
+)
+
+// prefixMemory remembers which prefixes this router has sent to which servers, and how often it sent
+// each prefix. Keys that share a slot replace each other.
+type prefixMemory struct {
+	keys [prefixSlots]uint64
+	at   [prefixSlots]int64 // in Unix nanoseconds
+	// count is the number of uses, of which older ones count less.
+	count [prefixSlots]float32
+}
+
+func prefixKey(affinity uint64, s *state) uint64 {
+	return mix(affinity ^ s.hash ^ uint64(s.Started)*0x9e3779b97f4a7c15)
+}
+
+func (m *prefixMemory) sent(now time.Time, key uint64) {
+	i := key % prefixSlots
+	m.count[i] = float32(m.uses(now, key)) + 1
+	m.keys[i], m.at[i] = key, now.UnixNano()
+}
+
+// uses returns how often a key was sent, less with age.
+func (m *prefixMemory) uses(now time.Time, key uint64) float64 {
+	i := key % prefixSlots
+	if m.keys[i] != key {
+		return 0
+	}
+	return float64(m.count[i]) * math.Exp(-float64(now.UnixNano()-m.at[i])/float64(prefixTTL))
+}
+
+func (m *prefixMemory) has(now time.Time, key uint64) bool {
+	i := key % prefixSlots
+	return m.keys[i] == key && now.UnixNano()-m.at[i] < int64(prefixTTL)
+}
