Budgets: more held for urgent requests, little near the end of a budget

Cause: an ordinary router held 3 s of its demand, refilled below a quarter of that, while outages of the store last 5 to 9 s; and what all routers held of a budget shortly before its end, several percent of it, was lost when all lost power.

Change, in a large fleet: an ordinary router with requests of several ranks holds 9 s of the demand of the most urgent one and 3 s of the rest, and refills below half of that. While a budget has under a quarter left (until 30% are left again) and the store answers, its owner holds 1% of it, and tells the others in its grants how much to hold, 1% in all in proportion to what they were granted. The limit is in Message.Want, which a grant did not use; other routers ignore it.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -206,6 +206,9 @@
 func (a *Agent) handleGrant(now time.Time, p *budgetState, m Message) {
 	p.scarce = m.Scarce
 	p.owner = m.From
+	if m.Refused == "" {
+		p.setHoldLimit(m.Want)
+	}
 	if p.unreachableOwner == m.From.ID {
 		p.unreachableOwner = ""
 	}
--- a/budget/budget_state.go
+++ b/budget/budget_state.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"math"
 	"time"
 )
 
@@ -37,6 +38,7 @@
 	// recallable is set if the holder may have more than its running requests need, so
 	// that a recall is worthwhile.
 	recallable bool
+	granted    rate // rate of tokens granted
 }
 
 // recallRound is one round of asking holders for their unused tokens.
@@ -84,6 +86,9 @@
 	newest            map[string]transfer  // the last tokens sent, by the receiver's incarnation
 	received          map[string]int64     // by the sender's incarnation
 	holders           map[string]*holder
+	holdLimit         int64     // the most that the owner lets this router hold
+	nearlyUsedUp      bool      // little is left of the budget
+	reportedNearEnd   bool      // the budget was reported to be held short
 	backFailedAt      time.Time // when a return of tokens was last not delivered
 	repeatBack        Peer      // the receiver of a return that may have been lost; zero: none
 	demand            rate      // rate of tokens asked for
@@ -95,7 +100,7 @@
 }
 
 func newBudgetState(id string, page int, window time.Duration) *budgetState {
-	return &budgetState{id: id, page: page, demand: rate{window: window}, skippedOwners: map[string]time.Time{}, sent: map[string]int64{}, newest: map[string]transfer{}, received: map[string]int64{}, holders: map[string]*holder{}}
+	return &budgetState{id: id, page: page, demand: rate{window: window}, holdLimit: math.MaxInt64, skippedOwners: map[string]time.Time{}, sent: map[string]int64{}, newest: map[string]transfer{}, received: map[string]int64{}, holders: map[string]*holder{}}
 }
 
 // recordUse records that a request of need tokens asked for the budget.
@@ -201,6 +206,16 @@
 	return !p.prefetchSentAt.IsZero() && now.Sub(p.prefetchSentAt) >= timeout
 }
 
+// holderOf returns the record of a router that tokens are granted to.
+func (p *budgetState) holderOf(peer Peer) *holder {
+	h, known := p.holders[peer.Incarnation]
+	if !known {
+		h = &holder{peer: peer, granted: rate{window: p.demand.window}}
+		p.holders[peer.Incarnation] = h
+	}
+	return h
+}
+
 // recallAnswered records that a holder returned its unused tokens.
 func (p *budgetState) recallAnswered(incarnation string) {
 	if h, ok := p.holders[incarnation]; ok {
@@ -277,8 +292,11 @@
 	if d.token != 0 {
 		a.recordRank(now, p, d.rank, d.need)
 	}
-	p.holders[d.peer.Incarnation] = &holder{peer: d.peer, recallable: !p.scarce}
+	h := p.holderOf(d.peer)
+	h.recallable = !p.scarce
+	h.granted.add(now, amount)
 	m := a.move(p, Grant, d.peer, amount)
+	m.Want = a.limitFor(now, p, h)
 	m.Token = d.token
 	a.emit(Send{m})
 }
--- a/budget/entry.go
+++ b/budget/entry.go
@@ -16,9 +16,20 @@
 	if !a.keepsBuffer(now, p) {
 		return 0
 	}
+	if a.sharedOwner() {
+		return a.urgentTarget(now, p)
+	}
 	return p.expectedDemand(now, a.cfg.EntryHorizon)
 }
 
+// entryRefill returns the balance below which an entry router draws more.
+func (a *Agent) entryRefill(now time.Time, p *budgetState) int64 {
+	if a.sharedOwner() {
+		return a.entryTarget(now, p) / 2
+	}
+	return a.entryTarget(now, p) / freeDivisor
+}
+
 // skippedOwnerTTL is how long an owner that redirected or did not answer is not asked
 // again.
 const skippedOwnerTTL = 500 * time.Millisecond
--- a/budget/hold.go
+++ b/budget/hold.go
@@ -12,10 +12,10 @@
 // at most its fair share of what is left.
 func (a *Agent) targetBalance(now time.Time, p *budgetState) int64 {
 	if a.drawsOnlyForItself(now, p) {
-		return a.ownNeed(now, p)
+		return min(a.ownNeed(now, p), a.ownerLimit(p))
 	}
 	want := max(p.expectedDemand(now, a.cfg.OwnerHorizon), int64(a.cfg.HeldRequests*p.meanNeed), a.initialBalance(p))
-	return min(want, a.fairShare(now, p))
+	return min(want, a.fairShare(now, p), a.ownerLimit(p))
 }
 
 // initialBalance returns what an owner holds of a budget for which it has no demand
@@ -31,12 +31,12 @@
 // refillThreshold returns the balance below which an owner draws more.
 func (a *Agent) refillThreshold(now time.Time, p *budgetState) int64 {
 	if a.drawsOnlyForItself(now, p) {
-		return int64(float64(a.ownNeed(now, p)) * a.cfg.RefillBelow)
+		return int64(float64(min(a.ownNeed(now, p), a.ownerLimit(p))) * a.cfg.RefillBelow)
 	}
 	horizon := time.Duration(float64(a.cfg.OwnerHorizon) * a.cfg.RefillBelow)
 	initial := int64(a.cfg.RefillBelow * float64(a.initialBalance(p)))
 	threshold := max(p.expectedDemand(now, horizon), int64(a.cfg.LowRequests*p.meanNeed), initial)
-	return min(threshold, int64(float64(a.fairShare(now, p))*a.cfg.RefillBelow))
+	return min(threshold, int64(float64(min(a.fairShare(now, p), a.ownerLimit(p)))*a.cfg.RefillBelow))
 }
 
 // fairShare bounds what an owner holds in advance by how long the store's free tokens would
--- a/budget/messages.go
+++ b/budget/messages.go
@@ -56,7 +56,8 @@
 	To Peer
 	// Need is the minimum number of tokens that the drawing router can use.
 	Need int64
-	// Want is the number of tokens that the drawing router's demand calls for.
+	// Want is the number of tokens that the drawing router's demand calls for. In a Grant it is
+	// the most that the drawing router should hold; 0: no limit.
 	Want int64
 	// Total is the sum of all tokens ever moved from From to To.
 	Total int64
@@ -162,6 +163,21 @@
 	Cause        Cause
 }
 
+// DrawnAhead reports that this router, which is not the owner, draws tokens to hold Target, more of
+// them for its most urgent rank, whose share of the demand is Urgent.
+type DrawnAhead struct {
+	Budget string
+	Target int64
+	Urgent float64
+}
+
+// NearEnd reports that a budget is nearly used up, so that little of it is held, or no longer.
+type NearEnd struct {
+	Budget      string
+	Near        bool
+	Free, Limit int64
+}
+
 func (Send) effect()            {}
 func (ReadPage) effect()        {}
 func (WritePage) effect()       {}
@@ -175,3 +191,5 @@
 func (SurplusReturned) effect() {}
 func (HolderAsked) effect()     {}
 func (HeldBack) effect()        {}
+func (DrawnAhead) effect()      {}
+func (NearEnd) effect()         {}
--- a/budget/paging.go
+++ b/budget/paging.go
@@ -27,7 +27,8 @@
 	need   int64
 	want   int64
 	at     time.Time
-	// awaited is set if a caller waits for the write although it draws nothing.
+	// awaited is set if the write should not wait for others although no caller's draw does: a
+	// loan waits for it, or the router holds too little to wait.
 	awaited bool
 	// finalReserve is set if the draw may take from the budget's final reserve.
 	finalReserve bool
@@ -83,11 +84,12 @@
 func (a *Agent) drawFromStore(now time.Time, p *budgetState, need int64) {
 	p.lookup = lookupRunning
 	p.lookedAt = now
+	a.reportNearEnd(p)
 	want := a.targetBalance(now, p)
 	if a.drawsOnlyForItself(now, p) {
 		a.emit(DrawnForItself{Budget: p.id, Target: want, Starting: now.Sub(a.cfg.Started) < ownNeedPeriod})
 	}
-	a.queue(now, pageOp{budget: p.id, need: need, want: max(want-p.balance, need), finalReserve: a.inFinalReserve(p)})
+	a.queue(now, pageOp{budget: p.id, need: need, want: max(want-p.balance, need), awaited: a.nearEnd(p), finalReserve: a.inFinalReserve(p)})
 }
 
 func (a *Agent) queue(now time.Time, op pageOp) {
--- a/budget/search.go
+++ b/budget/search.go
@@ -60,10 +60,13 @@
 		}
 		return
 	}
-	if p.drawPending() || p.awaitingSuccessor || a.ownerUnreachable(now, p) && now.Sub(p.unreachableAt) < unreachableOwnerPause || p.balance >= a.entryTarget(now, p)/freeDivisor {
+	if p.drawPending() || p.awaitingSuccessor || a.ownerUnreachable(now, p) && now.Sub(p.unreachableAt) < unreachableOwnerPause || p.balance >= a.entryRefill(now, p) {
 		return
 	}
 	p.prefetchSentAt = now
+	if share := p.mostUrgentShare(now); a.sharedOwner() && share > 0 {
+		a.emit(DrawnAhead{Budget: p.id, Target: a.entryTarget(now, p), Urgent: share})
+	}
 	a.emit(Send{a.drawMessage(now, p, 0, 1)})
 }
 
--- a/budget/surplus.go
+++ b/budget/surplus.go
@@ -63,6 +63,9 @@
 	}
 	owner := a.isOwner(now, p.id)
 	if owner && a.firstInRank(now, p) {
+		if a.exceedsOwnerLimit(p) {
+			a.returnPartToStore(now, p, p.balance-a.ownerLimit(p))
+		}
 		return
 	}
 	target := a.entryTarget(now, p)
--- a/controller/budgets/decisions.go
+++ b/controller/budgets/decisions.go
@@ -19,10 +19,12 @@
 	surplusDecision = "surplus"
 	holderDecision  = "holder"
 	rankDecision    = "rank"
+	aheadDecision   = "ahead"
+	nearEndDecision = "near end"
 )
 
 func newDecisionLogs() map[string]*logs.RateLimit {
-	return map[string]*logs.RateLimit{ownNeedDecision: {}, surplusDecision: {}, holderDecision: {}, rankDecision: {}}
+	return map[string]*logs.RateLimit{ownNeedDecision: {}, surplusDecision: {}, holderDecision: {}, rankDecision: {}, aheadDecision: {}, nearEndDecision: {}}
 }
 
 // logDecision logs a decision of the agent, unless a line about its kind was written recently.
@@ -48,6 +50,16 @@
 			c.log.Info("tokens kept for more urgent requests", zap.String("budget", e.Budget), zap.Int("rank", e.Rank),
 				zap.Int64("wanted", e.Need), zap.Int64("usable", e.Usable), zap.String("cause", string(e.Cause)), zap.Int64("suppressed", suppressed))
 		}
+	case budget.DrawnAhead:
+		if suppressed, ok := c.allowLine(aheadDecision); ok {
+			c.log.Info("tokens drawn ahead for urgent requests", zap.String("budget", e.Budget), zap.Int64("target", e.Target),
+				zap.Float64("urgent_share", e.Urgent), zap.Int64("suppressed", suppressed))
+		}
+	case budget.NearEnd:
+		if suppressed, ok := c.allowLine(nearEndDecision); ok {
+			c.log.Info("budget nearly used up", zap.String("budget", e.Budget), zap.Bool("held_short", e.Near),
+				zap.Int64("store_free", e.Free), zap.Int64("limit", e.Limit), zap.Int64("suppressed", suppressed))
+		}
 	}
 }
 
