Merge: held ahead by rank, little held near the end; only larger requests yield

Change on top: a less urgent request yields only to requests that need no more tokens than it, and only in the last thirtieth of a budget. TestSmallRequestsDoNotYieldToLargeOnes fails without the rule.

--- a/budget/rank.go
+++ b/budget/rank.go
@@ -22,9 +22,9 @@
 	// maxOutage bounds the remembered length: what is kept for more urgent requests grows with
 	// it.
 	maxOutage = 30 * time.Second
-	// lastShareDivisor defines the last share of a budget, a twentieth, in which less urgent
+	// lastShareDivisor defines the last share of a budget, a thirtieth, in which less urgent
 	// requests leave what the more urgent ones need within lastShareHorizon.
-	lastShareDivisor = 20
+	lastShareDivisor = 30
 	lastShareHorizon = 10 * time.Second
 )
 
@@ -72,9 +72,23 @@
 		return
 	}
 	for len(p.ranks) <= rank {
-		p.ranks = append(p.ranks, rate{window: a.cfg.RateWindow})
+		p.ranks = append(p.ranks, rankDemand{rate: rate{window: a.cfg.RateWindow}})
 	}
-	p.ranks[rank].add(now, tokens)
+	p.ranks[rank].record(now, tokens)
+}
+
+// rankDemand is the demand of the requests of a rank.
+type rankDemand struct {
+	rate
+	meanNeed float64 // mean tokens per request, exponentially weighted by count
+}
+
+func (d *rankDemand) record(now time.Time, need int64) {
+	if d.meanNeed == 0 {
+		d.meanNeed = float64(need)
+	}
+	d.meanNeed += (float64(need) - d.meanNeed) / needWindow
+	d.add(now, need)
 }
 
 // boundedRank returns the rank by which a request is treated.
@@ -88,13 +102,15 @@
 // rankOf returns the rank in a reservation's number.
 func rankOf(token uint64) int { return int(token >> rankShift) }
 
-// urgentShare returns the share of the demand that is of more urgent ranks.
-func (p *budgetState) urgentShare(now time.Time, rank int) float64 {
+// urgentShare returns the share of the demand that is of more urgent ranks with requests whose mean size is
+// need at most. A request does not yield to larger ones: it would be refused for a part of one of
+// them.
+func (p *budgetState) urgentShare(now time.Time, rank int, need int64) float64 {
 	var urgent, all float64
 	for r := range p.ranks {
 		d := p.ranks[r].decayed(now)
 		all += d
-		if r < rank {
+		if r < rank && p.ranks[r].meanNeed <= float64(need) {
 			urgent += d
 		}
 	}
@@ -104,15 +120,16 @@
 	return urgent / all
 }
 
-// urgentWaiting returns the tokens that waiting requests of more urgent ranks ask for.
-func (p *budgetState) urgentWaiting(rank int) (tokens int64) {
+// urgentWaiting returns the tokens that waiting requests of more urgent ranks ask for that need no more
+// than need each.
+func (p *budgetState) urgentWaiting(rank int, need int64) (tokens int64) {
 	for _, w := range p.waiters {
-		if w.rank < rank {
+		if w.rank < rank && w.need <= need {
 			tokens += w.need
 		}
 	}
 	for _, d := range p.draws {
-		if d.rank < rank {
+		if d.rank < rank && d.need <= need {
 			tokens += d.need
 		}
 	}
@@ -125,12 +142,12 @@
 	if !a.cfg.ByRank || rank == 0 {
 		return "", false
 	}
-	share := p.urgentShare(now, rank)
+	share := p.urgentShare(now, rank, need)
 	if share == 0 {
 		return "", false
 	}
 	expected := func(d time.Duration) int64 {
-		return int64(share*float64(p.expectedDemand(now, d))) + p.urgentWaiting(rank)
+		return int64(share*float64(p.expectedDemand(now, d))) + p.urgentWaiting(rank, need)
 	}
 	if a.cutOff(now, p) {
 		d := a.outages.expected(now)
--- a/budget/rank_test.go
+++ b/budget/rank_test.go
@@ -170,3 +170,30 @@
 		}
 	})
 }
+
+// TestSmallRequestsDoNotYieldToLargeOnes guards against small less urgent requests being refused at the
+// end of a budget although all of them together take less than one urgent request.
+func TestSmallRequestsDoNotYieldToLargeOnes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := &network{t: t, now: epoch.Add(time.Hour), page: budget.NewPage(), waiting: map[string]int64{}, limit: 100000, limitVersion: 1, byRank: true}
+		r := &router{index: 0}
+		n.routers = []*router{r}
+		n.bootSelfOwner(r)
+		refused := 0
+		for n.limit-n.spent > 2000 {
+			n.reserveRanked(r, 1000, urgent)
+			n.exchange("done")
+			n.settleAll(r)
+			n.reserveRanked(r, 10, later)
+			n.exchange("done")
+			if len(r.running) == 0 {
+				refused++
+			}
+			n.settleAll(r)
+			n.wait(4, 50*time.Millisecond, "done")
+		}
+		if refused > 0 {
+			t.Fatalf("%d small requests are refused while large ones are served", refused)
+		}
+	})
+}
