Budgets: old pages hold nothing back, small fleets stay idle

In the last 5% of a budget by an old copy of the page, less urgent requests were refused without reading the page, also after other routers had returned tokens. And in a small fleet a return without an answer was kept for a repetition that only large fleets make, so that the agent never became idle.

Change: the rule for the last 5% applies at the owner only, by a copy of the page that is at most 5 s old; a lost return is kept in large fleets only. Tests for the switch and for a large fleet of suspected routers.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -250,7 +250,9 @@
 	case Borrow:
 		p.finishLoan(m.To.ID)
 	case Back:
-		p.backUndelivered(now, m, certain)
+		if a.sharedOwner() {
+			p.backUndelivered(now, m, certain)
+		}
 	}
 	a.advance(now, p)
 	return a.takeEffects()
@@ -301,9 +303,7 @@
 
 func (a *Agent) tickBudget(now time.Time, p *budgetState) {
 	a.refreshEscrow(now, p)
-	if a.sharedOwner() {
-		a.repeatLostBack(now, p)
-	}
+	a.repeatLostBack(now, p)
 	p.awaitingSuccessor = false
 	if p.drawTimedOut(now, a.cfg.DrawTimeout) {
 		a.skipOwner(now, p, p.drawTarget)
--- a/budget/escrow.go
+++ b/budget/escrow.go
@@ -91,7 +91,7 @@
 		return
 	}
 	p.escrow = ps.escrow.left(now, p.id)
-	if a.sharedOwner() && p.escrow > 0 {
+	if p.escrow > 0 && a.sharedOwner() {
 		// Tokens in escrow may be queued for return: they left the balance and are not used.
 		p.escrow = max(p.escrow-ps.queuedReturns(p.id), 0)
 	}
--- a/budget/rank.go
+++ b/budget/rank.go
@@ -26,6 +26,9 @@
 	// requests leave what the more urgent ones need within lastShareHorizon.
 	lastShareDivisor = 20
 	lastShareHorizon = 10 * time.Second
+	// lastShareMaxAge is the age up to which the copy of the page is evidence that only the last
+	// share is left. With an older one a request is not held back, so that its draw reads the page.
+	lastShareMaxAge = 5 * time.Second
 )
 
 // outages records how long the store did not answer.
@@ -137,7 +140,7 @@
 		soon := min(d, a.cfg.UsableHorizon)
 		return Unreachable, a.usableAt(now, p, d)-need < expected(d) || p.usable()-need < expected(soon)
 	}
-	if a.inLastShare(p) {
+	if a.inLastShare(now, p) {
 		return Exhausted, a.obtainable(now, p)-need < expected(lastShareHorizon)
 	}
 	return "", false
@@ -162,10 +165,14 @@
 	return p.balance - min(left, p.escrow)
 }
 
-// inLastShare reports whether, by the router's copy of the page, only the last share is left.
-func (a *Agent) inLastShare(p *budgetState) bool {
+// inLastShare reports whether, by a recent copy of the page, only the last share of a budget that this
+// router owns is left. The page of a former owner tells nothing about what the owner has.
+func (a *Agent) inLastShare(now time.Time, p *budgetState) bool {
 	r := a.record(p)
-	return r != nil && r.Free() <= r.Limit/lastShareDivisor
+	if r == nil || r.Free() > r.Limit/lastShareDivisor {
+		return false
+	}
+	return now.Sub(a.pages[p.page].readAt) <= lastShareMaxAge && a.isOwner(now, p.id)
 }
 
 // obtainable returns the tokens held and this router's part of the free tokens in the store.
@@ -182,7 +189,7 @@
 // refuseHeldBack refuses the waiting requests and draws that must leave the tokens to more urgent ranks,
 // and orders the others by rank while that applies.
 func (a *Agent) refuseHeldBack(now time.Time, p *budgetState) {
-	if len(p.ranks) < 2 || !p.waiting() || !a.cutOff(now, p) && !a.inLastShare(p) {
+	if len(p.ranks) < 2 || !p.waiting() || !a.cutOff(now, p) && !a.inLastShare(now, p) {
 		return
 	}
 	slices.SortStableFunc(p.waiters, func(x, y waiter) int { return x.rank - y.rank })
--- a/budget/rank_test.go
+++ b/budget/rank_test.go
@@ -170,3 +170,23 @@
 		}
 	})
 }
+
+// TestOldPageHoldsNothingBack guards against requests refused for the last share of a budget by a copy of
+// the page from before other routers returned tokens.
+func TestOldPageHoldsNothingBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n, r := newRankedRouter(t, 100000, true)
+		for n.limit-n.spent > 1500 {
+			n.mixed(r, 200*time.Millisecond, "done")
+		}
+		n.page.Budgets[testBudget].Settled -= 50000 // returned by another router
+		n.limit += 50000
+		n.version++
+		n.now = n.now.Add(6 * time.Second)
+		n.reserveRanked(r, 1000, later)
+		n.exchange("done")
+		if len(r.running) == 0 {
+			t.Fatalf("a request of 1000 tokens is refused with %d free", n.free())
+		}
+	})
+}
--- a/budget/transfer_test.go
+++ b/budget/transfer_test.go
@@ -41,3 +41,15 @@
 		t.Fatalf("%d of 9 tokens are back", held)
 	}
 }
+
+// TestUnansweredReturnLeavesASmallFleetIdle guards against an agent that never becomes idle, and so wakes
+// up for nothing, because it keeps a lost return for a repetition that only large fleets make.
+func TestUnansweredReturnLeavesASmallFleetIdle(t *testing.T) {
+	a, first, _ := sentTwice(t)
+	now := time.Unix(1000, 0)
+	a.Undelivered(now, first, false)
+	a.Tick(now.Add(time.Second))
+	if !a.IsIdle() {
+		t.Fatal("the agent is not idle")
+	}
+}
--- a/server/owner.go
+++ b/server/owner.go
@@ -50,8 +50,11 @@
 // sharesOwners reports whether one router should draw a budget for all. Unlike largeFleet it also
 // counts the registered routers that are suspected: a router that cannot reach the others must not
 // take the fleet for a small one and draw all tokens for itself.
-func (s *Server) sharesOwners() bool {
-	return s.largeFleet() || len(s.members.Owners(clock.Now(), registeredRole, roster.Large)) >= roster.Large
+func (s *Server) sharesOwners() bool { return s.largeFleet() || s.manyRegistered() }
+
+// manyRegistered reports whether as many routers are registered as a large fleet has, suspected or not.
+func (s *Server) manyRegistered() bool {
+	return len(s.members.Owners(clock.Now(), registeredRole, roster.Large)) >= roster.Large
 }
 
 // firstInRank reports whether this router is ranked first of all registered routers for a budget,
--- a/server/owner_test.go
+++ b/server/owner_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/controller/members"
+	"github.com/gaplink/gaplink/controller/roster"
 	"github.com/gaplink/gaplink/membership"
 )
 
@@ -51,3 +53,31 @@
 		t.Error("a suspected holder is asked")
 	}
 }
+
+// Guards against a switch that leaves some of the decisions about budgets on.
+func TestSwitchTurnsBudgetDecisionsOff(t *testing.T) {
+	s := newServerOf(t)
+	cfg := s.budgetConfig()
+	if cfg.SharedOwner != nil || cfg.FirstInRank != nil || cfg.Holder != nil || cfg.ByRank {
+		t.Error("decisions are on without the switch")
+	}
+	s.settings.Load.Budgets = true
+	cfg = s.budgetConfig()
+	if cfg.SharedOwner == nil || cfg.FirstInRank == nil || cfg.Holder == nil || !cfg.ByRank {
+		t.Error("decisions are off with the switch")
+	}
+}
+
+// Guards against a router that takes a large fleet for a small one, in which it draws for itself as much
+// as it likes, because it suspects all others.
+func TestSuspectedRoutersMakeALargeFleet(t *testing.T) {
+	s := newServerOf(t)
+	for i := range 2 * roster.Large {
+		id := fmt.Sprint("router ", i)
+		s.members.AddOrUpdate(membership.Member{ID: id, Kind: "router", Addr: fmt.Sprint("127.0.0.1:", i+2), State: membership.Live})
+		s.members.ReportFailure(id, nil)
+	}
+	if !s.manyRegistered() {
+		t.Error("a fleet of which all other routers are suspected counts as small")
+	}
+}
