Shedding goes by the links of the failure domain

Cause: each router with a saturated link shed for itself. Where most links of a failure domain are saturated, the few routers left got the load of all others and shed it to the next ones within seconds.

Change: a router yields, that is stays ready, if half of its failure domain's routers have saturated links and lower IDs, or if all known ones are saturated. A router that is loaded again within 3 s after it stopped shedding sheds for twice as long, up to 8 s, unless half of the domain is saturated. Both need the loads of at least half of the others (linkOptions.LinkLoads, nil until the loads are shared); with fewer known, or load.entry = false, shedding is as before.

Since the loads are a second old in the model and drained routers are not counted, more than half of the routers may be not ready at times.

--- a/link/link_test.go
+++ b/link/link_test.go
@@ -1,6 +1,7 @@
 package link_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"testing"
@@ -71,16 +72,16 @@
 
 func TestSaturatedLinkShedsCallersForAWhile(t *testing.T) {
 	var g link.Shedder
-	g.Observe(start, link.Load{In: 0.5, Out: 0.6})
+	g.Observe(start, link.Load{In: 0.5, Out: 0.6}, nil)
 	if g.Shedding(start) || g.Saturated() {
 		t.Fatal("a link with spare capacity sheds callers")
 	}
-	g.Observe(start, link.Load{In: 0.1, Out: 0.95})
+	g.Observe(start, link.Load{In: 0.1, Out: 0.95}, nil)
 	if !g.Shedding(start) || !g.Saturated() {
 		t.Fatal("a link that is saturated in one direction does not shed callers")
 	}
 	later := start.Add(time.Second)
-	g.Observe(later, link.Load{In: 0.2})
+	g.Observe(later, link.Load{In: 0.2}, nil)
 	if g.Saturated() {
 		t.Fatal("saturated although the last window was not")
 	}
@@ -91,3 +92,74 @@
 		t.Fatal("shedding does not end")
 	}
 }
+
+// saturated are the loads of a number of saturated and of idle routers, whose IDs are s0, s1, ... and
+// z0, z1, ...
+func saturated(full, idle int) map[string]link.Load {
+	loads := map[string]link.Load{}
+	for n := range full {
+		loads[fmt.Sprint("s", n)] = link.Load{In: 1}
+	}
+	for n := range idle {
+		loads[fmt.Sprint("z", n)] = link.Load{In: 0.1}
+	}
+	return loads
+}
+
+// Guards against a failure domain whose routers all shed at once, so that the load of all of them
+// moves to the few that are left or nowhere.
+func TestAtMostHalfOfAFailureDomainSheds(t *testing.T) {
+	for name, c := range map[string]struct {
+		domain *link.Domain
+		sheds  bool
+	}{
+		"nothing known of the domain":  {nil, true},
+		"no loads known":               {&link.Domain{Self: "t", Size: 20}, true},
+		"few loads known":              {&link.Domain{Self: "t", Size: 20, Loads: saturated(9, 0)}, true},
+		"some are saturated":           {&link.Domain{Self: "t", Size: 20, Loads: saturated(9, 10)}, true},
+		"half shed before it":          {&link.Domain{Self: "t", Size: 20, Loads: saturated(10, 9)}, false},
+		"half shed, it is among them":  {&link.Domain{Self: "a", Size: 20, Loads: saturated(10, 9)}, true},
+		"all known ones are saturated": {&link.Domain{Self: "a", Size: 20, Loads: saturated(12, 0)}, false},
+		"the other of two is not":      {&link.Domain{Self: "t", Size: 2, Loads: saturated(0, 1)}, true},
+		"the other of two is as well":  {&link.Domain{Self: "a", Size: 2, Loads: saturated(1, 0)}, false},
+	} {
+		var g link.Shedder
+		g.Observe(start, link.Load{In: 1}, c.domain)
+		if g.Shedding(start) != c.sheds || !g.Saturated() {
+			t.Errorf("%s: shedding %v, saturated %v", name, g.Shedding(start), g.Saturated())
+		}
+	}
+}
+
+// Guards against a load that returns every few seconds to a router whose link it saturates, and
+// against a period that grows without bound or where the load has nowhere to go.
+func TestRouterThatIsLoadedAgainShedsForLonger(t *testing.T) {
+	const soon = 500 * time.Millisecond
+	idle := &link.Domain{Self: "a", Size: 8, Loads: saturated(0, 7)}
+	overloaded := &link.Domain{Self: "a", Size: 8, Loads: saturated(6, 1)}
+	for name, c := range map[string]struct {
+		domain *link.Domain
+		pause  time.Duration
+		want   []time.Duration
+	}{
+		"loaded again":       {idle, soon, []time.Duration{3 * time.Second, 6 * time.Second, 8 * time.Second, 8 * time.Second}},
+		"loaded later":       {idle, 4 * time.Second, []time.Duration{3 * time.Second, 3 * time.Second}},
+		"others are as full": {overloaded, soon, []time.Duration{3 * time.Second, 3 * time.Second}},
+		"no loads known":     {&link.Domain{Self: "a", Size: 8}, soon, []time.Duration{3 * time.Second, 3 * time.Second}},
+		"unknown":            {nil, soon, []time.Duration{3 * time.Second, 3 * time.Second}},
+	} {
+		var g link.Shedder
+		now := start
+		for _, want := range c.want {
+			for range 3 { // further saturated windows do not lengthen the period
+				now = now.Add(link.Window)
+				g.Observe(now, link.Load{In: 1}, c.domain)
+			}
+			if !g.Shedding(now.Add(want-time.Millisecond)) || g.Shedding(now.Add(want)) {
+				t.Errorf("%s: not shedding for %v", name, want)
+			}
+			now = now.Add(want + c.pause)
+			g.Observe(now, link.Load{}, c.domain)
+		}
+	}
+}
--- a/server/link.go
+++ b/server/link.go
@@ -22,9 +22,17 @@
 // starvedWindow is the window length from which its timer counts as delayed by a lack of CPU time.
 const starvedWindow = link.Window + 150*time.Millisecond
 
+// linkOptions are the dependencies of a linkState.
+type linkOptions struct {
+	// LinkLoads returns the link loads of the other routers of the failure domain by ID, without
+	// those that are unknown; nil: all are.
+	LinkLoads func() map[string]link.Load
+}
+
 // linkState tracks whether this router's link is saturated, whether it is busy, and whether other
 // routers leave its calls unanswered.
 type linkState struct {
+	linkOptions
 	mu       sync.Mutex
 	shedder  link.Shedder
 	shedding bool // at the end of the last window
@@ -101,11 +109,12 @@
 	s.link.recordFailure(start, err)
 }
 
-// observe records the load and the length of a window and reports whether Shedding has changed.
-func (l *linkState) observe(now time.Time, load link.Load, window time.Duration) (changed bool) {
+// observe records the load and the length of a window, and what is known of the failure domain if
+// that matters. It reports whether Shedding has changed.
+func (l *linkState) observe(now time.Time, load link.Load, window time.Duration, domain *link.Domain) (changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.shedder.Observe(now, load)
+	l.shedder.Observe(now, load, domain)
 	l.starved = window >= starvedWindow
 	l.observedAt = now
 	if l.busy(now) {
@@ -122,11 +131,24 @@
 		return
 	}
 	load := s.meter.Tick(now)
-	if s.link.observe(now, load, now.Sub(start)) {
+	if s.link.observe(now, load, now.Sub(start), s.linkDomain()) {
 		s.log.Info("link load", zap.Bool("full", s.link.Shedding()), zap.Float64("in", load.In), zap.Float64("out", load.Out), zap.Int64("in_flight", s.gateway.InFlight()))
 	}
 }
 
+// linkDomain returns what this router knows of the links in its failure domain; nil if decisions
+// about a saturated link are switched off.
+func (s *Server) linkDomain() *link.Domain {
+	if !s.current().Load.Entry {
+		return nil
+	}
+	d := &link.Domain{Self: s.settings.Instance.ID, Size: s.members.DomainSize(s.settings.Instance.Domain)}
+	if s.link.LinkLoads != nil {
+		d.Loads = s.link.LinkLoads()
+	}
+	return d
+}
+
 // linkDelay returns the queueing delay of a request and its response together at the router's link.
 // It is 0 unless the link is saturated: calls between routers may be slow for other reasons, which
 // don't delay callers.
--- a/server/link_test.go
+++ b/server/link_test.go
@@ -31,7 +31,7 @@
 		{link.Load{In: 0.1}, link.Window, false},
 		{link.Load{Out: 0.9}, link.Window, true},
 	} {
-		l.observe(now, c.load, c.window)
+		l.observe(now, c.load, c.window, nil)
 		if l.Busy() != c.busy {
 			t.Errorf("busy %v after a window of %v at %+v", l.Busy(), c.window, c.load)
 		}
@@ -62,7 +62,7 @@
 		var l linkState
 		window := func() {
 			time.Sleep(link.Window)
-			l.observe(time.Now(), link.Load{}, link.Window)
+			l.observe(time.Now(), link.Load{}, link.Window, nil)
 		}
 		known := time.Now()
 		check := func(when string, busy, unanswered bool) {
@@ -80,7 +80,7 @@
 		before := time.Now()
 		time.Sleep(3 * time.Second)
 		check("resumed, before a timer fires", true, false)
-		l.observe(time.Now(), link.Load{}, 3*time.Second)
+		l.observe(time.Now(), link.Load{}, 3*time.Second, nil)
 		check("resumed", true, false)
 		l.recordFailure(before, unreachable)
 		window()
@@ -89,7 +89,7 @@
 		window()
 		check("a question had no descriptor", true, false)
 		time.Sleep(descriptorsOutPeriod - link.Window)
-		l.observe(time.Now(), link.Load{}, link.Window)
+		l.observe(time.Now(), link.Load{}, link.Window, nil)
 		check("descriptors are free again", false, false)
 		l.recordFailure(time.Now(), unreachable)
 		check("nobody answers", false, true)
@@ -112,7 +112,7 @@
 		s := &Server{callerLimit: 10, descriptors: &descriptors{}}
 		s.latest.Store(&settings.Gateway{Load: settings.GatewayLoad{Entry: entry}})
 		_ = s.boundCallers(raw)
-		s.link.observe(time.Now(), link.Load{In: 1}, link.Window)
+		s.link.observe(time.Now(), link.Load{In: 1}, link.Window, nil)
 		if !s.shedding() {
 			t.Fatal("ready with a saturated link")
 		}
--- a/server/peers_link_test.go
+++ b/server/peers_link_test.go
@@ -25,7 +25,7 @@
 		s := &Server{store: store.NewCounting(memory.New()), log: zap.NewNop()}
 		s.latest.Store(&settings.Gateway{Load: settings.GatewayLoad{Entry: c.entry}})
 		s.provisionPeers()
-		s.link.observe(time.Now(), link.Load{In: c.load}, link.Window)
+		s.link.observe(time.Now(), link.Load{In: c.load}, link.Window, nil)
 		if got := s.peers.Timeout(normal); (got > normal) != c.extended {
 			t.Errorf("entry %v, load %v: a call has %v", c.entry, c.load, got)
 		}
