Link: bytes by purpose and by account

Cause: a saturated link showed only its load, not what saturates it.

Change: link.Meter counts bytes for callers, servers, routers and the store, and in a space-saving sketch of eight entries those of callers by account (head and body of requests, bodies of responses), per window of 250 ms. The line "link load" keeps its fields and also has the account with the most bytes, its share, whether the router sheds, and bytes per second by purpose; the metrics are gaplink_link_bytes_total and gaplink_link_account_bytes. The line is written when the link becomes full and when that has ended, also where the router yields instead of shedding. The load itself is still that of callers and servers: saturatedLoad was measured so. With a link rate of 0 no window ends and nothing is logged.

Tests: the sketch against exact counts, purposes and windows of the meter, the log line, bytes of a request and its response at the gateway, of calls of routers and of the store. The readiness and metrics listeners count as callers.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/gaplink/gaplink/controller/verdicts"
 	"github.com/gaplink/gaplink/eventstream"
 	"github.com/gaplink/gaplink/exchange"
+	"github.com/gaplink/gaplink/link"
 	"github.com/gaplink/gaplink/logs"
 	"github.com/gaplink/gaplink/result"
 	"github.com/gaplink/gaplink/retry"
@@ -66,6 +67,8 @@
 	// neither is known.
 	LinkDelay func() time.Duration
 	Stale     func() bool
+	// Meter counts the bytes of callers by account; nil: they are not counted.
+	Meter *link.Meter
 	// TokenDelay returns by how much a saturated link extends the wait for tokens; nil: never.
 	TokenDelay func() time.Duration
 	// RegistrationAge returns the staleness of the server registrations, measured from the store's
@@ -96,7 +99,7 @@
 // New returns a gateway with the given options.
 func New(o Options) *Gateway {
 	g := &Gateway{Options: o}
-	g.steps = []step{g.admit, g.findRoute, g.authenticate, g.readBody, g.checkPoison, g.readPrompt, g.reserve}
+	g.steps = []step{g.admit, g.findRoute, g.authenticate, g.readBody, g.countBytes, g.checkPoison, g.readPrompt, g.reserve}
 	return g
 }
 
--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -19,6 +19,8 @@
 	state replyState
 	// status is the status of the response head that was sent; 0: none was.
 	status int
+	// count, if set, receives the number of bytes of each part of the body.
+	count func(n int)
 	// unframed reports that only the close of the connection marks the end of the reply.
 	unframed bool
 }
@@ -85,7 +87,13 @@
 }
 
 // Write implements io.Writer for the body.
-func (p *reply) Write(b []byte) (int, error) { return p.w.Write(b) }
+func (p *reply) Write(b []byte) (int, error) {
+	n, err := p.w.Write(b)
+	if p.count != nil {
+		p.count(n)
+	}
+	return n, err
+}
 
 // flush sends the buffered bytes.
 func (p *reply) flush() error { return http.NewResponseController(p.w).Flush() }
--- a/gateway/steps.go
+++ b/gateway/steps.go
@@ -153,6 +153,30 @@
 	}
 }
 
+// countBytes counts the bytes of the request and of its response for the caller's account. Requests
+// of routes that need no key count for the empty name.
+func (g *Gateway) countBytes(c *call) *result.Error {
+	account := ""
+	if c.account != nil {
+		account = c.account.Name
+	}
+	g.Meter.Account(account, headSize(c.r)+len(c.body))
+	c.reply.count = func(n int) { g.Meter.Account(account, n) }
+	return nil
+}
+
+// headSize returns the approximate size of a request's head on the wire.
+func headSize(r *http.Request) int {
+	const separators = 4 // ": " and the end of the line
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + separators
+		}
+	}
+	return n
+}
+
 func bodyTooLarge(limit int64) *result.Error {
 	return result.New(result.BodyTooLarge, "the body is over %d bytes", limit)
 }
--- a/link/link.go
+++ b/link/link.go
@@ -8,6 +8,7 @@
 
 import (
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -23,61 +24,156 @@
 // Load is the utilization of the link in the last window, by direction; 1 is the full capacity.
 type Load struct{ In, Out float64 }
 
-// Meter counts the bytes of an instance's connections. It is safe for
+// Purpose is what connections are for.
+type Purpose int
+
+// The purposes of connections.
+const (
+	Callers Purpose = iota
+	Servers
+	Routers
+	Store
+	purposes
+)
+
+// Purposes are all purposes.
+var Purposes = [purposes]Purpose{Callers, Servers, Routers, Store}
+
+// String implements fmt.Stringer.
+func (p Purpose) String() string {
+	return [purposes]string{"callers", "servers", "routers", "store"}[p]
+}
+
+// Bytes are numbers of bytes by direction.
+type Bytes struct{ In, Out int64 }
+
+// Counter counts the bytes of connections. It is safe for concurrent use. A nil Counter counts
+// nothing.
+type Counter struct{ in, out atomic.Int64 }
+
+// Received adds n bytes received by a connection.
+func (c *Counter) Received(n int) {
+	if c != nil {
+		c.in.Add(int64(n))
+	}
+}
+
+// Sent adds n bytes sent by a connection.
+func (c *Counter) Sent(n int) {
+	if c != nil {
+		c.out.Add(int64(n))
+	}
+}
+
+func (c *Counter) bytes() Bytes { return Bytes{In: c.in.Load(), Out: c.out.Load()} }
+
+// Usage is what a window showed.
+type Usage struct {
+	Load Load
+	// Rates are bytes per second by purpose.
+	Rates [purposes]Bytes
+	// Accounts are the accounts of callers with the most bytes in both directions, the heaviest
+	// first, and AccountBytes the bytes of all accounts.
+	Accounts     []Heavy
+	AccountBytes int64
+}
+
+// Heaviest returns the account with the most bytes and its share of all accounts' bytes; the share
+// is 0 if there were none.
+func (u *Usage) Heaviest() (account string, share float64) {
+	if len(u.Accounts) == 0 || u.AccountBytes == 0 {
+		return "", 0
+	}
+	return u.Accounts[0].Key, float64(u.Accounts[0].Bytes) / float64(u.AccountBytes)
+}
+
+// Meter counts the bytes of an instance's connections by purpose. It is safe for
 // concurrent use. A nil Meter counts nothing.
 type Meter struct {
 	capacity float64 // bytes a second
-	in, out  atomic.Int64
+	counters [purposes]Counter
 	tickedAt time.Time
-	load     atomic.Pointer[Load]
+	ticked   [purposes]Bytes // the counters at the end of the last window
+	usage    atomic.Pointer[Usage]
+
+	mu       sync.Mutex
+	accounts Sketch // of the current window
 }
 
 // New returns a meter for a link with the given capacity in bytes per second in each direction.
 // With a capacity of 0, which means unknown, the load is always 0.
 func New(capacity float64, now time.Time) *Meter {
 	m := &Meter{capacity: capacity, tickedAt: now}
-	m.load.Store(&Load{})
+	m.usage.Store(&Usage{})
 	return m
 }
 
-// Received adds n bytes received by a connection.
-func (m *Meter) Received(n int) {
-	if m != nil {
-		m.in.Add(int64(n))
+// Of returns the counter of a purpose.
+func (m *Meter) Of(p Purpose) *Counter {
+	if m == nil {
+		return nil
 	}
+	return &m.counters[p]
 }
 
-// Sent adds n bytes sent by a connection.
-func (m *Meter) Sent(n int) {
-	if m != nil {
-		m.out.Add(int64(n))
+// Account adds bytes of a request or a response of an account. They are part of those of Callers.
+func (m *Meter) Account(account string, bytes int) {
+	if m == nil {
+		return
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.accounts.Add(account, int64(bytes))
 }
 
 // Tick ends a window and returns its load. It must be called by one goroutine only.
 func (m *Meter) Tick(now time.Time) Load {
 	span := now.Sub(m.tickedAt).Seconds()
-	in, out := m.in.Swap(0), m.out.Swap(0)
 	m.tickedAt = now
-	load := Load{}
-	if m.capacity > 0 && span > 0 {
-		load.In = float64(in) * overhead / (m.capacity * span)
-		load.Out = float64(out) * overhead / (m.capacity * span)
+	u := &Usage{}
+	for p := range m.counters {
+		total := m.counters[p].bytes()
+		moved := Bytes{In: total.In - m.ticked[p].In, Out: total.Out - m.ticked[p].Out}
+		m.ticked[p] = total
+		if span > 0 {
+			u.Rates[p] = Bytes{In: int64(float64(moved.In) / span), Out: int64(float64(moved.Out) / span)}
+		}
+		if m.capacity > 0 && span > 0 && carriesRequests(Purpose(p)) {
+			u.Load.In += float64(moved.In) * overhead / (m.capacity * span)
+			u.Load.Out += float64(moved.Out) * overhead / (m.capacity * span)
+		}
 	}
-	m.load.Store(&load)
-	return load
+	m.mu.Lock()
+	u.Accounts, u.AccountBytes = m.accounts.Heaviest(), m.accounts.Total()
+	m.accounts = Sketch{}
+	m.mu.Unlock()
+	m.usage.Store(u)
+	return u.Load
 }
 
+// carriesRequests reports whether the bytes of a purpose are part of the load. saturatedLoad was
+// measured without those of routers and of the store, which are a few percent of a small link.
+func carriesRequests(p Purpose) bool { return p == Callers || p == Servers }
+
 // Load returns the load of the last window.
-func (m *Meter) Load() Load { return *m.load.Load() }
+func (m *Meter) Load() Load { return m.usage.Load().Load }
+
+// Usage returns what the last window showed.
+func (m *Meter) Usage() Usage { return *m.usage.Load() }
+
+// Total returns the bytes of a purpose since the start.
+func (m *Meter) Total(p Purpose) Bytes { return m.counters[p].bytes() }
 
 // Listener returns a listener that counts the bytes of its connections.
-func (m *Meter) Listener(l net.Listener) net.Listener { return &listener{Listener: l, meter: m} }
+func (c *Counter) Listener(l net.Listener) net.Listener { return &listener{Listener: l, counter: c} }
+
+// Conn returns a connection that counts its bytes.
+func (c *Counter) Conn(raw net.Conn) net.Conn { return &conn{Conn: raw, counter: c} }
 
 // listener wraps accepted connections in conn.
 type listener struct {
 	net.Listener
-	meter *Meter
+	counter *Counter
 }
 
 // Accept implements net.Listener.
@@ -86,14 +182,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, meter: l.meter}, nil
+	return l.counter.Conn(c), nil
 }
 
 // conn counts the bytes read and written. It embeds the net.Conn interface and not a concrete type,
 // so that methods such as ReadFrom cannot transfer bytes uncounted.
 type conn struct {
 	net.Conn
-	meter *Meter
+	counter *Counter
 }
 
 // NetConn returns the wrapped connection, for its socket options; bytes transferred on it directly
@@ -103,13 +199,13 @@
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.meter.Received(n)
+	c.counter.Received(n)
 	return n, err
 }
 
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
-	c.meter.Sent(n)
+	c.counter.Sent(n)
 	return n, err
 }
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -14,8 +14,8 @@
 
 func TestLoadIsThePartOfTheCapacity(t *testing.T) {
 	m := link.New(1000, start)
-	m.Received(200)
-	m.Sent(50)
+	m.Of(link.Callers).Received(200)
+	m.Of(link.Servers).Sent(50)
 	got := m.Tick(start.Add(500 * time.Millisecond))
 	if got.In < 0.4 || got.In > 0.5 || got.Out < 0.1 || got.Out > 0.15 {
 		t.Fatalf("200 bytes in and 50 out of 500 in half a second: %+v", got)
@@ -27,13 +27,14 @@
 
 func TestUnknownCapacityIsNeverSaturated(t *testing.T) {
 	m := link.New(0, start)
-	m.Received(1 << 30)
+	m.Of(link.Callers).Received(1 << 30)
 	if got := m.Tick(start.Add(time.Second)); got != (link.Load{}) {
 		t.Fatalf("load %+v of a link of unknown capacity", got)
 	}
 	var none *link.Meter
-	none.Received(1)
-	none.Sent(1)
+	none.Of(link.Servers).Received(1)
+	none.Of(link.Servers).Sent(1)
+	none.Account("a", 1)
 }
 
 func TestListenerCountsBothDirections(t *testing.T) {
@@ -43,7 +44,7 @@
 	}
 	defer l.Close()
 	m := link.New(100, start)
-	counted := m.Listener(l)
+	counted := m.Of(link.Callers).Listener(l)
 	go func() {
 		c, err := net.Dial("tcp", l.Addr().String())
 		if err != nil {
@@ -163,3 +164,40 @@
 		}
 	}
 }
+
+// Guards against a purpose that is counted as another one, against bytes of an earlier window in the
+// rates, and against a load that includes calls of routers and of the store.
+func TestUsageIsShownByPurposeAndAccount(t *testing.T) {
+	m := link.New(1000, start)
+	now := start
+	for range 2 {
+		for _, p := range link.Purposes {
+			m.Of(p).Received(10 * (int(p) + 1))
+			m.Of(p).Sent(int(p) + 1)
+		}
+		m.Account("small", 10)
+		m.Account("large", 20)
+		m.Account("large", 10)
+		now = now.Add(500 * time.Millisecond)
+		m.Tick(now)
+		u := m.Usage()
+		for _, p := range link.Purposes {
+			if want := (link.Bytes{In: 20 * (int64(p) + 1), Out: 2 * (int64(p) + 1)}); u.Rates[p] != want {
+				t.Errorf("%v: %+v a second, want %+v", p, u.Rates[p], want)
+			}
+		}
+		if account, share := u.Heaviest(); account != "large" || share != 0.75 || u.AccountBytes != 40 {
+			t.Errorf("heaviest account %q with %v of %d bytes", account, share, u.AccountBytes)
+		}
+		if got := m.Load(); got.In < 0.06 || got.In > 0.07 {
+			t.Errorf("30 bytes of callers and servers in half a second: %+v", got)
+		}
+	}
+	if got := m.Total(link.Routers); got != (link.Bytes{In: 60, Out: 6}) {
+		t.Errorf("%+v in all", got)
+	}
+	m.Tick(now.Add(time.Second))
+	if u := m.Usage(); len(u.Accounts) != 0 || u.Rates[link.Callers] != (link.Bytes{}) {
+		t.Errorf("an idle window shows %+v", u)
+	}
+}
--- a/link/shedder.go
+++ b/link/shedder.go
@@ -104,8 +104,12 @@
 	return g.saturated && d.saturated() == len(d.Loads) || ahead >= d.limit()
 }
 
+// Full reports whether the link is saturated, or was within the period for which the router sheds,
+// whether or not it yields.
+func (g *Shedder) Full(now time.Time) bool { return now.Before(g.shedUntil) }
+
 // Shedding reports whether the router should receive no new connections.
-func (g *Shedder) Shedding(now time.Time) bool { return now.Before(g.shedUntil) && !g.yields }
+func (g *Shedder) Shedding(now time.Time) bool { return g.Full(now) && !g.yields }
 
 // Saturated reports whether the link was saturated in the last window, so that a missing answer
 // says nothing about the other end.
--- a/peer/client.go
+++ b/peer/client.go
@@ -10,6 +10,8 @@
 
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
+
+	"github.com/gaplink/gaplink/link"
 )
 
 const (
@@ -63,6 +65,8 @@
 	// LinkSaturated reports whether this process's own link is saturated, so that calls and dials
 	// get a longer timeout; nil means never.
 	LinkSaturated func() bool
+	// Counter counts the bytes of all connections; it may be nil.
+	Counter *link.Counter
 }
 
 // NewClient returns a client that keeps idle connections for reuse.
@@ -136,7 +140,7 @@
 		return nil, errors.Join(ErrNotSent, err)
 	}
 	c.open.Add(1)
-	return drpcconn.New(&countingConn{Conn: conn, client: c}), nil
+	return drpcconn.New(&countingConn{Conn: c.opts.Counter.Conn(conn), client: c}), nil
 }
 
 // errBusy is returned if a call's context ends while the call waits for a free slot.
--- a/peer/transfer_test.go
+++ b/peer/transfer_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/gaplink/gaplink/link"
 	"github.com/gaplink/gaplink/peer"
 )
 
@@ -74,3 +75,18 @@
 		}
 	}
 }
+
+// Guards against calls of other routers that are missing from the bytes at the link.
+func TestBytesOfCallsAreCounted(t *testing.T) {
+	var calls atomic.Int64
+	m := link.New(0, time.Now())
+	c := peer.NewClient(peer.Options{DialTimeout: time.Second, Counter: m.Of(link.Routers)})
+	defer func() { _ = c.Close() }()
+	req := message{Value: make([]byte, 1000)}
+	if _, err := peer.Call[message, message](t.Context(), c, echo(t, &calls), "echo", &req); err != nil {
+		t.Fatal(err)
+	}
+	if got := m.Total(link.Routers); got.In < 1000 || got.Out < 1000 || got.In+got.Out != c.Bytes() {
+		t.Errorf("%+v, the client counts %d", got, c.Bytes())
+	}
+}
--- a/server/callers_test.go
+++ b/server/callers_test.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := link.New(0, time.Now()).Listener(sockets.NewListener(raw, 1))
+	l := link.New(0, time.Now()).Of(link.Callers).Listener(sockets.NewListener(raw, 1))
 	defer func() { _ = l.Close() }()
 	c, err := net.Dial("tcp", raw.Addr().String())
 	if err != nil {
--- a/server/link.go
+++ b/server/link.go
@@ -33,9 +33,9 @@
 // routers leave its calls unanswered.
 type linkState struct {
 	linkOptions
-	mu       sync.Mutex
-	shedder  link.Shedder
-	shedding bool // at the end of the last window
+	mu      sync.Mutex
+	shedder link.Shedder
+	full    bool // link.Shedder.Full at the end of the last window
 	// starved is set if the last window ended late for lack of CPU time.
 	starved bool
 	// observedAt is the end of the last window; zero before the first one ends.
@@ -120,9 +120,9 @@
 	if l.busy(now) {
 		l.lastBusyAt = now
 	}
-	was := l.shedding
-	l.shedding = l.shedder.Shedding(now)
-	return was != l.shedding
+	was := l.full
+	l.full = l.shedder.Full(now)
+	return was != l.full
 }
 
 // endLinkWindow ends the meter's window that began at the given time and records its load.
@@ -132,10 +132,33 @@
 	}
 	load := s.meter.Tick(now)
 	if s.link.observe(now, load, now.Sub(start), s.linkDomain()) {
-		s.log.Info("link load", zap.Bool("full", s.link.Shedding()), zap.Float64("in", load.In), zap.Float64("out", load.Out), zap.Int64("in_flight", s.gateway.InFlight()))
+		s.log.Info("link load", s.linkFields(now)...)
 	}
 }
 
+// linkFields describes the last window: the load, bytes per second by purpose, and the account of
+// callers with the most bytes.
+func (s *Server) linkFields(now time.Time) []zap.Field {
+	u := s.meter.Usage()
+	full, shedding := s.link.state(now)
+	account, share := u.Heaviest()
+	fields := []zap.Field{
+		zap.Bool("full", full), zap.Float64("in", u.Load.In), zap.Float64("out", u.Load.Out), zap.Int64("in_flight", s.gateway.InFlight()),
+		zap.Bool("shedding", shedding), zap.String("account", account), zap.Float64("share", share),
+	}
+	for _, p := range link.Purposes {
+		fields = append(fields, zap.Int64(p.String()+"_in", u.Rates[p].In), zap.Int64(p.String()+"_out", u.Rates[p].Out))
+	}
+	return fields
+}
+
+// state reports whether the link is full, and whether the router sheds.
+func (l *linkState) state(now time.Time) (full, shedding bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.shedder.Full(now), l.shedder.Shedding(now)
+}
+
 // linkDomain returns what this router knows of the links in its failure domain; nil if decisions
 // about a saturated link are switched off.
 func (s *Server) linkDomain() *link.Domain {
--- a/server/link_test.go
+++ b/server/link_test.go
@@ -10,6 +10,11 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/gaplink/gaplink/gateway"
 	"github.com/gaplink/gaplink/link"
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/settings"
@@ -122,3 +127,44 @@
 	}
 	_ = raw.Close()
 }
+
+// Guards against a line on a saturated link that does not name the account and the traffic that
+// saturate it, against lines for each window, and against other names of the fields that are read
+// from logs.
+func TestSaturatedLinkIsExplainedInTheLog(t *testing.T) {
+	core, lines := observer.New(zapcore.InfoLevel)
+	s := &Server{meter: link.New(1000, time.Unix(1000, 0)), log: zap.New(core), gateway: gateway.New(gateway.Options{})}
+	s.settings.Link.Mbps = 1
+	s.latest.Store(&settings.Gateway{})
+	now := time.Now()
+	s.meter.Tick(now)
+	for n := range 20 {
+		if n < 4 {
+			s.meter.Of(link.Callers).Received(225)
+			s.meter.Of(link.Routers).Sent(25)
+			s.meter.Account("heavy", 150)
+			s.meter.Account("light", 50)
+		}
+		s.endLinkWindow(now, now.Add(link.Window))
+		now = now.Add(link.Window)
+	}
+	all := lines.FilterMessage("link load").All()
+	if len(all) != 2 {
+		t.Fatalf("%d lines", len(all))
+	}
+	begun, ended := all[0].ContextMap(), all[1].ContextMap()
+	for name, want := range map[string]any{
+		"full": true, "in_flight": int64(0), "shedding": true, "account": "heavy", "share": 0.75,
+		"callers_in": int64(900), "callers_out": int64(0), "routers_out": int64(100), "store_in": int64(0), "servers_in": int64(0),
+	} {
+		if begun[name] != want {
+			t.Errorf("%s: %v, want %v", name, begun[name], want)
+		}
+	}
+	if load, ok := begun["in"].(float64); !ok || load < 0.9 {
+		t.Errorf("load %v", begun["in"])
+	}
+	if ended["full"] != false || ended["account"] != "" || ended["out"] != 0.0 {
+		t.Errorf("at the end: %v", ended)
+	}
+}
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/gaplink/gaplink/controller/verdicts"
+	"github.com/gaplink/gaplink/link"
 	"github.com/gaplink/gaplink/store"
 	"github.com/gaplink/gaplink/wakeups"
 )
@@ -84,6 +85,8 @@
 	wakeupsDesc      = prometheus.NewDesc("gaplink_wakeups_total", "Times that the process woke by its own timers, by purpose.", []string{"purpose"}, nil)
 	peerCallsDesc    = prometheus.NewDesc("gaplink_peer_calls_total", "Calls of other routers, by method.", []string{"method"}, nil)
 	permitsDesc      = prometheus.NewDesc("gaplink_permits_total", "Requests for servers with a rate limit, by what became of their permit.", []string{"outcome"}, nil)
+	linkBytesDesc    = prometheus.NewDesc("gaplink_link_bytes_total", "Bytes of connections, by purpose and direction.", []string{"purpose", "direction"}, nil)
+	accountBytesDesc = prometheus.NewDesc("gaplink_link_account_bytes", "Bytes of requests and responses in the last window of the link, of the accounts with the most.", []string{"account"}, nil)
 	serversDesc      = prometheus.NewDesc("gaplink_servers", "Backend servers known, by state.", []string{"service", "state"}, nil)
 )
 
@@ -96,6 +99,8 @@
 	ch <- peerCallsDesc
 	ch <- permitsDesc
 	ch <- wakeupsDesc
+	ch <- linkBytesDesc
+	ch <- accountBytesDesc
 }
 
 // Collect implements prometheus.Collector.
@@ -119,6 +124,7 @@
 	for purpose, n := range wakeups.Counts() {
 		ch <- prometheus.MustNewConstMetric(wakeupsDesc, prometheus.CounterValue, float64(n), purpose.String())
 	}
+	c.collectLink(ch)
 	permits := c.server.limits.Counts()
 	for outcome, n := range map[string]int64{"granted": permits.Granted, "denied": permits.Denied, "unanswered": permits.Unanswered} {
 		ch <- prometheus.MustNewConstMetric(permitsDesc, prometheus.CounterValue, float64(n), outcome)
@@ -131,3 +137,15 @@
 		sendGauge(serversDesc, int64(n.BackingOff), service, "backing_off")
 	}
 }
+
+// collectLink collects the bytes at the link.
+func (c *stateCollector) collectLink(ch chan<- prometheus.Metric) {
+	for _, p := range link.Purposes {
+		total := c.server.meter.Total(p)
+		ch <- prometheus.MustNewConstMetric(linkBytesDesc, prometheus.CounterValue, float64(total.In), p.String(), "in")
+		ch <- prometheus.MustNewConstMetric(linkBytesDesc, prometheus.CounterValue, float64(total.Out), p.String(), "out")
+	}
+	for _, a := range c.server.meter.Usage().Accounts {
+		ch <- prometheus.MustNewConstMetric(accountBytesDesc, prometheus.GaugeValue, float64(a.Bytes), a.Key)
+	}
+}
--- a/server/provision.go
+++ b/server/provision.go
@@ -39,10 +39,13 @@
 	s.callerLimit = callerLimit(s.settings.Memory.LimitMB, s.shares.Callers)
 	s.descriptors = &descriptors{open: s.openSockets, log: s.log}
 	s.meter = link.New(s.settings.Link.Mbps*bytesPerMbit, clock.Now())
+	if st, counts := s.platform.Store.(interface{ SetCounter(*link.Counter) }); counts {
+		st.SetCounter(s.meter.Of(link.Store))
+	}
 	s.pool = upstream.New(upstream.Options{
 		DialTimeout:   s.settings.Servers.DialTimeout.Std(),
 		IdleTimeout:   s.settings.Servers.IdleTimeout.Std(),
-		Meter:         s.meter,
+		Counter:       s.meter.Of(link.Servers),
 		LinkSaturated: s.link.Saturated,
 		MaxOpen:       s.shares.Backends,
 
@@ -85,6 +88,7 @@
 		Routers:       s.roster.Size,
 		LinkSaturated: s.link.Saturated,
 		LinkDelay:     s.linkDelay,
+		Meter:         s.meter,
 		TokenDelay:    s.entryDelay,
 		Stale:         s.stale,
 
@@ -182,8 +186,8 @@
 		LinkMbps:    s.settings.Link.Mbps,
 	}
 	helloSockets := s.shares.PeersOut / helloSocketsDivisor
-	s.peers = peer.NewClient(peer.Options{DialTimeout: peerDialTimeout, From: self.Addr, MaxOpen: s.shares.PeersOut - helloSockets, LinkSaturated: s.entrySaturated})
-	s.helloClient = peer.NewUnpooledClient(peer.Options{DialTimeout: peerDialTimeout, From: self.Addr, MaxOpen: helloSockets, LinkSaturated: s.entrySaturated})
+	s.peers = peer.NewClient(peer.Options{DialTimeout: peerDialTimeout, From: self.Addr, MaxOpen: s.shares.PeersOut - helloSockets, LinkSaturated: s.entrySaturated, Counter: s.meter.Of(link.Routers)})
+	s.helloClient = peer.NewUnpooledClient(peer.Options{DialTimeout: peerDialTimeout, From: self.Addr, MaxOpen: helloSockets, LinkSaturated: s.entrySaturated, Counter: s.meter.Of(link.Routers)})
 	s.members = members.New(membership.Member{ID: self.ID, Kind: "router", Addr: self.Addr, Domain: self.Domain, State: membership.Live, LinkMbps: self.LinkMbps}, nil, 0, s.log)
 	s.members.SetIgnoreFailures(s.link.Saturated)
 	s.roster = roster.New(roster.Options{
--- a/server/server.go
+++ b/server/server.go
@@ -338,11 +338,12 @@
 	}
 	s.peerListener = sockets.NewEvictingListener(listener, s.shares.PeersIn)
 	s.peerListener.OnError = s.descriptors.handleError
+	peers := s.meter.Of(link.Routers).Listener(s.peerListener)
 	if err := s.serveMetrics(); err != nil {
 		return err
 	}
 	go func() {
-		if err := peer.Serve(ctx, s.peerListener, s.peerMux()); err != nil && ctx.Err() == nil {
+		if err := peer.Serve(ctx, peers, s.peerMux()); err != nil && ctx.Err() == nil {
 			s.log.Error("listener failed", zap.String("address", s.settings.Listen.Peers), zap.Error(err))
 		}
 	}()
@@ -381,7 +382,7 @@
 	if err != nil {
 		return trace.Wrap(err, "listening at %s", addr)
 	}
-	l = s.meter.Listener(bound(l))
+	l = s.meter.Of(link.Callers).Listener(bound(l))
 	go func() {
 		if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			s.log.Error("listener failed", zap.String("address", addr), zap.Error(err))
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -17,9 +17,9 @@
 // conn is one connection to a backend server.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
-	meter  *link.Meter
-	addr   string
+	reader  *bufio.Reader
+	counter *link.Counter
+	addr    string
 	// owner is the process that the connection was opened for: an address may be
 	// reassigned to another server.
 	owner placement.Incarnation
@@ -29,22 +29,22 @@
 	used bool
 }
 
-func newConn(raw net.Conn, r *Request, m *link.Meter) *conn {
-	c := &conn{Conn: raw, meter: m, addr: r.Address, owner: r.Owner}
-	c.reader = bufio.NewReaderSize(countingConn{raw, m}, readBuffer)
+func newConn(raw net.Conn, r *Request, counter *link.Counter) *conn {
+	c := &conn{Conn: raw, counter: counter, addr: r.Address, owner: r.Owner}
+	c.reader = bufio.NewReaderSize(countingConn{raw, counter}, readBuffer)
 	return c
 }
 
 // countingConn counts the bytes that are read from a connection.
 type countingConn struct {
 	net.Conn
-	meter *link.Meter
+	counter *link.Counter
 }
 
 // Read implements io.Reader.
 func (c countingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.meter.Received(n)
+	c.counter.Received(n)
 	return n, err
 }
 
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -85,14 +85,14 @@
 	head := appendHead(make([]byte, 0, readBuffer), r)
 	if len(r.Body) <= inlineBody {
 		n, err := c.Write(append(head, r.Body...))
-		c.meter.Sent(n)
+		c.counter.Sent(n)
 		done <- err
 		return done
 	}
 	go func() {
 		buffers := net.Buffers{head, r.Body}
 		n, err := buffers.WriteTo(c.Conn)
-		c.meter.Sent(int(n))
+		c.counter.Sent(int(n))
 		done <- err
 	}()
 	return done
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -42,8 +42,8 @@
 	// connection is closed to open a new one; if none is idle, dialing fails. 0 means no
 	// limit.
 	MaxOpen int
-	// Meter counts the bytes of all connections; it may be nil.
-	Meter *link.Meter
+	// Counter counts the bytes of all connections; it may be nil.
+	Counter *link.Counter
 	// LinkSaturated reports whether the router's own link is saturated. The dial
 	// timeout is then SaturatedDialTimeout. LinkSaturated may be nil.
 	LinkSaturated        func() bool
@@ -169,7 +169,7 @@
 		p.release(r.Address)
 		return nil, err
 	}
-	return newConn(raw, r, p.opts.Meter), nil
+	return newConn(raw, r, p.opts.Counter), nil
 }
 
 // reserve counts a connection that is about to be opened; false means that a limit is
