Memory of slow readers is bounded

What was buffered so far: - Towards callers: a plain response up to 1 MiB is read in full before its first byte is sent (so that a truncated one never reaches the caller) and held until the caller has read it. A larger one kept that buffer of 1 MiB until its end. A stream holds one read of 4 KB and one incomplete event; a blocked write stops reading from the server. - Towards servers: the request's body, which is held for further attempts anyway, and a head of 4 KB. - In the kernel: the send buffer of each socket, which grows with a slow peer; the socket of a caller in the test had 3.9 MB. - In sum: nothing but the number of callers' connections.

Change: the send buffer of callers' and servers' connections is set to 64 KB (32 KB doubled by the kernel), and a large response keeps 32 KB after its first part. upstream.Backlog counts the writes of 8 KB and more in progress to both; over an eighth of the memory limit it resets the connection with the largest one, of equal ones the first. Log line "slow reader reset" (one a second at most), gaplink_slow_readers_reset_total and gaplink_backlog_bytes. A plain response of up to 1 MiB exceeds 64 KB for its connection still, since it must be complete before it is sent; it is bounded in sum.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,6 +67,8 @@
 	// neither is known.
 	LinkDelay func() time.Duration
 	Stale     func() bool
+	// Backlog bounds the responses that callers read slowly; nil: nothing does.
+	Backlog *upstream.Backlog
 	// Meter counts the bytes of callers by account; nil: they are not counted.
 	Meter *link.Meter
 	// TokenDelay returns by how much a saturated link extends the wait for tokens; nil: never.
@@ -181,7 +183,7 @@
 	c := &call{
 		g:       g,
 		r:       r,
-		reply:   reply{w: w, r: r},
+		reply:   reply{w: w, r: r, backlog: g.Backlog},
 		arrived: clock.Now(),
 		Request: g.Protocol.Request(r.Header),
 		outcome: result.Internal, // replaced by the actual outcome
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -125,6 +125,9 @@
 		if err != nil {
 			break
 		}
+		if len(prefix) != relayBufferSize { // releases the first part
+			prefix = make([]byte, relayBufferSize)
+		}
 		var n int
 		n, err = answer.Read(prefix)
 		buf = prefix[:n]
@@ -138,6 +141,10 @@
 	return a.endPlain(answer.StatusCode, err == io.EOF)
 }
 
+// relayBufferSize is what is held of a large response after its first part, for a caller that reads
+// slowly.
+const relayBufferSize = 32 << 10
+
 // endPlain ends an attempt whose response was forwarded; complete reports whether its end was
 // verified.
 func (a *attempt) endPlain(status int, complete bool) disposition {
--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"strconv"
+
+	"github.com/gaplink/gaplink/upstream"
 )
 
 // reply is the response to the caller; only this type begins and ends it.
@@ -19,6 +21,8 @@
 	state replyState
 	// status is the status of the response head that was sent; 0: none was.
 	status int
+	// backlog bounds what is held for callers that read slowly.
+	backlog *upstream.Backlog
 	// count, if set, receives the number of bytes of each part of the body.
 	count func(n int)
 	// unframed reports that only the close of the connection marks the end of the reply.
@@ -88,6 +92,7 @@
 
 // Write implements io.Writer for the body.
 func (p *reply) Write(b []byte) (int, error) {
+	defer p.backlog.Begin(len(b), p.reset)()
 	n, err := p.w.Write(b)
 	if p.count != nil {
 		p.count(n)
@@ -143,6 +148,14 @@
 	_ = conn.SetLinger(linger) // fails only on a closed connection
 }
 
+// reset resets the caller's connection, which makes a write in progress fail.
+func (p *reply) reset() {
+	if conn, ok := p.r.Context().Value(callerConn{}).(*net.TCPConn); ok {
+		_ = conn.SetLinger(0) // fails only on a closed connection
+		_ = conn.Close()
+	}
+}
+
 // callerConn is the context key of the caller's connection.
 type callerConn struct{}
 
@@ -157,6 +170,7 @@
 		c = wrapper.NetConn()
 	}
 	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(upstream.SendBuffer) // fails only on a closed connection
 		return context.WithValue(ctx, callerConn{}, tcp)
 	}
 	return ctx
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -41,6 +41,9 @@
 	s.gauge("gaplink_registrations_unreadable", "Registrations of backend servers that could not be read, since the start.", func() float64 { return float64(s.servers.Unreadable()) })
 	s.gauge("gaplink_link_load_in", "Part of the link's capacity that was used inwards in the last window.", func() float64 { return s.meter.Load().In })
 	s.gauge("gaplink_link_load_out", "The same outwards.", func() float64 { return s.meter.Load().Out })
+	s.gauge("gaplink_backlog_bytes", "Bytes of large writes in progress to callers and servers.", func() float64 { return float64(s.backlog.Sum()) })
+	s.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "gaplink_slow_readers_reset_total", Help: "Connections that were reset because callers and servers that read slowly held too much memory."},
+		func() float64 { return float64(s.backlog.Aborted()) }))
 	s.gauge("gaplink_log_lines_dropped", "Log lines left out because the reader was slow.", func() float64 { return float64(s.writer.Dropped()) })
 	s.gauge("gaplink_poison_suspects", "Requests that ran at a server when it ended.", func() float64 { _, suspects, _ := s.verdicts.Stats(); return float64(suspects) })
 	s.gauge("gaplink_poison_held", "Requests that are held back.", func() float64 { _, _, quarantined := s.verdicts.Stats(); return float64(quarantined) })
--- a/server/provision.go
+++ b/server/provision.go
@@ -42,10 +42,12 @@
 	if st, counts := s.platform.Store.(interface{ SetCounter(*link.Counter) }); counts {
 		st.SetCounter(s.meter.Of(link.Store))
 	}
+	s.backlog = newBacklog(s.settings.Memory.LimitMB, s.log)
 	s.pool = upstream.New(upstream.Options{
 		DialTimeout:   s.settings.Servers.DialTimeout.Std(),
 		IdleTimeout:   s.settings.Servers.IdleTimeout.Std(),
 		Counter:       s.meter.Of(link.Servers),
+		Backlog:       s.backlog,
 		LinkSaturated: s.link.Saturated,
 		MaxOpen:       s.shares.Backends,
 
@@ -89,6 +91,7 @@
 		LinkSaturated: s.link.Saturated,
 		LinkDelay:     s.linkDelay,
 		Meter:         s.meter,
+		Backlog:       s.backlog,
 		TokenDelay:    s.entryDelay,
 		Stale:         s.stale,
 
--- a/server/server.go
+++ b/server/server.go
@@ -148,6 +148,7 @@
 	meter    *link.Meter
 	link     linkState
 	queue    link.QueueEstimator
+	backlog  *upstream.Backlog
 	// shares holds the maximum number of open sockets per purpose; callerLimit is the maximum
 	// number of caller connections, bounded by memory as well.
 	shares      sockets.Shares
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -133,3 +133,9 @@
 		_ = tcp.SetLinger(0) // fails only if the connection is already closed
 	}
 }
+
+// abort resets the connection, also while it is in use: the exchange on it fails.
+func (c *conn) abort() {
+	c.reset()
+	_ = c.Conn.Close()
+}
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -80,7 +80,7 @@
 
 // write sends the request and delivers the result on the channel. A long body is sent
 // in the background, since the server may respond before it has read all of it.
-func write(c *conn, r *Request) <-chan error {
+func write(c *conn, r *Request, b *Backlog) <-chan error {
 	done := make(chan error, 1)
 	head := appendHead(make([]byte, 0, readBuffer), r)
 	if len(r.Body) <= inlineBody {
@@ -90,6 +90,7 @@
 		return done
 	}
 	go func() {
+		defer b.Begin(len(r.Body), c.abort)()
 		buffers := net.Buffers{head, r.Body}
 		n, err := buffers.WriteTo(c.Conn)
 		c.counter.Sent(int(n))
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -44,6 +44,8 @@
 	MaxOpen int
 	// Counter counts the bytes of all connections; it may be nil.
 	Counter *link.Counter
+	// Backlog bounds the requests that servers read slowly; nil: nothing does.
+	Backlog *Backlog
 	// LinkSaturated reports whether the router's own link is saturated. The dial
 	// timeout is then SaturatedDialTimeout. LinkSaturated may be nil.
 	LinkSaturated        func() bool
@@ -103,7 +105,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	a := &Answer{pool: p, conn: c, stop: stop, ctx: ctx, first: !c.used}
 	c.used = true
-	a.written = write(c, r)
+	a.written = write(c, r, p.opts.Backlog)
 	resp, err := a.readHead(r)
 	if err != nil {
 		a.discard()
@@ -169,6 +171,9 @@
 		p.release(r.Address)
 		return nil, err
 	}
+	if tcp, ok := raw.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(SendBuffer) // fails only on a closed connection
+	}
 	return newConn(raw, r, p.opts.Counter), nil
 }
 
