Update requests without an answer show no long queue at the link

Cause: since requests for updates may take 1.5 s at a saturated link, one to a router that had failed counted as a delay of 1.5 s at the router's own link for the next second, by which its state would be too old.

Change: a request without an answer counts with at most 400 ms.

Tests: the observed durations, with and without an answer.

--- a/controller/updates/ask.go
+++ b/controller/updates/ask.go
@@ -148,9 +148,7 @@
 	defer cancel()
 	begun := clock.Now()
 	answer, err := c.Calls.Updates(callCtx, addr, c.newRequest())
-	if c.ObserveDuration != nil {
-		c.ObserveDuration(clock.Since(begun))
-	}
+	c.observeDuration(clock.Since(begun), err)
 	if err != nil {
 		if c.OnFailure != nil {
 			c.OnFailure(begun, err)
@@ -166,6 +164,18 @@
 	c.receive(ctx, id, answer, begun)
 }
 
+// observeDuration reports the duration of a request. One without an answer counts with at most the
+// timeout of an idle link: it shows that the other router is silent rather than a longer queue.
+func (c *Controller) observeDuration(took time.Duration, err error) {
+	if c.ObserveDuration == nil {
+		return
+	}
+	if err != nil {
+		took = min(took, callTimeout)
+	}
+	c.ObserveDuration(took)
+}
+
 // newRequest returns a request for the changes since the last received ones.
 func (c *Controller) newRequest() *peer.UpdatesRequest {
 	servers, routers := c.Servers.Revision(), int64(0)
--- a/controller/updates/saturated_test.go
+++ b/controller/updates/saturated_test.go
@@ -1,6 +1,7 @@
 package updates
 
 import (
+	"context"
 	"testing"
 	"time"
 )
@@ -31,3 +32,23 @@
 		t.Errorf("%v at an unknown link", got)
 	}
 }
+
+// Guards against a failed router that counts as a queue of 1.5 s at this router's link, which is the
+// timeout of requests while the link is saturated: all requests of the next second would be refused,
+// because the state would be too old by the time they arrive.
+func TestRequestWithoutAnswerIsNoLongQueue(t *testing.T) {
+	const timeout = 1500 * time.Millisecond
+	var got time.Duration
+	u := &Controller{Options: Options{ObserveDuration: func(d time.Duration) { got = d }}}
+	for _, c := range []struct {
+		took time.Duration
+		err  error
+		want time.Duration
+	}{{timeout, nil, timeout}, {timeout, context.DeadlineExceeded, callTimeout}, {time.Millisecond, context.Canceled, time.Millisecond}} {
+		u.observeDuration(c.took, c.err)
+		if got != c.want {
+			t.Errorf("%v, error %v: observed %v, want %v", c.took, c.err, got, c.want)
+		}
+	}
+	new(Controller).observeDuration(timeout, nil)
+}
--- a/controller/updates/updates.go
+++ b/controller/updates/updates.go
@@ -118,7 +118,8 @@
 	// LinkDelay returns the queueing delay at this router's link and whether the link is saturated;
 	// nil: it never is.
 	LinkDelay func() (delay time.Duration, saturated bool)
-	// ObserveDuration, if set, receives the duration of each update request.
+	// ObserveDuration, if set, receives the duration of each update request; that of one without
+	// an answer is at most the normal timeout.
 	ObserveDuration func(time.Duration)
 	// Large reports whether the fleet is so large that only a few routers watch the store.
 	Large func() bool
