--- a/server/link_test.go
+++ b/server/link_test.go
@@ -10,6 +10,11 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/gaplink/gaplink/gateway"
 	"github.com/gaplink/gaplink/link"
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/settings"
@@ -31,7 +36,7 @@
 		{link.Load{In: 0.1}, link.Window, false},
 		{link.Load{Out: 0.9}, link.Window, true},
 	} {
-		l.observe(now, c.load, c.window)
+		l.observe(now, c.load, c.window, nil)
 		if l.Busy() != c.busy {
 			t.Errorf("busy %v after a window of %v at %+v", l.Busy(), c.window, c.load)
 		}
@@ -62,7 +67,7 @@
 		var l linkState
 		window := func() {
 			time.Sleep(link.Window)
-			l.observe(time.Now(), link.Load{}, link.Window)
+			l.observe(time.Now(), link.Load{}, link.Window, nil)
 		}
 		known := time.Now()
 		check := func(when string, busy, unanswered bool) {
@@ -80,7 +85,7 @@
 		before := time.Now()
 		time.Sleep(3 * time.Second)
 		check("resumed, before a timer fires", true, false)
-		l.observe(time.Now(), link.Load{}, 3*time.Second)
+		l.observe(time.Now(), link.Load{}, 3*time.Second, nil)
 		check("resumed", true, false)
 		l.recordFailure(before, unreachable)
 		window()
@@ -89,7 +94,7 @@
 		window()
 		check("a question had no descriptor", true, false)
 		time.Sleep(descriptorsOutPeriod - link.Window)
-		l.observe(time.Now(), link.Load{}, link.Window)
+		l.observe(time.Now(), link.Load{}, link.Window, nil)
 		check("descriptors are free again", false, false)
 		l.recordFailure(time.Now(), unreachable)
 		check("nobody answers", false, true)
@@ -112,7 +117,7 @@
 		s := &Server{callerLimit: 10, descriptors: &descriptors{}}
 		s.latest.Store(&settings.Gateway{Load: settings.GatewayLoad{Entry: entry}})
 		_ = s.boundCallers(raw)
-		s.link.observe(time.Now(), link.Load{In: 1}, link.Window)
+		s.link.observe(time.Now(), link.Load{In: 1}, link.Window, nil)
 		if !s.shedding() {
 			t.Fatal("ready with a saturated link")
 		}
@@ -122,3 +127,44 @@
 	}
 	_ = raw.Close()
 }
+
+// Guards against a line on a saturated link that does not name the account and the traffic that
+// saturate it, against lines for each window, and against other names of the fields that are read
+// from logs.
+func TestSaturatedLinkIsExplainedInTheLog(t *testing.T) {
+	core, lines := observer.New(zapcore.InfoLevel)
+	s := &Server{meter: link.New(1000, time.Unix(1000, 0)), log: zap.New(core), gateway: gateway.New(gateway.Options{})}
+	s.settings.Link.Mbps = 1
+	s.latest.Store(&settings.Gateway{})
+	now := time.Now()
+	s.meter.Tick(now)
+	for n := range 20 {
+		if n < 4 {
+			s.meter.Of(link.Callers).Received(225)
+			s.meter.Of(link.Routers).Sent(25)
+			s.meter.Account("heavy", 150)
+			s.meter.Account("light", 50)
+		}
+		s.endLinkWindow(now, now.Add(link.Window))
+		now = now.Add(link.Window)
+	}
+	all := lines.FilterMessage("link load").All()
+	if len(all) != 2 {
+		t.Fatalf("%d lines", len(all))
+	}
+	begun, ended := all[0].ContextMap(), all[1].ContextMap()
+	for name, want := range map[string]any{
+		"full": true, "in_flight": int64(0), "shedding": true, "account": "heavy", "share": 0.75,
+		"callers_in": int64(900), "callers_out": int64(0), "routers_out": int64(100), "store_in": int64(0), "servers_in": int64(0),
+	} {
+		if begun[name] != want {
+			t.Errorf("%s: %v, want %v", name, begun[name], want)
+		}
+	}
+	if load, ok := begun["in"].(float64); !ok || load < 0.9 {
+		t.Errorf("load %v", begun["in"])
+	}
+	if ended["full"] != false || ended["account"] != "" || ended["out"] != 0.0 {
+		t.Errorf("at the end: %v", ended)
+	}
+}
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/gaplink/gaplink/controller/verdicts"
+	"github.com/gaplink/gaplink/link"
 	"github.com/gaplink/gaplink/store"
 	"github.com/gaplink/gaplink/wakeups"
 )
@@ -40,6 +41,9 @@
 	s.gauge("gaplink_registrations_unreadable", "Registrations of backend servers that could not be read, since the start.", func() float64 { return float64(s.servers.Unreadable()) })
 	s.gauge("gaplink_link_load_in", "Part of the link's capacity that was used inwards in the last window.", func() float64 { return s.meter.Load().In })
 	s.gauge("gaplink_link_load_out", "The same outwards.", func() float64 { return s.meter.Load().Out })
+	s.gauge("gaplink_backlog_bytes", "Bytes of large writes in progress to callers and servers.", func() float64 { return float64(s.backlog.Sum()) })
+	s.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "gaplink_slow_readers_reset_total", Help: "Connections that were reset because callers and servers that read slowly held too much memory."},
+		func() float64 { return float64(s.backlog.Aborted()) }))
 	s.gauge("gaplink_log_lines_dropped", "Log lines left out because the reader was slow.", func() float64 { return float64(s.writer.Dropped()) })
 	s.gauge("gaplink_poison_suspects", "Requests that ran at a server when it ended.", func() float64 { _, suspects, _ := s.verdicts.Stats(); return float64(suspects) })
 	s.gauge("gaplink_poison_held", "Requests that are held back.", func() float64 { _, _, quarantined := s.verdicts.Stats(); return float64(quarantined) })
@@ -85,6 +89,8 @@
 	peerCallsDesc    = prometheus.NewDesc("gaplink_peer_calls_total", "Calls of other routers, by method.", []string{"method"}, nil)
 	permitsDesc      = prometheus.NewDesc("gaplink_permits_total", "Requests for servers with a rate limit, by what became of their permit.", []string{"outcome"}, nil)
 	choicesDesc      = prometheus.NewDesc("gaplink_server_choices_total", "Choices of a backend server, by reason.", []string{"reason"}, nil)
+	linkBytesDesc    = prometheus.NewDesc("gaplink_link_bytes_total", "Bytes of connections, by purpose and direction.", []string{"purpose", "direction"}, nil)
+	accountBytesDesc = prometheus.NewDesc("gaplink_link_account_bytes", "Bytes of requests and responses in the last window of the link, of the accounts with the most.", []string{"account"}, nil)
 	serversDesc      = prometheus.NewDesc("gaplink_servers", "Backend servers known, by state.", []string{"service", "state"}, nil)
 )
 
@@ -98,6 +104,8 @@
 	ch <- permitsDesc
 	ch <- choicesDesc
 	ch <- wakeupsDesc
+	ch <- linkBytesDesc
+	ch <- accountBytesDesc
 }
 
 // Collect implements prometheus.Collector.
@@ -121,6 +129,7 @@
 	for purpose, n := range wakeups.Counts() {
 		ch <- prometheus.MustNewConstMetric(wakeupsDesc, prometheus.CounterValue, float64(n), purpose.String())
 	}
+	c.collectLink(ch)
 	permits := c.server.limits.Counts()
 	for outcome, n := range map[string]int64{"granted": permits.Granted, "denied": permits.Denied, "unanswered": permits.Unanswered} {
 		ch <- prometheus.MustNewConstMetric(permitsDesc, prometheus.CounterValue, float64(n), outcome)
@@ -136,3 +145,15 @@
 		sendGauge(serversDesc, int64(n.BackingOff), service, "backing_off")
 	}
 }
+
+// collectLink collects the bytes at the link.
+func (c *stateCollector) collectLink(ch chan<- prometheus.Metric) {
+	for _, p := range link.Purposes {
+		total := c.server.meter.Total(p)
+		ch <- prometheus.MustNewConstMetric(linkBytesDesc, prometheus.CounterValue, float64(total.In), p.String(), "in")
+		ch <- prometheus.MustNewConstMetric(linkBytesDesc, prometheus.CounterValue, float64(total.Out), p.String(), "out")
+	}
+	for _, a := range c.server.meter.Usage().Accounts {
+		ch <- prometheus.MustNewConstMetric(accountBytesDesc, prometheus.GaugeValue, float64(a.Bytes), a.Key)
+	}
+}
