Routers of a large fleet share the load of servers through relays

Change: controller/loads reports a router's own load to a relay twice a second (method load.Exchange) and applies the answer by SetFleetLoad. Relays send their sums to the other relays. A call that fails or is slow leads to the next candidate, as for updates; a router that does not know the method, or has load.servers off, is asked again after 30 s. A new relay answers others only when it has the sums of all other relays, or after 1.5 s, and a relay keeps the role for 1.5 s: while a dead relay stays registered, the ranking changes every two seconds. The load of links goes with the messages; LinkLoads returns that of the router's failure domain. Nothing is sent in a small fleet, with load.servers off, or without servers with engines. Relays leave out reports of routers that are over 750 ms old: with the report of one dead router the sum of a relay became too old for the others. Metrics for age, servers, messages and dropped figures.

--- a/load/load.go
+++ b/load/load.go
@@ -29,6 +29,10 @@
 	// MaxAge is the age above which a relay leaves a figure out of its sums. It is below
 	// placement.MaxLoadAge, since the receiver uses a sum until the next one arrives.
 	MaxAge = 1400 * time.Millisecond
+	// maxReportAge is the same for the report of a router that a relay serves, which reports every 600 ms
+	// or more often. A sum is as old as its oldest part: a report that is kept for longer, of a router that
+	// died, would make other relays leave out the sums of which it is a part.
+	maxReportAge = 750 * time.Millisecond
 	// expireAfter is the time after which a source is forgotten that has sent no further report.
 	expireAfter = placement.MaxLoadAge
 	// maxInFlight, maxPendingTokens, maxEventInterval, maxEvents and maxLinkLoad are the largest
--- a/load/table.go
+++ b/load/table.go
@@ -55,8 +55,12 @@
 }
 
 // SetRelay records the sums that another relay reports of the routers that it serves, as SetRouter
-// does.
+// does. They include the relay's own load, unless they are empty, and so replace what it reported
+// before it became a relay.
 func (t *Table) SetRelay(now time.Time, r Report) (dropped int) {
+	if len(r.Servers) > 0 {
+		delete(t.routers, r.From)
+	}
 	return t.set(now, t.relays, maxRelays, MaxServers, r)
 }
 
@@ -92,8 +96,14 @@
 	return valid
 }
 
-// Forget drops what a router has reported.
-func (t *Table) Forget(id string) { delete(t.routers, id) }
+// Relays returns the ids of the relays whose sums are held, in no particular order.
+func (t *Table) Relays() []string { return slices.Collect(maps.Keys(t.relays)) }
+
+// ClearRouters drops the reports of routers, when this router ceases to be a relay.
+func (t *Table) ClearRouters() {
+	clear(t.routers)
+	t.sums = nil
+}
 
 // expire forgets sources that have sent no report for expireAfter.
 func (t *Table) expire(now time.Time) {
@@ -155,16 +165,14 @@
 	truncated bool
 }
 
-// sumOf sums the loads of sources, without figures that are too old.
-func sumOf(now time.Time, all ...map[string]*source) *sums {
+// sumOf sums the loads that routers and relays reported, without figures that are too old.
+func sumOf(now time.Time, routers, relays map[string]*source) *sums {
 	s := &sums{at: now, byServer: map[Key]*sum{}, oldest: now}
-	for _, sources := range all {
-		for _, one := range sources {
-			s.truncated = s.truncated || one.Truncated
-			for _, e := range one.Servers {
-				s.add(e)
-			}
-		}
+	for _, one := range routers {
+		s.add(one, maxReportAge)
+	}
+	for _, one := range relays {
+		s.add(one, MaxAge)
 	}
 	s.byLoad = make([]Entry, 0, len(s.byServer))
 	for _, one := range s.byServer {
@@ -174,25 +182,28 @@
 	return s
 }
 
-func (s *sums) add(e Entry) {
-	if s.at.Sub(e.At) > MaxAge {
-		return
-	}
-	total := s.byServer[e.Server]
-	if total == nil {
-		total = &sum{Entry: Entry{Server: e.Server}}
-		s.byServer[e.Server] = total
-	}
-	total.add(e)
-	if e.At.Before(s.oldest) {
-		s.oldest = e.At
+func (s *sums) add(one *source, maxAge time.Duration) {
+	s.truncated = s.truncated || one.Truncated
+	for _, e := range one.Servers {
+		if s.at.Sub(e.At) > maxAge {
+			continue
+		}
+		total := s.byServer[e.Server]
+		if total == nil {
+			total = &sum{Entry: Entry{Server: e.Server}}
+			s.byServer[e.Server] = total
+		}
+		total.add(e)
+		if e.At.Before(s.oldest) {
+			s.oldest = e.At
+		}
 	}
 }
 
 // Sums returns the load of the routers that this relay serves, for the other relays.
 func (t *Table) Sums(now time.Time) Report {
 	t.expire(now)
-	s := sumOf(now, t.routers)
+	s := sumOf(now, t.routers, nil)
 	r := Report{Servers: s.byLoad[:min(len(s.byLoad), MaxServers)], Truncated: len(s.byLoad) > MaxServers}
 	for _, one := range t.routers {
 		r.Links = append(r.Links, one.Links...)
@@ -250,13 +261,13 @@
 	own := map[Key]Entry{}
 	if report := s.routers[id]; report != nil {
 		for _, e := range report.Servers {
-			if s.at.Sub(e.At) <= MaxAge {
+			if s.at.Sub(e.At) <= maxReportAge {
 				own[e.Server] = e
 			}
 		}
 	}
-	for _, total := range s.byLoad {
-		e := total
+	entries = make([]Entry, 0, min(most, len(s.byLoad)))
+	for _, e := range s.byLoad {
 		if mine, ok := own[e.Server]; ok {
 			rest := *s.byServer[e.Server]
 			rest.subtract(mine)
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -32,6 +32,7 @@
 	MethodVerdicts = "verdicts.Report"
 	MethodLimits   = "limits.Report"
 	MethodPermit   = "limits.Permit"
+	MethodLoad     = "load.Exchange"
 )
 
 // Empty is an empty request or response.
@@ -275,6 +276,45 @@
 	Wait    time.Duration
 }
 
+// LoadRequest reports the load that a router causes at backend servers and its link load, or, if Relay
+// is set, the sums of those of all routers that a relay serves.
+type LoadRequest struct {
+	// From is the reporting router, Process identifies its process, and Seq orders the reports of a
+	// process.
+	From         string
+	Process, Seq uint32
+	Relay        bool
+	// Servers holds the servers in the form of load.Pack: names would take four times the space.
+	// Truncated is set if a relay leaves out servers.
+	Servers   []byte
+	Truncated bool
+	// Links are link loads by failure domain. A router sends exactly one element, for its own domain.
+	Links []DomainLinks
+}
+
+// DomainLinks are the link loads of routers of a failure domain, in the form of load.PackLinks.
+type DomainLinks struct {
+	Domain string
+	Packed []byte
+}
+
+// LoadAnswer returns to a router the load that the others cause. It is empty for a relay's sums.
+type LoadAnswer struct {
+	// Off is set if the responding router does not share loads, and NotRelay if it does not relay those
+	// of others, or not yet. The report is then ignored.
+	Off, NotRelay bool
+	// Known is set if the responding router has reports of other routers. Age is the time since the
+	// oldest observation, in milliseconds.
+	Known bool
+	Age   uint16
+	// Servers are the most loaded servers, in the form of load.Pack. Complete is set if the other
+	// servers have no load.
+	Servers  []byte
+	Complete bool
+	// Links are the most loaded links of the requesting router's failure domain.
+	Links []byte
+}
+
 // VerdictsRequest reports requests that crash servers. If All is set, it also
 // requests all known reports.
 type VerdictsRequest struct {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -94,6 +94,10 @@
 	return result.New(result.Code(code), "%s", err.Error())
 }
 
+// Unimplemented reports whether a call failed because the peer does not know the method, as a process of
+// an older release.
+func Unimplemented(err error) bool { return drpcerr.Code(err) == drpcerr.Unimplemented }
+
 // Serve serves calls on the listener until the context ends.
 func Serve(ctx context.Context, listener net.Listener, m *Mux) error {
 	return drpcserver.New(m).Serve(ctx, listener)
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/gaplink/gaplink/controller/loads"
 	"github.com/gaplink/gaplink/controller/verdicts"
 	"github.com/gaplink/gaplink/store"
 	"github.com/gaplink/gaplink/wakeups"
@@ -43,6 +44,9 @@
 	s.gauge("gaplink_log_lines_dropped", "Log lines left out because the reader was slow.", func() float64 { return float64(s.writer.Dropped()) })
 	s.gauge("gaplink_poison_suspects", "Requests that ran at a server when it ended.", func() float64 { _, suspects, _ := s.verdicts.Stats(); return float64(suspects) })
 	s.gauge("gaplink_poison_held", "Requests that are held back.", func() float64 { _, _, quarantined := s.verdicts.Stats(); return float64(quarantined) })
+	s.gauge("gaplink_load_age_seconds", "Age of the oldest observation in the load of servers that other routers share; below 0: unknown.", func() float64 { return loadAge(s.loads.Stats()) })
+	s.gauge("gaplink_load_servers", "Backend servers whose load by other routers is known.", func() float64 { return float64(s.loads.Stats().Servers) })
+	s.loadCounter("gaplink_load_dropped_total", "Figures that other routers reported of loads and that were dropped because they make no sense.", func(t loads.Stats) int64 { return t.Dropped })
 	s.verdictCounter("gaplink_poison_looks_total", "Looks at servers at which answers broke off.", func(c verdicts.Counts) int64 { return c.LivenessChecks })
 	s.verdictCounter("gaplink_poison_verdicts_total", "Verdicts that this router reached.", func(c verdicts.Counts) int64 { return c.Verdicts })
 	s.verdictCounter("gaplink_poison_lifted_total", "Verdicts that were lifted by good runs or operators.", func(c verdicts.Counts) int64 { return c.Lifted })
@@ -73,6 +77,19 @@
 	s.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, value))
 }
 
+func (s *Server) loadCounter(name, help string, read func(loads.Stats) int64) {
+	value := func() float64 { return float64(read(s.loads.Stats())) }
+	s.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, value))
+}
+
+// loadAge returns the age of the shared load in seconds, below 0 if it is unknown.
+func loadAge(t loads.Stats) float64 {
+	if t.Age < 0 {
+		return -1
+	}
+	return t.Age.Seconds()
+}
+
 // stateCollector collects the metrics whose labels are known only at a scrape: budgets, store
 // and peer calls, wake-ups, permits and backend servers.
 type stateCollector struct{ server *Server }
@@ -83,6 +100,7 @@
 	peerBytesDesc    = prometheus.NewDesc("gaplink_peer_bytes_total", "Bytes of this router's calls of other routers, by method and direction, without framing.", []string{"method", "direction"}, nil)
 	wakeupsDesc      = prometheus.NewDesc("gaplink_wakeups_total", "Times that the process woke by its own timers, by purpose.", []string{"purpose"}, nil)
 	peerCallsDesc    = prometheus.NewDesc("gaplink_peer_calls_total", "Calls of other routers, by method.", []string{"method"}, nil)
+	loadCallsDesc    = prometheus.NewDesc("gaplink_load_messages_total", "Reports of loads that this router sent to other routers, by what became of them.", []string{"outcome"}, nil)
 	permitsDesc      = prometheus.NewDesc("gaplink_permits_total", "Requests for servers with a rate limit, by what became of their permit.", []string{"outcome"}, nil)
 	serversDesc      = prometheus.NewDesc("gaplink_servers", "Backend servers known, by state.", []string{"service", "state"}, nil)
 )
@@ -95,6 +113,7 @@
 	ch <- peerBytesDesc
 	ch <- peerCallsDesc
 	ch <- permitsDesc
+	ch <- loadCallsDesc
 	ch <- wakeupsDesc
 }
 
@@ -123,6 +142,10 @@
 	for outcome, n := range map[string]int64{"granted": permits.Granted, "denied": permits.Denied, "unanswered": permits.Unanswered} {
 		ch <- prometheus.MustNewConstMetric(permitsDesc, prometheus.CounterValue, float64(n), outcome)
 	}
+	shared := c.server.loads.Stats()
+	for outcome, n := range map[string]int64{"answered": shared.Answered, "failed": shared.Failed, "unsupported": shared.Unsupported} {
+		ch <- prometheus.MustNewConstMetric(loadCallsDesc, prometheus.CounterValue, float64(n), outcome)
+	}
 	for service, n := range c.server.servers.Counts() {
 		sendGauge(serversDesc, int64(n.Up), service, "up")
 		sendGauge(serversDesc, int64(n.Ejected), service, "ejected")
--- a/server/provision.go
+++ b/server/provision.go
@@ -122,6 +122,7 @@
 
 		ObserveDuration: func(d time.Duration) { s.queue.Observe(clock.Now(), d) },
 	})
+	s.loads = s.newLoads()
 	servers := s.followerOptions(s.platform.ServerKind, s.servers, s.settings.Bounds.Leave.Std())
 	servers.ReceivedRevision = s.servers.Revision
 	s.followServers = follow.New(servers)
@@ -206,6 +207,7 @@
 	peer.Handle(m, peer.MethodVerdicts, s.verdicts.OnReport)
 	peer.Handle(m, peer.MethodLimits, s.limits.OnReport)
 	peer.Handle(m, peer.MethodPermit, s.limits.OnPermit)
+	peer.Handle(m, peer.MethodLoad, s.loads.OnExchange)
 	peer.Handle(m, peer.MethodAdmin, s.handleAdmin)
 	return m
 }
--- a/server/server.go
+++ b/server/server.go
@@ -31,6 +31,7 @@
 	"github.com/gaplink/gaplink/controller/evacuations"
 	"github.com/gaplink/gaplink/controller/follow"
 	"github.com/gaplink/gaplink/controller/limits"
+	"github.com/gaplink/gaplink/controller/loads"
 	"github.com/gaplink/gaplink/controller/members"
 	"github.com/gaplink/gaplink/controller/registry"
 	"github.com/gaplink/gaplink/controller/roster"
@@ -143,6 +144,7 @@
 	budgets  *budgets.Controller
 	verdicts *verdicts.Controller
 	limits   *limits.Controller
+	loads    *loads.Controller
 	gateway  *gateway.Gateway
 	pool     *upstream.Pool
 	meter    *link.Meter
@@ -368,6 +370,7 @@
 	}
 	go s.verdicts.Run(ctx)
 	go s.limits.Run(ctx)
+	go s.loads.Run(ctx)
 	for _, f := range s.followers() {
 		go f.Run(ctx)
 	}
--- a/wakeups/wakeups.go
+++ b/wakeups/wakeups.go
@@ -19,11 +19,13 @@
 	Role
 	// Follow is for followers of the store, including those waiting for that role.
 	Follow
+	// Loads is for the exchange of server loads.
+	Loads
 
 	purposes
 )
 
-var names = [purposes]string{Tick: "beat", Budgets: "budgets", Updates: "updates", Role: "role", Follow: "follow"}
+var names = [purposes]string{Tick: "beat", Budgets: "budgets", Updates: "updates", Role: "role", Follow: "follow", Loads: "loads"}
 
 // String implements fmt.Stringer.
 func (p Purpose) String() string { return names[p] }
