--- a/budget/isolated_test.go
+++ b/budget/isolated_test.go
@@ -65,6 +65,24 @@
 	})
 }
 
+// TestStartingOwnerDrawsForItself guards against a router that has just started and draws for the whole
+// fleet before it knows the routers that are ranked before it. Later it draws ahead as before.
+func TestStartingOwnerDrawsForItself(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := newLargeFleet(t, 300000)
+		owner := n.routers[0]
+		n.crash(owner)
+		n.traffic(owner, 8*time.Second)
+		if held := n.held(0); held > 2000 {
+			t.Fatalf("%d tokens are held 8 s after the start, at a demand of 500 a second", held)
+		}
+		n.traffic(owner, 10*time.Second)
+		if held := n.held(0); held < 4000 {
+			t.Fatalf("only %d tokens are held 18 s after the start", held)
+		}
+	})
+}
+
 // TestIsolatedRouterReturnsItsBurst guards against what an isolated router drew for a burst staying
 // there when the burst is over and the owner can be reached again.
 func TestIsolatedRouterReturnsItsBurst(t *testing.T) {
