--- a/placement/placement.go
+++ b/placement/placement.go
@@ -336,20 +336,31 @@
 // Pick returns the server for the request; false means that no server can accept it.
 func (f *Servers) Pick(rng *rand.Rand, q Query) (Server, bool) {
 	isLong := q.Affinity != 0 && f.isLongPrompt(q)
-	if s := f.pickByPrediction(rng, &q); s != nil {
-		return s.Server, true
-	}
-	s := f.pickWithinLimits(rng, q, isLong)
+	s := f.pickByPrediction(rng, &q)
 	if s == nil {
-		s = f.pickBeyondLimits(rng, q, isLong)
+		s = f.pickByLimits(rng, q, isLong)
 	}
 	if s == nil {
 		return Server{}, false
 	}
-	f.choices[ByLimits]++
+	if s.pending == 0 {
+		s.waitingSince = q.Now
+	}
 	return s.Server, true
 }
 
+// pickByLimits selects a server by prefix and own requests in flight.
+func (f *Servers) pickByLimits(rng *rand.Rand, q Query, isLong bool) *state {
+	s := f.pickWithinLimits(rng, q, isLong)
+	if s == nil {
+		s = f.pickBeyondLimits(rng, q, isLong)
+	}
+	if s != nil {
+		f.choices[ByLimits]++
+	}
+	return s
+}
+
 // pickBeyondLimits selects a server when no server is within all limits.
 func (f *Servers) pickBeyondLimits(rng *rand.Rand, q Query, isLong bool) *state {
 	candidates := f.candidates(q)
--- a/placement/predict.go
+++ b/placement/predict.go
@@ -148,9 +148,6 @@
 		return nil
 	}
 	f.choices[best.reason]++
-	if best.server.pending == 0 {
-		best.server.waitingSince = q.Now
-	}
 	if q.Affinity != 0 {
 		f.prefixes.sent(q.Now, prefixKey(q.Affinity, best.server))
 		f.prefixes.sent(q.Now, q.Affinity)
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -167,7 +167,7 @@
 
 // waiting returns for how long, in seconds, own requests have waited at a server without any first event.
 func (s *state) waiting(now time.Time) float64 {
-	if s.pending == 0 {
+	if s.pending == 0 || s.waitingSince.IsZero() {
 		return 0
 	}
 	return now.Sub(s.waitingSince).Seconds()
