--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -51,3 +51,69 @@
 		})
 	}
 }
+
+// BenchmarkPredict measures a choice by prediction with figures of all servers, at a router with a
+// request every millisecond and at one with a request every 300 ms, which updates the speeds each time.
+func BenchmarkPredict(b *testing.B) {
+	for _, n := range []int{60, 140, 1300, 10000} {
+		for _, every := range []time.Duration{time.Millisecond, 300 * time.Millisecond} {
+			b.Run(fmt.Sprintf("%d/%s", n, every), func(b *testing.B) {
+				servers := placement.New()
+				put(servers, n)
+				now := noon
+				rng := rand.New(rand.NewPCG(1, 2))
+				observeAll(servers, now)
+				b.ReportAllocs()
+				for b.Loop() {
+					now = now.Add(every)
+					if now.Sub(noon) > time.Second {
+						now = noon
+					}
+					servers.Pick(rng, benchQuery(now, rng.Uint64()))
+				}
+			})
+		}
+	}
+}
+
+// observeAll gives a fleet own figures of up to 64 servers and reports of up to 512, which is as many as
+// routers exchange.
+func observeAll(servers *placement.Servers, now time.Time) {
+	var loads []placement.ServerLoad
+	for i, s := range servers.All() {
+		if i >= 512 {
+			break
+		}
+		for n := range 9 {
+			if i < 64 {
+				servers.RecordEventInterval(now, s.Incarnation(), time.Duration(30+(i+n)%7)*time.Millisecond)
+			}
+		}
+		loads = append(loads, placement.ServerLoad{Server: s.Incarnation(), InFlight: i % 20, EventInterval: time.Duration(30+i%7) * time.Millisecond, Events: 30, At: now})
+	}
+	servers.SetFleetLoad(loads)
+}
+
+// Guards against predictions that allocate memory for each request.
+func TestPredictedChoiceAllocatesNothing(t *testing.T) {
+	servers := placement.New()
+	put(servers, 140)
+	observeAll(servers, noon)
+	rng := seeded()
+	now := noon
+	if n := testing.AllocsPerRun(200, func() {
+		now = now.Add(time.Millisecond)
+		servers.Pick(rng, benchQuery(now, rng.Uint64()))
+	}); n > 0 {
+		t.Errorf("%v allocations per pick", n)
+	}
+	if n := servers.Choices()["limits"]; n > 0 {
+		t.Errorf("%d choices by limits", n)
+	}
+}
+
+func benchQuery(now time.Time, prefix uint64) placement.Query {
+	q := digestQuery(now, prefix)
+	q.Service = "svc"
+	return q
+}
