Choice: hot prefixes spread over the servers that have them cached

With the least loss alone all routers sent a hot prefix to the same server until the next report, half a second later. A prefix with 5% of the requests that share prefixes now counts as cached at all its candidates, and requests are drawn among the servers that have theirs cached, are not slow, and of which one is overloaded.

--- a/placement/predict.go
+++ b/placement/predict.go
@@ -37,7 +37,10 @@
 	// are late; the others are in time or late without it.
 	harmShare = 0.3
 	// rereadPrice is the loss for each prompt token that is read again.
-	rereadPrice = 1.0 / 3000
+	rereadPrice = 1.0 / 2500
+	// spreadOffset is added to the expected first event, as a multiple of the objective, when a prefix is
+	// spread: an idle server gets about four times the requests of one that is late.
+	spreadOffset = 0.3
 	// pieceTokens is the size of the pieces in which engines read prompts between two steps.
 	pieceTokens = 1024
 	// longestToMean is the ratio of the longest usual prompt of a service to its mean.
@@ -48,10 +51,9 @@
 	// eventsPerStream is the number of events after which a running stream frees its slot.
 	eventsPerStream = 30
 	// cachedSent is the probability that a server has a prefix cached that this router sent there
-	// within prefixTTL, and cachedHome that of the first server in the prefix's order that is not slow for long.
-	// It halves for each further one. For a prefix that this router sent several times, each use counts
-	// as a further chance: other routers have sent it as often. The prefixes of a server have moved to the next one when it has
-	// been slow for movedAfter, since other routers avoid it too.
+	// within prefixTTL, and cachedHome that of the first server in the prefix's order. It halves for each
+	// further one, unless the prefix is hot: then all have it. The prefixes of a server have moved to the
+	// next one when it is overloaded or has been slow for movedAfter, since other routers avoid it too.
 	cachedSent = 0.95
 	cachedHome = 0.9
 	movedAfter = 5 * time.Second
@@ -91,6 +93,10 @@
 	reason Reason
 	rank   uint64
 	loss   float64
+	// cached is the probability that the server has the prefix cached. wait and first are the predicted
+	// times until it begins to read the prompt and to the first event, as multiples of the objective,
+	// and pauses is the probability of a late event.
+	cached, wait, first, pauses float64
 }
 
 // candidates of a request, in a fixed array because a choice must not allocate memory.
@@ -122,6 +128,9 @@
 	c.list[at] = candidate{server: s, rank: rank, reason: BySpread}
 }
 
+// sharesPrefix reports whether a part of the prompt may be cached at servers.
+func (q *Query) sharesPrefix() bool { return q.Affinity != 0 && q.Prompt > q.Tokens }
+
 // predicts reports whether the server of a request is chosen by prediction.
 func (q *Query) predicts() bool { return q.EventObjective > 0 && q.FirstObjective > 0 }
 
@@ -148,9 +157,9 @@
 		return nil
 	}
 	f.choices[best.reason]++
-	if q.Affinity != 0 {
+	if q.sharesPrefix() {
 		f.prefixes.sent(q.Now, prefixKey(q.Affinity, best.server))
-		f.prefixes.sent(q.Now, q.Affinity)
+		f.prefixes.use(q.Now, q.Affinity)
 	}
 	return best.server
 }
@@ -190,27 +199,30 @@
 // leastLoss returns a random one of the candidates with nearly the least loss.
 func (f *Servers) leastLoss(c *candidateList, g *group, rng *rand.Rand, q *Query) *candidate {
 	least, home, ordered := math.Inf(1), cachedHome, 0
-	uses := max(f.prefixes.uses(q.Now, q.Affinity), 1)
+	hot := q.sharesPrefix() && f.prefixes.isHot(q.Now, q.Affinity)
 	for i := range c.count {
 		next := &c.list[i]
-		p := f.predict(g, next.server, q)
-		cached := 0.0
 		if next.reason != ByDraw {
 			if ordered == orderedCandidates {
 				next.loss = math.Inf(1)
 				continue
 			}
-			cached = 1 - math.Pow(1-home, uses)
-			if p.wait <= busyShare*q.FirstObjective.Seconds() {
-				ordered++
-				if !next.server.speed.SlowFor(q.Now, movedAfter) {
-					home /= 2
-				}
+			next.cached = home
+		}
+		f.predict(g, next, q)
+		if next.reason != ByDraw && next.wait <= busyShare {
+			ordered++
+			if !hot && !next.server.speed.SlowFor(q.Now, movedAfter) {
+				home /= 2
 			}
 		}
-		next.loss = f.loss(g, next.server, q, &p, cached)
 		least = min(least, next.loss)
 	}
+	if q.sharesPrefix() {
+		if best := c.spread(rng); best != nil {
+			return best
+		}
+	}
 	var best *candidate
 	equal := 0
 	for i := range c.count {
@@ -225,58 +237,72 @@
 	return best
 }
 
-// prediction is what is expected of a server, whatever the prompt of the request is.
-type prediction struct {
-	// slots is the number of requests that the server runs concurrently, and running how many it would
-	// run with this one.
-	slots, running int
-	// event is the time between two events, and wait the time until the server begins to read the
-	// prompt, in seconds.
-	event, wait float64
-}
-
-// predict returns the prediction for a server. The wait is the largest of what its pending prompts, its
-// full slots and the recent first events of this router's own requests suggest. Of the prompts that
-// other routers reported as pending, those count that cannot have been read since: without this, reports
-// a second old send prompts away from servers that are idle by then.
-func (f *Servers) predict(g *group, s *state, q *Query) prediction {
-	requests := s.requests(q.Now)
-	pending := g.speeds.readingTime(s, float64(s.pending))
-	if l, ok := s.freshLoad(q.Now); ok {
-		pending += max(g.speeds.readingTime(s, float64(l.PendingTokens))-q.Now.Sub(l.At).Seconds(), 0)
+// spread draws one of the servers that have the prefix cached and are not slow, if one that has it cached
+// is overloaded; otherwise it returns nil. With the least loss alone, all routers sent a hot prefix to
+// the same server until the next report. Servers count less the later a first event is expected there.
+func (c *candidateList) spread(rng *rand.Rand) *candidate {
+	var best *candidate
+	sum, overloaded := 0.0, false
+	for i := range c.count {
+		next := &c.list[i]
+		if next.cached < cachedHome || math.IsInf(next.loss, 1) {
+			continue
+		}
+		overloaded = overloaded || next.wait > busyShare
+		if next.server.speed.Slow() {
+			continue
+		}
+		weight := (1 - next.pauses) / (next.first + spreadOffset)
+		sum += weight
+		if rng.Float64()*sum < weight {
+			best = next
+		}
 	}
-	p := prediction{slots: s.slots(q)}
-	p.running = min(requests+1, p.slots)
-	p.event = g.speeds.eventTime(s, p.running)
-	p.wait = pending
-	if full := requests + 1 - p.slots; full > 0 {
-		p.wait += p.event * eventsPerStream * float64(full) / float64(p.slots)
+	if !overloaded {
+		return nil
 	}
-	p.wait = max(p.wait, s.delay(q.Now), s.waiting(q.Now))
-	return p
+	return best
 }
 
-// loss returns the expected loss of running a request at a server that has its prefix cached with the
-// given probability, as far as this router has not sent the prefix there itself.
-func (f *Servers) loss(g *group, s *state, q *Query, p *prediction, cached float64) float64 {
-	v := &g.speeds
+// predict predicts the times of a request at a candidate and derives its loss. The candidate's
+// probability of having the prefix cached is raised if this router has sent the prefix there.
+func (f *Servers) predict(g *group, c *candidate, q *Query) {
+	v, s := &g.speeds, c.server
+	requests, slots := s.requests(q.Now), s.slots(q)
+	running := min(requests+1, slots)
+	event := v.eventTime(s, running)
 	var again float64
-	if shared := q.Prompt - q.Tokens; shared > 0 && q.Affinity != 0 {
+	if q.sharesPrefix() {
 		if f.prefixes.has(q.Now, prefixKey(q.Affinity, s)) {
-			cached = max(cached, cachedSent)
+			c.cached = max(c.cached, cachedSent)
 		}
-		again = (1 - cached) * float64(shared)
+		again = (1 - c.cached) * float64(q.Prompt-q.Tokens)
 	}
 	unread := float64(q.Tokens) + again
-	first := (p.event + p.wait + v.readingTime(s, unread)) / q.FirstObjective.Seconds()
+	wait := v.waitingTime(s, q.Now, event*eventsPerStream*max(float64(requests+1-slots), 0)/float64(slots))
+	c.wait = wait / q.FirstObjective.Seconds()
+	c.first = (event + wait + v.readingTime(s, unread)) / q.FirstObjective.Seconds()
 
 	pause := q.EventObjective.Seconds()
 	longest := v.readingTime(s, q.readBesideEvent(longestToMean*f.meanPrompt[q.Service]))
-	own := risk((p.event + longest) / pause)
-	beside := risk((p.event + v.readingTime(s, q.readBesideEvent(unread))) / pause)
+	c.pauses = risk((event + longest) / pause)
+	beside := risk((event + v.readingTime(s, q.readBesideEvent(unread))) / pause)
 
-	return 1 - (1-risk(first))*(1-own) + delayPrice*first +
-		harmShare*float64(p.running-1)*beside + loadPrice*float64(p.running)/float64(p.slots) + rereadPrice*again
+	c.loss = 1 - (1-risk(c.first))*(1-c.pauses) + delayPrice*c.first +
+		harmShare*float64(running-1)*beside + loadPrice*float64(running)/float64(slots) + rereadPrice*again
+}
+
+// waitingTime returns the time in seconds until a server begins to read another prompt: the largest of
+// what its pending prompts and its full slots (slotTime) and what the recent first events of this
+// router's own requests suggest. Of the prompts that other routers reported as pending, those count
+// that cannot have been read since: without this, reports a second old send prompts away from servers
+// that are idle by then.
+func (v *speeds) waitingTime(s *state, now time.Time, slotTime float64) float64 {
+	pending := v.readingTime(s, float64(s.pending))
+	if l, ok := s.freshLoad(now); ok {
+		pending += max(v.readingTime(s, float64(l.PendingTokens))-now.Sub(l.At).Seconds(), 0)
+	}
+	return max(pending+slotTime, s.delay(now), s.waiting(now))
 }
 
 // readBesideEvent returns how many tokens of a prompt are read during one event of another stream: at
@@ -307,17 +333,59 @@
 const (
 	// prefixSlots is the number of pairs of prefix and server that are remembered; a power of two.
 	prefixSlots = 4096
+	// hotShare is the share of the requests with shared prefixes from which a prefix is hot, and
+	// minHotUses the number of own uses that this takes: a service with a hundred servers reads about
+	// one prompt in a hundred at each.
+	hotShare   = 0.05
+	minHotUses = 3
 	// prefixTTL is how long a server is expected to have a prefix cached.
 	prefixTTL = 20 * time.Second
 )
 
-// prefixMemory remembers which prefixes this router has sent to which servers, and how often it sent
-// each prefix. Keys that share a slot replace each other.
+// prefixMemory remembers which prefixes this router has sent to which servers. Pairs that share a slot
+// replace each other.
 type prefixMemory struct {
 	keys [prefixSlots]uint64
 	at   [prefixSlots]int64 // in Unix nanoseconds
-	// count is the number of uses, of which older ones count less.
-	count [prefixSlots]float32
+	// uses counts the uses of prefixes, and total those of all; older ones count less.
+	uses  [prefixSlots]prefixUses
+	total prefixUses
+}
+
+// prefixUses counts uses of a prefix, of which older ones count less.
+type prefixUses struct {
+	key   uint64
+	count float64
+	at    int64 // in Unix nanoseconds
+}
+
+// current returns the count as of a time.
+func (u *prefixUses) current(now int64) float64 {
+	return u.count * math.Exp(-float64(now-u.at)/float64(prefixTTL))
+}
+
+// add counts a use of a prefix, which replaces another one.
+func (u *prefixUses) add(now int64, key uint64) {
+	if u.key != key {
+		u.count = 0
+	}
+	u.key, u.count, u.at = key, u.current(now)+1, now
+}
+
+// use counts a use of a prefix.
+func (m *prefixMemory) use(now time.Time, affinity uint64) {
+	m.uses[affinity%prefixSlots].add(now.UnixNano(), affinity)
+	m.total.add(now.UnixNano(), 0)
+}
+
+// isHot reports whether so large a part of the requests have a prefix that it needs several servers.
+func (m *prefixMemory) isHot(now time.Time, affinity uint64) bool {
+	u := &m.uses[affinity%prefixSlots]
+	if u.key != affinity {
+		return false
+	}
+	count := u.current(now.UnixNano())
+	return count >= minHotUses && count >= hotShare*m.total.current(now.UnixNano())
 }
 
 func prefixKey(affinity uint64, s *state) uint64 {
@@ -326,19 +394,9 @@
 
 func (m *prefixMemory) sent(now time.Time, key uint64) {
 	i := key % prefixSlots
-	m.count[i] = float32(m.uses(now, key)) + 1
 	m.keys[i], m.at[i] = key, now.UnixNano()
 }
 
-// uses returns how often a key was sent, less with age.
-func (m *prefixMemory) uses(now time.Time, key uint64) float64 {
-	i := key % prefixSlots
-	if m.keys[i] != key {
-		return 0
-	}
-	return float64(m.count[i]) * math.Exp(-float64(now.UnixNano()-m.at[i])/float64(prefixTTL))
-}
-
 func (m *prefixMemory) has(now time.Time, key uint64) bool {
 	i := key % prefixSlots
 	return m.keys[i] == key && now.UnixNano()-m.at[i] < int64(prefixTTL)
