--- a/placement/predict.go
+++ b/placement/predict.go
@@ -252,7 +252,7 @@
 		if next.server.speed.Slow() {
 			continue
 		}
-		weight := (1 - next.pauses) / (next.first + spreadOffset)
+		weight := (1 - next.pauses) * (1 - risk(next.first)) / (next.first + spreadOffset)
 		sum += weight
 		if rng.Float64()*sum < weight {
 			best = next
