--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -103,11 +103,16 @@
 		InDomain: c.allowedDomains(),
 		Rank:     c.rank(),
 	}
+	c.setObjectives(&q)
+	return q
+}
+
+// setObjectives adds the objectives of a stream from an engine, by which its server is chosen.
+func (c *call) setObjectives(q *placement.Query) {
 	if e := c.service.Engine; e != nil && c.route.Kind == catalog.Stream {
 		q.FirstObjective, q.EventObjective = c.route.LatencyObjective, c.route.EventObjective
 		q.Slots, q.EventTokens = e.Slots, e.EventTokens
 	}
-	return q
 }
 
 // routePriorityLevels is the number of distinct route priorities; an account's priority takes
