--- a/placement/choice_patterns_test.go
+++ b/placement/choice_patterns_test.go
@@ -94,15 +94,78 @@
 	}
 }
 
-func TestModelOfPredictedChoice(t *testing.T) {
+// modelSeeds is the number of runs that are added up for each figure.
+const modelSeeds = 3
+
+// measureModel adds up the runs of a pattern.
+func measureModel(p pattern) modelResult {
+	var sum modelResult
+	for seed := range uint64(modelSeeds) {
+		r := newModel(p, 1+seed).run()
+		for kind := range sum.total {
+			sum.late[kind] += r.late[kind]
+			sum.total[kind] += r.total[kind]
+		}
+		sum.readAgain += r.readAgain
+		sum.busiest += r.busiest / modelSeeds
+	}
+	return sum
+}
+
+// missedTargets are the targets that the predicted choice does not reach in the model, with the figure by
+// limits and by prediction. In two of them streams in time are bought with prompts read again: late short
+// streams fall from 15.9% to 2.7% at 300 routers, and from 8.2% to 3.8% in the burst.
+var missedTargets = map[string]bool{
+	"a third slow, 7 routers, own figures, late long streams":             true, // 5.2%, 6.2%
+	"a third slow, 300 routers, shared figures, tokens read again":        true, // 712k, 1,588k
+	"burst of long prompts, 7 routers, shared figures, tokens read again": true, // 1,991k, 2,885k
+}
+
+// TestPredictedChoiceInTheModel guards against predictions that do worse than the choice by limits: late
+// streams and tokens read again must fall where servers are slow, events late or prompts many, and late
+// streams must not rise by over two points where servers are even or a prefix is hot.
+func TestPredictedChoiceInTheModel(t *testing.T) {
 	for _, p := range modelPatterns() {
-		for _, p.routers = range []int{7, 61, 300} {
-			t.Logf("%-22s %3d routers, today:  %v", p.name, p.routers, newModel(p, 1).run())
-			p.predicts = true
-			t.Logf("%-22s %3d routers, own:    %v", p.name, p.routers, newModel(p, 1).run())
-			p.shared = true
-			t.Logf("%-22s %3d routers, shared: %v", p.name, p.routers, newModel(p, 1).run())
-			p.predicts, p.shared = false, false
+		for _, routers := range []int{7, 61, 300} {
+			t.Run(fmt.Sprintf("%s, %d routers", p.name, routers), func(t *testing.T) {
+				t.Parallel()
+				p := p
+				p.routers = routers
+				compareChoices(t, p)
+			})
+		}
+	}
+}
+
+// compareChoices checks the predicted choice in a pattern, with own figures and with shared ones.
+func compareChoices(t *testing.T, p pattern) {
+	before := measureModel(p)
+	t.Logf("by limits:          %v", before)
+	p.predicts = true
+	for _, p.shared = range []bool{false, true} {
+		figures := "own figures"
+		if p.shared {
+			figures = "shared figures"
+		}
+		after := measureModel(p)
+		t.Logf("by %-14s   %v", figures+":", after)
+		check := func(figure string, reached bool) {
+			target := fmt.Sprintf("%s, %d routers, %s, %s", p.name, p.routers, figures, figure)
+			switch {
+			case reached && missedTargets[target]:
+				t.Errorf("target reached; it should not be listed as missed: %s", target)
+			case !reached && missedTargets[target]:
+				t.Logf("target missed: %s", target)
+			case !reached:
+				t.Errorf("target missed: %s", target)
+			}
+		}
+		margin := 2.0
+		if p.slowThird || p.noise || p.burst > 1 {
+			margin = 0
+			check("tokens read again", after.readAgain < before.readAgain)
 		}
+		check("late short streams", after.share(0) <= before.share(0)+margin)
+		check("late long streams", after.share(1) <= before.share(1)+margin)
 	}
 }
--- a/placement/predict.go
+++ b/placement/predict.go
@@ -36,8 +36,9 @@
 	// harmShare is the part of the streams at a server for which a further prompt decides whether they
 	// are late; the others are in time or late without it.
 	harmShare = 0.3
-	// rereadPrice is the loss for each prompt token that is read again.
-	rereadPrice = 1.0 / 2500
+	// rereadPrice is the loss for each prompt token that is read again. At a third of it, a burst of long
+	// prompts at 7 routers in the model reads more tokens again than without predictions.
+	rereadPrice = 1.0 / 1500
 	// spreadOffset is added to the expected first event, as a multiple of the objective, when a prefix is
 	// spread: an idle server gets about four times the requests of one that is late.
 	spreadOffset = 0.3
