Choice: a saturated link of the router says nothing about servers

Late first events and waiting requests count as wait at a server. At a router whose own link is saturated they are late from all servers, and every prefix would move. While the link is saturated they do not count and are not recorded.

--- a/controller/registry/speed.go
+++ b/controller/registry/speed.go
@@ -26,7 +26,7 @@
 }
 
 // RecordFirstEvent records how long a server took to the first event of a stream whose prompt has this
-// many tokens that no server had read.
+// many tokens that no server had read; 0: unknown.
 func (c *Controller) RecordFirstEvent(in placement.Incarnation, tokens int64, wait time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -107,11 +107,15 @@
 	return q
 }
 
+// linkSaturated reports whether the router's own link is known to be saturated.
+func (g *Gateway) linkSaturated() bool { return g.LinkSaturated != nil && g.LinkSaturated() }
+
 // setObjectives adds the objectives of a stream from an engine, by which its server is chosen.
 func (c *call) setObjectives(q *placement.Query) {
 	if e := c.service.Engine; e != nil && c.route.Kind == catalog.Stream {
 		q.FirstObjective, q.EventObjective = c.route.LatencyObjective, c.route.EventObjective
 		q.Slots, q.EventTokens = e.Slots, e.EventTokens
+		q.LinkSaturated = c.g.linkSaturated()
 	}
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -214,7 +214,7 @@
 func (a *attempt) recordEventTiming(events int) {
 	now := clock.Now()
 	if a.lastEventAt.IsZero() {
-		a.g.Servers.RecordFirstEvent(a.server.Incarnation(), a.newTokens, now.Sub(a.sentAt))
+		a.g.Servers.RecordFirstEvent(a.server.Incarnation(), a.newTokens, a.firstEventWait(now))
 	} else {
 		a.g.Servers.RecordEventInterval(a.server.Incarnation(), now.Sub(a.lastEventAt)/time.Duration(events))
 	}
@@ -222,6 +222,15 @@
 	a.stream.recordProgress(now)
 }
 
+// firstEventWait returns how long the server took to its first event; 0 while the router's own link is
+// saturated, which delays the events of all servers.
+func (a *attempt) firstEventWait(now time.Time) time.Duration {
+	if a.g.linkSaturated() {
+		return 0
+	}
+	return now.Sub(a.sentAt)
+}
+
 // countTokens adds the maximum number of tokens that this many events can contain.
 func (a *attempt) countTokens(events int) {
 	if a.service.Engine != nil {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -323,6 +323,9 @@
 	// does not state it, and EventTokens the number of tokens in an event; 0: unknown.
 	Slots       int
 	EventTokens int64
+	// LinkSaturated is set while the router's own network link is saturated. The times to the first
+	// events of its requests then say nothing about the servers.
+	LinkSaturated bool
 }
 
 // allows reports whether the domain restriction and the rate limit of a server admit the request.
--- a/placement/predict.go
+++ b/placement/predict.go
@@ -280,7 +280,7 @@
 		again = (1 - c.cached) * float64(q.Prompt-q.Tokens)
 	}
 	unread := float64(q.Tokens) + again
-	wait := v.waitingTime(s, q.Now, event*eventsPerStream*max(float64(requests+1-slots), 0)/float64(slots))
+	wait := v.waitingTime(s, q, event*eventsPerStream*max(float64(requests+1-slots), 0)/float64(slots))
 	c.wait = wait / q.FirstObjective.Seconds()
 	c.first = (event + wait + v.readingTime(s, unread)) / q.FirstObjective.Seconds()
 
@@ -298,12 +298,15 @@
 // router's own requests suggest. Of the prompts that other routers reported as pending, those count
 // that cannot have been read since: without this, reports a second old send prompts away from servers
 // that are idle by then.
-func (v *speeds) waitingTime(s *state, now time.Time, slotTime float64) float64 {
+func (v *speeds) waitingTime(s *state, q *Query, slotTime float64) float64 {
 	pending := v.readingTime(s, float64(s.pending))
-	if l, ok := s.freshLoad(now); ok {
-		pending += max(v.readingTime(s, float64(l.PendingTokens))-now.Sub(l.At).Seconds(), 0)
+	if l, ok := s.freshLoad(q.Now); ok {
+		pending += max(v.readingTime(s, float64(l.PendingTokens))-q.Now.Sub(l.At).Seconds(), 0)
 	}
-	return max(pending+slotTime, s.delay(now), s.waiting(now))
+	if q.LinkSaturated {
+		return pending + slotTime
+	}
+	return max(pending+slotTime, s.delay(q.Now), s.waiting(q.Now))
 }
 
 // readBesideEvent returns how many tokens of a prompt are read during one event of another stream: at
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -139,17 +139,21 @@
 }
 
 // RecordFirstEvent records how long a server took to the first event of a request whose prompt has this
-// many tokens that no server had read.
+// many tokens that no server had read; 0: unknown.
 func (f *Servers) RecordFirstEvent(now time.Time, in Incarnation, tokens int64, wait time.Duration) {
 	s := f.lookup(in)
-	if s == nil || wait <= 0 {
+	if s == nil {
+		return
+	}
+	s.waitingSince = now
+	if wait <= 0 {
 		return
 	}
 	v := &f.groupOf(s.Service).speeds
 	usual := v.eventTime(s, s.running(now))
 	delay := max(wait.Seconds()-usual-v.readingTime(s, float64(tokens)), 0)
 	s.firstDelay = (1-delayWeight)*s.delay(now) + delayWeight*delay
-	s.firstDelayAt, s.waitingSince = now, now
+	s.firstDelayAt = now
 	if v.known() {
 		v.reading.Add(wait, tokens, usual, s.speed.Factor())
 	}
