--- a/placement/predict.go
+++ b/placement/predict.go
@@ -36,11 +36,12 @@
 	// harmShare is the part of the streams at a server for which a further prompt decides whether they
 	// are late; the others are in time or late without it.
 	harmShare = 0.3
-	// rereadPrice is the loss for each prompt token that is read again. At a third of it, a burst of long
-	// prompts at 7 routers in the model reads more tokens again than without predictions.
+	// rereadPrice is the loss for each prompt token that is read again. At 1/2500, a burst of long prompts at
+	// 7 routers in the model reads more tokens again than the choice by limits.
 	rereadPrice = 1.0 / 1500
 	// spreadOffset is added to the expected first event, as a multiple of the objective, when a prefix is
-	// spread: an idle server gets about four times the requests of one that is late.
+	// spread: an idle server gets about five times the requests of one whose first event is expected just
+	// in time.
 	spreadOffset = 0.3
 	// pieceTokens is the size of the pieces in which engines read prompts between two steps.
 	pieceTokens = 1024
@@ -100,7 +101,8 @@
 	cached, wait, first, pauses float64
 }
 
-// candidates of a request, in a fixed array because a choice must not allocate memory.
+// candidateList holds the candidates of a request in a fixed array, because a choice must not allocate
+// memory.
 type candidateList struct {
 	list  [maxOrdered + drawnCandidates]candidate
 	count int
