--- a/placement/choice_patterns_test.go
+++ b/placement/choice_patterns_test.go
@@ -113,7 +113,7 @@
 }
 
 // missedTargets are the targets that the predicted choice does not reach in the model, with the figure by
-// limits and by prediction. In two of them streams in time are bought with prompts read again: late short
+// limits and by prediction, at the seeds of the test. In two of them streams in time are bought with prompts read again: late short
 // streams fall from 15.9% to 2.7% at 300 routers, and from 8.2% to 3.8% in the burst.
 var missedTargets = map[string]bool{
 	"a third slow, 7 routers, own figures, late long streams":             true, // 5.2%, 6.2%
