--- a/placement/placement.go
+++ b/placement/placement.go
@@ -323,6 +323,9 @@
 	// does not state it, and EventTokens the number of tokens in an event; 0: unknown.
 	Slots       int
 	EventTokens int64
+	// LinkSaturated is set while the router's own network link is saturated. The times to the first
+	// events of its requests then say nothing about the servers.
+	LinkSaturated bool
 }
 
 // allows reports whether the domain restriction and the rate limit of a server admit the request.
@@ -336,20 +339,31 @@
 // Pick returns the server for the request; false means that no server can accept it.
 func (f *Servers) Pick(rng *rand.Rand, q Query) (Server, bool) {
 	isLong := q.Affinity != 0 && f.isLongPrompt(q)
-	if s := f.pickByPrediction(rng, &q); s != nil {
-		return s.Server, true
-	}
-	s := f.pickWithinLimits(rng, q, isLong)
+	s := f.pickByPrediction(rng, &q)
 	if s == nil {
-		s = f.pickBeyondLimits(rng, q, isLong)
+		s = f.pickByLimits(rng, q, isLong)
 	}
 	if s == nil {
 		return Server{}, false
 	}
-	f.choices[ByLimits]++
+	if s.pending == 0 {
+		s.waitingSince = q.Now
+	}
 	return s.Server, true
 }
 
+// pickByLimits selects a server by prefix and own requests in flight.
+func (f *Servers) pickByLimits(rng *rand.Rand, q Query, isLong bool) *state {
+	s := f.pickWithinLimits(rng, q, isLong)
+	if s == nil {
+		s = f.pickBeyondLimits(rng, q, isLong)
+	}
+	if s != nil {
+		f.choices[ByLimits]++
+	}
+	return s
+}
+
 // pickBeyondLimits selects a server when no server is within all limits.
 func (f *Servers) pickBeyondLimits(rng *rand.Rand, q Query, isLong bool) *state {
 	candidates := f.candidates(q)
