A large response that was given up is not begun

Cause: the watchdog may cancel an attempt between the read of the first MiB of its response and the moment at which the response can no longer be replaced. The response was begun all the same and broke off after 1 MiB, though its retry was reserved.

Change: before a large response begins, a cancelled attempt ends, and the next server is asked.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -113,6 +113,9 @@
 // relayLarge forwards a large response as it arrives, after its first part was read into
 // prefix.
 func (a *attempt) relayLarge(ctx context.Context, answer *upstream.Answer, prefix []byte) disposition {
+	if err := ctx.Err(); err != nil {
+		return a.endBroken(ctx, err) // cancelled since the first part was read; nothing has begun yet
+	}
 	if !a.reply.begin(answer.StatusCode, answer.ContentLength, answer.Framed()) {
 		return a.finish(failed, "second answer", placement.Neutral, errSecondAnswer)
 	}
