--- a/controller/loads/fleet_test.go
+++ b/controller/loads/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,8 +47,10 @@
 	dead, cut, old map[string]bool
 	// parted, if set, reports whether two routers cannot reach each other.
 	parted func(from, to string) bool
-	calls  int
-	bytes  map[string]int // sent and received, by router
+	// slow is added to the time that an answer takes.
+	slow  time.Duration
+	calls atomic.Int64
+	bytes map[string]int // sent and received, by router
 }
 
 // router is a simulated router. It implements loads.Servers and loads.Calls.
@@ -171,14 +174,14 @@
 // Revision implements loads.Servers.
 func (r *router) Revision() int64 { return 1 }
 
-// Exchange implements loads.Calls. It counts the bytes of both messages, with 64 for their framing.
+// Exchange implements loads.Calls. It counts the bytes of both messages and their framing.
 func (r *router) Exchange(ctx context.Context, addr string, req *peer.LoadRequest) (*peer.LoadAnswer, error) {
 	f := r.fleet
 	_ = wait.For(ctx, oneWay)
 	f.mu.Lock()
-	f.calls++
+	f.calls.Add(1)
 	unreachable := f.dead[addr] || f.cut[addr] || f.cut[r.id] || f.parted != nil && f.parted(r.id, addr)
-	old := f.old[addr]
+	old, slow := f.old[addr], f.slow
 	f.mu.Unlock()
 	switch {
 	case unreachable:
@@ -192,13 +195,15 @@
 	c := callee.Controller
 	callee.mu.Unlock()
 	answer, err := c.OnExchange(ctx, req)
-	_ = wait.For(ctx, oneWay)
+	if err := wait.For(ctx, oneWay+slow); err != nil {
+		return nil, err
+	}
 	f.count(r.id, addr, req, answer)
 	return answer, err
 }
 
 func (f *fleet) count(from, to string, messages ...any) {
-	size := 64
+	size := framing
 	for _, m := range messages {
 		text, _ := peer.Marshal(m)
 		size += len(text)
@@ -283,7 +288,9 @@
 		f.expect(t, 6, 1, f.routers[40], f.routers[1])
 		f.expect(t, 6, 0, f.routers[0])
 		f.expect(t, 7, 0, f.routers[0], f.routers[40], f.routers[60])
+		f.routers[60].mu.Lock()
 		l := f.routers[60].others[f.servers[5]]
+		f.routers[60].mu.Unlock()
 		if l.PendingTokens < 4600 || l.PendingTokens > 5000 || l.Events < 37 || l.Events > 150 || l.EventInterval < 19*time.Millisecond || l.EventInterval > 21*time.Millisecond {
 			t.Errorf("%+v", l)
 		}
@@ -292,8 +299,10 @@
 
 // loadSome gives each of the first 21 routers, which include the relays, one request at server 5. Counts
 // of this size are exact in messages.
-func (f *fleet) loadSome() {
-	for _, r := range f.routers[:21] {
+func (f *fleet) loadSome() { f.loadSomeOf(21) }
+
+func (f *fleet) loadSomeOf(routers int) {
+	for _, r := range f.routers[:routers] {
 		r.setOwn(map[int]int{5: 1})
 	}
 }
