--- a/server/provision.go
+++ b/server/provision.go
@@ -134,6 +134,7 @@
 		ObserveDuration: func(d time.Duration) { s.queue.Observe(clock.Now(), d) },
 	})
 	s.loads = s.newLoads()
+	s.link.LinkLoads = s.loads.LinkLoads
 	servers := s.followerOptions(s.platform.ServerKind, s.servers, s.settings.Bounds.Leave.Std())
 	servers.ReceivedRevision = s.servers.Revision
 	s.followServers = follow.New(servers)
