Retry-After: one function computes it from the cause and the predicted time

Refusals state fixed times (4 s for a lost store, 250 to 500 ms for busy servers), so callers come back before there is room and are refused again, or all at once. Nothing uses it yet.

--- /dev/null
+++ b/retryafter/planner.go
@@ -0,0 +1,259 @@
+package retryafter
+
+import (
+	"maps"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// firstTokenOutage is the predicted length of the first outage of the store.
+	firstTokenOutage = 5 * time.Second
+	// firstBusyPeriod is the predicted length of the first period in which servers are busy: a slot
+	// of a plain service is free again after about this time.
+	firstBusyPeriod = 250 * time.Millisecond
+	// firstStart is the predicted time until a starting router has a configuration.
+	firstStart = 300 * time.Millisecond
+	// episodeGap is the time without a refusal after which a period of refusals has ended.
+	episodeGap = 500 * time.Millisecond
+	// maxEpisodes bounds the keys for which episodes are kept; the one refused longest ago is
+	// forgotten first.
+	maxEpisodes = 64
+	// returnShare is the part of the rate of ends that is room for returning callers; the rest
+	// serves new requests.
+	returnShare = 0.5
+)
+
+// Refusal describes a refusal to a Planner.
+type Refusal struct {
+	Cause Cause
+	// Key is what refuses, such as a service; refusals with different keys are independent.
+	Key string
+	// Wait is the predicted time until there is room; 0: predicted from the time for which requests
+	// have been refused.
+	Wait time.Duration
+	// Rank is the urgency of the request, 0 first, and Left the time that the caller has left.
+	Rank int
+	Left time.Duration
+}
+
+type episodeKey struct {
+	cause Cause
+	key   string
+}
+
+// Planner computes Retry-After values and keeps what they depend on. It is not safe for concurrent
+// use.
+type Planner struct {
+	rng *rand.Rand
+	// outages holds the lengths of earlier periods of refusals by cause.
+	outages  [causes]Outages
+	episodes map[episodeKey]*episode
+	ends     map[string]*endRate
+	// storeLost is when the store was first seen not to answer, and storeSeen when it was last seen
+	// so; both are zero while it answers.
+	storeLost, storeSeen time.Time
+}
+
+// NewPlanner returns a planner without history.
+func NewPlanner(rng *rand.Rand) *Planner {
+	p := &Planner{rng: rng, episodes: map[episodeKey]*episode{}, ends: map[string]*endRate{}}
+	for c := range p.outages {
+		p.outages[c] = NewOutages(firstBusyPeriod)
+	}
+	p.outages[Tokens] = NewOutages(firstTokenOutage)
+	p.outages[Starting] = NewOutages(firstStart)
+	return p
+}
+
+// Plan returns the Retry-After of a refusal and its inputs, and counts the caller as one that comes
+// back then.
+func (p *Planner) Plan(now time.Time, r Refusal) (time.Duration, Input) {
+	e := p.episode(now, episodeKey{r.Cause, r.Key})
+	in := Input{Cause: r.Cause, Wait: r.Wait, Rank: ClampRank(r.Rank), Left: r.Left}
+	if in.Wait <= 0 {
+		in.Wait = p.outages[r.Cause].Remaining(now.Sub(e.begun))
+	}
+	if rate := p.ends[r.Key]; rate != nil {
+		in.Rate = rate.perSecond(now) * returnShare
+	}
+	in.Ahead, in.Same = e.due.ahead(now, in.Rank)
+	after := After(p.rng, in)
+	e.due.add(now, in.Rank, honoured(after, r.Left))
+	return after, in
+}
+
+// honoured returns when a caller comes back that was told a Retry-After.
+func honoured(after, left time.Duration) time.Duration {
+	if left <= 0 {
+		return after
+	}
+	return min(after, left/honouredDivisor)
+}
+
+// Ended records that a server of a service ended a request, and so has room for another one.
+func (p *Planner) Ended(now time.Time, service string) {
+	rate := p.ends[service]
+	if rate == nil {
+		if len(p.ends) == maxEpisodes {
+			maps.DeleteFunc(p.ends, func(_ string, r *endRate) bool { return now.Sub(r.begun) >= 2*rateWindow })
+		}
+		if len(p.ends) == maxEpisodes {
+			return // the rate counts as unknown
+		}
+		rate = &endRate{begun: now}
+		p.ends[service] = rate
+	}
+	rate.add(now)
+}
+
+// ObserveStore records whether the store leaves this router's calls unanswered.
+func (p *Planner) ObserveStore(now time.Time, lost bool) {
+	switch {
+	case lost && p.storeLost.IsZero():
+		p.storeLost, p.storeSeen = now, now
+	case lost:
+		p.storeSeen = now
+	case !p.storeLost.IsZero():
+		// Without requests nothing is observed, so the end may be long ago.
+		end := p.storeSeen.Add(min(now.Sub(p.storeSeen), episodeGap))
+		p.outages[Tokens].Met(end.Sub(p.storeLost))
+		p.storeLost, p.storeSeen = time.Time{}, time.Time{}
+	}
+}
+
+// StoreRemaining returns the predicted time until the store answers again; 0 while it answers.
+func (p *Planner) StoreRemaining(now time.Time) time.Duration {
+	if p.storeLost.IsZero() {
+		return 0
+	}
+	return p.outages[Tokens].Remaining(now.Sub(p.storeLost))
+}
+
+// ReportedOutage records the length of an outage of the store that another router met.
+func (p *Planner) ReportedOutage(length time.Duration) { p.outages[Tokens].Met(length) }
+
+// LongestOutage returns the longest outage of the store that is known; 0 if none is.
+func (p *Planner) LongestOutage() time.Duration { return p.outages[Tokens].Longest() }
+
+// episode returns the current period of refusals of a key, and begins one if the last one has ended.
+func (p *Planner) episode(now time.Time, key episodeKey) *episode {
+	e := p.episodes[key]
+	if e == nil {
+		if len(p.episodes) == maxEpisodes {
+			p.forgetOldest()
+		}
+		e = &episode{begun: now, last: now}
+		p.episodes[key] = e
+	}
+	if now.Sub(e.last) > episodeGap {
+		if key.cause != Tokens { // the outages of the store are observed by ObserveStore
+			p.outages[key.cause].Met(e.last.Sub(e.begun))
+		}
+		e.begun = now
+	}
+	e.last = now
+	return e
+}
+
+func (p *Planner) forgetOldest() {
+	var oldest episodeKey
+	var last time.Time
+	for key, e := range p.episodes {
+		if last.IsZero() || e.last.Before(last) {
+			oldest, last = key, e.last
+		}
+	}
+	delete(p.episodes, oldest)
+}
+
+// episode is a period in which requests are refused for one cause.
+type episode struct {
+	// begun and last are the times of the first and the last refusal.
+	begun, last time.Time
+	due         returns
+}
+
+const (
+	// returnWindow and returnWindows define the resolution and the horizon of expected returns.
+	returnWindow  = 250 * time.Millisecond
+	returnWindows = 24
+)
+
+// returns counts the callers that have yet to come back, by rank and time.
+type returns struct {
+	// first is the number of the current window since origin; windows are in counts modulo their
+	// number.
+	origin time.Time
+	first  int64
+	counts [returnWindows][Ranks]int
+}
+
+// advance forgets the returns of past windows.
+func (r *returns) advance(now time.Time) {
+	if r.origin.IsZero() {
+		r.origin = now
+	}
+	current := int64(now.Sub(r.origin) / returnWindow)
+	if current-r.first >= returnWindows {
+		r.counts = [returnWindows][Ranks]int{}
+		r.first = current
+	}
+	for ; r.first < current; r.first++ {
+		r.counts[r.first%returnWindows] = [Ranks]int{}
+	}
+}
+
+// add records a caller that comes back after the given time; beyond the horizon it counts at its end.
+func (r *returns) add(now time.Time, rank int, after time.Duration) {
+	r.advance(now)
+	at := int64(now.Add(after).Sub(r.origin) / returnWindow)
+	at = min(max(at, r.first), r.first+returnWindows-1)
+	r.counts[at%returnWindows][rank]++
+}
+
+// ahead returns how many callers of more urgent ranks, and of the same one, have yet to come back.
+func (r *returns) ahead(now time.Time, rank int) (ahead, same int) {
+	r.advance(now)
+	for i := range r.counts {
+		for urgent := range rank {
+			ahead += r.counts[i][urgent]
+		}
+		same += r.counts[i][rank]
+	}
+	return ahead, same
+}
+
+// rateWindow is the time over which the rate of ends is measured.
+const rateWindow = time.Second
+
+// endRate measures the ends per second over the current and the previous window.
+type endRate struct {
+	begun         time.Time
+	count, before int
+}
+
+func (r *endRate) advance(now time.Time) {
+	age := now.Sub(r.begun)
+	if age < rateWindow {
+		return
+	}
+	r.before = r.count
+	if age >= 2*rateWindow {
+		r.before = 0
+	}
+	r.count, r.begun = 0, now
+}
+
+func (r *endRate) add(now time.Time) {
+	r.advance(now)
+	r.count++
+}
+
+func (r *endRate) perSecond(now time.Time) float64 {
+	r.advance(now)
+	if r.before == 0 {
+		return 0 // a window that has only begun is no measurement
+	}
+	return float64(r.count+r.before) / (now.Sub(r.begun) + rateWindow).Seconds()
+}
