Requests are held for room that is predicted within their objective

A request refused a few milliseconds before a backoff or an outage of the store ends cost its caller a refusal and a return.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -43,33 +43,46 @@
 	ended
 )
 
-// dispatch sends the request to servers until one responds or no further attempt is allowed.
+// dispatch sends the request to servers. A request that was refused because they are busy is held if
+// room is predicted soon.
 func (c *call) dispatch() {
 	c.chooseService()
 	c.g.Retries.Request(c.service.Name)
 	ctx, cancel := context.WithTimeout(c.r.Context(), clock.Until(c.deadline))
 	defer cancel()
 	defer c.g.running.add(c, cancel)()
+	refusal := c.tryServers(ctx)
+	if refusal != nil && c.hold(ctx, refusal) {
+		if refusal = c.retryHeld(); refusal == nil {
+			refusal = c.tryServers(ctx)
+		}
+	}
+	if refusal != nil {
+		c.fail(refusal)
+	}
+}
+
+// tryServers sends the request to servers until one responds. It returns an error if no further
+// attempt is allowed before.
+func (c *call) tryServers(ctx context.Context) *result.Error {
 	tried := map[placement.Incarnation]bool{}
 	var counts attemptCounts
 	for {
 		a, refusal := c.pick(ctx, tried)
 		if refusal != nil {
-			c.fail(refusal)
-			return
+			return refusal
 		}
 		tried[a.server.Incarnation()] = true
 		a.isLast = counts.sent+1 >= c.route.Attempts || !c.g.Retries.Left(c.service.Name)
 		d := a.run(ctx)
 		c.recordAttempt(a)
 		if d == served || d == ended {
-			return
+			return nil
 		}
 		counts.add(d)
 		c.refusedByServer = c.refusedByServer || d == notRun
 		if stop := c.checkRetry(ctx, d, a, counts); stop != nil {
-			c.fail(stop)
-			return
+			return stop
 		}
 	}
 }
@@ -195,11 +208,17 @@
 		if d == notRun {
 			code = result.NotAccepted
 		}
-		return c.temporary(result.New(code, "the retry budget is spent").After(busyRetryAfter).Wrap(cause), retryafter.RetriesSpent, 0)
+		return c.retriesSpent(code).Wrap(cause)
 	}
 	return nil
 }
 
+// retriesSpent returns the error for a request that may not be sent again because the service's retry
+// budget is spent.
+func (c *call) retriesSpent(code result.Code) *result.Error {
+	return c.temporary(result.New(code, "the retry budget is spent").After(busyRetryAfter), retryafter.RetriesSpent, 0)
+}
+
 // timeoutRefusal returns CallerGone if the caller disconnected, and otherwise the error for a
 // timeout.
 func (c *call) timeoutRefusal(err error) *result.Error {
@@ -257,6 +276,7 @@
 	c.g.Servers.RecordOutcome(a.server.Incarnation(), a.serverOutcome)
 	if a.serverOutcome == placement.Answered {
 		c.g.returns.ended(c.service.Name)
+		c.g.holding.release(retryafter.Room{Cause: retryafter.Busy, Key: c.service.Name}, 1)
 	}
 	c.g.Metrics.attempt(c.service.Name, a.outcomeLabel)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,6 +89,7 @@
 	inFlight    atomic.Int64
 	running     runningCalls
 	returns     *returns // nil without Options.Returns
+	holding     *holding // likewise
 	draining    atomic.Bool
 	refusingNew atomic.Bool
 	// unreadableLimits rate-limits the log lines about limits that cannot be parsed.
@@ -104,13 +105,17 @@
 	g := &Gateway{Options: o}
 	if o.Returns {
 		g.returns = newReturns(o.StoreLost)
+		g.holding = newHolding(func() bool { return g.StoreRemaining() == 0 })
 	}
 	g.steps = []step{g.admit, g.findRoute, g.authenticate, g.readBody, g.checkPoison, g.readPrompt, g.reserve}
 	return g
 }
 
 // Drain starts a planned stop: responses ask callers to close their connections.
-func (g *Gateway) Drain() { g.draining.Store(true) }
+func (g *Gateway) Drain() {
+	g.draining.Store(true)
+	g.holding.refuseAll()
+}
 
 // RefuseNew makes the gateway refuse new requests.
 func (g *Gateway) RefuseNew() { g.refusingNew.Store(true) }
@@ -187,6 +192,9 @@
 	// temporaryRefusal is the last refusal with a temporary cause, and reason that cause.
 	temporaryRefusal *result.Error
 	reason           retryafter.Refusal
+	// held reports that the request was held until there was room, and heldFor how long it was held.
+	held    bool
+	heldFor time.Duration
 }
 
 func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request) *call {
--- a/gateway/returns.go
+++ b/gateway/returns.go
@@ -60,6 +60,14 @@
 	r.planner.Ended(clock.Now(), service)
 }
 
+// rate returns the number of requests per second that the servers of a service end for this router; 0:
+// unknown.
+func (r *returns) rate(service string) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.planner.EndsPerSecond(clock.Now(), service)
+}
+
 // StoreRemaining returns the predicted time until the store answers again; 0 if it answers or if
 // there is no prediction.
 func (g *Gateway) StoreRemaining() time.Duration {
--- a/gateway/steps.go
+++ b/gateway/steps.go
@@ -186,8 +186,18 @@
 	return nil
 }
 
-// reserve reserves the maximum cost of the request from its account's budget.
+// reserve reserves the maximum cost of the request from its account's budget. A request that is
+// refused because of an outage is held if the outage is predicted to end soon.
 func (g *Gateway) reserve(c *call) *result.Error {
+	refusal := g.reserveNow(c)
+	if refusal != nil && c.hold(c.r.Context(), refusal) {
+		return g.reserveNow(c)
+	}
+	return refusal
+}
+
+// reserveNow reserves the tokens, waiting for an answer.
+func (g *Gateway) reserveNow(c *call) *result.Error {
 	if c.account == nil || !c.account.HasBudget {
 		return nil
 	}
--- a/retryafter/planner.go
+++ b/retryafter/planner.go
@@ -74,9 +74,7 @@
 	if in.Wait <= 0 {
 		in.Wait = p.outages[r.Cause].Remaining(now.Sub(e.begun))
 	}
-	if rate := p.ends[r.Key]; rate != nil {
-		in.Rate = rate.perSecond(now) * returnShare
-	}
+	in.Rate = p.EndsPerSecond(now, r.Key) * returnShare
 	in.Ahead, in.Same = e.due.ahead(now, in.Rank)
 	after := After(p.rng, in)
 	e.due.add(now, in.Rank, honoured(after, r.Left))
@@ -107,6 +105,15 @@
 	rate.add(now)
 }
 
+// EndsPerSecond returns the rate at which servers of a service end requests of this router; 0: unknown.
+func (p *Planner) EndsPerSecond(now time.Time, service string) float64 {
+	rate := p.ends[service]
+	if rate == nil {
+		return 0
+	}
+	return rate.perSecond(now)
+}
+
 // ObserveStore records whether the store leaves this router's calls unanswered.
 func (p *Planner) ObserveStore(now time.Time, lost bool) {
 	switch {
