Early returns: callers that come back too early gain nothing

A caller that ignored its Retry-After took the room of those who waited for theirs. Refused requests with a body are now remembered by account and content (1,024, 30 s, oldest forgotten first). An early return of an account with eight refusals or more is told the remaining time; an account with more than half early returns is refused first while requests are held for the service or were refused in the last 100 ms, returns last, and is never refused for that while there is room.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -51,7 +51,10 @@
 	ctx, cancel := context.WithTimeout(c.r.Context(), clock.Until(c.deadline))
 	defer cancel()
 	defer c.g.running.add(c, cancel)()
-	refusal := c.tryServers(ctx)
+	refusal := c.limitedRefusal()
+	if refusal == nil {
+		refusal = c.tryServers(ctx)
+	}
 	if refusal != nil && c.hold(ctx, refusal) {
 		if refusal = c.retryHeld(); refusal == nil {
 			refusal = c.tryServers(ctx)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,7 +107,7 @@
 		g.returns = newReturns(o.StoreLost)
 		g.holding = newHolding(func() bool { return g.StoreRemaining() == 0 })
 	}
-	g.steps = []step{g.admit, g.findRoute, g.authenticate, g.readBody, g.checkPoison, g.readPrompt, g.reserve}
+	g.steps = []step{g.admit, g.findRoute, g.authenticate, g.readBody, g.checkReturn, g.checkPoison, g.readPrompt, g.reserve}
 	return g
 }
 
@@ -195,6 +195,10 @@
 	// held reports that the request was held until there was room, and heldFor how long it was held.
 	held    bool
 	heldFor time.Duration
+	// returned is what is known of the request as one that comes back. refusedAsLimited reports that it
+	// was refused for its account's early returns alone.
+	returned         retryafter.Return
+	refusedAsLimited bool
 }
 
 func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request) *call {
--- a/gateway/holding.go
+++ b/gateway/holding.go
@@ -105,6 +105,13 @@
 	h.answer(h.queue.Release(room, n), true)
 }
 
+// waits reports whether requests are held for room.
+func (h *holding) waits(room retryafter.Room) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.queue.Waits(room)
+}
+
 // refuseAll refuses all held requests.
 func (h *holding) refuseAll() {
 	if h == nil {
@@ -151,7 +158,7 @@
 	}
 	w := &retryafter.Waiter{
 		Room: room, Timed: c.reason.Wait > 0 && room.Cause == retryafter.Busy,
-		Rank: c.urgency(), Bytes: int64(len(c.body)) + heldOverhead,
+		Rank: c.returnRank(), Bytes: int64(len(c.body)) + heldOverhead,
 		Arrived: c.arrived, Objective: c.route.LatencyObjective,
 	}
 	c.releaseTokens()
@@ -163,7 +170,7 @@
 
 // mayHold reports whether a refused request would be worth holding if room were predicted.
 func (c *call) mayHold(refusal *result.Error) bool {
-	return refusal == c.temporaryRefusal && !c.mayHaveRun && !c.reply.hasBegun() && !c.g.draining.Load() && c.r.Context().Err() == nil
+	return refusal == c.temporaryRefusal && !c.refusedAsLimited && !c.mayHaveRun && !c.reply.hasBegun() && !c.g.draining.Load() && c.r.Context().Err() == nil
 }
 
 // predictRoom returns what a refused request waits for, and a function that predicts when there is
--- a/gateway/returns.go
+++ b/gateway/returns.go
@@ -20,12 +20,13 @@
 
 	mu        sync.Mutex
 	planner   *retryafter.Planner
+	refusals  *retryafter.Refusals
 	checkedAt time.Time // when the store was last checked
 }
 
 func newReturns(storeLost func() bool) *returns {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return &returns{storeLost: storeLost, planner: retryafter.NewPlanner(rng)}
+	return &returns{storeLost: storeLost, planner: retryafter.NewPlanner(rng), refusals: retryafter.NewRefusals()}
 }
 
 // observeStore checks whether the store answers, unless that was done just now.
@@ -50,6 +51,35 @@
 	return r.planner.Plan(clock.Now(), refusal)
 }
 
+// arrived returns what is known of a request of an account; content is called if refusals of the account
+// are remembered.
+func (r *returns) arrived(account string, content func() uint64) retryafter.Return {
+	r.mu.Lock()
+	known := r.refusals.Knows(account)
+	r.mu.Unlock()
+	if !known {
+		return retryafter.Return{}
+	}
+	request := content()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.refusals.Arrived(clock.Now(), account, request)
+}
+
+// remember remembers a refusal of an account's request.
+func (r *returns) remember(account string, request uint64, after, left time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refusals.Refused(clock.Now(), account, request, after, left)
+}
+
+// roomShort reports whether a request was refused just now because the servers of a service are busy.
+func (r *returns) roomShort(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.planner.RoomShort(clock.Now(), retryafter.Busy, service)
+}
+
 // ended records that a server of a service ended a request.
 func (r *returns) ended(service string) {
 	if r == nil {
@@ -94,15 +124,32 @@
 		return
 	}
 	r := c.reason
+	r.Limited = c.refusedAsLimited
 	if c.service != nil {
 		r.Key = c.service.Name
 	}
 	if c.route != nil {
-		r.Rank = c.urgency()
+		r.Rank = c.returnRank()
 		r.Left = max(clock.Until(c.deadline), 0)
 	}
+	if after := c.returned.Remaining - clock.Since(c.arrived); after > 0 && !r.Cause.RoomElsewhere() {
+		refusal.After(after) // coming back early does not change the time
+		return
+	}
 	after, _ := c.g.returns.plan(r)
 	refusal.After(after)
+	if c.identifiable() {
+		c.g.returns.remember(c.account.Name, c.content(), after, r.Left)
+	}
+}
+
+// returnRank returns the urgency of the request among the refused ones: its priority, but the least for
+// an account whose callers return too early.
+func (c *call) returnRank() int {
+	if c.returned.Limited {
+		return retryafter.Ranks - 1
+	}
+	return c.urgency()
 }
 
 // tokenCause returns the cause of a refusal for lack of an answer about tokens: a router that only
--- a/retryafter/planner.go
+++ b/retryafter/planner.go
@@ -16,6 +16,8 @@
 	firstStart = 300 * time.Millisecond
 	// episodeGap is the time without a refusal after which a period of refusals has ended.
 	episodeGap = 500 * time.Millisecond
+	// shortFor is how long room counts as short after a refusal.
+	shortFor = 100 * time.Millisecond
 	// maxEpisodes bounds the keys for which episodes are kept; the one refused longest ago is
 	// forgotten first.
 	maxEpisodes = 64
@@ -35,6 +37,9 @@
 	// Rank is the urgency of the request, 0 first, and Left the time that the caller has left.
 	Rank int
 	Left time.Duration
+	// Limited is set if the request was refused for its account's early returns alone, which shows no
+	// lack of room.
+	Limited bool
 }
 
 type episodeKey struct {
@@ -69,7 +74,7 @@
 // Plan returns the Retry-After of a refusal and its inputs, and counts the caller as one that comes
 // back then.
 func (p *Planner) Plan(now time.Time, r Refusal) (time.Duration, Input) {
-	e := p.episode(now, episodeKey{r.Cause, r.Key})
+	e := p.episode(now, episodeKey{r.Cause, r.Key}, r.Limited)
 	in := Input{Cause: r.Cause, Wait: r.Wait, Rank: ClampRank(r.Rank), Left: r.Left}
 	if in.Wait <= 0 {
 		in.Wait = p.outages[r.Cause].Remaining(now.Sub(e.begun))
@@ -144,8 +149,11 @@
 func (p *Planner) LongestOutage() time.Duration { return p.outages[Tokens].Longest() }
 
 // episode returns the current period of refusals of a key, and begins one if the last one has ended.
-func (p *Planner) episode(now time.Time, key episodeKey) *episode {
+func (p *Planner) episode(now time.Time, key episodeKey, limited bool) *episode {
 	e := p.episodes[key]
+	if e != nil && limited {
+		return e
+	}
 	if e == nil {
 		if len(p.episodes) == maxEpisodes {
 			p.forgetOldest()
@@ -163,6 +171,12 @@
 	return e
 }
 
+// RoomShort reports whether a request was refused for a cause just now.
+func (p *Planner) RoomShort(now time.Time, cause Cause, key string) bool {
+	e := p.episodes[episodeKey{cause, key}]
+	return e != nil && now.Sub(e.last) < shortFor
+}
+
 func (p *Planner) forgetOldest() {
 	var oldest episodeKey
 	var last time.Time
--- a/retryafter/queue.go
+++ b/retryafter/queue.go
@@ -75,6 +75,11 @@
 func (q *Queue) Len() int     { return len(q.waiters) }
 func (q *Queue) Bytes() int64 { return q.bytes }
 
+// Waits reports whether requests wait for room of a kind.
+func (q *Queue) Waits(room Room) bool {
+	return slices.ContainsFunc(q.waiters, func(w *Waiter) bool { return w.Room == room })
+}
+
 // Ahead returns how many waiters get room of a kind before a request.
 func (q *Queue) Ahead(w *Waiter) int {
 	ahead := 0
--- a/retryafter/retryafter.go
+++ b/retryafter/retryafter.go
@@ -35,6 +35,9 @@
 // String returns the cause's name in log lines and metrics.
 func (c Cause) String() string { return causeNames[c] }
 
+// RoomElsewhere reports whether other routers have room, so that callers should return at once.
+func (c Cause) RoomElsewhere() bool { return c == Isolated || c == Stopping }
+
 const (
 	// elsewhere bounds the Retry-After where other routers have room.
 	elsewhere = 50 * time.Millisecond
@@ -74,7 +77,7 @@
 // the room admits them, after those of more urgent ranks. A time beyond what the caller honours is
 // stated all the same.
 func After(rng *rand.Rand, in Input) time.Duration {
-	if in.Cause == Isolated || in.Cause == Stopping {
+	if in.Cause.RoomElsewhere() {
 		return minAfter + uniform(rng, elsewhere-minAfter)
 	}
 	begin, width := in.spread()
