--- a/retryafter/planner.go
+++ b/retryafter/planner.go
@@ -163,7 +163,9 @@
 	}
 	if now.Sub(e.last) > episodeGap {
 		if key.cause != Tokens { // the outages of the store are observed by ObserveStore
-			p.outages[key.cause].Met(e.last.Sub(e.begun))
+			// A period of one refusal counts too: otherwise the next chance refusal would be told the
+			// length of a burst.
+			p.outages[key.cause].Met(max(e.last.Sub(e.begun), minRemaining))
 		}
 		e.begun = now
 	}
