--- a/gateway/early.go
+++ b/gateway/early.go
@@ -2,7 +2,11 @@
 
 import (
 	"hash/maphash"
+	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/result"
 	"github.com/gaplink/gaplink/retryafter"
 )
@@ -39,10 +43,24 @@
 		return nil
 	}
 	c.refusedAsLimited = true
+	c.g.logLimited(c)
 	refusal := result.New(result.NotAccepted, "callers of the account return too early").After(busyRetryAfter)
 	return c.temporary(refusal, retryafter.Busy, 0)
 }
 
+// limitedLogInterval is the minimum interval between two lines about accounts whose callers return too
+// early.
+const limitedLogInterval = 5 * time.Second
+
+func (g *Gateway) logLimited(c *call) {
+	suppressed, allowed := g.limitedLines.Allow(clock.Now(), limitedLogInterval)
+	if !allowed {
+		return
+	}
+	g.Logs.All.Info("account limited for early returns", zap.String("account", c.account.Name), zap.String("service", c.service.Name),
+		zap.Int64("lines_left_out", suppressed))
+}
+
 // roomShort reports whether requests are held for a service, or were refused just now because its
 // servers are busy.
 func (g *Gateway) roomShort(service string) bool {
--- a/gateway/early_test.go
+++ b/gateway/early_test.go
@@ -55,7 +55,7 @@
 // Guards against an account of disobedient callers that takes room from others, against one that is
 // limited though there is room, and against limits of other accounts.
 func TestEarlyReturnsAreRefusedFirst(t *testing.T) {
-	g := New(Options{Returns: true})
+	g := newRefusedCall(Options{}).g
 	for i := range 20 {
 		refuseFor(newCallOf(g, "early", fmt.Sprint(i)), retryafter.Busy)
 		refuseFor(newCallOf(g, "patient", fmt.Sprint(i)), retryafter.Busy)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,6 +96,8 @@
 	unreadableLimits logs.RateLimit
 	// malformed does so for the lines about other announcements of servers.
 	malformed logs.RateLimit
+	// limitedLines does so for the lines about accounts whose callers return too early.
+	limitedLines logs.RateLimit
 	// unknown holds the unknown response headers that were logged.
 	unknown logs.Names
 }
@@ -192,6 +194,8 @@
 	// temporaryRefusal is the last refusal with a temporary cause, and reason that cause.
 	temporaryRefusal *result.Error
 	reason           retryafter.Refusal
+	// planned is what the Retry-After was computed from; nil if it was not computed.
+	planned *retryafter.Input
 	// held reports that the request was held until there was room, and heldFor how long it was held.
 	held    bool
 	heldFor time.Duration
@@ -279,6 +283,7 @@
 	if f := c.poisonStatus().Fingerprint(); f != nil {
 		fields = append(fields, zap.Stringer("fingerprint", f))
 	}
+	fields = append(fields, c.returnFields()...)
 	if c.cause != nil {
 		fields = append(fields, zap.String("cause", c.cause.Error()))
 	}
--- a/gateway/holding.go
+++ b/gateway/holding.go
@@ -36,19 +36,19 @@
 	return &holding{tokensBack: tokensBack, queue: retryafter.NewQueue(), answers: map[*retryafter.Waiter]chan bool{}}
 }
 
-// wait holds a request and reports whether there is room for it. predict returns when room is
-// predicted, given the number of requests that get it first.
-func (h *holding) wait(ctx context.Context, w *retryafter.Waiter, predict func(ahead int) time.Time) bool {
+// wait holds a request and reports whether there is room for it, and whether it was held at all. predict
+// returns when room is predicted, given the number of requests that get it first.
+func (h *holding) wait(ctx context.Context, w *retryafter.Waiter, predict func(ahead int) time.Time) (room, held bool) {
 	answer := h.hold(w, predict)
 	if answer == nil {
-		return false
+		return false, false
 	}
 	select {
 	case room := <-answer:
-		return room
+		return room, true
 	case <-ctx.Done():
 		h.remove(w, answer)
-		return false
+		return false, true
 	}
 }
 
@@ -163,8 +163,12 @@
 	}
 	c.releaseTokens()
 	begun := clock.Now()
-	c.held = c.g.holding.wait(ctx, w, predict)
-	c.heldFor = clock.Since(begun)
+	var waited bool
+	c.held, waited = c.g.holding.wait(ctx, w, predict)
+	if waited {
+		c.heldFor = clock.Since(begun)
+		c.g.Metrics.ceasedHolding(room.Cause, c.held)
+	}
 	return c.held
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/gaplink/gaplink/clock"
+	"github.com/gaplink/gaplink/retryafter"
 )
 
 // Metrics are the gateway's counters and histograms.
@@ -17,6 +18,8 @@
 	tokens   *prometheus.CounterVec
 	replies  *prometheus.CounterVec
 	ages     prometheus.Histogram
+	returns  *prometheus.HistogramVec
+	held     *prometheus.CounterVec
 }
 
 // latencyBuckets span the latency objectives, in seconds.
@@ -25,6 +28,9 @@
 // ageBuckets span the staleness bounds on servers that leave, in seconds.
 var ageBuckets = []float64{0.1, 0.25, 0.5, 0.75, 1, 1.25, 1.5, 2, 2.5, 3, 4, 8}
 
+// returnBuckets span the Retry-After values, in seconds.
+var returnBuckets = []float64{0.05, 0.1, 0.25, 0.5, 1, 2, 3, 5, 8, 15}
+
 // NewMetrics returns metrics registered with reg.
 func NewMetrics(reg prometheus.Registerer) *Metrics {
 	m := &Metrics{
@@ -46,8 +52,14 @@
 		ages: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "gaplink_gateway_servers_age_seconds", Help: "Age of what was known of the backend servers when a request was sent to one.", Buckets: ageBuckets,
 		}),
+		returns: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "gaplink_gateway_retry_after_seconds", Help: "Computed Retry-After of refusals, by cause.", Buckets: returnBuckets,
+		}, []string{"cause"}),
+		held: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gaplink_gateway_held_total", Help: "Requests held for predicted room, by cause and by whether there was room.",
+		}, []string{"cause", "room"}),
 	}
-	reg.MustRegister(m.requests, m.attempts, m.seconds, m.tokens, m.replies, m.ages)
+	reg.MustRegister(m.requests, m.attempts, m.seconds, m.tokens, m.replies, m.ages, m.returns, m.held)
 	return m
 }
 
@@ -65,6 +77,20 @@
 	}
 }
 
+// planned observes a computed Retry-After.
+func (m *Metrics) planned(cause retryafter.Cause, after time.Duration) {
+	if m != nil {
+		m.returns.WithLabelValues(cause.String()).Observe(after.Seconds())
+	}
+}
+
+// ceasedHolding counts a request that was held.
+func (m *Metrics) ceasedHolding(cause retryafter.Cause, room bool) {
+	if m != nil {
+		m.held.WithLabelValues(cause.String(), strconv.FormatBool(room)).Inc()
+	}
+}
+
 // registrationAge observes the staleness of the server registrations at the time a request
 // is sent.
 func (m *Metrics) registrationAge(age time.Duration) {
--- a/gateway/returns.go
+++ b/gateway/returns.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/result"
 	"github.com/gaplink/gaplink/retryafter"
@@ -133,16 +135,38 @@
 		r.Left = max(clock.Until(c.deadline), 0)
 	}
 	if after := c.returned.Remaining - clock.Since(c.arrived); after > 0 && !r.Cause.RoomElsewhere() {
-		refusal.After(after) // coming back early does not change the time
-		return
+		c.setReturn(refusal, after, retryafter.Input{Cause: r.Cause, Wait: after, Rank: r.Rank, Left: r.Left})
+		return // coming back early does not change the time
 	}
-	after, _ := c.g.returns.plan(r)
-	refusal.After(after)
+	after, input := c.g.returns.plan(r)
+	c.setReturn(refusal, after, input)
 	if c.identifiable() {
 		c.g.returns.remember(c.account.Name, c.content(), after, r.Left)
 	}
 }
 
+// setReturn sets the Retry-After of a refusal and records what it was computed from.
+func (c *call) setReturn(refusal *result.Error, after time.Duration, input retryafter.Input) {
+	refusal.After(after)
+	c.planned = &input
+	c.g.Metrics.planned(input.Cause, after)
+}
+
+// returnFields returns what a computed Retry-After was computed from, and for how long the request was
+// held, as log fields.
+func (c *call) returnFields() []zap.Field {
+	var fields []zap.Field
+	if c.heldFor > 0 {
+		fields = append(fields, zap.Duration("held_ms", c.heldFor))
+	}
+	if p := c.planned; p != nil {
+		fields = append(fields, zap.Stringer("return_cause", p.Cause), zap.Duration("return_after_ms", c.temporaryRefusal.RetryAfter),
+			zap.Duration("room_in_ms", p.Wait), zap.Float64("room_per_second", p.Rate), zap.Int("returns_ahead", p.Ahead+p.Same),
+			zap.Duration("left_ms", p.Left), zap.Bool("early_return", c.returned.Remaining > 0), zap.Bool("limited", c.returned.Limited))
+	}
+	return fields
+}
+
 // returnRank returns the urgency of the request among the refused ones: its priority, but the least for
 // an account whose callers return too early.
 func (c *call) returnRank() int {
--- a/gateway/token_returns_test.go
+++ b/gateway/token_returns_test.go
@@ -1,17 +1,25 @@
 package gateway
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
 	"github.com/gaplink/gaplink/catalog"
 	"github.com/gaplink/gaplink/clock"
+	"github.com/gaplink/gaplink/logs"
 	"github.com/gaplink/gaplink/result"
 )
 
 // newRefusedCall returns a call of a gateway that computes Retry-After values, with a minute left.
 func newRefusedCall(o Options) *call {
 	o.Returns = true
+	o.Logs = logs.Loggers{All: zap.NewNop(), Sampled: zap.NewNop()}
 	g := New(o)
 	return &call{g: g, route: &catalog.Route{Name: "r"}, deadline: clock.Now().Add(time.Minute)}
 }
@@ -81,3 +89,38 @@
 		t.Errorf("%v remaining", got)
 	}
 }
+
+// Guards against refusals whose time nobody can explain: the log line has its cause and inputs, and the
+// histogram its value by cause.
+func TestComputedTimeIsLoggedAndCounted(t *testing.T) {
+	registry := prometheus.NewRegistry()
+	core, lines := observer.New(zap.InfoLevel)
+	c := newRefusedCall(Options{Metrics: NewMetrics(registry), Config: fixedConfig{}})
+	c.g.Logs = logs.Loggers{All: zap.New(core), Sampled: zap.NewNop()}
+	c.r = httptest.NewRequest(http.MethodGet, "/r/x", nil)
+	refusal := c.budgetRefusal(result.New(result.BudgetUnreachable, "refused").After(3 * time.Second))
+	c.planReturn(refusal)
+	c.outcome = result.NotAccepted
+	c.log()
+	if lines.Len() != 1 {
+		t.Fatalf("%d lines", lines.Len())
+	}
+	fields := lines.All()[0].ContextMap()
+	if fields["return_cause"] != "tokens" || fields["room_in_ms"] != 3*time.Second || fields["return_after_ms"] != refusal.RetryAfter {
+		t.Errorf("logged %v", fields)
+	}
+	families, err := registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range families {
+		if f.GetName() != "gaplink_gateway_retry_after_seconds" {
+			continue
+		}
+		if m := f.GetMetric(); len(m) != 1 || m[0].GetHistogram().GetSampleCount() != 1 || m[0].GetLabel()[0].GetValue() != "tokens" {
+			t.Errorf("counted %v", m)
+		}
+		return
+	}
+	t.Error("no histogram")
+}
--- a/server/provision.go
+++ b/server/provision.go
@@ -95,6 +95,7 @@
 		StoreElsewhere: s.storeReachableElsewhere,
 	})
 	s.budgets.SetStoreRemaining(s.gateway.StoreRemaining)
+	s.gauge("gaplink_requests_held", "Requests that wait for predicted room.", func() float64 { return float64(s.gateway.Held()) })
 	s.evacuations = evacuations.New(evacuations.Options{
 		Changed: s.servers.SetEvacuated,
 		Log:     s.log,
