Returns: callers are sent elsewhere only when the store is known to answer there

An update counts for about a second after it was received, so in the first second of an outage of all routers each took itself to be the only one without the store and told its callers to return within 50 ms, where they would be refused again. The store must now have been lost for 1.5 s. Such a refusal also closes the connection, which would lead back to the same router.

Returns are spread by the highest rate of ends of the last 4 s: while servers back off few requests end, and the spread grew to its bound of 2 s.

--- a/gateway/returns.go
+++ b/gateway/returns.go
@@ -12,6 +12,11 @@
 	"github.com/gaplink/gaplink/retryafter"
 )
 
+// elsewhereAfter is how long the store must have been lost here before an update received through it
+// shows that it answers other routers: an update counts for about a second after it was received, also
+// when the store is lost to all of them.
+const elsewhereAfter = 1500 * time.Millisecond
+
 // storeCheckInterval is the minimum interval between two checks of whether the store answers.
 const storeCheckInterval = 50 * time.Millisecond
 
@@ -149,6 +154,9 @@
 func (c *call) setReturn(refusal *result.Error, after time.Duration, input retryafter.Input) {
 	refusal.After(after)
 	c.planned = &input
+	if input.Cause.RoomElsewhere() {
+		c.reply.w.Header().Set("Connection", "close") // a kept connection would lead back to this router
+	}
 	c.g.Metrics.planned(input.Cause, after)
 }
 
@@ -179,12 +187,22 @@
 // tokenCause returns the cause of a refusal for lack of an answer about tokens: a router that only
 // itself cannot reach the store, or whose link is saturated, sends its callers elsewhere.
 func (g *Gateway) tokenCause() retryafter.Cause {
-	if g.linkSaturated() || g.StoreElsewhere != nil && g.StoreElsewhere() {
+	if g.linkSaturated() || g.lostHereAlone() {
 		return retryafter.Isolated
 	}
 	return retryafter.Tokens
 }
 
+// lostHereAlone reports whether the store answers other routers but not this one.
+func (g *Gateway) lostHereAlone() bool {
+	if g.returns == nil || g.StoreElsewhere == nil || !g.StoreElsewhere() {
+		return false
+	}
+	g.returns.mu.Lock()
+	defer g.returns.mu.Unlock()
+	return g.returns.planner.StoreLostFor(clock.Now()) >= elsewhereAfter
+}
+
 // timeoutCause returns the cause of a refusal because no server took the request in time.
 func (g *Gateway) timeoutCause() retryafter.Cause {
 	if g.linkSaturated() {
--- a/retryafter/planner.go
+++ b/retryafter/planner.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -79,7 +80,9 @@
 	if in.Wait <= 0 {
 		in.Wait = p.outages[r.Cause].Remaining(now.Sub(e.begun))
 	}
-	in.Rate = p.EndsPerSecond(now, r.Key) * returnShare
+	if rate := p.ends[r.Key]; rate != nil {
+		in.Rate = rate.highest(now) * returnShare
+	}
 	in.Ahead, in.Same = e.due.ahead(now, in.Rank)
 	after := After(p.rng, in)
 	e.due.add(now, in.Rank, honoured(after, r.Left))
@@ -99,7 +102,7 @@
 	rate := p.ends[service]
 	if rate == nil {
 		if len(p.ends) == maxEpisodes {
-			maps.DeleteFunc(p.ends, func(_ string, r *endRate) bool { return now.Sub(r.begun) >= 2*rateWindow })
+			maps.DeleteFunc(p.ends, func(_ string, r *endRate) bool { return now.Sub(r.begun) >= rateWindows*rateWindow })
 		}
 		if len(p.ends) == maxEpisodes {
 			return // the rate counts as unknown
@@ -142,6 +145,14 @@
 	return p.outages[Tokens].Remaining(now.Sub(p.storeLost))
 }
 
+// StoreLostFor returns for how long the store has not answered; 0 while it does.
+func (p *Planner) StoreLostFor(now time.Time) time.Duration {
+	if p.storeLost.IsZero() {
+		return 0
+	}
+	return now.Sub(p.storeLost)
+}
+
 // ReportedOutage records the length of an outage of the store that another router met.
 func (p *Planner) ReportedOutage(length time.Duration) { p.outages[Tokens].Met(length) }
 
@@ -247,25 +258,29 @@
 	return ahead, same
 }
 
-// rateWindow is the time over which the rate of ends is measured.
-const rateWindow = time.Second
+const (
+	// rateWindow is the time over which the rate of ends is measured, and rateWindows the number of
+	// windows that are kept.
+	rateWindow  = time.Second
+	rateWindows = 4
+)
 
-// endRate measures the ends per second over the current and the previous window.
+// endRate measures the ends per second over the current and the previous windows.
 type endRate struct {
-	begun         time.Time
-	count, before int
+	begun  time.Time
+	count  int
+	before [rateWindows]int // latest first
 }
 
 func (r *endRate) advance(now time.Time) {
-	age := now.Sub(r.begun)
-	if age < rateWindow {
-		return
+	passed := int(min(now.Sub(r.begun)/rateWindow, rateWindows+1))
+	for range passed {
+		copy(r.before[1:], r.before[:rateWindows-1])
+		r.before[0], r.count = r.count, 0
 	}
-	r.before = r.count
-	if age >= 2*rateWindow {
-		r.before = 0
+	if passed > 0 {
+		r.begun = now
 	}
-	r.count, r.begun = 0, now
 }
 
 func (r *endRate) add(now time.Time) {
@@ -273,10 +288,18 @@
 	r.count++
 }
 
+// perSecond returns the present rate.
 func (r *endRate) perSecond(now time.Time) float64 {
 	r.advance(now)
-	if r.before == 0 {
+	if r.before[0] == 0 {
 		return 0 // a window that has only begun is no measurement
 	}
-	return float64(r.count+r.before) / (now.Sub(r.begun) + rateWindow).Seconds()
+	return float64(r.count+r.before[0]) / (now.Sub(r.begun) + rateWindow).Seconds()
+}
+
+// highest returns the highest rate of the windows that are kept: while servers take no requests, few
+// end, which does not show what they take afterwards.
+func (r *endRate) highest(now time.Time) float64 {
+	r.advance(now)
+	return float64(slices.Max(r.before[:])) / rateWindow.Seconds()
 }
