Holding: requests held for a backoff are offered one after another

All requests held for the end of a backoff were offered in one moment, when servers take one request each, and most would have been refused after they had waited. They now get room one after another at the highest rate of ends measured (10 per second if none was), the most urgent first, and those whose turn comes after half of their objective are refused at once.

A request is also not held beyond its own deadline, and refusals that send callers to other routers are not remembered.

--- a/gateway/holding.go
+++ b/gateway/holding.go
@@ -14,6 +14,9 @@
 	// holdCheckInterval is the interval at which held requests are checked for room and failed
 	// predictions.
 	holdCheckInterval = 20 * time.Millisecond
+	// minResumeRate is the rate of requests per second that servers are expected to take after a
+	// backoff where none was measured: the window there begins with one request for each server.
+	minResumeRate = 10
 	// heldOverhead is the memory of a held request besides its body: its connection's buffers,
 	// headers and goroutine.
 	heldOverhead = 16 << 10
@@ -159,7 +162,7 @@
 	w := &retryafter.Waiter{
 		Room: room, Timed: c.reason.Wait > 0 && room.Cause == retryafter.Busy,
 		Rank: c.returnRank(), Bytes: int64(len(c.body)) + heldOverhead,
-		Arrived: c.arrived, Objective: c.route.LatencyObjective,
+		Arrived: c.arrived, Objective: min(c.route.LatencyObjective, c.deadline.Sub(c.arrived)),
 	}
 	c.releaseTokens()
 	begun := clock.Now()
@@ -198,23 +201,26 @@
 	}
 }
 
-// predictServers returns a function that predicts when a server of the service has room: at the end of
-// a backoff, or by the rate at which requests of this router end there.
+// predictServers returns a function that predicts when a server of the service has room: by the rate at
+// which requests of this router end there, and not before the end of a backoff.
 func (c *call) predictServers() func(ahead int) time.Time {
 	now := clock.Now()
+	present, highest := c.g.returns.rates(c.service.Name)
 	if c.reason.Wait > 0 {
-		at := now.Add(c.reason.Wait)
-		return func(int) time.Time { return at }
+		// Servers take few requests in the first moment after a backoff; those that are offered too
+		// early would have waited in vain.
+		pause := perRequest(max(highest, minResumeRate))
+		return func(ahead int) time.Time { return now.Add(c.reason.Wait + time.Duration(ahead)*pause) }
 	}
-	rate := c.g.returns.rate(c.service.Name)
-	if rate <= 0 {
+	if present <= 0 {
 		return nil
 	}
-	return func(ahead int) time.Time {
-		return now.Add(time.Duration(float64(ahead+1) / rate * float64(time.Second)))
-	}
+	return func(ahead int) time.Time { return now.Add(time.Duration(ahead+1) * perRequest(present)) }
 }
 
+// perRequest returns the time between two requests at a rate per second.
+func perRequest(rate float64) time.Duration { return time.Duration(float64(time.Second) / rate) }
+
 // releaseTokens returns the reserved tokens of a request that has not run.
 func (c *call) releaseTokens() {
 	if c.reserved == 0 {
--- a/gateway/holding_test.go
+++ b/gateway/holding_test.go
@@ -98,19 +98,34 @@
 // Guards against held requests that delay a planned stop.
 func TestStopRefusesHeldRequests(t *testing.T) {
 	var g *gateway.Gateway
-	newHoldingGateway(t, 1, 2*time.Second, func(c *net.TCPConn, r *http.Request, _ int) {
-		refuseWithBackoff(c, r, 800*time.Millisecond)
+	newHoldingGateway(t, 1, requestDeadline, func(c *net.TCPConn, r *http.Request, _ int) {
+		refuseWithBackoff(c, r, 400*time.Millisecond)
 	}, func(o *gateway.Options) { g = gateway.New(*o) })
 	web := httptest.NewServer(g)
 	t.Cleanup(web.Close)
 	time.AfterFunc(100*time.Millisecond, g.Drain)
 	begun := time.Now()
 	got := call(t, web, "HTTP/1.1", "GET", "/hasty/x")
-	if took := time.Since(begun); got.status != 503 || took < 80*time.Millisecond || took > 400*time.Millisecond {
+	if took := time.Since(begun); got.status != 503 || took < 80*time.Millisecond || took > 350*time.Millisecond {
 		t.Errorf("status %d after %v", got.status, took)
 	}
 }
 
+// Guards against a request that is held for room after its own deadline, which is before its
+// objective.
+func TestRequestIsNotHeldBeyondItsDeadline(t *testing.T) {
+	var refusals atomic.Int64
+	web := newHoldingGateway(t, 1, 10*time.Second, func(c *net.TCPConn, r *http.Request, _ int) {
+		refusals.Add(1)
+		refuseWithBackoff(c, r, 900*time.Millisecond)
+	}, unchanged)
+	begun := time.Now()
+	got := call(t, web, "HTTP/1.1", "GET", "/hasty/x")
+	if took := time.Since(begun); got.status != 503 || took > 200*time.Millisecond || refusals.Load() != 1 {
+		t.Errorf("status %d after %v, offered %d times", got.status, took, refusals.Load())
+	}
+}
+
 // Guards against held requests of callers that have disconnected, which take room from others.
 func TestCallerThatLeavesIsNotHeld(t *testing.T) {
 	var open atomic.Bool
--- a/gateway/returns.go
+++ b/gateway/returns.go
@@ -97,12 +97,13 @@
 	r.planner.Ended(clock.Now(), service)
 }
 
-// rate returns the number of requests per second that the servers of a service end for this router; 0:
-// unknown.
-func (r *returns) rate(service string) float64 {
+// rates returns the number of requests per second that the servers of a service end for this router at
+// present, and the highest one of the last seconds; 0: unknown.
+func (r *returns) rates(service string) (present, highest float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.planner.EndsPerSecond(clock.Now(), service)
+	now := clock.Now()
+	return r.planner.EndsPerSecond(now, service), r.planner.HighestEndsPerSecond(now, service)
 }
 
 // StoreRemaining returns the predicted time until the store answers again; 0 if it answers or if
@@ -145,7 +146,7 @@
 	}
 	after, input := c.g.returns.plan(r)
 	c.setReturn(refusal, after, input)
-	if c.identifiable() {
+	if c.identifiable() && !r.Cause.RoomElsewhere() {
 		c.g.returns.remember(c.account.Name, c.content(), after, r.Left)
 	}
 }
--- a/gateway/token_holding_test.go
+++ b/gateway/token_holding_test.go
@@ -149,3 +149,37 @@
 		t.Errorf("offered after %v", took)
 	}
 }
+
+// Guards against all requests held for the end of a backoff being offered in one moment, when servers
+// take few: most would be refused after they had waited.
+func TestRequestsHeldForABackoffAreOfferedOneAfterAnother(t *testing.T) {
+	c := newHeldCall(Options{})
+	refusal := c.temporary(result.New(result.ServersOverloaded, "backoff"), retryafter.Busy, 50*time.Millisecond)
+	var offered []time.Duration
+	begun := clock.Now()
+	results := make(chan time.Duration)
+	for range 4 {
+		next := newHeldCall(Options{})
+		next.g = c.g
+		next.temporaryRefusal, next.reason = refusal, c.reason
+		go func() {
+			if next.hold(t.Context(), refusal) {
+				results <- clock.Since(begun)
+				return
+			}
+			results <- -1
+		}()
+	}
+	refused := 0
+	for range 4 {
+		if at := <-results; at >= 0 {
+			offered = append(offered, at)
+		} else {
+			refused++
+		}
+	}
+	// Room is predicted after 50, 150, 250 and 350 ms; half of the objective is 200 ms.
+	if len(offered) != 2 || refused != 2 || offered[0] < 45*time.Millisecond || offered[1]-offered[0] < 60*time.Millisecond {
+		t.Errorf("offered after %v, %d refused", offered, refused)
+	}
+}
--- a/retryafter/planner.go
+++ b/retryafter/planner.go
@@ -80,9 +80,7 @@
 	if in.Wait <= 0 {
 		in.Wait = p.outages[r.Cause].Remaining(now.Sub(e.begun))
 	}
-	if rate := p.ends[r.Key]; rate != nil {
-		in.Rate = rate.highest(now) * returnShare
-	}
+	in.Rate = p.HighestEndsPerSecond(now, r.Key) * returnShare
 	in.Ahead, in.Same = e.due.ahead(now, in.Rank)
 	after := After(p.rng, in)
 	e.due.add(now, in.Rank, honoured(after, r.Left))
@@ -122,6 +120,15 @@
 	return rate.perSecond(now)
 }
 
+// HighestEndsPerSecond returns the highest such rate of the last seconds; 0: unknown.
+func (p *Planner) HighestEndsPerSecond(now time.Time, service string) float64 {
+	rate := p.ends[service]
+	if rate == nil {
+		return 0
+	}
+	return rate.highest(now)
+}
+
 // ObserveStore records whether the store leaves this router's calls unanswered.
 func (p *Planner) ObserveStore(now time.Time, lost bool) {
 	switch {
--- a/retryafter/queue.go
+++ b/retryafter/queue.go
@@ -44,6 +44,9 @@
 // end returns when the request must have been answered.
 func (w *Waiter) end() time.Time { return w.Arrived.Add(w.Objective) }
 
+// tooLate reports whether room is predicted too late for the request.
+func (w *Waiter) tooLate() bool { return w.At.After(w.Arrived.Add(w.Objective / waitDivisor)) }
+
 // dropAt returns when the request is refused unless there is room: when the prediction has failed and
 // the delay target is reached.
 func (w *Waiter) dropAt() time.Time {
@@ -80,11 +83,12 @@
 	return slices.ContainsFunc(q.waiters, func(w *Waiter) bool { return w.Room == room })
 }
 
-// Ahead returns how many waiters get room of a kind before a request.
+// Ahead returns the number of waiters to count when the room for a request is predicted: those that get
+// it first. For a timed one these are all, since Hold then gives the earlier times to the more urgent.
 func (q *Queue) Ahead(w *Waiter) int {
 	ahead := 0
 	for _, other := range q.waiters {
-		if other.Room == w.Room && other.before(w) <= 0 {
+		if other.Room == w.Room && other.Timed == w.Timed && (w.Timed || other.before(w) <= 0) {
 			ahead++
 		}
 	}
@@ -94,8 +98,11 @@
 // Hold adds a request if room is predicted early enough, and returns the waiters that it displaces,
 // which must be refused. It returns false if the request must be refused itself.
 func (q *Queue) Hold(now time.Time, w *Waiter) (displaced []*Waiter, ok bool) {
-	latest := w.Arrived.Add(w.Objective / waitDivisor)
-	if w.Objective <= 0 || w.At.After(latest) || !now.Before(w.dropAt()) || now.Before(q.failed[w.Room]) {
+	times := q.times(w)
+	if w.Timed {
+		w.At = times[w]
+	}
+	if w.Objective <= 0 || w.tooLate() || !now.Before(w.dropAt()) || now.Before(q.failed[w.Room]) {
 		return nil, false
 	}
 	keep := len(q.waiters)
@@ -112,7 +119,36 @@
 	at, _ := slices.BinarySearchFunc(q.waiters, w, (*Waiter).before)
 	q.waiters = slices.Insert(q.waiters, at, w)
 	q.bytes = bytes + w.Bytes
-	return displaced, true
+	for other, at := range times {
+		other.At = at
+	}
+	return append(displaced, q.take((*Waiter).tooLate)...), true
+}
+
+// times returns the times of room of the timed waiters with a new one among them, the earliest for the
+// most urgent.
+func (q *Queue) times(w *Waiter) map[*Waiter]time.Time {
+	if !w.Timed {
+		return nil
+	}
+	var order []*Waiter
+	for _, other := range q.waiters {
+		if other.Timed && other.Room == w.Room {
+			order = append(order, other)
+		}
+	}
+	order = append(order, w)
+	slices.SortStableFunc(order, (*Waiter).before)
+	times := make([]time.Time, 0, len(order))
+	for _, o := range order {
+		times = append(times, o.At)
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	byWaiter := make(map[*Waiter]time.Time, len(order))
+	for i, o := range order {
+		byWaiter[o] = times[i]
+	}
+	return byWaiter
 }
 
 // Release removes and returns the first n waiters for room that has appeared.
--- a/retryafter/queue_test.go
+++ b/retryafter/queue_test.go
@@ -127,3 +127,34 @@
 		}
 	})
 }
+
+// Guards against timed room that goes to less urgent requests that came first, and against those held on
+// though their time is now too late.
+func TestTimedRoomGoesToTheMostUrgent(t *testing.T) {
+	q := retryafter.NewQueue()
+	var first *retryafter.Waiter
+	for i, rank := range []int{2, 1, 1, 0} {
+		w := waiter(rank, func(w *retryafter.Waiter) { w.Timed = true })
+		w.At = start.Add(time.Duration(200+150*q.Ahead(w)) * time.Millisecond)
+		displaced, ok := q.Hold(start, w)
+		if i == 0 {
+			first = w
+		}
+		if !ok || i < 3 && len(displaced) != 0 {
+			t.Fatalf("request %d: held %v, displaced %+v", i, ok, displaced)
+		}
+		// The last one takes the first time, so that the first one's is after half of its objective.
+		if i == 3 && (len(displaced) != 1 || displaced[0] != first) {
+			t.Fatalf("displaced %+v", displaced)
+		}
+	}
+	for i, rank := range []int{0, 1, 1} {
+		at := start.Add(time.Duration(200+150*i) * time.Millisecond)
+		if early := q.Due(at.Add(-time.Millisecond)); len(early) != 0 {
+			t.Fatalf("due early: %+v", early)
+		}
+		if due := q.Due(at); len(due) != 1 || due[0].Rank != rank {
+			t.Fatalf("due %+v instead of rank %d", due, rank)
+		}
+	}
+}
