Early returns: judged only where the caller's remaining time is known

Callers honour a Retry-After for a third of their remaining time. Without a stated deadline the router took the route's timeout for it, so that obedient callers with less patience counted as early and their accounts as disobedient. Such requests are not judged any more, and the tolerance is 50 ms for the time that a request takes to arrive.

--- a/gateway/early.go
+++ b/gateway/early.go
@@ -14,10 +14,11 @@
 // contentSeed is the seed of the hashes by which requests are recognised when they come back.
 var contentSeed = maphash.MakeSeed()
 
-// identifiable reports whether the request can be recognised when its caller sends it again: it belongs
-// to an account and has a body. Requests without a body, such as repeated reads of the same state, may
-// be alike though they are different ones.
-func (c *call) identifiable() bool { return c.account != nil && len(c.body) > 0 }
+// identifiable reports whether the request can be recognised when its caller sends it again, and whether
+// it comes back too early. Requests without a body, such as repeated reads of the same state, may be
+// alike though they are different ones. Callers honour a Retry-After for a part of their remaining time,
+// which is unknown unless they state it.
+func (c *call) identifiable() bool { return c.account != nil && len(c.body) > 0 && c.Deadline > 0 }
 
 // content returns a hash of what a caller sends again unchanged.
 func (c *call) content() uint64 {
--- a/retryafter/refusals.go
+++ b/retryafter/refusals.go
@@ -12,8 +12,9 @@
 	// manyRefusals is the number of remembered refusals of an account from which its early returns
 	// are told the remaining time.
 	manyRefusals = 8
-	// earlyTolerance is how much earlier than told a caller may return: clocks and timers differ.
-	earlyTolerance = 10 * time.Millisecond
+	// earlyTolerance is how much earlier than told a caller may return: its remaining time, of which it
+	// honours a third, is shorter than it seems here by the time that the request took to arrive.
+	earlyTolerance = 50 * time.Millisecond
 	// minRequests is the number of requests of an account from which its share of early returns is
 	// judged, and maxRequests the number at which both counts are halved, so that recent ones decide.
 	minRequests = 16
