Returns: few refusals among many served requests show no lasting lack of room

A service that refused one request in fifty for long was taken to lack room all that time, and the few callers were told up to 5 s. Up to a tenth of refused requests the time stated is 250 ms at most before the spread.

--- a/retryafter/planner.go
+++ b/retryafter/planner.go
@@ -22,6 +22,8 @@
 	// maxEpisodes bounds the keys for which episodes are kept; the one refused longest ago is
 	// forgotten first.
 	maxEpisodes = 64
+	// fewRefused is the share of requests up to which refusals show no lasting lack of room.
+	fewRefused = 0.1
 	// returnShare is the part of the rate of ends that is room for returning callers; the rest
 	// serves new requests.
 	returnShare = 0.5
@@ -55,7 +57,7 @@
 	// outages holds the lengths of earlier periods of refusals by cause.
 	outages  [causes]Outages
 	episodes map[episodeKey]*episode
-	ends     map[string]*endRate
+	ends     map[string]*eventRate
 	// storeLost is when the store was first seen not to answer, and storeSeen when it was last seen
 	// so; both are zero while it answers.
 	storeLost, storeSeen time.Time
@@ -63,7 +65,7 @@
 
 // NewPlanner returns a planner without history.
 func NewPlanner(rng *rand.Rand) *Planner {
-	p := &Planner{rng: rng, episodes: map[episodeKey]*episode{}, ends: map[string]*endRate{}}
+	p := &Planner{rng: rng, episodes: map[episodeKey]*episode{}, ends: map[string]*eventRate{}}
 	for c := range p.outages {
 		p.outages[c] = NewOutages(firstBusyPeriod)
 	}
@@ -79,7 +81,11 @@
 	in := Input{Cause: r.Cause, Wait: r.Wait, Rank: ClampRank(r.Rank), Left: r.Left}
 	if in.Wait <= 0 {
 		in.Wait = p.outages[r.Cause].Remaining(now.Sub(e.begun))
+		if p.refusesFew(now, e, r.Key) {
+			in.Wait = min(in.Wait, firstBusyPeriod)
+		}
 	}
+	e.refused.add(now)
 	in.Rate = p.HighestEndsPerSecond(now, r.Key) * returnShare
 	in.Ahead, in.Same = e.due.ahead(now, in.Rank)
 	after := After(p.rng, in)
@@ -87,6 +93,13 @@
 	return after, in
 }
 
+// refusesFew reports whether only few requests are refused for the service's cause: then there is room,
+// and a request that did not find it does so soon, however long such refusals have lasted.
+func (p *Planner) refusesFew(now time.Time, e *episode, service string) bool {
+	ends, refused := p.EndsPerSecond(now, service), e.refused.perSecond(now)
+	return ends > 0 && refused > 0 && refused < fewRefused*(refused+ends)
+}
+
 // honoured returns when a caller comes back that was told a Retry-After.
 func honoured(after, left time.Duration) time.Duration {
 	if left <= 0 {
@@ -100,12 +113,12 @@
 	rate := p.ends[service]
 	if rate == nil {
 		if len(p.ends) == maxEpisodes {
-			maps.DeleteFunc(p.ends, func(_ string, r *endRate) bool { return now.Sub(r.begun) >= rateWindows*rateWindow })
+			maps.DeleteFunc(p.ends, func(_ string, r *eventRate) bool { return now.Sub(r.begun) >= rateWindows*rateWindow })
 		}
 		if len(p.ends) == maxEpisodes {
 			return // the rate counts as unknown
 		}
-		rate = &endRate{begun: now}
+		rate = &eventRate{begun: now}
 		p.ends[service] = rate
 	}
 	rate.add(now)
@@ -212,6 +225,7 @@
 type episode struct {
 	// begun and last are the times of the first and the last refusal.
 	begun, last time.Time
+	refused     eventRate // of refusals
 	due         returns
 }
 
@@ -266,20 +280,20 @@
 }
 
 const (
-	// rateWindow is the time over which the rate of ends is measured, and rateWindows the number of
+	// rateWindow is the time over which rates are measured, and rateWindows the number of
 	// windows that are kept.
 	rateWindow  = time.Second
 	rateWindows = 4
 )
 
-// endRate measures the ends per second over the current and the previous windows.
-type endRate struct {
+// eventRate measures the events per second over the current and the previous windows.
+type eventRate struct {
 	begun  time.Time
 	count  int
 	before [rateWindows]int // latest first
 }
 
-func (r *endRate) advance(now time.Time) {
+func (r *eventRate) advance(now time.Time) {
 	passed := int(min(now.Sub(r.begun)/rateWindow, rateWindows+1))
 	for range passed {
 		copy(r.before[1:], r.before[:rateWindows-1])
@@ -290,13 +304,13 @@
 	}
 }
 
-func (r *endRate) add(now time.Time) {
+func (r *eventRate) add(now time.Time) {
 	r.advance(now)
 	r.count++
 }
 
 // perSecond returns the present rate.
-func (r *endRate) perSecond(now time.Time) float64 {
+func (r *eventRate) perSecond(now time.Time) float64 {
 	r.advance(now)
 	if r.before[0] == 0 {
 		return 0 // a window that has only begun is no measurement
@@ -306,7 +320,7 @@
 
 // highest returns the highest rate of the windows that are kept: while servers take no requests, few
 // end, which does not show what they take afterwards.
-func (r *endRate) highest(now time.Time) float64 {
+func (r *eventRate) highest(now time.Time) float64 {
 	r.advance(now)
 	return float64(slices.Max(r.before[:])) / rateWindow.Seconds()
 }
--- a/retryafter/retryafter_test.go
+++ b/retryafter/retryafter_test.go
@@ -194,3 +194,26 @@
 		t.Errorf("%d episodes, %d rates", episodes, ends)
 	}
 }
+
+// Guards against long times stated where nearly all requests find room, because a few have been refused
+// for a long time.
+func TestFewRefusalsAreNoLastingLackOfRoom(t *testing.T) {
+	for every, most := range map[int]time.Duration{50: 250 * time.Millisecond, 2: time.Hour} {
+		p := retryafter.NewPlanner(newRand())
+		var longest time.Duration
+		for i := range 1000 { // 100 requests per second for 10 s
+			now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+			if i%every != 0 {
+				p.Ended(now, "svc")
+				continue
+			}
+			_, in := p.Plan(now, retryafter.Refusal{Cause: retryafter.Busy, Key: "svc"})
+			if i > 200 {
+				longest = max(longest, in.Wait)
+			}
+		}
+		if longest > most || every == 2 && longest < 2*time.Second {
+			t.Errorf("one of %d refused: told to wait up to %v", every, longest)
+		}
+	}
+}
