--- a/controller/budgets/budgets.go
+++ b/controller/budgets/budgets.go
@@ -59,6 +59,8 @@
 	decisionLogs map[string]*logs.RateLimit // rate limits of the log lines about decisions, by message
 	// storeLost reports whether the store does not answer. It may be nil.
 	storeLost func() bool
+	// storeRemaining predicts the time until the store answers again. It may be nil.
+	storeRemaining func() time.Duration
 }
 
 // ownerByPage makes one router the owner of all budgets of a page, so that one
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -9,6 +10,8 @@
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/result"
+	"github.com/gaplink/gaplink/retryafter"
+	"github.com/gaplink/gaplink/upstream"
 )
 
 const (
@@ -40,32 +43,49 @@
 	ended
 )
 
-// dispatch sends the request to servers until one responds or no further attempt is allowed.
+// dispatch sends the request to servers. A request that was refused because they are busy is held if
+// room is predicted soon.
 func (c *call) dispatch() {
 	c.chooseService()
 	c.g.Retries.Request(c.service.Name)
 	ctx, cancel := context.WithTimeout(c.r.Context(), clock.Until(c.deadline))
 	defer cancel()
 	defer c.g.running.add(c, cancel)()
+	refusal := c.limitedRefusal()
+	if refusal == nil {
+		refusal = c.tryServers(ctx)
+	}
+	if refusal != nil && c.hold(ctx, refusal) {
+		if refusal = c.retryHeld(); refusal == nil {
+			refusal = c.tryServers(ctx)
+		}
+	}
+	if refusal != nil {
+		c.fail(refusal)
+	}
+}
+
+// tryServers sends the request to servers until one responds. It returns an error if no further
+// attempt is allowed before.
+func (c *call) tryServers(ctx context.Context) *result.Error {
 	tried := map[placement.Incarnation]bool{}
 	var counts attemptCounts
 	for {
 		a, refusal := c.pick(ctx, tried)
 		if refusal != nil {
-			c.fail(refusal)
-			return
+			return refusal
 		}
 		tried[a.server.Incarnation()] = true
 		a.isLast = counts.sent+1 >= c.route.Attempts || !c.g.Retries.Left(c.service.Name)
 		d := a.run(ctx)
 		c.recordAttempt(a)
 		if d == served || d == ended {
-			return
+			return nil
 		}
 		counts.add(d)
+		c.refusedByServer = c.refusedByServer || d == notRun
 		if stop := c.checkRetry(ctx, d, a, counts); stop != nil {
-			c.fail(stop)
-			return
+			return stop
 		}
 	}
 }
@@ -170,10 +190,10 @@
 	switch d {
 	case notReached:
 		if refusal := c.g.staleRefusal(); refusal != nil {
-			return refusal.Wrap(cause)
+			return c.temporary(refusal.Wrap(cause), retryafter.Isolated, 0)
 		}
 		if counts.unreached >= maxUnreached {
-			return result.New(result.NoBackend, "no server of %s could be reached", c.service.Name).After(noServerRetryAfter).Wrap(cause)
+			return c.unreachedRefusal(cause)
 		}
 		return nil // no server spent work on the request
 	case notRun:
@@ -181,7 +201,7 @@
 			return refusal.Wrap(cause)
 		}
 		if counts.sent+counts.refused >= c.route.Attempts+extraAfterRefusal {
-			return result.New(result.NotAccepted, "the servers are full").After(busyRetryAfter).Wrap(cause)
+			return c.temporary(result.New(result.NotAccepted, "the servers are full").After(busyRetryAfter).Wrap(cause), retryafter.Busy, 0)
 		}
 	case failed:
 		if !c.mayRepeat() || counts.sent >= c.route.Attempts {
@@ -205,11 +225,17 @@
 		if d == notRun {
 			code = result.NotAccepted
 		}
-		return result.New(code, "the retry budget is spent").After(busyRetryAfter).Wrap(cause)
+		return c.retriesSpent(code).Wrap(cause)
 	}
 	return nil
 }
 
+// retriesSpent returns the error for a request that may not be sent again because the service's retry
+// budget is spent.
+func (c *call) retriesSpent(code result.Code) *result.Error {
+	return c.temporary(result.New(code, "the retry budget is spent").After(busyRetryAfter), retryafter.RetriesSpent, 0)
+}
+
 // timeoutRefusal returns CallerGone if the caller disconnected, and otherwise the error for a
 // timeout.
 func (c *call) timeoutRefusal(err error) *result.Error {
@@ -219,7 +245,20 @@
 	if c.mayHaveRun {
 		return result.New(result.AttemptTimeout, "no answer in time").Wrap(err)
 	}
-	return result.New(result.NotAccepted, "no server took the request in time").After(busyRetryAfter).Wrap(err)
+	refusal := result.New(result.NotAccepted, "no server took the request in time").After(busyRetryAfter).Wrap(err)
+	return c.temporary(refusal, c.g.timeoutCause(), 0)
+}
+
+// unreachedRefusal returns the error for a request that reached none of several servers. Where
+// connections to them were used up, the servers are busy; otherwise nothing predicts when they can be
+// reached.
+func (c *call) unreachedRefusal(cause error) *result.Error {
+	refusal := result.New(result.NoBackend, "no server of %s could be reached", c.service.Name).After(noServerRetryAfter).Wrap(cause)
+	var failure *upstream.Failure
+	if errors.As(cause, &failure) && failure.Full {
+		return c.temporary(refusal, retryafter.Busy, 0)
+	}
+	return refusal
 }
 
 // fail ends the request with an error; a response that has begun is aborted.
@@ -252,5 +291,9 @@
 	c.attempts = append(c.attempts, a.record)
 	a.recordPromptRead()
 	c.g.Servers.RecordOutcome(a.server.Incarnation(), a.serverOutcome)
+	if a.serverOutcome == placement.Answered {
+		c.g.returns.ended(c.service.Name)
+		c.g.holding.release(retryafter.Room{Cause: retryafter.Busy, Key: c.service.Name}, 1)
+	}
 	c.g.Metrics.attempt(c.service.Name, a.outcomeLabel)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/gaplink/gaplink/logs"
 	"github.com/gaplink/gaplink/result"
 	"github.com/gaplink/gaplink/retry"
+	"github.com/gaplink/gaplink/retryafter"
 	"github.com/gaplink/gaplink/upstream"
 )
 
@@ -80,6 +81,12 @@
 	// LinkSaturated reports whether the router's own network link is saturated, in which case a
 	// timeout says nothing about a server.
 	CloseConnections, LinkSaturated func() bool
+	// Returns: the Retry-After of temporary refusals is computed from the predicted time of room;
+	// otherwise it is fixed by the kind of refusal.
+	Returns bool
+	// StoreLost reports whether the store does not answer this router, and StoreElsewhere whether it
+	// answers other routers all the same. nil: unknown.
+	StoreLost, StoreElsewhere func() bool
 }
 
 // Gateway is the HTTP handler that serves callers.
@@ -88,12 +95,16 @@
 	steps       []step
 	inFlight    atomic.Int64
 	running     runningCalls
+	returns     *returns // nil without Options.Returns
+	holding     *holding // likewise
 	draining    atomic.Bool
 	refusingNew atomic.Bool
 	// unreadableLimits rate-limits the log lines about limits that cannot be parsed.
 	unreadableLimits logs.RateLimit
 	// malformed does so for the lines about other announcements of servers.
 	malformed logs.RateLimit
+	// limitedLines does so for the lines about accounts whose callers return too early.
+	limitedLines logs.RateLimit
 	// unknown holds the unknown response headers that were logged.
 	unknown logs.Names
 }
@@ -101,12 +112,19 @@
 // New returns a gateway with the given options.
 func New(o Options) *Gateway {
 	g := &Gateway{Options: o}
-	g.steps = []step{g.admit, g.findRoute, g.authenticate, g.readBody, g.countBytes, g.checkPoison, g.readPrompt, g.reserve}
+	if o.Returns {
+		g.returns = newReturns(o.StoreLost)
+		g.holding = newHolding(func() bool { return g.StoreRemaining() == 0 })
+	}
+	g.steps = []step{g.admit, g.findRoute, g.authenticate, g.readBody, g.countBytes, g.checkReturn, g.checkPoison, g.readPrompt, g.reserve}
 	return g
 }
 
 // Drain starts a planned stop: responses ask callers to close their connections.
-func (g *Gateway) Drain() { g.draining.Store(true) }
+func (g *Gateway) Drain() {
+	g.draining.Store(true)
+	g.holding.refuseAll()
+}
 
 // RefuseNew makes the gateway refuse new requests.
 func (g *Gateway) RefuseNew() { g.refusingNew.Store(true) }
@@ -175,8 +193,23 @@
 	stream     streamState
 	// mayHaveRun reports that a server may have run the request.
 	mayHaveRun bool
-	outcome    result.Code
-	cause      error
+	// refusedByServer reports that a server refused the request before running it.
+	refusedByServer bool
+
+	outcome result.Code
+	cause   error
+	// temporaryRefusal is the last refusal with a temporary cause, and reason that cause.
+	temporaryRefusal *result.Error
+	reason           retryafter.Refusal
+	// planned is what the Retry-After was computed from; nil if it was not computed.
+	planned *retryafter.Input
+	// held reports that the request was held until there was room, and heldFor how long it was held.
+	held    bool
+	heldFor time.Duration
+	// returned is what is known of the request as one that comes back. refusedAsLimited reports that it
+	// was refused for its account's early returns alone.
+	returned         retryafter.Return
+	refusedAsLimited bool
 }
 
 func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request) *call {
@@ -257,6 +290,7 @@
 	if f := c.poisonStatus().Fingerprint(); f != nil {
 		fields = append(fields, zap.Stringer("fingerprint", f))
 	}
+	fields = append(fields, c.returnFields()...)
 	if c.cause != nil {
 		fields = append(fields, zap.String("cause", c.cause.Error()))
 	}
--- a/server/provision.go
+++ b/server/provision.go
@@ -99,7 +99,13 @@
 		CloseConnections: s.closeConnections,
 
 		RegistrationAge: func() time.Duration { return s.updates.Ages().Servers },
+
+		Returns:        s.settings.Load.Returns,
+		StoreLost:      s.storeUnreachable,
+		StoreElsewhere: s.storeReachableElsewhere,
 	})
+	s.budgets.SetStoreRemaining(s.gateway.StoreRemaining)
+	s.gauge("gaplink_requests_held", "Requests that wait for predicted room.", func() float64 { return float64(s.gateway.Held()) })
 	s.evacuations = evacuations.New(evacuations.Options{
 		Changed: s.servers.SetEvacuated,
 		Log:     s.log,
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -29,7 +29,7 @@
 	Load    GatewayLoad       `toml:"load"`
 }
 
-// GatewayLoad switches the parts that decide under high load. Each is on by default and takes
+// GatewayLoad switches the parts that decide under high load. Each but Returns is on by default, and takes
 // effect only where the configuration and the fleet call for it.
 type GatewayLoad struct {
 	// Budgets: routers return tokens that they do not need, and while tokens are short the most
@@ -40,7 +40,8 @@
 	Servers bool `toml:"servers"`
 	// Entry: how requests are treated that arrive over a saturated link of known capacity.
 	Entry bool `toml:"entry"`
-	// Returns: Retry-After is derived from the time at which the request can be served.
+	// Returns: Retry-After is derived from the time at which the request can be served, and requests
+	// that can be served soon are held for it. Off by default: in simulated days it served no more.
 	Returns bool `toml:"returns"`
 }
 
@@ -175,7 +176,7 @@
 		Memory:  GatewayMemory{LimitMB: 256},
 		Bounds:  GatewayBounds{Apply: Duration(2 * time.Second), Leave: Duration(2 * time.Second)},
 		Log:     Log{Level: "info"},
-		Load:    GatewayLoad{Budgets: true, Servers: true, Entry: true, Returns: true},
+		Load:    GatewayLoad{Budgets: true, Servers: true, Entry: true},
 	}
 }
 
