--- a/placement/choice_patterns_test.go
+++ b/placement/choice_patterns_test.go
@@ -112,13 +112,12 @@
 	return sum
 }
 
-// missedTargets are the targets that the predicted choice does not reach in the model, with the figure by
-// limits and by prediction, at the seeds of the test. In two of them streams in time are bought with prompts read again: late short
-// streams fall from 15.9% to 2.7% at 300 routers, and from 8.2% to 3.8% in the burst.
-var missedTargets = map[string]bool{
-	"a third slow, 7 routers, own figures, late long streams":             true, // 5.2%, 6.2%
-	"a third slow, 300 routers, shared figures, tokens read again":        true, // 712k, 1,588k
-	"burst of long prompts, 7 routers, shared figures, tokens read again": true, // 1,991k, 2,885k
+// openTargets are the targets that the predicted choice does not reach at the seeds of the test. Streams
+// in time are bought with prompts read again in two of them. TestPredictedChoiceOpenTargets has them.
+var openTargets = map[string]bool{
+	"a third slow, 7 routers, own figures, late long streams":             true,
+	"a third slow, 300 routers, shared figures, tokens read again":        true,
+	"burst of long prompts, 7 routers, shared figures, tokens read again": true,
 }
 
 // TestPredictedChoiceInTheModel guards against predictions that do worse than the choice by limits: late
@@ -131,14 +130,26 @@
 				t.Parallel()
 				p := p
 				p.routers = routers
-				compareChoices(t, p)
+				compareChoices(t, p, func(target string) bool { return !openTargets[target] })
 			})
 		}
 	}
 }
 
-// compareChoices checks the predicted choice in a pattern, with own figures and with shared ones.
-func compareChoices(t *testing.T, p pattern) {
+// TestPredictedChoiceOpenTargets guards the same for the targets that are not reached yet.
+func TestPredictedChoiceOpenTargets(t *testing.T) {
+	for _, p := range modelPatterns() {
+		for _, p.routers = range []int{7, 300} {
+			if p.slowThird || p.burst > 1 && p.routers == 7 {
+				compareChoices(t, p, func(target string) bool { return openTargets[target] })
+			}
+		}
+	}
+}
+
+// compareChoices checks the accepted targets of the predicted choice in a pattern, with own figures and with
+// shared ones.
+func compareChoices(t *testing.T, p pattern, accepts func(target string) bool) {
 	before := measureModel(p)
 	t.Logf("by limits:          %v", before)
 	p.predicts = true
@@ -151,12 +162,7 @@
 		t.Logf("by %-14s   %v", figures+":", after)
 		check := func(figure string, reached bool) {
 			target := fmt.Sprintf("%s, %d routers, %s, %s", p.name, p.routers, figures, figure)
-			switch {
-			case reached && missedTargets[target]:
-				t.Errorf("target reached; it should not be listed as missed: %s", target)
-			case !reached && missedTargets[target]:
-				t.Logf("target missed: %s", target)
-			case !reached:
+			if accepts(target) && !reached {
 				t.Errorf("target missed: %s", target)
 			}
 		}
