Budgets: a request yields by rank; held back is the quarantine's term

Cause: the log and the pages say held back of requests that crashed servers. Renames only; tests of budget, controller/budgets and logs pass.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -71,8 +71,8 @@
 	return a.ReserveRanked(now, id, need, 0)
 }
 
-// ReserveRanked asks for need tokens for a request of a rank, 0 being the most urgent. It returns a reservation number; if granted is false, a
-// later Resolve effect with that number gives the answer.
+// ReserveRanked asks for need tokens for a request of a rank, 0 being the most urgent. It returns a
+// reservation number; if granted is false, a Resolve effect with that number gives the answer, now or later.
 func (a *Agent) ReserveRanked(now time.Time, id string, need int64, rank int) (token uint64, granted bool, effects []Effect) {
 	a.token++
 	rank = boundedRank(rank)
@@ -84,9 +84,9 @@
 	a.trackOutage(now)
 	a.trackFinalReserve(now, p)
 	a.refreshEscrow(now, p)
-	if cause, held := a.heldBack(now, p, need, rank); held {
+	if cause, yields := a.mustYield(now, p, need, rank); yields {
 		a.emit(Resolve{Token: token, Cause: cause})
-		a.emitHeldBack(p, need, rank, cause)
+		a.emitRefusedByRank(p, need, rank, cause)
 		return token, false, a.takeEffects()
 	}
 	if p.reserve(need) {
--- a/budget/messages.go
+++ b/budget/messages.go
@@ -155,8 +155,8 @@
 	Need           int64
 }
 
-// HeldBack reports that a request was refused because the tokens are kept for more urgent ranks.
-type HeldBack struct {
+// RefusedByRank reports that a request was refused because the tokens are kept for more urgent ranks.
+type RefusedByRank struct {
 	Budget       string
 	Need, Usable int64
 	Rank         int
@@ -190,6 +190,6 @@
 func (DrawnForItself) effect()  {}
 func (SurplusReturned) effect() {}
 func (HolderAsked) effect()     {}
-func (HeldBack) effect()        {}
+func (RefusedByRank) effect()   {}
 func (DrawnAhead) effect()      {}
 func (NearEnd) effect()         {}
--- a/budget/rank.go
+++ b/budget/rank.go
@@ -27,7 +27,7 @@
 	lastShareDivisor = 30
 	lastShareHorizon = 10 * time.Second
 	// lastShareMaxAge is the age up to which the copy of the page is evidence that only the last
-	// share is left. With an older one a request is not held back, so that its draw reads the page.
+	// share is left. With an older one a request does not yield, so that its draw reads the page.
 	lastShareMaxAge = 5 * time.Second
 )
 
@@ -139,9 +139,9 @@
 	return tokens
 }
 
-// heldBack reports whether a request must leave the tokens to more urgent ranks, and the cause of its
+// mustYield reports whether a request must leave the tokens to more urgent ranks, and the cause of its
 // refusal.
-func (a *Agent) heldBack(now time.Time, p *budgetState, need int64, rank int) (Cause, bool) {
+func (a *Agent) mustYield(now time.Time, p *budgetState, need int64, rank int) (Cause, bool) {
 	if !a.cfg.ByRank || rank == 0 {
 		return "", false
 	}
@@ -203,9 +203,9 @@
 	return p.balance + int64(free)
 }
 
-// refuseHeldBack refuses the waiting requests and draws that must leave the tokens to more urgent ranks,
+// refuseYielding refuses the waiting requests and draws that must leave the tokens to more urgent ranks,
 // and orders the others by rank while that applies.
-func (a *Agent) refuseHeldBack(now time.Time, p *budgetState) {
+func (a *Agent) refuseYielding(now time.Time, p *budgetState) {
 	if len(p.ranks) < 2 || !p.waiting() || !a.cutOff(now, p) && !a.inLastShare(now, p) {
 		return
 	}
@@ -213,18 +213,18 @@
 	slices.SortStableFunc(p.draws, func(x, y draw) int { return x.rank - y.rank })
 	var waiters []waiter
 	for _, w := range p.waiters {
-		cause, held := a.heldBack(now, p, w.need, w.rank)
-		if !held {
+		cause, yields := a.mustYield(now, p, w.need, w.rank)
+		if !yields {
 			waiters = append(waiters, w)
 			continue
 		}
 		a.emit(Resolve{Token: w.token, Cause: cause})
-		a.emitHeldBack(p, w.need, w.rank, cause)
+		a.emitRefusedByRank(p, w.need, w.rank, cause)
 	}
 	var draws []draw
 	for _, d := range p.draws {
-		cause, held := a.heldBack(now, p, d.need, d.rank)
-		if !held {
+		cause, yields := a.mustYield(now, p, d.need, d.rank)
+		if !yields {
 			draws = append(draws, d)
 			continue
 		}
@@ -236,13 +236,13 @@
 // refuseDrawByRank refuses a peer's draw that must leave the tokens to more urgent requests. Unlike
 // other refusals it does not ask the peer for its tokens.
 func (a *Agent) refuseDrawByRank(p *budgetState, d draw, cause Cause) {
-	a.emitHeldBack(p, d.need, d.rank, cause)
+	a.emitRefusedByRank(p, d.need, d.rank, cause)
 	m := a.move(p, Grant, d.peer, 0)
 	m.Token = d.token
 	m.Refused = cause
 	a.emit(Send{m})
 }
 
-func (a *Agent) emitHeldBack(p *budgetState, need int64, rank int, cause Cause) {
-	a.emit(HeldBack{Budget: p.id, Need: need, Rank: rank, Usable: p.usable(), Cause: cause})
+func (a *Agent) emitRefusedByRank(p *budgetState, need int64, rank int, cause Cause) {
+	a.emit(RefusedByRank{Budget: p.id, Need: need, Rank: rank, Usable: p.usable(), Cause: cause})
 }
--- a/budget/rank_test.go
+++ b/budget/rank_test.go
@@ -93,7 +93,7 @@
 	})
 }
 
-// TestOneRankChangesNothing guards against requests held back for others where all are of one rank.
+// TestOneRankChangesNothing guards against requests refused in favour of others where all are of one rank.
 func TestOneRankChangesNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rank := rapid.IntRange(0, 9).Draw(t, "rank")
--- a/budget/search.go
+++ b/budget/search.go
@@ -11,7 +11,7 @@
 // advance grants what the balance covers and searches for more for the rest.
 func (a *Agent) advance(now time.Time, p *budgetState) {
 	a.refreshEscrow(now, p)
-	a.refuseHeldBack(now, p)
+	a.refuseYielding(now, p)
 	a.serveWaiters(p)
 	a.serveDraws(now, p)
 	a.serveLoans(now, p)
--- a/controller/budgets/decisions.go
+++ b/controller/budgets/decisions.go
@@ -45,7 +45,7 @@
 			c.log.Info("asking a holder of a budget for tokens", zap.String("budget", e.Budget), zap.String("holder", e.Holder),
 				zap.Int64("short_of", e.Need), zap.Int64("suppressed", suppressed))
 		}
-	case budget.HeldBack:
+	case budget.RefusedByRank:
 		if suppressed, ok := c.allowLine(rankDecision); ok {
 			c.log.Info("tokens kept for more urgent requests", zap.String("budget", e.Budget), zap.Int("rank", e.Rank),
 				zap.Int64("wanted", e.Need), zap.Int64("usable", e.Usable), zap.String("cause", string(e.Cause)), zap.Int64("suppressed", suppressed))
