--- a/gateway/early.go
+++ b/gateway/early.go
@@ -29,7 +29,7 @@
 	return h.Sum64()
 }
 
-// checkReturn finds out whether the request comes back before the time that its caller was told.
+// checkReturn finds out whether the request comes back before the time that its caller received.
 func (g *Gateway) checkReturn(c *call) *result.Error {
 	if g.returns != nil && c.identifiable() {
 		c.returned = g.returns.arrived(c.account.Name, c.content)
--- a/gateway/holding_test.go
+++ b/gateway/holding_test.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// Guards against requests that wait where today's behaviour is asked for, for room after their
+// Guards against requests that wait where the switch is off, for room after their
 // objective, or while the router stops.
 func TestRequestIsRefusedAtOnce(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/placement/choice_patterns_test.go
+++ b/placement/choice_patterns_test.go
@@ -80,9 +80,9 @@
 	return q
 }
 
-// TestModelOfTodaysChoice measures the choice by prefix and own requests in flight. It guards the model
+// TestModelOfChoiceByLimits measures the choice by prefix and own requests in flight. It guards the model
 // itself: a pattern that leaves all streams in time, or none, would compare nothing.
-func TestModelOfTodaysChoice(t *testing.T) {
+func TestModelOfChoiceByLimits(t *testing.T) {
 	for _, p := range modelPatterns() {
 		for _, p.routers = range []int{7, 61, 300} {
 			r := newModel(p, 1).run()
--- a/retryafter/planner.go
+++ b/retryafter/planner.go
@@ -100,7 +100,7 @@
 	return ends > 0 && refused > 0 && refused < fewRefused*(refused+ends)
 }
 
-// honoured returns when a caller comes back that was told a Retry-After.
+// honoured returns when a caller comes back that received a Retry-After.
 func honoured(after, left time.Duration) time.Duration {
 	if left <= 0 {
 		return after
@@ -194,7 +194,7 @@
 	}
 	if now.Sub(e.last) > episodeGap {
 		if key.cause != Tokens { // the outages of the store are observed by ObserveStore
-			// A period of one refusal counts too: otherwise the next chance refusal would be told the
+			// A period of one refusal counts too: otherwise the next chance refusal would get the
 			// length of a burst.
 			p.outages[key.cause].Met(max(e.last.Sub(e.begun), minRemaining))
 		}
--- a/retryafter/refusals.go
+++ b/retryafter/refusals.go
@@ -10,9 +10,9 @@
 	maxRefusals = 1024
 	refusalTTL  = 30 * time.Second
 	// manyRefusals is the number of remembered refusals of an account from which its early returns
-	// are told the remaining time.
+	// get the remaining time.
 	manyRefusals = 8
-	// earlyTolerance is how much earlier than told a caller may return: its remaining time, of which it
+	// earlyTolerance is how much earlier than its Retry-After a caller may return: its remaining time, of which it
 	// honours a third, is shorter than it seems here by the time that the request took to arrive.
 	earlyTolerance = 50 * time.Millisecond
 	// minRequests is the number of requests of an account from which its share of early returns is
@@ -51,7 +51,7 @@
 	return &Refusals{order: list.New(), byRequest: map[refusedRequest]*list.Element{}, accounts: map[string]*accountReturns{}}
 }
 
-// Refused remembers a refusal whose caller was told to come back after the given time and has the
+// Refused remembers a refusal whose caller was asked to come back after the given time and has the
 // given time left; 0: unknown.
 func (r *Refusals) Refused(now time.Time, account string, request uint64, after, left time.Duration) {
 	r.forgetOld(now)
