Observability: what this router hears from each group of servers

21 lines "server ejected" look the same whether 21 servers failed or one router lost its links. The pool now reports what it observes by service and failure domain (package reach), and a line in 5 s for each says how many connections fail, how many exchanges got no byte, when a server last responded and when the store last answered. No decision uses it yet.

--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -158,7 +158,7 @@
 func (c *Controller) probe(ctx context.Context, s placement.Server) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	if err := c.pool.Probe(ctx, s.Address, s.Incarnation()); err != nil {
+	if err := c.pool.Probe(ctx, s); err != nil {
 		return // it stays ejected; the next probe follows after probeInterval
 	}
 	c.mu.Lock()
--- a/controller/updates/fleet_test.go
+++ b/controller/updates/fleet_test.go
@@ -893,7 +893,7 @@
 // goneChecker reports every server as gone.
 type goneChecker struct{}
 
-func (goneChecker) Check(context.Context, string, placement.Incarnation) upstream.Liveness {
+func (goneChecker) Check(context.Context, placement.Server) upstream.Liveness {
 	return upstream.Gone
 }
 
--- a/controller/verdicts/liveness.go
+++ b/controller/verdicts/liveness.go
@@ -58,7 +58,7 @@
 	defer cancel()
 	_ = wait.For(ctx, settleDelay)
 	in := check.server.Incarnation()
-	found := c.Checker.Check(ctx, check.server.Address, in)
+	found := c.Checker.Check(ctx, check.server)
 	requests := c.finishCheck(check)
 	c.Log.Info("answers broke off", zap.String("server", in.ID), zap.Int64("started", in.Started), zap.String("service", check.server.Service),
 		zap.Stringer("process", found), zap.Bool("planned", check.planned), zap.Stringers("fingerprints", requests))
--- a/controller/verdicts/verdicts.go
+++ b/controller/verdicts/verdicts.go
@@ -28,7 +28,7 @@
 
 // Checker checks whether a server's process is alive.
 type Checker interface {
-	Check(ctx context.Context, address string, owner placement.Incarnation) upstream.Liveness
+	Check(ctx context.Context, s placement.Server) upstream.Liveness
 }
 
 // Servers are the backend servers on this router's list.
--- a/controller/verdicts/verdicts_test.go
+++ b/controller/verdicts/verdicts_test.go
@@ -28,7 +28,7 @@
 	asked atomic.Int64
 }
 
-func (c *checker) Check(context.Context, string, placement.Incarnation) upstream.Liveness {
+func (c *checker) Check(context.Context, placement.Server) upstream.Liveness {
 	c.asked.Add(1)
 	return c.found
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/gaplink/gaplink/controller/limits"
 	"github.com/gaplink/gaplink/exchange"
 	"github.com/gaplink/gaplink/placement"
+	"github.com/gaplink/gaplink/reach"
 	"github.com/gaplink/gaplink/upstream"
 )
 
@@ -153,6 +154,7 @@
 	return &upstream.Request{
 		Address:        a.server.Address,
 		Owner:          a.server.Incarnation(),
+		Group:          reach.GroupOf(a.server),
 		MaxConnections: a.connectionLimit(),
 		Method:         a.r.Method,
 		Target:         a.r.RequestURI,
--- a/server/provision.go
+++ b/server/provision.go
@@ -14,6 +14,7 @@
 	"github.com/gaplink/gaplink/controller/evacuations"
 	"github.com/gaplink/gaplink/controller/follow"
 	"github.com/gaplink/gaplink/controller/members"
+	"github.com/gaplink/gaplink/controller/paths"
 	"github.com/gaplink/gaplink/controller/registry"
 	"github.com/gaplink/gaplink/controller/roster"
 	"github.com/gaplink/gaplink/controller/updates"
@@ -43,6 +44,7 @@
 		st.SetCounter(s.meter.Of(link.Store))
 	}
 	s.backlog = newBacklog(s.settings.Memory.LimitMB, s.log)
+	s.paths = paths.New(paths.Options{StoreAnswered: s.store.LastResponse, Log: s.log})
 	s.pool = upstream.New(upstream.Options{
 		DialTimeout:   s.settings.Servers.DialTimeout.Std(),
 		IdleTimeout:   s.settings.Servers.IdleTimeout.Std(),
@@ -50,6 +52,7 @@
 		Backlog:       s.backlog,
 		LinkSaturated: s.link.Saturated,
 		MaxOpen:       s.shares.Backends,
+		Paths:         s.paths,
 
 		SaturatedDialTimeout: saturatedDialTimeout,
 	})
--- a/server/server.go
+++ b/server/server.go
@@ -33,6 +33,7 @@
 	"github.com/gaplink/gaplink/controller/limits"
 	"github.com/gaplink/gaplink/controller/loads"
 	"github.com/gaplink/gaplink/controller/members"
+	"github.com/gaplink/gaplink/controller/paths"
 	"github.com/gaplink/gaplink/controller/registry"
 	"github.com/gaplink/gaplink/controller/roster"
 	"github.com/gaplink/gaplink/controller/updates"
@@ -145,6 +146,7 @@
 	verdicts *verdicts.Controller
 	limits   *limits.Controller
 	loads    *loads.Controller
+	paths    *paths.Controller
 	gateway  *gateway.Gateway
 	pool     *upstream.Pool
 	meter    *link.Meter
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -10,8 +10,10 @@
 	"syscall"
 	"time"
 
+	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/link"
 	"github.com/gaplink/gaplink/placement"
+	"github.com/gaplink/gaplink/reach"
 )
 
 // conn is one connection to a backend server.
@@ -19,32 +21,44 @@
 	net.Conn
 	reader  *bufio.Reader
 	counter *link.Counter
+	paths   Paths
 	addr    string
+	group   reach.Group
 	// owner is the process that the connection was opened for: an address may be
 	// reassigned to another server.
 	owner placement.Incarnation
 	// usedAt is when the connection last became idle, and expires when it is to be closed.
 	usedAt, expires time.Time
+	// readAt is when bytes last arrived, and reportedAt when that was last reported to paths.
+	readAt, reportedAt time.Time
 	// used is set once the connection has carried a request.
 	used bool
 }
 
-func newConn(raw net.Conn, r *Request, counter *link.Counter) *conn {
-	c := &conn{Conn: raw, counter: counter, addr: r.Address, owner: r.Owner}
-	c.reader = bufio.NewReaderSize(countingConn{raw, counter}, readBuffer)
+func (p *Pool) newConn(raw net.Conn, r *Request) *conn {
+	c := &conn{Conn: raw, counter: p.opts.Counter, paths: p.opts.Paths, addr: r.Address, group: r.Group, owner: r.Owner}
+	c.reader = bufio.NewReaderSize(observedReader{c}, readBuffer)
 	return c
 }
 
-// countingConn counts the bytes that are read from a connection.
-type countingConn struct {
-	net.Conn
-	counter *link.Counter
-}
+// reportInterval is the minimum time between two reports that bytes arrived on a connection.
+const reportInterval = 100 * time.Millisecond
+
+// observedReader counts and reports the bytes that are read from a connection.
+type observedReader struct{ c *conn }
 
 // Read implements io.Reader.
-func (c countingConn) Read(b []byte) (int, error) {
+func (r observedReader) Read(b []byte) (int, error) {
+	c := r.c
 	n, err := c.Conn.Read(b)
 	c.counter.Received(n)
+	if n > 0 {
+		c.readAt = clock.Now()
+		if c.readAt.Sub(c.reportedAt) >= reportInterval {
+			c.reportedAt = c.readAt
+			c.paths.Responded(c.group)
+		}
+	}
 	return n, err
 }
 
--- a/upstream/liveness.go
+++ b/upstream/liveness.go
@@ -34,11 +34,11 @@
 
 // Check reports whether a process is alive. An open idle connection proves it at no
 // cost; without one a new connection is opened and kept for later requests.
-func (p *Pool) Check(ctx context.Context, address string, owner placement.Incarnation) Liveness {
-	if p.hasHealthyIdle(address, owner) {
+func (p *Pool) Check(ctx context.Context, s placement.Server) Liveness {
+	if p.hasHealthyIdle(s.Address, s.Incarnation()) {
 		return Alive
 	}
-	c, err := p.dial(ctx, &Request{Address: address, Owner: owner})
+	c, err := p.dial(ctx, requestTo(s))
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
 		return Gone
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -6,14 +6,16 @@
 	"strconv"
 
 	"github.com/gaplink/gaplink/placement"
+	"github.com/gaplink/gaplink/reach"
 )
 
 // Request is one request to a backend server.
 type Request struct {
 	// Address is IP:port.
 	Address string
-	// Owner is the server process that is expected at the address.
+	// Owner is the server process that is expected at the address, and Group its group.
 	Owner placement.Incarnation
+	Group reach.Group
 	// MaxConnections bounds the open connections to the address; 0 means no
 	// bound.
 	MaxConnections int
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -21,6 +21,7 @@
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/link"
 	"github.com/gaplink/gaplink/placement"
+	"github.com/gaplink/gaplink/reach"
 )
 
 const (
@@ -50,8 +51,34 @@
 	// timeout is then SaturatedDialTimeout. LinkSaturated may be nil.
 	LinkSaturated        func() bool
 	SaturatedDialTimeout time.Duration
+	// Paths observes how servers are reached; nil: nothing does.
+	Paths Paths
 }
 
+// Paths observes how servers are reached. It must be safe for concurrent use.
+type Paths interface {
+	// Connected and ConnectFailed report the outcome of opening a connection to a server.
+	Connected(g reach.Group)
+	ConnectFailed(began time.Time, g reach.Group, owner placement.Incarnation)
+	// Sent reports that a request is being sent, Responded that bytes of a response arrived, and
+	// Ended that the wait for the head of the response is over. NotAnswered reports that no byte of
+	// it came.
+	Sent(g reach.Group)
+	Responded(g reach.Group)
+	Ended(g reach.Group)
+	NotAnswered(began time.Time, g reach.Group)
+}
+
+// unobserved is the Paths of a pool without one.
+type unobserved struct{}
+
+func (unobserved) Connected(reach.Group)                                         {}
+func (unobserved) ConnectFailed(time.Time, reach.Group, placement.Incarnation) {}
+func (unobserved) Sent(reach.Group)                                              {}
+func (unobserved) Responded(reach.Group)                                         {}
+func (unobserved) Ended(reach.Group)                                             {}
+func (unobserved) NotAnswered(time.Time, reach.Group)                            {}
+
 // dialTimeout returns the current timeout for opening a connection.
 func (o *Options) dialTimeout() time.Duration {
 	if o.LinkSaturated != nil && o.LinkSaturated() {
@@ -74,6 +101,9 @@
 
 // New returns an empty pool.
 func New(opts Options) *Pool {
+	if opts.Paths == nil {
+		opts.Paths = unobserved{}
+	}
 	return &Pool{opts: opts, idle: map[string][]*conn{}, open: map[string]int{}}
 }
 
@@ -105,9 +135,15 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	a := &Answer{pool: p, conn: c, stop: stop, ctx: ctx, first: !c.used}
 	c.used = true
+	began := clock.Now()
+	p.opts.Paths.Sent(c.group)
 	a.written = write(c, r, p.opts.Backlog)
 	resp, err := a.readHead(r)
+	p.opts.Paths.Ended(c.group)
 	if err != nil {
+		if c.readAt.Before(began) && !errors.Is(context.Cause(ctx), context.Canceled) {
+			p.opts.Paths.NotAnswered(began, c.group)
+		}
 		a.discard()
 		if ctx.Err() != nil {
 			err = ctx.Err()
@@ -165,18 +201,36 @@
 		return nil, errFull
 	}
 	p.dials.Add(1)
+	raw, err := p.connect(ctx, r)
+	if err != nil {
+		p.release(r.Address)
+		return nil, err
+	}
+	return p.newConn(raw, r), nil
+}
+
+// connect opens a connection to a server.
+func (p *Pool) connect(ctx context.Context, r *Request) (net.Conn, error) {
+	began := clock.Now()
 	dialer := net.Dialer{Timeout: p.opts.dialTimeout(), KeepAlive: -1, ControlContext: setUserTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", r.Address)
+	switch {
+	case err == nil:
+		p.opts.Paths.Connected(r.Group)
+	case !errors.Is(ctx.Err(), context.Canceled) && !p.linkSaturated():
+		p.opts.Paths.ConnectFailed(began, r.Group, r.Owner)
+	}
 	if err != nil {
-		p.release(r.Address)
 		return nil, err
 	}
 	if tcp, ok := raw.(*net.TCPConn); ok {
 		_ = tcp.SetWriteBuffer(SendBuffer) // fails only on a closed connection
 	}
-	return newConn(raw, r, p.opts.Counter), nil
+	return raw, nil
 }
 
+func (p *Pool) linkSaturated() bool { return p.opts.LinkSaturated != nil && p.opts.LinkSaturated() }
+
 // reserve counts a connection that is about to be opened; false means that a limit is
 // reached. It may return an idle connection that the caller must close to stay within
 // the limit.
@@ -237,10 +291,15 @@
 	p.putBack(c)
 }
 
+// requestTo returns a request to a server that opens a connection and sends nothing.
+func requestTo(s placement.Server) *Request {
+	return &Request{Address: s.Address, Owner: s.Incarnation(), Group: reach.GroupOf(s)}
+}
+
 // Probe opens a connection to a server and keeps it for later requests; an error
 // means that the server is unreachable.
-func (p *Pool) Probe(ctx context.Context, address string, owner placement.Incarnation) error {
-	c, err := p.dial(ctx, &Request{Address: address, Owner: owner})
+func (p *Pool) Probe(ctx context.Context, s placement.Server) error {
+	c, err := p.dial(ctx, requestTo(s))
 	if err != nil {
 		return err
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -340,8 +340,9 @@
 
 // TestCheck covers servers that keep, close and refuse connections.
 func TestCheck(t *testing.T) {
-	owner := placement.Incarnation{ID: "s"}
-	check := func(addr string) upstream.Liveness { return newPool().Check(t.Context(), addr, owner) }
+	check := func(addr string) upstream.Liveness {
+		return newPool().Check(t.Context(), placement.Server{ID: "s", Address: addr})
+	}
 	if got := check(listen(t, func(c net.Conn) { _, _ = io.ReadAll(c) })); got != upstream.Alive {
 		t.Errorf("a server that listens is %s", got)
 	}
@@ -363,7 +364,7 @@
 func TestCheckUsesIdleConnection(t *testing.T) {
 	p := newPool()
 	addr := listen(t, answers(response("a", "x"), response("b", "x")))
-	owner := placement.Incarnation{ID: "s"}
+	server := placement.Server{ID: "s", Address: addr}
 	exchange := func(id string) {
 		answer, failure := p.Send(t.Context(), get(addr, id))
 		if failure != nil {
@@ -374,7 +375,7 @@
 		}
 	}
 	exchange("a")
-	if got := p.Check(t.Context(), addr, owner); got != upstream.Alive {
+	if got := p.Check(t.Context(), server); got != upstream.Alive {
 		t.Errorf("the server is %s", got)
 	}
 	exchange("b")
