--- a/server/provision.go
+++ b/server/provision.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"time"
 
 	"github.com/gaplink/gaplink/bound"
@@ -47,6 +48,7 @@
 	s.paths = paths.New(paths.Options{StoreAnswered: s.store.LastResponse, Log: s.log})
 	s.pool = upstream.New(upstream.Options{
 		DialTimeout:   s.settings.Servers.DialTimeout.Std(),
+		Source:        net.ParseIP(s.settings.Servers.Source),
 		IdleTimeout:   s.settings.Servers.IdleTimeout.Std(),
 		Counter:       s.meter.Of(link.Servers),
 		Backlog:       s.backlog,
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -117,6 +117,9 @@
 	// IdleTimeout is how long an idle connection is kept if the server announces no
 	// timeout itself.
 	IdleTimeout Duration `toml:"idle_timeout" validate:"min=1000000"`
+	// Source is the IP address from which connections are opened, for instances with several; if
+	// empty, the system chooses.
+	Source string `toml:"source" validate:"omitempty,ip"`
 }
 
 // GatewayRetries limits the retries of all routers together.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -36,6 +36,8 @@
 type Options struct {
 	// DialTimeout is the timeout for opening a connection.
 	DialTimeout time.Duration
+	// Source is the IP address from which connections are opened; nil: the system chooses.
+	Source net.IP
 	// IdleTimeout is how long an idle connection is kept if the server declares
 	// no keep-alive timeout.
 	IdleTimeout time.Duration
@@ -213,6 +215,9 @@
 func (p *Pool) connect(ctx context.Context, r *Request) (net.Conn, error) {
 	began := clock.Now()
 	dialer := net.Dialer{Timeout: p.opts.dialTimeout(), KeepAlive: -1, ControlContext: setUserTimeout}
+	if p.opts.Source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: p.opts.Source}
+	}
 	raw, err := dialer.DialContext(ctx, "tcp", r.Address)
 	switch {
 	case err == nil:
