Routers that are cut off from servers reach them through other routers

Cause: a request ended at a server that its router reaches itself, or in a refusal. A failure to reach a server always counted as that server's fault, so one router's lost links became 21 ejected servers; nothing compared it with what others reach, and no router could use another one's links.

Now a group of servers (service and failure domain) with failures and no response is verified: if this router does not reach a server that another router reaches, it is cut off from the group, and connections to it lead through other routers (package tunnel: an HTTP CONNECT at the routers' address, then the bytes unchanged). Key, budget, retries, permits, deadline and what may have run stay with the first router, as with a direct connection, so nothing is charged or run twice by construction; a connection that was not opened sent nothing. A tunnel has one router in between at most, ends as the server's connection ends, and otherwise by a reset, also when the router in between is killed. Probes each 500 ms bring direct connections back while requests go on through the others. A server that refuses this router counts as gone for requests that crash servers only if no other router reaches it either.

While servers respond nothing is asked.

--- a/controller/members/members.go
+++ b/controller/members/members.go
@@ -301,6 +301,13 @@
 	c.Registered(nil, gone)
 }
 
+// HasHost reports whether a listed router other than this one has an IP address.
+func (c *Controller) HasHost(ip string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.HasHost(ip)
+}
+
 // ReportRestart records that a router runs a process other than the known one.
 func (c *Controller) ReportRestart(id string) {
 	c.mu.Lock()
--- a/controller/paths/paths_test.go
+++ b/controller/paths/paths_test.go
@@ -1,6 +1,8 @@
 package paths_test
 
 import (
+	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -13,11 +15,28 @@
 	"github.com/gaplink/gaplink/reach"
 )
 
+// noServers are no registered servers.
+type noServers struct{}
+
+func (noServers) OfGroup(reach.Group, placement.Incarnation, int) []placement.Server { return nil }
+func (noServers) RestoreGroup(reach.Group)                                           {}
+
+// noFleet is a fleet without other routers.
+type noFleet struct{}
+
+func (noFleet) Others() []string { return nil }
+func (noFleet) Reach(context.Context, string, reach.Group) (bool, []string, error) {
+	return false, nil, nil
+}
+func (noFleet) Open(context.Context, string, placement.Server) (net.Conn, int, error) {
+	return nil, 0, nil
+}
+
 // Guards against a router cut off from servers whose log shows nothing but servers that failed one by
 // one.
 func TestSilentServersAreLoggedOncePerGroup(t *testing.T) {
 	core, lines := observer.New(zap.InfoLevel)
-	c := paths.New(paths.Options{StoreAnswered: clock.Now, Log: zap.New(core)})
+	c := paths.New(paths.Options{Servers: noServers{}, Fleet: noFleet{}, StoreAnswered: clock.Now, Log: zap.New(core)})
 	cut, fine := reach.Group{Service: "m", Domain: "a"}, reach.Group{Service: "m", Domain: "b"}
 	for _, g := range []reach.Group{cut, fine} {
 		c.Sent(g)
@@ -29,7 +48,7 @@
 	c.ConnectFailed(began, fine, placement.Incarnation{ID: "s2"})
 	c.Connected(fine)
 	for range 3 {
-		c.Tick(clock.Now().Add(time.Second))
+		c.Tick(t.Context(), clock.Now().Add(time.Second))
 	}
 	all := lines.FilterMessage("servers do not respond to this router").All()
 	if len(all) != 1 {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -70,6 +70,7 @@
 	defer cancel(nil)
 	wd := a.startWatchdog(cancel)
 	defer wd.stop()
+	defer a.g.exchanges.add(a, wd)()
 	a.sentAt = clock.Now()
 	answer, failure := a.g.Pool.Send(ctx, a.request())
 	if failure != nil {
@@ -231,7 +232,7 @@
 func (a *attempt) sendFailed(ctx context.Context, f *upstream.Failure) disposition {
 	if f.Stage == upstream.NotSent {
 		serverOutcome := placement.Unreachable
-		if f.Full || f.Outdated || a.g.LinkSaturated() || a.r.Context().Err() != nil {
+		if f.Full || f.Outdated || f.NoPath || a.g.LinkSaturated() || a.r.Context().Err() != nil {
 			serverOutcome = placement.Neutral
 		}
 		return a.finish(notReached, "not reached", serverOutcome, f)
@@ -246,6 +247,8 @@
 	switch {
 	case a.r.Context().Err() != nil:
 		return a.finish(failed, "caller gone", placement.Neutral, nil)
+	case errors.Is(context.Cause(ctx), errCutOff):
+		return a.finish(failed, "cut off", placement.Neutral, errCutOff)
 	case errors.Is(context.Cause(ctx), errTooSlow):
 		return a.finish(failed, "too slow", placement.Failed, errTooSlow)
 	case ctx.Err() != nil:
--- a/gateway/attempt_record.go
+++ b/gateway/attempt_record.go
@@ -23,6 +23,8 @@
 	registrationAge time.Duration
 	// status is 0 if no response head arrived.
 	status int
+	// router is the router through which the server was reached; empty if directly.
+	router string
 	// framed reports that the response's own framing marks its end.
 	framed bool
 	// leaving reports that the response announced that the server is leaving.
@@ -51,6 +53,7 @@
 func (n *attemptRecord) setAnswer(answer *upstream.Answer) {
 	n.status = answer.StatusCode
 	n.framed = answer.Framed()
+	n.router = answer.Router()
 }
 
 // addEvents records events that are forwarded to the caller.
@@ -82,6 +85,9 @@
 	} else {
 		b.WriteString(" unframed")
 	}
+	if n.router != "" {
+		b.WriteString(", through " + n.router)
+	}
 	if n.leaving {
 		b.WriteString(", server leaving")
 	}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -69,9 +69,13 @@
 // attempt is allowed before.
 func (c *call) tryServers(ctx context.Context) *result.Error {
 	tried := map[placement.Incarnation]bool{}
+	var unreached []placement.Incarnation
 	var counts attemptCounts
 	for {
 		a, refusal := c.pick(ctx, tried)
+		if refusal != nil && c.awaitPath(ctx, tried, unreached) {
+			continue
+		}
 		if refusal != nil {
 			return refusal
 		}
@@ -83,6 +87,15 @@
 			return nil
 		}
 		counts.add(d)
+		if d == notReached {
+			unreached = append(unreached, a.server.Incarnation())
+			if lacksPath(a.err) {
+				counts.unreached++ // further servers probably lack one too
+			}
+			if counts.unreached >= maxUnreached && c.awaitPath(ctx, tried, unreached) {
+				counts.unreached, unreached = 0, nil
+			}
+		}
 		c.refusedByServer = c.refusedByServer || d == notRun
 		if stop := c.checkRetry(ctx, d, a, counts); stop != nil {
 			return stop
@@ -90,6 +103,12 @@
 	}
 }
 
+// lacksPath reports whether a server was not reached because no other router provided a connection.
+func lacksPath(err error) bool {
+	var failure *upstream.Failure
+	return errors.As(err, &failure) && failure.NoPath
+}
+
 // attemptCounts counts the ended attempts of a request by disposition.
 type attemptCounts struct {
 	// sent counts attempts that may have run, refused those that certainly did not, and
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,6 +60,8 @@
 	Limits  Limits
 	Logs    logs.Loggers
 	Metrics *Metrics
+	// Paths decides how servers are reached; nil: directly.
+	Paths Paths
 	// Routers returns the number of routers that share the servers.
 	Routers func() int
 	// LinkDelay returns how long requests and responses queue at the router's own network link,
@@ -95,6 +97,7 @@
 	steps       []step
 	inFlight    atomic.Int64
 	running     runningCalls
+	exchanges   exchanges
 	returns     *returns // nil without Options.Returns
 	holding     *holding // likewise
 	draining    atomic.Bool
@@ -195,6 +198,8 @@
 	mayHaveRun bool
 	// refusedByServer reports that a server refused the request before running it.
 	refusedByServer bool
+	// awaitedPath reports that the request has waited for a path to its servers.
+	awaitedPath bool
 
 	outcome result.Code
 	cause   error
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gaplink/gaplink/catalog"
+	"github.com/gaplink/gaplink/clock"
 )
 
 // errTooSlow is the cause with which an attempt is cancelled when its server sends nothing, so
@@ -33,8 +34,10 @@
 // watchdog cancels an attempt that makes no progress, if the router's retry budget for the
 // service and the account's token budget allow another one. With a nil timer it never fires.
 type watchdog struct {
-	mu           sync.Mutex
-	stopped      bool
+	mu      sync.Mutex
+	stopped bool
+	// progressAt is when the attempt began or data of the response last arrived.
+	progressAt   time.Time
 	timer        *time.Timer
 	pauseTimeout time.Duration
 	// reserveRetry reserves what another attempt needs and reports whether it could. It is not
@@ -48,19 +51,16 @@
 
 // startWatchdog starts the watchdog of an attempt that may be followed by another.
 func (a *attempt) startWatchdog(cancel context.CancelCauseFunc) *watchdog {
+	w := &watchdog{progressAt: clock.Now(), reserveRetry: a.reserveRetry, cancel: cancel}
 	if a.isLast || !a.route.MayRepeat() || a.route.LatencyObjective == 0 {
-		return &watchdog{}
+		return w
 	}
 	share := silenceTimeoutShare
 	if a.route.Kind == catalog.Stream {
 		share = streamSilenceTimeoutShare
 	}
 	first := time.Duration(share * float64(a.route.LatencyObjective))
-	w := &watchdog{
-		pauseTimeout: max(pauseTimeoutFactor*a.route.EventObjective, minPauseTimeout),
-		reserveRetry: a.reserveRetry,
-		cancel:       cancel,
-	}
+	w.pauseTimeout = max(pauseTimeoutFactor*a.route.EventObjective, minPauseTimeout)
 	w.timer = time.AfterFunc(never, w.onTimeout)
 	w.timer.Reset(first)
 	return w
@@ -69,7 +69,7 @@
 // reserveRetry reserves the retry and the tokens for the request's next attempt, so that of
 // several attempts that time out together only as many are cancelled as can be retried.
 func (a *attempt) reserveRetry() bool {
-	if !a.mayRepeat() {
+	if a.isLast || !a.mayRepeat() {
 		return false
 	}
 	metered := a.reserved > 0 && a.MaxTokensOut > 0
@@ -109,6 +109,7 @@
 func (w *watchdog) recordProgress() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.progressAt = clock.Now()
 	if w.timer != nil && !w.stopped {
 		w.timer.Reset(w.pauseTimeout)
 	}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -9,6 +9,7 @@
 import (
 	"iter"
 	"maps"
+	"net"
 	"slices"
 	"sort"
 	"time"
@@ -45,6 +46,15 @@
 	Incarnation string `json:"incarnation,omitempty"`
 }
 
+// Host returns the IP address of a member; empty if its address has none.
+func (m Member) Host() string {
+	host, _, err := net.SplitHostPort(m.Addr)
+	if err != nil {
+		return ""
+	}
+	return host
+}
+
 // suspectFor is how long a member is suspected after a failed call.
 const suspectFor = 2 * time.Second
 
@@ -189,6 +199,16 @@
 	return m, ok
 }
 
+// HasHost reports whether a listed router other than this one has an IP address.
+func (v *View) HasHost(ip string) bool {
+	for id, m := range v.members {
+		if id != v.self && m.Host() == ip {
+			return true
+		}
+	}
+	return false
+}
+
 // Members returns all listed members sorted by id.
 func (v *View) Members() []Member {
 	all := make([]Member, 0, len(v.members))
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -33,6 +33,7 @@
 	MethodLimits   = "limits.Report"
 	MethodPermit   = "limits.Permit"
 	MethodLoad     = "load.Exchange"
+	MethodReach    = "servers.Reach"
 )
 
 // Empty is an empty request or response.
@@ -292,6 +293,18 @@
 	Links []DomainLinks
 }
 
+// ReachRequest asks whether a router reaches the servers of a service in a failure domain.
+type ReachRequest struct{ Service, Domain string }
+
+// ReachAnswer answers a ReachRequest.
+type ReachAnswer struct {
+	// Direct is set if the responding router reaches the servers itself, as far as it knows, and connects
+	// other routers to them.
+	Direct bool
+	// Through are routers through which the responding router reaches the servers.
+	Through []string
+}
+
 // DomainLinks are the link loads of routers of a failure domain, in the form of load.PackLinks.
 type DomainLinks struct {
 	Domain string
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -40,6 +40,14 @@
 // Group is a set of servers that a partition cuts off together: those of a service in a failure domain.
 type Group struct{ Service, Domain string }
 
+// Path is how connections to the servers of a group are to be opened.
+type Path struct {
+	// Indirect: through another router.
+	Indirect bool
+	// OpenWork reports, for an indirect path, that direct connections that are open still work.
+	OpenWork bool
+}
+
 // GroupOf returns the group of a server.
 func GroupOf(s placement.Server) Group { return Group{s.Service, s.Domain} }
 
@@ -185,17 +193,15 @@
 	return Evidence{}
 }
 
-// CutOff reports whether connections to a group are to be opened through another router.
-func (t *Tracker) CutOff(g Group) bool {
-	s, ok := t.groups[g]
-	return ok && s.cutOff
-}
-
-// OpenWork reports whether connections to a group that were opened before it was cut off work: a server
-// has responded on one since.
-func (t *Tracker) OpenWork(g Group) bool {
+// Path returns how connections to a group are to be opened. Direct connections that are open may live on
+// while new ones fail: a server has responded on one since, and none has failed.
+func (t *Tracker) Path(now time.Time, g Group) Path {
 	s, ok := t.groups[g]
-	return !ok || !s.cutOff || s.Evidence.Responded.After(s.First)
+	if !ok || !s.cutOff {
+		return Path{}
+	}
+	answered := s.Evidence.Responded
+	return Path{Indirect: true, OpenWork: s.Evidence.NotAnswered == 0 && answered.After(s.First) && now.Sub(answered) < silenceLimit}
 }
 
 // Suspect reports whether a group may be cut off, which is to be verified.
@@ -205,8 +211,15 @@
 }
 
 func (s *state) suspect(now time.Time) bool {
-	quiet := now.Sub(s.Evidence.Responded) >= minQuiet
-	return s.NotConnected >= manyServers || s.Any() && quiet || s.silent(now)
+	return s.NotConnected >= manyServers || s.Any() && s.quiet(now) || s.silent(now)
+}
+
+func (s *state) quiet(now time.Time) bool { return now.Sub(s.Evidence.Responded) >= minQuiet }
+
+// Quiet reports whether no server of a group has responded directly for some time.
+func (t *Tracker) Quiet(now time.Time, g Group) bool {
+	s, ok := t.groups[g]
+	return !ok || s.quiet(now)
 }
 
 // silent reports whether requests wait and no server has sent a byte for silenceLimit.
@@ -316,12 +329,3 @@
 	}
 	return list
 }
-
-// Retain forgets the groups that keep does not accept, unless they are cut off.
-func (t *Tracker) Retain(keep func(Group) bool) {
-	for g, s := range t.groups {
-		if !s.cutOff && s.Waiting == 0 && !keep(g) {
-			delete(t.groups, g)
-		}
-	}
-}
--- /dev/null
+++ b/reach/routers_test.go
@@ -0,0 +1,61 @@
+package reach_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/gaplink/gaplink/reach"
+)
+
+// Guards against a router that is asked again and again although it provides nothing, and one that is
+// never asked again.
+func TestRouterThatProvidesNothingIsAskedRarely(t *testing.T) {
+	r, now := reach.NewRouters(), time.Unix(1000, 0)
+	asked := 0
+	for end := now.Add(time.Minute); now.Before(end); now = now.Add(10 * time.Millisecond) {
+		if r.Usable(now, "r2") {
+			asked++
+			r.Failed(now, "r2")
+		}
+	}
+	if asked < 15 || asked > 25 {
+		t.Errorf("asked %d times in a minute", asked)
+	}
+	for range 20 {
+		now = now.Add(time.Second)
+		r.Busy(now, "r2")
+	}
+	if !r.Usable(now.Add(300*time.Millisecond), "r2") {
+		t.Error("a router that was full is not asked soon")
+	}
+}
+
+// Guards against requests through a router that is stopping or broke off, or that does not reach servers.
+func TestRoutersAreDropped(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for name, drop := range map[string]func(*reach.Routers, time.Time){
+		"stopping": func(r *reach.Routers, now time.Time) { r.Leaving(now, "r2") },
+		"does not reach servers": func(r *reach.Routers, _ time.Time) {
+			r.ServerNotReached(group, "r2")
+			r.ServerNotReached(group, "r2")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, now := reach.NewRouters(), time.Unix(1000, 0)
+			r.Add(group, "r2")
+			if id, ok := r.Pick(now, rng, group, nil); !ok || id != "r2" {
+				t.Fatalf("picked %q", id)
+			}
+			drop(r, now)
+			if id, ok := r.Pick(now.Add(5*time.Second), rng, group, nil); ok {
+				t.Errorf("picked %q", id)
+			}
+		})
+	}
+	r, now := reach.NewRouters(), time.Unix(1000, 0)
+	r.Broken(now, "r2")
+	if r.KeepsConnections(now, "r2") || !r.KeepsConnections(now.Add(time.Second), "r2") {
+		t.Error("connections through a router that broke off")
+	}
+}
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -60,6 +60,7 @@
 	s.gauge("gaplink_server_dials", "Connections opened to backend servers.", func() float64 { return float64(s.pool.Stats().Dials) })
 	s.gauge("gaplink_server_reuses", "Requests sent on kept connections.", func() float64 { return float64(s.pool.Stats().Reuses) })
 	s.registerSockets()
+	s.registerPaths()
 	s.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	s.registry.MustRegister(&stateCollector{server: s})
 }
--- a/server/provision.go
+++ b/server/provision.go
@@ -15,7 +15,6 @@
 	"github.com/gaplink/gaplink/controller/evacuations"
 	"github.com/gaplink/gaplink/controller/follow"
 	"github.com/gaplink/gaplink/controller/members"
-	"github.com/gaplink/gaplink/controller/paths"
 	"github.com/gaplink/gaplink/controller/registry"
 	"github.com/gaplink/gaplink/controller/roster"
 	"github.com/gaplink/gaplink/controller/updates"
@@ -45,7 +44,7 @@
 		st.SetCounter(s.meter.Of(link.Store))
 	}
 	s.backlog = newBacklog(s.settings.Memory.LimitMB, s.log)
-	s.paths = paths.New(paths.Options{StoreAnswered: s.store.LastResponse, Log: s.log})
+	s.paths = s.newPaths()
 	s.pool = upstream.New(upstream.Options{
 		DialTimeout:   s.settings.Servers.DialTimeout.Std(),
 		Source:        net.ParseIP(s.settings.Servers.Source),
@@ -62,6 +61,7 @@
 	s.servers.SetPredictions(s.settings.Load.Servers)
 	s.servers.SetUnknownFields(s.platform.UnknownServerFields)
 	s.provisionPeers()
+	s.tunnels = s.newTunnels()
 	s.limits = s.newLimits()
 	s.servers.SetLimits(s.limits)
 	s.verdicts = verdicts.New(verdicts.Options{
@@ -93,6 +93,7 @@
 		Retries:       retry.NewBudgets(s.settings.Retries.Ratio*retryShare, s.retryBurst),
 		Logs:          s.logs,
 		Metrics:       gateway.NewMetrics(s.registry),
+		Paths:         s.paths,
 		Routers:       s.roster.Size,
 		LinkSaturated: s.link.Saturated,
 		LinkDelay:     s.linkDelay,
@@ -231,6 +232,8 @@
 	peer.Handle(m, peer.MethodLimits, s.limits.OnReport)
 	peer.Handle(m, peer.MethodPermit, s.limits.OnPermit)
 	peer.Handle(m, peer.MethodLoad, s.loads.OnExchange)
+	peer.Handle(m, peer.MethodReach, s.handleReach)
+	peer.Handle(m, peer.MethodLeaving, s.handleLeaving)
 	peer.Handle(m, peer.MethodAdmin, s.handleAdmin)
 	return m
 }
--- a/server/server.go
+++ b/server/server.go
@@ -47,6 +47,7 @@
 	"github.com/gaplink/gaplink/settings"
 	"github.com/gaplink/gaplink/sockets"
 	"github.com/gaplink/gaplink/store"
+	"github.com/gaplink/gaplink/tunnel"
 	"github.com/gaplink/gaplink/upstream"
 )
 
@@ -147,6 +148,7 @@
 	limits   *limits.Controller
 	loads    *loads.Controller
 	paths    *paths.Controller
+	tunnels  *tunnel.Server
 	gateway  *gateway.Gateway
 	pool     *upstream.Pool
 	meter    *link.Meter
@@ -343,7 +345,7 @@
 	}
 	s.peerListener = sockets.NewEvictingListener(listener, s.shares.PeersIn)
 	s.peerListener.OnError = s.descriptors.handleError
-	peers := s.meter.Of(link.Routers).Listener(s.peerListener)
+	peers := tunnel.NewListener(s.meter.Of(link.Routers).Listener(s.peerListener), s.tunnels.Serve)
 	if err := s.serveMetrics(); err != nil {
 		return err
 	}
@@ -422,10 +424,15 @@
 
 // Ready reports whether the server should receive new connections.
 func (s *Server) Ready() bool {
+	return !s.isStopping() && s.configs.Catalog() != nil && s.servers.Ready() && !s.shedding() && !s.stale()
+}
+
+// isStopping reports whether a planned stop has begun.
+func (s *Server) isStopping() bool {
 	select {
 	case <-s.stopping:
-		return false
+		return true
 	default:
-		return s.configs.Catalog() != nil && s.servers.Ready() && !s.shedding() && !s.stale()
+		return false
 	}
 }
--- a/server/stop.go
+++ b/server/stop.go
@@ -19,6 +19,7 @@
 	s.log.Info("stopping", zap.Int64("in_flight", s.gateway.InFlight()))
 	close(s.stopping)
 	s.gateway.Drain()
+	s.stopTunnels()
 	time.Sleep(planned.Notice.Std())
 	s.gateway.RefuseNew()
 	s.budgets.StartClose()
@@ -50,9 +51,10 @@
 	_ = s.callers.Close() // closes the remaining connections; an error closing them is harmless
 }
 
-// drain waits until no request is in flight or the given time is reached.
+// drain waits until no request is in flight here, nor a request of another router in a tunnel, or the
+// given time is reached.
 func (s *Server) drain(until time.Time) {
-	for s.gateway.InFlight() > 0 && clock.Now().Before(until) {
+	for s.gateway.InFlight()+int64(s.tunnels.Busy()) > 0 && clock.Now().Before(until) {
 		time.Sleep(drainPollInterval)
 	}
 }
--- a/sockets/listener.go
+++ b/sockets/listener.go
@@ -132,6 +132,39 @@
 	}
 }
 
+// Reserve counts a connection that was accepted elsewhere as one of this listener until release is
+// called; false means that the listener is at its limit.
+func (l *Listener) Reserve() (release func(), ok bool) {
+	if l.slots != nil {
+		select {
+		case l.slots <- struct{}{}:
+		default:
+			return nil, false
+		}
+	}
+	l.open.Add(1)
+	return sync.OnceFunc(func() {
+		l.open.Add(-1)
+		l.release()
+	}), true
+}
+
+// Detach excludes a connection from the limit of the listener that accepted it, which then neither counts
+// nor evicts it.
+func Detach(c net.Conn) {
+	for {
+		if own, ok := c.(*conn); ok {
+			own.once.Do(own.unregister)
+			return
+		}
+		wrapper, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return
+		}
+		c = wrapper.NetConn()
+	}
+}
+
 // Close implements net.Listener.
 func (l *Listener) Close() error {
 	l.once.Do(func() { close(l.closed) })
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -93,6 +93,9 @@
 	return n, err
 }
 
+// Router returns the router through which the server was reached; empty if directly.
+func (a *Answer) Router() string { return a.conn.router }
+
 // Close releases the response. If the body was not read to its end, the connection
 // is closed, which cancels the request at the server.
 func (a *Answer) Close() { a.discard() }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
@@ -24,6 +25,8 @@
 	paths   Paths
 	addr    string
 	group   reach.Group
+	// router is the router through which the connection leads; empty for a direct one.
+	router string
 	// owner is the process that the connection was opened for: an address may be
 	// reassigned to another server.
 	owner placement.Incarnation
@@ -41,6 +44,45 @@
 	return c
 }
 
+// startWait and endWait report that a response is awaited on a direct connection.
+func (c *conn) startWait() {
+	if c.router == "" {
+		c.paths.Sent(c.group)
+	}
+}
+
+func (c *conn) endWait() {
+	if c.router == "" {
+		c.paths.Ended(c.group)
+	}
+}
+
+// reportNotAnswered reports that no byte of a response came since the request was sent.
+func (c *conn) reportNotAnswered(began time.Time) {
+	if c.router == "" {
+		c.paths.NotAnswered(began, c.group)
+	} else {
+		c.paths.Broken(c.router)
+	}
+}
+
+// lentConn is a connection that is opened for another router.
+type lentConn struct {
+	net.Conn
+	once    sync.Once
+	release func()
+}
+
+// NetConn returns the wrapped connection.
+func (c *lentConn) NetConn() net.Conn { return c.Conn }
+
+// Close implements net.Conn.
+func (c *lentConn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(c.release)
+	return err
+}
+
 // reportInterval is the minimum time between two reports that bytes arrived on a connection.
 const reportInterval = 100 * time.Millisecond
 
@@ -56,7 +98,9 @@
 		c.readAt = clock.Now()
 		if c.readAt.Sub(c.reportedAt) >= reportInterval {
 			c.reportedAt = c.readAt
-			c.paths.Responded(c.group)
+			if c.router == "" {
+				c.paths.Responded(c.group)
+			}
 		}
 	}
 	return n, err
--- a/upstream/liveness.go
+++ b/upstream/liveness.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"os"
 	"syscall"
 	"time"
@@ -38,10 +40,11 @@
 	if p.hasHealthyIdle(s.Address, s.Incarnation()) {
 		return Alive
 	}
-	c, err := p.dial(ctx, requestTo(s))
+	r := requestTo(s)
+	c, err := p.dial(ctx, r, p.opts.Paths.Path(r.Group))
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
-		return Gone
+		return p.goneUnlessElsewhere(ctx, s)
 	case err != nil:
 		return Unknown
 	}
@@ -52,15 +55,58 @@
 		_ = c.SetReadDeadline(time.Time{})
 		p.put(c, p.opts.IdleTimeout)
 		return Alive
+	case c.router != "":
+		p.drop(c) // the router in between may have ended
+		return Unknown
 	case errors.Is(err, io.EOF), errors.Is(err, syscall.ECONNRESET):
 		p.drop(c)
-		return Gone
+		return p.goneUnlessElsewhere(ctx, s)
 	default:
 		p.drop(c) // unsolicited bytes, or an inconclusive error
 		return Unknown
 	}
 }
 
+// goneUnlessElsewhere returns the state of a process whose address refuses this router: in a network
+// partition that refuses connections, other routers reach it.
+func (p *Pool) goneUnlessElsewhere(ctx context.Context, s placement.Server) Liveness {
+	if p.opts.Paths.ReachedElsewhere(ctx, s) {
+		return Unknown
+	}
+	return Gone
+}
+
+// Ping checks that a server is reached over a direct connection: it accepts one, and if a path is given,
+// it also responds to a GET of it. The result is not reported to Paths.
+func (p *Pool) Ping(ctx context.Context, s placement.Server, path string) error {
+	raw, err := p.directDialer().DialContext(ctx, "tcp", s.Address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = raw.Close() }()
+	return Respond(ctx, raw, s, path)
+}
+
+// Respond checks that a server responds on a new connection: it does not close it at once, and if a path
+// is given, it sends a response to a GET of it. Any status shows that the server is reached.
+func Respond(ctx context.Context, c net.Conn, s placement.Server, path string) error {
+	deadline, ok := ctx.Deadline()
+	if path == "" {
+		deadline, ok = time.Now().Add(minOpenTime), true
+	} else if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", path, s.Address); err != nil {
+		return err
+	}
+	if ok {
+		_ = c.SetReadDeadline(deadline) // fails only on a closed connection, where the read fails too
+	}
+	var first [1]byte
+	_, err := c.Read(first[:])
+	if path == "" && errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return err
+}
+
 // hasHealthyIdle reports whether there is a healthy idle connection to a process. It
 // drops the other ones that it finds.
 func (p *Pool) hasHealthyIdle(address string, owner placement.Incarnation) bool {
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -34,6 +34,11 @@
 	Match func(*http.Response) MatchResult
 }
 
+// server returns what the request says about its server.
+func (r *Request) server() placement.Server {
+	return placement.Server{ID: r.Owner.ID, Started: r.Owner.Started, Service: r.Group.Service, Address: r.Address, Domain: r.Group.Domain}
+}
+
 // MatchResult is the relation of a response to the request that was sent.
 type MatchResult int
 
@@ -67,7 +72,10 @@
 	// Outdated is set if StillValid reported that the request should no longer go to this
 	// server.
 	Outdated bool
-	Err      error
+	// NoPath is set if the server is reached only through other routers and none of them provided a
+	// connection, which says nothing about the server.
+	NoPath bool
+	Err    error
 }
 
 // Error implements error.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -53,34 +53,10 @@
 	// timeout is then SaturatedDialTimeout. LinkSaturated may be nil.
 	LinkSaturated        func() bool
 	SaturatedDialTimeout time.Duration
-	// Paths observes how servers are reached; nil: nothing does.
+	// Paths observes and decides how servers are reached; nil: directly.
 	Paths Paths
 }
 
-// Paths observes how servers are reached. It must be safe for concurrent use.
-type Paths interface {
-	// Connected and ConnectFailed report the outcome of opening a connection to a server.
-	Connected(g reach.Group)
-	ConnectFailed(began time.Time, g reach.Group, owner placement.Incarnation)
-	// Sent reports that a request is being sent, Responded that bytes of a response arrived, and
-	// Ended that the wait for the head of the response is over. NotAnswered reports that no byte of
-	// it came.
-	Sent(g reach.Group)
-	Responded(g reach.Group)
-	Ended(g reach.Group)
-	NotAnswered(began time.Time, g reach.Group)
-}
-
-// unobserved is the Paths of a pool without one.
-type unobserved struct{}
-
-func (unobserved) Connected(reach.Group)                                         {}
-func (unobserved) ConnectFailed(time.Time, reach.Group, placement.Incarnation) {}
-func (unobserved) Sent(reach.Group)                                              {}
-func (unobserved) Responded(reach.Group)                                         {}
-func (unobserved) Ended(reach.Group)                                             {}
-func (unobserved) NotAnswered(time.Time, reach.Group)                            {}
-
 // dialTimeout returns the current timeout for opening a connection.
 func (o *Options) dialTimeout() time.Duration {
 	if o.LinkSaturated != nil && o.LinkSaturated() {
@@ -104,7 +80,7 @@
 // New returns an empty pool.
 func New(opts Options) *Pool {
 	if opts.Paths == nil {
-		opts.Paths = unobserved{}
+		opts.Paths = direct{}
 	}
 	return &Pool{opts: opts, idle: map[string][]*conn{}, open: map[string]int{}}
 }
@@ -128,7 +104,7 @@
 func (p *Pool) Send(ctx context.Context, r *Request) (*Answer, *Failure) {
 	c, err := p.get(ctx, r)
 	if err != nil {
-		return nil, &Failure{Stage: NotSent, Full: errors.Is(err, errFull), Err: err}
+		return nil, &Failure{Stage: NotSent, Full: errors.Is(err, errFull), NoPath: errors.Is(err, ErrNoPath), Err: err}
 	}
 	if r.StillValid != nil && !r.StillValid() {
 		p.drop(c)
@@ -138,13 +114,13 @@
 	a := &Answer{pool: p, conn: c, stop: stop, ctx: ctx, first: !c.used}
 	c.used = true
 	began := clock.Now()
-	p.opts.Paths.Sent(c.group)
+	c.startWait()
 	a.written = write(c, r, p.opts.Backlog)
 	resp, err := a.readHead(r)
-	p.opts.Paths.Ended(c.group)
+	c.endWait()
 	if err != nil {
 		if c.readAt.Before(began) && !errors.Is(context.Cause(ctx), context.Canceled) {
-			p.opts.Paths.NotAnswered(began, c.group)
+			c.reportNotAnswered(began)
 		}
 		a.discard()
 		if ctx.Err() != nil {
@@ -164,18 +140,19 @@
 var errFull = errors.New("connection limit reached")
 
 func (p *Pool) get(ctx context.Context, r *Request) (*conn, error) {
+	path := p.opts.Paths.Path(r.Group)
 	for {
 		c := p.takeIdle(r.Address)
 		if c == nil {
 			break
 		}
-		if c.owner == r.Owner && clock.Now().Before(c.expires) && c.healthy() {
+		if c.owner == r.Owner && p.allows(c, path) && clock.Now().Before(c.expires) && c.healthy() {
 			p.reuses.Add(1)
 			return c, nil
 		}
 		p.drop(c)
 	}
-	return p.dial(ctx, r)
+	return p.dial(ctx, r, path)
 }
 
 func (p *Pool) takeIdle(addr string) *conn {
@@ -194,7 +171,8 @@
 	return c
 }
 
-func (p *Pool) dial(ctx context.Context, r *Request) (*conn, error) {
+// dial opens a connection to a server on a path.
+func (p *Pool) dial(ctx context.Context, r *Request, path reach.Path) (*conn, error) {
 	unused, ok := p.reserve(r)
 	if unused != nil {
 		p.drop(unused)
@@ -203,22 +181,28 @@
 		return nil, errFull
 	}
 	p.dials.Add(1)
-	raw, err := p.connect(ctx, r)
+	var raw net.Conn
+	var router string
+	var err error
+	if path.Indirect {
+		raw, router, err = p.opts.Paths.Open(ctx, r.server())
+	} else {
+		raw, err = p.connect(ctx, r)
+	}
 	if err != nil {
 		p.release(r.Address)
 		return nil, err
 	}
-	return p.newConn(raw, r), nil
+	setSendBuffer(raw)
+	c := p.newConn(raw, r)
+	c.router = router
+	return c, nil
 }
 
-// connect opens a connection to a server.
+// connect opens a direct connection to a server.
 func (p *Pool) connect(ctx context.Context, r *Request) (net.Conn, error) {
 	began := clock.Now()
-	dialer := net.Dialer{Timeout: p.opts.dialTimeout(), KeepAlive: -1, ControlContext: setUserTimeout}
-	if p.opts.Source != nil {
-		dialer.LocalAddr = &net.TCPAddr{IP: p.opts.Source}
-	}
-	raw, err := dialer.DialContext(ctx, "tcp", r.Address)
+	raw, err := p.directDialer().DialContext(ctx, "tcp", r.Address)
 	switch {
 	case err == nil:
 		p.opts.Paths.Connected(r.Group)
@@ -228,10 +212,23 @@
 	if err != nil {
 		return nil, err
 	}
-	if tcp, ok := raw.(*net.TCPConn); ok {
+	return raw, nil
+}
+
+// setSendBuffer bounds the bytes that the kernel holds for a connection; c may be nil.
+func setSendBuffer(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetWriteBuffer(SendBuffer) // fails only on a closed connection
 	}
-	return raw, nil
+}
+
+// directDialer returns a dialer for direct connections to servers.
+func (p *Pool) directDialer() *net.Dialer {
+	d := &net.Dialer{Timeout: p.opts.dialTimeout(), KeepAlive: -1, ControlContext: setUserTimeout}
+	if p.opts.Source != nil {
+		d.LocalAddr = &net.TCPAddr{IP: p.opts.Source}
+	}
+	return d
 }
 
 func (p *Pool) linkSaturated() bool { return p.opts.LinkSaturated != nil && p.opts.LinkSaturated() }
@@ -291,6 +288,10 @@
 }
 
 func (p *Pool) put(c *conn, keep time.Duration) {
+	if c.router != "" && !p.opts.Paths.Usable(c.router) {
+		p.drop(c)
+		return
+	}
 	c.usedAt = clock.Now()
 	c.expires = c.usedAt.Add(keep)
 	p.putBack(c)
@@ -304,7 +305,8 @@
 // Probe opens a connection to a server and keeps it for later requests; an error
 // means that the server is unreachable.
 func (p *Pool) Probe(ctx context.Context, s placement.Server) error {
-	c, err := p.dial(ctx, requestTo(s))
+	r := requestTo(s)
+	c, err := p.dial(ctx, r, p.opts.Paths.Path(r.Group))
 	if err != nil {
 		return err
 	}
@@ -315,26 +317,7 @@
 // Sweep closes idle connections that have expired or for whose process keep
 // returns false.
 func (p *Pool) Sweep(now time.Time, keep func(owner placement.Incarnation) bool) {
-	var stale []*conn
-	p.mu.Lock()
-	for addr, list := range p.idle {
-		kept := list[:0]
-		for _, c := range list {
-			if now.Before(c.expires) && keep(c.owner) {
-				kept = append(kept, c)
-			} else {
-				stale = append(stale, c)
-			}
-		}
-		p.idle[addr] = kept
-		if len(kept) == 0 {
-			delete(p.idle, addr)
-		}
-	}
-	p.mu.Unlock()
-	for _, c := range stale {
-		p.drop(c)
-	}
+	p.dropIdle(func(c *conn) bool { return now.Before(c.expires) && keep(c.owner) })
 }
 
 // setUserTimeout sets the TCP user timeout of a new socket to unackedLimit.
