Soak: routers are cut off from all servers, and the oracle checks their callers

No fault of the soak cut one router off from servers, and no rule looked at its callers. Routers connect from loopback addresses of their own, by which the servers' proxies cut them off: silently, by resets, or only new connections. The rule is the users': from 3 s after the cut, tries there are served at least two thirds as often as at the others, unless 10 + 1 in 50 failed or nobody reaches the servers. Stand-ins answer health checks, which are no requests.

--- a/lab/soak/disruption.go
+++ b/lab/soak/disruption.go
@@ -24,6 +24,9 @@
 // ServerAtSlot returns the component for the backend server at a slot and the link to it.
 func ServerAtSlot(slot int) Component { return Component(fmt.Sprint("server ", slot)) }
 
+// ServerLinks returns the component for the links between a router and all backend servers.
+func ServerLinks(router int) Component { return Component(fmt.Sprint("server links ", router)) }
+
 type interval struct{ from, to time.Time }
 
 // Disruptions records when each component was disrupted. The zero value is ready to use.
@@ -41,6 +44,16 @@
 	return func(at time.Time) { iv.to = at }
 }
 
+// within reports whether a component is disrupted at a time, and has been for a while.
+func (d *Disruptions) within(at time.Time, since time.Duration, s Component) bool {
+	for _, iv := range d.intervals[s] {
+		if !iv.from.Add(since).After(at) && (iv.to.IsZero() || iv.to.After(at)) {
+			return true
+		}
+	}
+	return false
+}
+
 // Undisrupted reports whether none of the components was disrupted between from and to.
 func (d *Disruptions) Undisrupted(from, to time.Time, components ...Component) bool {
 	for _, s := range components {
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -192,7 +192,7 @@
 // apply injects one fault and ends it after its duration.
 func (f *fleet) apply(s Step) error {
 	switch s.Fault {
-	case RouterStopped, RouterPaused, RouterKilled, RouterReloads:
+	case RouterStopped, RouterPaused, RouterKilled, RouterReloads, RouterCutOff:
 		f.counters.countFault(s.Fault)
 		return f.applyRouterFault(s)
 	case ConfigChanged:
@@ -247,12 +247,28 @@
 		time.Sleep(s.Duration)
 		r.awaitReady(settleTimeout)
 		end(time.Now())
+	case RouterCutOff:
+		f.cutOff(s)
 	case RouterReloads:
 		return r.reload(50 + float64(s.At%10))
 	}
 	return nil
 }
 
+// cutOff partitions a router from all servers. Overlapping partitions of a router end together with the
+// first.
+func (f *fleet) cutOff(s Step) {
+	f.recordDisruption(ServerLinks(s.Target), s.Duration)
+	source, how := routerSource(s.Target), cut(s.Duration.Milliseconds()%int64(cutKinds))
+	for _, p := range f.slots {
+		p.proxy.Cut(source, how)
+	}
+	time.Sleep(s.Duration)
+	for _, p := range f.slots {
+		p.proxy.Heal(source)
+	}
+}
+
 func (f *fleet) applyServerFault(s Step) (err error) {
 	p := f.slots[s.Target]
 	done := true
--- a/lab/soak/oracle.go
+++ b/lab/soak/oracle.go
@@ -30,6 +30,7 @@
 	OnlyPoisonHeldBack    Guarantee = "no other request is"
 	RateLimitKept         Guarantee = "a server does not get more than the rate limit that it names"
 	AnnouncedLeaveKept    Guarantee = "a router sends nothing to a server whose answer announced that it leaves"
+	CutOffServed          Guarantee = "callers of routers cut off from servers are served at least two thirds as often as others"
 	BackoffKept           Guarantee = "a router sends nothing to a server that asked it for a backoff"
 )
 
@@ -169,6 +170,10 @@
 	// server, and backoffs the backoffs that servers have asked a router for.
 	announced map[routerServer]time.Time
 	backoffs  map[routerServer][]*askedBackoff
+	// cutOff and reaching count the tries during partitions, at routers that are cut off from servers
+	// and at others.
+	cutOff, reaching tries
+	routers          int
 }
 
 // NewOracle returns an oracle for a run that starts at start.
@@ -353,6 +358,7 @@
 	}
 	if !a.Canceled {
 		o.checkCut(b)
+		o.countTry(b)
 	}
 }
 
@@ -417,7 +423,7 @@
 		return
 	}
 	from := b.Sent.Add(-o.bounds.QuietPeriod)
-	if !o.disruptions.Undisrupted(from, b.answer.At, RouterProcess(b.Process.Router), ServerAtSlot(b.runs[0].slot)) {
+	if !o.disruptions.Undisrupted(from, b.answer.At, RouterProcess(b.Process.Router), ServerLinks(b.Process.Router), ServerAtSlot(b.runs[0].slot)) {
 		return
 	}
 	if !o.disruptions.Undisrupted(b.Sent, b.answer.At, PlannedStop(b.Process.Router)) {
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -49,6 +49,9 @@
 	exited        chan struct{}
 }
 
+// routerSource returns the loopback address from which a router connects to servers.
+func routerSource(number int) string { return fmt.Sprintf("127.0.2.%d", number+1) }
+
 // lowDescriptorLimit is the descriptor limit of every second router, so that its connection limits
 // are reached.
 const lowDescriptorLimit = 400
@@ -63,6 +66,7 @@
 		}
 	}
 	s.Store.Address = storeAddr
+	s.Servers.Source = routerSource(number)
 	if number%2 == 1 {
 		s.Files.Limit = lowDescriptorLimit
 	}
--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -28,14 +28,31 @@
 	// restored is closed when the current block of a direction ends.
 	restored chan struct{}
 	conns    map[*proxiedConn]bool
+	// cuts are the partitions of clients by their IP address.
+	cuts map[string]cut
 }
 
+// cut is how connections of a client fail while it is partitioned from the proxy's target.
+type cut int
+
+const (
+	// cutSilent: open and new connections carry nothing.
+	cutSilent cut = iota
+	// cutReset: open connections are reset, new ones too.
+	cutReset
+	// cutNew: open connections live on, new ones are reset.
+	cutNew
+	cutKinds
+)
+
 // proxiedConn is one connection through a proxy.
 type proxiedConn struct {
 	proxy *Proxy
 	ends  [2]*net.TCPConn // client, server
 	// silent is set if the connection forwards nothing any more and signals that to neither end.
 	silent bool
+	// source is the client's IP address.
+	source string
 }
 
 // NewProxy starts a proxy to target on a loopback address.
@@ -44,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: l, target: target, conns: map[*proxiedConn]bool{}, restored: make(chan struct{})}
+	p := &Proxy{listener: l, target: target, conns: map[*proxiedConn]bool{}, cuts: map[string]cut{}, restored: make(chan struct{})}
 	go p.accept()
 	return p, nil
 }
@@ -52,6 +69,29 @@
 // Addr returns the proxy's address.
 func (p *Proxy) Addr() string { return p.listener.Addr().String() }
 
+// Cut partitions the client with an IP address from the target until Heal is called.
+func (p *Proxy) Cut(source string, how cut) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cuts[source] = how
+	for pc := range p.conns {
+		switch {
+		case pc.source != source:
+		case how == cutSilent:
+			pc.silent = true
+		case how == cutReset:
+			pc.reset()
+		}
+	}
+}
+
+// Heal ends the partition of a client. Connections that lost bytes stay silent.
+func (p *Proxy) Heal(source string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.cuts, source)
+}
+
 // Retarget sends new connections to another address.
 func (p *Proxy) Retarget(target string) {
 	p.mu.Lock()
@@ -129,11 +169,14 @@
 }
 
 func (p *Proxy) forward(client *net.TCPConn) {
-	pc := &proxiedConn{proxy: p, ends: [2]*net.TCPConn{client, nil}}
+	source, _, _ := net.SplitHostPort(client.RemoteAddr().String())
+	pc := &proxiedConn{proxy: p, ends: [2]*net.TCPConn{client, nil}, source: source}
 	p.mu.Lock()
 	target, down := p.target, p.down
+	how, isCut := p.cuts[source]
+	pc.silent = isCut && how == cutSilent
 	p.mu.Unlock()
-	if down {
+	if down || isCut && how != cutSilent {
 		pc.reset()
 		return
 	}
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -37,6 +37,7 @@
 	RouterPaused      Fault = "router paused"
 	RouterKilled      Fault = "router killed"
 	RouterReloads     Fault = "router reloads"
+	RouterCutOff      Fault = "router cut off from all servers"
 	ConfigChanged     Fault = "configuration changed"
 	ServerLeaves      Fault = "server leaves"
 	ServerCrashes     Fault = "server crashes"
@@ -81,6 +82,7 @@
 	RouterPaused:      {routerTarget, 100 * time.Millisecond, 3 * time.Second},
 	RouterKilled:      {routerTarget, 0, time.Second},
 	RouterReloads:     {routerTarget, 0, 0},
+	RouterCutOff:      {routerTarget, 2 * time.Second, 8 * time.Second},
 	ConfigChanged:     {storeTarget, 0, 0},
 	ServerLeaves:      {serverTarget, 0, 0},
 	ServerCrashes:     {serverTarget, 100 * time.Millisecond, 2 * time.Second},
@@ -90,8 +92,9 @@
 	ServerBacksOff:    {serverTarget, 500 * time.Millisecond, 4 * time.Second},
 }
 
-// plannedChanges are drawn in addition to the faults of an epoch; each epoch gets half of them.
-var plannedChanges = []Fault{ConfigChanged, ServerLeaves, RouterStopped, RouterReloads, ServerLimits, ServerLimits, ServerAnnounces, ServerBacksOff, ServerBacksOff}
+// plannedChanges, and partitions, are drawn in addition to the faults of an epoch; each epoch gets half
+// of them.
+var plannedChanges = []Fault{ConfigChanged, ServerLeaves, RouterStopped, RouterReloads, ServerLimits, ServerLimits, ServerAnnounces, ServerBacksOff, ServerBacksOff, RouterCutOff, RouterCutOff}
 
 // Step is one fault and when it occurs.
 type Step struct {
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -30,9 +30,11 @@
 	TokensHandedOut map[string]int64  `json:"tokens_handed_out"`
 	TokensIssued    map[string]int64  `json:"tokens_issued"`
 	Checked         map[Guarantee]int `json:"checked"`
-	ViolationCount  int               `json:"breaches"`
-	Violations      []Violation       `json:"broken,omitempty"`
-	Logs            string            `json:"logs,omitempty"`
+	// CutOff and Reaching count the tries during partitions of routers from all servers.
+	CutOff, Reaching struct{ Sent, Served int }
+	ViolationCount   int         `json:"breaches"`
+	Violations       []Violation `json:"broken,omitempty"`
+	Logs             string      `json:"logs,omitempty"`
 }
 
 // The errors of a run.
@@ -67,6 +69,7 @@
 		return Summary{}, err
 	}
 	oracle, counters := NewOracle(time.Now(), DefaultBounds()), newRunCounters()
+	oracle.SetRouters(o.Routers)
 	runCtx, cancel := context.WithTimeout(ctx, o.Length+shutdownAllowance)
 	defer cancel()
 	err = runFleet(runCtx, o, dir, oracle, counters)
@@ -119,6 +122,7 @@
 	f.runSchedule(loadCtx, Schedule(o.Seed, o.Length, o.Routers, o.Servers))
 	workers.Wait()
 	f.stop()
+	oracle.CheckCutOff(time.Now())
 	return errors.Join(f.err(), f.audit(), ctx.Err())
 }
 
@@ -135,8 +139,11 @@
 	violations := oracle.Violations()
 	counters.mu.Lock()
 	defer counters.mu.Unlock()
-	return Summary{
+	s := Summary{
 		Seed: o.Seed, Seconds: o.Length.Seconds(), Requests: counters.requests, Answers: counters.answers, Faults: counters.faults,
 		Endings: counters.endings, TokensHandedOut: oracle.HandedOut(), TokensIssued: counters.issuedTokens, Checked: oracle.Checked(), ViolationCount: len(violations), Violations: violations[:min(len(violations), maxReported)], Logs: dir,
 	}
+	s.CutOff.Sent, s.CutOff.Served = oracle.cutOff.sent, oracle.cutOff.served
+	s.Reaching.Sent, s.Reaching.Served = oracle.reaching.sent, oracle.reaching.served
+	return s
 }
