Paths: a router in between is blamed for its own failures alone

Callers of a router that is cut off got 503 for up to 4 s where servers were slow: a request that was given up for another server counted as a broken connection, so the only router that reached the servers was not asked for a while. A connection that breaks still counts at once; a timeout only if several follow each other and nothing else arrives through that router (a paused one).

With it: a router that says it does not reach a group is dropped for the group; a service without a health check is checked by OPTIONS *, since connections may be accepted on a server's behalf; a planned stop closes the tunnels that are left.

--- a/controller/paths/checks.go
+++ b/controller/paths/checks.go
@@ -26,24 +26,23 @@
 	c.finishVerification(check, done, direct, elsewhere)
 }
 
-// healthPath returns the path by which a check finds out whether servers respond; empty if an open
-// connection is enough.
-func (c *Controller) healthPath(check reach.Check) string {
+// pingRequest returns the request by which a check finds out whether servers are reached.
+func (c *Controller) pingRequest(check reach.Check) upstream.PingRequest {
 	if !check.ResponseNeeded {
-		return ""
+		return upstream.PingRequest{}
 	}
-	return c.HealthPath(check.Group.Service)
+	return upstream.HealthRequest(c.HealthPath(check.Group.Service))
 }
 
 // anyReached reports whether one of the servers is reached.
-func (c *Controller) anyReached(ctx context.Context, servers []placement.Server, check reach.Check, ping func(context.Context, placement.Server, string) error) bool {
+func (c *Controller) anyReached(ctx context.Context, servers []placement.Server, check reach.Check, ping func(context.Context, placement.Server, upstream.PingRequest) error) bool {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	var reached atomic.Bool
 	var all sync.WaitGroup
 	for _, s := range servers {
 		all.Go(func() {
-			if ping(ctx, s, c.healthPath(check)) == nil {
+			if ping(ctx, s, c.pingRequest(check)) == nil {
 				reached.Store(true)
 				cancel() // the others need no answer
 			}
@@ -54,13 +53,13 @@
 }
 
 // pingElsewhere checks a server through another router.
-func (c *Controller) pingElsewhere(ctx context.Context, s placement.Server, path string) error {
+func (c *Controller) pingElsewhere(ctx context.Context, s placement.Server, request upstream.PingRequest) error {
 	conn, _, err := c.Open(ctx, s)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = conn.Close() }()
-	return upstream.Respond(ctx, conn, s, path)
+	return upstream.Respond(ctx, conn, s, request)
 }
 
 func (c *Controller) finishVerification(check reach.Check, done chan struct{}, direct, elsewhere bool) {
@@ -97,7 +96,6 @@
 	if back {
 		c.Log.Info("servers reached directly again", zap.String("service", check.Group.Service), zap.String("domain", check.Group.Domain),
 			zap.Duration("after_ms", age(now, since)))
-		c.BackDirect(check.Group)
 	}
 }
 
--- a/controller/paths/fleet_test.go
+++ b/controller/paths/fleet_test.go
@@ -16,6 +16,7 @@
 	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/reach"
 	"github.com/gaplink/gaplink/tunnel"
+	"github.com/gaplink/gaplink/upstream"
 )
 
 // fleet is a number of routers of which some are cut off from all servers.
@@ -89,13 +90,13 @@
 		f.ids = append(f.ids, fmt.Sprintf("r%d", i))
 		f.routers = append(f.routers, paths.New(paths.Options{
 			Servers: oneServer{}, Fleet: view{f, i},
-			Ping: func(context.Context, placement.Server, string) error {
+			Ping: func(context.Context, placement.Server, upstream.PingRequest) error {
 				if i < f.cut {
 					return errCut
 				}
 				return nil
 			},
-			HealthPath: func(string) string { return "" }, CutOff: func(reach.Group) {}, BackDirect: func(reach.Group) {},
+			HealthPath: func(string) string { return "" }, CutOff: func(reach.Group) {},
 			StoreAnswered: clock.Now, Log: zap.NewNop(),
 		}))
 	}
--- a/controller/paths/open.go
+++ b/controller/paths/open.go
@@ -85,6 +85,9 @@
 	case errors.As(err, &notReached):
 		c.counts.Failed++
 		c.routers.ServerNotReached(g, id)
+	case errors.As(err, &refused) && refused.NotReaching():
+		c.counts.Failed++
+		c.routers.NotReaching(g, id)
 	case errors.As(err, &refused) && refused.Temporary():
 		c.counts.Failed++
 		c.routers.Busy(now, id)
@@ -109,6 +112,20 @@
 	c.routers.Broken(clock.Now(), router)
 }
 
+// TimedOut implements upstream.Paths.
+func (c *Controller) TimedOut(began time.Time, router string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.routers.TimedOut(clock.Now(), began, router)
+}
+
+// Heard implements upstream.Paths.
+func (c *Controller) Heard(router string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.routers.Heard(clock.Now(), router)
+}
+
 // RouterLeaving records that a router is stopping, so that no further request goes through it.
 func (c *Controller) RouterLeaving(router string) {
 	c.mu.Lock()
--- a/controller/paths/paths.go
+++ b/controller/paths/paths.go
@@ -19,6 +19,7 @@
 	"github.com/gaplink/gaplink/logs"
 	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/reach"
+	"github.com/gaplink/gaplink/upstream"
 )
 
 const (
@@ -55,13 +56,12 @@
 type Options struct {
 	Servers Servers
 	Fleet   Fleet
-	// Ping checks a server over a direct connection, by a GET of the path if one is given.
-	Ping func(ctx context.Context, s placement.Server, path string) error
+	// Ping checks a server over a direct connection.
+	Ping func(ctx context.Context, s placement.Server, request upstream.PingRequest) error
 	// HealthPath returns the path of a service's health check; empty if it has none.
 	HealthPath func(service string) string
-	// CutOff is called when a group is cut off from this router, and BackDirect when it is reached
-	// directly again.
-	CutOff, BackDirect func(reach.Group)
+	// CutOff is called when a group is cut off from this router.
+	CutOff func(reach.Group)
 	// StoreAnswered returns when the store last answered this router; zero if it never has.
 	StoreAnswered func() time.Time
 	Log           *zap.Logger
--- a/reach/routers.go
+++ b/reach/routers.go
@@ -18,6 +18,9 @@
 	dropPenalty = time.Second
 	// leavingTime is the time for which a router that is stopping is not asked: its longest grace period.
 	leavingTime = 30 * time.Second
+	// maxTimeouts is the number of requests without a byte of a response after which a router through
+	// which nothing else arrives counts as broken.
+	maxTimeouts = 2
 	// searchInterval is the minimum time between two searches for routers that reach a group.
 	searchInterval = 250 * time.Millisecond
 )
@@ -33,6 +36,10 @@
 	reaching map[Group][]string
 	failures map[Group]map[string]int
 	searched map[Group]time.Time
+	// heard is when bytes last arrived through each router, and timeouts the requests since then that
+	// got none in time.
+	heard    map[string]time.Time
+	timeouts map[string]int
 	// loads are the numbers of connections for other routers that routers have stated last.
 	loads map[string]int
 }
@@ -45,7 +52,7 @@
 
 // NewRouters returns a Routers that knows none.
 func NewRouters() *Routers {
-	return &Routers{penalties: map[string]*penalty{}, broken: map[string]time.Time{}, reaching: map[Group][]string{}, failures: map[Group]map[string]int{}, searched: map[Group]time.Time{}, loads: map[string]int{}}
+	return &Routers{penalties: map[string]*penalty{}, broken: map[string]time.Time{}, reaching: map[Group][]string{}, failures: map[Group]map[string]int{}, searched: map[Group]time.Time{}, loads: map[string]int{}, heard: map[string]time.Time{}, timeouts: map[string]int{}}
 }
 
 // Usable reports whether a router may be asked.
@@ -114,6 +121,9 @@
 	}
 }
 
+// NotReaching records that a router does not reach a group itself.
+func (r *Routers) NotReaching(g Group, id string) { r.remove(g, id) }
+
 // Failed records that a router provided no connection.
 func (r *Routers) Failed(now time.Time, id string) {
 	p := r.penalties[id]
@@ -147,6 +157,26 @@
 	r.broken[id] = r.penalties[id].until
 }
 
+// Heard records that bytes of a response arrived through a router.
+func (r *Routers) Heard(now time.Time, id string) {
+	r.heard[id] = now
+	delete(r.timeouts, id)
+}
+
+// TimedOut records that a request that was sent through a router at a given time got no byte of a response
+// in time. The server may be slow, so the router counts as broken only if several do and nothing else
+// arrives through it.
+func (r *Routers) TimedOut(now, began time.Time, id string) {
+	if !r.heard[id].Before(began) {
+		return
+	}
+	r.timeouts[id]++
+	if r.timeouts[id] >= maxTimeouts && now.Sub(r.heard[id]) >= silenceLimit {
+		delete(r.timeouts, id)
+		r.Broken(now, id)
+	}
+}
+
 // Leaving records that a router is stopping.
 func (r *Routers) Leaving(now time.Time, id string) {
 	r.broken[id] = now.Add(leavingTime)
@@ -176,6 +206,8 @@
 			delete(r.penalties, id)
 			delete(r.broken, id)
 			delete(r.loads, id)
+			delete(r.heard, id)
+			delete(r.timeouts, id)
 		}
 	}
 }
--- a/reach/routers_test.go
+++ b/reach/routers_test.go
@@ -59,3 +59,26 @@
 		t.Error("connections through a router that broke off")
 	}
 }
+
+// Guards against slow servers that make the router in between count as broken, and against a router that
+// is paused and still used.
+func TestRouterIsBlamedOnlyIfNothingArrivesThroughIt(t *testing.T) {
+	r, now := reach.NewRouters(), time.Unix(1000, 0)
+	for range 20 {
+		began := now
+		now = now.Add(200 * time.Millisecond)
+		r.Heard(now, "r2") // another request is responded to
+		r.TimedOut(now, began, "r2")
+	}
+	if !r.Usable(now, "r2") || !r.KeepsConnections(now, "r2") {
+		t.Error("slow servers count against the router in between")
+	}
+	for range 6 {
+		began := now.Add(time.Millisecond)
+		now = now.Add(250 * time.Millisecond)
+		r.TimedOut(now, began, "r2")
+	}
+	if r.KeepsConnections(now, "r2") {
+		t.Error("a router that is silent is still used")
+	}
+}
--- a/server/paths.go
+++ b/server/paths.go
@@ -17,24 +17,27 @@
 	"github.com/gaplink/gaplink/reach"
 	"github.com/gaplink/gaplink/sockets"
 	"github.com/gaplink/gaplink/tunnel"
+	"github.com/gaplink/gaplink/upstream"
 )
 
 // newPaths creates the controller of the paths to backend servers.
 func (s *Server) newPaths() *paths.Controller {
 	return paths.New(paths.Options{
-		Servers: lateServers{s},
-		Fleet:   tunnelFleet{s},
-		Ping: func(ctx context.Context, target placement.Server, path string) error {
-			return s.pool.Ping(ctx, target, path)
-		},
+		Servers:       lateServers{s},
+		Fleet:         tunnelFleet{s},
+		Ping:          s.ping,
 		HealthPath:    s.healthPath,
 		CutOff:        func(g reach.Group) { s.gateway.CutOff(g) },
-		BackDirect:    func(reach.Group) {},
 		StoreAnswered: s.store.LastResponse,
 		Log:           s.log,
 	})
 }
 
+// ping checks a server over a direct connection.
+func (s *Server) ping(ctx context.Context, target placement.Server, request upstream.PingRequest) error {
+	return s.pool.Ping(ctx, target, request)
+}
+
 // healthPath returns the path of a service's health check; empty if it has none.
 func (s *Server) healthPath(service string) string {
 	c := s.configs.Catalog()
@@ -128,7 +131,6 @@
 // Reasons for which this router provides no tunnel.
 var (
 	errServerUnknown = errors.New("the server is not registered here, or leaving")
-	errCutOff        = errors.New("the router does not reach the servers itself")
 	errLinkSaturated = errors.New("the link of the router is saturated")
 	errStale         = errors.New("the router is behind")
 )
@@ -141,7 +143,7 @@
 	case !ok:
 		return target, errServerUnknown
 	case s.paths.Path(reach.GroupOf(target)).Indirect:
-		return target, errCutOff
+		return target, tunnel.ErrNotReaching
 	case s.link.Saturated():
 		return target, errLinkSaturated
 	case s.stale():
--- a/server/stop.go
+++ b/server/stop.go
@@ -25,6 +25,7 @@
 	s.budgets.StartClose()
 	s.drain(end.Add(-returnReserve))
 	aborted := s.gateway.InFlight()
+	s.tunnels.Close()
 	s.closeCallers()
 	ctx, cancel := context.WithTimeout(context.Background(), clock.Until(end.Add(-exitReserve)))
 	defer cancel()
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -68,5 +68,8 @@
 // Error implements error.
 func (e *RefusedError) Error() string { return http.StatusText(e.status) + ": " + e.reason }
 
+// NotReaching reports whether the router does not reach the server itself.
+func (e *RefusedError) NotReaching() bool { return e.reason == ErrNotReaching.Error() }
+
 // Temporary reports whether the router has no room now but reaches the server.
 func (e *RefusedError) Temporary() bool { return e.reason == reasonFull }
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -202,6 +202,15 @@
 	return routers
 }
 
+// Close resets all tunnels.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for t := range s.open {
+		t.end(t.routerTCP, net.ErrClosed)
+	}
+}
+
 // Busy returns the number of tunnels that may carry a request.
 func (s *Server) Busy() int {
 	s.mu.Lock()
--- a/tunnel/tunnel.go
+++ b/tunnel/tunnel.go
@@ -56,6 +56,9 @@
 	return fmt.Sprintf("not reached through %s: %s", e.Router, e.Reason)
 }
 
+// ErrNotReaching is the error of Options.Admit for a server that the router does not reach itself.
+var ErrNotReaching = errors.New("the router does not reach the server itself")
+
 // errProtocol is returned if the other router does not speak this protocol, as one of an older release.
 var errProtocol = errors.New("the router does not provide tunnels")
 
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -57,15 +57,28 @@
 	}
 }
 
-// reportNotAnswered reports that no byte of a response came since the request was sent.
-func (c *conn) reportNotAnswered(began time.Time) {
-	if c.router == "" {
+// reportNotAnswered reports that no byte of a response came since the request was sent, before it timed
+// out or the connection broke.
+func (c *conn) reportNotAnswered(began time.Time, timedOut bool) {
+	switch {
+	case c.router == "":
 		c.paths.NotAnswered(began, c.group)
-	} else {
+	case timedOut:
+		c.paths.TimedOut(began, c.router)
+	default:
 		c.paths.Broken(c.router)
 	}
 }
 
+// reportRead reports that bytes of a response arrived.
+func (c *conn) reportRead() {
+	if c.router == "" {
+		c.paths.Responded(c.group)
+	} else {
+		c.paths.Heard(c.router)
+	}
+}
+
 // lentConn is a connection that is opened for another router.
 type lentConn struct {
 	net.Conn
@@ -98,9 +111,7 @@
 		c.readAt = clock.Now()
 		if c.readAt.Sub(c.reportedAt) >= reportInterval {
 			c.reportedAt = c.readAt
-			if c.router == "" {
-				c.paths.Responded(c.group)
-			}
+			c.reportRead()
 		}
 	}
 	return n, err
--- a/upstream/liveness.go
+++ b/upstream/liveness.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"syscall"
 	"time"
@@ -76,24 +77,38 @@
 	return Gone
 }
 
-// Ping checks that a server is reached over a direct connection: it accepts one, and if a path is given,
-// it also responds to a GET of it. The result is not reported to Paths.
-func (p *Pool) Ping(ctx context.Context, s placement.Server, path string) error {
+// Ping checks that a server is reached over a direct connection: it accepts one, and responds to a request
+// if one is given. The result is not reported to Paths.
+func (p *Pool) Ping(ctx context.Context, s placement.Server, request PingRequest) error {
 	raw, err := p.directDialer().DialContext(ctx, "tcp", s.Address)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = raw.Close() }()
-	return Respond(ctx, raw, s, path)
+	return Respond(ctx, raw, s, request)
 }
 
-// Respond checks that a server responds on a new connection: it does not close it at once, and if a path
-// is given, it sends a response to a GET of it. Any status shows that the server is reached.
-func Respond(ctx context.Context, c net.Conn, s placement.Server, path string) error {
-	deadline, ok := ctx.Deadline()
+// PingRequest is the request of a check whether a server is reached. The zero value sends none: an open
+// connection is enough.
+type PingRequest struct{ Method, Target string }
+
+// HealthRequest returns a request for the health check of a service at a path, or, if it has none, one that
+// concerns no resource.
+func HealthRequest(path string) PingRequest {
 	if path == "" {
+		return PingRequest{http.MethodOptions, "*"}
+	}
+	return PingRequest{http.MethodGet, path}
+}
+
+// Respond checks that a server responds on a new connection: it does not close it at once, and if a request
+// is given, it sends a response. Any status shows that the server is reached.
+func Respond(ctx context.Context, c net.Conn, s placement.Server, request PingRequest) error {
+	deadline, ok := ctx.Deadline()
+	openIsEnough := request == PingRequest{}
+	if openIsEnough {
 		deadline, ok = time.Now().Add(minOpenTime), true
-	} else if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", path, s.Address); err != nil {
+	} else if _, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", request.Method, request.Target, s.Address); err != nil {
 		return err
 	}
 	if ok {
@@ -101,7 +116,7 @@
 	}
 	var first [1]byte
 	_, err := c.Read(first[:])
-	if path == "" && errors.Is(err, os.ErrDeadlineExceeded) {
+	if openIsEnough && errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil
 	}
 	return err
--- a/upstream/paths.go
+++ b/upstream/paths.go
@@ -20,8 +20,11 @@
 	Open(ctx context.Context, s placement.Server) (c net.Conn, router string, err error)
 	// Usable reports whether connections through a router may carry another request.
 	Usable(router string) bool
-	// Broken reports that a connection through a router broke without a byte of a response.
+	// Broken reports that a connection through a router broke without a byte of a response, TimedOut
+	// that none came in time for a request sent at a given time, and Heard that bytes arrived.
 	Broken(router string)
+	TimedOut(began time.Time, router string)
+	Heard(router string)
 	// ReachedElsewhere reports whether another router reaches a server that refuses this router.
 	ReachedElsewhere(ctx context.Context, s placement.Server) bool
 
@@ -50,6 +53,8 @@
 }
 func (direct) Usable(string) bool                                          { return false }
 func (direct) Broken(string)                                               {}
+func (direct) TimedOut(time.Time, string)                                  {}
+func (direct) Heard(string)                                                {}
 func (direct) ReachedElsewhere(context.Context, placement.Server) bool     { return false }
 func (direct) Connected(reach.Group)                                       {}
 func (direct) ConnectFailed(time.Time, reach.Group, placement.Incarnation) {}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -120,7 +120,7 @@
 	c.endWait()
 	if err != nil {
 		if c.readAt.Before(began) && !errors.Is(context.Cause(ctx), context.Canceled) {
-			c.reportNotAnswered(began)
+			c.reportNotAnswered(began, ctx.Err() != nil)
 		}
 		a.discard()
 		if ctx.Err() != nil {
