Servers that read late keep their requests: the TCP user timeout is 3 s

A server that works may fall silent for a second or so. Towards one that read nothing for two seconds a request with a large body was broken off after 1.5 s ("unexpected EOF", 502, may have run): the kernel also counts probes of a full receive window as unacknowledged, and the user timeout was 1.5 s. No keep-alive probes are sent on these connections, so the timeout closes none that is idle.

The test failed before.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -28,8 +28,9 @@
 	// readBuffer fits a response header and one event of a stream, in bytes.
 	readBuffer = 4 << 10
 	// unackedLimit is the TCP user timeout: a connection is closed when its peer
-	// acknowledges no data for so long, as in a network partition.
-	unackedLimit = 1500 * time.Millisecond
+	// acknowledges no data for so long, as in a network partition, or reads none while its
+	// receive window is full. A server that works may do so for a second or two.
+	unackedLimit = 3 * time.Second
 )
 
 // Options are the settings of a pool.
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -401,3 +401,25 @@
 		t.Errorf("%d connections were opened", dials)
 	}
 }
+
+// Guards against a request that is lost because its server, which is sound, reads nothing for two seconds:
+// the kernel also counts probes of a full receive window as unacknowledged.
+func TestServerThatReadsLateGetsTheWholeRequest(t *testing.T) {
+	const silence, size = 2 * time.Second, 16 << 20
+	addr := listen(t, func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		time.Sleep(silence)
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		if n, _ := io.Copy(io.Discard, r.Body); n == size {
+			_, _ = io.WriteString(c, response("a", "x"))
+		}
+	})
+	r := get(addr, "a")
+	r.Method, r.Body = http.MethodPost, make([]byte, size)
+	if got := body(t, newPool(), r); got != "x" {
+		t.Errorf("got %q", got)
+	}
+}
