Streams wait for a silent server for 1.6 s at least

A server that works may send nothing for a second or so. A pause of that length has missed the objective in any case, so nothing that was in time is late for it.

--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -27,8 +27,9 @@
 	// (EventObjective); a stream that pauses longer is resumed at another server if a retry can be
 	// reserved.
 	pauseTimeoutFactor = 3
-	// minPauseTimeout is the lower bound on that pause timeout.
-	minPauseTimeout = 600 * time.Millisecond
+	// minPauseTimeout is the lower bound on that pause timeout. A server that works may send nothing for
+	// a second or so; its request must not go on elsewhere meanwhile.
+	minPauseTimeout = 1600 * time.Millisecond
 )
 
 // watchdog cancels an attempt that makes no progress, if the router's retry budget for the
