Shared loads: an answer during a start does not last for 30 s

Such a relay now answers that it relays nothing yet, after which it is called again, and the mark of a router that does not share loads ends when its process changes.

The class elsewhere: verdicts, limits, updates and lists have no answer "unsupported" that lasts.

--- a/controller/loads/calls.go
+++ b/controller/loads/calls.go
@@ -63,7 +63,7 @@
 	defer c.mu.Unlock()
 	now := clock.Now()
 	candidates := slices.DeleteFunc(slices.Clone(relays), func(id string) bool {
-		return id == c.Self || now.Before(c.unsupported[id])
+		return id == c.Self || c.isUnsupported(now, id)
 	})
 	if len(candidates) == 0 {
 		c.failures = 0
@@ -86,6 +86,13 @@
 	}
 }
 
+// isUnsupported reports whether the current process of a router does not share loads. The caller holds the
+// lock.
+func (c *Controller) isUnsupported(now time.Time, id string) bool {
+	u, ok := c.unsupported[id]
+	return ok && now.Before(u.until) && u.incarnation == c.Members.Incarnation(id)
+}
+
 // tryNext switches to the next candidate after a call of a relay failed.
 func (c *Controller) tryNext(failed string) {
 	c.mu.Lock()
@@ -180,12 +187,12 @@
 	defer c.mu.Unlock()
 	now := clock.Now()
 	c.counts.Unsupported++
-	for other, until := range c.unsupported {
-		if !now.Before(until) {
+	for other, u := range c.unsupported {
+		if !now.Before(u.until) {
 			delete(c.unsupported, other)
 		}
 	}
-	c.unsupported[id] = now.Add(unsupportedRetry)
+	c.unsupported[id] = unsupported{now.Add(unsupportedRetry), c.Members.Incarnation(id)}
 }
 
 // pushSums sends the sums of the routers that this one serves to the relays, and to those that sent their
@@ -201,7 +208,7 @@
 	ids := append(c.table.Relays(), relays...)
 	slices.Sort(ids)
 	for _, id := range slices.Compact(ids) {
-		if id == c.Self || c.pushing[id] || now.Before(c.unsupported[id]) {
+		if id == c.Self || c.pushing[id] || c.isUnsupported(now, id) {
 			continue
 		}
 		c.pushing[id] = true
@@ -217,8 +224,11 @@
 // OnExchange handles the report of a router, which it answers with the load of the others, or the sums of
 // another relay.
 func (c *Controller) OnExchange(_ context.Context, req *peer.LoadRequest) (*peer.LoadAnswer, error) {
-	if !c.Switch() || !c.Large() {
+	switch {
+	case !c.Switch():
 		return &peer.LoadAnswer{Off: true}, nil
+	case !c.Large():
+		return &peer.LoadAnswer{NotRelay: true}, nil // this router may not know yet how large the fleet is
 	}
 	now := clock.Now()
 	report, err := unpackReport(req, now)
--- a/controller/loads/loads.go
+++ b/controller/loads/loads.go
@@ -130,9 +130,9 @@
 	preferred  int
 	returnedAt time.Time
 	failures   int // consecutive failed calls
-	// unsupported holds, by id, until when a router is not called that does not share loads, and
-	// pushing the relays to which a call is in progress.
-	unsupported map[string]time.Time
+	// unsupported holds, by id, the routers that do not share loads, and pushing the relays to which a
+	// call is in progress.
+	unsupported map[string]unsupported
 	pushing     map[string]bool
 
 	shared   shared
@@ -142,6 +142,13 @@
 	dropLog  logs.RateLimit
 }
 
+// unsupported is a process of a router that does not share loads, and the time until which it is not
+// called.
+type unsupported struct {
+	until       time.Time
+	incarnation string
+}
+
 // shared is what this router last learnt about the others.
 type shared struct {
 	// sentAt is when the request was sent whose answer was applied last.
@@ -171,7 +178,7 @@
 		table:       load.NewTable(clock.Now()),
 		nextIndex:   preferred,
 		preferred:   preferred,
-		unsupported: map[string]time.Time{},
+		unsupported: map[string]unsupported{},
 		pushing:     map[string]bool{},
 	}
 }
