Paths: a router that was restarted as planned is asked after a second

A router that announced its stop was not asked for 30 s. Where it is the only one that reaches the servers, callers of routers that are cut off would have been refused for all that time, although it is back after some seconds (found by reading; the test failed before). The mark now ends after a second, and open connections carry no further request because they are older than the notice.

--- a/controller/paths/open.go
+++ b/controller/paths/open.go
@@ -99,10 +99,10 @@
 }
 
 // Usable implements upstream.Paths.
-func (c *Controller) Usable(router string) bool {
+func (c *Controller) Usable(router string, opened time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.routers.KeepsConnections(clock.Now(), router)
+	return c.routers.KeepsConnection(clock.Now(), opened, router)
 }
 
 // Broken implements upstream.Paths.
--- a/reach/routers.go
+++ b/reach/routers.go
@@ -16,8 +16,8 @@
 	maxPenalty = 4 * time.Second
 	// dropPenalty is the penalty from which a router no longer counts as reaching servers.
 	dropPenalty = time.Second
-	// leavingTime is the time for which a router that is stopping is not asked: its longest grace period.
-	leavingTime = 30 * time.Second
+	// leavingPenalty is the time for which a router that is stopping is not asked. It may be back soon.
+	leavingPenalty = time.Second
 	// maxTimeouts is the number of requests without a byte of a response after which a router through
 	// which nothing else arrives counts as broken.
 	maxTimeouts = 2
@@ -29,8 +29,9 @@
 // for concurrent use.
 type Routers struct {
 	penalties map[string]*penalty
-	// broken holds the times until which connections through a router are not used.
-	broken map[string]time.Time
+	// broken holds the times until which connections through a router are not used, and left when a
+	// process of it said that it is stopping.
+	broken, left map[string]time.Time
 	// reaching are the routers that reach a group, and failures the consecutive servers that each did
 	// not reach.
 	reaching map[Group][]string
@@ -52,7 +53,7 @@
 
 // NewRouters returns a Routers that knows none.
 func NewRouters() *Routers {
-	return &Routers{penalties: map[string]*penalty{}, broken: map[string]time.Time{}, reaching: map[Group][]string{}, failures: map[Group]map[string]int{}, searched: map[Group]time.Time{}, loads: map[string]int{}, heard: map[string]time.Time{}, timeouts: map[string]int{}}
+	return &Routers{penalties: map[string]*penalty{}, broken: map[string]time.Time{}, left: map[string]time.Time{}, reaching: map[Group][]string{}, failures: map[Group]map[string]int{}, searched: map[Group]time.Time{}, loads: map[string]int{}, heard: map[string]time.Time{}, timeouts: map[string]int{}}
 }
 
 // Usable reports whether a router may be asked.
@@ -177,17 +178,21 @@
 	}
 }
 
-// Leaving records that a router is stopping.
+// Leaving records that a router is stopping. Connections through it that are open carry no further
+// request.
 func (r *Routers) Leaving(now time.Time, id string) {
-	r.broken[id] = now.Add(leavingTime)
-	r.penalties[id] = &penalty{until: now.Add(leavingTime), wait: maxPenalty}
+	r.left[id] = now
+	r.penalties[id] = &penalty{until: now.Add(leavingPenalty), wait: leavingPenalty}
 	for g := range r.reaching {
 		r.remove(g, id)
 	}
 }
 
-// KeepsConnections reports whether connections through a router may carry another request.
-func (r *Routers) KeepsConnections(now time.Time, id string) bool { return !now.Before(r.broken[id]) }
+// KeepsConnection reports whether a connection through a router that was opened at a given time may carry
+// another request.
+func (r *Routers) KeepsConnection(now, opened time.Time, id string) bool {
+	return !now.Before(r.broken[id]) && !r.left[id].After(opened)
+}
 
 func (r *Routers) remove(g Group, id string) {
 	r.reaching[g] = slices.DeleteFunc(r.reaching[g], func(other string) bool { return other == id })
@@ -205,6 +210,7 @@
 		if now.Sub(p.until) > maxPenalty {
 			delete(r.penalties, id)
 			delete(r.broken, id)
+			delete(r.left, id)
 			delete(r.loads, id)
 			delete(r.heard, id)
 			delete(r.timeouts, id)
--- a/reach/routers_test.go
+++ b/reach/routers_test.go
@@ -55,11 +55,26 @@
 	}
 	r, now := reach.NewRouters(), time.Unix(1000, 0)
 	r.Broken(now, "r2")
-	if r.KeepsConnections(now, "r2") || !r.KeepsConnections(now.Add(time.Second), "r2") {
+	if r.KeepsConnection(now, now, "r2") || !r.KeepsConnection(now.Add(time.Second), now, "r2") {
 		t.Error("connections through a router that broke off")
 	}
 }
 
+// Guards against a router that is not asked for long after it was restarted as planned, and against requests
+// on connections through its process before.
+func TestRestartedRouterIsAskedSoon(t *testing.T) {
+	r, now := reach.NewRouters(), time.Unix(1000, 0)
+	r.Add(group, "r2")
+	r.Leaving(now, "r2")
+	later := now.Add(1500 * time.Millisecond)
+	if r.Usable(now, "r2") || !r.Usable(later, "r2") {
+		t.Error("asked at once, or not after 1.5 s")
+	}
+	if r.KeepsConnection(later, now.Add(-time.Second), "r2") || !r.KeepsConnection(later.Add(time.Second), later, "r2") {
+		t.Error("connections of the former and of the next process")
+	}
+}
+
 // Guards against slow servers that make the router in between count as broken, and against a router that
 // is paused and still used.
 func TestRouterIsBlamedOnlyIfNothingArrivesThroughIt(t *testing.T) {
@@ -70,7 +85,7 @@
 		r.Heard(now, "r2") // another request is responded to
 		r.TimedOut(now, began, "r2")
 	}
-	if !r.Usable(now, "r2") || !r.KeepsConnections(now, "r2") {
+	if !r.Usable(now, "r2") || !r.KeepsConnection(now, now, "r2") {
 		t.Error("slow servers count against the router in between")
 	}
 	for range 6 {
@@ -78,7 +93,7 @@
 		now = now.Add(250 * time.Millisecond)
 		r.TimedOut(now, began, "r2")
 	}
-	if r.KeepsConnections(now, "r2") {
+	if r.KeepsConnection(now, now, "r2") {
 		t.Error("a router that is silent is still used")
 	}
 }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -30,7 +30,9 @@
 	// owner is the process that the connection was opened for: an address may be
 	// reassigned to another server.
 	owner placement.Incarnation
-	// usedAt is when the connection last became idle, and expires when it is to be closed.
+	// openedAt is when the connection was opened, usedAt when it last became idle, and expires when it is
+	// to be closed.
+	openedAt        time.Time
 	usedAt, expires time.Time
 	// readAt is when bytes last arrived, and reportedAt when that was last reported to paths.
 	readAt, reportedAt time.Time
@@ -39,7 +41,7 @@
 }
 
 func (p *Pool) newConn(raw net.Conn, r *Request) *conn {
-	c := &conn{Conn: raw, counter: p.opts.Counter, paths: p.opts.Paths, addr: r.Address, group: r.Group, owner: r.Owner}
+	c := &conn{Conn: raw, counter: p.opts.Counter, paths: p.opts.Paths, addr: r.Address, group: r.Group, owner: r.Owner, openedAt: clock.Now()}
 	c.reader = bufio.NewReaderSize(observedReader{c}, readBuffer)
 	return c
 }
--- a/upstream/paths.go
+++ b/upstream/paths.go
@@ -18,8 +18,9 @@
 	// Open opens a connection to a server through another router, whose id it returns. The error wraps
 	// ErrNoPath unless another router failed to reach the server.
 	Open(ctx context.Context, s placement.Server) (c net.Conn, router string, err error)
-	// Usable reports whether connections through a router may carry another request.
-	Usable(router string) bool
+	// Usable reports whether a connection through a router that was opened at a given time may carry
+	// another request.
+	Usable(router string, opened time.Time) bool
 	// Broken reports that a connection through a router broke without a byte of a response, TimedOut
 	// that none came in time for a request sent at a given time, and Heard that bytes arrived.
 	Broken(router string)
@@ -51,7 +52,7 @@
 func (direct) Open(context.Context, placement.Server) (net.Conn, string, error) {
 	return nil, "", ErrNoPath
 }
-func (direct) Usable(string) bool                                          { return false }
+func (direct) Usable(string, time.Time) bool                               { return false }
 func (direct) Broken(string)                                               {}
 func (direct) TimedOut(time.Time, string)                                  {}
 func (direct) Heard(string)                                                {}
@@ -66,7 +67,7 @@
 // allows reports whether a connection may carry a request on the current path to its server.
 func (p *Pool) allows(c *conn, path reach.Path) bool {
 	if c.router != "" {
-		return path.Indirect && p.opts.Paths.Usable(c.router)
+		return path.Indirect && p.opts.Paths.Usable(c.router, c.openedAt)
 	}
 	return !path.Indirect || path.OpenWork
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -289,7 +289,7 @@
 }
 
 func (p *Pool) put(c *conn, keep time.Duration) {
-	if c.router != "" && !p.opts.Paths.Usable(c.router) {
+	if c.router != "" && !p.opts.Paths.Usable(c.router, c.openedAt) {
 		p.drop(c)
 		return
 	}
