Paths: only routers of the two regions concerned are in between

Accounts and routes may be restricted to regions. A connection through another router could have passed a third region; now that router is in the region of the first one or of the server. A group that has no servers left counts as reached (found by reading).

--- a/controller/paths/checks.go
+++ b/controller/paths/checks.go
@@ -81,10 +81,11 @@
 	close(done)
 }
 
-// probe checks whether a group that is cut off is reached directly again.
+// probe checks whether a group that is cut off is reached directly again. A group without servers counts
+// as reached.
 func (c *Controller) probe(ctx context.Context, check reach.Check) {
 	servers := c.Servers.OfGroup(check.Group, check.Server, checkedServers)
-	passed := c.anyReached(ctx, servers, check, c.Ping)
+	passed := len(servers) == 0 || c.anyReached(ctx, servers, check, c.Ping)
 	c.mu.Lock()
 	now := clock.Now()
 	since := c.tracker.Evidence(check.Group).First
--- a/controller/paths/fleet_test.go
+++ b/controller/paths/fleet_test.go
@@ -49,7 +49,7 @@
 	self int
 }
 
-func (v view) Others() []string {
+func (v view) Others(reach.Group) []string {
 	others := make([]string, 0, len(v.ids))
 	for i, id := range v.ids {
 		if i != v.self {
--- a/controller/paths/open.go
+++ b/controller/paths/open.go
@@ -190,7 +190,7 @@
 // that are not cut off when nearly all are. Otherwise these are asked no sooner than others, since all
 // routers that are cut off would choose the same.
 func (c *Controller) runSearch(g reach.Group, done chan struct{}) {
-	candidates := c.candidates()
+	candidates := c.candidates(g)
 	asked, found := 0, 0
 	for range searchRounds {
 		round := candidates[:min(searchWidth, len(candidates))]
@@ -222,8 +222,8 @@
 }
 
 // candidates returns the routers that may be asked, in random order.
-func (c *Controller) candidates() []string {
-	others := slices.Clone(c.Fleet.Others())
+func (c *Controller) candidates(g reach.Group) []string {
+	others := slices.Clone(c.Fleet.Others(g))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := clock.Now()
--- a/controller/paths/paths.go
+++ b/controller/paths/paths.go
@@ -43,8 +43,8 @@
 
 // Fleet are the other routers.
 type Fleet interface {
-	// Others returns the ids of the usable routers except this one.
-	Others() []string
+	// Others returns the ids of the usable routers, except this one, through which a group may be reached.
+	Others(g reach.Group) []string
 	// Reach asks a router whether it reaches a group.
 	Reach(ctx context.Context, router string, g reach.Group) (direct bool, through []string, err error)
 	// Open opens a tunnel to a server through a router, and returns how many lead through that one. The
--- a/controller/paths/paths_test.go
+++ b/controller/paths/paths_test.go
@@ -24,7 +24,7 @@
 // noFleet is a fleet without other routers.
 type noFleet struct{}
 
-func (noFleet) Others() []string { return nil }
+func (noFleet) Others(reach.Group) []string { return nil }
 func (noFleet) Reach(context.Context, string, reach.Group) (bool, []string, error) {
 	return false, nil, nil
 }
--- a/server/paths.go
+++ b/server/paths.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -61,8 +62,25 @@
 // tunnelFleet implements paths.Fleet by calls to the other routers.
 type tunnelFleet struct{ server *Server }
 
-// Others implements paths.Fleet.
-func (f tunnelFleet) Others() []string { return f.server.members.Others(clock.Now()) }
+// Others implements paths.Fleet. Requests pass through no region but that of this router and that of the
+// server.
+func (f tunnelFleet) Others(g reach.Group) []string {
+	s := f.server
+	return slices.DeleteFunc(s.members.Others(clock.Now()), func(id string) bool {
+		m, _ := s.members.Get(id)
+		return !mayPassThrough(s.settings.Regions, s.settings.Instance.Domain, g.Domain, m.Domain)
+	})
+}
+
+// mayPassThrough reports whether a router of a failure domain may connect one of domain from to servers of
+// domain to. Domains without a region are in none in common.
+func mayPassThrough(regions map[string]string, from, to, through string) bool {
+	region := regions[through]
+	if region == "" {
+		return through == from || through == to || regions[from] == "" && regions[to] == ""
+	}
+	return region == regions[from] || region == regions[to]
+}
 
 // errUnknownRouter is returned for a router that is not registered.
 var errUnknownRouter = errors.New("the router is not known")
