--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -258,3 +258,25 @@
 		}
 	}
 }
+
+// Guards against a process that ends because the opening of a tunnel is given up at the moment in which the
+// other router closes the connection.
+func TestOpeningThatIsGivenUpAsTheRouterCloses(t *testing.T) {
+	router := listen(t)
+	accepted := make(chan net.Conn)
+	go serve(router, func(c net.Conn) { accepted <- c })
+	for range 500 {
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() {
+			_, _, err := tunnel.Open(ctx, &net.Dialer{}, "r2", router.Addr().String(), placement.Server{ID: "s", Address: "127.0.0.1:1"})
+			ended <- err
+		}()
+		c := <-accepted
+		go cancel()
+		_ = c.Close()
+		if err := <-ended; err == nil {
+			t.Fatal("a tunnel was opened")
+		}
+	}
+}
