Paths: a router in between is not blamed for servers that leave or end

Two causes, both that the router in between paid for its servers. It answered 503 for a server that had left by what it knew, which counted as its own failure; and each connection that broke because a server ended counted as broken by it.

A server that is not in use is now reported as that (502), and what breaks or times out counts against a router only if several do and nothing else arrives through it.

--- a/controller/paths/open.go
+++ b/controller/paths/open.go
@@ -84,7 +84,9 @@
 		c.routers.Provided(g, id, load)
 	case errors.As(err, &notReached):
 		c.counts.Failed++
-		c.routers.ServerNotReached(g, id)
+		if !notReached.NotInUse {
+			c.routers.ServerNotReached(g, id)
+		}
 	case errors.As(err, &refused) && refused.NotReaching():
 		c.counts.Failed++
 		c.routers.NotReaching(g, id)
@@ -105,18 +107,11 @@
 	return c.routers.KeepsConnection(clock.Now(), opened, router)
 }
 
-// Broken implements upstream.Paths.
-func (c *Controller) Broken(router string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.routers.Broken(clock.Now(), router)
-}
-
-// TimedOut implements upstream.Paths.
-func (c *Controller) TimedOut(began time.Time, router string) {
+// Unheard implements upstream.Paths.
+func (c *Controller) Unheard(began time.Time, router string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.routers.TimedOut(clock.Now(), began, router)
+	c.routers.Unheard(clock.Now(), began, router)
 }
 
 // Heard implements upstream.Paths.
--- a/reach/routers.go
+++ b/reach/routers.go
@@ -18,9 +18,9 @@
 	dropPenalty = time.Second
 	// leavingPenalty is the time for which a router that is stopping is not asked. It may be back soon.
 	leavingPenalty = time.Second
-	// maxTimeouts is the number of requests without a byte of a response after which a router through
+	// maxUnheard is the number of requests without a byte of a response after which a router through
 	// which nothing else arrives counts as broken.
-	maxTimeouts = 2
+	maxUnheard = 2
 	// searchInterval is the minimum time between two searches for routers that reach a group.
 	searchInterval = 250 * time.Millisecond
 )
@@ -37,10 +37,10 @@
 	reaching map[Group][]string
 	failures map[Group]map[string]int
 	searched map[Group]time.Time
-	// heard is when bytes last arrived through each router, and timeouts the requests since then that
-	// got none in time.
-	heard    map[string]time.Time
-	timeouts map[string]int
+	// heard is when bytes last arrived through each router, and unheard the requests since then that
+	// got none.
+	heard   map[string]time.Time
+	unheard map[string]int
 	// loads are the numbers of connections for other routers that routers have stated last.
 	loads map[string]int
 }
@@ -53,7 +53,7 @@
 
 // NewRouters returns a Routers that knows none.
 func NewRouters() *Routers {
-	return &Routers{penalties: map[string]*penalty{}, broken: map[string]time.Time{}, left: map[string]time.Time{}, reaching: map[Group][]string{}, failures: map[Group]map[string]int{}, searched: map[Group]time.Time{}, loads: map[string]int{}, heard: map[string]time.Time{}, timeouts: map[string]int{}}
+	return &Routers{penalties: map[string]*penalty{}, broken: map[string]time.Time{}, left: map[string]time.Time{}, reaching: map[Group][]string{}, failures: map[Group]map[string]int{}, searched: map[Group]time.Time{}, loads: map[string]int{}, heard: map[string]time.Time{}, unheard: map[string]int{}}
 }
 
 // Usable reports whether a router may be asked.
@@ -151,30 +151,24 @@
 	r.penalties[id] = &penalty{until: now.Add(minPenalty), wait: minPenalty / 2}
 }
 
-// Broken records that a connection through a router broke. Its other connections are not used until the
-// penalty ends.
-func (r *Routers) Broken(now time.Time, id string) {
-	r.Failed(now, id)
-	r.broken[id] = r.penalties[id].until
-}
-
 // Heard records that bytes of a response arrived through a router.
 func (r *Routers) Heard(now time.Time, id string) {
 	r.heard[id] = now
-	delete(r.timeouts, id)
+	delete(r.unheard, id)
 }
 
-// TimedOut records that a request that was sent through a router at a given time got no byte of a response
-// in time. The server may be slow, so the router counts as broken only if several do and nothing else
-// arrives through it.
-func (r *Routers) TimedOut(now, began time.Time, id string) {
+// Unheard records that a request that was sent through a router at a given time got no byte of a response.
+// The server may be slow or have ended, so the router counts as broken, and its connections as unusable
+// until the penalty ends, only if several do and nothing else arrives through it.
+func (r *Routers) Unheard(now, began time.Time, id string) {
 	if !r.heard[id].Before(began) {
 		return
 	}
-	r.timeouts[id]++
-	if r.timeouts[id] >= maxTimeouts && now.Sub(r.heard[id]) >= silenceLimit {
-		delete(r.timeouts, id)
-		r.Broken(now, id)
+	r.unheard[id]++
+	if r.unheard[id] >= maxUnheard && now.Sub(r.heard[id]) >= silenceLimit {
+		delete(r.unheard, id)
+		r.Failed(now, id)
+		r.broken[id] = r.penalties[id].until
 	}
 }
 
@@ -213,7 +207,7 @@
 			delete(r.left, id)
 			delete(r.loads, id)
 			delete(r.heard, id)
-			delete(r.timeouts, id)
+			delete(r.unheard, id)
 		}
 	}
 }
--- a/server/paths.go
+++ b/server/paths.go
@@ -148,7 +148,6 @@
 
 // Reasons for which this router provides no tunnel.
 var (
-	errServerUnknown = errors.New("the server is not registered here, or leaving")
 	errLinkSaturated = errors.New("the link of the router is saturated")
 	errStale         = errors.New("the router is behind")
 )
@@ -159,7 +158,7 @@
 	target, ok := s.servers.ForOtherRouters(in)
 	switch {
 	case !ok:
-		return target, errServerUnknown
+		return target, tunnel.ErrNotInUse
 	case s.paths.Path(reach.GroupOf(target)).Indirect:
 		return target, tunnel.ErrNotReaching
 	case s.link.Saturated():
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -50,7 +50,7 @@
 		open, _ = strconv.Atoi(resp.Header.Get(openHeader)) // 0 if the router does not say
 		return open, nil
 	case resp.StatusCode == http.StatusBadGateway:
-		return 0, &ServerError{Router: router, Refused: reason == reasonRefused, Reason: reason}
+		return 0, &ServerError{Router: router, Refused: reason == reasonRefused, NotInUse: reason == ErrNotInUse.Error(), Reason: reason}
 	default:
 		return 0, &RouterError{router, &RefusedError{resp.StatusCode, reason}}
 	}
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -106,7 +106,11 @@
 		return
 	}
 	target, err := s.Admit(owner)
-	if err != nil {
+	switch {
+	case errors.Is(err, ErrNotInUse):
+		s.refuse(c, owner, http.StatusBadGateway, err.Error())
+		return
+	case err != nil:
 		s.refuse(c, owner, http.StatusServiceUnavailable, err.Error())
 		return
 	}
--- a/tunnel/tunnel.go
+++ b/tunnel/tunnel.go
@@ -43,12 +43,13 @@
 // Unwrap returns the cause.
 func (e *RouterError) Unwrap() error { return e.Err }
 
-// ServerError is why another router did not reach the server.
+// ServerError is why another router did not connect to the server.
 type ServerError struct {
 	Router string
-	// Refused reports that the server's machine refused or reset the connection.
-	Refused bool
-	Reason  string
+	// Refused reports that the server's machine refused or reset the connection, and NotInUse that the
+	// server is not registered or leaving, by what the router knows.
+	Refused, NotInUse bool
+	Reason            string
 }
 
 // Error implements error.
@@ -59,6 +60,9 @@
 // ErrNotReaching is the error of Options.Admit for a server that the router does not reach itself.
 var ErrNotReaching = errors.New("the router does not reach the server itself")
 
+// ErrNotInUse is the error of Options.Admit for a server that is not registered or leaving.
+var ErrNotInUse = errors.New("the server is not registered here, or leaving")
+
 // errProtocol is returned if the other router does not speak this protocol, as one of an older release.
 var errProtocol = errors.New("the router does not provide tunnels")
 
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -59,16 +59,12 @@
 	}
 }
 
-// reportNotAnswered reports that no byte of a response came since the request was sent, before it timed
-// out or the connection broke.
-func (c *conn) reportNotAnswered(began time.Time, timedOut bool) {
-	switch {
-	case c.router == "":
+// reportNotAnswered reports that no byte of a response came since the request was sent.
+func (c *conn) reportNotAnswered(began time.Time) {
+	if c.router == "" {
 		c.paths.NotAnswered(began, c.group)
-	case timedOut:
-		c.paths.TimedOut(began, c.router)
-	default:
-		c.paths.Broken(c.router)
+	} else {
+		c.paths.Unheard(began, c.router)
 	}
 }
 
--- a/upstream/paths.go
+++ b/upstream/paths.go
@@ -21,10 +21,9 @@
 	// Usable reports whether a connection through a router that was opened at a given time may carry
 	// another request.
 	Usable(router string, opened time.Time) bool
-	// Broken reports that a connection through a router broke without a byte of a response, TimedOut
-	// that none came in time for a request sent at a given time, and Heard that bytes arrived.
-	Broken(router string)
-	TimedOut(began time.Time, router string)
+	// Unheard reports that no byte of a response came through a router for a request that was sent at a
+	// given time, and Heard that bytes arrived.
+	Unheard(began time.Time, router string)
 	Heard(router string)
 	// ReachedElsewhere reports whether another router reaches a server that refuses this router.
 	ReachedElsewhere(ctx context.Context, s placement.Server) bool
@@ -53,8 +52,7 @@
 	return nil, "", ErrNoPath
 }
 func (direct) Usable(string, time.Time) bool                               { return false }
-func (direct) Broken(string)                                               {}
-func (direct) TimedOut(time.Time, string)                                  {}
+func (direct) Unheard(time.Time, string)                                   {}
 func (direct) Heard(string)                                                {}
 func (direct) ReachedElsewhere(context.Context, placement.Server) bool     { return false }
 func (direct) Connected(reach.Group)                                       {}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -121,7 +121,7 @@
 	c.endWait()
 	if err != nil {
 		if c.readAt.Before(began) && !errors.Is(context.Cause(ctx), context.Canceled) {
-			c.reportNotAnswered(began, ctx.Err() != nil)
+			c.reportNotAnswered(began)
 		}
 		a.discard()
 		if ctx.Err() != nil {
