Poison: a server behind a closed tunnel does not count as alive

A crashed server whose address still accepts connections and closes them at once counted as reached elsewhere, since only the opening of the tunnel was looked at, and the check through a tunnel took any close for the router in between. The test failed before.

--- a/controller/paths/checks.go
+++ b/controller/paths/checks.go
@@ -130,7 +130,8 @@
 }
 
 // ReachedElsewhere implements upstream.Paths. While other servers of the group respond to this router,
-// nobody is asked: the path to them works.
+// nobody is asked: the path to them works. A connection that is closed at once shows no server, since it
+// may have been accepted on its behalf.
 func (c *Controller) ReachedElsewhere(ctx context.Context, s placement.Server) bool {
 	c.mu.Lock()
 	now, g := clock.Now(), reach.GroupOf(s)
@@ -139,10 +140,5 @@
 	if !quiet {
 		return false
 	}
-	conn, _, err := c.Open(ctx, s)
-	if err != nil {
-		return false
-	}
-	_ = conn.Close()
-	return true
+	return c.pingElsewhere(ctx, s, upstream.PingRequest{}) == nil
 }
--- a/controller/paths/fleet_test.go
+++ b/controller/paths/fleet_test.go
@@ -28,6 +28,8 @@
 	mu     sync.Mutex
 	opened map[string]int
 	asked  int
+	// closes is set if servers close each connection at once.
+	closes bool
 }
 
 var (
@@ -80,7 +82,10 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.opened[id]++
-	near, _ := net.Pipe()
+	near, far := net.Pipe()
+	if v.closes {
+		_ = far.Close()
+	}
 	return near, v.opened[id], nil
 }
 
@@ -169,3 +174,16 @@
 		t.Errorf("%d questions, connections %v", f.asked, f.opened)
 	}
 }
+
+// Guards against a server that has crashed and counts as alive, so that the request which ended it is sent
+// on, because a connection through another router is accepted on its behalf and closed.
+func TestServerThatClosesConnectionsIsNotReachedElsewhere(t *testing.T) {
+	for _, closes := range []bool{true, false} {
+		f := newFleet(3, 1)
+		f.closes = closes
+		reached := f.routers[0].ReachedElsewhere(t.Context(), placement.Server{ID: "s", Service: "m", Domain: "a"})
+		if reached == closes {
+			t.Errorf("closes %v, reached %v", closes, reached)
+		}
+	}
+}
--- a/upstream/liveness.go
+++ b/upstream/liveness.go
@@ -56,9 +56,6 @@
 		_ = c.SetReadDeadline(time.Time{})
 		p.put(c, p.opts.IdleTimeout)
 		return Alive
-	case c.router != "":
-		p.drop(c) // the router in between may have ended
-		return Unknown
 	case errors.Is(err, io.EOF), errors.Is(err, syscall.ECONNRESET):
 		p.drop(c)
 		return p.goneUnlessElsewhere(ctx, s)
