--- a/result/result.go
+++ b/result/result.go
@@ -110,7 +110,7 @@
 	{RetryBudgetSpent, "RetryBudgetSpent", 503, true, "An attempt did not run and the retry budget is spent.", "Retry after the time given."},
 	{HeldBack, "HeldBack", 503, true, "Backend servers ended each time they ran this request, so it was not sent to another one.", "Change the request; operators: `gaplinkctl verdict list`."},
 	{ServersLimited, "ServersLimited", 503, true, "All backend servers that could run the request take requests at a limited rate, which is used up.", "Retry after the time given; operators: `gaplinkctl limit list`."},
-	{ServersOverloaded, "ServersOverloaded", 503, true, "All backend servers that could run the request have rejected requests and asked for none for a while.", "Retry after the time given; operators: `gaplink_servers` by state."},
+	{ServersOverloaded, "ServersOverloaded", 503, true, "All backend servers that could run the request have asked for no requests for a while, or are brittle and have no room for this router.", "Retry after the time given; operators: `gaplink_servers` by state."},
 	{OutcomeUnknown, "OutcomeUnknown", 502, false, "The request was dispatched and its outcome is unknown; a not-repeatable request is never run again.", "Ask the service that ran it what happened."},
 	{AlreadyRunning, "AlreadyRunning", 409, false, "An attempt with this key is running.", "Retry after the time given for its outcome."},
 	{BackendGarbage, "BackendGarbage", 502, false, "The backend server's answer could not be read.", "Retry a repeatable request with the same key."},
