--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/gaplink/gaplink/sockets"
 	"github.com/gaplink/gaplink/upstream"
 )
 
@@ -162,14 +163,7 @@
 // ConnContext is the ConnContext hook of the http.Server that serves a Gateway; with it the
 // gateway can reset callers' connections.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
-	for {
-		wrapper, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			break
-		}
-		c = wrapper.NetConn()
-	}
-	if tcp, ok := c.(*net.TCPConn); ok {
+	if tcp, ok := sockets.As[*net.TCPConn](c); ok {
 		_ = tcp.SetWriteBuffer(upstream.SendBuffer) // fails only on a closed connection
 		return context.WithValue(ctx, callerConn{}, tcp)
 	}
--- a/peer/client.go
+++ b/peer/client.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcpool"
 
 	"github.com/gaplink/gaplink/link"
+	"github.com/gaplink/gaplink/sockets"
 )
 
 const (
@@ -95,11 +96,7 @@
 		c.running = make(chan struct{}, maxCalls)
 		c.conns = make(chan struct{}, o.MaxOpen)
 	}
-	if host, _, err := net.SplitHostPort(o.From); err == nil {
-		if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
-			c.dialer.LocalAddr = &net.TCPAddr{IP: ip}
-		}
-	}
+	sockets.SetSource(&c.dialer, o.From)
 	return c
 }
 
--- a/server/paths.go
+++ b/server/paths.go
@@ -12,7 +12,6 @@
 
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/controller/paths"
-	"github.com/gaplink/gaplink/membership"
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/reach"
@@ -110,11 +109,7 @@
 // tunnelDialer returns a dialer for tunnels, whose source is that of calls to other routers.
 func (s *Server) tunnelDialer() *net.Dialer {
 	d := s.pool.RouterDialer()
-	if host, _, err := net.SplitHostPort(s.settings.Listen.Peers); err == nil {
-		if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
-			d.LocalAddr = &net.TCPAddr{IP: ip}
-		}
-	}
+	sockets.SetSource(d, s.settings.Listen.Peers)
 	return d
 }
 
@@ -139,7 +134,7 @@
 	return tunnel.NewServer(tunnel.Options{
 		IsRouter: s.members.HasHost,
 		Admit:    s.admitTunnel,
-		Dial:     s.dialForRouter,
+		Dial:     s.pool.OpenFor,
 		Reserve:  s.reserveTunnel,
 		Detach:   sockets.Detach,
 		Log:      s.log,
@@ -169,10 +164,6 @@
 	return target, nil
 }
 
-func (s *Server) dialForRouter(ctx context.Context, target placement.Server) (net.Conn, error) {
-	return s.pool.OpenFor(ctx, target)
-}
-
 // tunnelShare is the share of the connections of callers that tunnels may take.
 const tunnelShare = 0.5
 
@@ -210,21 +201,12 @@
 func (s *Server) stopTunnels() {
 	hosts := s.tunnels.Stop()
 	for _, m := range s.members.Members() {
-		if m.ID != s.settings.Instance.ID && onHosts(m, hosts) {
+		if m.ID != s.settings.Instance.ID && slices.Contains(hosts, m.Host()) {
 			go s.noticeLeaving(m.Addr)
 		}
 	}
 }
 
-func onHosts(m membership.Member, hosts []string) bool {
-	for _, host := range hosts {
-		if m.Host() == host {
-			return true
-		}
-	}
-	return false
-}
-
 func (s *Server) noticeLeaving(addr string) {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveNoticeTimeout)
 	defer cancel()
--- a/sockets/listener.go
+++ b/sockets/listener.go
@@ -152,16 +152,8 @@
 // Detach excludes a connection from the limit of the listener that accepted it, which then neither counts
 // nor evicts it.
 func Detach(c net.Conn) {
-	for {
-		if own, ok := c.(*conn); ok {
-			own.once.Do(own.unregister)
-			return
-		}
-		wrapper, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			return
-		}
-		c = wrapper.NetConn()
+	if own, ok := As[*conn](c); ok {
+		own.once.Do(own.unregister)
 	}
 }
 
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -8,17 +8,18 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/sys/unix"
 
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/logs"
 	"github.com/gaplink/gaplink/placement"
+	"github.com/gaplink/gaplink/sockets"
 )
 
 const (
@@ -196,10 +197,8 @@
 	s.stopping.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	seen := map[string]bool{}
 	for t := range s.open {
-		if !seen[t.host] {
-			seen[t.host] = true
+		if !slices.Contains(routers, t.host) {
 			routers = append(routers, t.host)
 		}
 	}
@@ -245,14 +244,14 @@
 // newTunnel returns a tunnel whose ends are reset when it ends unless end is called, also if this
 // process is killed; nil if a connection is closed.
 func newTunnel(router, server net.Conn, host string) *tunnel {
-	t := &tunnel{router: router, server: server, routerTCP: unwrap(router), serverTCP: unwrap(server), host: host}
-	if t.routerTCP == nil || t.serverTCP == nil || t.routerTCP.SetLinger(0) != nil || t.serverTCP.SetLinger(0) != nil {
+	routerTCP, ok := sockets.As[*net.TCPConn](router)
+	serverTCP, serverOK := sockets.As[*net.TCPConn](server)
+	if !ok || !serverOK || routerTCP.SetLinger(0) != nil || serverTCP.SetLinger(0) != nil {
 		return nil
 	}
-	if raw, err := t.routerTCP.SyscallConn(); err == nil {
-		_ = raw.Control(func(fd uintptr) {
-			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(deadTimeout.Milliseconds()))
-		})
+	t := &tunnel{router: router, server: server, routerTCP: routerTCP, serverTCP: serverTCP, host: host}
+	if raw, err := routerTCP.SyscallConn(); err == nil {
+		_ = sockets.SetUserTimeout(raw, deadTimeout) // fails only on a closed connection
 	}
 	t.lastAt.Store(int64(clock.Now().Sub(epoch)))
 	return t
--- a/tunnel/tunnel.go
+++ b/tunnel/tunnel.go
@@ -14,7 +14,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"strconv"
 
@@ -66,20 +65,6 @@
 // errProtocol is returned if the other router does not speak this protocol, as one of an older release.
 var errProtocol = errors.New("the router does not provide tunnels")
 
-// unwrap returns the TCP connection under wrappers, or nil.
-func unwrap(c net.Conn) *net.TCPConn {
-	for {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			return tcp
-		}
-		wrapper, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			return nil
-		}
-		c = wrapper.NetConn()
-	}
-}
-
 func encodeOwner(h http.Header, in placement.Incarnation) {
 	h.Set(serverHeader, in.ID)
 	h.Set(startedHeader, strconv.FormatInt(in.Started, 10))
--- a/upstream/paths.go
+++ b/upstream/paths.go
@@ -99,7 +99,8 @@
 	}
 }
 
-// RouterDialer returns a dialer for connections through another router, with the timeouts of direct ones.
+// RouterDialer returns a dialer for connections to another router, through which servers are reached. Its
+// timeouts are those of direct connections.
 func (p *Pool) RouterDialer() *net.Dialer {
 	return &net.Dialer{Timeout: p.opts.dialTimeout(), KeepAlive: -1, ControlContext: setUserTimeout}
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -16,12 +16,11 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/link"
 	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/reach"
+	"github.com/gaplink/gaplink/sockets"
 )
 
 const (
@@ -225,7 +224,7 @@
 
 // directDialer returns a dialer for direct connections to servers.
 func (p *Pool) directDialer() *net.Dialer {
-	d := &net.Dialer{Timeout: p.opts.dialTimeout(), KeepAlive: -1, ControlContext: setUserTimeout}
+	d := p.RouterDialer()
 	if p.opts.Source != nil {
 		d.LocalAddr = &net.TCPAddr{IP: p.opts.Source}
 	}
@@ -323,9 +322,5 @@
 
 // setUserTimeout sets the TCP user timeout of a new socket to unackedLimit.
 func setUserTimeout(_ context.Context, _, _ string, raw syscall.RawConn) error {
-	var err error
-	control := raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedLimit.Milliseconds()))
-	})
-	return errors.Join(control, err)
+	return sockets.SetUserTimeout(raw, unackedLimit)
 }
