--- a/reach/routers.go
+++ b/reach/routers.go
@@ -1,6 +1,7 @@
 package reach
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -25,41 +26,56 @@
 	searchInterval = 250 * time.Millisecond
 )
 
-// Routers holds what this router knows of others that reach servers it is cut off from. It is not safe
-// for concurrent use.
+// Routers holds the observations of other routers through which servers are reached. It is not safe for
+// concurrent use.
 type Routers struct {
-	penalties map[string]*penalty
-	// broken holds the times until which connections through a router are not used, and left when a
-	// process of it said that it is stopping.
-	broken, left map[string]time.Time
+	byID map[string]*router
 	// reaching are the routers that reach a group, and failures the consecutive servers that each did
 	// not reach.
 	reaching map[Group][]string
 	failures map[Group]map[string]int
 	searched map[Group]time.Time
-	// heard is when bytes last arrived through each router, and unheard the requests since then that
-	// got none.
-	heard   map[string]time.Time
-	unheard map[string]int
-	// loads are the numbers of connections for other routers that routers have stated last.
-	loads map[string]int
 }
 
-// penalty is the time until which a router is not asked.
-type penalty struct {
-	until time.Time
-	wait  time.Duration
+// router is what was observed of one router.
+type router struct {
+	// penaltyUntil is the time until which it is not asked, and penalty the length of that.
+	penaltyUntil time.Time
+	penalty      time.Duration
+	// brokenUntil is the time until which connections through it are not used, and leftAt when a process
+	// of it said that it is stopping.
+	brokenUntil, leftAt time.Time
+	// heardAt is when bytes last arrived through it, and unheard the number of requests since then that
+	// got none.
+	heardAt time.Time
+	unheard int
+	// load is the number of connections for other routers that it has stated last.
+	load int
 }
 
-// NewRouters returns a Routers that knows none.
+// NewRouters returns a Routers without observations.
 func NewRouters() *Routers {
-	return &Routers{penalties: map[string]*penalty{}, broken: map[string]time.Time{}, left: map[string]time.Time{}, reaching: map[Group][]string{}, failures: map[Group]map[string]int{}, searched: map[Group]time.Time{}, loads: map[string]int{}, heard: map[string]time.Time{}, unheard: map[string]int{}}
+	return &Routers{byID: map[string]*router{}, reaching: map[Group][]string{}, failures: map[Group]map[string]int{}, searched: map[Group]time.Time{}}
+}
+
+func (r *Routers) router(id string) *router {
+	o, ok := r.byID[id]
+	if !ok {
+		o = &router{}
+		r.byID[id] = o
+	}
+	return o
+}
+
+// penalize makes a router not be asked for a time.
+func (o *router) penalize(now time.Time, wait time.Duration) {
+	o.penalty, o.penaltyUntil = wait, now.Add(wait)
 }
 
 // Usable reports whether a router may be asked.
 func (r *Routers) Usable(now time.Time, id string) bool {
-	p, ok := r.penalties[id]
-	return !ok || !now.Before(p.until)
+	o, ok := r.byID[id]
+	return !ok || !now.Before(o.penaltyUntil)
 }
 
 // Pick returns the less loaded of two random routers that reach a group, except those in tried; false
@@ -75,7 +91,7 @@
 		return "", false
 	}
 	a, b := usable[rng.IntN(len(usable))], usable[rng.IntN(len(usable))]
-	if r.loads[b] < r.loads[a] {
+	if r.router(b).load < r.router(a).load {
 		return b, true
 	}
 	return a, true
@@ -104,8 +120,8 @@
 
 // Provided records that a router provided a connection, and how many it has for other routers.
 func (r *Routers) Provided(g Group, id string, load int) {
-	r.loads[id] = load
-	delete(r.penalties, id)
+	o := r.router(id)
+	o.load, o.penalty, o.penaltyUntil = load, 0, time.Time{}
 	delete(r.failures[g], id)
 }
 
@@ -127,65 +143,66 @@
 
 // Failed records that a router provided no connection.
 func (r *Routers) Failed(now time.Time, id string) {
-	p := r.penalties[id]
-	switch {
-	case p == nil:
-		p = &penalty{wait: minPenalty}
-		r.penalties[id] = p
-	case now.Before(p.until):
-		return
-	default:
-		p.wait = min(2*p.wait, maxPenalty)
-	}
-	p.until = now.Add(p.wait)
-	if p.wait < dropPenalty {
+	o := r.router(id)
+	if now.Before(o.penaltyUntil) {
 		return
 	}
-	for g := range r.reaching {
-		r.remove(g, id)
+	o.penalize(now, min(max(2*o.penalty, minPenalty), maxPenalty))
+	if o.penalty >= dropPenalty {
+		r.drop(id)
 	}
 }
 
-// Busy records that a router has no room for a connection now.
+// Busy records that a router has no room for a connection now. The penalty does not grow.
 func (r *Routers) Busy(now time.Time, id string) {
-	r.penalties[id] = &penalty{until: now.Add(minPenalty), wait: minPenalty / 2}
+	o := r.router(id)
+	o.penalize(now, minPenalty)
+	o.penalty = 0
 }
 
 // Heard records that bytes of a response arrived through a router.
 func (r *Routers) Heard(now time.Time, id string) {
-	r.heard[id] = now
-	delete(r.unheard, id)
+	o := r.router(id)
+	o.heardAt, o.unheard = now, 0
 }
 
 // Unheard records that a request that was sent through a router at a given time got no byte of a response.
 // The server may be slow or have ended, so the router counts as broken, and its connections as unusable
 // until the penalty ends, only if several do and nothing else arrives through it.
 func (r *Routers) Unheard(now, began time.Time, id string) {
-	if !r.heard[id].Before(began) {
+	o := r.router(id)
+	if !o.heardAt.Before(began) {
 		return
 	}
-	r.unheard[id]++
-	if r.unheard[id] >= maxUnheard && now.Sub(r.heard[id]) >= silenceLimit {
-		delete(r.unheard, id)
+	o.unheard++
+	if o.unheard >= maxUnheard && now.Sub(o.heardAt) >= silenceLimit {
+		o.unheard = 0
 		r.Failed(now, id)
-		r.broken[id] = r.penalties[id].until
+		o.brokenUntil = o.penaltyUntil
 	}
 }
 
 // Leaving records that a router is stopping. Connections through it that are open carry no further
 // request.
 func (r *Routers) Leaving(now time.Time, id string) {
-	r.left[id] = now
-	r.penalties[id] = &penalty{until: now.Add(leavingPenalty), wait: leavingPenalty}
-	for g := range r.reaching {
-		r.remove(g, id)
-	}
+	o := r.router(id)
+	o.leftAt = now
+	o.penalize(now, leavingPenalty)
+	r.drop(id)
 }
 
 // KeepsConnection reports whether a connection through a router that was opened at a given time may carry
 // another request.
 func (r *Routers) KeepsConnection(now, opened time.Time, id string) bool {
-	return !now.Before(r.broken[id]) && !r.left[id].After(opened)
+	o, ok := r.byID[id]
+	return !ok || !now.Before(o.brokenUntil) && !o.leftAt.After(opened)
+}
+
+// drop removes a router from all groups that it reaches.
+func (r *Routers) drop(id string) {
+	for g := range r.reaching {
+		r.remove(g, id)
+	}
 }
 
 func (r *Routers) remove(g Group, id string) {
@@ -195,19 +212,13 @@
 	}
 }
 
-// Forget drops what is known of a group that is reached directly again, and expired penalties.
+// Forget drops what was observed for a group that is reached directly again, and the routers of which
+// nothing is in force any more.
 func (r *Routers) Forget(now time.Time, g Group) {
 	delete(r.reaching, g)
 	delete(r.failures, g)
 	delete(r.searched, g)
-	for id, p := range r.penalties {
-		if now.Sub(p.until) > maxPenalty {
-			delete(r.penalties, id)
-			delete(r.broken, id)
-			delete(r.left, id)
-			delete(r.loads, id)
-			delete(r.heard, id)
-			delete(r.unheard, id)
-		}
-	}
+	maps.DeleteFunc(r.byID, func(_ string, o *router) bool {
+		return now.Sub(o.penaltyUntil) > maxPenalty && now.Sub(o.heardAt) > maxPenalty
+	})
 }
