Gateway: requests and attempts under way share one registry

The attempts that are cancelled when a router is cut off were kept in a copy of the registry of requests under way. Both are one generic type now.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -70,7 +70,7 @@
 	defer cancel(nil)
 	wd := a.startWatchdog(cancel)
 	defer wd.stop()
-	defer a.g.exchanges.add(a, wd)()
+	defer a.g.attempts.add(a, wd)()
 	a.sentAt = clock.Now()
 	answer, failure := a.g.Pool.Send(ctx, a.request())
 	if failure != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -94,10 +95,12 @@
 // Gateway is the HTTP handler that serves callers.
 type Gateway struct {
 	Options
-	steps       []step
-	inFlight    atomic.Int64
-	running     runningCalls
-	exchanges   exchanges
+	steps    []step
+	inFlight atomic.Int64
+	// running holds the requests that are dispatched to servers, with the function that cancels each,
+	// and attempts the attempts under way, with their watchdogs.
+	running     inProgress[*call, context.CancelFunc]
+	attempts    inProgress[*attempt, *watchdog]
 	returns     *returns // nil without Options.Returns
 	holding     *holding // likewise
 	draining    atomic.Bool
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/gaplink/gaplink/clock"
@@ -30,44 +29,10 @@
 	answerWait = 1500 * time.Millisecond
 )
 
-// exchanges are the attempts under way. The zero value is ready to use.
-type exchanges struct {
-	mu       sync.Mutex
-	attempts map[*attempt]*watchdog
-}
-
-// add registers an attempt until the returned function is called.
-func (e *exchanges) add(a *attempt, w *watchdog) (remove func()) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.attempts == nil {
-		e.attempts = map[*attempt]*watchdog{}
-	}
-	e.attempts[a] = w
-	return func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		delete(e.attempts, a)
-	}
-}
-
-// of returns the watchdogs of the attempts at servers of a group.
-func (e *exchanges) of(g reach.Group) []*watchdog {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	var list []*watchdog
-	for a, w := range e.attempts {
-		if reach.GroupOf(a.server) == g {
-			list = append(list, w)
-		}
-	}
-	return list
-}
-
 // CutOff must be called when this router is cut off from a group of servers. It cancels the attempts there
 // that receive nothing.
 func (g *Gateway) CutOff(group reach.Group) {
-	for _, w := range g.exchanges.of(group) {
+	for _, w := range g.attempts.matching(func(a *attempt) bool { return reach.GroupOf(a.server) == group }) {
 		w.onCutOff()
 	}
 }
--- a/gateway/running.go
+++ b/gateway/running.go
@@ -1,44 +1,51 @@
 package gateway
 
 import (
-	"context"
 	"sync"
 
 	"github.com/gaplink/gaplink/clock"
 )
 
-// runningCalls holds the requests that are dispatched to servers and the function that cancels
-// each. The zero value is ready to use.
-type runningCalls struct {
-	mu    sync.Mutex
-	calls map[*call]context.CancelFunc
+// inProgress holds what is under way, with a value for each. The zero value is ready to use.
+type inProgress[K comparable, V any] struct {
+	mu     sync.Mutex
+	values map[K]V
 }
 
-// add registers a request until the returned function is called.
-func (r *runningCalls) add(c *call, cancel context.CancelFunc) (remove func()) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.calls == nil {
-		r.calls = map[*call]context.CancelFunc{}
+// add registers a key until the returned function is called.
+func (p *inProgress[K, V]) add(key K, value V) (remove func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.values == nil {
+		p.values = map[K]V{}
 	}
-	r.calls[c] = cancel
+	p.values[key] = value
 	return func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		delete(r.calls, c)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.values, key)
 	}
 }
 
+// matching returns the values of the keys that are accepted.
+func (p *inProgress[K, V]) matching(accepts func(K) bool) []V {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []V
+	for key, value := range p.values {
+		if accepts(key) {
+			list = append(list, value)
+		}
+	}
+	return list
+}
+
 // Resumed must be called after the machine was suspended. It cancels the requests whose deadline
 // passed meanwhile: their timers did not run during the suspension, and servers would keep
 // working for callers that have disconnected.
 func (g *Gateway) Resumed() {
-	g.running.mu.Lock()
-	defer g.running.mu.Unlock()
-	for c, cancel := range g.running.calls {
-		if c.deadlinePassed() {
-			cancel()
-		}
+	for _, cancel := range g.running.matching((*call).deadlinePassed) {
+		cancel()
 	}
 }
 
