--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -259,7 +259,7 @@
 // first.
 func (f *fleet) cutOff(s Step) {
 	f.recordDisruption(ServerLinks(s.Target), s.Duration)
-	source, how := routerSource(s.Target), cut(s.Duration.Milliseconds()%int64(cutKinds))
+	source, how := routerSource(s.Target), Partition(s.Duration.Milliseconds()%int64(partitionKinds))
 	for _, p := range f.slots {
 		p.proxy.Cut(source, how)
 	}
--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -29,20 +29,21 @@
 	restored chan struct{}
 	conns    map[*proxiedConn]bool
 	// cuts are the partitions of clients by their IP address.
-	cuts map[string]cut
+	cuts map[string]Partition
 }
 
-// cut is how connections of a client fail while it is partitioned from the proxy's target.
-type cut int
+// Partition is how connections of a client fail while it is partitioned from a proxy's target.
+type Partition int
 
+// The ways in which a client is partitioned.
 const (
-	// cutSilent: open and new connections carry nothing.
-	cutSilent cut = iota
-	// cutReset: open connections are reset, new ones too.
-	cutReset
-	// cutNew: open connections live on, new ones are reset.
-	cutNew
-	cutKinds
+	// PartitionSilent: open and new connections carry nothing.
+	PartitionSilent Partition = iota
+	// PartitionReset: open connections are reset, new ones too.
+	PartitionReset
+	// PartitionNew: open connections live on, new ones are reset.
+	PartitionNew
+	partitionKinds
 )
 
 // proxiedConn is one connection through a proxy.
@@ -61,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: l, target: target, conns: map[*proxiedConn]bool{}, cuts: map[string]cut{}, restored: make(chan struct{})}
+	p := &Proxy{listener: l, target: target, conns: map[*proxiedConn]bool{}, cuts: map[string]Partition{}, restored: make(chan struct{})}
 	go p.accept()
 	return p, nil
 }
@@ -70,16 +71,16 @@
 func (p *Proxy) Addr() string { return p.listener.Addr().String() }
 
 // Cut partitions the client with an IP address from the target until Heal is called.
-func (p *Proxy) Cut(source string, how cut) {
+func (p *Proxy) Cut(source string, how Partition) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cuts[source] = how
 	for pc := range p.conns {
 		switch {
 		case pc.source != source:
-		case how == cutSilent:
+		case how == PartitionSilent:
 			pc.silent = true
-		case how == cutReset:
+		case how == PartitionReset:
 			pc.reset()
 		}
 	}
@@ -174,9 +175,9 @@
 	p.mu.Lock()
 	target, down := p.target, p.down
 	how, isCut := p.cuts[source]
-	pc.silent = isCut && how == cutSilent
+	pc.silent = isCut && how == PartitionSilent
 	p.mu.Unlock()
-	if down || isCut && how != cutSilent {
+	if down || isCut && how != PartitionSilent {
 		pc.reset()
 		return
 	}
@@ -189,8 +190,10 @@
 	p.mu.Lock()
 	p.conns[pc] = true
 	down = p.down
+	how, isCut = p.cuts[source] // it may have begun meanwhile
+	pc.silent = pc.silent || isCut && how == PartitionSilent
 	p.mu.Unlock()
-	if down {
+	if down || isCut && how != PartitionSilent {
 		pc.reset()
 	}
 	pc.run()
--- a/lab/soak/proxy_test.go
+++ b/lab/soak/proxy_test.go
@@ -134,3 +134,51 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a partition of a client that lets its bytes through, strikes other clients, or does not
+// end.
+func TestProxyCutsOneClientOff(t *testing.T) {
+	const source, other = "127.0.3.1", "127.0.3.2"
+	for how, c := range map[Partition]struct{ open, fresh error }{
+		PartitionSilent: {os.ErrDeadlineExceeded, os.ErrDeadlineExceeded},
+		PartitionReset:  {syscall.ECONNRESET, syscall.ECONNRESET},
+		PartitionNew:    {nil, syscall.ECONNRESET},
+	} {
+		p, _ := startProxy(t)
+		dial := func(ip string) net.Conn {
+			c, err := (&net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}).Dial("tcp", p.Addr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = c.Close() })
+			return c
+		}
+		open, unconcerned := dial(source), dial(other)
+		for _, c := range []net.Conn{open, unconcerned} {
+			if err := roundTrip(c); err != nil {
+				t.Fatal(err)
+			}
+		}
+		p.Cut(source, how)
+		time.Sleep(20 * time.Millisecond)
+		failed := func(err, want error) bool {
+			if want == syscall.ECONNRESET {
+				return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) // by a write or by a read
+			}
+			return errors.Is(err, want)
+		}
+		if err := roundTrip(open); !failed(err, c.open) {
+			t.Errorf("%d: an open connection: %v", how, err)
+		}
+		if err := roundTrip(dial(source)); !failed(err, c.fresh) {
+			t.Errorf("%d: a new connection: %v", how, err)
+		}
+		if err := roundTrip(unconcerned); err != nil {
+			t.Errorf("%d: another client: %v", how, err)
+		}
+		p.Heal(source)
+		if err := roundTrip(dial(source)); err != nil {
+			t.Errorf("%d: after the partition: %v", how, err)
+		}
+	}
+}
