Membership: a router's position for a role without ranking all

The part of a brittle server's slots was found by sorting all routers for each server, under the lock of the registry: with 1,000 routers and thousands of servers that is work of seconds in the path of requests. The rendezvous hash, written three times in the package, is one function. Some comments say plainly what they mean.

--- a/controller/members/members.go
+++ b/controller/members/members.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -202,8 +201,10 @@
 
 // Position returns the rank of this router for a role, from 0, among all usable routers, and their number.
 func (c *Controller) Position(now time.Time, role string) (rank, routers int) {
-	ids := c.Rank(now, role)
-	return max(slices.Index(ids, c.self.ID), 0), max(len(ids), 1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rank, routers = c.view.Position(now, role)
+	return rank, max(routers, 1)
 }
 
 // Addr returns a member's address for traffic between routers.
--- a/controller/paths/paths.go
+++ b/controller/paths/paths.go
@@ -153,8 +153,8 @@
 	c.tracker.NotAnswered(began, g)
 }
 
-// Reaches reports whether this router reaches a group directly, as far as it knows, and otherwise through
-// which routers.
+// Reaches reports whether nothing speaks against this router reaching a group directly, and otherwise
+// returns the routers through which it does.
 func (c *Controller) Reaches(g reach.Group) (direct bool, through []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -224,6 +224,25 @@
 	return m.State == Live && !v.leaving[m.ID] && !v.Suspected(now, m.ID)
 }
 
+// score returns the rendezvous hash of a member for a role.
+func score(role, id string) uint64 { return xxhash.Sum64String(role + "\x00" + id) }
+
+// Position returns the index of this router in Rank and the number of ranked members, without ranking
+// them. A router that is not usable itself has the index that it would have.
+func (v *View) Position(now time.Time, role string) (rank, usable int) {
+	own := score(role, v.self)
+	for id, m := range v.members {
+		if !v.usable(now, m) {
+			continue
+		}
+		usable++
+		if other := score(role, id); other > own || other == own && id < v.self {
+			rank++
+		}
+	}
+	return rank, usable
+}
+
 // Rank returns the ids of the usable members for a role, best first, by
 // rendezvous hashing. The router itself is in the list unless it is leaving.
 func (v *View) Rank(now time.Time, role string) []string {
@@ -234,7 +253,7 @@
 	var list []scored
 	for id, m := range v.members {
 		if v.usable(now, m) {
-			list = append(list, scored{id, xxhash.Sum64String(role + "\x00" + id)})
+			list = append(list, scored{id, score(role, id)})
 		}
 	}
 	sort.Slice(list, func(i, j int) bool {
@@ -284,7 +303,7 @@
 	list := make([]candidate, 0, len(v.members))
 	for id, m := range v.members {
 		if m.State == Live && !v.leaving[id] {
-			list = append(list, candidate{id: id, link: m.LinkMbps, score: xxhash.Sum64String(role + "\x00" + id)})
+			list = append(list, candidate{id: id, link: m.LinkMbps, score: score(role, id)})
 		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].precedes(list[j]) })
@@ -307,8 +326,7 @@
 	if !ok {
 		return true
 	}
-	score := func(id string) uint64 { return xxhash.Sum64String(role + "\x00" + id) }
-	return candidate{id, m.LinkMbps, score(id)}.precedes(candidate{other, o.LinkMbps, score(other)})
+	return candidate{id, m.LinkMbps, score(role, id)}.precedes(candidate{other, o.LinkMbps, score(role, other)})
 }
 
 // Owners returns the first live listed members in the order of Largest, including suspected
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -298,8 +298,8 @@
 
 // ReachAnswer answers a ReachRequest.
 type ReachAnswer struct {
-	// Direct is set if the responding router reaches the servers itself, as far as it knows, and connects
-	// other routers to them.
+	// Direct is set if nothing speaks against the responding router reaching the servers itself, and it
+	// connects other routers to them.
 	Direct bool
 	// Through are routers through which the responding router reaches the servers.
 	Through []string
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -192,7 +192,7 @@
 func (s *Server) Refused() int64 { return s.refused.Load() }
 
 // Stop refuses new tunnels and returns the IP addresses of the routers that have tunnels, which should
-// be told to use them for no further request.
+// be notified to send no further request through them.
 func (s *Server) Stop() (routers []string) {
 	s.stopping.Store(true)
 	s.mu.Lock()
--- a/tunnel/tunnel.go
+++ b/tunnel/tunnel.go
@@ -2,8 +2,8 @@
 //
 // A tunnel carries the bytes of one connection unchanged, so the first router keeps everything that it
 // decides about a request: key, budget, retries, deadline, and what may have run. The other router
-// admits the connection and knows nothing of requests. It connects to servers only itself, so a tunnel
-// has one router in between at most.
+// admits the connection and does not parse requests. It connects to servers directly, so a tunnel has
+// one router in between at most.
 //
 // The request is an HTTP CONNECT at the address for other routers. It names the server by its id, since
 // an address may be reassigned. The ends of a tunnel are those of the connection to the server: an
@@ -46,7 +46,7 @@
 type ServerError struct {
 	Router string
 	// Refused reports that the server's machine refused or reset the connection, and NotInUse that the
-	// server is not registered or leaving, by what the router knows.
+	// server is not registered at the router, or leaving.
 	Refused, NotInUse bool
 	Reason            string
 }
