Soak: the tries during partitions are one type, read under the oracle's lock

The summary copied them field by field from the oracle without its lock, under keys unlike its others ("CutOff"; now "cut_off"). Counting and the rule are unchanged.

--- a/lab/soak/oracle.go
+++ b/lab/soak/oracle.go
@@ -172,7 +172,7 @@
 	backoffs  map[routerServer][]*askedBackoff
 	// cutOff and reaching count the tries during partitions, at routers that are cut off from servers
 	// and at others.
-	cutOff, reaching tries
+	cutOff, reaching Tries
 	routers          int
 }
 
--- a/lab/soak/oracle_cutoff.go
+++ b/lab/soak/oracle_cutoff.go
@@ -16,8 +16,14 @@
 	cutOffAllowedShare = 1.0 / 50
 )
 
-// tries are the tries of callers and how many were served.
-type tries struct{ sent, served int }
+// Tries are numbers of tries of callers.
+type Tries struct {
+	Sent   int `json:"sent"`
+	Served int `json:"served"`
+}
+
+// share returns the share of tries that were served.
+func (t Tries) share() float64 { return float64(t.Served) / float64(max(t.Sent, 1)) }
 
 // countTry counts a try that was sent during a partition of a router from all servers, if the process of
 // its own router was undisrupted.
@@ -36,9 +42,9 @@
 	case !o.undisrupted(b.answer.At, ServerLinks(b.Process.Router)) || !o.anyCutOff(b.Sent):
 		return
 	}
-	list.sent++
+	list.Sent++
 	if b.answer.Status == http.StatusOK && b.answer.Claim != Cut || b.answer.Signed {
-		list.served++
+		list.Served++
 	}
 }
 
@@ -73,14 +79,19 @@
 func (o *Oracle) CheckCutOff(at time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	failed := o.cutOff.sent - o.cutOff.served
-	if o.reaching.sent == 0 || float64(failed) <= cutOffAllowance+cutOffAllowedShare*float64(o.cutOff.sent) {
+	failed := o.cutOff.Sent - o.cutOff.Served
+	if o.reaching.Sent == 0 || float64(failed) <= cutOffAllowance+cutOffAllowedShare*float64(o.cutOff.Sent) {
 		return
 	}
 	share, others := o.cutOff.share(), o.reaching.share()
 	if share < minCutOffShare*others {
-		o.violate(CutOffServed, "", at, "served %d of %d, the others %d of %d", o.cutOff.served, o.cutOff.sent, o.reaching.served, o.reaching.sent)
+		o.violate(CutOffServed, "", at, "served %d of %d, the others %d of %d", o.cutOff.Served, o.cutOff.Sent, o.reaching.Served, o.reaching.Sent)
 	}
 }
 
-func (t tries) share() float64 { return float64(t.served) / float64(max(t.sent, 1)) }
+// Partitions returns the tries during partitions, at routers that were cut off from servers and at others.
+func (o *Oracle) Partitions() (cutOff, reaching Tries) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.cutOff, o.reaching
+}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -31,10 +31,11 @@
 	TokensIssued    map[string]int64  `json:"tokens_issued"`
 	Checked         map[Guarantee]int `json:"checked"`
 	// CutOff and Reaching count the tries during partitions of routers from all servers.
-	CutOff, Reaching struct{ Sent, Served int }
-	ViolationCount   int         `json:"breaches"`
-	Violations       []Violation `json:"broken,omitempty"`
-	Logs             string      `json:"logs,omitempty"`
+	CutOff         Tries       `json:"cut_off"`
+	Reaching       Tries       `json:"reaching"`
+	ViolationCount int         `json:"breaches"`
+	Violations     []Violation `json:"broken,omitempty"`
+	Logs           string      `json:"logs,omitempty"`
 }
 
 // The errors of a run.
@@ -137,13 +138,11 @@
 
 func summarize(o Options, dir string, oracle *Oracle, counters *runCounters) Summary {
 	violations := oracle.Violations()
+	cutOff, reaching := oracle.Partitions()
 	counters.mu.Lock()
 	defer counters.mu.Unlock()
-	s := Summary{
+	return Summary{
 		Seed: o.Seed, Seconds: o.Length.Seconds(), Requests: counters.requests, Answers: counters.answers, Faults: counters.faults,
-		Endings: counters.endings, TokensHandedOut: oracle.HandedOut(), TokensIssued: counters.issuedTokens, Checked: oracle.Checked(), ViolationCount: len(violations), Violations: violations[:min(len(violations), maxReported)], Logs: dir,
+		Endings: counters.endings, TokensHandedOut: oracle.HandedOut(), TokensIssued: counters.issuedTokens, Checked: oracle.Checked(), CutOff: cutOff, Reaching: reaching, ViolationCount: len(violations), Violations: violations[:min(len(violations), maxReported)], Logs: dir,
 	}
-	s.CutOff.Sent, s.CutOff.Served = oracle.cutOff.sent, oracle.cutOff.served
-	s.Reaching.Sent, s.Reaching.Served = oracle.reaching.sent, oracle.reaching.served
-	return s
 }
