Brittle servers: no growth while they may still let requests wait

Cause: a server that says that it is brittle lets requests wait until some seconds later. Routers took this for room and grew beyond the slots; when the waiting ended they were rejected together, a server fell over, and each rejection took a router below its part. Ruled out: a slot that is freed after the response arrives. The spec's server frees it before it responds. Change: routers take more than their part of servers no sooner than 6 s after they became brittle.

--- a/placement/brittle.go
+++ b/placement/brittle.go
@@ -15,6 +15,9 @@
 	// rejectionShare is the share of the rejections that a server bears that routers may cause by taking
 	// more than their part.
 	rejectionShare = 0.5
+	// settleTime is the time for which routers take no more than their part of servers that have become
+	// brittle: these may still let requests wait which they reject later.
+	settleTime = 6 * time.Second
 	// minGrowInterval is the minimum time after which a router takes more of a server.
 	minGrowInterval = time.Second
 )
@@ -126,6 +129,6 @@
 	if routers > 1 {
 		spread = (float64(rank) + spread) / float64(routers)
 	}
-	r.growAt = now.Add(time.Duration((0.5 + spread) * float64(r.interval)))
+	r.growAt = now.Add(settleTime + time.Duration(spread*float64(r.interval)))
 	s.room = r
 }
--- a/placement/brittle_test.go
+++ b/placement/brittle_test.go
@@ -19,6 +19,8 @@
 	says float64
 	// sharesLoad is set if routers know each other's load, which is up to modelExchange old.
 	sharesLoad bool
+	// queue is how many requests beyond its slots a server takes for the first modelGrace.
+	queue int
 
 	rng    *rand.Rand
 	fleet  []*placement.Servers
@@ -37,6 +39,8 @@
 	modelOverload = 1.5
 	modelFall     = 3 * time.Second
 	modelTick     = time.Millisecond
+	// modelGrace is the time from which a server lets none wait.
+	modelGrace = 3 * time.Second
 	// modelExchange is the interval at which routers learn the load of the others.
 	modelExchange = 500 * time.Millisecond
 )
@@ -47,8 +51,10 @@
 	router, server int
 }
 
+var brittleStart = time.Unix(1000, 0)
+
 func (m *brittleModel) String() string {
-	return fmt.Sprintf("%d routers, %d servers of %d slots, %.0f%% say so, load shared %v", m.routers, m.servers, m.slots, 100*m.says, m.sharesLoad)
+	return fmt.Sprintf("%d routers, %d servers of %d slots, %.0f%% say so, load shared %v, %d wait at first", m.routers, m.servers, m.slots, 100*m.says, m.sharesLoad, m.queue)
 }
 
 func (m *brittleModel) run(length, measured time.Duration) (served float64) {
@@ -67,7 +73,7 @@
 		}
 		m.fleet = append(m.fleet, f)
 	}
-	start := time.Unix(1000, 0)
+	start := brittleStart
 	perTick := modelOverload * float64(m.servers*m.slots) * modelTick.Seconds() / m.work.Seconds()
 	var endings []ending
 	due, servedBefore := 0.0, 0
@@ -124,6 +130,14 @@
 	m.served++
 }
 
+// room returns how many requests a server takes.
+func (m *brittleModel) room(now time.Time) int {
+	if now.Sub(brittleStart) < modelGrace {
+		return m.slots + m.queue
+	}
+	return m.slots
+}
+
 // send lets a random router send a request, to two servers at most.
 func (m *brittleModel) send(now time.Time) (ending, bool) {
 	r := m.rng.IntN(m.routers)
@@ -145,7 +159,7 @@
 		case m.rng.Float64() < m.says:
 			f.Brittle(now, "m", modelBears)
 		}
-		if m.inside[n] < m.slots {
+		if m.inside[n] < m.room(now) {
 			m.inside[n]++
 			return ending{now.Add(m.work), r, n}, true
 		}
@@ -160,8 +174,8 @@
 }
 
 // Guards against brittle servers that fall over one after the other under an overload, also when all
-// routers learn at once that a server has free slots, and against routers that leave servers idle to prevent
-// it. The falls allowed are the users': 2 and a tenth of the servers, from 3 s after they became brittle.
+// routers learn at once that a server has free slots, or when servers stop letting requests wait, and against
+// routers that leave servers idle to prevent it. The falls allowed are the users': 2 and a tenth of the servers, from 3 s after they became brittle.
 func TestBrittleServersStayUpUnderOverload(t *testing.T) {
 	for _, c := range []brittleModel{
 		{routers: 4, servers: 4, slots: 6, work: 60 * time.Millisecond, says: 1},
@@ -170,6 +184,11 @@
 		{routers: 6, servers: 18, slots: 64, work: 300 * time.Millisecond, says: 0.3},
 		{routers: 87, servers: 140, slots: 12, work: 600 * time.Millisecond, says: 1},
 		{routers: 300, servers: 400, slots: 12, work: 600 * time.Millisecond, says: 1},
+		{routers: 4, servers: 4, slots: 6, work: 120 * time.Millisecond, says: 1, queue: 3},
+		{routers: 6, servers: 18, slots: 64, work: 300 * time.Millisecond, says: 1, queue: 16},
+		{routers: 6, servers: 18, slots: 64, work: 300 * time.Millisecond, says: 0.3, queue: 16},
+		{routers: 87, servers: 140, slots: 12, work: 600 * time.Millisecond, says: 1, queue: 6},
+		{routers: 300, servers: 400, slots: 12, work: 600 * time.Millisecond, says: 1, queue: 6},
 	} {
 		for _, sharesLoad := range []bool{false, true} {
 			c := c
