Brittle servers: slots that are no router's part are lent by their owner

Seen: in virtual time, a brittle service with fewer slots than there are routers. Cause: slots were divided for good. A router without a part of a server refused what the server had room for, and took more only every 2 x routers / N seconds. A router that was refused everywhere got no answer, forgot after 3 s that the servers are brittle, and sent what it liked. Change: a router keeps an equal part of half of the slots; the rest is lent by an owner, a router by rendezvous hash, one slot for each request, returned at its end. The owner knows what is in use, so all of it can be used and no more. After a rejection it lends less and raises it within what the server bears; a new owner begins with one slot; loans end with the borrower's process. A denial tells when the server last said that it is brittle. Nothing is called while no server says so. The rank of a router for a server (membership.Position) is not needed any more and goes, with its test.

--- a/controller/members/members.go
+++ b/controller/members/members.go
@@ -199,14 +199,6 @@
 	return c.view.Rank(now, role)
 }
 
-// Position returns the rank of this router for a role, from 0, among all usable routers, and their number.
-func (c *Controller) Position(now time.Time, role string) (rank, routers int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	rank, routers = c.view.Position(now, role)
-	return rank, max(routers, 1)
-}
-
 // Addr returns a member's address for traffic between routers.
 func (c *Controller) Addr(id string) (string, bool) {
 	c.mu.Lock()
--- a/controller/registry/brittle.go
+++ b/controller/registry/brittle.go
@@ -7,13 +7,6 @@
 	"github.com/gaplink/gaplink/placement"
 )
 
-// SetShare sets the function that divides the slots of brittle servers among the routers.
-func (c *Controller) SetShare(share placement.Share) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.servers.SetShare(share)
-}
-
 // Brittle records that a server of a service has said that it falls over if it must reject more than a
 // number of requests in a second.
 func (c *Controller) Brittle(service, server string, rejections int) {
@@ -25,12 +18,12 @@
 	}
 }
 
-// NoRoom records that a process rejected a request for want of room. The request must still be counted as
-// in flight.
-func (c *Controller) NoRoom(in placement.Incarnation) {
+// NoRoom records that a process rejected a request for want of room, which had a loan of a slot or not. The
+// request must still be counted as in flight.
+func (c *Controller) NoRoom(in placement.Incarnation, lent bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.servers.NoRoom(clock.Now(), in)
+	c.servers.NoRoom(clock.Now(), in, lent)
 }
 
 // BrittleServices returns the number of services whose servers say that they are brittle.
--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -77,6 +77,7 @@
 	warmups map[string]Warmup
 	// limits is nil if no rate is limited.
 	limits    Limits
+	lender    Lender
 	evacuated []string
 	lines     lineLimiter
 	departing departing
--- a/gateway/announce.go
+++ b/gateway/announce.go
@@ -29,7 +29,8 @@
 		a.g.Servers.Brittle(a.service.Name, a.server.ID, info.Brittle.Rejections)
 	}
 	if info.NotRun && status == http.StatusServiceUnavailable {
-		a.g.Servers.NoRoom(a.server.Incarnation())
+		a.noRoom = true
+		a.g.Servers.NoRoom(a.server.Incarnation(), a.loan != nil)
 	}
 	switch {
 	case info.Backoff > 0:
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/gaplink/gaplink/catalog"
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/controller/limits"
+	"github.com/gaplink/gaplink/controller/slots"
 	"github.com/gaplink/gaplink/exchange"
 	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/reach"
@@ -31,6 +32,10 @@
 	server placement.Server
 	// permit admits the request to a server with a rate limit.
 	permit limits.Permit
+	// loan is the slot of a brittle server that was lent for the request; nil if it needs none.
+	loan *slots.Loan
+	// noRoom is set if the server rejected the request for want of room.
+	noRoom bool
 	// isLast reports that no further server may be tried.
 	isLast bool
 	// promptRead reports that the server has read the prompt.
--- a/gateway/backoff.go
+++ b/gateway/backoff.go
@@ -6,10 +6,14 @@
 )
 
 // overloadRefusal returns an error if all servers that could run the request are backing off, or brittle
-// without room, or nil.
+// without room, or if servers have lent no slot for it; otherwise nil.
 func (c *call) overloadRefusal() *result.Error {
 	wait, backingOff := c.g.Servers.BackoffWait(c.query(nil))
-	if !backingOff {
+	switch {
+	case backingOff:
+	case c.slotDenied:
+		wait = busyRetryAfter
+	default:
 		return nil
 	}
 	after := c.g.Servers.ReturnAfter(wait, c.urgency())
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -312,6 +312,7 @@
 	a.record.after = clock.Since(c.arrived)
 	c.attempts = append(c.attempts, a.record)
 	a.recordPromptRead()
+	c.g.Servers.ReturnSlot(a.server, a.loan, a.noRoom)
 	c.g.Servers.RecordOutcome(a.server.Incarnation(), a.serverOutcome)
 	if a.serverOutcome == placement.Answered {
 		c.g.returns.ended(c.service.Name)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -201,6 +201,8 @@
 	mayHaveRun bool
 	// refusedByServer reports that a server refused the request before running it.
 	refusedByServer bool
+	// slotDenied reports that a brittle server had no slot for the request when a server was last picked.
+	slotDenied bool
 	// awaitedPath reports that the request has waited for a path to its servers.
 	awaitedPath bool
 
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -25,19 +25,18 @@
 	Observe(limiter.Observation)
 }
 
-// pick chooses a server for the next attempt and obtains a permit for it; the error says why
-// there is none.
+// pick chooses a server for the next attempt that admits it; the error says why there is none.
 func (c *call) pick(ctx context.Context, tried map[placement.Incarnation]bool) (*attempt, *result.Error) {
 	q := c.query(tried)
+	c.slotDenied = false
 	for denied := 0; ; denied++ {
 		q.Unrestricted = denied >= maxPermitDenials
 		server, ok := c.g.Servers.Pick(q)
 		if !ok {
 			return nil, c.noServer(q)
 		}
-		permit, ok := c.g.Servers.Admit(ctx, server, q.Rank)
-		if ok {
-			return &attempt{call: c, server: server, permit: permit, record: attemptRecord{server: server.ID, registrationAge: unknownAge}}, nil
+		if a, ok := c.admit(ctx, server, q.Rank); ok {
+			return a, nil
 		}
 		c.g.Servers.CancelPick(server.Incarnation(), q.Tokens)
 		if err := ctx.Err(); err != nil {
@@ -46,6 +45,21 @@
 	}
 }
 
+// admit obtains a permit for an attempt at a server, and a loan of a slot if the server is brittle.
+func (c *call) admit(ctx context.Context, s placement.Server, rank int) (*attempt, bool) {
+	loan, ok := c.g.Servers.Borrow(ctx, s)
+	if !ok {
+		c.slotDenied = true
+		return nil, false
+	}
+	permit, ok := c.g.Servers.Admit(ctx, s, rank)
+	if !ok {
+		c.g.Servers.ReturnSlot(s, loan, false)
+		return nil, false
+	}
+	return &attempt{call: c, server: s, permit: permit, loan: loan, record: attemptRecord{server: s.ID, registrationAge: unknownAge}}, true
+}
+
 // noServer returns the error for a request for which no server can be chosen.
 func (c *call) noServer(q placement.Query) *result.Error {
 	if refusal := c.overloadRefusal(); refusal != nil {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -227,22 +227,6 @@
 // score returns the rendezvous hash of a member for a role.
 func score(role, id string) uint64 { return xxhash.Sum64String(role + "\x00" + id) }
 
-// Position returns the index of this router in Rank and the number of ranked members, without ranking
-// them. A router that is not usable itself has the index that it would have.
-func (v *View) Position(now time.Time, role string) (rank, usable int) {
-	own := score(role, v.self)
-	for id, m := range v.members {
-		if !v.usable(now, m) {
-			continue
-		}
-		usable++
-		if other := score(role, id); other > own || other == own && id < v.self {
-			rank++
-		}
-	}
-	return rank, usable
-}
-
 // Rank returns the ids of the usable members for a role, best first, by
 // rendezvous hashing. The router itself is in the list unless it is leaving.
 func (v *View) Rank(now time.Time, role string) []string {
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -32,6 +32,8 @@
 	MethodVerdicts = "verdicts.Report"
 	MethodLimits   = "limits.Report"
 	MethodPermit   = "limits.Permit"
+	MethodLend     = "slots.Lend"
+	MethodReturn   = "slots.Return"
 	MethodLoad     = "load.Exchange"
 	MethodReach    = "servers.Reach"
 )
@@ -277,6 +279,33 @@
 	Wait    time.Duration
 }
 
+// LendRequest asks for a slot of a brittle server for one request.
+type LendRequest struct {
+	Server placement.Incarnation
+	// Router is the asking router, and Process identifies its process.
+	Router, Process string
+	// Slots is the number of slots of the server.
+	Slots int
+	// SaidAgo is the time since a server of its service is last known to have said that it is brittle.
+	SaidAgo time.Duration
+}
+
+// LendAnswer lends a slot, or returns the time after which to ask again. SaidAgo is as in LendRequest.
+type LendAnswer struct {
+	Lent          bool
+	Wait, SaidAgo time.Duration
+}
+
+// ReturnRequest returns a slot.
+type ReturnRequest struct {
+	Server          placement.Incarnation
+	Router, Process string
+	// Rejected is set if the server rejected the request for want of room, and Rejections is the number of
+	// rejections in a second that it bears.
+	Rejected   bool
+	Rejections int
+}
+
 // LoadRequest reports the load that a router causes at backend servers and its link load, or, if Relay
 // is set, the sums of those of all routers that a relay serves.
 type LoadRequest struct {
--- a/placement/backoff.go
+++ b/placement/backoff.go
@@ -88,7 +88,7 @@
 		switch {
 		case s.Leaving, s.ejected, f.evacuated[s.Domain], q.InDomain != nil && !q.InDomain(s.Domain):
 			continue
-		case !s.backingOff(q.Now) && !s.full(q.Now, q.Slots):
+		case !s.backingOff(q.Now) && !s.full(&q):
 			return time.Time{}, false
 		}
 		if end := s.report.backoffEnd(q.Now); !backingOff || end.Before(at) {
--- a/placement/brittle_test.go
+++ b/placement/brittle_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/gaplink/gaplink/limiter"
 	"github.com/gaplink/gaplink/placement"
 )
 
@@ -21,9 +22,14 @@
 	sharesLoad bool
 	// queue is how many requests beyond its slots a server takes for the first modelGrace.
 	queue int
+	// callersAt is the number of routers that have callers.
+	callersAt int
+	// load is the load in multiples of what the servers have room for.
+	load float64
 
 	rng    *rand.Rand
 	fleet  []*placement.Servers
+	ledger *limiter.SlotLedger
 	inside []int
 	// rejected is the number of rejections of a server in the current second.
 	rejected  []int
@@ -33,12 +39,10 @@
 }
 
 const (
-	// modelBears is the number of rejections in a second that a server bears, and modelOverload the load
-	// in multiples of what the servers have room for.
-	modelBears    = 4
-	modelOverload = 1.5
-	modelFall     = 3 * time.Second
-	modelTick     = time.Millisecond
+	// modelBears is the number of rejections in a second that a server bears.
+	modelBears = 4
+	modelFall  = 3 * time.Second
+	modelTick  = time.Millisecond
 	// modelGrace is the time from which a server lets none wait.
 	modelGrace = 3 * time.Second
 	// modelExchange is the interval at which routers learn the load of the others.
@@ -49,24 +53,26 @@
 type ending struct {
 	at             time.Time
 	router, server int
+	lent           bool
 }
 
 var brittleStart = time.Unix(1000, 0)
 
 func (m *brittleModel) String() string {
-	return fmt.Sprintf("%d routers, %d servers of %d slots, %.0f%% say so, load shared %v, %d wait at first", m.routers, m.servers, m.slots, 100*m.says, m.sharesLoad, m.queue)
+	return fmt.Sprintf("%d routers, %d servers of %d slots, %.0f%% say so, load %.1f at %d, shared %v, %d wait at first",
+		m.routers, m.servers, m.slots, 100*m.says, m.load, m.callersAt, m.sharesLoad, m.queue)
 }
 
 func (m *brittleModel) run(length, measured time.Duration) (served float64) {
 	m.rng = rand.New(rand.NewPCG(3, 4))
 	m.inside, m.rejected, m.downUntil = make([]int, m.servers), make([]int, m.servers), make([]time.Time, m.servers)
-	for r := range m.routers {
+	m.ledger = limiter.NewSlotLedger()
+	for range m.routers {
 		f := placement.New()
 		f.SetOrder(m.rng.Uint64())
-		f.SetShare(func(server string) (int, int) {
-			var n int
-			_, _ = fmt.Sscanf(server, "s%d", &n)
-			return rand.New(rand.NewPCG(uint64(n), 5)).Perm(m.routers)[r], m.routers
+		f.SetParts(func(slots int) (int, int) {
+			part, _ := limiter.SlotParts(slots, m.routers)
+			return part, m.routers
 		})
 		for n := range m.servers {
 			f.Put(placement.Server{ID: fmt.Sprintf("s%d", n), Service: "m", Slots: m.slots})
@@ -74,7 +80,7 @@
 		m.fleet = append(m.fleet, f)
 	}
 	start := brittleStart
-	perTick := modelOverload * float64(m.servers*m.slots) * modelTick.Seconds() / m.work.Seconds()
+	perTick := m.load * float64(m.servers*m.slots) * modelTick.Seconds() / m.work.Seconds()
 	var endings []ending
 	due, servedBefore := 0.0, 0
 	for now := start; now.Before(start.Add(length)); now = now.Add(modelTick) {
@@ -122,7 +128,7 @@
 }
 
 func (m *brittleModel) end(now time.Time, e ending) {
-	m.fleet[e.router].RecordOutcome(incarnation(fmt.Sprintf("s%d", e.server)), placement.Answered)
+	m.record(now, e, placement.Answered)
 	if now.Before(m.downUntil[e.server]) {
 		return // it fell with the server
 	}
@@ -138,33 +144,71 @@
 	return m.slots
 }
 
+// record records the outcome of a request at its router, and returns its slot.
+func (m *brittleModel) record(now time.Time, e ending, outcome placement.Outcome) {
+	f, in := m.fleet[e.router], incarnation(fmt.Sprintf("s%d", e.server))
+	if e.lent {
+		f.Returned(in)
+		m.ledger.Return(now, in, borrower(e.router), outcome == placement.Failed, modelBears)
+	}
+	f.RecordOutcome(in, outcome)
+}
+
+func borrower(router int) limiter.Borrower { return limiter.Borrower{Router: fmt.Sprint(router)} }
+
+// pick picks a server at a router, and gets a loan of a slot if that is needed.
+func (m *brittleModel) pick(now time.Time, router int, tried map[placement.Incarnation]bool) (picked ending, ok bool) {
+	f := m.fleet[router]
+	for denied := 0; ; denied++ {
+		s, ok := f.Pick(m.rng, placement.Query{Service: "m", Now: now, Tried: tried, Unrestricted: denied >= 3})
+		if !ok {
+			return ending{}, false
+		}
+		in := s.Incarnation()
+		f.Sent(in, 0)
+		picked := ending{router: router}
+		_, _ = fmt.Sscanf(s.ID, "s%d", &picked.server)
+		need, needed := f.NeedsLoan(now, in)
+		if !needed {
+			return picked, true
+		}
+		_, slots := limiter.SlotParts(need.Slots, m.routers)
+		lent, said := m.ledger.Lend(now, in, borrower(router), slots, need.Said)
+		if lent {
+			f.Lent(in)
+			picked.lent = true
+			return picked, true
+		}
+		f.LoanDenied(in, now.Add(time.Duration((0.5+m.rng.Float64())*float64(limiter.SlotWait(m.routers)))), said)
+		f.RecordOutcome(in, placement.Neutral)
+	}
+}
+
 // send lets a random router send a request, to two servers at most.
 func (m *brittleModel) send(now time.Time) (ending, bool) {
-	r := m.rng.IntN(m.routers)
-	f, tried := m.fleet[r], map[placement.Incarnation]bool{}
+	r, tried := m.rng.IntN(m.callersAt), map[placement.Incarnation]bool{}
+	f := m.fleet[r]
 	for range 2 {
-		s, ok := f.Pick(m.rng, placement.Query{Service: "m", Now: now, Tried: tried})
+		e, ok := m.pick(now, r, tried)
 		if !ok {
 			break
 		}
-		in := s.Incarnation()
+		n, in := e.server, incarnation(fmt.Sprintf("s%d", e.server))
 		tried[in] = true
-		f.Sent(in, 0)
-		var n int
-		_, _ = fmt.Sscanf(s.ID, "s%d", &n)
 		switch {
 		case now.Before(m.downUntil[n]):
-			f.RecordOutcome(in, placement.Unreachable)
+			m.record(now, e, placement.Unreachable)
 			continue
 		case m.rng.Float64() < m.says:
 			f.Brittle(now, "m", modelBears)
 		}
 		if m.inside[n] < m.room(now) {
 			m.inside[n]++
-			return ending{now.Add(m.work), r, n}, true
+			e.at = now.Add(m.work)
+			return e, true
 		}
-		f.NoRoom(now, in)
-		f.RecordOutcome(in, placement.Failed)
+		f.NoRoom(now, in, e.lent)
+		m.record(now, e, placement.Failed)
 		if m.rejected[n]++; m.rejected[n] > modelBears {
 			m.falls++
 			m.downUntil[n], m.inside[n], m.rejected[n] = now.Add(modelFall), 0, 0
@@ -189,10 +233,13 @@
 		{routers: 6, servers: 18, slots: 64, work: 300 * time.Millisecond, says: 0.3, queue: 16},
 		{routers: 87, servers: 140, slots: 12, work: 600 * time.Millisecond, says: 1, queue: 6},
 		{routers: 300, servers: 400, slots: 12, work: 600 * time.Millisecond, says: 1, queue: 6},
+		{routers: 87, servers: 5, slots: 6, work: 100 * time.Millisecond, says: 1, queue: 6},
+		{routers: 300, servers: 5, slots: 6, work: 100 * time.Millisecond, says: 1, queue: 6},
+		{routers: 300, servers: 40, slots: 12, work: 100 * time.Millisecond, says: 1, queue: 12},
 	} {
 		for _, sharesLoad := range []bool{false, true} {
 			c := c
-			c.sharesLoad = sharesLoad
+			c.sharesLoad, c.load, c.callersAt = sharesLoad, 1.5, c.routers
 			t.Run(c.String(), func(t *testing.T) {
 				t.Parallel()
 				first, again := c, c
@@ -210,3 +257,27 @@
 		}
 	}
 }
+
+// Guards against routers that refuse requests that brittle servers have room for, because the slots belong to
+// other routers.
+func TestBrittleServersServeAllThatFits(t *testing.T) {
+	for _, c := range []brittleModel{
+		{routers: 6, servers: 3, slots: 6}, {routers: 6, servers: 18, slots: 64},
+		{routers: 87, servers: 5, slots: 6}, {routers: 87, servers: 140, slots: 12},
+		{routers: 300, servers: 5, slots: 6}, {routers: 300, servers: 40, slots: 12},
+	} {
+		for _, load := range []float64{0.3, 0.6} {
+			for _, callersAt := range []int{c.routers, c.routers / 3} {
+				c := c
+				c.load, c.callersAt, c.work, c.says, c.queue = load, callersAt, 100*time.Millisecond, 1, c.slots
+				t.Run(c.String(), func(t *testing.T) {
+					t.Parallel()
+					served := c.run(15*time.Second, 10*time.Second)
+					if served < 0.98*load || c.falls > 0 {
+						t.Errorf("%.3f of the capacity served, %d falls", served, c.falls)
+					}
+				})
+			}
+		}
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -79,6 +79,8 @@
 	Server
 	hash     uint64
 	inFlight int
+	// lent is the number of requests in flight with a slot that was lent to this router.
+	lent int
 	// pending is the number of prompt tokens that the server has yet to process.
 	pending     int64
 	failureRate float64
@@ -119,7 +121,7 @@
 }
 
 func (s *state) usable(q *Query) bool {
-	return !s.Leaving && !q.Tried[s.Incarnation()] && !s.backingOff(q.Now) && !s.full(q.Now, q.Slots)
+	return !s.Leaving && !q.Tried[s.Incarnation()] && !s.backingOff(q.Now) && !s.full(q)
 }
 
 // Servers holds the state of one router for all backend servers. It is not safe
@@ -139,8 +141,8 @@
 	reports map[Incarnation]*report
 	// loaded lists the servers whose load by other routers is set.
 	loaded []Incarnation
-	// share divides the slots of brittle servers among the routers; nil: this router is alone.
-	share Share
+	// parts divides the slots of brittle servers; nil: this router is alone.
+	parts Parts
 	// prefixes are the prefixes that this router has sent to servers.
 	prefixes prefixMemory
 	// choices counts the choices by reason.
@@ -318,7 +320,7 @@
 	MayAdmit func(s Server, cold bool) bool
 	// Rank is the priority of the request at rate-limited servers; 0 is the highest.
 	Rank int
-	// Unrestricted excludes rate-limited servers.
+	// Unrestricted excludes rate-limited servers, and brittle ones that need a loan.
 	Unrestricted bool
 	// InDomain reports whether the request may run in a failure domain; nil allows all.
 	InDomain func(domain string) bool
--- a/server/brittle.go
+++ b/server/brittle.go
@@ -1,9 +1,14 @@
 package server
 
-import "github.com/gaplink/gaplink/clock"
+import "github.com/gaplink/gaplink/controller/slots"
 
-// shareOfServer returns the rank of this router among all routers for a backend server, by which they
-// divide the slots of the server alike.
-func (s *Server) shareOfServer(server string) (rank, routers int) {
-	return s.members.Position(clock.Now(), "slots/"+server)
+// newSlots returns the controller that lends slots of brittle backend servers.
+func (s *Server) newSlots() *slots.Controller {
+	return slots.New(slots.Options{
+		Self:            s.settings.Instance.ID,
+		Process:         s.incarnation,
+		Fleet:           slots.PeerFleet{Recipients: s.recipients(), Client: s.peers},
+		FleetDiscovered: s.fleetDiscovered,
+		Log:             s.log,
+	})
 }
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -107,6 +107,7 @@
 	wakeupsDesc      = prometheus.NewDesc("gaplink_wakeups_total", "Times that the process woke by its own timers, by purpose.", []string{"purpose"}, nil)
 	peerCallsDesc    = prometheus.NewDesc("gaplink_peer_calls_total", "Calls of other routers, by method.", []string{"method"}, nil)
 	loadCallsDesc    = prometheus.NewDesc("gaplink_load_messages_total", "Reports of loads that this router sent to other routers, by what became of them.", []string{"outcome"}, nil)
+	slotsDesc        = prometheus.NewDesc("gaplink_slot_loans_total", "Requests that need a slot of a brittle server that is no router's part, by what became of it.", []string{"outcome"}, nil)
 	permitsDesc      = prometheus.NewDesc("gaplink_permits_total", "Requests for servers with a rate limit, by what became of their permit.", []string{"outcome"}, nil)
 	choicesDesc      = prometheus.NewDesc("gaplink_server_choices_total", "Choices of a backend server, by reason.", []string{"reason"}, nil)
 	linkBytesDesc    = prometheus.NewDesc("gaplink_link_bytes_total", "Bytes of connections, by purpose and direction.", []string{"purpose", "direction"}, nil)
@@ -122,6 +123,7 @@
 	ch <- peerBytesDesc
 	ch <- peerCallsDesc
 	ch <- permitsDesc
+	ch <- slotsDesc
 	ch <- choicesDesc
 	ch <- loadCallsDesc
 	ch <- wakeupsDesc
@@ -155,6 +157,10 @@
 	for outcome, n := range map[string]int64{"granted": permits.Granted, "denied": permits.Denied, "unanswered": permits.Unanswered} {
 		ch <- prometheus.MustNewConstMetric(permitsDesc, prometheus.CounterValue, float64(n), outcome)
 	}
+	loans := c.server.slots.Counts()
+	for outcome, n := range map[string]int64{"lent": loans.Lent, "denied": loans.Denied, "unanswered": loans.Unanswered} {
+		ch <- prometheus.MustNewConstMetric(slotsDesc, prometheus.CounterValue, float64(n), outcome)
+	}
 	for reason, n := range c.server.servers.Choices() {
 		ch <- prometheus.MustNewConstMetric(choicesDesc, prometheus.CounterValue, float64(n), reason)
 	}
--- a/server/provision.go
+++ b/server/provision.go
@@ -64,7 +64,8 @@
 	s.tunnels = s.newTunnels()
 	s.limits = s.newLimits()
 	s.servers.SetLimits(s.limits)
-	s.servers.SetShare(s.shareOfServer)
+	s.slots = s.newSlots()
+	s.servers.SetLender(s.slots)
 	s.verdicts = verdicts.New(verdicts.Options{
 		Checker: s.pool,
 		Servers: s.servers,
@@ -232,6 +233,8 @@
 	peer.Handle(m, peer.MethodVerdicts, s.verdicts.OnReport)
 	peer.Handle(m, peer.MethodLimits, s.limits.OnReport)
 	peer.Handle(m, peer.MethodPermit, s.limits.OnPermit)
+	peer.Handle(m, peer.MethodLend, s.slots.OnLend)
+	peer.Handle(m, peer.MethodReturn, s.slots.OnReturn)
 	peer.Handle(m, peer.MethodLoad, s.loads.OnExchange)
 	peer.Handle(m, peer.MethodReach, s.handleReach)
 	peer.Handle(m, peer.MethodLeaving, s.handleLeaving)
--- a/server/server.go
+++ b/server/server.go
@@ -36,6 +36,7 @@
 	"github.com/gaplink/gaplink/controller/paths"
 	"github.com/gaplink/gaplink/controller/registry"
 	"github.com/gaplink/gaplink/controller/roster"
+	"github.com/gaplink/gaplink/controller/slots"
 	"github.com/gaplink/gaplink/controller/updates"
 	"github.com/gaplink/gaplink/controller/verdicts"
 	"github.com/gaplink/gaplink/exchange"
@@ -146,6 +147,7 @@
 	budgets  *budgets.Controller
 	verdicts *verdicts.Controller
 	limits   *limits.Controller
+	slots    *slots.Controller
 	loads    *loads.Controller
 	paths    *paths.Controller
 	tunnels  *tunnel.Server
