Soak: tries at routers cut off are compared with those elsewhere at the same time

Cause: the oracle compared the sums of a whole run. Partitions that fall into a bad time, in which nobody is served, were compared with other routers at good times. Change: tries are counted by second, and the bound of two thirds holds for the sum over the seconds.

--- a/lab/soak/oracle.go
+++ b/lab/soak/oracle.go
@@ -170,10 +170,9 @@
 	// server, and backoffs the backoffs that servers have asked a router for.
 	announced map[routerServer]time.Time
 	backoffs  map[routerServer][]*askedBackoff
-	// cutOff and reaching count the tries during partitions, at routers that are cut off from servers
-	// and at others.
-	cutOff, reaching Tries
-	routers          int
+	// tries are the tries of callers by the start of their window.
+	tries   map[time.Time]*windowTries
+	routers int
 }
 
 // NewOracle returns an oracle for a run that starts at start.
@@ -184,6 +183,7 @@
 		leaving: map[string]time.Time{}, acked: map[int64]time.Time{}, sightings: map[Process][]sighting{},
 		checked: map[Guarantee]int{}, poison: map[string]*poisonRecord{},
 		rateLimited: map[string]*limitedServer{},
+		tries:       map[time.Time]*windowTries{},
 		announced:   map[routerServer]time.Time{}, backoffs: map[routerServer][]*askedBackoff{},
 	}
 }
