--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -243,6 +243,7 @@
 		return a.finish(notReached, "not reached", serverOutcome, f)
 	}
 	a.mayHaveRun = true
+	a.record.router = f.Router
 	return a.endBroken(ctx, f)
 }
 
--- a/gateway/attempt_record.go
+++ b/gateway/attempt_record.go
@@ -76,6 +76,9 @@
 	if n.registrationAge >= 0 {
 		b.WriteString(", servers as of " + n.registrationAge.Round(time.Millisecond).String() + " before")
 	}
+	if n.router != "" {
+		b.WriteString(", through " + n.router)
+	}
 	if n.status == 0 {
 		return b.String()
 	}
@@ -85,9 +88,6 @@
 	} else {
 		b.WriteString(" unframed")
 	}
-	if n.router != "" {
-		b.WriteString(", through " + n.router)
-	}
 	if n.leaving {
 		b.WriteString(", server leaving")
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -126,7 +126,7 @@
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
-		return nil, &Failure{Stage: Sent, Err: err}
+		return nil, &Failure{Stage: Sent, Router: c.router, Err: err}
 	}
 	a.resp = resp
 	a.StatusCode, a.Header, a.ContentLength = resp.StatusCode, resp.Header, resp.ContentLength
