Brittle servers: routers remember for 10 s that servers are brittle

Cause: a router hears that servers are brittle from responses and denials. One that sends less than a request in 3 s forgot it, and its next request went without a loan to servers that were full. Change: it is remembered for 10 s. What it costs when the servers are sound again: calls for slots, and requests refused that would have waited at a server, for 7 s longer. Both cases are in the test and fail before.

--- a/placement/brittle.go
+++ b/placement/brittle.go
@@ -13,7 +13,7 @@
 // seldom that the rejections of all routers together stay below the number that the servers name.
 const (
 	// brittleTTL is how long servers count as brittle after one of their service has said so.
-	brittleTTL = 3 * time.Second
+	brittleTTL = 10 * time.Second
 	// rejectionShare is the share of the rejections that a server bears that routers may cause by taking
 	// more than their part.
 	rejectionShare = 0.5
--- a/placement/brittle_test.go
+++ b/placement/brittle_test.go
@@ -218,8 +218,9 @@
 }
 
 // Guards against brittle servers that fall over one after the other under an overload, also when all
-// routers learn at once that a server has free slots, or when servers stop letting requests wait, and against
-// routers that leave servers idle to prevent it. The falls allowed are the users': 2 and a tenth of the servers, from 3 s after they became brittle.
+// routers learn at once that a server has free slots, when servers stop letting requests wait, or when each
+// router sends so few requests that it seldom hears of it, and against routers that leave servers idle to
+// prevent it. The falls allowed are the users': 2 and a tenth of the servers, from 3 s after they became brittle.
 func TestBrittleServersStayUpUnderOverload(t *testing.T) {
 	for _, c := range []brittleModel{
 		{routers: 4, servers: 4, slots: 6, work: 60 * time.Millisecond, says: 1},
@@ -236,6 +237,8 @@
 		{routers: 87, servers: 5, slots: 6, work: 100 * time.Millisecond, says: 1, queue: 6},
 		{routers: 300, servers: 5, slots: 6, work: 100 * time.Millisecond, says: 1, queue: 6},
 		{routers: 300, servers: 40, slots: 12, work: 100 * time.Millisecond, says: 1, queue: 12},
+		{routers: 87, servers: 5, slots: 6, work: 2 * time.Second, says: 1, queue: 6},
+		{routers: 300, servers: 5, slots: 6, work: 200 * time.Millisecond, says: 1, queue: 6},
 	} {
 		for _, sharesLoad := range []bool{false, true} {
 			c := c
