--- a/controller/slots/slots.go
+++ b/controller/slots/slots.go
@@ -101,9 +101,13 @@
 	return c.counts
 }
 
-// Part returns this router's part of a server's slots, and the number of routers.
+// Part returns this router's part of a server's slots, and the number of routers. A router that may not know
+// all others yet has no part.
 func (c *Controller) Part(slots int) (part, routers int) {
 	routers = c.Fleet.Size()
+	if !c.FleetDiscovered() {
+		return 0, routers
+	}
 	part, _ = limiter.SlotParts(slots, routers)
 	return part, routers
 }
--- a/controller/slots/slots_test.go
+++ b/controller/slots/slots_test.go
@@ -100,10 +100,15 @@
 	}
 }
 
-// Guards against a router that takes itself for the owner of all slots because it does not know the others
-// yet.
+// Guards against a router that takes itself for the owner of all slots, or too large a part of them, because it
+// does not know the others yet.
 func TestStartingRouterLendsItselfNothing(t *testing.T) {
 	f := &fleet{owner: "a"}
+	for discovered, want := range map[bool]int{false: 0, true: 3} {
+		if part, routers := controllerOf("a", f, discovered).Part(64); part != want || routers != 10 {
+			t.Errorf("discovered %v: part %d of %d routers", discovered, part, routers)
+		}
+	}
 	if loan, _ := controllerOf("a", f, false).Borrow(t.Context(), server, need()); loan != nil {
 		t.Error("a slot was lent")
 	}
