Slots: loans of a router that is not listed any more end

Read, not seen in a play: a router that was killed and did not start again kept its loans for a minute, since an unknown process counted as running; the owner lent that much less. Change: a router that is not listed does not run. One that is listed but not heard yet still counts. The test fails before for the router that is gone.

--- a/controller/slots/peer_fleet.go
+++ b/controller/slots/peer_fleet.go
@@ -33,8 +33,8 @@
 
 // Runs implements Fleet. The process of a router that is listed, but has not been heard yet, is unknown.
 func (f PeerFleet) Runs(router, process string) bool {
-	known := f.Members.Incarnation(router)
-	return known == "" || known == process
+	m, listed := f.Members.Get(router)
+	return listed && (m.Incarnation == "" || m.Incarnation == process)
 }
 
 // Lend implements Fleet.
