Slots: times that other routers state are bounded

Read, not seen in a play: a negative age in a message would have made servers count as brittle in the future, and a long wait would have kept a router from asking. The test fails before for both.

--- a/controller/slots/slots.go
+++ b/controller/slots/slots.go
@@ -26,6 +26,8 @@
 	returnTimeout = 2 * time.Second
 	// unansweredBackoff is how long an owner that did not answer is not asked.
 	unansweredBackoff = time.Second
+	// maxWait bounds the time after which a denied router asks again.
+	maxWait = 10 * time.Second
 	// cleanInterval is the minimum time between two scans for loans of routers that are gone.
 	cleanInterval = time.Second
 )
@@ -127,7 +129,7 @@
 	case err != nil:
 		return nil, c.notAnswered(owner, server, err)
 	case !answer.Lent:
-		return nil, c.denied(answer.Wait, clock.Now().Add(-answer.SaidAgo))
+		return nil, c.denied(answer.Wait, clock.Now().Add(-max(answer.SaidAgo, 0)))
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -151,7 +153,7 @@
 	c.mu.Lock()
 	c.counts.Denied++
 	c.mu.Unlock()
-	wait = max(wait, limiter.SlotWait(c.Fleet.Size()))
+	wait = min(max(wait, limiter.SlotWait(c.Fleet.Size())), maxWait)
 	return Denial{Until: clock.Now().Add(wait/2 + rand.N(wait)), Said: said}
 }
 
@@ -206,7 +208,7 @@
 	defer c.mu.Unlock()
 	now := clock.Now()
 	c.clean(now)
-	lent, said := c.ledger.Lend(now, req.Server, borrower(req.Router, req.Process), slots, now.Add(-req.SaidAgo))
+	lent, said := c.ledger.Lend(now, req.Server, borrower(req.Router, req.Process), slots, now.Add(-max(req.SaidAgo, 0)))
 	return &peer.LendAnswer{Lent: lent, Wait: limiter.SlotWait(routers), SaidAgo: now.Sub(said)}, nil
 }
 
--- a/controller/slots/slots_test.go
+++ b/controller/slots/slots_test.go
@@ -21,6 +21,7 @@
 	owner    string
 	lender   *slots.Controller
 	err      error
+	answer   *peer.LendAnswer
 	running  string
 	calls    int
 	returned chan *peer.ReturnRequest
@@ -37,8 +38,8 @@
 
 func (f *fleet) Lend(ctx context.Context, _ string, req *peer.LendRequest) (*peer.LendAnswer, error) {
 	f.calls++
-	if f.err != nil {
-		return nil, f.err
+	if f.err != nil || f.answer != nil {
+		return f.answer, f.err
 	}
 	return f.lender.OnLend(ctx, req)
 }
@@ -72,6 +73,23 @@
 	}
 }
 
+// Guards against servers that count as brittle for ever, or are never asked for again, because a router with a
+// wrong clock says so.
+func TestTimesOfOtherRoutersAreBounded(t *testing.T) {
+	f := &fleet{owner: "o", answer: &peer.LendAnswer{Wait: time.Hour, SaidAgo: -time.Hour}}
+	_, denial := controllerOf("a", f, true).Borrow(t.Context(), server, need())
+	if now := clock.Now(); denial.Said.After(now) || denial.Until.Sub(now) > 15*time.Second {
+		t.Errorf("%+v at %v", denial, now)
+	}
+	o := controllerOf("o", f, true)
+	for range 2 {
+		answer, err := o.OnLend(t.Context(), &peer.LendRequest{Server: server, Router: "a", Slots: 1, SaidAgo: -time.Hour})
+		if err != nil || answer.SaidAgo < 0 {
+			t.Errorf("%+v, %v", answer, err)
+		}
+	}
+}
+
 // Guards against requests that all wait for an owner that does not answer.
 func TestOwnerThatDoesNotAnswerIsNotAskedAgain(t *testing.T) {
 	f := &fleet{owner: "o", err: errors.New("no answer")}
