--- a/reach/reach.go
+++ b/reach/reach.go
@@ -8,6 +8,7 @@
 package reach
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gaplink/gaplink/placement"
@@ -152,12 +153,7 @@
 func (t *Tracker) ConnectFailed(began time.Time, g Group, in placement.Incarnation) {
 	s := t.state(g)
 	s.begin(began)
-	for _, known := range s.failed {
-		if known == in {
-			return
-		}
-	}
-	if s.NotConnected < manyServers {
+	if s.NotConnected < manyServers && !slices.Contains(s.failed, in) {
 		s.NotConnected++
 		s.failed = append(s.failed, in)
 	}
