Slots: messages name their borrower as one value, and Lend says plainly what its time means

The messages carried a router and a process that each handler joined to a limiter.Borrower again; they carry the Borrower now. Lend's comment needed a second reading.

--- a/controller/slots/slots.go
+++ b/controller/slots/slots.go
@@ -121,7 +121,7 @@
 		return nil, c.denied(0, time.Time{})
 	}
 	answer, err := c.ask(ctx, owner, &peer.LendRequest{
-		Server: server, Router: c.Self, Process: c.Process, Slots: need.Slots, SaidAgo: clock.Since(need.Said),
+		Server: server, Borrower: c.borrower(), Slots: need.Slots, SaidAgo: clock.Since(need.Said),
 	})
 	switch {
 	case err != nil && ctx.Err() != nil:
@@ -183,7 +183,7 @@
 	if l == nil {
 		return
 	}
-	req := &peer.ReturnRequest{Server: l.server, Router: l.c.Self, Process: l.c.Process, Rejected: rejected, Rejections: l.rejections}
+	req := &peer.ReturnRequest{Server: l.server, Borrower: l.c.borrower(), Rejected: rejected, Rejections: l.rejections}
 	if l.owner == l.c.Self {
 		_, _ = l.c.OnReturn(context.Background(), req)
 		return
@@ -208,7 +208,7 @@
 	defer c.mu.Unlock()
 	now := clock.Now()
 	c.clean(now)
-	lent, said := c.ledger.Lend(now, req.Server, borrower(req.Router, req.Process), slots, now.Add(-max(req.SaidAgo, 0)))
+	lent, said := c.ledger.Lend(now, req.Server, req.Borrower, slots, now.Add(-max(req.SaidAgo, 0)))
 	return &peer.LendAnswer{Lent: lent, Wait: limiter.SlotWait(routers), SaidAgo: now.Sub(said)}, nil
 }
 
@@ -216,7 +216,7 @@
 func (c *Controller) OnReturn(_ context.Context, req *peer.ReturnRequest) (*peer.Empty, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ledger.Return(clock.Now(), req.Server, borrower(req.Router, req.Process), req.Rejected, req.Rejections)
+	c.ledger.Return(clock.Now(), req.Server, req.Borrower, req.Rejected, req.Rejections)
 	return &peer.Empty{}, nil
 }
 
@@ -229,6 +229,7 @@
 	c.ledger.EndLoans(now, func(b limiter.Borrower) bool { return c.Fleet.Runs(b.Router, b.Process) })
 }
 
-func borrower(router, process string) limiter.Borrower {
-	return limiter.Borrower{Router: router, Process: process}
+// borrower returns this process as a borrower.
+func (c *Controller) borrower() limiter.Borrower {
+	return limiter.Borrower{Router: c.Self, Process: c.Process}
 }
--- a/controller/slots/slots_test.go
+++ b/controller/slots/slots_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/controller/slots"
+	"github.com/gaplink/gaplink/limiter"
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/placement"
 )
@@ -64,7 +65,7 @@
 		t.Errorf("%v, %+v", second, denial)
 	}
 	loan.Return(true)
-	if req := <-f.returned; !req.Rejected || req.Router != "a" || req.Process != "a/1" {
+	if req := <-f.returned; !req.Rejected || req.Borrower.Router != "a" || req.Borrower.Process != "a/1" {
 		t.Errorf("%+v", req)
 	}
 	time.Sleep(700 * time.Millisecond) // after the rejection the owner lends none for half a second
@@ -83,7 +84,7 @@
 	}
 	o := controllerOf("o", f, true)
 	for range 2 {
-		answer, err := o.OnLend(t.Context(), &peer.LendRequest{Server: server, Router: "a", Slots: 1, SaidAgo: -time.Hour})
+		answer, err := o.OnLend(t.Context(), &peer.LendRequest{Server: server, Borrower: limiter.Borrower{Router: "a"}, Slots: 1, SaidAgo: -time.Hour})
 		if err != nil || answer.SaidAgo < 0 {
 			t.Errorf("%+v, %v", answer, err)
 		}
--- a/limiter/slots.go
+++ b/limiter/slots.go
@@ -69,8 +69,8 @@
 	return &SlotLedger{servers: map[placement.Incarnation]*lentSlots{}}
 }
 
-// Lend lends a router one of a number of slots of a server, which the router knows to have said at a time
-// that it is brittle. It returns false if all are lent, and when the server is last known to have said so.
+// Lend lends a slot of a server, of which it lends slots at most. said is when the borrower last knew the server
+// to announce that it is brittle. It returns false if all are lent, and the latest such time that is known.
 func (l *SlotLedger) Lend(now time.Time, server placement.Incarnation, to Borrower, slots int, said time.Time) (lent bool, last time.Time) {
 	s := l.servers[server]
 	if s == nil {
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -282,8 +282,8 @@
 // LendRequest asks for a slot of a brittle server for one request.
 type LendRequest struct {
 	Server placement.Incarnation
-	// Router is the asking router, and Process identifies its process.
-	Router, Process string
+	// Borrower is the asking process.
+	Borrower limiter.Borrower
 	// Slots is the number of slots of the server.
 	Slots int
 	// SaidAgo is the time since a server of its service is last known to have said that it is brittle.
@@ -298,8 +298,8 @@
 
 // ReturnRequest returns a slot.
 type ReturnRequest struct {
-	Server          placement.Incarnation
-	Router, Process string
+	Server   placement.Incarnation
+	Borrower limiter.Borrower
 	// Rejected is set if the server rejected the request for want of room, and Rejections is the number of
 	// rejections in a second that it bears.
 	Rejected   bool
