--- a/review/trial/budget.go
+++ b/review/trial/budget.go
@@ -58,8 +58,9 @@
 	// edge is the router that gets all connections of the tenant's client.
 	edge   *router
 	number atomic.Int64
-	// tokens are those of all requests whose answer reached the client, in and out.
-	tokens atomic.Int64
+	// tokens are those of all requests whose answer reached the client, in and out, and runs the requests that
+	// servers began.
+	tokens, runs atomic.Int64
 
 	mu       sync.Mutex
 	statuses map[string]int
@@ -82,7 +83,7 @@
 	}
 	for n := range engineServers {
 		id := fmt.Sprint("engine-", n)
-		stop, err := r.serve(id, "gaplink-llm", engineSlots, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { generate(id, w, req) }))
+		stop, err := r.serve(id, "gaplink-llm", engineSlots, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { c.generate(id, w, req) }))
 		if err != nil {
 			return false, err
 		}
@@ -119,11 +120,16 @@
 }
 
 // generate runs one request at a model server.
-func generate(id string, w http.ResponseWriter, req *http.Request) {
+func (c *budgetCase) generate(id string, w http.ResponseWriter, req *http.Request) {
 	if checkExpected(id, w, req) != nil {
 		return
 	}
-	_, _ = io.Copy(io.Discard, req.Body)
+	_, _ = io.Copy(io.Discard, req.Body) // a body that is cut ends the run with its connection
+	c.runs.Add(1)
+	sent := 0
+	defer func() {
+		c.rig.record.detail("%s has run %s for %s: %d events", id, req.Header.Get("Request-Id"), req.Header.Get("Tenant"), sent)
+	}()
 	w.Header().Set("Response-Signature", "s."+req.Header.Get("Request-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
 	from, _ := strconv.Atoi(req.Header.Get("Last-Event-Id")) // absent: from the start
@@ -132,7 +138,8 @@
 		if _, err := io.WriteString(w, standin.Event(req.Header.Get("Request-Id"), n)); err != nil {
 			return
 		}
-		_ = http.NewResponseController(w).Flush()
+		sent++
+		_ = http.NewResponseController(w).Flush() // fails only on a closed connection
 	}
 }
 
@@ -257,6 +264,7 @@
 		path = "/tag/1"
 	}
 	status, events := c.exchange(id, path)
+	c.rig.record.detail("%s, sent to %s, got %s and %d events", id, c.edge.id, status, events)
 	c.mu.Lock()
 	c.statuses[status]++
 	c.mu.Unlock()
@@ -291,6 +299,6 @@
 func (c *budgetCase) report() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.rig.record.line("requests by answer: %v", c.statuses)
+	c.rig.record.line("requests by answer: %v; %d runs at servers", c.statuses, c.runs.Load())
 	c.rig.record.line("tokens in and out of answered requests: %d; reserved: %d", c.tokens.Load(), reserved)
 }
--- a/review/trial/rig.go
+++ b/review/trial/rig.go
@@ -35,12 +35,16 @@
 	begun time.Time
 }
 
-func (r *record) line(format string, args ...any) {
+// line writes a line, also to standard output.
+func (r *record) line(format string, args ...any) { fmt.Print(r.detail(format, args...)) }
+
+// detail writes a line to the record alone and returns it.
+func (r *record) detail(format string, args ...any) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	text := fmt.Sprintf("%8.3f s  %s\n", time.Since(r.begun).Seconds(), fmt.Sprintf(format, args...))
-	_, _ = r.out.WriteString(text)
-	fmt.Print(text)
+	_, _ = r.out.WriteString(text) // a record that cannot be written shows in its absence
+	return text
 }
 
 // rig is the platform's store and the routers of a case.
