Budget: report messages that carry tokens in escrow

No line says what leaves a router in a message, and how much of its balance was usable then.

Change: move, which all messages pass, compares what a message carries with the usable balance, and reports more: a log line (budget, kind, receiver, asked, sent, usable, escrow and its age), at most one a second, and a counter, gaplink_budget_moves_beyond_usable_total. No decision changes.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -28,7 +28,9 @@
 	fenced  map[string]bool // incarnations whose messages are void
 	limits  map[string]Limit
 	outages outages
-	seed    uint64 // differs between most processes
+	// movesBeyondUsable counts messages that were to carry tokens which were not usable.
+	movesBeyondUsable int64
+	seed              uint64 // differs between most processes
 }
 
 // seedCount is the number of distinct seeds, kept small because quasiRandom spreads only
@@ -150,7 +152,7 @@
 	case Recall:
 		p.scarce = true
 		p.owner = m.From
-		a.returnToPeer(p, m.From)
+		a.returnToPeer(now, p, m.From)
 	case Back:
 		p.recallAnswered(m.From.Incarnation)
 	case Borrow:
@@ -175,10 +177,10 @@
 	d := draw{peer: m.From, token: m.Token, need: m.Need, want: m.Want, rank: rankOf(m.Token)}
 	switch {
 	case a.closing:
-		a.refuseDraw(p, d, Moved)
+		a.refuseDraw(now, p, d, Moved)
 		return
 	case p.usable() < p.requested()+m.Need && a.inFinalReserve(p) && !a.admitsFromFinalReserve(now, p, m.Need):
-		a.refuseDraw(p, d, Exhausted)
+		a.refuseDraw(now, p, d, Exhausted)
 		return
 	}
 	p.draws = append(p.draws, d)
--- a/budget/borrow.go
+++ b/budget/borrow.go
@@ -75,7 +75,7 @@
 	}
 	b.asked[id] = true
 	b.from, b.at = id, now
-	m := a.move(p, Borrow, Peer{ID: id}, 0)
+	m := a.move(now, p, Borrow, Peer{ID: id}, 0)
 	m.Need = max(p.shortfall(), 1)
 	m.Want = max(m.Need, p.expectedDemand(now, a.cfg.EntryHorizon))
 	a.emit(Send{m})
@@ -98,15 +98,15 @@
 		a.queue(now, pageOp{budget: p.id, awaited: true})
 		return
 	}
-	a.answerLoan(p, m)
+	a.answerLoan(now, p, m)
 }
 
-func (a *Agent) answerLoan(p *budgetState, m Message) {
+func (a *Agent) answerLoan(now time.Time, p *budgetState, m Message) {
 	amount := int64(0)
 	if !a.closing && p.usable() > 0 {
 		amount = max(min(m.Need, p.usable()), min(m.Want, p.usable()/lendDivisor))
 	}
-	loan := a.move(p, Loan, m.From, amount)
+	loan := a.move(now, p, Loan, m.From, amount)
 	if amount == 0 {
 		loan.Refused = Exhausted
 	}
@@ -122,7 +122,7 @@
 			waiting = append(waiting, l)
 			continue
 		}
-		a.answerLoan(p, l.message)
+		a.answerLoan(now, p, l.message)
 	}
 	p.loans = waiting
 }
--- a/budget/budget_state.go
+++ b/budget/budget_state.go
@@ -295,15 +295,15 @@
 	h := p.holderOf(d.peer)
 	h.recallable = !p.scarce
 	h.granted.add(now, amount)
-	m := a.move(p, Grant, d.peer, amount)
+	m := a.move(now, p, Grant, d.peer, amount)
 	m.Want = a.limitFor(now, p, h)
 	m.Token = d.token
 	a.emit(Send{m})
 }
 
 // refuseDraw answers a peer's draw with a cause and no tokens.
-func (a *Agent) refuseDraw(p *budgetState, d draw, cause Cause) {
-	m := a.move(p, Grant, d.peer, 0)
+func (a *Agent) refuseDraw(now time.Time, p *budgetState, d draw, cause Cause) {
+	m := a.move(now, p, Grant, d.peer, 0)
 	m.Token = d.token
 	m.Refused = cause
 	m.Scarce = true
@@ -311,7 +311,8 @@
 }
 
 // move decrements the balance and returns the message that carries the tokens.
-func (a *Agent) move(p *budgetState, kind Kind, to Peer, amount int64) Message {
+func (a *Agent) move(now time.Time, p *budgetState, kind Kind, to Peer, amount int64) Message {
+	a.checkMove(now, p, kind, to, amount)
 	p.balance -= amount
 	p.sent[to.Incarnation] += amount
 	p.carry(to.Incarnation, amount)
--- a/budget/entry.go
+++ b/budget/entry.go
@@ -110,7 +110,7 @@
 	if !a.keepsBuffer(now, p) && to.Incarnation != "" && token != 0 {
 		amount = max(p.balance, 0)
 	}
-	m := a.move(p, Draw, to, amount)
+	m := a.move(now, p, Draw, to, amount)
 	m.Token = token
 	m.Need = need
 	m.Want = max(a.entryTarget(now, p), p.shortfall())
@@ -119,8 +119,8 @@
 
 // returnToPeer sends the whole usable balance to a peer, even if it is empty: the message
 // is the answer to a recall.
-func (a *Agent) returnToPeer(p *budgetState, to Peer) {
-	a.emit(Send{a.move(p, Back, to, max(p.usable(), 0))})
+func (a *Agent) returnToPeer(now time.Time, p *budgetState, to Peer) {
+	a.emit(Send{a.move(now, p, Back, to, max(p.usable(), 0))})
 }
 
 // returnSurplus returns an unused balance to the owner unless the router keeps a buffer, so
@@ -135,7 +135,7 @@
 	}
 	switch {
 	case a.ownerKnown(now, p):
-		a.returnToPeer(p, p.owner)
+		a.returnToPeer(now, p, p.owner)
 	case p.scarce:
 		a.returnToStore(now, p)
 	}
@@ -172,7 +172,7 @@
 		return
 	}
 	if !a.closing && a.ownerReachable(now, p) {
-		a.returnToPeer(p, p.owner)
+		a.returnToPeer(now, p, p.owner)
 		return
 	}
 	a.returnToStore(now, p)
@@ -191,7 +191,7 @@
 	a.unqueueReturns(p)
 	a.refreshEscrow(now, p)
 	if p.usable() > 0 {
-		a.returnToPeer(p, lenders[0])
+		a.returnToPeer(now, p, lenders[0])
 	}
 	return true
 }
--- a/budget/messages.go
+++ b/budget/messages.go
@@ -178,18 +178,33 @@
 	Free, Limit int64
 }
 
-func (Send) effect()            {}
-func (ReadPage) effect()        {}
-func (WritePage) effect()       {}
-func (Resolve) effect()         {}
-func (Suspect) effect()         {}
-func (AskSuccessor) effect()    {}
-func (HolderFenced) effect()    {}
-func (EscrowReclaimed) effect() {}
-func (EscrowForfeited) effect() {}
-func (DrawnForItself) effect()  {}
-func (SurplusReturned) effect() {}
-func (HolderAsked) effect()     {}
-func (RefusedByRank) effect()   {}
-func (DrawnAhead) effect()      {}
-func (NearEnd) effect()         {}
+// MoveBeyondUsable reports a message that was to carry more tokens than its sender may use: the rest is in escrow,
+// and the sender's next process may reclaim it.
+type MoveBeyondUsable struct {
+	Budget string
+	Kind   Kind
+	To     Peer
+	// Asked and Sent are the tokens that the message was to carry and those that it carries.
+	Asked, Sent int64
+	// Usable and Escrow are the usable tokens and those in escrow; EscrowAge is the time since the write
+	// of that escrow.
+	Usable, Escrow int64
+	EscrowAge      time.Duration
+}
+
+func (Send) effect()             {}
+func (ReadPage) effect()         {}
+func (WritePage) effect()        {}
+func (Resolve) effect()          {}
+func (Suspect) effect()          {}
+func (AskSuccessor) effect()     {}
+func (HolderFenced) effect()     {}
+func (EscrowReclaimed) effect()  {}
+func (EscrowForfeited) effect()  {}
+func (DrawnForItself) effect()   {}
+func (SurplusReturned) effect()  {}
+func (HolderAsked) effect()      {}
+func (RefusedByRank) effect()    {}
+func (DrawnAhead) effect()       {}
+func (NearEnd) effect()          {}
+func (MoveBeyondUsable) effect() {}
--- a/budget/rank.go
+++ b/budget/rank.go
@@ -228,16 +228,16 @@
 			draws = append(draws, d)
 			continue
 		}
-		a.refuseDrawByRank(p, d, cause)
+		a.refuseDrawByRank(now, p, d, cause)
 	}
 	p.waiters, p.draws = waiters, draws
 }
 
 // refuseDrawByRank refuses a peer's draw that must leave the tokens to more urgent requests. Unlike
 // other refusals it does not ask the peer for its tokens.
-func (a *Agent) refuseDrawByRank(p *budgetState, d draw, cause Cause) {
+func (a *Agent) refuseDrawByRank(now time.Time, p *budgetState, d draw, cause Cause) {
 	a.emitRefusedByRank(p, d.need, d.rank, cause)
-	m := a.move(p, Grant, d.peer, 0)
+	m := a.move(now, p, Grant, d.peer, 0)
 	m.Token = d.token
 	m.Refused = cause
 	a.emit(Send{m})
--- a/budget/search.go
+++ b/budget/search.go
@@ -31,7 +31,7 @@
 	case p.lookup == lookupRunning:
 		a.makeUrgent(now, p)
 		if a.storeSlow(now, p) && !a.borrow(now, p) && a.storeUnavailable(p) {
-			a.refuseAll(p, a.unreachableCause(now, p)) // the draw continues, for later requests
+			a.refuseAll(now, p, a.unreachableCause(now, p)) // the draw continues, for later requests
 		}
 	default:
 		a.search(now, p)
@@ -88,7 +88,7 @@
 		cause = Unknown
 	}
 	p.lookup = lookupIdle
-	a.refuseAll(p, cause)
+	a.refuseAll(now, p, cause)
 }
 
 // unreachableCause returns the cause of a refusal when the store does not answer: Moved if
@@ -119,7 +119,7 @@
 	p.recall = recallRound{at: now, waiting: map[string]bool{}}
 	for _, incarnation := range p.recallableHolders() {
 		p.recall.waiting[incarnation] = true
-		a.emit(Send{a.move(p, Recall, p.holders[incarnation].peer, 0)})
+		a.emit(Send{a.move(now, p, Recall, p.holders[incarnation].peer, 0)})
 	}
 	p.recall.active = len(p.recall.waiting) > 0
 	return p.recall.active
@@ -138,10 +138,10 @@
 	return list
 }
 
-func (a *Agent) refuseAll(p *budgetState, cause Cause) {
+func (a *Agent) refuseAll(now time.Time, p *budgetState, cause Cause) {
 	a.refuseWaiters(p, cause)
 	for _, d := range p.draws {
-		a.refuseDraw(p, d, cause)
+		a.refuseDraw(now, p, d, cause)
 	}
 	p.draws = nil
 }
--- a/budget/surplus.go
+++ b/budget/surplus.go
@@ -77,7 +77,7 @@
 	}
 	excess := p.balance - target
 	if !owner && a.ownerReachable(now, p) {
-		excess -= a.sendSurplus(p, excess)
+		excess -= a.sendSurplus(now, p, excess)
 	}
 	if excess > max(target, a.fewRequests(p)) && !a.storeUnavailable(p) {
 		a.emit(SurplusReturned{Budget: p.id, Tokens: excess, Kept: p.balance - excess})
@@ -86,7 +86,7 @@
 }
 
 // sendSurplus sends the owner the usable part of an excess and returns its size.
-func (a *Agent) sendSurplus(p *budgetState, excess int64) int64 {
+func (a *Agent) sendSurplus(now time.Time, p *budgetState, excess int64) int64 {
 	tokens := min(excess, p.usable())
 	if tokens <= 0 {
 		return 0
@@ -94,7 +94,7 @@
 	if tokens > a.fewRequests(p) {
 		a.emit(SurplusReturned{Budget: p.id, Tokens: tokens, Kept: p.balance - tokens, Owner: p.owner.ID})
 	}
-	a.emit(Send{a.move(p, Back, p.owner, tokens)})
+	a.emit(Send{a.move(now, p, Back, p.owner, tokens)})
 	return tokens
 }
 
@@ -118,7 +118,7 @@
 	if p.repeatBack.ID == "" || now.Sub(p.backFailedAt) < backRetryInterval {
 		return
 	}
-	a.emit(Send{a.move(p, Back, p.repeatBack, 0)})
+	a.emit(Send{a.move(now, p, Back, p.repeatBack, 0)})
 	p.repeatBack = Peer{}
 }
 
--- a/controller/budgets/budgets.go
+++ b/controller/budgets/budgets.go
@@ -234,6 +234,13 @@
 	return c.agent.DecisionInput(agentTime(), id)
 }
 
+// MovesBeyondUsable returns how many messages were to carry tokens that were not usable, since the start.
+func (c *Controller) MovesBeyondUsable() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.agent.MovesBeyondUsable()
+}
+
 // Fence rejects all further messages of an incarnation.
 func (c *Controller) Fence(incarnation string) {
 	c.mu.Lock()
--- a/controller/budgets/decisions.go
+++ b/controller/budgets/decisions.go
@@ -21,10 +21,11 @@
 	rankDecision    = "rank"
 	aheadDecision   = "ahead"
 	nearEndDecision = "near end"
+	moveDecision    = "move"
 )
 
 func newDecisionLogs() map[string]*logs.RateLimit {
-	return map[string]*logs.RateLimit{ownNeedDecision: {}, surplusDecision: {}, holderDecision: {}, rankDecision: {}, aheadDecision: {}, nearEndDecision: {}}
+	return map[string]*logs.RateLimit{ownNeedDecision: {}, surplusDecision: {}, holderDecision: {}, rankDecision: {}, aheadDecision: {}, nearEndDecision: {}, moveDecision: {}}
 }
 
 // logDecision logs a decision of the agent, unless a line about its kind was written recently.
@@ -55,6 +56,12 @@
 			c.log.Info("tokens drawn ahead for urgent requests", zap.String("budget", e.Budget), zap.Int64("target", e.Target),
 				zap.Float64("urgent_share", e.Urgent), zap.Int64("suppressed", suppressed))
 		}
+	case budget.MoveBeyondUsable:
+		if suppressed, ok := c.allowLine(moveDecision); ok {
+			c.log.Error("tokens beyond the usable balance asked for", zap.String("budget", e.Budget), zap.String("kind", string(e.Kind)),
+				zap.String("receiver", e.To.Incarnation), zap.Int64("asked", e.Asked), zap.Int64("sent", e.Sent), zap.Int64("usable", e.Usable),
+				zap.Int64("escrow", e.Escrow), zap.Duration("escrow_age_ms", e.EscrowAge), zap.Int64("suppressed", suppressed))
+		}
 	case budget.NearEnd:
 		if suppressed, ok := c.allowLine(nearEndDecision); ok {
 			c.log.Info("budget nearly used up", zap.String("budget", e.Budget), zap.Bool("held_short", e.Near),
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -39,6 +39,8 @@
 	s.gauge("gaplink_servers_announced_leaving", "Registered backend servers that announced in responses that they are leaving, or whose address another server has taken.", func() float64 { return float64(s.servers.Departures()) })
 	s.gauge("gaplink_servers_limited", "Backend servers that name a rate limit.", func() float64 { return float64(s.limits.Limited()) })
 	s.gauge("gaplink_services_brittle", "Services whose backend servers say that they fall over if they must reject many requests.", func() float64 { return float64(s.servers.BrittleServices()) })
+	s.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "gaplink_budget_moves_beyond_usable_total", Help: "Messages to other routers that were to carry tokens in escrow."},
+		func() float64 { return float64(s.budgets.MovesBeyondUsable()) }))
 	s.gauge("gaplink_requests_in_flight", "Requests being served.", func() float64 { return float64(s.gateway.InFlight()) })
 	s.gauge("gaplink_caller_connections", "Open connections of callers.", func() float64 { return float64(s.callerListener.Open()) })
 	s.gauge("gaplink_registrations_unreadable", "Registrations of backend servers that could not be read, since the start.", func() float64 { return float64(s.servers.Unreadable()) })
