Budget: the owner does not keep a budget active for a return

Change: only a router that is not the owner, in a large fleet, keeps it active, since only that one can send the tokens elsewhere.

./budget and ./controller/budgets pass.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -270,7 +270,7 @@
 		a.tickBudget(now, p)
 	}
 	a.active = slices.DeleteFunc(a.active, func(p *budgetState) bool {
-		p.active = a.startingUp(now) || !p.idle() || a.waitingReturns(p) > 0
+		p.active = a.startingUp(now) || !p.idle() || a.mayRedirect(now, p)
 		return !p.active
 	})
 	for n := range a.cfg.Pages {
--- a/budget/surplus.go
+++ b/budget/surplus.go
@@ -102,17 +102,22 @@
 // their tokens are usable: a message brings them there at once, while the writes of many routers that were cut off
 // together conflict for long.
 func (a *Agent) redirectReturns(now time.Time, p *budgetState) {
-	if !a.sharedOwner() || a.closing || a.isOwner(now, p.id) || !a.ownerReachable(now, p) {
+	if !a.mayRedirect(now, p) || !a.ownerReachable(now, p) {
 		return
 	}
-	queued := a.waitingReturns(p)
-	if queued == 0 || p.balance+queued-a.leftInPage(now, p) < queued/2 {
+	if queued := a.waitingReturns(p); p.balance+queued-a.leftInPage(now, p) < queued/2 {
 		return
 	}
 	a.unqueueReturns(p)
 	a.refreshEscrow(now, p)
 }
 
+// mayRedirect reports whether a return waits that could go to the owner. The owner itself keeps no budget active for a
+// return, since it would draw it again with the same write.
+func (a *Agent) mayRedirect(now time.Time, p *budgetState) bool {
+	return a.sharedOwner() && !a.closing && !a.isOwner(now, p.id) && a.waitingReturns(p) > 0
+}
+
 // waitingReturns returns the tokens queued for return to the store that are in no write yet.
 func (a *Agent) waitingReturns(p *budgetState) (tokens int64) {
 	ps := a.pages[p.page]
