Budget: tokens leave a router only beyond its escrow, in messages too

Cause: the page has most of a balance in escrow, and the next process reclaims what the schedule has not released. Each way out of a router computed a bound of its own. Grants took up to a quarter of the balance and draws the whole of it, escrow included, so that the receiver spent what the successor reclaimed. move, which all messages pass, checked nothing.

No write was lost, nothing was returned, and the age was right.

Change: withdraw is the one place where requests and messages take tokens, by the escrow of that moment; a message that asks for more carries what is usable, and is logged and counted. A draw for more than is usable is granted in part at once; the rest follows the next write, at most two a second, which releases what all deferred draws ask for. A draw moves the usable balance.

Why it works: the balance never falls below what the page has, or may have, in escrow, so that the tokens which a successor reclaims were used by nobody. Returns to the store replace the escrow in the same write.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -91,7 +91,7 @@
 		a.emitRefusedByRank(p, need, rank, cause)
 		return token, false, a.takeEffects()
 	}
-	if p.reserve(need) {
+	if a.reserve(now, p, need) {
 		a.prefetch(now, p)
 		return token, true, a.takeEffects()
 	}
@@ -105,8 +105,7 @@
 // more.
 func (a *Agent) TryReserve(now time.Time, id string, need int64) bool {
 	p := a.budgetState(id)
-	a.refreshEscrow(now, p)
-	if !p.reserve(need) {
+	if !a.reserve(now, p, need) {
 		return false
 	}
 	p.demand.add(now, need) // Settle subtracts what is not used
@@ -183,6 +182,9 @@
 		a.refuseDraw(now, p, d, Exhausted)
 		return
 	}
+	if m.Token == 0 && a.releasesEscrow(p) {
+		d.need = 0 // nobody waits for it, so it is answered at once and the rest deferred
+	}
 	p.draws = append(p.draws, d)
 }
 
@@ -222,7 +224,7 @@
 	case Moved:
 		a.skipOwner(now, p, m.From.ID)
 	default:
-		a.serveWaiters(p)
+		a.serveWaiters(now, p)
 		if _, ok := p.removeWaiter(m.Token); ok {
 			a.emit(Resolve{Token: m.Token, Cause: m.Refused})
 		}
@@ -291,7 +293,7 @@
 		return true
 	}
 	for _, p := range a.active {
-		if p.waiting() || p.drawPending() || len(p.loans) > 0 || p.recall.active || p.borrowing.from != "" || p.lookup == lookupRunning {
+		if p.waiting() || p.drawPending() || len(p.loans) > 0 || p.recall.active || p.borrowing.from != "" || p.lookup == lookupRunning || len(p.deferred) > 0 {
 			return true
 		}
 	}
--- a/budget/budget_state.go
+++ b/budget/budget_state.go
@@ -67,6 +67,7 @@
 	escrow            int64 // part of the balance that is not usable yet
 	waiters           []waiter
 	draws             []draw
+	deferred          []draw // draws granted in part, until a write releases the rest
 	loans             []loanRequest
 	drawTarget        string
 	prefetchSentAt    time.Time // when a draw ahead of demand was sent; zero: none is outstanding
@@ -242,22 +243,11 @@
 	p.recall.waiting = nil
 }
 
-// reserve reserves need tokens of the balance; it returns false if the usable balance is
-// too small.
-func (p *budgetState) reserve(need int64) bool {
-	if p.usable() < need {
-		return false
-	}
-	p.balance -= need
-	p.reserved += need
-	return true
-}
-
 // serveWaiters grants every local reservation that the usable balance covers.
-func (a *Agent) serveWaiters(p *budgetState) {
+func (a *Agent) serveWaiters(now time.Time, p *budgetState) {
 	kept := p.waiters[:0]
 	for _, w := range p.waiters {
-		if !p.reserve(w.need) {
+		if !a.reserve(now, p, w.need) {
 			kept = append(kept, w)
 			continue
 		}
@@ -265,64 +255,3 @@
 	}
 	p.waiters = kept
 }
-
-// serveDraws grants every peer's draw that the usable balance covers.
-func (a *Agent) serveDraws(now time.Time, p *budgetState) {
-	kept := p.draws[:0]
-	for _, d := range p.draws {
-		if p.usable() < d.need {
-			kept = append(kept, d)
-			continue
-		}
-		a.grant(now, p, d)
-	}
-	p.draws = kept
-}
-
-// grant moves tokens to the drawing router: what it needs, and more for its expected
-// demand unless tokens are scarce. The granted amount counts as the owner's demand, since
-// most draws are prefetches whose own need is small.
-func (a *Agent) grant(now time.Time, p *budgetState, d draw) {
-	amount := d.need
-	if !p.scarce {
-		amount = max(d.need, min(d.want, p.balance/freeDivisor))
-	}
-	a.grants = true
-	p.demand.add(now, amount)
-	if d.token != 0 {
-		a.recordRank(now, p, d.rank, d.need)
-	}
-	h := p.holderOf(d.peer)
-	h.recallable = !p.scarce
-	h.granted.add(now, amount)
-	m := a.move(now, p, Grant, d.peer, amount)
-	m.Want = a.limitFor(now, p, h)
-	m.Token = d.token
-	a.emit(Send{m})
-}
-
-// refuseDraw answers a peer's draw with a cause and no tokens.
-func (a *Agent) refuseDraw(now time.Time, p *budgetState, d draw, cause Cause) {
-	m := a.move(now, p, Grant, d.peer, 0)
-	m.Token = d.token
-	m.Refused = cause
-	m.Scarce = true
-	a.emit(Send{m})
-}
-
-// move decrements the balance and returns the message that carries the tokens.
-func (a *Agent) move(now time.Time, p *budgetState, kind Kind, to Peer, amount int64) Message {
-	a.checkMove(now, p, kind, to, amount)
-	p.balance -= amount
-	p.sent[to.Incarnation] += amount
-	p.carry(to.Incarnation, amount)
-	return Message{
-		Kind:   kind,
-		Budget: p.id,
-		From:   a.cfg.Self,
-		To:     to,
-		Total:  p.sent[to.Incarnation],
-		Delta:  amount,
-		Scarce: p.scarce,
-	}
-}
--- a/budget/config.go
+++ b/budget/config.go
@@ -77,6 +77,9 @@
 	// PageWriteInterval is the minimum time between two writes of a page that no caller
 	// waits for.
 	PageWriteInterval time.Duration
+	// ReleaseInterval is the minimum time between two writes of a page of which the second releases tokens
+	// in escrow that another router drew in advance of its requests.
+	ReleaseInterval time.Duration
 	// StoreRetry is the pause after the store was unavailable.
 	StoreRetry time.Duration
 	// RefillBelow is the share of OwnerHorizon below which an owner draws more.
@@ -119,6 +122,7 @@
 		RecallTimeout:     150 * time.Millisecond,
 		LookupInterval:    100 * time.Millisecond,
 		PageWriteInterval: time.Second,
+		ReleaseInterval:   500 * time.Millisecond,
 		StoreRetry:        200 * time.Millisecond,
 		RateWindow:        5 * time.Second,
 		RefillBelow:       1.0 / freeDivisor,
--- a/budget/entry.go
+++ b/budget/entry.go
@@ -99,7 +99,7 @@
 }
 
 // drawMessage builds a draw. Unless the router keeps a buffer, the message also moves the
-// balance, so that the owner decides over all tokens.
+// usable balance, so that the owner decides over all tokens.
 func (a *Agent) drawMessage(now time.Time, p *budgetState, token uint64, need int64) Message {
 	p.drawTarget = a.cfg.Owner(now, p.id)
 	to := Peer{ID: p.drawTarget}
@@ -108,7 +108,7 @@
 	}
 	amount := int64(0)
 	if !a.keepsBuffer(now, p) && to.Incarnation != "" && token != 0 {
-		amount = max(p.balance, 0)
+		amount = a.usableNow(now, p)
 	}
 	m := a.move(now, p, Draw, to, amount)
 	m.Token = token
@@ -120,7 +120,7 @@
 // returnToPeer sends the whole usable balance to a peer, even if it is empty: the message
 // is the answer to a recall.
 func (a *Agent) returnToPeer(now time.Time, p *budgetState, to Peer) {
-	a.emit(Send{a.move(now, p, Back, to, max(p.usable(), 0))})
+	a.emit(Send{a.move(now, p, Back, to, a.usableNow(now, p))})
 }
 
 // returnSurplus returns an unused balance to the owner unless the router keeps a buffer, so
--- a/budget/escrow.go
+++ b/budget/escrow.go
@@ -120,10 +120,10 @@
 func (p *budgetState) usable() int64 { return p.balance - p.escrow }
 
 // usableTarget returns how many tokens a write of the page leaves usable: the demand until
-// the page is likely written again.
+// the page is likely written again, and what draws and loans wait for.
 func (a *Agent) usableTarget(now time.Time, p *budgetState) int64 {
 	target := p.expectedDemand(now, a.cfg.UsableHorizon)
-	return max(target, int64(a.cfg.HeldRequests*p.meanNeed)) + p.requested()
+	return max(target, int64(a.cfg.HeldRequests*p.meanNeed)) + p.requested() + p.deferredTokens()
 }
 
 // putEscrow puts this holder's escrow into a page that is about to be written.
@@ -159,7 +159,7 @@
 		return false
 	}
 	usable, target := float64(p.usable()), float64(a.usableTarget(now, p))
-	if p.escrow > 0 && (p.shortfall() > 0 || usable < rewriteEscrowBelow*target) {
+	if p.escrow > 0 && (p.shortfall() > 0 || p.deferredTokens() > p.usable() || usable < rewriteEscrowBelow*target) {
 		return true
 	}
 	return a.exceedsUsableTarget(now, p, usable, target)
--- a/budget/holding.go
+++ b/budget/holding.go
@@ -1,6 +1,9 @@
 package budget
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Holding is what one router holds of a budget, in tokens.
 type Holding struct {
@@ -69,6 +72,7 @@
 		}
 	}
 	p.draws = kept
+	p.deferred = slices.DeleteFunc(p.deferred, func(d draw) bool { return d.peer.Incarnation == incarnation })
 }
 
 // Holding returns what this router holds of a budget.
--- a/budget/messages.go
+++ b/budget/messages.go
@@ -186,10 +186,20 @@
 	To     Peer
 	// Asked and Sent are the tokens that the message was to carry and those that it carries.
 	Asked, Sent int64
-	// Usable and Escrow are the usable tokens and those in escrow; EscrowAge is the time since the write
-	// of that escrow.
-	Usable, Escrow int64
-	EscrowAge      time.Duration
+	// Escrow is what is in escrow, EscrowAge the time since the write of that escrow.
+	Escrow    int64
+	EscrowAge time.Duration
+}
+
+// GrantDeferred reports that a draw was granted in part, since the rest is in escrow; that follows after the next write.
+type GrantDeferred struct {
+	Budget string
+	To     Peer
+	// Wanted, Granted and Usable are tokens: of the whole grant, of its first part, and usable before it.
+	Wanted, Granted, Usable int64
+	// Escrow is what is in escrow, EscrowAge the time since the write of that escrow.
+	Escrow    int64
+	EscrowAge time.Duration
 }
 
 func (Send) effect()             {}
@@ -208,3 +218,4 @@
 func (DrawnAhead) effect()       {}
 func (NearEnd) effect()          {}
 func (MoveBeyondUsable) effect() {}
+func (GrantDeferred) effect()    {}
--- a/budget/paging.go
+++ b/budget/paging.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"slices"
 	"time"
 )
 
@@ -30,6 +31,8 @@
 	// awaited is set if the write should not wait for others although no caller's draw does: a
 	// loan waits for it, or the router holds too little to wait.
 	awaited bool
+	// releases is set if deferred draws wait for the tokens in escrow that the write releases.
+	releases bool
 	// finalReserve is set if the draw may take from the budget's final reserve.
 	finalReserve bool
 }
@@ -139,6 +142,8 @@
 // writeInterval returns the minimum time between two writes of a page.
 func (a *Agent) writeInterval(ps *pageState) time.Duration {
 	switch {
+	case !ps.urgent() && ps.releases():
+		return a.cfg.ReleaseInterval
 	case !ps.urgent():
 		return a.cfg.PageWriteInterval
 	case a.grants:
@@ -158,6 +163,11 @@
 	return false
 }
 
+// releases reports whether a deferred draw waits for a queued operation.
+func (ps *pageState) releases() bool {
+	return slices.ContainsFunc(ps.ops, func(op pageOp) bool { return op.releases })
+}
+
 // makeUrgent turns a queued prefetch into a draw that callers wait for.
 func (a *Agent) makeUrgent(now time.Time, p *budgetState) {
 	ps := a.pages[p.page]
--- a/budget/search.go
+++ b/budget/search.go
@@ -12,9 +12,10 @@
 func (a *Agent) advance(now time.Time, p *budgetState) {
 	a.refreshEscrow(now, p)
 	a.refuseYielding(now, p)
-	a.serveWaiters(p)
+	a.serveWaiters(now, p)
 	a.serveDraws(now, p)
 	a.serveLoans(now, p)
+	a.serveDeferred(now, p)
 	if !p.waiting() {
 		p.resetLookup()
 		return
--- a/budget/shared_owner_test.go
+++ b/budget/shared_owner_test.go
@@ -68,11 +68,13 @@
 	})
 }
 
-// exchangeNow answers all store calls and delivers all messages without advancing the
+// exchangeNow answers all store calls and delivers all messages, at most 1000, without advancing the
 // time.
-func (n *network) exchangeNow() {
+func (n *network) exchangeNow() { n.exchangeAtMost(1000) }
+
+func (n *network) exchangeAtMost(messages int) {
 	for i := 0; ; i++ {
-		if i > 1000 {
+		if i > messages {
 			n.t.Fatalf("messages without end: %+v", n.messages)
 		}
 		busy := len(n.messages) > 0
--- a/budget/surplus.go
+++ b/budget/surplus.go
@@ -87,7 +87,7 @@
 
 // sendSurplus sends the owner the usable part of an excess and returns its size.
 func (a *Agent) sendSurplus(now time.Time, p *budgetState, excess int64) int64 {
-	tokens := min(excess, p.usable())
+	tokens := min(excess, a.usableNow(now, p))
 	if tokens <= 0 {
 		return 0
 	}
--- a/controller/budgets/decisions.go
+++ b/controller/budgets/decisions.go
@@ -22,10 +22,11 @@
 	aheadDecision   = "ahead"
 	nearEndDecision = "near end"
 	moveDecision    = "move"
+	deferDecision   = "defer"
 )
 
 func newDecisionLogs() map[string]*logs.RateLimit {
-	return map[string]*logs.RateLimit{ownNeedDecision: {}, surplusDecision: {}, holderDecision: {}, rankDecision: {}, aheadDecision: {}, nearEndDecision: {}, moveDecision: {}}
+	return map[string]*logs.RateLimit{ownNeedDecision: {}, surplusDecision: {}, holderDecision: {}, rankDecision: {}, aheadDecision: {}, nearEndDecision: {}, moveDecision: {}, deferDecision: {}}
 }
 
 // logDecision logs a decision of the agent, unless a line about its kind was written recently.
@@ -59,7 +60,13 @@
 	case budget.MoveBeyondUsable:
 		if suppressed, ok := c.allowLine(moveDecision); ok {
 			c.log.Error("tokens beyond the usable balance asked for", zap.String("budget", e.Budget), zap.String("kind", string(e.Kind)),
-				zap.String("receiver", e.To.Incarnation), zap.Int64("asked", e.Asked), zap.Int64("sent", e.Sent), zap.Int64("usable", e.Usable),
+				zap.String("receiver", e.To.Incarnation), zap.Int64("asked", e.Asked), zap.Int64("sent", e.Sent),
+				zap.Int64("escrow", e.Escrow), zap.Duration("escrow_age_ms", e.EscrowAge), zap.Int64("suppressed", suppressed))
+		}
+	case budget.GrantDeferred:
+		if suppressed, ok := c.allowLine(deferDecision); ok {
+			c.log.Info("draw of a budget granted in part", zap.String("budget", e.Budget), zap.String("receiver", e.To.Incarnation),
+				zap.Int64("wanted", e.Wanted), zap.Int64("granted", e.Granted), zap.Int64("usable", e.Usable),
 				zap.Int64("escrow", e.Escrow), zap.Duration("escrow_age_ms", e.EscrowAge), zap.Int64("suppressed", suppressed))
 		}
 	case budget.NearEnd:
