Soak: batches that use up a large budget, and a kill of the router that holds it

Budgets were never used up, or so small that nothing was in escrow; kills struck any router at any time, and an overspend of one grant shows only when the rest of the budget is used up after the kill.

In the first half they are small and rare and the routers and the store are left alone, so that the owner holds much ahead. Just after a write of the router with the most tokens in escrow a large batch arrives, that router is killed, and batches use up the rest.

So one play can miss it; the tests in ./budget can't.

--- a/Makefile
+++ b/Makefile
@@ -49,9 +49,11 @@
 # SOAK_ROUTERS=18 makes a fleet in which few routers watch the store for the others.
 SEED ?= 1
 SOAK_SECONDS ?= 20
-# SOAK_FLAGS=--brittle makes servers with little room that are brittle at times.
+# SOAK_FLAGS=--brittle makes servers with little room that are brittle at times; --batches adds requests that use up
+# a large budget, and a kill of the router that holds most of it.
 SOAK_ROUTERS ?= 3
 SOAK_FLAGS ?=
+SOAK_SERVERS ?= 4
 .PHONY: soak
 soak: build
-	./bin/gaplink-lab soak --seed $(SEED) --seconds $(SOAK_SECONDS) --routers $(SOAK_ROUTERS) $(SOAK_FLAGS)
+	./bin/gaplink-lab soak --seed $(SEED) --seconds $(SOAK_SECONDS) --routers $(SOAK_ROUTERS) --servers $(SOAK_SERVERS) $(SOAK_FLAGS)
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -31,6 +32,9 @@
 // out.
 var accounts = []account{{"plenty", 1 << 40, 0}, {exactAccount, 1 << 40, 0}, {"topped-up", 10000, 1000}, {"scarce", 5000, 0}}
 
+// allAccounts are those of the callers and that of the batches.
+var allAccounts = append(slices.Clone(accounts), batchAccount)
+
 func markerKey(version int64) string { return fmt.Sprint("key-at-", version) }
 
 func markerRoute(version int64) standin.Route {
@@ -80,7 +84,7 @@
 		return nil, err
 	}
 	go func() { _ = http.Serve(f.listen, f.store) }() // serves until the listener is closed
-	for _, a := range accounts {
+	for _, a := range allAccounts {
 		f.budgets[a.name] = a.budget
 	}
 	return f, f.configure(false)
@@ -141,7 +145,7 @@
 		c.Routes = append(c.Routes, s.route)
 	}
 	c.Routes = append(c.Routes, markerRoute(f.version), markerRoute(f.version-1))
-	for i, a := range accounts {
+	for i, a := range allAccounts {
 		if raise {
 			f.budgets[a.name] += a.raise
 		}
@@ -347,7 +351,7 @@
 	if err != nil {
 		return err
 	}
-	for _, a := range accounts {
+	for _, a := range allAccounts {
 		name := a.name
 		var issued int64
 		if record := page.Budgets[name]; record != nil {
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -17,6 +17,8 @@
 	Servers int
 	// Brittle gives servers little room, and makes them brittle at times.
 	Brittle bool
+	// Batches adds batches of requests that use up a large budget, and a kill of the router that holds most of it.
+	Batches bool
 	// Processes bounds the processes of a run, including this one.
 	Processes int
 }
@@ -131,7 +133,12 @@
 			f.runBrittlePeriods(loadCtx, BrittlePeriods(o.Seed, o.Length))
 		}()
 	}
-	f.runSchedule(loadCtx, Schedule(o.Seed, o.Length, o.Routers, o.Servers))
+	steps := Schedule(o.Seed, o.Length, o.Routers, o.Servers)
+	if o.Batches {
+		steps = calmBefore(o.Length/2, steps)
+		workers.Go(func() { f.runBatches(loadCtx, o.Seed, Batches(o.Seed, o.Length)) })
+	}
+	f.runSchedule(loadCtx, steps)
 	workers.Wait()
 	f.stop()
 	oracle.CheckCutOff(time.Now())
