Budget: what waits for return and what the page has in escrow are computed once

queuedReturns and usableAt had loops and terms of their own for what waitingReturns and leftInPage compute. No behaviour changes; ./budget passes.

--- a/budget/rank.go
+++ b/budget/rank.go
@@ -171,15 +171,7 @@
 // usableAt returns the tokens that will be usable after d if none are used or obtained before: escrow
 // is released meanwhile.
 func (a *Agent) usableAt(now time.Time, p *budgetState, d time.Duration) int64 {
-	ps := a.pages[p.page]
-	if !a.keepsEscrow() || ps == nil {
-		return p.usable()
-	}
-	left := ps.escrow.left(now.Add(d), p.id)
-	if ps.write != nil {
-		left = max(left, ps.write.escrow.left(now.Add(d), p.id))
-	}
-	return p.balance - min(left, p.escrow)
+	return p.balance - min(a.leftInPage(now.Add(d), p), p.escrow)
 }
 
 // inLastShare reports whether, by a recent copy of the page, only the last share of a budget that this
--- a/budget/surplus.go
+++ b/budget/surplus.go
@@ -105,7 +105,7 @@
 	if !a.mayRedirect(now, p) || !a.ownerReachable(now, p) {
 		return
 	}
-	if queued := a.waitingReturns(p); p.balance+queued-a.leftInPage(now, p) < queued/2 {
+	if queued := a.pages[p.page].waitingReturns(p.id); p.balance+queued-a.leftInPage(now, p) < queued/2 {
 		return
 	}
 	a.unqueueReturns(p)
@@ -115,17 +115,14 @@
 // mayRedirect reports whether a return waits that could go to the owner. The owner itself keeps no budget active for a
 // return, since it would draw it again with the same write.
 func (a *Agent) mayRedirect(now time.Time, p *budgetState) bool {
-	return a.sharedOwner() && !a.closing && !a.isOwner(now, p.id) && a.waitingReturns(p) > 0
+	ps := a.pages[p.page]
+	return ps != nil && a.sharedOwner() && !a.closing && !a.isOwner(now, p.id) && ps.waitingReturns(p.id) > 0
 }
 
 // waitingReturns returns the tokens queued for return to the store that are in no write yet.
-func (a *Agent) waitingReturns(p *budgetState) (tokens int64) {
-	ps := a.pages[p.page]
-	if ps == nil {
-		return 0
-	}
+func (ps *pageState) waitingReturns(id string) (tokens int64) {
 	for _, op := range ps.ops {
-		if op.budget == p.id && op.need < 0 {
+		if op.budget == id && op.need < 0 {
 			tokens -= op.need
 		}
 	}
@@ -159,11 +156,7 @@
 // queuedReturns returns the tokens that are queued for return to the store, or in a write that
 // has no answer yet.
 func (ps *pageState) queuedReturns(id string) (tokens int64) {
-	for _, op := range ps.ops {
-		if op.budget == id && op.need < 0 {
-			tokens -= op.need
-		}
-	}
+	tokens = ps.waitingReturns(id)
 	if ps.write == nil {
 		return tokens
 	}
