--- a/budget/escrow_test.go
+++ b/budget/escrow_test.go
@@ -248,17 +248,20 @@
 // withheld returns the tokens of the page that are still in escrow now.
 func (n *network) withheld() (tokens int64) {
 	for _, e := range n.page.Escrows {
-		part := e.Parts[testBudget]
-		age := n.now.Sub(epoch) - time.Duration(e.At)
-		left := float64(part.Tokens) - releaseSpeed*float64(part.Demand)*age.Seconds()
-		if age > releaseSlow {
-			left = min(left, float64(part.Tokens)*float64(releaseWithin-age)/float64(releaseWithin-releaseSlow))
-		}
-		tokens += max(int64(math.Floor(left)), 0)
+		tokens += unreleased(e.Parts[testBudget], n.now.Sub(epoch)-time.Duration(e.At))
 	}
 	return tokens
 }
 
+// unreleased returns what the schedule of the tests has not released at an age since the write.
+func unreleased(part budget.Withheld, age time.Duration) int64 {
+	left := float64(part.Tokens) - releaseSpeed*float64(part.Demand)*age.Seconds()
+	if age > releaseSlow {
+		left = min(left, float64(part.Tokens)*float64(releaseWithin-age)/float64(releaseWithin-releaseSlow))
+	}
+	return max(int64(math.Floor(left)), 0)
+}
+
 // TestEscrowIsReleasedBySchedule: while the store is unavailable, a router uses the tokens
 // that the schedule has released by then, and no more.
 func TestEscrowIsReleasedBySchedule(t *testing.T) {
--- a/budget/withdraw_test.go
+++ b/budget/withdraw_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"testing"
 	"time"
 
@@ -32,13 +31,7 @@
 
 // leftInEscrow returns what the schedule has not released of an escrow at a router's current time.
 func (n *network) leftInEscrow(r *router, e budget.Escrow) int64 {
-	part := e.Parts[testBudget]
-	age := n.at(r).Sub(r.machine.booted) - time.Duration(e.At)
-	left := float64(part.Tokens) - releaseSpeed*float64(part.Demand)*age.Seconds()
-	if age > releaseSlow {
-		left = min(left, float64(part.Tokens)*float64(releaseWithin-age)/float64(releaseWithin-releaseSlow))
-	}
-	return max(int64(math.Floor(left)), 0)
+	return unreleased(e.Parts[testBudget], n.at(r).Sub(r.machine.booted)-time.Duration(e.At))
 }
 
 // newBatchFleet returns a large fleet of some routers whose owner, r0, draws a budget of five million for batches
