Budget: less code for the same withdrawals and returns

On reading the change once more: tokensInFlight had the loop of waitingReturns, move withdrew in two tries what one min gives, and redirectReturns computed the escrow that advance computes anew before anything reads it. Two comments say it in the field's terms.

--- a/budget/holding.go
+++ b/budget/holding.go
@@ -107,12 +107,7 @@
 	if !ok {
 		return 0
 	}
-	var sum int64
-	for _, op := range ps.ops {
-		if op.budget == id && op.need < 0 {
-			sum -= op.need
-		}
-	}
+	sum := ps.waitingReturns(id)
 	if ps.write == nil {
 		return sum
 	}
--- a/budget/surplus.go
+++ b/budget/surplus.go
@@ -98,7 +98,7 @@
 	return tokens
 }
 
-// redirectReturns takes back returns that wait for a write of the page, once the owner can be reached and most of
+// redirectReturns removes from the queue returns that wait for a write of the page, once the owner can be reached and most of
 // their tokens are usable: a message brings them there at once, while the writes of many routers that were cut off
 // together conflict for long.
 func (a *Agent) redirectReturns(now time.Time, p *budgetState) {
@@ -109,7 +109,6 @@
 		return
 	}
 	a.unqueueReturns(p)
-	a.refreshEscrow(now, p)
 }
 
 // mayRedirect reports whether a return waits that could go to the owner. The owner itself keeps no budget active for a
--- a/budget/withdraw.go
+++ b/budget/withdraw.go
@@ -34,13 +34,12 @@
 // move withdraws tokens and returns the message that carries them. If more are asked for than are usable, it carries
 // the usable ones and the rest is reported: each caller should know what is usable.
 func (a *Agent) move(now time.Time, p *budgetState, kind Kind, to Peer, tokens int64) Message {
-	if !a.withdraw(now, p, tokens) {
-		asked := tokens
-		tokens = a.usableNow(now, p)
-		a.withdraw(now, p, tokens)
+	asked := tokens
+	if tokens = min(asked, a.usableNow(now, p)); tokens < asked {
 		a.movesBeyondUsable++
 		a.emit(MoveBeyondUsable{Budget: p.id, Kind: kind, To: to, Asked: asked, Sent: tokens, Escrow: p.escrow, EscrowAge: a.escrowAge(now, p)})
 	}
+	a.withdraw(now, p, tokens)
 	p.sent[to.Incarnation] += tokens
 	p.carry(to.Incarnation, tokens)
 	return Message{
@@ -54,7 +53,7 @@
 	}
 }
 
-// escrowAge returns the time since the write of the escrow that the page has, as far as this router knows.
+// escrowAge returns the time since the last confirmed write of the escrow, or 0 if there was none.
 func (a *Agent) escrowAge(now time.Time, p *budgetState) time.Duration {
 	ps := a.pages[p.page]
 	if ps == nil || ps.escrow.at.IsZero() {
