--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -32,9 +32,6 @@
 // out.
 var accounts = []account{{"plenty", 1 << 40, 0}, {exactAccount, 1 << 40, 0}, {"topped-up", 10000, 1000}, {"scarce", 5000, 0}}
 
-// allAccounts are those of the callers and that of the batches.
-var allAccounts = append(slices.Clone(accounts), batchAccount)
-
 func markerKey(version int64) string { return fmt.Sprint("key-at-", version) }
 
 func markerRoute(version int64) standin.Route {
@@ -72,19 +69,23 @@
 	routers        []*router
 	storeFaults    map[Fault]int
 	version        int64
+	accounts       []account
 	budgets        map[string]int64
 	pendingChanges sync.WaitGroup
 	errs           []error
 }
 
-func newFleet(o *Oracle, t *runCounters) (*fleet, error) {
-	f := &fleet{oracle: o, counters: t, store: standin.NewStore(), storeFaults: map[Fault]int{}, budgets: map[string]int64{}}
+func newFleet(o *Oracle, t *runCounters, batches bool) (*fleet, error) {
+	f := &fleet{accounts: accounts, oracle: o, counters: t, store: standin.NewStore(), storeFaults: map[Fault]int{}, budgets: map[string]int64{}}
 	var err error
 	if f.listen, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return nil, err
 	}
 	go func() { _ = http.Serve(f.listen, f.store) }() // serves until the listener is closed
-	for _, a := range allAccounts {
+	if batches {
+		f.accounts = append(slices.Clone(accounts), batchAccount)
+	}
+	for _, a := range f.accounts {
 		f.budgets[a.name] = a.budget
 	}
 	return f, f.configure(false)
@@ -145,7 +146,7 @@
 		c.Routes = append(c.Routes, s.route)
 	}
 	c.Routes = append(c.Routes, markerRoute(f.version), markerRoute(f.version-1))
-	for i, a := range allAccounts {
+	for i, a := range f.accounts {
 		if raise {
 			f.budgets[a.name] += a.raise
 		}
@@ -351,7 +352,7 @@
 	if err != nil {
 		return err
 	}
-	for _, a := range allAccounts {
+	for _, a := range f.accounts {
 		name := a.name
 		var issued int64
 		if record := page.Budgets[name]; record != nil {
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -96,7 +96,7 @@
 
 // runFleet starts a fleet, injects faults under load and stops the fleet.
 func runFleet(ctx context.Context, o Options, dir string, oracle *Oracle, counters *runCounters) error {
-	f, err := newFleet(oracle, counters)
+	f, err := newFleet(oracle, counters, o.Batches)
 	if err != nil {
 		return err
 	}
