Gateway: report retries and the state of the retry budget

The logs of the incident could not separate a full budget at each start, a share of the wrong size, and attempts that are not paid for. gaplink_gateway_retries_total{service,cause} counts attempts that a server may have received after an earlier one of the same request; the line 'retry budget exhausted' (one in 5 s for a service) tells the process's requests, retries paid, further attempts, capacity and the routers known.

The logic is unchanged.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -88,6 +88,7 @@
 		a.isLast = counts.sent+1 >= c.route.Attempts || !c.g.Retries.Left(c.service.Name)
 		d := a.run(ctx)
 		c.recordAttempt(a)
+		c.recordArrival(d)
 		if d == served || d == ended {
 			return nil
 		}
@@ -261,6 +262,7 @@
 // retriesSpent returns the error for a request that may not be sent again because the service's retry
 // budget is spent.
 func (c *call) retriesSpent(code result.Code) *result.Error {
+	c.g.logRetriesSpent(c.service.Name)
 	return c.temporary(result.New(code, "the retry budget is spent").After(busyRetryAfter), retryafter.RetriesSpent, 0)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,6 +115,7 @@
 	malformed logs.RateLimit
 	// limitedLines does so for the lines about accounts whose callers return too early.
 	limitedLines logs.RateLimit
+	retryLog     retryLog
 	// unknown holds the unknown response headers that were logged.
 	unknown logs.Names
 }
@@ -195,6 +196,10 @@
 	// reserved.
 	retryReserved bool
 
+	// retryCause is why a further attempt would follow the last one that may have reached a server; empty
+	// before the first.
+	retryCause string
+
 	reserved int64
 	// unobserved counts the attempts that a server may have completed without this router
 	// seeing the end.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -20,6 +20,7 @@
 	ages     prometheus.Histogram
 	returns  *prometheus.HistogramVec
 	held     *prometheus.CounterVec
+	retries  *prometheus.CounterVec
 }
 
 // latencyBuckets span the latency objectives, in seconds.
@@ -58,8 +59,11 @@
 		held: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gaplink_gateway_held_total", Help: "Requests held for predicted room, by cause and by whether there was room.",
 		}, []string{"cause", "room"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gaplink_gateway_retries_total", Help: "Attempts that a server may have received after an earlier one of the same request, by service and by how that one ended.",
+		}, []string{"service", "cause"}),
 	}
-	reg.MustRegister(m.requests, m.attempts, m.seconds, m.tokens, m.replies, m.ages, m.returns, m.held)
+	reg.MustRegister(m.requests, m.attempts, m.seconds, m.tokens, m.replies, m.ages, m.returns, m.held, m.retries)
 	return m
 }
 
@@ -99,6 +103,11 @@
 	}
 }
 
+// retried counts an attempt that followed an earlier one.
+func (m *Metrics) retried(service, cause string) {
+	m.retries.WithLabelValues(service, cause).Inc()
+}
+
 func (m *Metrics) attempt(service, outcome string) {
 	m.attempts.WithLabelValues(service, outcome).Inc()
 }
--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -46,3 +46,10 @@
 	defer b.mu.Unlock()
 	return b.budgetOf(service).Spend()
 }
+
+// Status returns the state of the service's budget.
+func (b *Budgets) Status(service string) Status {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budgetOf(service).Status()
+}
