Retry budget: processes begin without a part of the fleet's slack

What callers saw: under rejecting servers, services received more arrivals beyond the first of each request than the operator allows, once routers had been killed and restarted. Cause: each process began with a full token bucket, so that each life of an instance had the instance's part of the slack anew. The share was also computed once, at the first use, from the routers that were alive and known then: before discovery a sixth whatever the fleet, more after a cut, and never less when the fleet grew or a reload lowered the slack.

Now a bucket begins empty and earns its tokens by requests, so that over any window the processes of an instance spend at most what the one at its begin held, and what the window's requests earn. A window after the start, when no retry of an earlier process counts any more, the bucket is filled, less what this process has spent. The capacity is computed at each use from the slack in force and the largest number of registered routers known in the last window (nothing before the fleet is known); routers that do not answer count. A process that drains and its successor share one part. With less than one retry for each router there are none, as before. call.payForRetry is the one place that every attempt passes; a retry that is paid for stays paid until a server may have received it, so that a held request is no longer charged twice.

--- a/controller/members/members.go
+++ b/controller/members/members.go
@@ -242,6 +242,13 @@
 	return c.view.Members()
 }
 
+// Listed returns the number of listed routers.
+func (c *Controller) Listed() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Len()
+}
+
 // Others returns the usable routers except this one, in a stable order.
 func (c *Controller) Others(now time.Time) []string {
 	ranked := c.Rank(now, "others")
--- a/controller/roster/roster.go
+++ b/controller/roster/roster.go
@@ -118,6 +118,14 @@
 	return max(c.Members.Live(), size)
 }
 
+// Known returns the known number of routers, at least 1. Unlike Size it includes those that do not answer.
+func (c *Controller) Known() int {
+	c.mu.Lock()
+	registered := len(c.entries)
+	c.mu.Unlock()
+	return max(registered, c.Members.Listed(), c.Size())
+}
+
 // IsLarge reports whether the fleet is large. A fleet of unknown size counts as large, since the
 // requests that each router makes in a small fleet would overload a large one.
 func (c *Controller) IsLarge() bool {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -50,7 +50,7 @@
 	defer cancel()
 	c.findOrigin(ctx)
 	c.chooseService()
-	c.g.Retries.Request(c.service.Name)
+	c.g.Retries.Request(clock.Now(), c.service.Name)
 	defer c.g.running.add(c, cancel)()
 	refusal := c.pinVersion()
 	if refusal == nil {
@@ -77,6 +77,9 @@
 	var unreached []placement.Incarnation
 	var counts attemptCounts
 	for {
+		if refusal := c.payForRetry(); refusal != nil {
+			return refusal
+		}
 		a, refusal := c.pick(ctx, tried)
 		if refusal != nil && c.awaitPath(ctx, tried, unreached) {
 			continue
@@ -85,10 +88,10 @@
 			return refusal
 		}
 		tried[a.server.Incarnation()] = true
-		a.isLast = counts.sent+1 >= c.route.Attempts || !c.g.Retries.Left(c.service.Name)
+		a.isLast = counts.sent+1 >= c.route.Attempts || !c.mayRetry()
 		d := a.run(ctx)
 		c.recordAttempt(a)
-		c.recordArrival(d)
+		c.recordArrival(a, d)
 		if d == served || d == ended {
 			return nil
 		}
@@ -206,8 +209,8 @@
 	}
 }
 
-// checkRetry returns nil if the request may be sent to another server, and otherwise the error
-// that ends it.
+// checkRetry returns nil if the request may be sent to another server, should the retry budget allow it, and
+// otherwise the error that ends it.
 func (c *call) checkRetry(ctx context.Context, d disposition, a *attempt, counts attemptCounts) *result.Error {
 	cause := a.err
 	if err := ctx.Err(); err != nil {
@@ -240,8 +243,8 @@
 			return result.New(result.BackendCut, "more than one server ended under the request").Wrap(cause)
 		}
 	}
-	if c.retryReserved {
-		c.retryReserved = false // the tokens for the next attempt are reserved with it
+	if c.tokensReserved {
+		c.tokensReserved = false
 		return nil
 	}
 	if d == failed {
@@ -249,23 +252,9 @@
 			return refusal.Wrap(cause)
 		}
 	}
-	if !c.g.Retries.Spend(c.service.Name) {
-		code := result.BackendCut
-		if d == notRun {
-			code = result.NotAccepted
-		}
-		return c.retriesSpent(code).Wrap(cause)
-	}
 	return nil
 }
 
-// retriesSpent returns the error for a request that may not be sent again because the service's retry
-// budget is spent.
-func (c *call) retriesSpent(code result.Code) *result.Error {
-	c.g.logRetriesSpent(c.service.Name)
-	return c.temporary(result.New(code, "the retry budget is spent").After(busyRetryAfter), retryafter.RetriesSpent, 0)
-}
-
 // timeoutRefusal returns CallerGone if the caller disconnected, and otherwise the error for a
 // timeout.
 func (c *call) timeoutRefusal(err error) *result.Error {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -134,6 +134,7 @@
 // Drain starts a planned stop: responses ask callers to close their connections.
 func (g *Gateway) Drain() {
 	g.draining.Store(true)
+	g.Retries.Drain()
 	g.holding.refuseAll()
 }
 
@@ -192,13 +193,14 @@
 	newTokens int64
 	deadline  time.Time
 
-	// retryReserved reports that the retry and the tokens for the next attempt are already
-	// reserved.
-	retryReserved bool
+	// tokensReserved reports that the tokens for the next attempt are already reserved.
+	tokensReserved bool
 
-	// retryCause is why a further attempt would follow the last one that may have reached a server; empty
-	// before the first.
-	retryCause string
+	// arrivals is the number of ended attempts that a server may have received, retriesPaid that of the retries
+	// taken from the budget. lastArrival is how the last of the attempts ended, and lastArrivalErr why.
+	arrivals, retriesPaid int
+	lastArrival           disposition
+	lastArrivalErr        error
 
 	reserved int64
 	// unobserved counts the attempts that a server may have completed without this router
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -126,7 +126,7 @@
 		Limits:        enforced,
 		Verdicts:      verdicts.New(verdicts.Options{Checker: pool, Servers: known, Log: zap.NewNop()}),
 		Origins:       origins.New(origins.Options{Servers: known, Log: zap.NewNop()}),
-		Retries:       retry.NewBudgets(0, func() float64 { return 100 }),
+		Retries:       retry.NewBudgets(time.Time{}, func() retry.Limits { return retry.Limits{Slack: 125, Routers: 1} }),
 		Logs:          logs.Loggers{All: zap.NewNop(), Sampled: zap.NewNop()},
 		Metrics:       gateway.NewMetrics(prometheus.NewRegistry()),
 		Routers:       func() int { return 1 },
--- a/gateway/holding.go
+++ b/gateway/holding.go
@@ -231,18 +231,12 @@
 }
 
 // retryHeld prepares a request that was held after a refusal by servers to be sent again. It returns
-// an error if there are no tokens for it, or no retry for a request that a server has refused.
+// an error if there are no tokens for it.
 func (c *call) retryHeld() *result.Error {
 	if refusal := c.g.staleRefusal(); refusal != nil {
 		return c.temporary(refusal, retryafter.Isolated, 0)
 	}
-	if refusal := c.g.reserve(c); refusal != nil {
-		return refusal
-	}
-	if c.refusedByServer && !c.g.Retries.Spend(c.service.Name) {
-		return c.retriesSpent(result.NotAccepted)
-	}
-	return nil
+	return c.g.reserve(c)
 }
 
 // Held returns the number of requests that are held.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -103,8 +103,12 @@
 	}
 }
 
-// retried counts an attempt that followed an earlier one.
-func (m *Metrics) retried(service, cause string) {
+// retried counts an attempt that followed an earlier one, which ended as given.
+func (m *Metrics) retried(service string, after disposition) {
+	cause := "failed"
+	if after == notRun {
+		cause = "refused"
+	}
 	m.retries.WithLabelValues(service, cause).Inc()
 }
 
--- a/gateway/retries.go
+++ b/gateway/retries.go
@@ -8,6 +8,8 @@
 
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/logs"
+	"github.com/gaplink/gaplink/result"
+	"github.com/gaplink/gaplink/retryafter"
 )
 
 // retryLogInterval is the minimum time between two log lines about a service's retry budget.
@@ -54,22 +56,59 @@
 	return s.further, suppressed, allowed
 }
 
-// recordArrival counts an attempt that may have reached its server, by the reason for which it followed an
-// earlier one.
-func (c *call) recordArrival(d disposition) {
+// payForRetry takes the retry for the request's next attempt from the service's budget, unless it is paid for. It
+// returns the error that ends the request if the budget is exhausted. Every attempt passes here.
+func (c *call) payForRetry() *result.Error {
+	if c.retriesPaid >= c.arrivals {
+		return nil
+	}
+	if !c.g.Retries.Spend(clock.Now(), c.service.Name) {
+		return c.retriesSpent()
+	}
+	c.retriesPaid++
+	return nil
+}
+
+// prepayRetry pays for the attempt after the one that is under way, and reports whether it could.
+func (c *call) prepayRetry() bool {
+	if c.retriesPaid > c.arrivals {
+		return true
+	}
+	if !c.g.Retries.Spend(clock.Now(), c.service.Name) {
+		return false
+	}
+	c.retriesPaid++
+	return true
+}
+
+// mayRetry reports whether an attempt after the next one would be paid for.
+func (c *call) mayRetry() bool {
+	return c.retriesPaid > c.arrivals || c.g.Retries.Left(clock.Now(), c.service.Name)
+}
+
+// recordArrival counts an attempt that its server may have received.
+func (c *call) recordArrival(a *attempt, d disposition) {
 	if d == notReached {
 		return
 	}
-	if c.retryCause != "" {
+	if c.arrivals > 0 {
 		c.g.retryLog.add(c.service.Name)
-		c.g.Metrics.retried(c.service.Name, c.retryCause)
+		c.g.Metrics.retried(c.service.Name, c.lastArrival)
 	}
-	switch d {
-	case notRun:
-		c.retryCause = "refused"
-	default:
-		c.retryCause = "failed"
+	c.arrivals++
+	c.lastArrival, c.lastArrivalErr = d, a.err
+}
+
+// retriesSpent returns the error for a request that may not be sent again because the service's retry
+// budget is spent.
+func (c *call) retriesSpent() *result.Error {
+	c.g.logRetriesSpent(c.service.Name)
+	code := result.BackendCut
+	if c.lastArrival == notRun {
+		code = result.NotAccepted
 	}
+	spent := result.New(code, "the retry budget is spent").After(busyRetryAfter)
+	return c.temporary(spent, retryafter.RetriesSpent, 0).Wrap(c.lastArrivalErr)
 }
 
 // logRetriesSpent logs that the service's retry budget is spent.
@@ -78,8 +117,8 @@
 	if !allowed {
 		return
 	}
-	s := g.Retries.Status(service)
+	s := g.Retries.Status(clock.Now(), service)
 	g.Logs.All.Info("retry budget exhausted", zap.String("service", service), zap.Int64("requests", s.Requests), zap.Int64("retries", s.Spent),
 		zap.Int64("further_attempts", further), zap.Float64("tokens", s.Tokens), zap.Float64("capacity", s.Capacity),
-		zap.Int("routers", g.Routers()), zap.Int64("suppressed", suppressed))
+		zap.Int("routers", s.Routers), zap.String("phase", s.Phase), zap.Int64("suppressed", suppressed))
 }
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -77,13 +77,13 @@
 	if metered && !a.g.Budgets.TryReserve(a.account.Name, a.MaxTokensOut) {
 		return false
 	}
-	if !a.g.Retries.Spend(a.service.Name) {
+	if !a.prepayRetry() {
 		if metered {
 			a.g.Budgets.Settle(a.account.Name, a.MaxTokensOut, 0)
 		}
 		return false
 	}
-	a.retryReserved = true
+	a.tokensReserved = true
 	if metered {
 		a.reserved += a.MaxTokensOut
 	}
--- a/gateway/watchdog_test.go
+++ b/gateway/watchdog_test.go
@@ -10,11 +10,17 @@
 	"github.com/gaplink/gaplink/retry"
 )
 
+// retriesOf returns a budget of the given number of retries.
+func retriesOf(n float64) *retry.Budgets {
+	const usedShare = 0.8
+	return retry.NewBudgets(time.Time{}, func() retry.Limits { return retry.Limits{Slack: n / usedShare, Routers: 1} })
+}
+
 // watchedAttempt starts the watchdog of a stream attempt with a retry budget of burst, and
 // returns the attempt's context, which the watchdog cancels.
 func watchedAttempt(t *testing.T, burst float64) (context.Context, *watchdog) {
 	t.Helper()
-	return watchedAttemptOf(t, &Gateway{Options: Options{Retries: retry.NewBudgets(0, func() float64 { return burst })}})
+	return watchedAttemptOf(t, &Gateway{Options: Options{Retries: retriesOf(burst)}})
 }
 
 func watchedAttemptOf(t *testing.T, g *Gateway) (context.Context, *watchdog) {
@@ -44,7 +50,7 @@
 // TestStalledStreamsAreCancelledOnlyWithinTheRetryBudget: of streams that stall together, as
 // many are cancelled as there are retries.
 func TestStalledStreamsAreCancelledOnlyWithinTheRetryBudget(t *testing.T) {
-	g := &Gateway{Options: Options{Retries: retry.NewBudgets(0, func() float64 { return 2 })}}
+	g := &Gateway{Options: Options{Retries: retriesOf(2)}}
 	var contexts []context.Context
 	for range 6 {
 		ctx, wd := watchedAttemptOf(t, g)
@@ -99,7 +105,7 @@
 // the caller can get only what that server still sends.
 func TestUnresumableStreamIsNotCancelled(t *testing.T) {
 	a := &attempt{call: &call{
-		g:       &Gateway{Options: Options{Retries: retry.NewBudgets(0, func() float64 { return 10 })}},
+		g:       &Gateway{Options: Options{Retries: retriesOf(10)}},
 		route:   &catalog.Route{Kind: catalog.Stream, Resume: true},
 		service: &catalog.Service{Name: "llm"},
 	}}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -209,6 +209,9 @@
 	return false
 }
 
+// Len returns the number of listed members.
+func (v *View) Len() int { return len(v.members) }
+
 // Members returns all listed members sorted by id.
 func (v *View) Members() []Member {
 	all := make([]Member, 0, len(v.members))
--- a/retry/fleet_test.go
+++ b/retry/fleet_test.go
@@ -251,12 +251,13 @@
 
 // newProcessBudgets returns the budgets of a process as a router makes them.
 func newProcessBudgets(f *fleetRun, p *fleetProcess) *retry.Budgets {
-	const share, least = 0.8, 6
-	return retry.NewBudgets(fleetRatio*share, func() float64 { return f.slack * share / float64(max(f.known(p), least)) })
+	return retry.NewBudgets(f.now, func() retry.Limits {
+		return retry.Limits{Ratio: fleetRatio, Slack: f.slack, Window: fleetWindow, Routers: f.known(p)}
+	})
 }
 
-func creditRequest(_ *fleetRun, p *fleetProcess) { p.budgets.Request("svc") }
+func creditRequest(f *fleetRun, p *fleetProcess) { p.budgets.Request(f.now, "svc") }
 
-func spendRetry(_ *fleetRun, p *fleetProcess) bool { return p.budgets.Spend("svc") }
+func spendRetry(f *fleetRun, p *fleetProcess) bool { return p.budgets.Spend(f.now, "svc") }
 
-func drainBudgets(*fleetProcess) {}
+func drainBudgets(p *fleetProcess) { p.budgets.Drain() }
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -43,8 +43,6 @@
 	ratio  float64
 	burst  float64
 	tokens float64
-	// requests and spent count the credited requests and the retries taken.
-	requests, spent int64
 }
 
 // NewBudget returns a full budget that gains ratio retries per request, up
@@ -55,7 +53,6 @@
 
 // Request credits the budget for one request.
 func (b *Budget) Request() {
-	b.requests++
 	b.tokens = min(b.tokens+b.ratio, b.burst)
 }
 
@@ -68,23 +65,9 @@
 		return false
 	}
 	b.tokens--
-	b.spent++
 	return true
 }
 
-// Status describes a retry budget since its process started.
-type Status struct {
-	// Requests is the number of credited requests, and Spent that of the retries taken.
-	Requests, Spent int64
-	// Tokens is the number of retries left, of Capacity at most.
-	Tokens, Capacity float64
-}
-
-// Status returns the state of the budget.
-func (b *Budget) Status() Status {
-	return Status{Requests: b.requests, Spent: b.spent, Tokens: b.tokens, Capacity: b.burst}
-}
-
 const (
 	baseDelay = 5 * time.Millisecond
 	maxDelay  = 200 * time.Millisecond
--- a/server/provision.go
+++ b/server/provision.go
@@ -100,7 +100,7 @@
 		Verdicts:      s.verdicts,
 		Origins:       s.origins,
 		Limits:        s.limits,
-		Retries:       retry.NewBudgets(s.settings.Retries.Ratio*retryShare, s.retryBurst),
+		Retries:       retry.NewBudgets(s.startedAt, s.retryLimits),
 		Logs:          s.logs,
 		Metrics:       gateway.NewMetrics(s.registry),
 		Paths:         s.paths,
--- a/server/server.go
+++ b/server/server.go
@@ -46,6 +46,7 @@
 	"github.com/gaplink/gaplink/logs"
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/result"
+	"github.com/gaplink/gaplink/retry"
 	"github.com/gaplink/gaplink/settings"
 	"github.com/gaplink/gaplink/sockets"
 	"github.com/gaplink/gaplink/store"
@@ -69,11 +70,8 @@
 	// gcPercent is the heap growth, in percent, that triggers a garbage collection. It
 	// is below Go's default because peak memory costs more than CPU time.
 	gcPercent = 50
-	// retryShare is the fraction of the operator's retry limit that the routers use;
-	// the rest covers uneven load and restarts.
-	retryShare = 0.8
 	// minRouters is the smallest fleet size assumed when a fleet-wide limit is divided
-	// among routers, since a starting router has not discovered the others yet.
+	// among routers, since lists of routers may be incomplete.
 	minRouters = 6
 	// finalReserveShare and finalReserveTime reserve the last 1/200 of a budget for 15 seconds of
 	// small requests, which still serves a few percent of the requests when most budgets are
@@ -294,9 +292,21 @@
 	return s.storeUnreachable() && s.updates.RecentlyUpdated()
 }
 
-// retryBurst returns this router's share of the retries allowed beyond the retry ratio.
-func (s *Server) retryBurst() float64 {
-	return s.current().Retries.Slack * retryShare / float64(max(s.roster.Size(), minRouters))
+// retryLimits returns the limits on the retries of all routers.
+func (s *Server) retryLimits() retry.Limits {
+	r := s.current().Retries
+	return retry.Limits{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window.Std(), Routers: s.sharingRouters()}
+}
+
+// sharingRouters returns the number of routers that share a limit of the fleet, or 0 before this one knows the
+// others. Routers that do not answer count: they may only be cut off from this one.
+func (s *Server) sharingRouters() int {
+	select {
+	case <-s.roster.Introduced():
+		return max(s.roster.Known(), minRouters)
+	default:
+		return 0
+	}
 }
 
 // activeConfig is the configuration in force, with its age.
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -127,8 +127,11 @@
 	// Ratio is the fraction of a service's requests that may be retries.
 	Ratio float64 `toml:"ratio" validate:"min=0,max=1"`
 	// Slack is the number of retries beyond Ratio that all routers together may make
-	// within the operator's window.
+	// within Window. With fewer than one for each router there are no retries.
 	Slack float64 `toml:"slack" validate:"min=0"`
+	// Window is the time over which the operator counts retries. A process has no part of Slack
+	// for so long after its start, since an earlier one may have used it.
+	Window Duration `toml:"window" validate:"min=0"`
 }
 
 // GatewayStop holds the settings of a graceful shutdown.
@@ -174,7 +177,7 @@
 		Store:   GatewayStore{Timeout: Duration(bound.CallTimeout)},
 		Budgets: GatewayBudgets{Hold: Duration(20 * time.Second), Refill: 0.9, ScarceWithin: Duration(12 * time.Second)},
 		Servers: GatewayServers{DialTimeout: Duration(250 * time.Millisecond), IdleTimeout: Duration(10 * time.Second)},
-		Retries: GatewayRetries{Ratio: 0.2, Slack: 50},
+		Retries: GatewayRetries{Ratio: 0.2, Slack: 50, Window: Duration(10 * time.Second)},
 		Stop:    GatewayStop{Grace: Duration(8 * time.Second), Notice: Duration(2900 * time.Millisecond)},
 		Memory:  GatewayMemory{LimitMB: 256},
 		Bounds:  GatewayBounds{Apply: Duration(2 * time.Second), Leave: Duration(2 * time.Second)},
