--- a/lab/soak/caller.go
+++ b/lab/soak/caller.go
@@ -25,8 +25,10 @@
 	// an answer.
 	deadline     = 2500 * time.Millisecond
 	answerMargin = 2 * time.Second
-	// meanThinkTime is the mean pause of a caller between two requests.
-	meanThinkTime = 25 * time.Millisecond
+	// meanThinkTime is the mean pause of a caller between two requests. It is meanLightThinkTime in runs whose traffic
+	// is small against the slack of the retry limits.
+	meanThinkTime      = 25 * time.Millisecond
+	meanLightThinkTime = 400 * time.Millisecond
 	// cancelProbability is the probability that a caller cancels a request early, and
 	// resumeProbability that a request for a resumable stream starts in the middle.
 	cancelProbability = 0.03
@@ -66,11 +68,13 @@
 	oracle   *Oracle
 	counters *runCounters
 	seed     uint64
+	// thinkTime is the mean pause between two requests.
+	thinkTime time.Duration
 }
 
 func newCaller(number int, seed uint64, routers []*router, o *Oracle, t *runCounters) *caller {
 	return &caller{
-		number: number, rng: rand.New(rand.NewPCG(seed, uint64(number)+2)), routers: routers, oracle: o, counters: t, seed: seed,
+		number: number, rng: rand.New(rand.NewPCG(seed, uint64(number)+2)), routers: routers, oracle: o, counters: t, seed: seed, thinkTime: meanThinkTime,
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}},
 	}
 }
@@ -81,7 +85,7 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		t := c.draw(n)
 		c.takeUp(t, c.send(t))
-		time.Sleep(time.Duration(c.rng.ExpFloat64() * float64(meanThinkTime)))
+		time.Sleep(time.Duration(c.rng.ExpFloat64() * float64(c.thinkTime)))
 	}
 }
 
--- a/lab/soak/oracle.go
+++ b/lab/soak/oracle.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/gaplink/gaplink/platform/standin"
+	"github.com/gaplink/gaplink/settings"
 )
 
 // Guarantee is a property that gaplink guarantees.
@@ -34,6 +35,7 @@
 	OneVersion            Guarantee = "a stream holds events of one software version"
 	StreamsGoOn           Guarantee = "streams that are taken up go on at least half as often as new ones begin"
 	BackoffKept           Guarantee = "a router sends nothing to a server that asked it for a backoff"
+	RetriesBounded        Guarantee = "arrivals beyond the first of each request stay within the retry limits of the fleet"
 	BrittleStayUp         Guarantee = "servers that say that they are brittle stay up"
 )
 
@@ -183,6 +185,7 @@
 	brittle   brittleRecord
 	// versions is what the oracle knows of software versions and of the streams at them.
 	versions versionRecord
+	retries  retryRecord
 	// tries are the tries of callers by the start of their window.
 	tries   map[time.Time]*windowTries
 	routers int
@@ -196,6 +199,7 @@
 		leaving: map[string]time.Time{}, acked: map[int64]time.Time{}, sightings: map[Process][]sighting{},
 		checked: map[Guarantee]int{}, poison: map[string]*poisonRecord{},
 		rateLimited: map[string]*limitedServer{},
+		retries:     retryRecord{slack: settings.DefaultGateway().Retries.Slack},
 		versions:    newVersionRecord(),
 		tries:       map[time.Time]*windowTries{},
 		announced:   map[routerServer]time.Time{}, backoffs: map[routerServer][]*askedBackoff{},
@@ -251,6 +255,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.requests[r.ID] = &requestRecord{Request: r}
+	o.retries.sent = append(o.retries.sent, r.Sent)
 }
 
 // Arrived records that a request reached the server with the given id at the given slot. It returns
@@ -268,6 +273,7 @@
 	o.checkAnnounced(b, server, at)
 	o.checkBackoff(b, server, at)
 	o.checkPoison(b, at)
+	o.checkRetries(b, at)
 	b.arrivals++
 	b.leavingServer = ""
 	return b.Request, b.arrivals - 1, true
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -209,6 +209,7 @@
 
 // reload changes the settings and signals the process to read them.
 func (r *router) reload(slack float64) error {
+	r.oracle.SetRetrySlack(slack)
 	r.mu.Lock()
 	r.settings.Retries.Slack = slack
 	err := r.writeSettings()
--- /dev/null
+++ b/lab/soak/refusals.go
@@ -0,0 +1,101 @@
+package soak
+
+import (
+	"context"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"time"
+)
+
+// RefusalPeriod is a time in which all servers refuse most requests and all routers are killed together, again and
+// again.
+type RefusalPeriod struct {
+	At, Duration time.Duration
+	// Kills are the times of the kills, and Downtime the longest time until a router starts again.
+	Kills    []time.Duration
+	Downtime time.Duration
+}
+
+// AllRoutersKilled is a kill of all routers together. Refusal periods draw it, a schedule does not.
+const AllRoutersKilled Fault = "all routers killed together"
+
+const (
+	// refusalStream is the stream of random numbers from which the period is drawn.
+	refusalStream = 1 << 34
+	// refusedShare is the share of the requests that servers refuse in a period.
+	refusedShare = 0.8
+	// minKills to maxKills kills follow each other after minKillInterval to maxKillInterval.
+	minKills, maxKills               = 3, 6
+	minKillInterval, maxKillInterval = 1500 * time.Millisecond, 3 * time.Second
+	maxRefusalDowntime               = 400 * time.Millisecond
+)
+
+// DrawRefusalPeriod draws the period of a run, which begins in the middle of it.
+func DrawRefusalPeriod(seed uint64, length time.Duration) RefusalPeriod {
+	rng := rand.New(rand.NewPCG(seed, refusalStream))
+	interval := func() time.Duration {
+		return minKillInterval + time.Duration(rng.Int64N(int64(maxKillInterval-minKillInterval)))
+	}
+	p := RefusalPeriod{At: length / 3, Downtime: maxRefusalDowntime}
+	at := p.At + interval()
+	for range minKills + rng.IntN(maxKills-minKills+1) {
+		p.Kills = append(p.Kills, at)
+		at += interval()
+	}
+	p.Duration = at - p.At
+	return p
+}
+
+// runRefusals plays a refusal period.
+func (f *fleet) runRefusals(ctx context.Context, p RefusalPeriod) {
+	start := time.Now()
+	await := func(at time.Duration) bool {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(time.Until(start.Add(at))):
+			return true
+		}
+	}
+	if !await(p.At) {
+		return
+	}
+	f.setRefusedShare(refusedShare)
+	defer f.setRefusedShare(0)
+	for _, at := range p.Kills {
+		if !await(at) {
+			return
+		}
+		f.counters.countFault(AllRoutersKilled)
+		for i := range f.routers {
+			f.pendingChanges.Go(func() {
+				if err := f.applyRouterFault(Step{Fault: RouterKilled, Target: i, Duration: rand.N(p.Downtime)}); err != nil {
+					f.fail(err)
+				}
+			})
+		}
+	}
+	await(p.At + p.Duration)
+}
+
+func (f *fleet) setRefusedShare(share float64) {
+	for _, p := range f.slots {
+		p.mu.Lock()
+		p.refusedShare = share
+		p.mu.Unlock()
+	}
+}
+
+// refuses reports whether the server refuses an attempt of a request.
+func (p *serverSlot) refuses(id string, arrivals int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.refusing > 0 {
+		return true
+	}
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, id) // never fails
+	draw := rand.New(rand.NewPCG(h.Sum64(), uint64(arrivals)))
+	return draw.Float64() < p.refusedShare
+}
--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -29,6 +29,8 @@
 	scripted    *standin.Scripted
 	leaving     bool
 	refusing    int
+	// refusedShare is the share of the requests that the server refuses.
+	refusedShare float64
 	// announcing is set while the server announces in its answers that it is leaving, and backoff
 	// is the time for which it asks for no requests in its refusals; 0 means that it does not.
 	announcing bool
@@ -100,7 +102,7 @@
 	request.Version = version
 	a, e := DrawAnswer(p.seed, r, before, request)
 	backoff := p.askedBackoff()
-	if p.isRefusing() || backoff > 0 || !accepted {
+	if p.refuses(r.RequestID, before) || backoff > 0 || !accepted {
 		a, e = refusalAnswer(r.RequestID), Refusal
 	}
 	if accepted {
@@ -170,12 +172,6 @@
 	return p.rateLimit
 }
 
-func (p *serverSlot) isRefusing() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.refusing > 0
-}
-
 // refuseFor makes the server refuse requests for the given time.
 func (p *serverSlot) refuseFor(duration time.Duration) {
 	p.addRefusing(1)
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -19,6 +19,8 @@
 	Brittle bool
 	// Batches adds batches of requests that use up a large budget, and a kill of the router that holds most of it.
 	Batches bool
+	// Refusals adds a time in which servers refuse most requests and all routers are killed together in series.
+	Refusals bool
 	// Processes bounds the processes of a run, including this one.
 	Processes int
 }
@@ -110,6 +112,9 @@
 	var workers sync.WaitGroup
 	for i := range callerCount {
 		c := newCaller(i, o.Seed, f.routers, oracle, counters)
+		if o.Refusals {
+			c.thinkTime = meanLightThinkTime
+		}
 		workers.Add(1)
 		go func() {
 			defer workers.Done()
@@ -133,6 +138,9 @@
 			f.runBrittlePeriods(loadCtx, BrittlePeriods(o.Seed, o.Length))
 		}()
 	}
+	if o.Refusals {
+		workers.Go(func() { f.runRefusals(loadCtx, DrawRefusalPeriod(o.Seed, o.Length)) })
+	}
 	steps := Schedule(o.Seed, o.Length, o.Routers, o.Servers)
 	if o.Batches {
 		steps = calmBefore(o.Length/2, steps)
