Responses: bytes without end where a head or a stored object is due

What callers would see: a server, router or store that sends bytes without end ends a router by its memory, and all its callers lose their requests; each retry takes the next router's. Cause: net/http.ReadResponse reads a head without a bound, as its Transport sets one itself; the code that calls it directly (upstream, tunnel) had none, but for HTTP/1.0. Class: a bound of a library that goes with one of its doors.

framing.HeadReader bounds what is read while a head is expected, 64 KiB for all heads of an exchange together, interim and surplus ones included; the error names it in the request's log line, and the attempt ends as for other bytes that are no response. The clients of the store and of engines get the same bound through net/http (10 MB before). Values and lists of gaplinkd's store are bounded too. The tunnel's server reads requests of other routers with the same bound.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -86,6 +86,8 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 256,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: framing.MaxHead,
 	}}}
 }
 
--- /dev/null
+++ b/lab/tcptest/endless.go
@@ -0,0 +1,77 @@
+package tcptest
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+)
+
+const (
+	// endlessBytes is how much an endless response sends at the most.
+	endlessBytes = 64 << 20
+	// kernelBuffers bounds what the kernel holds of a connection in bytes.
+	kernelBuffers = 8 << 20
+	// heapAllowance bounds the growth of the heap in bytes besides what the client may keep, and
+	// bufferGrowth that of a buffer that is enlarged step by step, as a factor.
+	heapAllowance = 8 << 20
+	bufferGrowth  = 3
+)
+
+// Endless is a server whose responses don't end.
+type Endless struct {
+	Addr    string
+	written atomic.Int64
+	before  uint64
+}
+
+// ListenEndless starts a server that responds to each request with begin, and then with more again and again
+// until its client closes the connection.
+func ListenEndless(t testing.TB, begin, more string) *Endless {
+	t.Helper()
+	e := &Endless{}
+	block := strings.Repeat(more, max((32<<10)/len(more), 1))
+	e.Addr = Listen(t, func(c net.Conn, _ int) {
+		defer func() { _ = c.Close() }()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body) // an error here shows up at the client under test
+		if _, err := io.WriteString(c, begin); err != nil {
+			return
+		}
+		for e.written.Load() < endlessBytes {
+			n, err := io.WriteString(c, block)
+			e.written.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	})
+	e.before = heapInUse()
+	return e
+}
+
+// Check fails the test if the client took more of a response than it may keep in memory, in bytes.
+func (e *Endless) Check(t testing.TB, mayKeep int64) {
+	t.Helper()
+	grown := int64(heapInUse()) - int64(e.before)
+	if n := e.written.Load(); n > mayKeep+kernelBuffers {
+		t.Errorf("the client took %d MB", n>>20)
+	}
+	if grown > bufferGrowth*mayKeep+heapAllowance {
+		t.Errorf("the heap grew by %d MB", grown>>20)
+	}
+}
+
+// heapInUse returns the bytes of the heap, including those that are no longer referenced.
+func heapInUse() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapSys - m.HeapReleased
+}
--- a/store/httpstore/httpstore.go
+++ b/store/httpstore/httpstore.go
@@ -44,6 +44,8 @@
 	transport := &http.Transport{
 		MaxIdleConnsPerHost: 64,
 		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+
+		MaxResponseHeaderBytes: framing.MaxHead,
 	}
 	return &Client{base: base, timeout: timeout, http: &http.Client{Transport: transport}}
 }
@@ -129,7 +131,7 @@
 		return store.Object{}, transportError(err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	body, err := readBody(resp, store.MaxValueBytes)
 	if err != nil {
 		return store.Object{}, store.ErrUnknown
 	}
@@ -164,7 +166,7 @@
 	if err := statusError(resp.StatusCode); err != nil {
 		return err
 	}
-	body, err := io.ReadAll(resp.Body)
+	body, err := readBody(resp, maxListBytes)
 	if err != nil {
 		return store.ErrUnknown
 	}
@@ -174,6 +176,21 @@
 	return nil
 }
 
+// maxListBytes bounds the body of a list of objects.
+const maxListBytes = 64 * store.MaxValueBytes
+
+// errBodyTooLong is returned for a body that exceeds its bound.
+var errBodyTooLong = errors.New("httpstore: the body of the response is too long")
+
+// readBody reads a body of at most the given number of bytes.
+func readBody(resp *http.Response, most int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, most+1))
+	if err == nil && int64(len(body)) > most {
+		err = errBodyTooLong
+	}
+	return body, err
+}
+
 // bodyComplete reports whether the HTTP framing or the gzip trailer marks the end of the
 // body. A value has no end marker of its own, so a value truncated by a connection
 // close would look complete.
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
+	"github.com/gaplink/gaplink/framing"
 	"github.com/gaplink/gaplink/placement"
 )
 
@@ -39,9 +41,14 @@
 	if err := r.Write(conn); err != nil {
 		return 0, &RouterError{router, err}
 	}
-	reader := bufio.NewReaderSize(conn, responseBuffer)
+	head := framing.NewHeadReader(conn)
+	head.Expect(framing.MaxHead)
+	reader := bufio.NewReaderSize(head, responseBuffer)
 	resp, err := http.ReadResponse(reader, r)
-	if err != nil {
+	switch {
+	case errors.Is(err, framing.ErrHeadTooLong):
+		return 0, &RouterError{router, err}
+	case err != nil:
 		return 0, &RouterError{router, errProtocol}
 	}
 	reason := resp.Header.Get(reasonHeader)
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/gaplink/gaplink/clock"
+	"github.com/gaplink/gaplink/framing"
 	"github.com/gaplink/gaplink/logs"
 	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/sockets"
@@ -80,7 +81,9 @@
 func (s *Server) Serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	_ = c.SetReadDeadline(time.Now().Add(requestTimeout)) // fails only on a closed connection
-	reader := bufio.NewReaderSize(c, responseBuffer)
+	head := framing.NewHeadReader(c)
+	head.Expect(framing.MaxHead)
+	reader := bufio.NewReaderSize(head, responseBuffer)
 	r, err := http.ReadRequest(reader)
 	if err != nil || r.Method != http.MethodConnect || reader.Buffered() > 0 {
 		s.refuse(c, placement.Incarnation{}, http.StatusBadRequest, reasonBadRequest)
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -44,11 +44,14 @@
 }
 
 // readHead reads the header of the response to the request. It skips interim (1xx)
-// responses and surplus responses to earlier requests.
+// responses and surplus responses to earlier requests. All heads together are bounded by framing.MaxHead.
 func (a *Answer) readHead(r *Request) (*http.Response, error) {
 	request := &http.Request{Method: r.Method}
+	left := framing.MaxHead
 	for skipped := 0; skipped <= maxSurplus; {
+		a.conn.head.Expect(left)
 		resp, err := a.conn.readResponse(request)
+		left = a.conn.head.Release()
 		if err != nil {
 			return nil, err
 		}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/gaplink/gaplink/clock"
+	"github.com/gaplink/gaplink/framing"
 	"github.com/gaplink/gaplink/link"
 	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/reach"
@@ -20,7 +21,9 @@
 // conn is one connection to a backend server.
 type conn struct {
 	net.Conn
-	reader  *bufio.Reader
+	reader *bufio.Reader
+	// head is below reader.
+	head    *framing.HeadReader
 	counter *link.Counter
 	paths   Paths
 	addr    string
@@ -42,7 +45,8 @@
 
 func (p *Pool) newConn(raw net.Conn, r *Request) *conn {
 	c := &conn{Conn: raw, counter: p.opts.Counter, paths: p.opts.Paths, addr: r.Address, group: r.Group, owner: r.Owner, openedAt: clock.Now()}
-	c.reader = bufio.NewReaderSize(observedReader{c}, readBuffer)
+	c.head = framing.NewHeadReader(observedReader{c})
+	c.reader = bufio.NewReaderSize(c.head, readBuffer)
 	return c
 }
 
@@ -119,13 +123,8 @@
 // header. HTTP/1.0 does not define it, so the framing cannot be trusted.
 var errHTTP10TransferEncoding = errors.New("HTTP/1.0 response has a Transfer-Encoding header")
 
-const (
-	// http10Prefix is the start of the status line of an HTTP/1.0 response.
-	http10Prefix = "HTTP/1.0 "
-	// maxHTTP10Head bounds the header of an HTTP/1.0 response, in bytes. Typical headers take a
-	// few hundred.
-	maxHTTP10Head = 64 << 10
-)
+// http10Prefix is the start of the status line of an HTTP/1.0 response.
+const http10Prefix = "HTTP/1.0 "
 
 // readResponse reads the next response header. net/http silently drops the
 // Transfer-Encoding of an HTTP/1.0 response and would return its chunk framing as part
@@ -150,7 +149,7 @@
 // readHTTP10Head reads the header of an HTTP/1.0 response and rejects a Transfer-Encoding.
 func (c *conn) readHTTP10Head() ([]byte, error) {
 	var head []byte
-	for len(head) < maxHTTP10Head {
+	for {
 		line, err := c.reader.ReadSlice('\n')
 		head = append(head, line...)
 		switch {
@@ -167,12 +166,8 @@
 			return head, nil
 		}
 	}
-	return nil, errLongHead
 }
 
-// errLongHead is returned for an HTTP/1.0 response whose header exceeds maxHTTP10Head.
-var errLongHead = errors.New("response header is too long")
-
 // healthy reports whether an idle connection can carry a request: it is open, and
 // no unsolicited bytes have arrived on it.
 func (c *conn) healthy() bool {
--- /dev/null
+++ b/upstream/endless_test.go
@@ -0,0 +1,106 @@
+package upstream_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/gaplink/gaplink/framing"
+	"github.com/gaplink/gaplink/lab/tcptest"
+	"github.com/gaplink/gaplink/upstream"
+)
+
+// TestEndlessHeadIsNotRead guards against a server that sends bytes without end where the head of a response is
+// due, which took gigabytes of a router's memory.
+func TestEndlessHeadIsNotRead(t *testing.T) {
+	for name, c := range map[string]struct{ begin, more string }{
+		"header lines":             {"HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
+		"one header line":          {"HTTP/1.1 200 OK\r\nX-Field: ", "xxxxxxxxxxxxxxxx"},
+		"one status line":          {"HTTP/1.1 200 ", "OK OK OK OK OK "},
+		"no line end":              {"", "\x00\x01\x02\x03"},
+		"interim responses":        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"interim responses' lines": {"HTTP/1.1 103 Early Hints\r\n", "Link: </a>\r\n"},
+		"empty lines":              {"", "\r\n"},
+		"HTTP/1.0 header lines":    {"HTTP/1.0 200 OK\r\n", "X-Field: value\r\n"},
+		"continued header line":    {"HTTP/1.1 200 OK\r\nX-Field: a\r\n", " folded\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := tcptest.ListenEndless(t, c.begin, c.more)
+			pool := newPool()
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			answer, failure := pool.Send(ctx, get(e.Addr, "a"))
+			if failure == nil {
+				answer.Close()
+				t.Fatal("taken for a response")
+			}
+			if failure.Stage != upstream.Sent || ctx.Err() != nil {
+				t.Errorf("stage %v, %v", failure.Stage, failure)
+			}
+			if pool.Open() != 0 {
+				t.Error("the connection is kept")
+			}
+			e.Check(t, framing.MaxHead)
+		})
+	}
+}
+
+// TestEndlessBodyTakesNoMemory guards against a body without end that is kept in memory, taken for a whole one,
+// or leaves its connection in use.
+func TestEndlessBodyTakesNoMemory(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct{ begin, more string }{
+		"chunk extension":    {chunked + "5;", "extension=value;"},
+		"chunk size":         {chunked, "0000000000000000"},
+		"trailer lines":      {chunked + "0\r\n", "X-Field: value\r\n"},
+		"one trailer line":   {chunked + "0\r\nX-Field: ", "xxxxxxxxxxxxxxxx"},
+		"extensions of each": {chunked, "1;extension=value-that-is-much-longer-than-its-chunk\r\na\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := tcptest.ListenEndless(t, c.begin, c.more)
+			pool := newPool()
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			answer, failure := pool.Send(ctx, get(e.Addr, "a"))
+			if failure != nil {
+				t.Fatal(failure)
+			}
+			n, err := io.Copy(io.Discard, answer)
+			if err == nil {
+				t.Errorf("a whole body of %d bytes", n)
+			}
+			if ctx.Err() != nil {
+				t.Error("read until the deadline")
+			}
+			if pool.Open() != 0 {
+				t.Error("the connection is kept")
+			}
+			e.Check(t, framing.MaxHead)
+		})
+	}
+}
+
+// TestEndlessSurplusIsNotDrained guards against a response to another request that has no end and is drained in
+// the hope of the own one.
+func TestEndlessSurplusIsNotDrained(t *testing.T) {
+	for name, begin := range map[string]string{
+		"chunked":   "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"by length": "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 1000000000000\r\n\r\n",
+		"unframed":  "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := tcptest.ListenEndless(t, begin, "10\r\naaaaaaaaaaaaaaaa\r\n")
+			pool := newPool()
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			if _, failure := pool.Send(ctx, get(e.Addr, "a")); failure == nil || ctx.Err() != nil {
+				t.Errorf("failure %v", failure)
+			}
+			if pool.Open() != 0 {
+				t.Error("the connection is kept")
+			}
+			e.Check(t, 1<<20)
+		})
+	}
+}
