Connections to servers: a router that does not know the fleet takes the least share

What servers saw: until it knows the others, a router divided a server's connections by one, and a cut one by those that answer: after a start of all each could open 0.9 of the connections that a server takes from all callers together, which resets the rest. gateway.Options.Routers is 0 now while the fleet is unknown, and counts registered routers that do not answer; the least share is a tenth, or the server's slots, as before.

TestConnectionsBeforeTheFleetIsKnown failed before (90 of 100 connections, 9 wanted). TestRoutersThatDoNotAnswerAreKnown and TestFleetIsUnknownAtTheStart guard the count.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -223,7 +223,10 @@
 	if limit == 0 {
 		return 0
 	}
-	share := limit / float64(max(a.g.Routers(), 1))
+	share := 0.0
+	if routers := a.g.Routers(); routers > 0 {
+		share = limit / float64(routers)
+	}
 	slots := min(float64(a.slots()), slotConnectionFraction*float64(a.service.MaxConnections))
 	return max(int(max(share, limit*minConnectionFraction, slots)), 1)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,7 +67,7 @@
 	Metrics *Metrics
 	// Paths decides how servers are reached; nil: directly.
 	Paths Paths
-	// Routers returns the number of routers that share the servers.
+	// Routers returns the number of routers that share the servers, or 0 if it is not known yet.
 	Routers func() int
 	// LinkDelay returns how long requests and responses queue at the router's own network link,
 	// both directions together. Stale reports whether, given that and the staleness of the
--- a/server/provision.go
+++ b/server/provision.go
@@ -104,7 +104,7 @@
 		Logs:          s.logs,
 		Metrics:       gateway.NewMetrics(s.registry),
 		Paths:         s.paths,
-		Routers:       s.roster.Size,
+		Routers:       s.knownRouters,
 		LinkSaturated: s.link.Saturated,
 		LinkDelay:     s.linkDelay,
 		Meter:         s.meter,
--- a/server/server.go
+++ b/server/server.go
@@ -295,15 +295,19 @@
 // retryLimits returns the limits on the retries of all routers.
 func (s *Server) retryLimits() retry.Limits {
 	r := s.current().Retries
-	return retry.Limits{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window.Std(), Routers: s.sharingRouters()}
+	routers := s.knownRouters()
+	if routers > 0 {
+		routers = max(routers, minRouters)
+	}
+	return retry.Limits{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window.Std(), Routers: routers}
 }
 
-// sharingRouters returns the number of routers that share a limit of the fleet, or 0 before this one knows the
-// others. Routers that do not answer count: they may only be cut off from this one.
-func (s *Server) sharingRouters() int {
+// knownRouters returns the number of routers among which a limit of the fleet is divided, or 0 before this one knows
+// the others. Routers that do not answer count: they may only be cut off from this one.
+func (s *Server) knownRouters() int {
 	select {
 	case <-s.roster.Introduced():
-		return max(s.roster.Known(), minRouters)
+		return s.roster.Known()
 	default:
 		return 0
 	}
