gaplinkd: retries of all routers keep to the fleet's ratio and slack

What callers saw: a pool that fails gets a retry storm from routers that are restarted.

filter/forward uses the budgets of package retry: they begin empty, hold a part of [requests] retry_slack (new, 50 within retry_window, 10 s) by the routers on the platform's list, and nothing before that list has been read. One budget for each target. The old bucket is gone.

--- a/controller/members/members.go
+++ b/controller/members/members.go
@@ -29,6 +29,7 @@
 
 	mu           sync.Mutex
 	view         *membership.View
+	read         bool // whether the list has been read
 	onList       []func([]membership.Member)
 	firstByRole  map[string]cachedMember  // cached results of First, by role
 	ownersByRole map[string]cachedMembers // cached results of Owners, by role
@@ -118,6 +119,7 @@
 	}
 	c.mu.Lock()
 	c.view.SetList(list)
+	c.read = true
 	c.dropRankings()
 	c.mu.Unlock()
 	for _, fn := range c.onList {
@@ -242,6 +244,17 @@
 	return c.view.Members()
 }
 
+// Known returns the number of routers on the platform's list, or 0 before it has been read. Routers that do not
+// answer count.
+func (c *Controller) Known() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.read {
+		return 0
+	}
+	return c.view.Len()
+}
+
 // Listed returns the number of listed routers.
 func (c *Controller) Listed() int {
 	c.mu.Lock()
--- a/filter/forward/forward.go
+++ b/filter/forward/forward.go
@@ -15,6 +15,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/controller/verdicts"
 	"github.com/gaplink/gaplink/engine"
 	"github.com/gaplink/gaplink/filter"
@@ -57,8 +58,8 @@
 type Options struct {
 	// Attempts limits the attempts per request.
 	Attempts int
-	// RetryRatio is the retry budget as a fraction of the requests.
-	RetryRatio float64
+	// Retries are the retry budgets of the process.
+	Retries *retry.Budgets
 }
 
 // Handler is the end of the chain.
@@ -71,9 +72,8 @@
 
 	verdicts *verdicts.Controller
 
-	mu      sync.Mutex
-	retries *retry.Budget
-	rng     *rand.Rand
+	mu  sync.Mutex
+	rng *rand.Rand
 }
 
 var _ filter.Handler = (*Handler)(nil)
@@ -89,8 +89,7 @@
 
 		verdicts: v,
 
-		retries: retry.NewBudget(opts.RetryRatio, retry.DefaultBurst),
-		rng:     rng,
+		rng: rng,
 	}
 }
 
@@ -104,7 +103,7 @@
 	if refusal := record.Refusal(); refusal != nil {
 		return refusal
 	}
-	h.creditRetryBudget()
+	h.opts.Retries.Request(clock.Now(), x.Target)
 	tried := map[string]bool{}
 	var last *engine.Failure
 	for try := 1; ; try++ {
@@ -131,12 +130,6 @@
 	return &reported
 }
 
-func (h *Handler) creditRetryBudget() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.retries.Request()
-}
-
 // prepareRetry waits for the retry delay and reserves tokens for another attempt if the
 // failed one may have run, or returns the error that ends the request.
 func (h *Handler) prepareRetry(ctx context.Context, x *filter.Exchange, record *verdicts.Request, f *engine.Failure, try int) error {
@@ -150,14 +143,10 @@
 	case try >= h.opts.Attempts || f.Server == "", record.MayCrashServers(ctx):
 		return final.After(backendRetryAfter)
 	}
-	h.mu.Lock()
-	allowed := h.retries.Spend()
-	delay := retry.Delay(h.rng, try+1)
-	h.mu.Unlock()
-	if !allowed {
+	if !h.opts.Retries.Spend(clock.Now(), x.Target) {
 		return final.After(backendRetryAfter)
 	}
-	if err := wait.For(ctx, delay); err != nil {
+	if err := wait.For(ctx, h.retryDelay(try+1)); err != nil {
 		return final.After(backendRetryAfter)
 	}
 	if x.ReserveMore != nil && !retryState.NotRun() {
@@ -166,6 +155,12 @@
 	return nil
 }
 
+func (h *Handler) retryDelay(attempt int) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return retry.Delay(h.rng, attempt)
+}
+
 // notRetryable returns the error for a dispatched attempt that must not be retried.
 func notRetryable(x *filter.Exchange, final *result.Error) error {
 	if x.NotRepeatable {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -33,41 +33,6 @@
 	return !notRepeatable && !f.Answered
 }
 
-// DefaultBurst is the default number of retries that a router may make before
-// any request has added to its budget.
-const DefaultBurst = 10
-
-// Budget bounds retries to a share of the requests, so that a failing pool
-// is not overloaded by a retry storm. It is not safe for concurrent use.
-type Budget struct {
-	ratio  float64
-	burst  float64
-	tokens float64
-}
-
-// NewBudget returns a full budget that gains ratio retries per request, up
-// to burst retries.
-func NewBudget(ratio, burst float64) *Budget {
-	return &Budget{ratio: ratio, burst: burst, tokens: burst}
-}
-
-// Request credits the budget for one request.
-func (b *Budget) Request() {
-	b.tokens = min(b.tokens+b.ratio, b.burst)
-}
-
-// Left reports whether the budget allows a retry.
-func (b *Budget) Left() bool { return b.tokens >= 1 }
-
-// Spend takes one retry; false means that the budget is exhausted.
-func (b *Budget) Spend() bool {
-	if !b.Left() {
-		return false
-	}
-	b.tokens--
-	return true
-}
-
 const (
 	baseDelay = 5 * time.Millisecond
 	maxDelay  = 200 * time.Millisecond
--- a/router/harness_test.go
+++ b/router/harness_test.go
@@ -80,6 +80,7 @@
 	s.Listen = settings.Listen{Callers: freeAddr(), Peers: freeAddr()}
 	s.Platform.URL = f.store.URL
 	s.Platform.ListEvery = settings.Duration(100 * time.Millisecond)
+	s.Requests.RetryWindow = 0 // no earlier process has used the fleet's retries
 	s.Operator.KeyHash = authenticate.Hash(operatorKey)
 	s.Requests.MaxBodyBytes = 4096
 	s.Requests.MaxTokens = 1000
--- a/router/router.go
+++ b/router/router.go
@@ -47,6 +47,7 @@
 	"github.com/gaplink/gaplink/metrics"
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/placement"
+	"github.com/gaplink/gaplink/retry"
 	"github.com/gaplink/gaplink/settings"
 	"github.com/gaplink/gaplink/store"
 	"github.com/gaplink/gaplink/store/httpstore"
@@ -182,6 +183,12 @@
 	return cfg
 }
 
+// retryLimits returns the limits on the retries of all routers.
+func (r *Router) retryLimits() retry.Limits {
+	q := r.settings.Requests
+	return retry.Limits{Ratio: q.RetryRatio, Slack: q.RetrySlack, Window: q.RetryWindow.Std(), Routers: r.members.Known()}
+}
+
 func (r *Router) ledgerConfig() ledger.Config {
 	cfg := ledger.DefaultConfig()
 	cfg.Owner = r.incarnation
@@ -195,8 +202,8 @@
 func (r *Router) buildChain() filter.Handler {
 	q := r.settings.Requests
 	var h filter.Handler = forward.New(r.tables, r.health, r.engines, r.verdicts, r.metrics, newRand(), forward.Options{
-		Attempts:   q.Attempts,
-		RetryRatio: q.RetryRatio,
+		Attempts: q.Attempts,
+		Retries:  retry.NewBudgets(clock.Now(), r.retryLimits),
 	})
 	h = reserve.New(h, r.budgets)
 	h = limit.New(h, r.tables)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -116,8 +116,12 @@
 	Deadline Duration `toml:"deadline" validate:"min=1000000"`
 	// Attempts limits the attempts of one request.
 	Attempts int `toml:"attempts" validate:"min=1,max=10"`
-	// RetryRatio is the fleet's retry budget as a fraction of its requests.
-	RetryRatio float64 `toml:"retry_ratio" validate:"min=0,max=1"`
+	// RetryRatio is the fleet's retry budget for a target as a fraction of the requests for it, and RetrySlack the
+	// number of retries beyond it within RetryWindow. A process has no part of the slack for so long after its start,
+	// since an earlier one may have used it.
+	RetryRatio  float64  `toml:"retry_ratio" validate:"min=0,max=1"`
+	RetrySlack  float64  `toml:"retry_slack" validate:"min=0"`
+	RetryWindow Duration `toml:"retry_window" validate:"min=0"`
 	// LeaveGrace is how long a router that is shutting down still accepts new work,
 	// until the load balancer has noticed.
 	LeaveGrace Duration `toml:"leave_grace" validate:"min=0"`
@@ -162,6 +166,8 @@
 			Deadline:     Duration(2 * time.Minute),
 			Attempts:     3,
 			RetryRatio:   0.2,
+			RetrySlack:   50,
+			RetryWindow:  Duration(10 * time.Second),
 			LeaveGrace:   Duration(2 * time.Second),
 		},
 		Table: Table{DecideWithin: Duration(3 * time.Second), AckWithin: Duration(2 * time.Second)},
