--- a/lab/tcptest/endless.go
+++ b/lab/tcptest/endless.go
@@ -29,19 +29,38 @@
 	before  uint64
 }
 
-// ListenEndless starts a server that responds to each request with begin, and then with more again and again
+// ListenEndless starts a server that responds to each HTTP request with begin, and then with more again and again
 // until its client closes the connection.
 func ListenEndless(t testing.TB, begin, more string) *Endless {
+	t.Helper()
+	return listenEndless(t, begin, more, func(c net.Conn) error {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, r.Body)
+		return err
+	})
+}
+
+// ListenEndlessAtOnce is like ListenEndless for another protocol: its server waits for a first byte.
+func ListenEndlessAtOnce(t testing.TB, begin, more string) *Endless {
+	t.Helper()
+	return listenEndless(t, begin, more, func(c net.Conn) error {
+		_, err := c.Read(make([]byte, 1))
+		return err
+	})
+}
+
+func listenEndless(t testing.TB, begin, more string, awaitRequest func(net.Conn) error) *Endless {
 	t.Helper()
 	e := &Endless{}
 	block := strings.Repeat(more, max((32<<10)/len(more), 1))
 	e.Addr = Listen(t, func(c net.Conn, _ int) {
 		defer func() { _ = c.Close() }()
-		r, err := http.ReadRequest(bufio.NewReader(c))
-		if err != nil {
-			return
+		if err := awaitRequest(c); err != nil {
+			return // shows up at the client under test
 		}
-		_, _ = io.Copy(io.Discard, r.Body) // an error here shows up at the client under test
 		if _, err := io.WriteString(c, begin); err != nil {
 			return
 		}
