--- a/lab/tcptest/endless.go
+++ b/lab/tcptest/endless.go
@@ -22,6 +22,41 @@
 	bufferGrowth  = 3
 )
 
+// EndlessResponse is a response that begins with Begin and goes on with More, again and again.
+type EndlessResponse struct{ Begin, More string }
+
+// EndlessHeads are HTTP responses whose heads do not end, by name.
+var EndlessHeads = map[string]EndlessResponse{
+	"header lines":             {"HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
+	"one header line":          {"HTTP/1.1 200 OK\r\nX-Field: ", "xxxxxxxxxxxxxxxx"},
+	"continued header line":    {"HTTP/1.1 200 OK\r\nX-Field: a\r\n", " folded\r\n"},
+	"one status line":          {"HTTP/1.1 200 ", "OK OK OK OK OK "},
+	"no line end":              {"", "\x00\x01\x02\x03"},
+	"empty lines":              {"", "\r\n"},
+	"interim responses":        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+	"interim response's lines": {"HTTP/1.1 103 Early Hints\r\n", "Link: </a>\r\n"},
+	"HTTP/1.0 header lines":    {"HTTP/1.0 200 OK\r\n", "X-Field: value\r\n"},
+}
+
+// endlessChunk is a chunk of a body.
+const endlessChunk = "10\r\naaaaaaaaaaaaaaaa\r\n"
+
+// CheckEndlessResponses calls request with a server for each of EndlessHeads, and for a chunked body without end whose
+// response has the given header lines. It fails if more of one is taken than may be kept in memory, in bytes.
+func CheckEndlessResponses(t *testing.T, fields string, mayKeepHead, mayKeepBody int64, request func(t *testing.T, addr string)) {
+	for name, c := range EndlessHeads {
+		t.Run(name, func(t *testing.T) { checkEndless(t, c, mayKeepHead, request) })
+	}
+	body := EndlessResponse{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + fields + "\r\n", endlessChunk}
+	t.Run("body", func(t *testing.T) { checkEndless(t, body, mayKeepBody, request) })
+}
+
+func checkEndless(t *testing.T, c EndlessResponse, mayKeep int64, request func(t *testing.T, addr string)) {
+	e := ListenEndless(t, c.Begin, c.More)
+	request(t, e.Addr)
+	e.Check(t, mayKeep)
+}
+
 // Endless is a server whose responses don't end.
 type Endless struct {
 	Addr    string
--- a/tunnel/endless_test.go
+++ b/tunnel/endless_test.go
@@ -16,14 +16,9 @@
 // TestEndlessHeadOfARouterIsNotRead guards against a router, or something else at its address, that answers a request
 // for a tunnel with bytes without end.
 func TestEndlessHeadOfARouterIsNotRead(t *testing.T) {
-	for name, c := range map[string]struct{ begin, more string }{
-		"header lines":      {"HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
-		"one header line":   {"HTTP/1.1 200 OK\r\nX-Field: ", "xxxxxxxxxxxxxxxx"},
-		"no line end":       {"", "\x00\x01\x02\x03"},
-		"interim responses": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
-	} {
+	for name, c := range tcptest.EndlessHeads {
 		t.Run(name, func(t *testing.T) {
-			e := tcptest.ListenEndless(t, c.begin, c.more)
+			e := tcptest.ListenEndless(t, c.Begin, c.More)
 			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 			defer cancel()
 			_, _, err := tunnel.Open(ctx, &net.Dialer{}, "r1", e.Addr, placement.Server{ID: "s1", Address: "127.0.0.1:1"})
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -14,19 +14,9 @@
 // TestEndlessHeadIsNotRead guards against a server that sends bytes without end where the head of a response is
 // due, which took gigabytes of a router's memory.
 func TestEndlessHeadIsNotRead(t *testing.T) {
-	for name, c := range map[string]struct{ begin, more string }{
-		"header lines":             {"HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
-		"one header line":          {"HTTP/1.1 200 OK\r\nX-Field: ", "xxxxxxxxxxxxxxxx"},
-		"one status line":          {"HTTP/1.1 200 ", "OK OK OK OK OK "},
-		"no line end":              {"", "\x00\x01\x02\x03"},
-		"interim responses":        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
-		"interim responses' lines": {"HTTP/1.1 103 Early Hints\r\n", "Link: </a>\r\n"},
-		"empty lines":              {"", "\r\n"},
-		"HTTP/1.0 header lines":    {"HTTP/1.0 200 OK\r\n", "X-Field: value\r\n"},
-		"continued header line":    {"HTTP/1.1 200 OK\r\nX-Field: a\r\n", " folded\r\n"},
-	} {
+	for name, c := range tcptest.EndlessHeads {
 		t.Run(name, func(t *testing.T) {
-			e := tcptest.ListenEndless(t, c.begin, c.more)
+			e := tcptest.ListenEndless(t, c.Begin, c.More)
 			pool := newPool()
 			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 			defer cancel()
@@ -50,15 +40,15 @@
 // or leaves its connection in use.
 func TestEndlessBodyTakesNoMemory(t *testing.T) {
 	const chunked = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
-	for name, c := range map[string]struct{ begin, more string }{
-		"chunk extension":    {chunked + "5;", "extension=value;"},
-		"chunk size":         {chunked, "0000000000000000"},
-		"trailer lines":      {chunked + "0\r\n", "X-Field: value\r\n"},
-		"one trailer line":   {chunked + "0\r\nX-Field: ", "xxxxxxxxxxxxxxxx"},
-		"extensions of each": {chunked, "1;extension=value-that-is-much-longer-than-its-chunk\r\na\r\n"},
+	for name, c := range map[string]tcptest.EndlessResponse{
+		"chunk extension":    {Begin: chunked + "5;", More: "extension=value;"},
+		"chunk size":         {Begin: chunked, More: "0000000000000000"},
+		"trailer lines":      {Begin: chunked + "0\r\n", More: "X-Field: value\r\n"},
+		"one trailer line":   {Begin: chunked + "0\r\nX-Field: ", More: "xxxxxxxxxxxxxxxx"},
+		"extensions of each": {Begin: chunked, More: "1;extension=value-that-is-much-longer-than-its-chunk\r\na\r\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			e := tcptest.ListenEndless(t, c.begin, c.more)
+			e := tcptest.ListenEndless(t, c.Begin, c.More)
 			pool := newPool()
 			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 			defer cancel()
