--- a/retry/fleet_test.go
+++ b/retry/fleet_test.go
@@ -15,6 +15,8 @@
 	fleetStep   = 10 * time.Millisecond
 	// discoveryTime is how long a process takes at most to learn the size of the fleet.
 	discoveryTime = 300 * time.Millisecond
+	// growthDelay is how long the running processes take to learn that the fleet has grown.
+	growthDelay = 3 * time.Second
 	// drainTime is how long a process that is being replaced goes on beside its successor.
 	drainTime = 4 * time.Second
 )
@@ -32,7 +34,9 @@
 	rng       *rand.Rand
 	now       time.Time
 	instances int
-	slack     float64
+	// grown holds when each instance was added.
+	grown []time.Time
+	slack float64
 	// failing is the share of the attempts that servers reject.
 	failing float64
 	running map[int]*fleetProcess
@@ -51,6 +55,7 @@
 		rng: rand.New(rand.NewPCG(seed, 83)), now: time.Unix(1e9, 0), instances: instances, slack: slack,
 		running: map[int]*fleetProcess{}, down: map[int]time.Time{},
 	}
+	f.grown = make([]time.Time, instances)
 	for i := range instances {
 		f.start(i)
 	}
@@ -81,6 +86,7 @@
 
 // grow adds an instance.
 func (f *fleetRun) grow() {
+	f.grown = append(f.grown, f.now)
 	f.start(f.instances)
 	f.instances++
 }
@@ -184,6 +190,13 @@
 			}
 		}
 	},
+	"doubles at once": func(f *fleetRun, second int) {
+		if second == 14 {
+			for range f.instances {
+				f.grow()
+			}
+		}
+	},
 	"slack lowered": func(f *fleetRun, second int) {
 		if second == 16 {
 			f.slack, f.lowered = f.slack/2, f.now
@@ -241,12 +254,18 @@
 	}
 }
 
-// known returns the number of routers that a process knows; 0 before it knows any.
-func (f *fleetRun) known(p *fleetProcess) int {
+// known returns the number of routers that a process knows; 0 before it knows any. A process that starts learns of all,
+// and of those added later after growthDelay.
+func (f *fleetRun) known(p *fleetProcess) (n int) {
 	if f.now.Before(p.knowsAt) {
 		return 0
 	}
-	return f.instances
+	for _, at := range f.grown {
+		if at.Before(p.knowsAt) || f.now.Sub(at) >= growthDelay {
+			n++
+		}
+	}
+	return n
 }
 
 // newProcessBudgets returns the budgets of a process as a router makes them.
