--- a/retry/fleet_test.go
+++ b/retry/fleet_test.go
@@ -18,7 +18,7 @@
 	// growthDelay is how long the running processes take to learn that the fleet has grown.
 	growthDelay = 3 * time.Second
 	// drainTime is how long a process that is being replaced goes on beside its successor.
-	drainTime = 4 * time.Second
+	drainTime = 8 * time.Second
 )
 
 // fleetProcess is a router process of the simulated fleet.
@@ -107,8 +107,8 @@
 // step advances the time and sends the given number of requests per second.
 func (f *fleetRun) step(perSecond float64) {
 	f.now = f.now.Add(fleetStep)
-	for i, at := range f.down {
-		if !at.After(f.now) {
+	for i := range f.instances { // in order, so that a seed always draws the same
+		if at, isDown := f.down[i]; isDown && !at.After(f.now) {
 			delete(f.down, i)
 			f.start(i)
 		}
@@ -183,6 +183,18 @@
 			}
 		}
 	},
+	"all replaced before servers fail": func(f *fleetRun, second int) {
+		switch second {
+		case 12:
+			f.failing = 0
+		case 15:
+			for i := range f.instances {
+				f.replace(i)
+			}
+		case 22:
+			f.failing = 0.8
+		}
+	},
 	"grows by half": func(f *fleetRun, second int) {
 		if second >= 10 && second < 20 {
 			for range max(f.instances/20, 1) {
