--- a/router/router.go
+++ b/router/router.go
@@ -85,6 +85,7 @@
 	verdicts      *verdicts.Controller
 	probes        *upstream.Pool
 	admin         *admin.Server
+	retries       *retry.Budgets
 	chain         filter.Handler
 	pauseDetector *pauseDetector
 
@@ -150,6 +151,7 @@
 	r.tables.OnChange(func(st *table.State) { r.metrics.Revision.Set(float64(st.Revision)) })
 	r.members.OnList(r.health.SetList)
 	r.pauseDetector = newPauseDetector(r.tables.VerifyCurrent)
+	r.retries = retry.NewBudgets(clock.Now(), r.retryLimits)
 	r.chain = r.buildChain()
 	r.registerCounters()
 }
@@ -203,7 +205,7 @@
 	q := r.settings.Requests
 	var h filter.Handler = forward.New(r.tables, r.health, r.engines, r.verdicts, r.metrics, newRand(), forward.Options{
 		Attempts: q.Attempts,
-		Retries:  retry.NewBudgets(clock.Now(), r.retryLimits),
+		Retries:  r.retries,
 	})
 	h = reserve.New(h, r.budgets)
 	h = limit.New(h, r.tables)
@@ -291,6 +293,7 @@
 // billing records and returns grants.
 func (r *Router) Stop(ctx context.Context) {
 	r.leaving.Store(true)
+	r.retries.Drain()
 	r.log.Info("leaving")
 	health.SendLeaving(r.members, r.peers, &peer.LeavingRequest{Kind: "router", ID: r.settings.Instance.ID})
 	r.members.SetLeaving(r.settings.Instance.ID)
@@ -313,6 +316,7 @@
 	r.stopped.Do(func() {
 		r.log.Error("fenced: the fleet declared this process dead; its tokens are no longer valid")
 		r.leaving.Store(true)
+		r.retries.Drain()
 		r.refusing.Store(true)
 		go func() {
 			r.drain(context.Background())
