--- a/lab/soak/refusals.go
+++ b/lab/soak/refusals.go
@@ -12,11 +12,12 @@
 // again.
 type RefusalPeriod struct {
 	At, Duration time.Duration
-	// Kills are the times of the kills, and Downtime the longest time until a router starts again.
-	Kills    []time.Duration
-	Downtime time.Duration
+	Kills        []RefusalKill
 }
 
+// RefusalKill is a kill of all routers, which start again after Downtime.
+type RefusalKill struct{ At, Downtime time.Duration }
+
 // AllRoutersKilled is a kill of all routers together. Refusal periods draw it, a schedule does not.
 const AllRoutersKilled Fault = "all routers killed together"
 
@@ -31,16 +32,16 @@
 	maxRefusalDowntime               = 400 * time.Millisecond
 )
 
-// DrawRefusalPeriod draws the period of a run, which begins in the middle of it.
+// DrawRefusalPeriod draws the period of a run, which begins after a third of it.
 func DrawRefusalPeriod(seed uint64, length time.Duration) RefusalPeriod {
 	rng := rand.New(rand.NewPCG(seed, refusalStream))
 	interval := func() time.Duration {
 		return minKillInterval + time.Duration(rng.Int64N(int64(maxKillInterval-minKillInterval)))
 	}
-	p := RefusalPeriod{At: length / 3, Downtime: maxRefusalDowntime}
+	p := RefusalPeriod{At: length / 3}
 	at := p.At + interval()
 	for range minKills + rng.IntN(maxKills-minKills+1) {
-		p.Kills = append(p.Kills, at)
+		p.Kills = append(p.Kills, RefusalKill{at, time.Duration(rng.Int64N(int64(maxRefusalDowntime)))})
 		at += interval()
 	}
 	p.Duration = at - p.At
@@ -63,14 +64,14 @@
 	}
 	f.setRefusedShare(refusedShare)
 	defer f.setRefusedShare(0)
-	for _, at := range p.Kills {
-		if !await(at) {
+	for _, kill := range p.Kills {
+		if !await(kill.At) {
 			return
 		}
 		f.counters.countFault(AllRoutersKilled)
 		for i := range f.routers {
 			f.pendingChanges.Go(func() {
-				if err := f.applyRouterFault(Step{Fault: RouterKilled, Target: i, Duration: rand.N(p.Downtime)}); err != nil {
+				if err := f.applyRouterFault(Step{Fault: RouterKilled, Target: i, Duration: kill.Downtime}); err != nil {
 					f.fail(err)
 				}
 			})
