gaplinkd: account limits are divided by the listed routers, whether they answer or not

What operators saw: a router that is cut off from the others counts fewer of them, takes a larger part of each account's rates and requests in flight, and so does each of the others. tables.Routers is the number of routers on the platform's list now.

--- a/controller/tables/tables.go
+++ b/controller/tables/tables.go
@@ -99,8 +99,9 @@
 	return c.participant.Blocked(clock.Now(), account, target)
 }
 
-// Routers returns the number of live routers.
-func (c *Controller) Routers() int { return c.members.Live() }
+// Routers returns the number of routers that share the limits of the fleet, at least 1. Routers that do not answer
+// count: they may only be cut off from this one.
+func (c *Controller) Routers() int { return max(c.members.Known(), 1) }
 
 // Run reads the store's log and applies its changes until the context is cancelled.
 func (c *Controller) Run(ctx context.Context) {
--- a/filter/limit/limit.go
+++ b/filter/limit/limit.go
@@ -1,7 +1,7 @@
 // Package limit enforces the limits of the requests' table rows.
 //
 // The limits apply to the whole fleet. Each router enforces its share, which is the limit
-// divided by the number of live routers, without calling the store.
+// divided by the number of listed routers, without calling the store.
 package limit
 
 import (
@@ -22,12 +22,12 @@
 // reached.
 const inFlightRetryAfter = 500 * time.Millisecond
 
-// Config provides the configuration in force and the number of live routers.
+// Config provides the configuration in force and the number of routers.
 type Config interface {
 	State() *table.State
 	// Blocked reports whether the outcome of a change to the request's rows is pending.
 	Blocked(account, target string) bool
-	// Routers returns the number of live routers, at least 1.
+	// Routers returns the number of routers that share the limits, at least 1.
 	Routers() int
 }
 
