Health checks: tests with answers that do not end

The health check, the check whether a process lives and the probe of an ejected server read one byte, or none, of what a server sends without end, and keep no connection on which unasked bytes came.

--- a/lab/tcptest/endless.go
+++ b/lab/tcptest/endless.go
@@ -87,6 +87,12 @@
 	})
 }
 
+// ListenEndlessUnasked is like ListenEndless for a server that sends without being asked.
+func ListenEndlessUnasked(t testing.TB, begin, more string) *Endless {
+	t.Helper()
+	return listenEndless(t, begin, more, func(net.Conn) error { return nil })
+}
+
 func listenEndless(t testing.TB, begin, more string, awaitRequest func(net.Conn) error) *Endless {
 	t.Helper()
 	e := &Endless{}
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/gaplink/gaplink/framing"
 	"github.com/gaplink/gaplink/lab/tcptest"
+	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/upstream"
 )
 
@@ -94,3 +95,30 @@
 		})
 	}
 }
+
+// TestEndlessHealthAnswerIsNotRead guards against a health check, or a check whether a process lives, that reads what a
+// server sends without end.
+func TestEndlessHealthAnswerIsNotRead(t *testing.T) {
+	server := func(addr string) placement.Server { return placement.Server{ID: "s", Address: addr} }
+	t.Run("health check", func(t *testing.T) {
+		e := tcptest.ListenEndless(t, "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n")
+		if err := newPool().Ping(t.Context(), server(e.Addr), upstream.HealthRequest("/health")); err != nil {
+			t.Error(err)
+		}
+		e.Check(t, framing.MaxHead)
+	})
+	t.Run("bytes before a request", func(t *testing.T) {
+		e := tcptest.ListenEndlessUnasked(t, "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n")
+		pool := newPool()
+		if found := pool.Check(t.Context(), server(e.Addr)); found != upstream.Unknown {
+			t.Errorf("process %v", found)
+		}
+		if err := pool.Probe(t.Context(), server(e.Addr)); err == nil {
+			t.Error("the probe took unasked bytes for a server that is ready")
+		}
+		if pool.Open() != 0 {
+			t.Error("the connection is kept")
+		}
+		e.Check(t, framing.MaxHead)
+	})
+}
