Retries: paying ahead and paying at the send share one loop; the soak waits with package wait

Found in reading the change once more: payForRetry and prepayRetry stood twice but for the number, and the refusal period of the soak wrote wait.For again.

--- a/gateway/retries.go
+++ b/gateway/retries.go
@@ -59,25 +59,23 @@
 // payForRetry takes the retry for the request's next attempt from the service's budget, unless it is paid for. It
 // returns the error that ends the request if the budget is exhausted. Every attempt passes here.
 func (c *call) payForRetry() *result.Error {
-	if c.retriesPaid >= c.arrivals {
-		return nil
-	}
-	if !c.g.Retries.Spend(clock.Now(), c.service.Name) {
+	if !c.payRetries(c.arrivals) {
 		return c.retriesSpent()
 	}
-	c.retriesPaid++
 	return nil
 }
 
 // prepayRetry pays for the attempt after the one that is under way, and reports whether it could.
-func (c *call) prepayRetry() bool {
-	if c.retriesPaid > c.arrivals {
-		return true
-	}
-	if !c.g.Retries.Spend(clock.Now(), c.service.Name) {
-		return false
+func (c *call) prepayRetry() bool { return c.payRetries(c.arrivals + 1) }
+
+// payRetries takes retries from the service's budget until the given number is paid for, and reports whether it is.
+func (c *call) payRetries(n int) bool {
+	for c.retriesPaid < n {
+		if !c.g.Retries.Spend(clock.Now(), c.service.Name) {
+			return false
+		}
+		c.retriesPaid++
 	}
-	c.retriesPaid++
 	return true
 }
 
--- a/lab/soak/refusals.go
+++ b/lab/soak/refusals.go
@@ -6,6 +6,8 @@
 	"io"
 	"math/rand/v2"
 	"time"
+
+	"github.com/gaplink/gaplink/wait"
 )
 
 // RefusalPeriod is a time in which all servers refuse most requests and all routers are killed together, again and
@@ -51,14 +53,7 @@
 // runRefusals plays a refusal period.
 func (f *fleet) runRefusals(ctx context.Context, p RefusalPeriod) {
 	start := time.Now()
-	await := func(at time.Duration) bool {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-time.After(time.Until(start.Add(at))):
-			return true
-		}
-	}
+	await := func(at time.Duration) bool { return wait.For(ctx, time.Until(start.Add(at))) == nil }
 	if !await(p.At) {
 		return
 	}
