--- a/controller/verdicts/verdicts_test.go
+++ b/controller/verdicts/verdicts_test.go
@@ -74,6 +74,8 @@
 	all         map[string]*verdicts.Controller
 	unreachable map[string]bool
 	calls       int
+	// delay is how long a call takes.
+	delay time.Duration
 }
 
 func newNetwork() *network {
@@ -96,6 +98,9 @@
 	if unreachable || other == nil {
 		return nil, errNoAnswer
 	}
+	if s.delay > 0 {
+		time.Sleep(s.delay)
+	}
 	return other.OnReport(ctx, req)
 }
 
@@ -126,6 +131,13 @@
 	b.unreachable[id] = unreachable
 }
 
+// close ends the routers' calls to each other.
+func (b *network) close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.all = map[string]*verdicts.Controller{}
+}
+
 // join starts a router whose liveness checks find every server gone.
 func (b *network) join(ctx context.Context, id string, kept store.Store) *verdicts.Controller {
 	c := verdicts.New(verdicts.Options{
