Poison: log the evidence against the leading part, count trials and forgotten crashes

The logs could not tell apart why there is no verdict on a part. 'part suspected' names the part with the most crashes, the weight found and needed, and why its other crashes do not count; counters for crashes dropped for room and for runs let through. Decisions are unchanged.

--- a/controller/verdicts/verdicts.go
+++ b/controller/verdicts/verdicts.go
@@ -26,6 +26,9 @@
 // expireInterval is the time between two scans for expired crashes.
 const expireInterval = time.Minute
 
+// evidenceLogInterval is the least time between two log lines on parts that are suspected.
+const evidenceLogInterval = time.Second
+
 // Checker checks whether a server's process is alive.
 type Checker interface {
 	Check(ctx context.Context, s placement.Server) upstream.Liveness
@@ -87,6 +90,8 @@
 	// settling is set while settle is due, and observed if this router has observed a crash since it was
 	// last called.
 	settling, observed bool
+	// evidenceLogged is when the evidence against the leading part was last logged.
+	evidenceLogged time.Time
 	// pendingWrites are the store writes not yet executed.
 	pendingWrites map[poison.Fingerprint]pendingWrite
 	writeSignal   chan struct{} // signals that pendingWrites is not empty
@@ -99,6 +104,9 @@
 	// this router reached itself, and Lifted the verdicts lifted by successful runs or by
 	// operators, as seen here.
 	LivenessChecks, Verdicts, Lifted int64
+	// Trials counts the runs that this router let through after a quarantine, and Forgotten the crashes whose
+	// prompt parts it dropped for room.
+	Trials, Forgotten int64
 }
 
 // New returns a controller without verdicts.
@@ -174,6 +182,7 @@
 		trials = append(trials, request)
 	}
 	if len(trials) > 0 {
+		c.counts.Trials++
 		c.Log.Info("held back no more: one run is let through", zap.Stringers("fingerprints", trials))
 		c.spread.Send(poison.Report{Trials: trials})
 	}
@@ -240,7 +249,9 @@
 func (c *Controller) Stats() (counts Counts, suspects, quarantined int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.counts, c.table.Suspects(), len(c.table.Verdicts(clock.Now()))
+	counts = c.counts
+	counts.Forgotten = c.table.Forgotten()
+	return counts, c.table.Suspects(), len(c.table.Verdicts(clock.Now()))
 }
 
 // origin is where a report comes from.
@@ -324,6 +335,7 @@
 		c.recordQuarantined(now, v, from)
 	}
 	c.propagate(poison.Report{Verdicts: reached}, from)
+	c.logEvidence(now)
 	if pending {
 		c.scheduleSettle()
 		return
@@ -331,6 +343,21 @@
 	c.observed = false
 }
 
+// logEvidence logs, at most once in evidenceLogInterval, what is known of the part with the most crashes that is not
+// held back. The caller holds c.mu.
+func (c *Controller) logEvidence(now time.Time) {
+	if now.Sub(c.evidenceLogged) < evidenceLogInterval {
+		return
+	}
+	part, e := c.table.LeadingPart(now)
+	if part == "" {
+		return
+	}
+	c.evidenceLogged = now
+	c.Log.Info("part suspected", zap.String("part", part), zap.Float64("evidence", e.Weight), zap.Float64("needed", e.Needed), zap.Int("crashes", e.Crashes), zap.Int("repeated", e.Repeated),
+		zap.Int("down", e.Down), zap.Int("close", e.Close), zap.Int("explained", e.Explained), zap.Int64("forgotten", c.table.Forgotten()))
+}
+
 // quarantinedIn returns the quarantined requests that a report may release.
 func (c *Controller) quarantinedIn(now time.Time, r poison.Report) (quarantined []poison.Fingerprint) {
 	add := func(f poison.Fingerprint) {
--- a/poison/evaluate_part.go
+++ b/poison/evaluate_part.go
@@ -55,30 +55,38 @@
 // shouldQuarantinePart reports whether the crashes at which requests with a part ran justify a verdict. The
 // part has had no successful run since: that would have cleared it.
 func (t *Table) shouldQuarantinePart(now time.Time, f Fingerprint, r *record) bool {
-	crashes, needed := t.settled(now, r), minCrashes
-	if r.scope == ScopeSharedPart {
-		needed = minSharedCrashes
-	}
+	crashes, needed := t.settled(now, r), neededFor(r.scope)
 	switch {
 	case r.hasVerdict():
-		return t.partEvidence(f, r, r.crashes[min(r.crashesAtVerdict, len(r.crashes)):], 0.5) > 0
-	case len(crashes) < needed || r.scope == ScopeSharedPart && !t.concernsAccounts(f, crashes):
+		return t.partEvidence(f, r, r.crashes[min(r.crashesAtVerdict, len(r.crashes)):], 0.5).Weight > 0
+	case float64(len(crashes)) < needed || r.scope == ScopeSharedPart && !t.concernsAccounts(f, crashes):
 		return false
 	default:
-		return !t.isOneRequest(f, crashes) && t.partEvidence(f, r, crashes, float64(needed)) >= float64(needed)
+		return !t.isOneRequest(f, crashes) && t.partEvidence(f, r, crashes, needed).Weight >= needed
 	}
 }
 
-// partEvidence returns the weight of the crashes that speak against a part, up to a weight that is enough. Each
+// Evidence is what the crashes at which requests with a part ran say against it.
+type Evidence struct {
+	// Weight is the sum of what the crashes count, and Needed the weight of a verdict.
+	Weight, Needed float64
+	// Crashes are those on record. Of the ones that do not count, Repeated met no further request, Down were of a server
+	// that had crashed just before, Close came too soon after the last one that counts, and Explained have another cause.
+	Crashes, Repeated, Down, Close, Explained int
+}
+
+// partEvidence weighs the crashes that speak against a part, up to a weight that is enough. Each
 // counts that nothing else explains better and at which a request with the part ran that had met none of those
 // counted before; half, if that request is a suspect of its own. One of a server that had crashed just before does
 // not count. Those within successWindow count as one: a
 // common part is at all crashes of a wave, and time must pass in which one of its requests could succeed.
-func (t *Table) partEvidence(f Fingerprint, r *record, crashes []placement.Incarnation, enough float64) (weight float64) {
+func (t *Table) partEvidence(f Fingerprint, r *record, crashes []placement.Incarnation, enough float64) Evidence {
+	found := Evidence{Needed: enough}
 	var counted time.Time
 	seen, servers := map[Fingerprint]bool{}, map[string]time.Time{}
 	for _, in := range crashes {
 		e := t.crashes[in]
+		found.Crashes++
 		fresh, most := false, 0
 		e.parts.with(f, func(request Fingerprint) {
 			fresh = fresh || !seen[request]
@@ -87,20 +95,31 @@
 		})
 		again := e.at.Sub(servers[e.server.ID]) <= downWindow
 		servers[e.server.ID] = e.at
-		if !fresh || again || e.at.Sub(counted).Abs() <= successWindow || t.explainedByRequest(e, f) || t.explainedByPart(e, f, r) {
+		switch {
+		case !fresh:
+			found.Repeated++
+			continue
+		case again:
+			found.Down++
+			continue
+		case e.at.Sub(counted).Abs() <= successWindow:
+			found.Close++
+			continue
+		case t.explainedByRequest(e, f) || t.explainedByPart(e, f, r):
+			found.Explained++
 			continue
 		}
 		counted = e.at
 		if most < minCrashes {
-			weight++
+			found.Weight++
 		} else {
-			weight += 0.5
+			found.Weight += 0.5
 		}
-		if weight >= enough {
+		if found.Weight >= enough {
 			break
 		}
 	}
-	return weight
+	return found
 }
 
 // explainedByRequest reports whether a request that is a suspect of its own is the more likely cause of a crash:
@@ -136,6 +155,31 @@
 	return false
 }
 
+// LeadingPart returns the part of prompts without a verdict that was at the most crashes, and the evidence against it.
+// The name is empty if none was at minCrashes.
+func (t *Table) LeadingPart(now time.Time) (name string, found Evidence) {
+	var leading *record
+	var of Fingerprint
+	for f, r := range t.requests {
+		if r.scope == ScopeRequest || r.hasVerdict() || len(r.crashes) < max(minCrashes, found.Crashes+1) {
+			continue
+		}
+		leading, of, found.Crashes = r, f, len(r.crashes)
+	}
+	if leading == nil {
+		return "", Evidence{}
+	}
+	return leading.name, t.partEvidence(of, leading, t.settled(now, leading), neededFor(leading.scope))
+}
+
+// neededFor returns the weight of evidence that a verdict on a part needs.
+func neededFor(s Scope) float64 {
+	if s == ScopeSharedPart {
+		return minSharedCrashes
+	}
+	return minCrashes
+}
+
 // isOneRequest reports whether one request ran at all crashes of a part, which is then the cause itself.
 func (t *Table) isOneRequest(f Fingerprint, crashes []placement.Incarnation) (is bool) {
 	t.crashes[crashes[0]].parts.with(f, func(request Fingerprint) {
--- a/poison/expire.go
+++ b/poison/expire.go
@@ -58,6 +58,9 @@
 // dropParts drops the parts of the prompts of the requests that ran at a crash.
 func (t *Table) dropParts(in placement.Incarnation) {
 	e := t.crashes[in]
+	if len(e.parts.list) > 0 {
+		t.forgotten++
+	}
 	for _, p := range e.parts.list {
 		t.forgetCrash(in, p.Own)
 		t.forgetCrash(in, p.Shared)
--- a/poison/table.go
+++ b/poison/table.go
@@ -87,6 +87,8 @@
 	requests   map[Fingerprint]*record
 	// unsettled are the parts of prompts that were at crashes not all of whose requests may be known.
 	unsettled map[Fingerprint]bool
+	// forgotten counts the crashes whose parts were dropped for room.
+	forgotten int64
 }
 
 // NewTable returns an empty table.
@@ -100,6 +102,9 @@
 // Suspects returns the number of requests on record.
 func (t *Table) Suspects() int { return len(t.requests) }
 
+// Forgotten returns how many crashes had the parts of their prompts dropped for room.
+func (t *Table) Forgotten() int64 { return t.forgotten }
+
 // Quarantined returns the verdict that quarantines a request now, if there is one.
 func (t *Table) Quarantined(now time.Time, f Fingerprint) (Verdict, bool) {
 	r := t.requests[f]
