Poison: room is made by what crashes say, not by their age

What callers saw: above some 25 crashes a second, of whatever cause, requests with a fatal part were sent on for good. Cause: parts of prompts were kept of the latest 64 crashes only, and five that lie 0.5 s apart are needed.

TestEvidenceOutlastsOtherCrashes failed before.

--- a/poison/evaluate_part.go
+++ b/poison/evaluate_part.go
@@ -13,6 +13,8 @@
 	// successWindow is the time in which one of the requests with a common part should succeed while
 	// servers crash for another reason.
 	successWindow = 500 * time.Millisecond
+	// minSuccessWindow is the least time between two crashes that both count.
+	minSuccessWindow = 200 * time.Millisecond
 	// downWindow is the time in which further crashes of one server may be requests that came to it while
 	// it was down.
 	downWindow = 10 * time.Second
--- a/poison/expire.go
+++ b/poison/expire.go
@@ -18,19 +18,25 @@
 	// crash instead of three.
 	verdictRetention = 24 * time.Hour
 	// maxCrashes and maxRequests bound the memory: with 64 requests per crash, 2 MB
-	// (TestMemoryIsBounded). The oldest crashes, and the requests with the least evidence,
+	// (TestMemoryIsBounded). What says least goes first: crashes all of whose requests were
+	// cleared or are at no other crash, and requests with the least evidence.
+	maxCrashes  = 512
+	maxRequests = 4096
+	// maxPartEntries bounds the parts of prompts on record, summed over the crashes. Those of the crashes that say least
 	// are dropped first.
-	maxCrashes = 512
-	// maxPartCrashes is the number of latest crashes of which the parts of prompts are kept.
-	maxPartCrashes = 64
-	maxRequests    = 4096
+	maxPartEntries = 64 * maxCrashParts
+	// maxCrashWeight bounds the weight of a crash when room is made: what was at that many crashes
+	// has a verdict, or has none for another reason than a lack of crashes.
+	maxCrashWeight = 8
+	// unsettledAge is the time for which a crash is kept because late reports of it may come.
+	unsettledAge = 2 * time.Second
+	// unsettledWeight is the least weight of such a crash.
+	unsettledWeight = 2
 )
 
 // Expire drops crashes and verdicts past their retention.
 func (t *Table) Expire(now time.Time) {
-	for len(t.crashOrder) > 0 && now.Sub(t.crashes[t.crashOrder[0]].at) > crashRetention {
-		t.dropOldestCrash(t.crashOrder[0])
-	}
+	t.dropCrashes(func(in placement.Incarnation) bool { return now.Sub(t.crashes[in].at) > crashRetention })
 	for f, r := range t.requests {
 		if len(r.crashes) == 0 && now.Sub(r.last) > verdictRetention && !r.quarantined(now) {
 			delete(t.requests, f)
@@ -45,14 +51,61 @@
 	}
 }
 
-// trimCrashes drops the oldest crashes, and the parts of those before the latest maxPartCrashes.
-func (t *Table) trimCrashes() {
-	if excess := len(t.crashOrder) - maxPartCrashes; excess > 0 {
-		t.dropParts(t.crashOrder[excess-1])
+// trimCrashes makes room if there are too many crashes, or parts of prompts at them.
+func (t *Table) trimCrashes(now time.Time) {
+	if len(t.crashOrder) > maxCrashes {
+		drop := map[placement.Incarnation]bool{}
+		for _, in := range t.byWeight(now)[:len(t.crashOrder)/8] {
+			drop[in] = true
+		}
+		t.dropCrashes(func(in placement.Incarnation) bool { return drop[in] })
+	}
+	if t.partEntries <= maxPartEntries {
+		return
+	}
+	for _, in := range t.byWeight(now) {
+		if t.partEntries <= maxPartEntries*7/8 {
+			return
+		}
+		t.dropParts(in)
+	}
+}
+
+// byWeight returns the crashes ordered by what they say, those that say least first, and the oldest of these first.
+func (t *Table) byWeight(now time.Time) []placement.Incarnation {
+	weights := make(map[placement.Incarnation]int, len(t.crashOrder))
+	for _, in := range t.crashOrder {
+		weights[in] = t.weightOf(now, in)
+	}
+	ordered := slices.Clone(t.crashOrder)
+	slices.SortStableFunc(ordered, func(a, b placement.Incarnation) int {
+		return cmp.Or(cmp.Compare(weights[a], weights[b]), t.crashes[a].at.Compare(t.crashes[b].at))
+	})
+	return ordered
+}
+
+// weightOf returns what a crash says: the largest number of crashes of one of its suspects. A suspect counts for nothing
+// while it is quarantined, and for little if it had crashed another server just before.
+func (t *Table) weightOf(now time.Time, in placement.Incarnation) (weight int) {
+	e := t.crashes[in]
+	if now.Sub(e.at) < unsettledAge {
+		weight = unsettledWeight
+	}
+	for f, present := range e.suspects {
+		if r := t.requests[f]; present && r != nil && !r.quarantined(now) {
+			weight = max(weight, t.weightFor(r, in))
+		}
 	}
-	for len(t.crashOrder) > maxCrashes {
-		t.dropOldestCrash(t.crashOrder[0])
+	return weight
+}
+
+// weightFor returns what a crash says of one suspect.
+func (t *Table) weightFor(r *record, in placement.Incarnation) int {
+	n := slices.Index(r.crashes, in)
+	if n > 0 && r.scope != ScopeRequest && t.crashes[in].at.Sub(t.crashes[r.crashes[n-1]].at).Abs() < minSuccessWindow {
+		return 1
 	}
+	return min(r.total, maxCrashWeight)
 }
 
 // dropParts drops the parts of the prompts of the requests that ran at a crash.
@@ -67,6 +120,7 @@
 		delete(e.suspects, p.Own)
 		delete(e.suspects, p.Shared)
 	}
+	t.partEntries -= len(e.parts.list)
 	e.parts = crashParts{}
 }
 
@@ -81,13 +135,19 @@
 	t.dropIfEmpty(f)
 }
 
-// dropOldestCrash drops a crash, which must be the oldest.
-func (t *Table) dropOldestCrash(in placement.Incarnation) {
-	for f := range t.crashes[in].suspects {
-		t.forgetCrash(in, f)
-	}
-	delete(t.crashes, in)
-	t.crashOrder = t.crashOrder[1:]
+// dropCrashes drops the crashes that a function selects.
+func (t *Table) dropCrashes(selected func(placement.Incarnation) bool) {
+	t.crashOrder = slices.DeleteFunc(t.crashOrder, func(in placement.Incarnation) bool {
+		if !selected(in) {
+			return false
+		}
+		for f := range t.crashes[in].suspects {
+			t.forgetCrash(in, f)
+		}
+		t.partEntries -= len(t.crashes[in].parts.list)
+		delete(t.crashes, in)
+		return true
+	})
 }
 
 // evictRequests makes room for new requests. It evicts an eighth of them at once, so that they
--- a/poison/part_test.go
+++ b/poison/part_test.go
@@ -257,6 +257,25 @@
 	f.expectQuarantined("a", true)
 }
 
+// Guards against a fatal part that is never recognized because its crashes are forgotten among those that other causes
+// bring about in the meantime.
+func TestEvidenceOutlastsOtherCrashes(t *testing.T) {
+	f := newTable(t)
+	for n := range 5 {
+		f.crashUnder("llm", f.askAs(fmt.Sprint("account ", n), "bad"))
+		for i := range 150 {
+			p := f.askAs(fmt.Sprint("other ", i), "good")
+			e := poison.Crash{Server: placement.Incarnation{ID: fmt.Sprint("o", i), Started: int64(f.asked)}, Service: "llm"}
+			e.AddRequest(p.fingerprint(), p.partList())
+			f.now = f.now.Add(10 * time.Millisecond)
+			f.Apply(f.now, poison.Report{Crashes: []poison.Crash{e}})
+			f.succeed("llm", f.askAs(p.account, "good"))
+		}
+	}
+	f.expectHeld(f.ask("bad"), true)
+	f.expectHeld(f.ask("good"), false)
+}
+
 // Guards against memory that grows with the parts of prompts.
 func TestMemoryOfPartsIsBounded(t *testing.T) {
 	f := newTable(t)
--- a/poison/table.go
+++ b/poison/table.go
@@ -61,7 +61,9 @@
 
 	// crashes are the processes that crashed while the request ran there, the oldest first.
 	crashes []placement.Incarnation
-	last    time.Time
+	// total is the number of crashes since the last successful run, with those dropped for room.
+	total int
+	last  time.Time
 	// number is that of the last verdict; verdicts up to lifted are void.
 	number, lifted int
 	// crashesAtVerdict is the number of crashes at the last verdict: the next one needs
@@ -87,6 +89,8 @@
 	requests   map[Fingerprint]*record
 	// unsettled are the parts of prompts that were at crashes not all of whose requests may be known.
 	unsettled map[Fingerprint]bool
+	// partEntries is the number of parts on record, summed over the crashes.
+	partEntries int
 	// forgotten counts the crashes whose parts were dropped for room.
 	forgotten int64
 }
@@ -213,7 +217,6 @@
 		recorded = &crash{server: e.Server, service: e.Service, at: at, suspects: map[Fingerprint]bool{}}
 		t.crashes[in] = recorded
 		t.crashOrder = append(t.crashOrder, in)
-		t.trimCrashes()
 	}
 	fresh = Crash{Server: e.Server, Service: e.Service, Age: now.Sub(recorded.at)}
 	isLate := at.Sub(recorded.at) > SettleTime // the request came to a server that had crashed
@@ -227,12 +230,15 @@
 		}
 		fresh.AddRequest(f, parts)
 		t.suspect(now, in, f)
+		before := len(recorded.parts.list)
 		recorded.parts.add(f, parts)
+		t.partEntries += len(recorded.parts.list) - before
 		for _, p := range parts {
 			t.suspectPart(now, in, p.Own, ScopePart, p.Name)
 			t.suspectPart(now, in, p.Shared, ScopeSharedPart, p.Name)
 		}
 	}
+	t.trimCrashes(now)
 	return fresh
 }
 
@@ -245,6 +251,7 @@
 	r := t.recordOf(f) // may evict others
 	suspects[f] = true
 	r.crashes = append(r.crashes, in)
+	r.total++
 	r.last = now
 	return r
 }
@@ -306,7 +313,7 @@
 			t.crashes[in].suspects[run.Request] = false
 		}
 	}
-	r.crashes, r.crashesAtVerdict, r.last = kept, min(r.crashesAtVerdict, len(kept)), now
+	r.crashes, r.total, r.crashesAtVerdict, r.last = kept, len(kept), min(r.crashesAtVerdict, len(kept)), now
 	t.dropIfEmpty(run.Request)
 	return true
 }
@@ -322,7 +329,7 @@
 	for _, in := range r.crashes {
 		t.crashes[in].suspects[l.Request] = false
 	}
-	r.crashes, r.crashesAtVerdict = nil, 0
+	r.crashes, r.total, r.crashesAtVerdict = nil, 0, 0
 	return true
 }
 
@@ -343,7 +350,7 @@
 }
 
 // Snapshot returns what a router needs at its start: the verdicts in force, the lifts, and the
-// latest crashes.
+// crashes that say most.
 func (t *Table) Snapshot(now time.Time) Report {
 	r := Report{Verdicts: t.Verdicts(now)}
 	for f, request := range t.requests {
@@ -351,8 +358,7 @@
 			r.Lifts = append(r.Lifts, Lift{Request: f, Number: request.lifted})
 		}
 	}
-	newest := t.crashOrder[max(len(t.crashOrder)-maxSnapshotCrashes, 0):]
-	for _, in := range newest {
+	for _, in := range t.heaviest(now, maxSnapshotCrashes) {
 		e := t.crashes[in]
 		reported := Crash{Server: e.server, Service: e.service, Age: now.Sub(e.at)}
 		for f, present := range e.suspects {
@@ -365,6 +371,18 @@
 	return r
 }
 
+// heaviest returns the crashes that say most, at most n, in the order in which they were recorded.
+func (t *Table) heaviest(now time.Time, n int) []placement.Incarnation {
+	if len(t.crashOrder) <= n {
+		return t.crashOrder
+	}
+	kept := map[placement.Incarnation]bool{}
+	for _, in := range t.byWeight(now)[len(t.crashOrder)-n:] {
+		kept[in] = true
+	}
+	return slices.DeleteFunc(slices.Clone(t.crashOrder), func(in placement.Incarnation) bool { return !kept[in] })
+}
+
 // suspectedParts returns the parts of a request that ran at the crash, without those that were cleared.
 func (e *crash) suspectedParts(request Fingerprint) []Part {
 	return slices.DeleteFunc(e.parts.of(request), func(p Part) bool { return !e.suspects[p.Own] })
