Poison: a server that has started again counts at once

What callers saw: with two to eight servers that are back 2 s after a crash, requests with a fatal part were sent on for good at any rate. Cause: a crash of a server within 10 s of its last one did not count, and each one prolonged that. It guards against requests that come to a server while it is down, and those are known by the process that they were sent to wherever servers report its start; the window stays for the others.

--- a/poison/evaluate_part.go
+++ b/poison/evaluate_part.go
@@ -16,7 +16,7 @@
 	// minSuccessWindow is the least time between two crashes that both count.
 	minSuccessWindow = 200 * time.Millisecond
 	// downWindow is the time in which further crashes of one server may be requests that came to it while
-	// it was down.
+	// it was down, if it does not report when its process started.
 	downWindow = 10 * time.Second
 	// minSharedCrashes is the number of crashes that quarantines a part for all accounts, and
 	// minOtherCrashes how many of them must be of other accounts than the one with the most: none can
@@ -80,7 +80,7 @@
 // partEvidence weighs the crashes that speak against a part, up to a weight that is enough. Each
 // counts that nothing else explains better and at which a request with the part ran that had met none of those
 // counted before; half, if that request is a suspect of its own. One of a server that had crashed just before does
-// not count. Those within successWindow count as one: a
+// not count unless the server is known to have started again. Those within successWindow count as one: a
 // common part is at all crashes of a wave, and time must pass in which one of its requests could succeed.
 func (t *Table) partEvidence(f Fingerprint, r *record, crashes []placement.Incarnation, enough float64) Evidence {
 	found := Evidence{Needed: enough}
@@ -95,7 +95,7 @@
 			seen[request] = true
 			most = max(most, t.Crashes(request))
 		})
-		again := e.at.Sub(servers[e.server.ID]) <= downWindow
+		again := e.server.Started == 0 && e.at.Sub(servers[e.server.ID]) <= downWindow
 		servers[e.server.ID] = e.at
 		switch {
 		case !fresh:
