Poison: a fatal part explains crashes at which it was alone with another one

Cause: at crashes at which only requests with both parts ran, the account's own part counted as evidence against itself; elsewhere the fatal one explained it. Nothing of the account succeeds while its servers crash, which would have cleared it. The part that was at all these crashes and in fewer requests is now the cause at all of them.

--- a/poison/evaluate_part.go
+++ b/poison/evaluate_part.go
@@ -141,15 +141,23 @@
 
 // explainedByPart reports whether another part is the more likely cause of a crash: one that not all requests with
 // the part held, and that either was at more crashes or, held by fewer requests there, is a suspect itself. A part
-// of many requests would have crashed the server under the first of them.
+// of many requests would have crashed the server under the first of them. If all requests with the part held the other
+// one there, it is the cause if it was at all the crashes and fewer requests held it in all.
 func (t *Table) explainedByPart(e *crash, f Fingerprint, r *record) bool {
 	holders := e.parts.holdersOf(f)
 	for n, p := range e.parts.list {
 		other := p.fingerprint(r.scope)
-		if other == f || !e.suspects[other] || holders.without(e.parts.holders[n]).isEmpty() {
+		if other == f || !e.suspects[other] {
 			continue
 		}
-		crashes, isRarer := t.Crashes(other), e.parts.holders[n].size() < holders.size()
+		crashes := t.Crashes(other)
+		if holders.without(e.parts.holders[n]).isEmpty() {
+			if crashes >= max(len(r.crashes), minCrashes) && t.requests[other].holders < r.holders {
+				return true
+			}
+			continue
+		}
+		isRarer := e.parts.holders[n].size() < holders.size()
 		if crashes > len(r.crashes) || isRarer && crashes >= minCrashes {
 			return true
 		}
--- a/poison/part_test.go
+++ b/poison/part_test.go
@@ -257,6 +257,18 @@
 	f.expectQuarantined("a", true)
 }
 
+// Guards against a verdict on what all requests of an account share, because some of its requests with a fatal part are alone at
+// the servers that they crash, while nothing of the account succeeds.
+func TestPartThatIsAlwaysBesideAFatalOne(t *testing.T) {
+	f := newTable(t)
+	for range 4 {
+		f.crashUnder("llm", f.ask("bad", "customer"))
+		f.crashUnder("llm", f.ask("bad", "customer"), f.ask("good", "customer"))
+	}
+	f.expectHeld(f.ask("bad", "customer"), true)
+	f.expectHeld(f.ask("good", "customer"), false)
+}
+
 // Guards against a fatal part that is never recognized because its crashes are forgotten among those that other causes
 // bring about in the meantime.
 func TestEvidenceOutlastsOtherCrashes(t *testing.T) {
--- a/poison/table.go
+++ b/poison/table.go
@@ -63,7 +63,9 @@
 	crashes []placement.Incarnation
 	// total is the number of crashes since the last successful run, with those dropped for room.
 	total int
-	last  time.Time
+	// holders is the number of requests with the part that ran at these crashes.
+	holders int
+	last    time.Time
 	// number is that of the last verdict; verdicts up to lifted are void.
 	number, lifted int
 	// crashesAtVerdict is the number of crashes at the last verdict: the next one needs
@@ -256,10 +258,14 @@
 	return r
 }
 
+// suspectPart records that a request with a part was at a crash.
 func (t *Table) suspectPart(now time.Time, in placement.Incarnation, f Fingerprint, scope Scope, name string) {
 	if r := t.suspect(now, in, f); r != nil {
 		r.scope, r.name = scope, name
 	}
+	if t.crashes[in].suspects[f] {
+		t.requests[f].holders++
+	}
 }
 
 // crashKey returns the key under which the crash of a process is recorded. Servers that do not
@@ -314,10 +320,19 @@
 		}
 	}
 	r.crashes, r.total, r.crashesAtVerdict, r.last = kept, len(kept), min(r.crashesAtVerdict, len(kept)), now
+	r.holders = t.countHolders(run.Request, kept)
 	t.dropIfEmpty(run.Request)
 	return true
 }
 
+// countHolders returns the number of requests with a part that ran at crashes.
+func (t *Table) countHolders(f Fingerprint, crashes []placement.Incarnation) (n int) {
+	for _, in := range crashes {
+		n += t.crashes[in].parts.holdersOf(f).size()
+	}
+	return n
+}
+
 // lift voids verdicts and drops the crashes on which they were based.
 func (t *Table) lift(now time.Time, l Lift) bool {
 	r := t.recordOf(l.Request) // created if missing: the verdict may arrive after the lift
@@ -329,7 +344,7 @@
 	for _, in := range r.crashes {
 		t.crashes[in].suspects[l.Request] = false
 	}
-	r.crashes, r.total, r.crashesAtVerdict = nil, 0, 0
+	r.crashes, r.total, r.holders, r.crashesAtVerdict = nil, 0, 0, 0
 	return true
 }
 
