Poison: the trial run after a quarantine is claimed in the store, and not retried

What callers saw: when a quarantine expired, 4 to 300 requests with a fatal part reached servers at once. Cause: each router let a trial run through before it had heard of another's, again after each restart, and sent it to a second server when the first had crashed.

A router claims the trial by writing the next verdict to the store under a condition, before the run. So there is one for good, whoever hears of it, whichever processes end; without the store there is none. A successful run lifts the verdict as before. A trial that ends neither way counts for the longer quarantine. A request is asked for again before each send, also on a connection that it waited for. A request whose part is at three crashes without a success for a second is not sent to a second server by its router; a failure domain that is lost at once does not count as that.

An expired quarantine costs a read and a write, by the routers that get a request then; else nothing. A test of ./gateway builds a gateway without verdicts; it has them now, no expectation changed.

--- a/controller/verdicts/persist.go
+++ b/controller/verdicts/persist.go
@@ -109,12 +109,7 @@
 	if k.lifted {
 		return c.remove(ctx, request)
 	}
-	v := storedVerdict{Number: k.verdict.Number, Service: k.verdict.Service, Servers: k.verdict.Servers, Scope: k.verdict.Scope, Part: k.verdict.Part}
-	for _, f := range k.verdict.Also {
-		v.Also = append(v.Also, f.String())
-	}
-	v.UntilMs = time.Now().Add(clock.Until(k.until)).UnixMilli()
-	value, err := json.Marshal(v)
+	value, err := encodeVerdict(k.verdict, k.until)
 	if err != nil {
 		return err
 	}
@@ -127,7 +122,7 @@
 		return err
 	}
 	var currentVerdict storedVerdict
-	if json.Unmarshal(current.Value, &currentVerdict) == nil && currentVerdict.Number >= v.Number {
+	if json.Unmarshal(current.Value, &currentVerdict) == nil && currentVerdict.Number >= k.verdict.Number {
 		return nil
 	}
 	_, err = c.Store.Update(ctx, storeKey(request), current.Version, value)
@@ -192,6 +187,16 @@
 	}
 }
 
+// encodeVerdict returns the stored form of a verdict that is in force until a time.
+func encodeVerdict(v poison.Verdict, until time.Time) ([]byte, error) {
+	s := storedVerdict{Number: v.Number, Service: v.Service, Servers: v.Servers, Scope: v.Scope, Part: v.Part}
+	for _, f := range v.Also {
+		s.Also = append(s.Also, f.String())
+	}
+	s.UntilMs = time.Now().Add(clock.Until(until)).UnixMilli()
+	return json.Marshal(s)
+}
+
 func decodeVerdict(now time.Time, o store.Object) (poison.Verdict, error) {
 	_, name, _ := strings.Cut(o.Key, "/")
 	request, err := poison.Parse(name)
--- a/controller/verdicts/request.go
+++ b/controller/verdicts/request.go
@@ -31,6 +31,8 @@
 	// off.
 	checked        <-chan struct{}
 	brokenAttempts int
+	// trial is set if the request is the trial run after a quarantine.
+	trial bool
 }
 
 // Request returns the tracking state of a request. It calls identity only if the fingerprint
@@ -57,14 +59,30 @@
 // every 0.3 s, more than four in five of all others failed
 // (TestRequestThatEndsServersIsHeldBack).
 func (r *Request) Refusal() *result.Error {
-	if !r.verdicts.Watching() {
+	if r.trial || !r.verdicts.Watching() {
 		return nil
 	}
-	f := r.ensureFingerprint()
-	v, refused := r.verdicts.Admit(f, r.parts...)
-	if !refused {
+	if v, held := r.verdicts.Holds(r.ensureFingerprint(), r.parts); held {
+		return heldBack(v)
+	}
+	return nil
+}
+
+// Admit is Refusal for a request that is about to be sent to a server. After a quarantine it is admitted only if
+// it becomes the trial run, for which it waits for up to claimTimeout.
+func (r *Request) Admit() *result.Error {
+	if r.trial || !r.verdicts.Watching() {
 		return nil
 	}
+	v, refused, trial := r.verdicts.admit(r.ensureFingerprint(), r.parts)
+	if refused {
+		return heldBack(v)
+	}
+	r.trial = trial
+	return nil
+}
+
+func heldBack(v poison.Verdict) *result.Error {
 	what := "the request"
 	if v.Scope != poison.ScopeRequest {
 		what = "requests with the part " + v.Part + " in their prompts"
@@ -88,7 +106,7 @@
 }
 
 // MayCrashServers reports whether more than one server has crashed while a request with a broken
-// attempt ran there, or requests with a part of its prompt are quarantined, in which case no router may
+// attempt ran there, or several have under requests with a part of its prompt, in which case no router may
 // retry it on its own. It waits for the liveness check of the last server only if another server has
 // crashed before, or may have: most requests that break off merely ran on a server that crashed, or the
 // server has not crashed, and these are retried at once.
@@ -96,12 +114,12 @@
 	if r.checked == nil {
 		return false
 	}
-	quarantined, mayBeFatal := r.verdicts.QuarantinesPart(r.parts)
+	mayBeFatal, isSuspected := r.verdicts.PartMayBeFatal(r.parts)
 	suspected := r.brokenAttempts > 1 || r.verdicts.Crashes(r.ensureFingerprint()) > 0
 	switch {
-	case quarantined:
+	case mayBeFatal:
 		return true
-	case !mayBeFatal && !suspected:
+	case !isSuspected && !suspected:
 		return false
 	case !suspected:
 		var cancel context.CancelFunc
@@ -112,8 +130,8 @@
 	case <-r.checked:
 	case <-ctx.Done():
 	}
-	quarantined, _ = r.verdicts.QuarantinesPart(r.parts)
-	return quarantined || r.verdicts.Crashes(r.ensureFingerprint()) > 1
+	mayBeFatal, _ = r.verdicts.PartMayBeFatal(r.parts)
+	return mayBeFatal || r.verdicts.Crashes(r.ensureFingerprint()) > 1
 }
 
 // RecordSuccess records that a server of the service completed the request and is alive, which
--- a/controller/verdicts/verdicts.go
+++ b/controller/verdicts/verdicts.go
@@ -165,37 +165,52 @@
 func (c *Controller) Watching() bool { return c.watching.Load() }
 
 // Admit returns the verdict that quarantines a newly arrived request, or a part of its prompt, if there is
-// one. When a quarantine has expired, it admits one trial run and announces it to the other routers.
+// one. When a quarantine has expired, one router of the fleet admits one trial run.
 func (c *Controller) Admit(request poison.Fingerprint, parts ...poison.Part) (v poison.Verdict, refused bool) {
+	v, refused, _ = c.admit(request, parts)
+	return v, refused
+}
+
+// admit is Admit; trial is set if the request is admitted as a trial run.
+func (c *Controller) admit(request poison.Fingerprint, parts []poison.Part) (v poison.Verdict, refused, trial bool) {
+	v, refused, trials := c.neededTrials(request, parts)
+	if refused || len(trials) == 0 {
+		return v, refused, false
+	}
+	v, refused = c.admitTrials(trials, request, parts)
+	return v, refused, !refused
+}
+
+// neededTrials returns the expired verdicts on a request, of which it must be the trial run.
+func (c *Controller) neededTrials(request poison.Fingerprint, parts []poison.Part) (v poison.Verdict, refused bool, trials []poison.Fingerprint) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := clock.Now()
-	if v, quarantined := c.table.QuarantinedPart(now, parts); quarantined {
-		return v, true
+	if v, held := c.table.Held(now, request, parts); held {
+		return v, true, nil
 	}
-	v, refused, trial := c.table.Admit(now, request)
-	if refused {
-		return v, true
-	}
-	v, refused, trials := c.table.AdmitPart(now, parts)
-	if trial {
+	_, _, isTrial := c.table.Admit(now, request)
+	_, _, trials = c.table.AdmitPart(now, parts)
+	if isTrial {
 		trials = append(trials, request)
 	}
-	if len(trials) > 0 {
-		c.counts.Trials++
-		c.Log.Info("held back no more: one run is let through", zap.Stringers("fingerprints", trials))
-		c.spread.Send(poison.Report{Trials: trials})
-	}
-	return v, refused
+	return poison.Verdict{}, false, trials
 }
 
-// QuarantinesPart reports whether requests with these parts in their prompts are quarantined, and otherwise whether they
-// may be as soon as the latest crash is known.
-func (c *Controller) QuarantinesPart(parts []poison.Part) (quarantined, mayBeFatal bool) {
+// Holds returns the verdict for which a request is not sent to servers now, if there is one.
+func (c *Controller) Holds(request poison.Fingerprint, parts []poison.Part) (poison.Verdict, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_, quarantined = c.table.QuarantinedPart(clock.Now(), parts)
-	return quarantined, c.table.MayBeFatal(parts)
+	return c.table.Held(clock.Now(), request, parts)
+}
+
+// PartMayBeFatal reports whether requests with one of these parts in their prompts are not to be sent to another server
+// after one has crashed, and otherwise whether they may not be as soon as the latest crash is known.
+func (c *Controller) PartMayBeFatal(parts []poison.Part) (mayBeFatal, isSuspected bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := clock.Now()
+	return c.table.MayBeFatal(now, parts), c.table.IsSuspected(now, parts)
 }
 
 // Crashes returns the number of crashes during which a request was running.
@@ -214,7 +229,7 @@
 	for _, p := range parts {
 		r.Runs = append(r.Runs, poison.Run{Request: p.Own, Service: service}, poison.Run{Request: p.Shared, Service: service})
 	}
-	c.apply(r, origin{"a good run", true})
+	c.apply(r, origin{name: "a good run", local: true})
 }
 
 // recordPartSuccess records a successful run for the parts of its prompt, which may be at crashes soon.
@@ -249,7 +264,7 @@
 	if !quarantined {
 		return result.New(result.UnknownObject, "no verdict holds on %s", request)
 	}
-	c.apply(poison.Report{Lifts: []poison.Lift{{Request: request, Number: v.Number}}}, origin{"operator " + operator, true})
+	c.apply(poison.Report{Lifts: []poison.Lift{{Request: request, Number: v.Number}}}, origin{name: "operator " + operator, local: true})
 	return nil
 }
 
@@ -266,8 +281,8 @@
 type origin struct {
 	name string
 	// local is set if this router made the observation: it alone then sends it to the others
-	// and updates the store.
-	local bool
+	// and updates the store, unless stored is set.
+	local, stored bool
 }
 
 // apply applies a report to the table, and propagates what is new if this router observed it. To crashes it
@@ -281,13 +296,13 @@
 		priors = append(priors, c.successes.At(clock.Now(), e)...)
 	}
 	if len(priors) > 0 {
-		c.applyLocked(poison.Report{Priors: priors}, origin{"successful runs before a crash", true})
+		c.applyLocked(poison.Report{Priors: priors}, origin{name: "successful runs before a crash", local: true})
 	}
 }
 
 // observeCrash applies the crash of a process that this router has found to be gone.
 func (c *Controller) observeCrash(e poison.Crash) {
-	c.apply(poison.Report{Crashes: []poison.Crash{e}}, origin{"this router", true})
+	c.apply(poison.Report{Crashes: []poison.Crash{e}}, origin{name: "this router", local: true})
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.table.RecordBroken(e.Service, len(e.Requests))
@@ -345,7 +360,7 @@
 	c.settling = false
 	now := clock.Now()
 	reached, pending := c.table.Settle(now)
-	from := origin{"crashes reported by routers", c.observed}
+	from := origin{name: "crashes reported by routers", local: c.observed}
 	c.counts.Verdicts += int64(len(reached))
 	for _, v := range reached {
 		c.recordQuarantined(now, v, from)
@@ -394,7 +409,7 @@
 func (c *Controller) recordQuarantined(now time.Time, v poison.Verdict, from origin) {
 	c.Log.Warn("request held back", zap.Stringer("fingerprint", v.Request), zap.String("part", v.Part), zap.Stringers("also", v.Also), zap.Int("number", v.Number), zap.String("service", v.Service),
 		zap.Strings("servers", v.Servers), zap.Duration("held_for_ms", v.Remaining), zap.String("source", from.name))
-	if from.local {
+	if from.local && !from.stored {
 		c.enqueueWrite(v.Request, pendingWrite{verdict: v, until: now.Add(v.Remaining)})
 	}
 }
--- a/filter/forward/forward.go
+++ b/filter/forward/forward.go
@@ -100,7 +100,7 @@
 		return err
 	}
 	record := h.crashRecord(x)
-	if refusal := record.Refusal(); refusal != nil {
+	if refusal := record.Admit(); refusal != nil {
 		return refusal
 	}
 	h.opts.Retries.Request(clock.Now(), x.Target)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -184,7 +184,7 @@
 // still be sent on it.
 func (a *attempt) maySend() bool {
 	a.recordRegistrationAge()
-	return !a.deadlinePassed() && !callerGone(a.r) && a.g.staleRefusal() == nil && a.g.Servers.MaySend(a.server, a.permit)
+	return !a.deadlinePassed() && !callerGone(a.r) && a.g.staleRefusal() == nil && a.poisonStatus().Refusal() == nil && a.g.Servers.MaySend(a.server, a.permit)
 }
 
 // priorityThresholds are the prompt sizes, in new tokens, at which a request yields to smaller
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -77,6 +77,9 @@
 	var unreached []placement.Incarnation
 	var counts attemptCounts
 	for {
+		if refusal := c.admitRun(); refusal != nil {
+			return refusal
+		}
 		if refusal := c.payForRetry(); refusal != nil {
 			return refusal
 		}
--- a/gateway/identity.go
+++ b/gateway/identity.go
@@ -45,3 +45,12 @@
 
 // checkPoison refuses a request that is known to crash servers.
 func (g *Gateway) checkPoison(c *call) *result.Error { return c.poisonStatus().Refusal() }
+
+// admitRun refuses a request that has come to be known to crash servers since it arrived, before it is sent to one.
+func (c *call) admitRun() *result.Error {
+	refusal := c.poisonStatus().Admit()
+	if refusal == nil || !c.mayHaveRun {
+		return refusal
+	}
+	return result.New(result.BackendCut, "the server did not answer whole").Wrap(refusal)
+}
--- a/gateway/unobserved_test.go
+++ b/gateway/unobserved_test.go
@@ -48,6 +48,7 @@
 				Pool:     upstream.New(upstream.Options{DialTimeout: time.Second, IdleTimeout: time.Second}),
 				Servers:  registryWith("s"),
 				Origins:  origins.New(origins.Options{Servers: registryWith("s"), Log: zap.NewNop()}),
+				Verdicts: verdicts.New(verdicts.Options{Checker: upstream.New(upstream.Options{}), Servers: registryWith("s"), Log: zap.NewNop()}),
 				Routers:  func() int { return 1 },
 			}},
 			r:        httptest.NewRequest(http.MethodPost, "/stream/x", nil),
--- a/poison/evaluate.go
+++ b/poison/evaluate.go
@@ -49,7 +49,11 @@
 
 // evaluateOne returns the verdict on a request or part that follows from its crashes, if there is a new one.
 func (t *Table) evaluateOne(now time.Time, f Fingerprint, r *record) (Verdict, bool) {
-	if r.quarantined(now) || len(r.crashes) <= r.crashesAtVerdict || !t.shouldQuarantine(now, f, r) {
+	if r.quarantined(now) {
+		r.crashesAtVerdict = len(r.crashes) // of the trial run, or of runs that were admitted before the verdict
+		return Verdict{}, false
+	}
+	if len(r.crashes) <= r.crashesAtVerdict || !t.shouldQuarantine(now, f, r) {
 		return Verdict{}, false
 	}
 	r.number = max(r.number, r.lifted) + 1
--- a/poison/part.go
+++ b/poison/part.go
@@ -18,6 +18,9 @@
 	maxCrashParts = 128
 	// maxPartName bounds the length of a part's name in bytes.
 	maxPartName = 32
+	// suspicionAge is how far back the first crash of a part must lie for its requests not to be sent to another server: all
+	// parts are at the crashes of a failure domain that is lost at once.
+	suspicionAge = time.Second
 )
 
 // Scope is what a verdict concerns.
@@ -218,11 +221,21 @@
 	return Verdict{}, false, trials
 }
 
-// MayBeFatal reports whether requests with one of these parts may crash servers: there is or was a verdict, or more
-// than one crash that nothing has explained yet.
-func (t *Table) MayBeFatal(parts []Part) bool {
+// MayBeFatal reports whether requests with one of these parts are not to be sent to another server after one has crashed: there
+// is or was a verdict, or as many crashes as a verdict on a request needs, and no success for suspicionAge.
+func (t *Table) MayBeFatal(now time.Time, parts []Part) bool {
+	return t.isSuspected(now, parts, minCrashes)
+}
+
+// IsSuspected reports whether MayBeFatal may be true as soon as one more crash is known.
+func (t *Table) IsSuspected(now time.Time, parts []Part) bool {
+	return t.isSuspected(now, parts, minCrashes-1)
+}
+
+func (t *Table) isSuspected(now time.Time, parts []Part, crashes int) bool {
 	return slices.ContainsFunc(t.suspectedParts(parts), func(f Fingerprint) bool {
-		return t.requests[f].hasVerdict() || len(t.requests[f].crashes) > 1
+		r := t.requests[f]
+		return r.hasVerdict() || r.total >= crashes && now.Sub(r.firstAt) >= suspicionAge
 	})
 }
 
--- a/poison/play_test.go
+++ b/poison/play_test.go
@@ -61,14 +61,15 @@
 
 type playedRequest struct {
 	prompt
-	fatal, retried bool
-	server         *playedServer
-	endAt          time.Duration
+	fatal, retried, trial bool
+	server                *playedServer
+	endAt                 time.Duration
 }
 
 type playedReport struct {
 	at     time.Duration
 	report poison.Report
+	broken []*playedRequest
 }
 
 const (
@@ -149,7 +150,8 @@
 	if _, refused, _ := p.table.Admit(p.now, r.fingerprint()); refused {
 		return true
 	}
-	_, refused, _ := p.table.AdmitPart(p.now, r.partList())
+	_, refused, trials := p.table.AdmitPart(p.now, r.partList())
+	r.trial = len(trials) > 0
 	return refused
 }
 
@@ -234,9 +236,13 @@
 	p.numbers++
 	s.running, s.crashAt, s.upAt = nil, 0, p.at+playDowntime
 	s.incarnation.Started = int64(p.numbers)
-	p.pending = append(p.pending, playedReport{p.at + playReportDelay, poison.Report{Crashes: []poison.Crash{e}}})
+	p.pending = append(p.pending, playedReport{p.at + playReportDelay, poison.Report{Crashes: []poison.Crash{e}}, broken})
+}
+
+// retry sends requests to a second server after the first has been found to be gone, as a router does.
+func (p *play) retry(broken []*playedRequest) {
 	for _, r := range broken {
-		if _, held := p.table.QuarantinedPart(p.now, r.partList()); r.fatal && p.retried && !r.retried && !held {
+		if r.fatal && p.retried && !r.retried && !r.trial && !p.table.MayBeFatal(p.now, r.partList()) {
 			r.retried = true
 			p.arrive(r)
 		}
@@ -246,13 +252,14 @@
 // deliver applies the reports that are due and evaluates parts, as a router does.
 func (p *play) deliver() {
 	for len(p.pending) > 0 && p.pending[0].at <= p.at {
-		report := p.pending[0].report
+		report, broken := p.pending[0].report, p.pending[0].broken
 		p.pending = p.pending[1:]
 		p.table.Apply(p.now, report)
 		for _, e := range report.Crashes {
 			p.table.Apply(p.now, poison.Report{Priors: p.successes.At(p.now, e)})
 			p.table.RecordBroken(e.Service, len(e.Requests))
 		}
+		p.retry(broken)
 		if p.settleAt == 0 {
 			p.settleAt = p.at + poison.SettleTime
 		}
--- a/poison/table.go
+++ b/poison/table.go
@@ -65,8 +65,9 @@
 	crashes []placement.Incarnation
 	// total is the number of crashes since the last successful run, with those dropped for room.
 	total int
-	// suspectedAt is the service of the first of these crashes, and base its tally then.
+	// suspectedAt is the service of the first of these crashes, firstAt its time, and base the service's tally then.
 	suspectedAt string
+	firstAt     time.Time
 	base        tally
 	// succeeded is when one of its requests last succeeded before these crashes, as far as any router remembers.
 	succeeded time.Time
@@ -148,6 +149,34 @@
 	}
 }
 
+// Held returns the verdict for which a request with these parts is not sent to servers now, if there is one: one that
+// quarantines it, or an expired one of which a trial run is under way.
+func (t *Table) Held(now time.Time, f Fingerprint, parts []Part) (Verdict, bool) {
+	for _, f := range append(t.suspectedParts(parts), f) {
+		r := t.requests[f]
+		if r == nil || !r.hasVerdict() || !containsAll(parts, r) {
+			continue
+		}
+		v := r.verdict(now, f)
+		if !r.quarantined(now) {
+			v.Remaining = r.trialAt.Add(trialTimeout).Sub(now)
+		}
+		if v.Remaining > 0 {
+			return v, true
+		}
+	}
+	return Verdict{}, false
+}
+
+// NextVerdict returns the verdict that follows the last one on a request, as of now.
+func (t *Table) NextVerdict(now time.Time, f Fingerprint) Verdict {
+	r := t.recordOf(f) // evicted in the meantime: as if it were new
+	v := r.verdict(now, f)
+	v.Number = max(r.number, r.lifted) + 1
+	v.Remaining = quarantineDurationFor(v.Number, r.lifted, r.scope)
+	return v
+}
+
 func (r *record) verdict(now time.Time, f Fingerprint) Verdict {
 	return Verdict{Request: f, Scope: r.scope, Part: r.name, Also: r.also, Number: r.number, Service: r.service, Servers: r.servers, Remaining: r.until.Sub(now)}
 }
@@ -285,7 +314,7 @@
 	suspects[f] = true
 	r.crashes = append(r.crashes, in)
 	if r.total++; r.total == 1 {
-		r.suspectedAt = t.crashes[in].service
+		r.suspectedAt, r.firstAt = t.crashes[in].service, t.crashes[in].at
 		r.base = *t.tallyOf(r.suspectedAt)
 		r.base.crashes, r.base.ran = r.base.crashes-1, r.base.ran-t.crashes[in].ran // without this one
 	}
