Poison: crashes before a verdict are kept in the store, and read before requests are admitted

What callers saw: with all routers killed more often than a verdict takes, requests with a fatal part (and those that crash servers themselves) were sent on for good. Causes: only verdicts were in the store; a verdict that was reached by a router that had observed none of its crashes was not written at all; and requests were admitted in the first 0.1 s of a fleet that had restarted, before the verdicts had been read.

The crashes that say most, at most 32 with the requests and parts that are still suspects, are one object under the verdicts: read by the same list at the start, written by one router some tenths of a second after a crash, at first four times a second at most and soon once in two seconds; in a large fleet the relays write. Who has not observed the crashes of a verdict writes it a little later, unless another router has said that it is written. Requests wait for the first answer of the store and of another router, a second at most. A fleet that loses both its processes and the store begins anew: nothing bounds that.

Servers without a start time are left out of the object.

--- /dev/null
+++ b/controller/verdicts/evidence.go
@@ -0,0 +1,232 @@
+package verdicts
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gaplink/gaplink/clock"
+	"github.com/gaplink/gaplink/placement"
+	"github.com/gaplink/gaplink/poison"
+	"github.com/gaplink/gaplink/store"
+)
+
+const (
+	// evidenceKey is the store object that holds the crashes before a verdict, so that they survive a crash of all
+	// routers.
+	evidenceKey = Kind + "/evidence"
+	// maxStoredCrashes and maxStoredRequests bound the object: 100 KB with 64 parts a crash.
+	maxStoredCrashes  = 32
+	maxStoredRequests = 32
+	// evidenceDelay is the time from a crash until it is written, in which other routers report the requests that ran there.
+	// evidenceJitter is added at random, so that one router writes for all that know of the crash.
+	evidenceDelay  = 100 * time.Millisecond
+	evidenceJitter = 200 * time.Millisecond
+	// minEvidenceInterval is the least time between two writes of the fleet. It doubles with each write up to
+	// maxEvidenceInterval, and is the least one again if there was none for evidenceQuiet.
+	minEvidenceInterval = 250 * time.Millisecond
+	maxEvidenceInterval = 2 * time.Second
+	evidenceQuiet       = 10 * time.Second
+	// evidenceTimeout bounds the store calls of a write.
+	evidenceTimeout = 2 * time.Second
+	// evidenceRetention is how long a crash in the store is of use.
+	evidenceRetention = time.Hour
+)
+
+// storedEvidence is the stored form of crashes.
+type storedEvidence struct {
+	Crashes []storedCrash `json:"crashes"`
+}
+
+// storedCrash is the stored form of a crash and of the requests and parts that are suspected of it. Its time is wall clock
+// time, as for verdicts.
+type storedCrash struct {
+	Server   string           `json:"server"`
+	Started  int64            `json:"started,omitempty"`
+	Service  string           `json:"service"`
+	AtMs     int64            `json:"atMs"`
+	Requests []hexFingerprint `json:"requests"`
+	Parts    []storedPart     `json:"parts,omitempty"`
+	// Holds are the indices in Parts of those of each request.
+	Holds [][]byte `json:"holds,omitempty"`
+}
+
+type storedPart struct {
+	Own    hexFingerprint `json:"own"`
+	Shared hexFingerprint `json:"shared"`
+	Name   string         `json:"name"`
+}
+
+// hexFingerprint is a fingerprint that is stored as text.
+type hexFingerprint poison.Fingerprint
+
+// MarshalText implements encoding.TextMarshaler.
+func (f hexFingerprint) MarshalText() ([]byte, error) {
+	return []byte(poison.Fingerprint(f).String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (f *hexFingerprint) UnmarshalText(text []byte) error {
+	parsed, err := poison.Parse(string(text))
+	*f = hexFingerprint(parsed)
+	return err
+}
+
+// scheduleEvidence has the crashes written that this router keeps for the fleet: in a small fleet those that it has observed,
+// in a large one the relays keep all. The caller holds c.mu.
+func (c *Controller) scheduleEvidence(local bool) {
+	isLarge := c.Stale != nil && c.Stale()
+	if c.Store == nil || c.writingEvidence || c.relaysSendReports() || !local && !isLarge {
+		return
+	}
+	c.writingEvidence = true
+	delay := max(evidenceDelay, clock.Until(c.evidenceStored.Add(c.evidenceInterval)))
+	time.AfterFunc(delay+rand.N(evidenceJitter), c.writeEvidence)
+}
+
+// paceEvidence notes that a router has written crashes. The caller holds c.mu.
+func (c *Controller) paceEvidence() {
+	now := clock.Now()
+	c.evidenceInterval = min(2*c.evidenceInterval, maxEvidenceInterval)
+	if now.Sub(c.evidenceStored) > evidenceQuiet {
+		c.evidenceInterval = minEvidenceInterval
+	}
+	c.evidenceStored = now
+}
+
+// writeEvidence writes the crashes that say most to the store, unless another router has written all of them.
+func (c *Controller) writeEvidence() {
+	c.mu.Lock()
+	crashes, unstored := c.table.Evidence(clock.Now(), maxStoredCrashes)
+	c.writingEvidence = unstored
+	version, running := c.evidenceVersion, c.running
+	c.mu.Unlock()
+	if !unstored || running.Err() != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(running, evidenceTimeout)
+	defer cancel()
+	version, err := c.putEvidence(ctx, version, crashes)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writingEvidence = false
+	if running.Err() != nil {
+		return // the router has stopped
+	}
+	if err != nil {
+		c.Log.Info("crashes not written to the store; retrying", zap.Int("crashes", len(crashes)), zap.Error(err))
+		if !errors.Is(err, store.ErrConflict) {
+			c.paceEvidence()
+		}
+		c.scheduleEvidence(true)
+		return
+	}
+	c.evidenceVersion = version
+	c.recordStored(crashes)
+}
+
+// putEvidence writes crashes and returns the version of the object. If another router has written it since, its crashes are
+// applied here, and the write fails.
+func (c *Controller) putEvidence(ctx context.Context, version int64, crashes []poison.Crash) (int64, error) {
+	value, err := json.Marshal(encodeCrashes(crashes))
+	if err != nil {
+		return version, err
+	}
+	written, err := store.Put(ctx, c.Store, evidenceKey, version, value)
+	if err == nil {
+		return written.Version, nil
+	}
+	if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrNotFound) {
+		return version, err
+	}
+	current, getErr := c.Store.Get(ctx, evidenceKey)
+	switch {
+	case errors.Is(getErr, store.ErrNotFound):
+		c.setEvidenceVersion(0)
+	case getErr != nil:
+		return version, getErr
+	default:
+		c.applyEvidence(current)
+	}
+	return version, err
+}
+
+// recordStored notes that crashes are in the store and tells the other routers. The caller holds c.mu.
+func (c *Controller) recordStored(crashes []poison.Crash) {
+	c.paceEvidence()
+	c.counts.EvidenceWrites++
+	var servers []placement.Incarnation
+	for _, e := range crashes {
+		servers = append(servers, e.Server)
+	}
+	r := poison.Report{Stored: servers}
+	c.table.Apply(clock.Now(), r)
+	c.spread.Send(r)
+}
+
+func (c *Controller) setEvidenceVersion(version int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evidenceVersion = version
+}
+
+// applyEvidence applies the crashes in the store.
+func (c *Controller) applyEvidence(o store.Object) {
+	c.setEvidenceVersion(o.Version)
+	var s storedEvidence
+	if err := json.Unmarshal(o.Value, &s); err != nil {
+		c.Log.Warn("malformed crashes in the store ignored", zap.String("key", o.Key), zap.Error(err))
+		return
+	}
+	r := decodeCrashes(s)
+	for _, e := range r.Crashes {
+		r.Stored = append(r.Stored, e.Server)
+	}
+	if !r.IsEmpty() {
+		c.Log.Info("crashes read from the store", zap.Int("crashes", len(r.Crashes)), zap.Int64("version", o.Version))
+		c.apply(r, origin{name: "store"})
+	}
+}
+
+func encodeCrashes(crashes []poison.Crash) (s storedEvidence) {
+	now := time.Now()
+	for _, e := range crashes {
+		n := min(len(e.Requests), maxStoredRequests)
+		one := storedCrash{
+			Server: e.Server.ID, Started: e.Server.Started, Service: e.Service, AtMs: now.Add(-e.Age).UnixMilli(),
+			Holds: e.Holds[:min(len(e.Holds), n)],
+		}
+		for _, f := range e.Requests[:n] {
+			one.Requests = append(one.Requests, hexFingerprint(f))
+		}
+		for _, p := range e.Parts {
+			one.Parts = append(one.Parts, storedPart{hexFingerprint(p.Own), hexFingerprint(p.Shared), p.Name})
+		}
+		s.Crashes = append(s.Crashes, one)
+	}
+	return s
+}
+
+// decodeCrashes returns the crashes that are not older than evidenceRetention.
+func decodeCrashes(s storedEvidence) (r poison.Report) {
+	now := time.Now()
+	for _, one := range s.Crashes {
+		age := max(now.Sub(time.UnixMilli(one.AtMs)), 0)
+		if age > evidenceRetention {
+			continue
+		}
+		e := poison.Crash{Server: placement.Incarnation{ID: one.Server, Started: one.Started}, Service: one.Service, Holds: one.Holds, Age: age}
+		for _, f := range one.Requests {
+			e.Requests = append(e.Requests, poison.Fingerprint(f))
+		}
+		for _, p := range one.Parts {
+			e.Parts = append(e.Parts, poison.Part{Own: poison.Fingerprint(p.Own), Shared: poison.Fingerprint(p.Shared), Name: p.Name})
+		}
+		r.Crashes = append(r.Crashes, e)
+	}
+	return r
+}
--- a/controller/verdicts/persist.go
+++ b/controller/verdicts/persist.go
@@ -25,6 +25,10 @@
 	// verdictRetention is how long a verdict stays in the store after its quarantine has expired:
 	// while it is there, a fleet that restarts needs only one crash for the next verdict.
 	verdictRetention = 24 * time.Hour
+	// writeDelay and writeJitter delay the write of a verdict by a router that has observed none of its crashes: those that
+	// have write first, unless they end.
+	writeDelay  = 200 * time.Millisecond
+	writeJitter = 500 * time.Millisecond
 )
 
 // pendingWrite is the state that the store should reach for a request.
@@ -33,6 +37,8 @@
 	until   time.Time
 	// lifted is set if the verdict is to be deleted from the store.
 	lifted bool
+	// notBefore is when the write is due.
+	notBefore time.Time
 }
 
 // storedVerdict is the stored form of a verdict. Its times are wall clock times: errors of a
@@ -55,12 +61,29 @@
 // pending. The caller holds c.mu.
 func (c *Controller) enqueueWrite(request poison.Fingerprint, k pendingWrite) {
 	c.pendingWrites[request] = k
+	if delay := clock.Until(k.notBefore); delay > 0 {
+		time.AfterFunc(delay, c.signalWrite)
+		return
+	}
+	c.signalWrite()
+}
+
+func (c *Controller) signalWrite() {
 	select {
 	case c.writeSignal <- struct{}{}:
 	default: // a wake-up is already pending
 	}
 }
 
+// dropKept drops the delayed writes of verdicts that another router has written. The caller holds c.mu.
+func (c *Controller) dropKept(kept []poison.Lift) {
+	for _, k := range kept {
+		if w, ok := c.pendingWrites[k.Request]; ok && !w.lifted && w.verdict.Number <= k.Number {
+			delete(c.pendingWrites, k.Request)
+		}
+	}
+}
+
 // writeVerdicts executes the pending store writes one at a time until the context ends.
 func (c *Controller) writeVerdicts(ctx context.Context) {
 	for c.Store != nil {
@@ -97,6 +120,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for request, k := range c.pendingWrites {
+		if clock.Until(k.notBefore) > 0 {
+			continue
+		}
 		delete(c.pendingWrites, request)
 		return request, k, true
 	}
@@ -114,6 +140,9 @@
 		return err
 	}
 	_, err = c.Store.Create(ctx, storeKey(request), value)
+	if err == nil {
+		c.spread.Send(poison.Report{Kept: []poison.Lift{{Request: request, Number: k.verdict.Number}}})
+	}
 	if !errors.Is(err, store.ErrConflict) {
 		return err
 	}
@@ -141,13 +170,16 @@
 	return err
 }
 
-// loadFromStore applies the verdicts in the store, which survive a crash of all routers.
-func (c *Controller) loadFromStore(ctx context.Context) {
+// loadFromStore applies the verdicts and crashes in the store, which survive a crash of all routers. It calls answered when the
+// store has answered or failed once.
+func (c *Controller) loadFromStore(ctx context.Context, answered func()) {
+	defer answered()
 	if c.Store == nil {
 		return
 	}
 	c.retryStoreCall(ctx, "verdicts not read from the store; retrying", func() error {
 		list, err := c.listStored(ctx)
+		defer answered()
 		if err != nil {
 			return err
 		}
@@ -170,6 +202,10 @@
 	var r poison.Report
 	now := clock.Now()
 	for _, o := range list {
+		if o.Key == evidenceKey {
+			c.applyEvidence(o)
+			continue
+		}
 		v, err := decodeVerdict(now, o)
 		switch {
 		case err != nil:
--- a/controller/verdicts/verdicts.go
+++ b/controller/verdicts/verdicts.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,9 @@
 // expireInterval is the time between two scans for expired crashes.
 const expireInterval = time.Minute
 
+// loadTimeout bounds the wait of requests for the state that is read at the start.
+const loadTimeout = time.Second
+
 // evidenceLogInterval is the least time between two log lines on parts that are suspected.
 const evidenceLogInterval = time.Second
 
@@ -79,6 +83,9 @@
 	// server has crashed.
 	watching atomic.Bool
 
+	// loading is open while the current state is being read; nil: it has been, or need not be.
+	loading atomic.Pointer[chan struct{}]
+
 	// spread propagates what this router observed.
 	spread *spread.Spreader[poison.Report]
 
@@ -95,7 +102,16 @@
 	// pendingWrites are the store writes not yet executed.
 	pendingWrites map[poison.Fingerprint]pendingWrite
 	writeSignal   chan struct{} // signals that pendingWrites is not empty
-	counts        Counts
+	// writingEvidence is set while a write of crashes is due or under way, evidenceVersion is the version of their store
+	// object, 0 if unknown, evidenceStored when a router last wrote it, as far as this one has heard, and evidenceInterval
+	// the least time until the next write.
+	writingEvidence  bool
+	evidenceVersion  int64
+	evidenceStored   time.Time
+	evidenceInterval time.Duration
+	// running is the context of Run.
+	running context.Context
+	counts  Counts
 }
 
 // Counts are event counts since the start.
@@ -107,6 +123,8 @@
 	// Trials counts the runs that this router let through after a quarantine, and Forgotten the crashes whose
 	// prompt parts it dropped for room.
 	Trials, Forgotten int64
+	// EvidenceWrites counts the writes of crashes to the store.
+	EvidenceWrites int64
 }
 
 // New returns a controller without verdicts.
@@ -118,6 +136,7 @@
 		checks:        map[placement.Incarnation]*livenessCheck{},
 		writeSignal:   make(chan struct{}, 1),
 		pendingWrites: map[poison.Fingerprint]pendingWrite{},
+		running:       context.Background(),
 	}
 	c.spread = c.newSpreader()
 	return c
@@ -127,14 +146,16 @@
 // ends. It first reads the current state from another router and from the store, unless relays
 // send it.
 func (c *Controller) Run(ctx context.Context) {
+	c.mu.Lock()
+	c.running = ctx
+	c.mu.Unlock()
 	go c.spread.Run(ctx)
 	if !c.OwnerDetectsPauses {
 		go c.spread.DetectPauses(ctx)
 	}
 	go c.writeVerdicts(ctx)
-	c.CatchUp(ctx)
 	if !c.relaysSendReports() {
-		go c.loadFromStore(ctx)
+		c.load(ctx)
 	}
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
@@ -151,6 +172,34 @@
 	}
 }
 
+// load reads the current state from another router and from the store. Requests wait until both have answered once, at most
+// for loadTimeout: a fleet whose routers have all ended knows no verdict until then.
+func (c *Controller) load(ctx context.Context) {
+	loaded := make(chan struct{})
+	c.loading.Store(&loaded)
+	endLoading := sync.OnceFunc(func() {
+		c.loading.Store(nil)
+		close(loaded)
+	})
+	var answered sync.WaitGroup
+	answered.Go(func() { c.CatchUp(ctx) })
+	answered.Add(1)
+	go c.loadFromStore(ctx, sync.OnceFunc(answered.Done))
+	timeout := time.AfterFunc(loadTimeout, endLoading)
+	go func() {
+		answered.Wait()
+		timeout.Stop()
+		endLoading()
+	}()
+}
+
+// awaitLoaded waits until the current state is known.
+func (c *Controller) awaitLoaded() {
+	if loaded := c.loading.Load(); loaded != nil {
+		<-*loaded
+	}
+}
+
 // CatchUp asks other routers for their verdicts and crashes, unless relays send them anyway.
 func (c *Controller) CatchUp(ctx context.Context) {
 	if !c.relaysSendReports() {
@@ -161,8 +210,11 @@
 func (c *Controller) relaysSendReports() bool { return c.Updated != nil && c.Updated() }
 
 // Watching reports whether any request is tracked. While none is, no request needs its
-// fingerprint.
-func (c *Controller) Watching() bool { return c.watching.Load() }
+// fingerprint. Just after the start it waits until that is known.
+func (c *Controller) Watching() bool {
+	c.awaitLoaded()
+	return c.watching.Load()
+}
 
 // Admit returns the verdict that quarantines a newly arrived request, or a part of its prompt, if there is
 // one. When a quarantine has expired, one router of the fleet admits one trial run.
@@ -173,6 +225,7 @@
 
 // admit is Admit; trial is set if the request is admitted as a trial run.
 func (c *Controller) admit(request poison.Fingerprint, parts []poison.Part) (v poison.Verdict, refused, trial bool) {
+	c.awaitLoaded()
 	v, refused, trials := c.neededTrials(request, parts)
 	if refused || len(trials) == 0 {
 		return v, refused, false
@@ -281,8 +334,9 @@
 type origin struct {
 	name string
 	// local is set if this router made the observation: it alone then sends it to the others
-	// and updates the store, unless stored is set.
-	local, stored bool
+	// and updates the store, unless stored is set. reached is set if it has reached a verdict by what others observed:
+	// it updates the store if none of these does.
+	local, stored, reached bool
 }
 
 // apply applies a report to the table, and propagates what is new if this router observed it. To crashes it
@@ -311,6 +365,7 @@
 // applyLocked is apply without that addition. The caller holds c.mu.
 func (c *Controller) applyLocked(r poison.Report, from origin) {
 	now := clock.Now()
+	c.dropKept(r.Kept)
 	before := c.quarantinedIn(now, r)
 	added, reached := c.table.Apply(now, r)
 	c.watching.Store(!c.table.IsEmpty())
@@ -327,6 +382,10 @@
 	if len(added.Crashes) > 0 {
 		c.observed = c.observed || from.local
 		c.scheduleSettle()
+		c.scheduleEvidence(from.local)
+	}
+	if len(added.Stored) > 0 {
+		c.paceEvidence()
 	}
 	c.propagate(added, from)
 }
@@ -360,7 +419,7 @@
 	c.settling = false
 	now := clock.Now()
 	reached, pending := c.table.Settle(now)
-	from := origin{name: "crashes reported by routers", local: c.observed}
+	from := origin{name: "crashes reported by routers", local: c.observed, reached: true}
 	c.counts.Verdicts += int64(len(reached))
 	for _, v := range reached {
 		c.recordQuarantined(now, v, from)
@@ -409,8 +468,12 @@
 func (c *Controller) recordQuarantined(now time.Time, v poison.Verdict, from origin) {
 	c.Log.Warn("request held back", zap.Stringer("fingerprint", v.Request), zap.String("part", v.Part), zap.Stringers("also", v.Also), zap.Int("number", v.Number), zap.String("service", v.Service),
 		zap.Strings("servers", v.Servers), zap.Duration("held_for_ms", v.Remaining), zap.String("source", from.name))
-	if from.local && !from.stored {
+	switch {
+	case from.stored || !from.local && !from.reached:
+	case from.local:
 		c.enqueueWrite(v.Request, pendingWrite{verdict: v, until: now.Add(v.Remaining)})
+	case !c.relaysSendReports():
+		c.enqueueWrite(v.Request, pendingWrite{verdict: v, until: now.Add(v.Remaining), notBefore: now.Add(writeDelay + rand.N(writeJitter))})
 	}
 }
 
--- a/poison/report.go
+++ b/poison/report.go
@@ -40,7 +40,7 @@
 	Remaining time.Duration
 }
 
-// Lift voids the verdicts on a request up to a number.
+// Lift identifies the verdicts on a request up to a number. In Report.Lifts it voids them.
 type Lift struct {
 	Request Fingerprint
 	Number  int
@@ -69,11 +69,15 @@
 	// Trials are requests of which one trial run was just admitted.
 	Trials []Fingerprint
 	Priors []Prior
+	// Stored are processes whose crashes are in the store.
+	Stored []placement.Incarnation
+	// Kept are verdicts that are in the store.
+	Kept []Lift
 }
 
 // IsEmpty reports whether a report is empty.
 func (r Report) IsEmpty() bool {
-	return len(r.Crashes) == 0 && len(r.Runs) == 0 && len(r.Verdicts) == 0 && len(r.Lifts) == 0 && len(r.Trials) == 0 && len(r.Priors) == 0
+	return len(r.Crashes) == 0 && len(r.Runs) == 0 && len(r.Verdicts) == 0 && len(r.Lifts) == 0 && len(r.Trials) == 0 && len(r.Priors) == 0 && len(r.Stored) == 0 && len(r.Kept) == 0
 }
 
 // Aged returns the report as of a later time: crashes and successful runs are older by that much, and verdicts
@@ -102,6 +106,8 @@
 	r.Lifts = append(r.Lifts, other.Lifts...)
 	r.Trials = append(r.Trials, other.Trials...)
 	r.Priors = append(r.Priors, other.Priors...)
+	r.Stored = append(r.Stored, other.Stored...)
+	r.Kept = append(r.Kept, other.Kept...)
 }
 
 // Merged returns a report with the contents of this one followed by those of a later one.
--- a/poison/table.go
+++ b/poison/table.go
@@ -50,6 +50,8 @@
 	suspects map[Fingerprint]bool
 	// ran is the number of requests that ran there.
 	ran int
+	// stored is set if it is in the store.
+	stored bool
 	// parts are those of the prompts of the requests.
 	parts crashParts
 }
@@ -232,6 +234,12 @@
 			added.Verdicts = append(added.Verdicts, v)
 		}
 	}
+	for _, in := range r.Stored {
+		if e := t.crashes[in]; e != nil && !e.stored {
+			e.stored = true
+			added.Stored = append(added.Stored, in)
+		}
+	}
 	for _, f := range r.Trials {
 		if t.recordTrial(now, f) {
 			added.Trials = append(added.Trials, f)
@@ -438,18 +446,38 @@
 		}
 	}
 	for _, in := range t.heaviest(now, maxSnapshotCrashes) {
-		e := t.crashes[in]
-		reported := Crash{Server: e.server, Service: e.service, Age: now.Sub(e.at)}
-		for f, present := range e.suspects {
-			if present && !t.isPart(f) {
-				reported.AddRequest(f, e.suspectedParts(f))
-			}
-		}
-		r.Crashes = append(r.Crashes, reported)
+		r.Crashes = append(r.Crashes, t.suspectsAt(now, in))
 	}
 	return r
 }
 
+// Evidence returns the crashes that say most, at most n, with the requests and parts that are still suspects, and whether any is not in the
+// store. Crashes of servers that do not report when their process started are left out: two of them may be taken
+// for one.
+func (t *Table) Evidence(now time.Time, n int) (crashes []Crash, unstored bool) {
+	for _, in := range t.heaviest(now, n) {
+		e := t.suspectsAt(now, in)
+		if e.Server.Started == 0 || len(e.Requests) == 0 {
+			continue
+		}
+		crashes = append(crashes, e)
+		unstored = unstored || !t.crashes[in].stored
+	}
+	return crashes, unstored
+}
+
+// suspectsAt returns a crash with those of its requests and their parts that are still suspects.
+func (t *Table) suspectsAt(now time.Time, in placement.Incarnation) Crash {
+	e := t.crashes[in]
+	reported := Crash{Server: e.server, Service: e.service, Age: now.Sub(e.at)}
+	for f, present := range e.suspects {
+		if present && !t.isPart(f) {
+			reported.AddRequest(f, e.suspectedParts(f))
+		}
+	}
+	return reported
+}
+
 // heaviest returns the crashes that say most, at most n, in the order in which they were recorded.
 func (t *Table) heaviest(now time.Time, n int) []placement.Incarnation {
 	if len(t.crashOrder) <= n {
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -59,6 +59,7 @@
 	s.verdictCounter("gaplink_poison_verdicts_total", "Verdicts that this router reached.", func(c verdicts.Counts) int64 { return c.Verdicts })
 	s.verdictCounter("gaplink_poison_trials_total", "Runs that this router let through after a quarantine.", func(c verdicts.Counts) int64 { return c.Trials })
 	s.verdictCounter("gaplink_poison_forgotten_total", "Crashes whose prompt parts were dropped for room.", func(c verdicts.Counts) int64 { return c.Forgotten })
+	s.verdictCounter("gaplink_poison_evidence_writes_total", "Writes of crashes before a verdict to the store.", func(c verdicts.Counts) int64 { return c.EvidenceWrites })
 	s.verdictCounter("gaplink_poison_lifted_total", "Verdicts that were lifted by good runs or operators.", func(c verdicts.Counts) int64 { return c.Lifted })
 	s.gauge("gaplink_streams_on_record", "Streams of which this router knows which software version began them.", func() float64 { _, streams := s.origins.Counts(); return float64(streams) })
 	s.originCounter("gaplink_origins_recorded_total", "Streams whose origin another router had before their first event.", func(c origins.Counts) int64 { return c.Recorded })
