--- a/controller/spread/spread.go
+++ b/controller/spread/spread.go
@@ -60,8 +60,9 @@
 	Receive func(R)
 	// Snapshot returns the complete state of this router.
 	Snapshot func() R
-	// Trim bounds a report that is queued for a router; nil: it is not bounded.
-	Trim func(R) R
+	// Trim bounds a report that is queued for a router, and reports whether it has dropped anything: the router is then
+	// sent a snapshot as well. nil: it is not bounded.
+	Trim func(R) (trimmed R, dropped bool)
 	// Name identifies the reports in the log.
 	Name string
 	Log  *zap.Logger
@@ -73,6 +74,13 @@
 	at     time.Time
 }
 
+// queue holds what is queued for a router.
+type queue[R Report[R]] struct {
+	timestamped[R]
+	// snapshot is set if a snapshot is to be sent after the report.
+	snapshot bool
+}
+
 // now returns the report as of now.
 func (d timestamped[R]) now() R { return d.report.Aged(clock.Since(d.at)) }
 
@@ -85,7 +93,7 @@
 	wake   chan struct{} // signals that the outbox is not empty
 	// queues holds the reports queued for routers, by id. A router with a delivery in progress
 	// has one, empty or not.
-	queues map[string]timestamped[R]
+	queues map[string]queue[R]
 	// log holds the latest reports, and last is the number of the last one.
 	log  []timestamped[R]
 	last int64
@@ -93,7 +101,7 @@
 
 // New returns a spreader.
 func New[R Report[R]](o Options[R]) *Spreader[R] {
-	return &Spreader[R]{Options: o, wake: make(chan struct{}, 1), queues: map[string]timestamped[R]{}}
+	return &Spreader[R]{Options: o, wake: make(chan struct{}, 1), queues: map[string]queue[R]{}}
 }
 
 // Run sends reports until the context ends. It does not detect pauses of the process: the
@@ -186,25 +194,39 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before, busy := s.queues[id]
-	waiting := before.now().Merged(r)
+	waiting, snapshot := before.now().Merged(r), before.snapshot
 	if s.Trim != nil {
-		waiting = s.Trim(waiting)
+		var dropped bool
+		waiting, dropped = s.Trim(waiting)
+		snapshot = snapshot || dropped
 	}
-	s.queues[id] = timestamped[R]{waiting, clock.Now()}
+	s.queues[id] = queue[R]{timestamped[R]{waiting, clock.Now()}, snapshot}
 	return !busy
 }
 
-// dequeue takes the reports queued for a router. If there are none, its delivery ends.
-func (s *Spreader[R]) dequeue(id string) (R, bool) {
+// dequeue takes the reports queued for a router, and reports whether a snapshot is to follow. If there is neither, its
+// delivery ends.
+func (s *Spreader[R]) dequeue(id string) (r R, snapshot, more bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := s.queues[id].now()
-	if r.IsEmpty() {
+	waiting := s.queues[id]
+	r, snapshot = waiting.now(), waiting.snapshot
+	if r.IsEmpty() && !snapshot {
 		delete(s.queues, id)
-		return r, false
+		return r, false, false
 	}
-	s.queues[id] = timestamped[R]{}
-	return r, true
+	s.queues[id] = queue[R]{}
+	return r, snapshot, true
+}
+
+// requeue puts back what was not delivered.
+func (s *Spreader[R]) requeue(id string, r R, snapshot bool) {
+	s.enqueue(id, r)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	waiting := s.queues[id]
+	waiting.snapshot = waiting.snapshot || snapshot
+	s.queues[id] = waiting
 }
 
 // deliver sends a router its queued reports until there are none. It retries for
@@ -212,16 +234,16 @@
 func (s *Spreader[R]) deliver(ctx context.Context, id string) {
 	end := clock.Now().Add(resendTimeout)
 	for {
-		r, more := s.dequeue(id)
+		r, snapshot, more := s.dequeue(id)
 		if !more {
 			return
 		}
 		sentAt := clock.Now()
-		err := s.report(ctx, id, r)
+		err := s.report(ctx, id, r, snapshot)
 		if err == nil {
 			continue
 		}
-		s.enqueue(id, r.Aged(clock.Since(sentAt)))
+		s.requeue(id, r.Aged(clock.Since(sentAt)), snapshot)
 		if clock.Now().After(end) || ctx.Err() != nil {
 			s.abandon(id, err)
 			return
@@ -238,10 +260,19 @@
 	s.Log.Info("report not delivered", zap.String("report", s.Name), zap.String("router", id), zap.Error(cause))
 }
 
-func (s *Spreader[R]) report(ctx context.Context, id string, r R) error {
+// report sends a report, and then a snapshot if it is wanted.
+func (s *Spreader[R]) report(ctx context.Context, id string, r R, snapshot bool) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err := s.Fleet.Report(ctx, id, r, false)
+	if !r.IsEmpty() {
+		if _, err := s.Fleet.Report(ctx, id, r, false); err != nil {
+			return err
+		}
+	}
+	if !snapshot {
+		return nil
+	}
+	_, err := s.Fleet.Report(ctx, id, s.Snapshot(), false)
 	return err
 }
 
--- a/controller/verdicts/part_test.go
+++ b/controller/verdicts/part_test.go
@@ -115,3 +115,30 @@
 		})
 	}
 }
+
+// Guards against a router that knows nothing of a fatal part when it is back from a cut, because the crashes of other causes that came
+// later have displaced those under the part.
+func TestRouterThatWasCutOffLearnsOfEarlierCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newNetwork()
+		routers := []*verdicts.Controller{b.join(t.Context(), "r0", nil), b.join(t.Context(), "r1", nil)}
+		b.setUnreachable("r1", true)
+		crashUnderPart(2, routers[0])
+		for i := range 150 {
+			parts := poison.PartsOf("acme", []string{"x", "good"})
+			routers[0].RecordBroken(placement.Server{ID: fmt.Sprint("o", i), Started: 1, Service: "llm"}, request(fmt.Sprint("sound ", i)), parts...)
+			time.Sleep(50 * time.Millisecond)
+			routers[0].RecordSuccess("llm", request(fmt.Sprint("other ", i)), parts...)
+		}
+		b.setUnreachable("r1", false)
+		time.Sleep(2 * time.Second)
+		for i := range 30 {
+			routers[1].RecordSuccess("llm", request(fmt.Sprint("own ", i)), poison.PartsOf("acme", []string{"x", "good"})...)
+		}
+		routers[1].RecordBroken(placement.Server{ID: "last", Started: 1, Service: "llm"}, request("last"), poison.PartsOf("acme", []string{"x", "bad"})...)
+		time.Sleep(time.Second)
+		if !holds(routers[1], "x", "bad") || holds(routers[1], "x", "good") {
+			t.Error("the router that was cut off has a wrong verdict")
+		}
+	})
+}
--- a/controller/verdicts/propagate.go
+++ b/controller/verdicts/propagate.go
@@ -31,12 +31,14 @@
 	return spread.New(o)
 }
 
-// trimCrashes drops the oldest crashes of a report beyond maxQueuedCrashes.
-func trimCrashes(r poison.Report) poison.Report {
-	if excess := len(r.Crashes) - maxQueuedCrashes; excess > 0 {
-		r.Crashes = r.Crashes[excess:]
+// trimCrashes drops the crashes of a report beyond maxQueuedCrashes: a snapshot, which has those that say most, replaces
+// them.
+func trimCrashes(r poison.Report) (trimmed poison.Report, dropped bool) {
+	if len(r.Crashes) <= maxQueuedCrashes {
+		return r, false
 	}
-	return r
+	r.Crashes = nil
+	return r, true
 }
 
 // spreadFleet adapts a Fleet to spread.Fleet.
