--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,8 @@
 SOAK_SECONDS ?= 20
 # SOAK_FLAGS=--brittle makes servers with little room that are brittle at times; --batches adds requests that use up
 # a large budget, and a kill of the router that holds most of it; --refusals adds servers that refuse most requests
-# while all routers are killed in series.
+# while all routers are killed in series; --parts sends requests with a part in their prompts that crashes servers, while all
+# routers are killed in series and nothing else happens.
 SOAK_ROUTERS ?= 3
 SOAK_FLAGS ?=
 SOAK_SERVERS ?= 4
--- a/lab/soak/oracle.go
+++ b/lab/soak/oracle.go
@@ -175,8 +175,10 @@
 	sightings map[Process][]sighting
 	// checked counts, for each guarantee, the occasions on which a violation would have been
 	// detected.
-	checked     map[Guarantee]int
-	poison      map[string]*poisonRecord  // by request body
+	checked map[Guarantee]int
+	poison  map[string]*poisonRecord // by request body
+	// allLives is set if arrivals of poison requests count at disrupted routers too.
+	allLives    bool
 	rateLimited map[string]*limitedServer // by server id
 	// announced holds when a router first passed on an answer that announced the leaving of its
 	// server, and backoffs the backoffs that servers have asked a router for.
--- a/lab/soak/oracle_poison.go
+++ b/lab/soak/oracle_poison.go
@@ -12,13 +12,20 @@
 
 const (
 	// crashThreshold is the number of crashed servers after which a poison request must be held
-	// back, partThreshold that for requests with a fatal part in their prompts, and maxLateArrivals is how often undisrupted routers may still send it to servers after
-	// that.
+	// back, partThreshold that for requests with a fatal part in their prompts, and maxLateArrivals is how often routers may still
+	// send it to servers after that: undisrupted ones, or all.
 	crashThreshold  = 3
 	partThreshold   = 5
 	maxLateArrivals = 3
 )
 
+// SetAllLives sets whether the arrivals of poison requests are counted at all routers, also at those that were disrupted.
+func (o *Oracle) SetAllLives(count bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.allLives = count
+}
+
 // CrashedUnder records that a server crashed while it ran a request with the given body.
 func (o *Oracle) CrashedUnder(body string, at time.Time) {
 	o.mu.Lock()
@@ -43,7 +50,7 @@
 	if b.Part {
 		threshold = partThreshold
 	}
-	if len(p.crashes) < threshold || !at.After(p.crashes[threshold-1].Add(o.bounds.QuietPeriod)) || !o.routerUndisrupted(b.Process.Router, at) {
+	if len(p.crashes) < threshold || !at.After(p.crashes[threshold-1].Add(o.bounds.QuietPeriod)) || !o.allLives && !o.routerUndisrupted(b.Process.Router, at) {
 		return
 	}
 	if p.lateArrivals++; p.lateArrivals > maxLateArrivals {
--- a/lab/soak/poison.go
+++ b/lab/soak/poison.go
@@ -23,6 +23,8 @@
 	part bool
 	// first is set if the fatal part is the first of a prompt.
 	first bool
+	// interval is the time between two attempts.
+	interval time.Duration
 }
 
 const (
@@ -31,7 +33,7 @@
 	meanEpisodeInterval = 15 * time.Second
 	minEpisode          = 6 * time.Second
 	maxEpisode          = 14 * time.Second
-	// poisonInterval is the time between two attempts.
+	// poisonInterval is the time between two attempts of an episode that is drawn with others.
 	poisonInterval = 300 * time.Millisecond
 	// crashDelay is the time from the start of a poison request to the crash of its server, and
 	// restartDelay is how long the server's address is down after the crash.
@@ -49,6 +51,7 @@
 			Duration: minEpisode + time.Duration(rng.Int64N(int64(maxEpisode-minEpisode))),
 			kind:     requestKinds[rng.IntN(len(requestKinds))],
 			body:     fmt.Sprintf("poison %d of %d", len(list), seed),
+			interval: poisonInterval,
 		}
 		e.part, e.first = e.kind.stream && rng.IntN(2) == 0, rng.IntN(2) == 0
 		list = append(list, e)
@@ -84,7 +87,7 @@
 	defer pending.Wait()
 	begin := start.Add(p.episode.At)
 	for n := 0; ; n++ {
-		at := begin.Add(time.Duration(n) * poisonInterval)
+		at := begin.Add(time.Duration(n) * p.episode.interval)
 		if at.Sub(begin) > p.episode.Duration {
 			return
 		}
--- a/lab/soak/refusals.go
+++ b/lab/soak/refusals.go
@@ -63,18 +63,23 @@
 		if !await(kill.At) {
 			return
 		}
-		f.counters.countFault(AllRoutersKilled)
-		for i := range f.routers {
-			f.pendingChanges.Go(func() {
-				if err := f.applyRouterFault(Step{Fault: RouterKilled, Target: i, Duration: kill.Downtime}); err != nil {
-					f.fail(err)
-				}
-			})
-		}
+		f.killAll(kill.Downtime)
 	}
 	await(p.At + p.Duration)
 }
 
+// killAll kills all routers together and starts them again after a time.
+func (f *fleet) killAll(downtime time.Duration) {
+	f.counters.countFault(AllRoutersKilled)
+	for i := range f.routers {
+		f.pendingChanges.Go(func() {
+			if err := f.applyRouterFault(Step{Fault: RouterKilled, Target: i, Duration: downtime}); err != nil {
+				f.fail(err)
+			}
+		})
+	}
+}
+
 func (f *fleet) setRefusedShare(share float64) {
 	for _, p := range f.slots {
 		p.mu.Lock()
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -21,6 +21,9 @@
 	Batches bool
 	// Refusals adds a time in which servers refuse most requests and all routers are killed together in series.
 	Refusals bool
+	// Parts has requests with a fatal part in their prompts sent at a rate that is drawn, while all routers are killed together in
+	// series, in place of all other faults and of poison requests at random times.
+	Parts bool
 	// Processes bounds the processes of a run, including this one.
 	Processes int
 }
@@ -79,6 +82,7 @@
 	}
 	oracle, counters := NewOracle(time.Now(), DefaultBounds()), newRunCounters()
 	oracle.SetRouters(o.Routers)
+	oracle.SetAllLives(o.Parts)
 	runCtx, cancel := context.WithTimeout(ctx, o.Length+shutdownAllowance)
 	defer cancel()
 	err = runFleet(runCtx, o, dir, oracle, counters)
@@ -87,7 +91,7 @@
 	case err != nil:
 	case s.ViolationCount > 0:
 		err = ErrViolation
-	case len(s.Faults) == 0 || s.Answers["200 complete"] == 0:
+	case len(s.Faults) == 0 && !o.Parts || s.Answers["200 complete"] == 0:
 		err = ErrInconclusive
 	default:
 		s.Logs = ""
@@ -126,11 +130,13 @@
 		defer workers.Done()
 		f.auditUntilDone(loadCtx)
 	}()
-	workers.Add(1)
-	go func() {
-		defer workers.Done()
-		f.runEpisodes(loadCtx, o.Seed, PoisonEpisodes(o.Seed, o.Length))
-	}()
+	episodes, steps := PoisonEpisodes(o.Seed, o.Length), Schedule(o.Seed, o.Length, o.Routers, o.Servers)
+	if o.Parts {
+		period := DrawPartPeriod(o.Seed, o.Length)
+		episodes, steps = []PoisonEpisode{period.Episode}, nil
+		workers.Go(func() { f.runPartKills(loadCtx, period.Kills) })
+	}
+	workers.Go(func() { f.runEpisodes(loadCtx, o.Seed, episodes) })
 	if o.Brittle {
 		workers.Add(1)
 		go func() {
@@ -141,7 +147,6 @@
 	if o.Refusals {
 		workers.Go(func() { f.runRefusals(loadCtx, DrawRefusalPeriod(o.Seed, o.Length)) })
 	}
-	steps := Schedule(o.Seed, o.Length, o.Routers, o.Servers)
 	if o.Batches {
 		steps = calmBefore(o.Length/2, steps)
 		workers.Go(func() { f.runBatches(loadCtx, o.Seed, Batches(o.Seed, o.Length)) })
