--- a/poison/contrast.go
+++ b/poison/contrast.go
@@ -18,13 +18,13 @@
 	// minContrast is the negative logarithm of the probability, were the part harmless, that all its requests met
 	// crashes by chance. clearContrast is the one that rules this out even for crashes close together.
 	minContrast   = 8.0
-	clearContrast = 2 * minContrast
+	clearContrast = 1.5 * minContrast
 	// minCoverage is the share of a service's crashes at which a part that does not stand out must be.
 	minCoverage = 0.5
 	// fullCoverage is the share from which a part at fullCoverageFactor times the crashes that a verdict needs has one, if
 	// they are spread over enough time.
 	fullCoverage       = 0.95
-	fullCoverageFactor = 2
+	fullCoverageFactor = 1.5
 	// maxGroupWeight bounds what a group of crashes counts, maxContrastedWeight likewise if the part stands out.
 	maxGroupWeight      = 2.5
 	maxContrastedWeight = 2.0
