Poison: crashes are kept in the store also for servers without a start time, without those of lifted verdicts

Cause: crashes of servers that do not report when their process started were left out of the store object; those of the soak do not. They are told apart by their time, as between routers. Now that they are kept, two tests showed more: a verdict that an operator had lifted came back after a restart of all (the object is written once more after a lift), and writes were retried too often during an outage (after 2 to 16 s now; crashes all of whose suspects are quarantined are not written).

--- a/controller/verdicts/evidence.go
+++ b/controller/verdicts/evidence.go
@@ -31,6 +31,9 @@
 	minEvidenceInterval = 250 * time.Millisecond
 	maxEvidenceInterval = 2 * time.Second
 	evidenceQuiet       = 10 * time.Second
+	// minEvidenceRetry is the delay after a failed write; it doubles up to maxEvidenceRetry.
+	minEvidenceRetry = 2 * time.Second
+	maxEvidenceRetry = 16 * time.Second
 	// evidenceTimeout bounds the store calls of a write.
 	evidenceTimeout = 2 * time.Second
 	// evidenceRetention is how long a crash in the store is of use.
@@ -84,10 +87,17 @@
 		return
 	}
 	c.writingEvidence = true
-	delay := max(evidenceDelay, clock.Until(c.evidenceStored.Add(c.evidenceInterval)))
+	delay := max(evidenceDelay, clock.Until(c.evidenceStored.Add(c.evidenceInterval)), c.evidenceRetry)
 	time.AfterFunc(delay+rand.N(evidenceJitter), c.writeEvidence)
 }
 
+// voidEvidence has the crashes written once more because a verdict has been lifted: the next fleet must not reach it again by
+// the same crashes. The caller holds c.mu.
+func (c *Controller) voidEvidence() {
+	c.evidenceVoid = true
+	c.scheduleEvidence(true)
+}
+
 // paceEvidence notes that a router has written crashes. The caller holds c.mu.
 func (c *Controller) paceEvidence() {
 	now := clock.Now()
@@ -102,10 +112,10 @@
 func (c *Controller) writeEvidence() {
 	c.mu.Lock()
 	crashes, unstored := c.table.Evidence(clock.Now(), maxStoredCrashes)
-	c.writingEvidence = unstored
-	version, running := c.evidenceVersion, c.running
+	c.writingEvidence = unstored || c.evidenceVoid
+	due, version, running := c.writingEvidence, c.evidenceVersion, c.running
 	c.mu.Unlock()
-	if !unstored || running.Err() != nil {
+	if !due || running.Err() != nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(running, evidenceTimeout)
@@ -120,12 +130,12 @@
 	if err != nil {
 		c.Log.Info("crashes not written to the store; retrying", zap.Int("crashes", len(crashes)), zap.Error(err))
 		if !errors.Is(err, store.ErrConflict) {
-			c.paceEvidence()
+			c.evidenceRetry = min(max(2*c.evidenceRetry, minEvidenceRetry), maxEvidenceRetry)
 		}
 		c.scheduleEvidence(true)
 		return
 	}
-	c.evidenceVersion = version
+	c.evidenceVersion, c.evidenceRetry, c.evidenceVoid = version, 0, false
 	c.recordStored(crashes)
 }
 
--- a/controller/verdicts/scale_test.go
+++ b/controller/verdicts/scale_test.go
@@ -25,8 +25,10 @@
 	// killEvery is the time between two kills of all routers, the first of which comes after half of it; zero: none. They
 	// are back after playDowntime.
 	killEvery time.Duration
-	length    time.Duration
-	seed      uint64
+	// unnumbered is set if servers do not report when their process started.
+	unnumbered bool
+	length     time.Duration
+	seed       uint64
 
 	rng   *rand.Rand
 	store *memory.Store
@@ -59,7 +61,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { p.repeat(stop, p.rate, p.sendFatal) })
 	running.Go(func() { p.repeat(stop, p.sound, p.sendSound) })
-	running.Go(func() { p.repeat(stop, p.waves, func() { p.crash("", "", p.number()) }) })
+	running.Go(func() { p.repeat(stop, p.waves, func() { p.crash("wave", p.server("w", p.number())) }) })
 	if p.killEvery > 0 {
 		running.Go(func() { p.killAll(stop, t) })
 	}
@@ -159,19 +161,24 @@
 	p.mu.Lock()
 	p.crashes = append(p.crashes, time.Since(p.begun))
 	p.mu.Unlock()
-	server := placement.Server{ID: fmt.Sprint("s", n), Started: int64(n), Service: "llm"}
+	server := p.server("s", n)
 	r.RecordBroken(server, request(fmt.Sprint("bad ", n)), parts...)
-	p.crash("bystander", server.ID, n)
+	p.crash("bystander", server)
 }
 
-// crash breaks off two sound requests at a server.
-func (p *fleetPlay) crash(name, server string, n int) {
-	if server == "" {
-		server = fmt.Sprint("w", n)
+func (p *fleetPlay) server(prefix string, n int) placement.Server {
+	s := placement.Server{ID: fmt.Sprint(prefix, n), Started: int64(n), Service: "llm"}
+	if p.unnumbered {
+		s.Started = 0
 	}
+	return s
+}
+
+// crash breaks off two sound requests at a server.
+func (p *fleetPlay) crash(name string, server placement.Server) {
 	for i := range 2 {
 		if r := p.router(); r != nil {
-			r.RecordBroken(placement.Server{ID: server, Started: int64(n), Service: "llm"}, request(fmt.Sprint(name, server, i)), p.partsOf("good")...)
+			r.RecordBroken(server, request(fmt.Sprint(name, server.ID, i)), p.partsOf("good")...)
 		}
 	}
 }
@@ -210,16 +217,17 @@
 
 func fleetPlays() map[string]*fleetPlay {
 	return map[string]*fleetPlay{
-		"4 routers, 0.9 a second, all killed every 3 s":     {routers: 4, accounts: 2, rate: 0.9, sound: 40, killEvery: 3 * time.Second, length: 40 * time.Second},
-		"4 routers, 0.3 a second, all killed every 3 s":     {routers: 4, accounts: 1, rate: 0.3, sound: 40, killEvery: 3 * time.Second, length: 90 * time.Second},
-		"6 routers, 9 a second, all killed every 1.5 s":     {routers: 6, accounts: 300, rate: 9, sound: 100, killEvery: 1500 * time.Millisecond, length: 30 * time.Second},
-		"4 routers, 80 a second":                            {routers: 4, accounts: 300, rate: 80, sound: 200, length: 30 * time.Second},
-		"4 routers, 3 a second, 30 other crashes a second":  {routers: 4, accounts: 20, rate: 3, sound: 200, waves: 30, length: 30 * time.Second},
-		"87 routers, 20 a second":                           {routers: 87, accounts: 300, rate: 20, sound: 200, length: 30 * time.Second},
-		"87 routers, 5 a second, all killed every 3 s":      {routers: 87, accounts: 300, rate: 5, sound: 100, killEvery: 3 * time.Second, length: 20 * time.Second},
-		"300 routers, 20 a second":                          {routers: 300, accounts: 300, rate: 20, sound: 100, length: 20 * time.Second},
-		"300 routers, 5 a second, all killed every 3 s":     {routers: 300, accounts: 300, rate: 5, sound: 100, killEvery: 3 * time.Second, length: 14 * time.Second},
-		"87 routers, 9 a second, 20 other crashes a second": {routers: 87, accounts: 300, rate: 9, sound: 100, waves: 20, length: 20 * time.Second},
+		"4 routers, 0.9 a second, all killed every 3 s":                               {routers: 4, accounts: 2, rate: 0.9, sound: 40, killEvery: 3 * time.Second, length: 40 * time.Second},
+		"4 routers, 0.9 a second, all killed every 3 s, servers without a start time": {routers: 4, accounts: 2, rate: 0.9, sound: 40, killEvery: 3 * time.Second, length: 40 * time.Second, unnumbered: true},
+		"4 routers, 0.3 a second, all killed every 3 s":                               {routers: 4, accounts: 1, rate: 0.3, sound: 40, killEvery: 3 * time.Second, length: 90 * time.Second},
+		"6 routers, 9 a second, all killed every 1.5 s":                               {routers: 6, accounts: 300, rate: 9, sound: 100, killEvery: 1500 * time.Millisecond, length: 30 * time.Second},
+		"4 routers, 80 a second":                                                      {routers: 4, accounts: 300, rate: 80, sound: 200, length: 30 * time.Second},
+		"4 routers, 3 a second, 30 other crashes a second":                            {routers: 4, accounts: 20, rate: 3, sound: 200, waves: 30, length: 30 * time.Second},
+		"87 routers, 20 a second":                                                     {routers: 87, accounts: 300, rate: 20, sound: 200, length: 30 * time.Second},
+		"87 routers, 5 a second, all killed every 3 s":                                {routers: 87, accounts: 300, rate: 5, sound: 100, killEvery: 3 * time.Second, length: 20 * time.Second},
+		"300 routers, 20 a second":                                                    {routers: 300, accounts: 300, rate: 20, sound: 100, length: 20 * time.Second},
+		"300 routers, 5 a second, all killed every 3 s":                               {routers: 300, accounts: 300, rate: 5, sound: 100, killEvery: 3 * time.Second, length: 14 * time.Second},
+		"87 routers, 9 a second, 20 other crashes a second":                           {routers: 87, accounts: 300, rate: 9, sound: 100, waves: 20, length: 20 * time.Second},
 	}
 }
 
--- a/controller/verdicts/verdicts.go
+++ b/controller/verdicts/verdicts.go
@@ -109,6 +109,10 @@
 	evidenceVersion  int64
 	evidenceStored   time.Time
 	evidenceInterval time.Duration
+	// evidenceRetry is the delay after a failed write, and evidenceVoid is set if the object has crashes of a verdict that was
+	// lifted.
+	evidenceRetry time.Duration
+	evidenceVoid  bool
 	// running is the context of Run.
 	running context.Context
 	counts  Counts
@@ -483,5 +487,6 @@
 	c.Log.Warn("request no longer held back", zap.Stringer("fingerprint", request), zap.String("source", from.name))
 	if from.local {
 		c.enqueueWrite(request, pendingWrite{lifted: true})
+		c.voidEvidence()
 	}
 }
--- a/poison/table.go
+++ b/poison/table.go
@@ -235,8 +235,7 @@
 		}
 	}
 	for _, in := range r.Stored {
-		if e := t.crashes[in]; e != nil && !e.stored {
-			e.stored = true
+		if t.markStored(in) {
 			added.Stored = append(added.Stored, in)
 		}
 	}
@@ -265,6 +264,16 @@
 	return true
 }
 
+// markStored records that the crashes of a process are in the store. It reports whether that was not known of one.
+func (t *Table) markStored(in placement.Incarnation) (isNew bool) {
+	for _, e := range t.crashes {
+		if e.server == in && !e.stored {
+			e.stored, isNew = true, true
+		}
+	}
+	return isNew
+}
+
 // recordTrial records a trial run admitted by another router.
 func (t *Table) recordTrial(now time.Time, f Fingerprint) bool {
 	r := t.requests[f]
@@ -451,13 +460,12 @@
 	return r
 }
 
-// Evidence returns the crashes that say most, at most n, with the requests and parts that are still suspects, and whether any is not in the
-// store. Crashes of servers that do not report when their process started are left out: two of them may be taken
-// for one.
+// Evidence returns the crashes that say most, at most n, with the requests and parts that are still suspects, and whether
+// any is not in the store. Crashes all of whose suspects are quarantined are left out: the verdicts are in the store.
 func (t *Table) Evidence(now time.Time, n int) (crashes []Crash, unstored bool) {
 	for _, in := range t.heaviest(now, n) {
 		e := t.suspectsAt(now, in)
-		if e.Server.Started == 0 || len(e.Requests) == 0 {
+		if len(e.Requests) == 0 || !t.hasOpenSuspect(now, in) {
 			continue
 		}
 		crashes = append(crashes, e)
@@ -466,6 +474,16 @@
 	return crashes, unstored
 }
 
+// hasOpenSuspect reports whether a request or part that ran at a crash is a suspect without a verdict in force.
+func (t *Table) hasOpenSuspect(now time.Time, in placement.Incarnation) bool {
+	for f, present := range t.crashes[in].suspects {
+		if present && t.requests[f] != nil && !t.requests[f].quarantined(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // suspectsAt returns a crash with those of its requests and their parts that are still suspects.
 func (t *Table) suspectsAt(now time.Time, in placement.Incarnation) Crash {
 	e := t.crashes[in]
