Poison: what other requests fared is kept with the crashes; parts are evaluated again as others succeed

Found in the plays with kills of all: a verdict takes several lives of the processes, and each began to count anew how other requests fare; a part whose requests come seldom was evaluated at its crashes alone. The store object has the ends of other requests that its writer has counted, a part is evaluated for three more seconds, and the writes follow each other sooner at first.

--- a/controller/verdicts/evidence.go
+++ b/controller/verdicts/evidence.go
@@ -24,11 +24,11 @@
 	maxStoredRequests = 32
 	// evidenceDelay is the time from a crash until it is written, in which other routers report the requests that ran there.
 	// evidenceJitter is added at random, so that one router writes for all that know of the crash.
-	evidenceDelay  = 100 * time.Millisecond
-	evidenceJitter = 200 * time.Millisecond
-	// minEvidenceInterval is the least time between two writes of the fleet. It doubles with each write up to
+	evidenceDelay  = 50 * time.Millisecond
+	evidenceJitter = 150 * time.Millisecond
+	// minEvidenceInterval is the least time between two writes of the fleet. It grows by half with each write up to
 	// maxEvidenceInterval, and is the least one again if there was none for evidenceQuiet.
-	minEvidenceInterval = 250 * time.Millisecond
+	minEvidenceInterval = 100 * time.Millisecond
 	maxEvidenceInterval = 2 * time.Second
 	evidenceQuiet       = 10 * time.Second
 	// minEvidenceRetry is the delay after a failed write; it doubles up to maxEvidenceRetry.
@@ -43,6 +43,8 @@
 // storedEvidence is the stored form of crashes.
 type storedEvidence struct {
 	Crashes []storedCrash `json:"crashes"`
+	// Ends are those that the writer has seen since the crashes, by service.
+	Ends map[string]poison.Ends `json:"ends,omitempty"`
 }
 
 // storedCrash is the stored form of a crash and of the requests and parts that are suspected of it. Its time is wall clock
@@ -101,7 +103,7 @@
 // paceEvidence notes that a router has written crashes. The caller holds c.mu.
 func (c *Controller) paceEvidence() {
 	now := clock.Now()
-	c.evidenceInterval = min(2*c.evidenceInterval, maxEvidenceInterval)
+	c.evidenceInterval = min(c.evidenceInterval*3/2, maxEvidenceInterval)
 	if now.Sub(c.evidenceStored) > evidenceQuiet {
 		c.evidenceInterval = minEvidenceInterval
 	}
@@ -114,13 +116,14 @@
 	crashes, unstored := c.table.Evidence(clock.Now(), maxStoredCrashes)
 	c.writingEvidence = unstored || c.evidenceVoid
 	due, version, running := c.writingEvidence, c.evidenceVersion, c.running
+	ends := c.table.Ends()
 	c.mu.Unlock()
 	if !due || running.Err() != nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(running, evidenceTimeout)
 	defer cancel()
-	version, err := c.putEvidence(ctx, version, crashes)
+	version, err := c.putEvidence(ctx, version, crashes, ends)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writingEvidence = false
@@ -141,8 +144,10 @@
 
 // putEvidence writes crashes and returns the version of the object. If another router has written it since, its crashes are
 // applied here, and the write fails.
-func (c *Controller) putEvidence(ctx context.Context, version int64, crashes []poison.Crash) (int64, error) {
-	value, err := json.Marshal(encodeCrashes(crashes))
+func (c *Controller) putEvidence(ctx context.Context, version int64, crashes []poison.Crash, ends map[string]poison.Ends) (int64, error) {
+	evidence := encodeCrashes(crashes)
+	evidence.Ends = ends
+	value, err := json.Marshal(evidence)
 	if err != nil {
 		return version, err
 	}
@@ -178,15 +183,17 @@
 	c.spread.Send(r)
 }
 
-func (c *Controller) setEvidenceVersion(version int64) {
+// setEvidenceVersion sets the known version of the object and returns the one before.
+func (c *Controller) setEvidenceVersion(version int64) (before int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.evidenceVersion = version
+	before, c.evidenceVersion = c.evidenceVersion, version
+	return before
 }
 
 // applyEvidence applies the crashes in the store.
 func (c *Controller) applyEvidence(o store.Object) {
-	c.setEvidenceVersion(o.Version)
+	isFirst := c.setEvidenceVersion(o.Version) == 0
 	var s storedEvidence
 	if err := json.Unmarshal(o.Value, &s); err != nil {
 		c.Log.Warn("malformed crashes in the store ignored", zap.String("key", o.Key), zap.Error(err))
@@ -200,6 +207,11 @@
 		c.Log.Info("crashes read from the store", zap.Int("crashes", len(r.Crashes)), zap.Int64("version", o.Version))
 		c.apply(r, origin{name: "store"})
 	}
+	if isFirst {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.table.AddEnds(s.Ends)
+	}
 }
 
 func encodeCrashes(crashes []poison.Crash) (s storedEvidence) {
--- a/controller/verdicts/persist.go
+++ b/controller/verdicts/persist.go
@@ -27,8 +27,8 @@
 	verdictRetention = 24 * time.Hour
 	// writeDelay and writeJitter delay the write of a verdict by a router that has observed none of its crashes: those that
 	// have write first, unless they end.
-	writeDelay  = 200 * time.Millisecond
-	writeJitter = 500 * time.Millisecond
+	writeDelay  = 50 * time.Millisecond
+	writeJitter = 200 * time.Millisecond
 )
 
 // pendingWrite is the state that the store should reach for a request.
--- a/controller/verdicts/scale_test.go
+++ b/controller/verdicts/scale_test.go
@@ -232,10 +232,23 @@
 }
 
 // Guards against requests with a fatal part that are sent on after the fifth crash: by each router once when a quarantine
-// expires, after the death of all routers, which loses what they knew, or while there is no verdict; and against sound
-// requests that are refused meanwhile.
+// expires, or while there is no verdict; and against sound requests that are refused meanwhile.
 func TestFleetHoldsAFatalPartBack(t *testing.T) {
+	playFleets(t, func(p *fleetPlay) bool { return p.killEvery == 0 })
+}
+
+// Guards against requests with a fatal part that are sent on after the fifth crash because the death of all routers has lost
+// what they knew.
+func TestFatalPartIsHeldBackThroughDeathsOfAll(t *testing.T) {
+	playFleets(t, func(p *fleetPlay) bool { return p.killEvery > 0 })
+}
+
+func playFleets(t *testing.T, selected func(*fleetPlay) bool) {
+	t.Helper()
 	for name, play := range fleetPlays() {
+		if !selected(play) {
+			continue
+		}
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
--- a/poison/contrast.go
+++ b/poison/contrast.go
@@ -53,6 +53,37 @@
 	return n
 }
 
+// Ends counts requests of a service that ended while parts were suspects.
+type Ends struct {
+	// Served ended well, Broken met crashes.
+	Served int `json:"served"`
+	Broken int `json:"broken"`
+}
+
+// Ends returns, by service, how requests of this router ended since the first crash of the part that has been a suspect for the
+// longest.
+func (t *Table) Ends() map[string]Ends {
+	all := map[string]Ends{}
+	for _, r := range t.requests {
+		if r.scope == ScopeRequest || r.hasVerdict() || r.total < minCrashes-1 {
+			continue
+		}
+		now := t.tallyOf(r.suspectedAt)
+		if n := now.served - r.base.served; n > all[r.suspectedAt].Served {
+			all[r.suspectedAt] = Ends{Served: n, Broken: now.broken - r.base.broken}
+		}
+	}
+	return all
+}
+
+// AddEnds adds what an earlier router has counted since the first of the crashes on record.
+func (t *Table) AddEnds(all map[string]Ends) {
+	for service, n := range all {
+		at := t.tallyOf(service)
+		at.served, at.broken = at.served+max(n.Served, 0), at.broken+max(n.Broken, 0)
+	}
+}
+
 // failing returns the share of the requests of a service that met crashes, since the first crash of a part. It is 1 if
 // hardly any succeeded. None of those that succeeded had the part.
 func (t *Table) failing(r *record) float64 {
--- a/poison/evaluate_part.go
+++ b/poison/evaluate_part.go
@@ -10,6 +10,8 @@
 const (
 	// SettleTime is the time after a crash in which all routers report the requests that ran there.
 	SettleTime = 300 * time.Millisecond
+	// reconsiderTime is how long after its last crash a part is evaluated again and again.
+	reconsiderTime = 3 * time.Second
 	// downWindow is the time in which further crashes of one server may be requests that came to it while
 	// it was down, if it does not report when its process started.
 	downWindow = 10 * time.Second
@@ -33,13 +35,18 @@
 		if v, ok := t.evaluateOne(now, f, r); ok {
 			verdicts = append(verdicts, v)
 		}
-		if now.Sub(t.crashes[r.crashes[len(r.crashes)-1]].at) >= SettleTime {
+		if now.Sub(t.crashes[r.crashes[len(r.crashes)-1]].at) >= SettleTime && !t.mayStandOut(now, r) {
 			delete(t.unsettled, f)
 		}
 	}
 	return verdicts, len(t.unsettled) > 0
 }
 
+// mayStandOut reports whether a part may come to stand out without a further crash, as other requests succeed.
+func (t *Table) mayStandOut(now time.Time, r *record) bool {
+	return !r.hasVerdict() && r.total >= minCrashes && now.Sub(r.last) < reconsiderTime
+}
+
 // settled returns the crashes of a part that all routers have reported.
 func (t *Table) settled(now time.Time, r *record) []placement.Incarnation {
 	n := len(r.crashes)
