--- a/controller/verdicts/trial_test.go
+++ b/controller/verdicts/trial_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/gaplink/gaplink/controller/verdicts"
+	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/poison"
 	"github.com/gaplink/gaplink/store"
 	"github.com/gaplink/gaplink/store/memory"
@@ -130,3 +131,31 @@
 		}
 	})
 }
+
+// Guards against a trial run that its router sends to a second server when the first has crashed, and so spends two of the arrivals
+// that there are for good.
+func TestTrialRunIsNotRetried(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, kept := newNetwork(), memory.New()
+		c := b.join(t.Context(), "r0", kept)
+		crashUnderPart(3, c)
+		time.Sleep(20 * time.Second)
+		r := c.Request(func() poison.Identity {
+			return poison.Identity{Account: "acme", Body: []byte("trial"), Parts: []string{"x", "bad"}}
+		})
+		if refusal := r.Refusal(); refusal != nil {
+			t.Fatal(refusal)
+		}
+		if refusal := r.Admit(); refusal != nil {
+			t.Fatal(refusal)
+		}
+		if refusal := r.Refusal(); refusal != nil {
+			t.Errorf("the trial run is refused before it is sent: %v", refusal)
+		}
+		r.RecordBroken(placement.Server{ID: "trial", Started: 1, Service: "llm"})
+		if !r.MayCrashServers(t.Context()) {
+			t.Error("the trial run may be retried")
+		}
+		time.Sleep(time.Second) // the check of the server
+	})
+}
