Poison: the trial run of a whole request is not retried either

A router that knows the verdict alone, after a restart of all, counted one crash under the trial run and sent it to a second server. TestTrialRunIsNotRetried (request) fails without the line.

--- a/controller/verdicts/request.go
+++ b/controller/verdicts/request.go
@@ -114,6 +114,9 @@
 	if r.checked == nil {
 		return false
 	}
+	if r.trial {
+		return true
+	}
 	mayBeFatal, isSuspected := r.verdicts.PartMayBeFatal(r.parts)
 	suspected := r.brokenAttempts > 1 || r.verdicts.Crashes(r.ensureFingerprint()) > 0
 	switch {
--- a/controller/verdicts/trial_test.go
+++ b/controller/verdicts/trial_test.go
@@ -133,29 +133,42 @@
 }
 
 // Guards against a trial run that its router sends to a second server when the first has crashed, and so spends two of the arrivals
-// that there are for good.
+// that there are for good: that of a part, and that of a request after a restart of all, which knows the verdict alone.
 func TestTrialRunIsNotRetried(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b, kept := newNetwork(), memory.New()
-		c := b.join(t.Context(), "r0", kept)
-		crashUnderPart(3, c)
-		time.Sleep(20 * time.Second)
-		r := c.Request(func() poison.Identity {
-			return poison.Identity{Account: "acme", Body: []byte("trial"), Parts: []string{"x", "bad"}}
+	for name, id := range map[string]poison.Identity{
+		"part":    {Account: "acme", Body: []byte("trial"), Parts: []string{"x", "bad"}},
+		"request": {Account: "acme", Body: []byte("k")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				kept := memory.New()
+				before := newNetwork().join(t.Context(), "r0", kept)
+				crashUnderPart(3, before)
+				crashWhileRunning("k", 10, 3, before)
+				time.Sleep(2 * time.Minute)
+				crashes, err := kept.Get(t.Context(), verdicts.Kind+"/evidence")
+				if err == nil {
+					err = kept.Delete(t.Context(), crashes.Key, crashes.Version)
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+				r := newNetwork().join(t.Context(), "r1", kept).Request(func() poison.Identity { return id })
+				if refusal := r.Refusal(); refusal != nil {
+					t.Fatal(refusal)
+				}
+				if refusal := r.Admit(); refusal != nil {
+					t.Fatal(refusal)
+				}
+				if refusal := r.Refusal(); refusal != nil {
+					t.Errorf("the trial run is refused before it is sent: %v", refusal)
+				}
+				r.RecordBroken(placement.Server{ID: "trial", Started: 1, Service: "llm"})
+				if !r.MayCrashServers(t.Context()) {
+					t.Error("the trial run may be retried")
+				}
+				time.Sleep(time.Second) // the check of the server
+			})
 		})
-		if refusal := r.Refusal(); refusal != nil {
-			t.Fatal(refusal)
-		}
-		if refusal := r.Admit(); refusal != nil {
-			t.Fatal(refusal)
-		}
-		if refusal := r.Refusal(); refusal != nil {
-			t.Errorf("the trial run is refused before it is sent: %v", refusal)
-		}
-		r.RecordBroken(placement.Server{ID: "trial", Started: 1, Service: "llm"})
-		if !r.MayCrashServers(t.Context()) {
-			t.Error("the trial run may be retried")
-		}
-		time.Sleep(time.Second) // the check of the server
-	})
+	}
 }
