Poison: crashes and lifts that come during a write to the store are written after it

Found in reading the change: while a write was under way no other was scheduled, so that a crash that came then waited for the next one, and a lift for good. TestCrashDuringAWriteIsWritten fails without the change (one crash of two in the store).

--- a/controller/verdicts/evidence.go
+++ b/controller/verdicts/evidence.go
@@ -114,11 +114,11 @@
 func (c *Controller) writeEvidence() {
 	c.mu.Lock()
 	crashes, unstored := c.table.Evidence(clock.Now(), maxStoredCrashes)
-	c.writingEvidence = unstored || c.evidenceVoid
-	due, version, running := c.writingEvidence, c.evidenceVersion, c.running
-	ends := c.table.Ends()
+	isVoid := c.evidenceVoid
+	c.writingEvidence, c.evidenceVoid = unstored || isVoid, false
+	version, running, ends := c.evidenceVersion, c.running, c.table.Ends()
 	c.mu.Unlock()
-	if !due || running.Err() != nil {
+	if !unstored && !isVoid || running.Err() != nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(running, evidenceTimeout)
@@ -135,11 +135,15 @@
 		if !errors.Is(err, store.ErrConflict) {
 			c.evidenceRetry = min(max(2*c.evidenceRetry, minEvidenceRetry), maxEvidenceRetry)
 		}
+		c.evidenceVoid = c.evidenceVoid || isVoid
 		c.scheduleEvidence(true)
 		return
 	}
-	c.evidenceVersion, c.evidenceRetry, c.evidenceVoid = version, 0, false
+	c.evidenceVersion, c.evidenceRetry = version, 0
 	c.recordStored(crashes)
+	if _, unstored := c.table.Evidence(clock.Now(), maxStoredCrashes); unstored || c.evidenceVoid {
+		c.scheduleEvidence(true) // crashes and lifts that came during the write
+	}
 }
 
 // putEvidence writes crashes and returns the version of the object. If another router has written it since, its crashes are
--- a/controller/verdicts/evidence_test.go
+++ b/controller/verdicts/evidence_test.go
@@ -86,3 +86,27 @@
 		}
 	})
 }
+
+// slowWriter is a store that writes late.
+type slowWriter struct{ *memory.Store }
+
+func (s slowWriter) Create(ctx context.Context, key string, value []byte) (store.Object, error) {
+	time.Sleep(300 * time.Millisecond)
+	return s.Store.Create(ctx, key, value)
+}
+
+// Guards against a crash that is never written to the store because it came during the write of another one.
+func TestCrashDuringAWriteIsWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kept := memory.New()
+		c := newNetwork().join(t.Context(), "r0", slowWriter{kept})
+		for i, after := range []time.Duration{300 * time.Millisecond, 5 * time.Second} {
+			c.RecordBroken(placement.Server{ID: fmt.Sprint("s", i), Started: 1, Service: "llm"}, request("k"))
+			time.Sleep(after)
+		}
+		next := newNetwork().join(t.Context(), "r1", kept)
+		if n := next.Crashes(request("k")); n != 2 {
+			t.Errorf("%d crashes in the store", n)
+		}
+	})
+}
