--- a/lab/soak/parts.go
+++ b/lab/soak/parts.go
@@ -1,12 +1,9 @@
 package soak
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"time"
-
-	"github.com/gaplink/gaplink/wait"
 )
 
 // PartPeriod is a time in which requests with a fatal part in their prompts are sent at one rate, and in the first part of which all
@@ -37,8 +34,8 @@
 	}}
 	at := partMargin
 	for range minPartKills + rng.IntN(maxPartKills-minPartKills+1) {
-		at += minKillInterval + time.Duration(rng.Int64N(int64(maxKillInterval-minKillInterval)))
-		p.Kills = append(p.Kills, RefusalKill{at, time.Duration(rng.Int64N(int64(maxRefusalDowntime)))})
+		at += drawKillInterval(rng)
+		p.Kills = append(p.Kills, drawKill(rng, at))
 	}
 	return p
 }
@@ -52,14 +49,3 @@
 	}
 	return requestKinds[0]
 }
-
-// runPartKills plays the kills of a period.
-func (f *fleet) runPartKills(ctx context.Context, kills []RefusalKill) {
-	start := time.Now()
-	for _, kill := range kills {
-		if wait.For(ctx, time.Until(start.Add(kill.At))) != nil {
-			return
-		}
-		f.killAll(kill.Downtime)
-	}
-}
--- a/lab/soak/refusals.go
+++ b/lab/soak/refusals.go
@@ -37,19 +37,26 @@
 // DrawRefusalPeriod draws the period of a run, which begins after a third of it.
 func DrawRefusalPeriod(seed uint64, length time.Duration) RefusalPeriod {
 	rng := rand.New(rand.NewPCG(seed, refusalStream))
-	interval := func() time.Duration {
-		return minKillInterval + time.Duration(rng.Int64N(int64(maxKillInterval-minKillInterval)))
-	}
 	p := RefusalPeriod{At: length / 3}
-	at := p.At + interval()
+	at := p.At + drawKillInterval(rng)
 	for range minKills + rng.IntN(maxKills-minKills+1) {
-		p.Kills = append(p.Kills, RefusalKill{at, time.Duration(rng.Int64N(int64(maxRefusalDowntime)))})
-		at += interval()
+		p.Kills = append(p.Kills, drawKill(rng, at))
+		at += drawKillInterval(rng)
 	}
 	p.Duration = at - p.At
 	return p
 }
 
+// drawKillInterval draws the time between two kills of all routers.
+func drawKillInterval(rng *rand.Rand) time.Duration {
+	return minKillInterval + time.Duration(rng.Int64N(int64(maxKillInterval-minKillInterval)))
+}
+
+// drawKill draws a kill of all routers at a time.
+func drawKill(rng *rand.Rand, at time.Duration) RefusalKill {
+	return RefusalKill{at, time.Duration(rng.Int64N(int64(maxRefusalDowntime)))}
+}
+
 // runRefusals plays a refusal period.
 func (f *fleet) runRefusals(ctx context.Context, p RefusalPeriod) {
 	start := time.Now()
@@ -59,13 +66,20 @@
 	}
 	f.setRefusedShare(refusedShare)
 	defer f.setRefusedShare(0)
-	for _, kill := range p.Kills {
-		if !await(kill.At) {
-			return
+	if f.killAllAt(ctx, start, p.Kills) {
+		await(p.At + p.Duration)
+	}
+}
+
+// killAllAt plays kills of all routers, whose times count from start. It reports whether the context has not ended before.
+func (f *fleet) killAllAt(ctx context.Context, start time.Time, kills []RefusalKill) bool {
+	for _, kill := range kills {
+		if wait.For(ctx, time.Until(start.Add(kill.At))) != nil {
+			return false
 		}
 		f.killAll(kill.Downtime)
 	}
-	await(p.At + p.Duration)
+	return true
 }
 
 // killAll kills all routers together and starts them again after a time.
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -134,7 +134,7 @@
 	if o.Parts {
 		period := DrawPartPeriod(o.Seed, o.Length)
 		episodes, steps = []PoisonEpisode{period.Episode}, nil
-		workers.Go(func() { f.runPartKills(loadCtx, period.Kills) })
+		workers.Go(func() { f.killAllAt(loadCtx, time.Now(), period.Kills) })
 	}
 	workers.Go(func() { f.runEpisodes(loadCtx, o.Seed, episodes) })
 	if o.Brittle {
