--- a/controller/spread/spread.go
+++ b/controller/spread/spread.go
@@ -173,7 +173,7 @@
 			continue
 		}
 		for _, id := range s.Fleet.Listeners() {
-			if s.enqueue(id, r) {
+			if s.enqueue(id, r, false) {
 				go s.deliver(ctx, id)
 			}
 		}
@@ -188,19 +188,17 @@
 	return r
 }
 
-// enqueue adds a report to those queued for a router, and reports whether no delivery to it is
-// in progress.
-func (s *Spreader[R]) enqueue(id string, r R) (first bool) {
+// enqueue adds a report to those queued for a router, with a snapshot if one is to follow, and reports whether no
+// delivery to it is in progress.
+func (s *Spreader[R]) enqueue(id string, r R, snapshot bool) (first bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before, busy := s.queues[id]
-	waiting, snapshot := before.now().Merged(r), before.snapshot
+	waiting, dropped := before.now().Merged(r), false
 	if s.Trim != nil {
-		var dropped bool
 		waiting, dropped = s.Trim(waiting)
-		snapshot = snapshot || dropped
 	}
-	s.queues[id] = queue[R]{timestamped[R]{waiting, clock.Now()}, snapshot}
+	s.queues[id] = queue[R]{timestamped[R]{waiting, clock.Now()}, snapshot || before.snapshot || dropped}
 	return !busy
 }
 
@@ -219,16 +217,6 @@
 	return r, snapshot, true
 }
 
-// requeue puts back what was not delivered.
-func (s *Spreader[R]) requeue(id string, r R, snapshot bool) {
-	s.enqueue(id, r)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	waiting := s.queues[id]
-	waiting.snapshot = waiting.snapshot || snapshot
-	s.queues[id] = waiting
-}
-
 // deliver sends a router its queued reports until there are none. It retries for
 // resendTimeout, since a router that does not answer may be paused or partitioned for a while.
 func (s *Spreader[R]) deliver(ctx context.Context, id string) {
@@ -243,7 +231,7 @@
 		if err == nil {
 			continue
 		}
-		s.requeue(id, r.Aged(clock.Since(sentAt)), snapshot)
+		s.enqueue(id, r.Aged(clock.Since(sentAt)), snapshot)
 		if clock.Now().After(end) || ctx.Err() != nil {
 			s.abandon(id, err)
 			return
--- a/controller/verdicts/evidence.go
+++ b/controller/verdicts/evidence.go
@@ -66,21 +66,6 @@
 	Name   string         `json:"name"`
 }
 
-// hexFingerprint is a fingerprint that is stored as text.
-type hexFingerprint poison.Fingerprint
-
-// MarshalText implements encoding.TextMarshaler.
-func (f hexFingerprint) MarshalText() ([]byte, error) {
-	return []byte(poison.Fingerprint(f).String()), nil
-}
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (f *hexFingerprint) UnmarshalText(text []byte) error {
-	parsed, err := poison.Parse(string(text))
-	*f = hexFingerprint(parsed)
-	return err
-}
-
 // scheduleEvidence has the crashes written that this router keeps for the fleet: in a small fleet those that it has observed,
 // in a large one the relays keep all. The caller holds c.mu.
 func (c *Controller) scheduleEvidence(local bool) {
@@ -224,10 +209,7 @@
 		n := min(len(e.Requests), maxStoredRequests)
 		one := storedCrash{
 			Server: e.Server.ID, Started: e.Server.Started, Service: e.Service, AtMs: now.Add(-e.Age).UnixMilli(),
-			Holds: e.Holds[:min(len(e.Holds), n)],
-		}
-		for _, f := range e.Requests[:n] {
-			one.Requests = append(one.Requests, hexFingerprint(f))
+			Requests: toHex(e.Requests[:n]), Holds: e.Holds[:min(len(e.Holds), n)],
 		}
 		for _, p := range e.Parts {
 			one.Parts = append(one.Parts, storedPart{hexFingerprint(p.Own), hexFingerprint(p.Shared), p.Name})
@@ -245,10 +227,7 @@
 		if age > evidenceRetention {
 			continue
 		}
-		e := poison.Crash{Server: placement.Incarnation{ID: one.Server, Started: one.Started}, Service: one.Service, Holds: one.Holds, Age: age}
-		for _, f := range one.Requests {
-			e.Requests = append(e.Requests, poison.Fingerprint(f))
-		}
+		e := poison.Crash{Server: placement.Incarnation{ID: one.Server, Started: one.Started}, Service: one.Service, Requests: fromHex(one.Requests), Holds: one.Holds, Age: age}
 		for _, p := range one.Parts {
 			e.Parts = append(e.Parts, poison.Part{Own: poison.Fingerprint(p.Own), Shared: poison.Fingerprint(p.Shared), Name: p.Name})
 		}
--- a/controller/verdicts/liveness.go
+++ b/controller/verdicts/liveness.go
@@ -101,7 +101,7 @@
 	if !check.crashed() {
 		return
 	}
-	c.observeCrash(crash)
+	c.apply(poison.Report{Crashes: []poison.Crash{crash}}, origin{name: "this router", local: true})
 }
 
 // finishCheck ends a check: no further requests are added to it.
--- a/controller/verdicts/persist.go
+++ b/controller/verdicts/persist.go
@@ -48,9 +48,9 @@
 	Service string   `json:"service"`
 	Servers []string `json:"servers"`
 	// Scope, Part and Also are those of the verdict; absent for a whole request.
-	Scope poison.Scope `json:"scope,omitempty"`
-	Part  string       `json:"part,omitempty"`
-	Also  []string     `json:"also,omitempty"`
+	Scope poison.Scope     `json:"scope,omitempty"`
+	Part  string           `json:"part,omitempty"`
+	Also  []hexFingerprint `json:"also,omitempty"`
 	// UntilMs is when the quarantine expires, in Unix milliseconds.
 	UntilMs int64 `json:"untilMs"`
 }
@@ -146,16 +146,22 @@
 	if !errors.Is(err, store.ErrConflict) {
 		return err
 	}
-	current, err := c.Store.Get(ctx, storeKey(request))
+	_, _, err = c.replace(ctx, k.verdict, value)
+	return err
+}
+
+// replace replaces the verdict in the store by a later one with the given stored form, and a malformed one too. If that in the
+// store has the same or a higher number, it is left unchanged and returned.
+func (c *Controller) replace(ctx context.Context, v poison.Verdict, value []byte) (kept poison.Verdict, isKept bool, err error) {
+	current, err := c.Store.Get(ctx, storeKey(v.Request))
 	if err != nil {
-		return err
+		return kept, false, err
 	}
-	var currentVerdict storedVerdict
-	if json.Unmarshal(current.Value, &currentVerdict) == nil && currentVerdict.Number >= k.verdict.Number {
-		return nil
+	if kept, err = decodeVerdict(clock.Now(), current); err == nil && kept.Number >= v.Number {
+		return kept, true, nil
 	}
-	_, err = c.Store.Update(ctx, storeKey(request), current.Version, value)
-	return err
+	_, err = c.Store.Update(ctx, current.Key, current.Version, value)
+	return kept, false, err
 }
 
 // remove deletes a verdict from the store, if there is one.
@@ -225,12 +231,10 @@
 
 // encodeVerdict returns the stored form of a verdict that is in force until a time.
 func encodeVerdict(v poison.Verdict, until time.Time) ([]byte, error) {
-	s := storedVerdict{Number: v.Number, Service: v.Service, Servers: v.Servers, Scope: v.Scope, Part: v.Part}
-	for _, f := range v.Also {
-		s.Also = append(s.Also, f.String())
-	}
-	s.UntilMs = time.Now().Add(clock.Until(until)).UnixMilli()
-	return json.Marshal(s)
+	return json.Marshal(storedVerdict{
+		Number: v.Number, Service: v.Service, Servers: v.Servers, Scope: v.Scope, Part: v.Part, Also: toHex(v.Also),
+		UntilMs: time.Now().Add(clock.Until(until)).UnixMilli(),
+	})
 }
 
 func decodeVerdict(now time.Time, o store.Object) (poison.Verdict, error) {
@@ -243,14 +247,6 @@
 	if err := json.Unmarshal(o.Value, &s); err != nil {
 		return poison.Verdict{}, err
 	}
-	var also []poison.Fingerprint
-	for _, text := range s.Also {
-		f, err := poison.Parse(text)
-		if err != nil {
-			return poison.Verdict{}, err
-		}
-		also = append(also, f)
-	}
 	remaining := time.Duration(s.UntilMs-now.UnixMilli()) * time.Millisecond
-	return poison.Verdict{Request: request, Scope: s.Scope, Part: s.Part, Also: also, Number: s.Number, Service: s.Service, Servers: s.Servers, Remaining: remaining}, nil
+	return poison.Verdict{Request: request, Scope: s.Scope, Part: s.Part, Also: fromHex(s.Also), Number: s.Number, Service: s.Service, Servers: s.Servers, Remaining: remaining}, nil
 }
--- a/controller/verdicts/request.go
+++ b/controller/verdicts/request.go
@@ -63,7 +63,7 @@
 		return nil
 	}
 	if v, held := r.verdicts.Holds(r.ensureFingerprint(), r.parts); held {
-		return heldBack(v)
+		return quarantineRefusal(v)
 	}
 	return nil
 }
@@ -76,13 +76,13 @@
 	}
 	v, refused, trial := r.verdicts.admit(r.ensureFingerprint(), r.parts)
 	if refused {
-		return heldBack(v)
+		return quarantineRefusal(v)
 	}
 	r.trial = trial
 	return nil
 }
 
-func heldBack(v poison.Verdict) *result.Error {
+func quarantineRefusal(v poison.Verdict) *result.Error {
 	what := "the request"
 	if v.Scope != poison.ScopeRequest {
 		what = "requests with the part " + v.Part + " in their prompts"
--- a/controller/verdicts/trial.go
+++ b/controller/verdicts/trial.go
@@ -59,24 +59,19 @@
 
 // writeClaim writes a verdict to the store unless there is one of the same or a higher number there.
 func (c *Controller) writeClaim(ctx context.Context, next poison.Verdict) error {
-	key := storeKey(next.Request)
 	value, err := encodeVerdict(next, clock.Now().Add(next.Remaining))
 	if err != nil {
 		return err
 	}
-	current, err := c.Store.Get(ctx, key)
+	kept, isKept, err := c.replace(ctx, next, value)
 	switch {
 	case errors.Is(err, store.ErrNotFound):
-		_, err = c.Store.Create(ctx, key, value)
+		_, err = c.Store.Create(ctx, storeKey(next.Request), value)
 		return err
-	case err != nil:
-		return err
-	}
-	stored, err := decodeVerdict(clock.Now(), current)
-	if err == nil && stored.Number >= next.Number {
-		c.apply(poison.Report{Verdicts: []poison.Verdict{stored}}, origin{name: "store"})
+	case isKept:
+		c.apply(poison.Report{Verdicts: []poison.Verdict{kept}}, origin{name: "store"})
 		return errClaimed
+	default:
+		return err
 	}
-	_, err = c.Store.Update(ctx, key, current.Version, value) // replaces a malformed one too
-	return err
 }
--- a/controller/verdicts/verdicts.go
+++ b/controller/verdicts/verdicts.go
@@ -280,30 +280,32 @@
 // RecordSuccess records that a server completed a request and is alive. That clears the request, and the
 // parts of its prompt.
 func (c *Controller) RecordSuccess(service string, request poison.Fingerprint, parts ...poison.Part) {
-	c.recordPartSuccess(service, parts)
-	c.recordServed(service)
 	r := poison.Report{Runs: []poison.Run{{Request: request, Service: service}}}
 	for _, p := range parts {
 		r.Runs = append(r.Runs, poison.Run{Request: p.Own, Service: service}, poison.Run{Request: p.Shared, Service: service})
 	}
-	c.apply(r, origin{name: "a good run", local: true})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recordParts(service, parts)
+	c.table.RecordServed(service)
+	c.applyLocked(r, origin{name: "a good run", local: true})
 }
 
 // recordPartSuccess records a successful run for the parts of its prompt, which may be at crashes soon.
 func (c *Controller) recordPartSuccess(service string, parts []poison.Part) {
 	if len(parts) == 0 {
-		return
+		return // most requests have none and take no lock
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.successes.Record(clock.Now(), service, parts)
+	c.recordParts(service, parts)
 }
 
-// recordServed counts a successful run, by which requests that only meet crashes stand out.
-func (c *Controller) recordServed(service string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.table.RecordServed(service)
+// recordParts is recordPartSuccess for a caller that holds c.mu.
+func (c *Controller) recordParts(service string, parts []poison.Part) {
+	if len(parts) > 0 {
+		c.successes.Record(clock.Now(), service, parts)
+	}
 }
 
 // List returns the verdicts in force.
@@ -352,20 +354,15 @@
 	var priors []poison.Prior
 	for _, e := range r.Crashes {
 		priors = append(priors, c.successes.At(clock.Now(), e)...)
+		if from.local {
+			c.table.RecordBroken(e.Service, len(e.Requests))
+		}
 	}
 	if len(priors) > 0 {
 		c.applyLocked(poison.Report{Priors: priors}, origin{name: "successful runs before a crash", local: true})
 	}
 }
 
-// observeCrash applies the crash of a process that this router has found to be gone.
-func (c *Controller) observeCrash(e poison.Crash) {
-	c.apply(poison.Report{Crashes: []poison.Crash{e}}, origin{name: "this router", local: true})
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.table.RecordBroken(e.Service, len(e.Requests))
-}
-
 // applyLocked is apply without that addition. The caller holds c.mu.
 func (c *Controller) applyLocked(r poison.Report, from origin) {
 	now := clock.Now()
--- a/poison/contrast.go
+++ b/poison/contrast.go
@@ -30,19 +30,25 @@
 	maxContrastedWeight = 2.0
 )
 
-// tally counts what happened at a service. Ends of requests are those that this router has seen.
+// Ends counts the requests of a service that this router has seen end.
+type Ends struct {
+	// Served ended well, Broken met crashes.
+	Served int `json:"served"`
+	Broken int `json:"broken"`
+}
+
+// tally counts what happened at a service.
 type tally struct {
-	// served are requests that ended well, broken those whose server crashed.
-	served, broken int
+	Ends
 	// crashes are those that any router has reported, and ran the requests that ran there.
 	crashes, ran int
 }
 
 // RecordServed records that a server of a service completed a request of this router.
-func (t *Table) RecordServed(service string) { t.tallyOf(service).served++ }
+func (t *Table) RecordServed(service string) { t.tallyOf(service).Served++ }
 
 // RecordBroken records requests of this router that broke off because their server crashed.
-func (t *Table) RecordBroken(service string, requests int) { t.tallyOf(service).broken += requests }
+func (t *Table) RecordBroken(service string, requests int) { t.tallyOf(service).Broken += requests }
 
 func (t *Table) tallyOf(service string) *tally {
 	n := t.tallies[service]
@@ -53,11 +59,10 @@
 	return n
 }
 
-// Ends counts requests of a service that ended while parts were suspects.
-type Ends struct {
-	// Served ended well, Broken met crashes.
-	Served int `json:"served"`
-	Broken int `json:"broken"`
+// endsSince returns how requests of the service have ended since the first crash of a part.
+func (t *Table) endsSince(r *record) Ends {
+	now := t.tallyOf(r.suspectedAt)
+	return Ends{Served: now.Served - r.base.Served, Broken: now.Broken - r.base.Broken}
 }
 
 // Ends returns, by service, how requests of this router ended since the first crash of the part that has been a suspect for the
@@ -68,9 +73,8 @@
 		if r.scope == ScopeRequest || r.hasVerdict() || r.total < minCrashes-1 {
 			continue
 		}
-		now := t.tallyOf(r.suspectedAt)
-		if n := now.served - r.base.served; n > all[r.suspectedAt].Served {
-			all[r.suspectedAt] = Ends{Served: n, Broken: now.broken - r.base.broken}
+		if n := t.endsSince(r); n.Served > all[r.suspectedAt].Served {
+			all[r.suspectedAt] = n
 		}
 	}
 	return all
@@ -80,19 +84,18 @@
 func (t *Table) AddEnds(all map[string]Ends) {
 	for service, n := range all {
 		at := t.tallyOf(service)
-		at.served, at.broken = at.served+max(n.Served, 0), at.broken+max(n.Broken, 0)
+		at.Served, at.Broken = at.Served+max(n.Served, 0), at.Broken+max(n.Broken, 0)
 	}
 }
 
 // failing returns the share of the requests of a service that met crashes, since the first crash of a part. It is 1 if
 // hardly any succeeded. None of those that succeeded had the part.
 func (t *Table) failing(r *record) float64 {
-	now := t.tallyOf(r.suspectedAt)
-	served, broken := now.served-r.base.served, now.broken-r.base.broken
-	if served < minContrastSuccesses {
+	n := t.endsSince(r)
+	if n.Served < minContrastSuccesses {
 		return 1
 	}
-	return float64(broken+1) / float64(served+broken+2)
+	return float64(n.Broken+1) / float64(n.Served+n.Broken+2)
 }
 
 // coverage returns the share of the crashes of a service since the first one of a part at which the part was, and the negative
@@ -138,7 +141,10 @@
 		found.Weight = sum(groups.weights)
 	case found.Contrast >= minContrast:
 		groups = groupCrashes(counted, max(time.Duration(float64(successWindow)*minContrast/found.Contrast), minSuccessWindow))
-		found.Weight = groups.contrasted(found.Contrast >= clearContrast)
+		found.Weight = sum(groups.weights)
+		if found.Contrast >= clearContrast {
+			found.Weight = groups.contrasted()
+		}
 	case now.Sub(r.succeeded) < successMemory || found.Coverage < minCoverage:
 		// Servers may crash one after the other for another reason, so that hardly anything succeeds.
 	default:
@@ -176,14 +182,10 @@
 	return g
 }
 
-// contrasted returns the weight of crashes of a part that stands out. If it does so clearly, a group counts by its crashes.
-func (g *crashGroups) contrasted(clearly bool) (weight float64) {
+// contrasted returns the weight of crashes of a part that stands out clearly: a group counts by its crashes.
+func (g *crashGroups) contrasted() (weight float64) {
 	for i, n := range g.counts {
-		if clearly {
-			weight += g.weights[i] * min(1+float64(n-1)/2, maxContrastedWeight)
-		} else {
-			weight += g.weights[i]
-		}
+		weight += g.weights[i] * min(1+float64(n-1)/2, maxContrastedWeight)
 	}
 	return weight
 }
