Retries: attempts that end without a byte of a response are counted

The logs could not tell retries that arrive late from attempts that nobody paid for. gaplink_gateway_unanswered_total, and the field unanswered of 'retry budget exhausted', count attempts whose server sent nothing, and which it may still receive.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -47,6 +47,8 @@
 	isLast bool
 	// promptRead reports that the server has read the prompt.
 	promptRead bool
+	// unanswered is set if the attempt ended without a byte of a response.
+	unanswered bool
 	// sentAt is when the request was handed to the connection pool.
 	sentAt time.Time
 	// lastEventAt is when the server's last event arrived; zero if none has.
@@ -264,6 +266,7 @@
 	}
 	a.mayHaveRun = true
 	a.record.router = f.Router
+	a.unanswered = f.Unanswered
 	return a.endBroken(ctx, f)
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -21,6 +21,7 @@
 	returns  *prometheus.HistogramVec
 	held     *prometheus.CounterVec
 	retries  *prometheus.CounterVec
+	silent   *prometheus.CounterVec
 }
 
 // latencyBuckets span the latency objectives, in seconds.
@@ -62,8 +63,11 @@
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gaplink_gateway_retries_total", Help: "Attempts that a server may have received after an earlier one of the same request, by service and by how that one ended.",
 		}, []string{"service", "cause"}),
+		silent: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gaplink_gateway_unanswered_total", Help: "Attempts that ended without a byte of a response, and may still arrive at their server, by service.",
+		}, []string{"service"}),
 	}
-	reg.MustRegister(m.requests, m.attempts, m.seconds, m.tokens, m.replies, m.ages, m.returns, m.held, m.retries)
+	reg.MustRegister(m.requests, m.attempts, m.seconds, m.tokens, m.replies, m.ages, m.returns, m.held, m.retries, m.silent)
 	return m
 }
 
@@ -112,6 +116,9 @@
 	m.retries.WithLabelValues(service, cause).Inc()
 }
 
+// unanswered counts an attempt that ended without a byte of a response.
+func (m *Metrics) unanswered(service string) { m.silent.WithLabelValues(service).Inc() }
+
 func (m *Metrics) attempt(service, outcome string) {
 	m.attempts.WithLabelValues(service, outcome).Inc()
 }
--- a/gateway/retries.go
+++ b/gateway/retries.go
@@ -23,8 +23,8 @@
 }
 
 type serviceRetries struct {
-	further int64
-	lines   logs.RateLimit
+	further, unanswered int64
+	lines               logs.RateLimit
 }
 
 func (l *retryLog) of(service string) *serviceRetries {
@@ -46,14 +46,21 @@
 	l.of(service).further++
 }
 
-// exhausted returns the number of further attempts, and whether a line about the service's budget may be
+// addUnanswered counts an attempt that ended without a byte of a response.
+func (l *retryLog) addUnanswered(service string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.of(service).unanswered++
+}
+
+// exhausted returns the numbers of further and of unanswered attempts, and whether a line about the service's budget may be
 // written, with the number of lines suppressed since the last one.
-func (l *retryLog) exhausted(service string) (further, suppressed int64, allowed bool) {
+func (l *retryLog) exhausted(service string) (further, unanswered, suppressed int64, allowed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.of(service)
 	suppressed, allowed = s.lines.Allow(clock.Now(), retryLogInterval)
-	return s.further, suppressed, allowed
+	return s.further, s.unanswered, suppressed, allowed
 }
 
 // payForRetry takes the retry for the request's next attempt from the service's budget, unless it is paid for. It
@@ -89,6 +96,10 @@
 	if d == notReached {
 		return
 	}
+	if a.unanswered {
+		c.g.retryLog.addUnanswered(c.service.Name)
+		c.g.Metrics.unanswered(c.service.Name)
+	}
 	if c.arrivals > 0 {
 		c.g.retryLog.add(c.service.Name)
 		c.g.Metrics.retried(c.service.Name, c.lastArrival)
@@ -111,12 +122,12 @@
 
 // logRetriesSpent logs that the service's retry budget is spent.
 func (g *Gateway) logRetriesSpent(service string) {
-	further, suppressed, allowed := g.retryLog.exhausted(service)
+	further, unanswered, suppressed, allowed := g.retryLog.exhausted(service)
 	if !allowed {
 		return
 	}
 	s := g.Retries.Status(clock.Now(), service)
 	g.Logs.All.Info("retry budget exhausted", zap.String("service", service), zap.Int64("requests", s.Requests), zap.Int64("retries", s.Spent),
-		zap.Int64("further_attempts", further), zap.Float64("tokens", s.Tokens), zap.Float64("capacity", s.Capacity),
+		zap.Int64("further_attempts", further), zap.Int64("unanswered", unanswered), zap.Float64("tokens", s.Tokens), zap.Float64("capacity", s.Capacity),
 		zap.Int("routers", s.Routers), zap.String("phase", s.Phase), zap.Int64("suppressed", suppressed))
 }
--- /dev/null
+++ b/lab/soak/freezes.go
@@ -0,0 +1,128 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/gaplink/gaplink/wait"
+)
+
+// FreezePeriod is a time in which all servers fail most requests, while some of them freeze, or the links to them hold bytes,
+// and all routers are killed together.
+type FreezePeriod struct {
+	At, Duration time.Duration
+	// BreaksOff makes servers break off their answers in place of refusing requests.
+	BreaksOff bool
+	Freezes   []ServerFreeze
+	Kills     []RefusalKill
+}
+
+// ServerFreeze is a time in which a server carries nothing, and after which it gets all that was sent meanwhile.
+type ServerFreeze struct {
+	Server       int
+	At, Duration time.Duration
+	// AtLink is set if the link to the server holds the bytes in place of the server's sockets.
+	AtLink bool
+}
+
+// The faults of a freeze period.
+const (
+	ServerFrozen   Fault = "server frozen"
+	ServerLinkHeld Fault = "server link holds bytes"
+)
+
+const (
+	// freezeStream is the stream of random numbers from which the period is drawn.
+	freezeStream = 1 << 36
+	// openRate is the rate of the requests of a run with a freeze period, per second.
+	openRate = 105
+	// minFreeze to maxFreeze bound the time for which servers are frozen.
+	minFreeze, maxFreeze = 2 * time.Second, 30 * time.Second
+	// freezeMargin is the time before and after the period, and freezeLead the time in which servers fail before some freeze.
+	freezeMargin  = 6 * time.Second
+	maxFreezeLead = 2 * time.Second
+	// maxFreezeKills bounds the kills of all routers in the period.
+	maxFreezeKills = 3
+)
+
+// DrawFreezePeriod draws the period of a run.
+func DrawFreezePeriod(seed uint64, length time.Duration, servers int) FreezePeriod {
+	rng := rand.New(rand.NewPCG(seed, freezeStream))
+	p := FreezePeriod{At: freezeMargin, Duration: length - 2*freezeMargin, BreaksOff: rng.IntN(2) == 0}
+	begin := p.At + time.Duration(rng.Int64N(int64(maxFreezeLead)))
+	longest := min(maxFreeze, p.At+p.Duration-begin)
+	duration := minFreeze + time.Duration(rng.Int64N(int64(longest-minFreeze)))
+	atLink := rng.IntN(3) == 0
+	count := []int{1, (servers + 1) / 2, servers - 1, servers - 1, servers}[rng.IntN(5)]
+	inTurns := rng.IntN(4) == 0
+	for i, server := range rng.Perm(servers)[:max(count, 1)] {
+		f := ServerFreeze{Server: server, At: begin, Duration: duration, AtLink: atLink}
+		if inTurns {
+			delay := time.Duration(i) * duration / time.Duration(count)
+			f.At, f.Duration = f.At+delay, f.Duration-delay
+		}
+		p.Freezes = append(p.Freezes, f)
+	}
+	at := begin
+	for range max(rng.IntN(2*maxFreezeKills+1)-maxFreezeKills, 0) {
+		at += drawKillInterval(rng)
+		p.Kills = append(p.Kills, drawKill(rng, at))
+	}
+	return p
+}
+
+// runFreezes plays a freeze period.
+func (f *fleet) runFreezes(ctx context.Context, p FreezePeriod) {
+	start := time.Now()
+	await := func(at time.Duration) bool { return wait.For(ctx, time.Until(start.Add(at))) == nil }
+	var parts sync.WaitGroup
+	defer parts.Wait()
+	parts.Go(func() { f.killAllAt(ctx, start, p.Kills) })
+	for _, one := range p.Freezes {
+		parts.Go(func() {
+			if await(one.At) {
+				f.freeze(ctx, one)
+			}
+		})
+	}
+	if !await(p.At) {
+		return
+	}
+	f.setFailing(refusedShare, p.BreaksOff)
+	defer f.setFailing(0, false)
+	await(p.At + p.Duration)
+}
+
+// freeze freezes a server or the link to it.
+func (f *fleet) freeze(ctx context.Context, one ServerFreeze) {
+	p := f.slots[one.Server]
+	p.mu.Lock()
+	scripted := p.scripted
+	p.mu.Unlock()
+	begin, fault := scripted.Freeze, ServerFrozen
+	if one.AtLink {
+		begin, fault = func() (func(), bool) { return p.proxy.Hold(clientToServer) }, ServerLinkHeld
+	}
+	end, ok := begin()
+	if !ok {
+		return
+	}
+	f.counters.countFault(fault)
+	f.recordDisruption(ServerAtSlot(one.Server), one.Duration)
+	_ = wait.For(ctx, one.Duration) // the server goes on when the run ends
+	end()
+}
+
+// runOpen sends requests at a rate that does not depend on the answers, until the context ends.
+func (c *caller) runOpen(ctx context.Context, perSecond float64) {
+	defer c.client.CloseIdleConnections()
+	var sent sync.WaitGroup
+	defer sent.Wait()
+	for n := 0; ctx.Err() == nil; n++ {
+		t := c.draw(n)
+		sent.Go(func() { c.send(t) })
+		time.Sleep(time.Duration(c.rng.ExpFloat64() / perSecond * float64(time.Second)))
+	}
+}
--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -27,6 +27,8 @@
 	blocked [2]bool
 	// restored is closed when the current block of a direction ends.
 	restored chan struct{}
+	// released is closed when the bytes that are held in a direction are forwarded; nil while none are held.
+	released [2]chan struct{}
 	conns    map[*proxiedConn]bool
 	// cuts are the partitions of clients by their IP address.
 	cuts map[string]Partition
@@ -152,11 +154,44 @@
 	p.restored = make(chan struct{})
 }
 
+// Hold keeps the bytes of one direction until the returned function is called, which forwards them. It returns false if
+// they are held already.
+func (p *Proxy) Hold(d direction) (release func(), ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.released[d] != nil {
+		return nil, false
+	}
+	p.released[d] = make(chan struct{})
+	return func() { p.release(d) }, true
+}
+
+func (p *Proxy) release(d direction) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.released[d] != nil {
+		close(p.released[d])
+		p.released[d] = nil
+	}
+}
+
+// awaitRelease waits while bytes of a direction are held.
+func (p *Proxy) awaitRelease(d direction) {
+	p.mu.Lock()
+	released := p.released[d]
+	p.mu.Unlock()
+	if released != nil {
+		<-released
+	}
+}
+
 // Close closes the proxy and its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
 	p.Down(true)
 	p.Restore()
+	p.release(clientToServer)
+	p.release(serverToClient)
 }
 
 func (p *Proxy) accept() {
@@ -227,6 +262,7 @@
 	buf := make([]byte, proxyBuffer)
 	for {
 		n, err := from.Read(buf)
+		pc.proxy.awaitRelease(d)
 		if pc.applyDelays(d) {
 			pc.reset()
 			return
--- a/lab/soak/refusals.go
+++ b/lab/soak/refusals.go
@@ -5,8 +5,10 @@
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
+	"github.com/gaplink/gaplink/platform/standin"
 	"github.com/gaplink/gaplink/wait"
 )
 
@@ -64,8 +66,8 @@
 	if !await(p.At) {
 		return
 	}
-	f.setRefusedShare(refusedShare)
-	defer f.setRefusedShare(0)
+	f.setFailing(refusedShare, false)
+	defer f.setFailing(0, false)
 	if f.killAllAt(ctx, start, p.Kills) {
 		await(p.At + p.Duration)
 	}
@@ -94,14 +96,27 @@
 	}
 }
 
-func (f *fleet) setRefusedShare(share float64) {
+// setFailing makes all servers refuse a share of the requests, or break off their answers to them.
+func (f *fleet) setFailing(share float64, breakOff bool) {
 	for _, p := range f.slots {
 		p.mu.Lock()
-		p.refusedShare = share
+		p.refusedShare, p.breaksOff = share, breakOff
 		p.mu.Unlock()
 	}
 }
 
+// failedAnswer returns the answer to a request that the server fails.
+func (p *serverSlot) failedAnswer(r standin.Run, arrivals int, request Request) (standin.Answer, Ending) {
+	p.mu.Lock()
+	breaksOff := p.breaksOff
+	p.mu.Unlock()
+	if !breaksOff {
+		return refusalAnswer(r.RequestID), Refusal
+	}
+	from, _ := strconv.Atoi(r.LastEvent) // no Last-Event-Id: start with the first event
+	return buildAnswer(runRand(p.seed, r.RequestID, arrivals), CutReset, r.RequestID, from, request), CutReset
+}
+
 // refuses reports whether the server refuses an attempt of a request.
 func (p *serverSlot) refuses(id string, arrivals int) bool {
 	p.mu.Lock()
--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -31,6 +31,8 @@
 	refusing    int
 	// refusedShare is the share of the requests that the server refuses.
 	refusedShare float64
+	// breaksOff makes the server break off its answers to that share in place of refusing them.
+	breaksOff bool
 	// announcing is set while the server announces in its answers that it is leaving, and backoff
 	// is the time for which it asks for no requests in its refusals; 0 means that it does not.
 	announcing bool
@@ -103,7 +105,7 @@
 	a, e := DrawAnswer(p.seed, r, before, request)
 	backoff := p.askedBackoff()
 	if p.refuses(r.RequestID, before) || backoff > 0 || !accepted {
-		a, e = refusalAnswer(r.RequestID), Refusal
+		a, e = p.failedAnswer(r, before, request)
 	}
 	if accepted {
 		p.occupy(&a)
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -24,6 +24,8 @@
 	// Parts has requests with a fatal part in their prompts sent at a rate that is drawn, while all routers are killed together in
 	// series, in place of all other faults and of poison requests at random times.
 	Parts bool
+	// Freezes sends requests at a fixed rate, while servers fail most of them and some freeze, in place of all other faults.
+	Freezes bool
 	// Processes bounds the processes of a run, including this one.
 	Processes int
 }
@@ -119,11 +121,13 @@
 		if o.Refusals {
 			c.thinkTime = meanLightThinkTime
 		}
-		workers.Add(1)
-		go func() {
-			defer workers.Done()
-			c.run(loadCtx)
-		}()
+		workers.Go(func() {
+			if o.Freezes {
+				c.runOpen(loadCtx, openRate/callerCount)
+			} else {
+				c.run(loadCtx)
+			}
+		})
 	}
 	workers.Add(1)
 	go func() {
@@ -136,6 +140,10 @@
 		episodes, steps = []PoisonEpisode{period.Episode}, nil
 		workers.Go(func() { f.killAllAt(loadCtx, time.Now(), period.Kills) })
 	}
+	if o.Freezes {
+		episodes, steps = nil, nil
+		workers.Go(func() { f.runFreezes(loadCtx, DrawFreezePeriod(o.Seed, o.Length, o.Servers)) })
+	}
 	workers.Go(func() { f.runEpisodes(loadCtx, o.Seed, episodes) })
 	if o.Brittle {
 		workers.Add(1)
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -75,6 +75,9 @@
 	// NoPath is set if the server is reached only through other routers and none of them provided a
 	// connection, which says nothing about the server.
 	NoPath bool
+	// Unanswered is set if no byte came on the connection since the request was sent. The server may then receive the
+	// request later, also though the connection is closed.
+	Unanswered bool
 	// Router is the router through which the request was sent; empty if directly, or if it was not sent.
 	Router string
 	Err    error
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -119,14 +119,15 @@
 	resp, err := a.readHead(r)
 	c.endWait()
 	if err != nil {
-		if c.readAt.Before(began) && !errors.Is(context.Cause(ctx), context.Canceled) {
+		unanswered := c.readAt.Before(began)
+		if unanswered && !errors.Is(context.Cause(ctx), context.Canceled) {
 			c.reportNotAnswered(began)
 		}
 		a.discard()
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
-		return nil, &Failure{Stage: Sent, Router: c.router, Err: err}
+		return nil, &Failure{Stage: Sent, Unanswered: unanswered, Router: c.router, Err: err}
 	}
 	a.resp = resp
 	a.StatusCode, a.Header, a.ContentLength = resp.StatusCode, resp.Header, resp.ContentLength
