Retries: a retry occupies the budget until its attempts can no longer arrive

Callers saw nothing of it; servers did: after a freeze of 11 s five servers got 205 repeats within a second, 269 arrivals beyond the first in ten seconds where 249 are allowed. Cause: the limits hold for what arrives at servers, the budget bounded what is sent. What was paid for in a freeze arrives when the servers go on, beside what the ten seconds around it earn; closing the connection does not recall it. Ruled out: attempts that nobody paid for (further attempts equal retries paid in every line of the play). Change: tokens and retries that may still arrive are together at most the capacity. An attempt is settled by its answer, by the answer to something sent later on the same path, by the end of the server's process, or after 35 s. Attempts given up without an answer take at most half of the capacity. A process under 35 s old sends retries only to servers that answered it. A server that answers neither requests nor a health check gets one request at a time, and only where no other is eligible. Test red before: TestRetriesThatArriveLateStayWithinTheBudget (515 of 215 allowed, 8 routers, 30 s; 54 cases of 6 to 300 routers).

--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -65,6 +65,10 @@
 	lapsed       bool                 // whether registrations lapsed in the last outage
 	listed       bool
 	probedAt     map[string]time.Time
+	// silenceChecks are the checks of servers that do not respond. healthPath is nil if none are made.
+	silenceChecks map[placement.Incarnation]silenceCheck
+	healthPath    func(service string) string
+	attempts      Attempts
 	// entries are the registrations by key, and tombstones the versions up to
 	// which registrations are known to be deleted.
 	entries    map[string]entry
@@ -94,13 +98,16 @@
 	servers := placement.New()
 	servers.SetOrder(rand.Uint64())
 	return &Controller{
-		decode:     decode,
-		pool:       pool,
-		log:        log,
-		servers:    servers,
-		rng:        rng,
-		missing:    map[string]time.Time{},
-		probedAt:   map[string]time.Time{},
+		decode:   decode,
+		pool:     pool,
+		log:      log,
+		servers:  servers,
+		rng:      rng,
+		missing:  map[string]time.Time{},
+		probedAt: map[string]time.Time{},
+
+		silenceChecks: map[placement.Incarnation]silenceCheck{},
+
 		entries:    map[string]entry{},
 		tombstones: map[string]tombstone{},
 	}
@@ -128,12 +135,17 @@
 	c.removeMissing(now)
 	maps.DeleteFunc(c.tombstones, func(_ string, d tombstone) bool { return now.Sub(d.at) > deletionTTL })
 	due := c.probesDue(now)
+	c.forgetSilenceChecks()
+	unheard := c.silenceChecksDue(now)
 	c.logSpeedChanges(now)
 	c.checkReports(now)
 	c.mu.Unlock()
 	for _, s := range due {
 		go c.probe(ctx, s)
 	}
+	for _, s := range unheard {
+		go c.checkSilence(ctx, s)
+	}
 	c.pool.Sweep(now, c.keepsConnections)
 }
 
@@ -392,7 +404,11 @@
 func (c *Controller) Crashed(in placement.Incarnation) {
 	c.mu.Lock()
 	ejected := c.servers.Crashed(in)
+	attempts := c.attempts
 	c.mu.Unlock()
+	if attempts != nil {
+		attempts.Gone(in)
+	}
 	if ejected {
 		c.log.Warn("server ejected", zap.String("server", in.ID), zap.Int64("started", in.Started), zap.String("reason", "its process is gone"))
 	}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -53,6 +53,8 @@
 	// Dispatched and Refused have the same meaning as in retry.Failure.
 	Dispatched bool
 	Refused    bool
+	// Answered is set if the head of a response came.
+	Answered bool
 	// Leaving is set if the server reported that it is draining.
 	Leaving bool
 	// Backoff is the time for which a server that refused the request asks for no further ones; 0
@@ -161,13 +163,13 @@
 func (r *Response) validate() *Failure {
 	if r.http.Header.Get(HeaderNotAccepted) == "true" {
 		backoff, err := header.RetryAfter(r.http.Header)
-		return &Failure{Code: result.NotAccepted, Dispatched: true, Refused: true, Backoff: backoff, Cause: errors.Join(errors.New(r.http.Status), err)}
+		return &Failure{Code: result.NotAccepted, Dispatched: true, Answered: true, Refused: true, Backoff: backoff, Cause: errors.Join(errors.New(r.http.Status), err)}
 	}
 	if r.http.StatusCode != http.StatusOK {
-		return &Failure{Code: result.BackendGarbage, Dispatched: true, Cause: errors.New("status " + r.http.Status)}
+		return &Failure{Code: result.BackendGarbage, Dispatched: true, Answered: true, Cause: errors.New("status " + r.http.Status)}
 	}
 	if echoed := r.http.Header.Get(HeaderAttempt); echoed != r.attempt {
-		return &Failure{Code: result.ForeignAnswer, Dispatched: true, Cause: errors.New("response is for attempt " + echoed)}
+		return &Failure{Code: result.ForeignAnswer, Dispatched: true, Answered: true, Cause: errors.New("response is for attempt " + echoed)}
 	}
 	return nil
 }
@@ -195,7 +197,7 @@
 		return nil, transportFailure(ctx, err, true)
 	}
 	if len(body) > maxBodyBytes {
-		return nil, &Failure{Code: result.BackendGarbage, Dispatched: true, Cause: errors.New("response body is too large")}
+		return nil, &Failure{Code: result.BackendGarbage, Dispatched: true, Answered: true, Cause: errors.New("response body is too large")}
 	}
 	return body, nil
 }
@@ -267,10 +269,10 @@
 	}
 	var body chunkBody
 	if err := json.Unmarshal([]byte(data), &body); err != nil {
-		return Chunk{}, &Failure{Code: result.BackendGarbage, Dispatched: true, Cause: err}
+		return Chunk{}, &Failure{Code: result.BackendGarbage, Dispatched: true, Answered: true, Cause: err}
 	}
 	if body.ID != r.attempt {
-		return Chunk{}, &Failure{Code: result.ForeignAnswer, Dispatched: true, Cause: errors.New("event for " + body.ID)}
+		return Chunk{}, &Failure{Code: result.ForeignAnswer, Dispatched: true, Answered: true, Cause: errors.New("event for " + body.ID)}
 	}
 	c := Chunk{Data: []byte(data)}
 	for _, choice := range body.Choices {
--- a/filter/forward/forward.go
+++ b/filter/forward/forward.go
@@ -103,17 +103,18 @@
 	if refusal := record.Admit(); refusal != nil {
 		return refusal
 	}
-	h.opts.Retries.Request(clock.Now(), x.Target)
+	retries := h.opts.Retries.Begin(clock.Now(), x.Target)
+	defer retries.End()
 	tried := map[string]bool{}
 	var last *engine.Failure
 	for try := 1; ; try++ {
-		failure := h.tryServer(ctx, x, record, body, try, tried)
+		failure := h.tryServer(ctx, x, record, retries, body, try, tried)
 		if failure == nil {
 			return nil
 		}
 		failure = reportedFailure(last, failure)
 		last = failure
-		if err := h.prepareRetry(ctx, x, record, failure, try); err != nil {
+		if err := h.prepareRetry(ctx, x, record, retries, failure, try); err != nil {
 			return err
 		}
 	}
@@ -132,7 +133,7 @@
 
 // prepareRetry waits for the retry delay and reserves tokens for another attempt if the
 // failed one may have run, or returns the error that ends the request.
-func (h *Handler) prepareRetry(ctx context.Context, x *filter.Exchange, record *verdicts.Request, f *engine.Failure, try int) error {
+func (h *Handler) prepareRetry(ctx context.Context, x *filter.Exchange, record *verdicts.Request, retries *retry.Request, f *engine.Failure, try int) error {
 	final := result.New(f.Code, "%s", f.Code.Info().Meaning).Wrap(f.Cause)
 	retryState := retry.Failure{Dispatched: f.Dispatched, Refused: f.Refused, Answered: x.ResponseStarted}
 	switch {
@@ -143,7 +144,7 @@
 	case try >= h.opts.Attempts || f.Server == "", record.MayCrashServers(ctx):
 		return final.After(backendRetryAfter)
 	}
-	if !h.opts.Retries.Spend(clock.Now(), x.Target) {
+	if !retries.Pay(clock.Now(), try) {
 		return final.After(backendRetryAfter)
 	}
 	if err := wait.For(ctx, h.retryDelay(try+1)); err != nil {
@@ -170,7 +171,7 @@
 }
 
 // tryServer picks a server and makes one attempt there.
-func (h *Handler) tryServer(ctx context.Context, x *filter.Exchange, record *verdicts.Request, body []byte, try int, tried map[string]bool) *engine.Failure {
+func (h *Handler) tryServer(ctx context.Context, x *filter.Exchange, record *verdicts.Request, retries *retry.Request, body []byte, try int, tried map[string]bool) *engine.Failure {
 	prefix := x.PrefixHash
 	if isolated := record.Affinity(); isolated != 0 {
 		prefix = isolated
@@ -188,13 +189,30 @@
 	tried[server.ID] = true
 	a := &attempt{h: h, x: x, record: record, server: server, id: x.ID + "." + strconv.Itoa(try)}
 	h.routes.Started(server.ID)
+	retries.Sent()
+	sentAt := clock.Now()
 	failure := a.run(ctx, body)
+	a.recordArrival(retries, sentAt, failure)
 	h.routes.Finished(server.ID, failure != nil && failure.Code != result.CallerGone && !failure.Leaving && failure.Backoff == 0)
 	a.logOutcome(failure)
 	a.reportOutcome(failure)
 	return failure
 }
 
+// recordArrival records whether an attempt that has ended may still arrive at its server. A failure without an answer does not
+// tell whether a part of its head came.
+func (a *attempt) recordArrival(retries *retry.Request, sentAt time.Time, f *engine.Failure) {
+	path := retry.Path{Server: a.server.ID}
+	switch {
+	case a.answered, f == nil, f.Answered:
+		retries.Answered(clock.Now(), path, sentAt)
+	case !f.Dispatched:
+		retries.NotSent()
+	default:
+		retries.Unanswered(clock.Now(), path, sentAt)
+	}
+}
+
 // attempt is one attempt to run a request on a backend server.
 type attempt struct {
 	h      *Handler
@@ -203,6 +221,8 @@
 	server table.Server
 	id     string
 	served int64
+	// answered is set once the head of a response has come.
+	answered bool
 }
 
 func (a *attempt) run(ctx context.Context, body []byte) *engine.Failure {
@@ -215,6 +235,7 @@
 		return a.chargeFailure(f)
 	}
 	defer resp.Close()
+	a.answered = true
 	a.x.Dispatched = true
 	a.recordServerState(resp)
 	if a.x.Kind == table.Service {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -87,11 +87,14 @@
 	defer a.g.attempts.add(a, wd)()
 	a.recordOrigin()
 	a.sentAt = clock.Now()
+	a.retries.Sent()
 	answer, failure := a.g.Pool.Send(ctx, a.request())
 	if failure != nil {
+		a.recordUnanswered(failure)
 		return a.sendFailed(ctx, failure)
 	}
 	defer answer.Close()
+	a.recordHeard(answer.Router())
 	a.record.setAnswer(answer)
 	info := a.g.Protocol.Answer(answer.StatusCode, answer.Header)
 	a.observe(a.sentAt, answer.StatusCode, answer.Header, info)
@@ -186,7 +189,11 @@
 // still be sent on it.
 func (a *attempt) maySend() bool {
 	a.recordRegistrationAge()
-	return !a.deadlinePassed() && !callerGone(a.r) && a.g.staleRefusal() == nil && a.poisonStatus().Refusal() == nil && a.g.Servers.MaySend(a.server, a.permit)
+	if a.deadlinePassed() || callerGone(a.r) || a.g.staleRefusal() != nil || a.poisonStatus().Refusal() != nil || !a.g.Servers.MaySend(a.server, a.permit) {
+		return false
+	}
+	a.g.Servers.Sending(a.server.Incarnation())
+	return true
 }
 
 // priorityThresholds are the prompt sizes, in new tokens, at which a request yields to smaller
@@ -266,7 +273,6 @@
 	}
 	a.mayHaveRun = true
 	a.record.router = f.Router
-	a.unanswered = f.Unanswered
 	return a.endBroken(ctx, f)
 }
 
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -50,7 +50,8 @@
 	defer cancel()
 	c.findOrigin(ctx)
 	c.chooseService()
-	c.g.Retries.Request(clock.Now(), c.service.Name)
+	c.retries = c.g.Retries.Begin(clock.Now(), c.service.Name)
+	defer c.retries.End()
 	defer c.g.running.add(c, cancel)()
 	refusal := c.pinVersion()
 	if refusal == nil {
@@ -153,8 +154,10 @@
 		Tried:    tried,
 		Domain:   c.g.Domain,
 		InDomain: c.allowedDomains(),
+		Retry:    c.arrivals > 0,
 		Rank:     c.rank(),
 	}
+	q.OnlyHeard = q.Retry && c.g.Retries.Young(clock.Now())
 	if c.service.Engine != nil {
 		q.Slots = c.service.Engine.Slots
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -196,11 +196,12 @@
 	// tokensReserved reports that the tokens for the next attempt are already reserved.
 	tokensReserved bool
 
-	// arrivals is the number of ended attempts that a server may have received, retriesPaid that of the retries
-	// taken from the budget. lastArrival is how the last of the attempts ended, and lastArrivalErr why.
-	arrivals, retriesPaid int
-	lastArrival           disposition
-	lastArrivalErr        error
+	// retries are the retries taken from the service's budget.
+	retries *retry.Request
+	// arrivals is the number of ended attempts that a server may have received. lastArrival is how the last of the attempts ended, and lastArrivalErr why.
+	arrivals       int
+	lastArrival    disposition
+	lastArrivalErr error
 
 	reserved int64
 	// unobserved counts the attempts that a server may have completed without this router
--- a/gateway/retries.go
+++ b/gateway/retries.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -8,8 +9,11 @@
 
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/logs"
+	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/result"
+	"github.com/gaplink/gaplink/retry"
 	"github.com/gaplink/gaplink/retryafter"
+	"github.com/gaplink/gaplink/upstream"
 )
 
 // retryLogInterval is the minimum time between two log lines about a service's retry budget.
@@ -66,29 +70,61 @@
 // payForRetry takes the retry for the request's next attempt from the service's budget, unless it is paid for. It
 // returns the error that ends the request if the budget is exhausted. Every attempt passes here.
 func (c *call) payForRetry() *result.Error {
-	if !c.payRetries(c.arrivals) {
+	if !c.retries.Pay(clock.Now(), c.arrivals) {
 		return c.retriesSpent()
 	}
 	return nil
 }
 
-// prepayRetry pays for the attempt after the one that is under way, and reports whether it could.
-func (c *call) prepayRetry() bool { return c.payRetries(c.arrivals + 1) }
-
-// payRetries takes retries from the service's budget until the given number is paid for, and reports whether it is.
-func (c *call) payRetries(n int) bool {
-	for c.retriesPaid < n {
-		if !c.g.Retries.Spend(clock.Now(), c.service.Name) {
-			return false
-		}
-		c.retriesPaid++
+// abandon pays for the attempt after the one that is under way, and reports whether it could. An attempt at a server that has
+// not answered this process is not abandoned while those of earlier processes may arrive there.
+func (a *attempt) abandon() bool {
+	if a.retries.Awaits() && a.g.Retries.Young(clock.Now()) && !a.g.Servers.WasHeard(a.server.Incarnation()) {
+		return false
 	}
-	return true
+	return a.retries.Abandon(clock.Now(), a.arrivals+1)
 }
 
 // mayRetry reports whether an attempt after the next one would be paid for.
-func (c *call) mayRetry() bool {
-	return c.retriesPaid > c.arrivals || c.g.Retries.Left(clock.Now(), c.service.Name)
+func (c *call) mayRetry() bool { return c.retries.MayPay(clock.Now(), c.arrivals+1) }
+
+// path returns how the attempt reached its server, through a router or directly.
+func (a *attempt) path(router string) retry.Path {
+	return retryPath(a.server.Incarnation(), router)
+}
+
+func retryPath(in placement.Incarnation, router string) retry.Path {
+	return retry.Path{Server: fmt.Sprint(in.ID, " ", in.Started), Router: router}
+}
+
+// Attempts implements registry.Attempts by the retry budgets.
+type Attempts struct{ Retries *retry.Budgets }
+
+// Answered implements registry.Attempts.
+func (a Attempts) Answered(in placement.Incarnation, router string, sentAt time.Time) {
+	a.Retries.Answered(clock.Now(), retryPath(in, router), sentAt)
+}
+
+// Gone implements registry.Attempts.
+func (a Attempts) Gone(in placement.Incarnation) { a.Retries.Gone(retryPath(in, "").Server) }
+
+// recordHeard records that a byte of an answer came.
+func (a *attempt) recordHeard(router string) {
+	a.g.Servers.Heard(a.server.Incarnation())
+	a.retries.Answered(clock.Now(), a.path(router), a.sentAt)
+}
+
+// recordUnanswered records that an attempt ended without an answer.
+func (a *attempt) recordUnanswered(f *upstream.Failure) {
+	switch {
+	case f.Stage == upstream.NotSent:
+		a.retries.NotSent()
+	case f.Unanswered:
+		a.unanswered = true
+		a.retries.Unanswered(clock.Now(), a.path(f.Router), a.sentAt)
+	default:
+		a.recordHeard(f.Router)
+	}
 }
 
 // recordArrival counts an attempt that its server may have received.
@@ -129,5 +165,5 @@
 	s := g.Retries.Status(clock.Now(), service)
 	g.Logs.All.Info("retry budget exhausted", zap.String("service", service), zap.Int64("requests", s.Requests), zap.Int64("retries", s.Spent),
 		zap.Int64("further_attempts", further), zap.Int64("unanswered", unanswered), zap.Float64("tokens", s.Tokens), zap.Float64("capacity", s.Capacity),
-		zap.Int("routers", s.Routers), zap.String("phase", s.Phase), zap.Int64("suppressed", suppressed))
+		zap.Int("pending", s.Pending), zap.Int("abandoned", s.Abandoned), zap.Int("routers", s.Routers), zap.String("phase", s.Phase), zap.Int64("suppressed", suppressed))
 }
--- a/gateway/unobserved_test.go
+++ b/gateway/unobserved_test.go
@@ -20,6 +20,7 @@
 	"github.com/gaplink/gaplink/controller/verdicts"
 	"github.com/gaplink/gaplink/exchange"
 	"github.com/gaplink/gaplink/placement"
+	"github.com/gaplink/gaplink/retry"
 	"github.com/gaplink/gaplink/store"
 	"github.com/gaplink/gaplink/upstream"
 )
@@ -54,6 +55,7 @@
 			r:        httptest.NewRequest(http.MethodPost, "/stream/x", nil),
 			route:    &catalog.Route{Kind: catalog.Stream, Resume: true},
 			service:  &catalog.Service{Name: "llm"},
+			retries:  noRetries(),
 			deadline: time.Now().Add(time.Second),
 		},
 		server: placement.Server{ID: "s", Address: server.Listener.Addr().String()},
@@ -139,6 +141,7 @@
 			}},
 			r:        r,
 			reply:    reply{w: httptest.NewRecorder(), r: r},
+			retries:  noRetries(),
 			route:    &catalog.Route{Kind: catalog.Stream, Resume: true},
 			service:  &catalog.Service{Name: "llm", Engine: &catalog.Engine{EventTokens: 5}},
 			deadline: time.Now().Add(time.Second),
@@ -147,3 +150,8 @@
 		isLast: true,
 	}
 }
+
+// noRetries returns the retries of a request that has none.
+func noRetries() *retry.Request {
+	return retry.NewBudgets(time.Time{}, func() retry.Limits { return retry.Limits{} }).Begin(time.Now(), "llm")
+}
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -30,6 +30,9 @@
 	// minPauseTimeout is the lower bound on that pause timeout. A server that works may send nothing for
 	// a second or so; its request must not go on elsewhere meanwhile.
 	minPauseTimeout = 1600 * time.Millisecond
+	// deniedInterval is the time until an attempt that could not be followed by another is looked at again: soon, since
+	// retries become free as servers answer.
+	deniedInterval = 250 * time.Millisecond
 )
 
 // watchdog cancels an attempt that makes no progress, if the router's retry budget for the
@@ -77,7 +80,7 @@
 	if metered && !a.g.Budgets.TryReserve(a.account.Name, a.MaxTokensOut) {
 		return false
 	}
-	if !a.prepayRetry() {
+	if !a.abandon() {
 		if metered {
 			a.g.Budgets.Settle(a.account.Name, a.MaxTokensOut, 0)
 		}
@@ -103,7 +106,7 @@
 		w.cancel(errTooSlow)
 		return
 	}
-	w.timer.Reset(w.pauseTimeout)
+	w.timer.Reset(deniedInterval)
 }
 
 // recordProgress restarts the timeout after an event of the stream.
--- a/gateway/watchdog_test.go
+++ b/gateway/watchdog_test.go
@@ -29,7 +29,10 @@
 		g:       g,
 		route:   &catalog.Route{Kind: catalog.Stream, Resume: true, LatencyObjective: 5 * time.Millisecond},
 		service: &catalog.Service{Name: "llm"},
+		retries: g.Retries.Begin(time.Now(), "llm"),
 	}}
+	a.retries.Sent()
+	a.retries.Answered(time.Now(), retry.Path{}, time.Now())
 	ctx, cancel := context.WithCancelCause(context.Background())
 	t.Cleanup(func() { cancel(nil) })
 	return ctx, a.startWatchdog(cancel)
@@ -104,10 +107,12 @@
 // A stream that no other server can continue is not cancelled, however long its server pauses:
 // the caller can get only what that server still sends.
 func TestUnresumableStreamIsNotCancelled(t *testing.T) {
+	budgets := retriesOf(10)
 	a := &attempt{call: &call{
-		g:       &Gateway{Options: Options{Retries: retriesOf(10)}},
+		g:       &Gateway{Options: Options{Retries: budgets}},
 		route:   &catalog.Route{Kind: catalog.Stream, Resume: true},
 		service: &catalog.Service{Name: "llm"},
+		retries: budgets.Begin(time.Now(), "llm"),
 	}}
 	a.stream.notResumable.Store(true)
 	if a.reserveRetry() {
--- a/placement/group.go
+++ b/placement/group.go
@@ -95,7 +95,7 @@
 // hasObservations reports whether the server has state that affects selection, apart from its
 // registration and its event interval.
 func (s *state) hasObservations() bool {
-	return s.inFlight > 0 || s.pending > 0 || s.consecutiveUnreachable > 0 || s.failureRate >= negligibleFailureRate || s.Leaving || s.ejected || s.report.hasBackoff()
+	return s.inFlight > 0 || s.pending > 0 || s.consecutiveUnreachable > 0 || s.failureRate >= negligibleFailureRate || s.Leaving || s.ejected || s.report.hasBackoff() || !s.silence.since.IsZero()
 }
 
 // groupLoad aggregates the servers of a group that are eligible for a request.
@@ -124,7 +124,7 @@
 		kept = append(kept, s)
 		switch {
 		case !allows(s.Domain):
-		case s.Leaving || s.ejected || s.backingOff(q.Now):
+		case s.Leaving || s.ejected || s.silence.confirmed || s.backingOff(q.Now):
 			l.up--
 		default:
 			l.inFlight += s.inFlight
@@ -179,7 +179,7 @@
 
 // accepts reports whether a server is eligible for a request and within the limits.
 func (f *Servers) accepts(s *state, q *Query, limits *pickLimits) bool {
-	return s.usable(q) && !s.ejected && !f.evacuated[s.Domain] &&
+	return s.usable(q) && !s.ejected && !s.silence.confirmed && !f.evacuated[s.Domain] &&
 		s.failureRate <= limits.failureRate && s.inFlight <= limits.inFlight && s.pending <= limits.pending && s.eventInterval <= limits.eventInterval &&
 		q.allows(s)
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -117,13 +117,15 @@
 	// firstDelay is the excess time to first events, in seconds, as of firstDelayAt.
 	firstDelay   float64
 	firstDelayAt time.Time
+	// silence is whether the server responds.
+	silence silence
 	// waitingSince is when the last first event of an own request arrived, or when the first own request
 	// was sent that waits for its own.
 	waitingSince time.Time
 }
 
 func (s *state) usable(q *Query) bool {
-	return !s.Leaving && q.runsAt(s) && !q.Tried[s.Incarnation()] && !s.backingOff(q.Now) && !s.full(q)
+	return !s.Leaving && q.runsAt(s) && !q.Tried[s.Incarnation()] && !s.backingOff(q.Now) && !s.full(q) && !s.silentFor(q)
 }
 
 // Servers holds the state of one router for all backend servers. It is not safe
@@ -335,6 +337,9 @@
 	// does not state it, and EventTokens the number of tokens in an event; 0: unknown.
 	Slots       int
 	EventTokens int64
+	// Retry is set if a server may have received the request already; a server that does not respond gets no retry. OnlyHeard
+	// restricts retries to servers from which a byte has come.
+	Retry, OnlyHeard bool
 	// LinkSaturated is set while the router's own network link is saturated. The times to the first
 	// events of its requests then say nothing about the servers.
 	LinkSaturated bool
@@ -395,19 +400,24 @@
 }
 
 // candidates returns the eligible servers whose failure rate is not far above the mean,
-// or all eligible servers if there is none: a failing server is better than none. Ejected
+// or all eligible servers if there is none: a failing server is better than none. Silent ones are
+// returned only if there are no others. Ejected
 // servers are never returned, since a request sent to an unreachable server would only wait.
 func (f *Servers) candidates(q Query) []*state {
-	var up []*state
+	var up, silent []*state
 	var sum float64
 	for _, s := range f.groupOf(q.Service).list {
-		if s.usable(&q) && !s.ejected && !f.evacuated[s.Domain] && q.allows(s) {
+		switch {
+		case !s.usable(&q) || s.ejected || f.evacuated[s.Domain] || !q.allows(s):
+		case s.silence.confirmed:
+			silent = append(silent, s)
+		default:
 			up = append(up, s)
 			sum += s.failureRate
 		}
 	}
 	if len(up) == 0 {
-		return nil
+		return silent
 	}
 	limit := 2*sum/float64(len(up)) + failureRateMargin
 	healthy := up[:0:0]
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -7,16 +7,33 @@
 // spent within the window: a full bucket at each start would allow a whole part of the slack for each kill. Over
 // any window the processes of an instance then spend at most what the one running at its begin has, the capacity,
 // and what the requests in it earn.
+//
+// The limits hold for what arrives at servers, which may be long after it was sent. A retry therefore occupies a
+// part of the capacity until its attempts can no longer arrive: tokens and pending retries together are at most
+// the capacity, so that over any window no more arrive than that and what the requests in it earn.
 type budget struct {
 	tokens, capacity float64
 	filled           bool
+	// pending is the number of retries taken whose attempts may still arrive, and abandoned that of the attempts
+	// that ended without an answer and may still arrive, maxAbandoned at most by choice.
+	pending, abandoned, maxAbandoned int
 	// requests and spent count the credited requests and the retries taken.
 	requests, spent int64
 }
 
-func (b *budget) setCapacity(capacity float64) {
-	b.capacity = capacity
-	b.tokens = min(b.tokens, capacity)
+func (b *budget) setCapacity(capacity float64, maxAbandoned int) {
+	b.capacity, b.maxAbandoned = capacity, maxAbandoned
+	b.tokens = min(b.tokens, b.room())
+}
+
+// room returns how many tokens the bucket may hold. While no more retries are pending than may be abandoned, that is one at
+// least, so that abandoned attempts do not end all retries.
+func (b *budget) room() float64 {
+	room := max(b.capacity-float64(b.pending), 0)
+	if b.pending <= b.maxAbandoned {
+		room = max(room, min(b.capacity, 1))
+	}
+	return room
 }
 
 // fill fills the bucket once, a window after the start of the process: by then the window has no retry of an
@@ -26,12 +43,12 @@
 		return
 	}
 	b.filled = true
-	b.tokens = max(b.tokens, b.capacity-float64(b.spent))
+	b.tokens = min(max(b.tokens, b.capacity-float64(b.spent)), b.room())
 }
 
 func (b *budget) credit(tokens float64) {
 	b.requests++
-	b.tokens = min(b.tokens+tokens, b.capacity)
+	b.tokens = min(b.tokens+tokens, b.room())
 }
 
 func (b *budget) left() bool { return b.tokens >= 1 }
@@ -42,5 +59,6 @@
 	}
 	b.tokens--
 	b.spent++
+	b.pending++
 	return true
 }
--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -55,6 +55,19 @@
 	}
 }
 
+// abandonedShare is the most that attempts which were given up without an answer, and may still arrive, may occupy of the
+// capacity.
+const abandonedShare = 0.5
+
+// maxAbandoned returns how many attempts of a process that were given up without an answer may be left at servers.
+func (l Limits) maxAbandoned(routers int, p phase) int {
+	const least = 2 // retries in the part of a router: one that was abandoned, and one that goes on
+	if routers == 0 || p == draining || l.Slack/float64(routers) < least {
+		return 0
+	}
+	return max(int(abandonedShare*l.capacity(routers, p)), 1)
+}
+
 // Budgets holds a retry budget for each service, which together keep to the fleet's limits over all processes
 // of all routers. It is safe for concurrent use.
 type Budgets struct {
@@ -64,6 +77,8 @@
 	mu        sync.Mutex
 	byService map[string]*budget
 	draining  bool
+	// unanswered are the attempts that ended without an answer and may still arrive.
+	unanswered []unanswered
 	// peak is the largest number of routers seen in the last window, at peakAt. Routers that are cut off
 	// from each other, and have a part each, would see fewer.
 	peak   int
@@ -82,19 +97,26 @@
 	if l.Routers >= b.peak || now.Sub(b.peakAt) > l.Window {
 		b.peak, b.peakAt = l.Routers, now
 	}
-	one, ok := b.byService[service]
-	if !ok {
-		one = &budget{}
-		b.byService[service] = one
-	}
+	b.settle(now)
+	one := b.of(service)
 	p := b.phase(now, l)
-	one.setCapacity(l.capacity(b.peak, p))
+	one.setCapacity(l.capacity(b.peak, p), l.maxAbandoned(b.peak, p))
 	if p == serving {
 		one.fill()
 	}
 	return one, l
 }
 
+// of returns the service's budget as it was last used. The caller holds b.mu.
+func (b *Budgets) of(service string) *budget {
+	one, ok := b.byService[service]
+	if !ok {
+		one = &budget{}
+		b.byService[service] = one
+	}
+	return one
+}
+
 func (b *Budgets) phase(now time.Time, l Limits) phase {
 	switch {
 	case b.draining:
@@ -106,30 +128,6 @@
 	}
 }
 
-// Request credits the service's budget for one request.
-func (b *Budgets) Request(now time.Time, service string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	one, l := b.current(now, service)
-	one.credit(l.Ratio * usedShare)
-}
-
-// Left reports whether the service's budget allows a retry.
-func (b *Budgets) Left(now time.Time, service string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	one, _ := b.current(now, service)
-	return one.left()
-}
-
-// Spend takes one retry from the service's budget; false means that the budget is exhausted.
-func (b *Budgets) Spend(now time.Time, service string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	one, _ := b.current(now, service)
-	return one.spend()
-}
-
 // Drain leaves a part of the budgets to a successor of this process, which may already run.
 func (b *Budgets) Drain() {
 	b.mu.Lock()
@@ -144,6 +142,9 @@
 	Requests, Spent int64
 	// Tokens is the number of retries left, of Capacity at most.
 	Tokens, Capacity float64
+	// Pending is the number of retries taken whose attempts may still arrive, and Abandoned that of the attempts that
+	// ended without an answer and may still arrive.
+	Pending, Abandoned int
 	// Routers is the number of routers that Capacity is computed from.
 	Routers int
 	// Phase is "starting" in the first window since the start of the process, and then "serving" or "draining".
@@ -156,7 +157,7 @@
 	defer b.mu.Unlock()
 	one, l := b.current(now, service)
 	return Status{
-		Requests: one.requests, Spent: one.spent, Tokens: one.tokens, Capacity: one.capacity,
+		Requests: one.requests, Spent: one.spent, Tokens: one.tokens, Capacity: one.capacity, Pending: one.pending, Abandoned: one.abandoned,
 		Routers: b.peak, Phase: b.phase(now, l).String(),
 	}
 }
--- a/retry/budgets_test.go
+++ b/retry/budgets_test.go
@@ -21,7 +21,7 @@
 	}
 	earn := func() {
 		for range 1000 {
-			b.Request(now, "s")
+			b.Begin(now, "s")
 		}
 	}
 	earn()
@@ -56,14 +56,17 @@
 	now := time.Unix(1e9, 0)
 	l := retry.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second, Routers: 10}
 	b := retry.NewBudgets(now, func() retry.Limits { return l })
+	r, paid := b.Begin(now, "s"), 0
 	spend := func() (n int) {
-		for b.Spend(now, "s") {
+		for r.Pay(now, paid+1) {
+			paid++
 			n++
 		}
+		r.End() // all of them have arrived
 		return n
 	}
-	for range 10 {
-		b.Request(now, "s")
+	for range 9 {
+		b.Begin(now, "s")
 	}
 	if n := spend(); n != 5 {
 		t.Errorf("%d retries in the first window", n)
--- a/retry/fleet_test.go
+++ b/retry/fleet_test.go
@@ -25,6 +25,9 @@
 type fleetProcess struct {
 	instance int
 	budgets  *retry.Budgets
+	// request is the last request, and retries the number of its retries.
+	request *retry.Request
+	retries int
 	// knowsAt is when the process knows the size of the fleet, and endsAt when a draining one exits.
 	knowsAt, endsAt time.Time
 }
@@ -287,8 +290,18 @@
 	})
 }
 
-func creditRequest(f *fleetRun, p *fleetProcess) { p.budgets.Request(f.now, "svc") }
+func creditRequest(f *fleetRun, p *fleetProcess) {
+	p.request, p.retries = p.budgets.Begin(f.now, "svc"), 0
+}
 
-func spendRetry(f *fleetRun, p *fleetProcess) bool { return p.budgets.Spend(f.now, "svc") }
+// spendRetry pays for a retry that arrives at once.
+func spendRetry(f *fleetRun, p *fleetProcess) bool {
+	if p.request == nil || !p.request.Pay(f.now, p.retries+1) {
+		return false
+	}
+	p.retries++
+	p.request.End()
+	return true
+}
 
 func drainBudgets(p *fleetProcess) { p.budgets.Drain() }
--- a/retry/late_test.go
+++ b/retry/late_test.go
@@ -281,20 +281,40 @@
 }
 
 // lateBudget is how a request uses the retry budget of its process.
-type lateBudget struct{ over bool }
+type lateBudget struct {
+	over  bool
+	retry *retry.Request
+}
+
+func (c *lateRequest) begin() { c.retry = c.p.budgets.Begin(c.f.now, "svc") }
 
-func (c *lateRequest) begin() { c.p.budgets.Request(c.f.now, "svc") }
+func (c *lateRequest) pay() bool { return c.retry.Pay(c.f.now, c.attempts) }
 
-func (c *lateRequest) pay() bool { return c.p.budgets.Spend(c.f.now, "svc") }
+// payToAbandon follows the gateway: a young process abandons no attempt at a server that has not answered it.
+func (c *lateRequest) payToAbandon(server int) bool {
+	return (c.p.heard[server] || !c.p.budgets.Young(c.f.now)) && c.retry.Abandon(c.f.now, c.attempts)
+}
 
-func (c *lateRequest) payToAbandon(int) bool { return c.pay() }
+// mayRetryAt follows the gateway: a young process sends no retry to a server that has not answered it.
+func (c *lateRequest) mayRetryAt(server int) bool {
+	return c.p.heard[server] || !c.p.budgets.Young(c.f.now)
+}
 
-func (c *lateRequest) mayRetryAt(int) bool { return true }
+func (c *lateRequest) sent() { c.retry.Sent() }
 
-func (c *lateRequest) sent() {}
+func (c *lateRequest) recordAnswer(server int, sentAt time.Time) {
+	c.retry.Answered(c.f.now, latePath(server), sentAt)
+}
 
-func (c *lateRequest) recordAnswer(int, time.Time) {}
+func (c *lateRequest) unanswered(server int, sentAt time.Time) {
+	c.retry.Unanswered(c.f.now, latePath(server), sentAt)
+}
 
-func (c *lateRequest) unanswered(int, time.Time) {}
+func latePath(server int) retry.Path { return retry.Path{Server: fmt.Sprint(server)} }
 
-func (c *lateRequest) end() { c.over = true }
+func (c *lateRequest) end() {
+	if !c.over {
+		c.over = true
+		c.retry.End()
+	}
+}
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -32,10 +32,11 @@
 	b := retry.NewBudgets(time.Time{}, func() retry.Limits { return retry.Limits{Ratio: 0.2, Slack: 10, Routers: 1} })
 	spent := 0
 	for range 1000 {
-		b.Request(time.Now(), "s")
-		if b.Spend(time.Now(), "s") {
+		r := b.Begin(time.Now(), "s")
+		if r.Pay(time.Now(), 1) {
 			spent++
 		}
+		r.End()
 	}
 	if spent > 210 {
 		t.Fatalf("%d retries for 1000 requests", spent)
--- a/server/provision.go
+++ b/server/provision.go
@@ -24,6 +24,7 @@
 	"github.com/gaplink/gaplink/link"
 	"github.com/gaplink/gaplink/membership"
 	"github.com/gaplink/gaplink/peer"
+	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/retry"
 	"github.com/gaplink/gaplink/sockets"
 	"github.com/gaplink/gaplink/store"
@@ -54,11 +55,13 @@
 		Backlog:       s.backlog,
 		LinkSaturated: s.link.Saturated,
 		MaxOpen:       s.shares.Backends,
+		Heard:         func(in placement.Incarnation) { s.servers.Heard(in) },
 		Paths:         s.paths,
 
 		SaturatedDialTimeout: saturatedDialTimeout,
 	})
 	s.servers = registry.New(s.platform.DecodeServer, s.pool, newRand(), s.log)
+	s.servers.SetHealthPath(s.healthPath)
 	s.servers.SetPredictions(s.settings.Load.Servers)
 	s.servers.SetUnknownFields(s.platform.UnknownServerFields)
 	s.provisionPeers()
@@ -86,6 +89,8 @@
 	})
 	s.budgets = budgets.New(s.budgetConfig(), s.store, s.members, s.peers, s.log, func() {})
 	s.configs = configs.New(s.platform.ConfigKey, s.platform.DecodeConfig, s.configChanged, s.log)
+	retries := retry.NewBudgets(s.startedAt, s.retryLimits)
+	s.servers.SetAttempts(gateway.Attempts{Retries: retries})
 	s.gateway = gateway.New(gateway.Options{
 		Domain:  s.settings.Instance.Domain,
 		Regions: s.settings.Regions,
@@ -100,7 +105,7 @@
 		Verdicts:      s.verdicts,
 		Origins:       s.origins,
 		Limits:        s.limits,
-		Retries:       retry.NewBudgets(s.startedAt, s.retryLimits),
+		Retries:       retries,
 		Logs:          s.logs,
 		Metrics:       gateway.NewMetrics(s.registry),
 		Paths:         s.paths,
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -26,6 +26,7 @@
 	head    *framing.HeadReader
 	counter *link.Counter
 	paths   Paths
+	heard   func(placement.Incarnation)
 	addr    string
 	group   reach.Group
 	// router is the router through which the connection leads; empty for a direct one.
@@ -44,7 +45,7 @@
 }
 
 func (p *Pool) newConn(raw net.Conn, r *Request) *conn {
-	c := &conn{Conn: raw, counter: p.opts.Counter, paths: p.opts.Paths, addr: r.Address, group: r.Group, owner: r.Owner, openedAt: clock.Now()}
+	c := &conn{Conn: raw, counter: p.opts.Counter, paths: p.opts.Paths, heard: p.opts.Heard, addr: r.Address, group: r.Group, owner: r.Owner, openedAt: clock.Now()}
 	c.head = framing.NewHeadReader(observedReader{c})
 	c.reader = bufio.NewReaderSize(c.head, readBuffer)
 	return c
@@ -74,6 +75,7 @@
 
 // reportRead reports that bytes of a response arrived.
 func (c *conn) reportRead() {
+	c.heard(c.owner)
 	if c.router == "" {
 		c.paths.Responded(c.group)
 	} else {
--- a/upstream/liveness.go
+++ b/upstream/liveness.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/placement"
 )
 
@@ -96,6 +97,25 @@
 	return Respond(ctx, raw, s, request)
 }
 
+// CheckResponse checks that a server responds to a request on its current path, on a new connection. It returns the router
+// through which the path leads; empty if it is direct.
+func (p *Pool) CheckResponse(ctx context.Context, s placement.Server, request PingRequest) (router string, err error) {
+	r := requestTo(s)
+	c, err := p.dial(ctx, r, p.opts.Paths.Path(r.Group))
+	if err != nil {
+		return "", err
+	}
+	defer p.drop(c)
+	began := clock.Now()
+	c.startWait()
+	err = Respond(ctx, c, s, request)
+	c.endWait()
+	if err != nil && !errors.Is(ctx.Err(), context.Canceled) {
+		c.reportNotAnswered(began)
+	}
+	return c.router, err
+}
+
 // PingRequest is the request of a check whether a server is reached. The zero value sends none: an open
 // connection is enough.
 type PingRequest struct{ Method, Target string }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -53,6 +53,8 @@
 	// timeout is then SaturatedDialTimeout. LinkSaturated may be nil.
 	LinkSaturated        func() bool
 	SaturatedDialTimeout time.Duration
+	// Heard is called when bytes come from a server process, at intervals of reportInterval for a connection; nil: nothing is.
+	Heard func(owner placement.Incarnation)
 	// Paths observes and decides how servers are reached; nil: directly.
 	Paths Paths
 }
@@ -79,6 +81,9 @@
 
 // New returns an empty pool.
 func New(opts Options) *Pool {
+	if opts.Heard == nil {
+		opts.Heard = func(placement.Incarnation) {}
+	}
 	if opts.Paths == nil {
 		opts.Paths = direct{}
 	}
