Soak: arrivals that servers answer with 421 count against the retry limits

The oracle asked first for whom an arrival was, and left those at other servers out. Retries: the time after which an attempt is settled counts from its end, since a router may be paused before it writes; checks of servers that do not respond are bounded for each tick.

--- a/controller/registry/silence.go
+++ b/controller/registry/silence.go
@@ -17,6 +17,8 @@
 	silenceCheckTimeout = 600 * time.Millisecond
 	minCheckInterval    = 500 * time.Millisecond
 	maxCheckInterval    = 4 * time.Second
+	// maxChecksPerTick bounds the checks that begin together: a router that is cut off hears no server.
+	maxChecksPerTick = 8
 )
 
 // Attempts are the attempts that ended without an answer and may still arrive at their servers.
@@ -82,6 +84,9 @@
 		if now.Before(check.next) {
 			continue
 		}
+		if len(due) == maxChecksPerTick {
+			break
+		}
 		check.interval = min(max(2*check.interval, minCheckInterval), maxCheckInterval)
 		check.next = now.Add(silenceCheckTimeout + check.interval)
 		c.silenceChecks[s.Incarnation()] = check
--- a/lab/soak/oracle.go
+++ b/lab/soak/oracle.go
@@ -151,7 +151,9 @@
 	Request
 	runs     []serverRun
 	arrivals int // includes arrivals that did not run
-	answer   *Answer
+	// misdirected counts the arrivals at servers for which the request was not meant.
+	misdirected int
+	answer      *Answer
 	// leavingServer is the server that the request reached last, if its answer announced that it
 	// is leaving.
 	leavingServer string
--- a/lab/soak/oracle_retries.go
+++ b/lab/soak/oracle_retries.go
@@ -23,10 +23,20 @@
 	o.retries.slack = max(o.retries.slack, slack)
 }
 
+// ArrivedElsewhere records that a request reached a server for which it was not meant, and which did not run it.
+func (o *Oracle) ArrivedElsewhere(id string, at time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if b := o.requests[id]; b != nil {
+		o.checkRetries(b, at)
+		b.misdirected++
+	}
+}
+
 // checkRetries checks that the arrivals beyond the first of each request stay within the limits in the window that
 // ends now. The caller holds o.mu.
 func (o *Oracle) checkRetries(b *requestRecord, at time.Time) {
-	if b.arrivals == 0 {
+	if b.arrivals+b.misdirected == 0 {
 		return
 	}
 	r := &o.retries
--- a/lab/soak/oracle_retries_test.go
+++ b/lab/soak/oracle_retries_test.go
@@ -33,3 +33,25 @@
 		}
 	}
 }
+
+// TestOracleCountsMisdirectedArrivals guards against an oracle that leaves out the arrivals that servers answer with 421, since
+// they were meant for another one.
+func TestOracleCountsMisdirectedArrivals(t *testing.T) {
+	at := time.Now()
+	o := soak.NewOracle(at, soak.DefaultBounds())
+	const requests, allowed = 100, 70
+	for i := range requests {
+		id := fmt.Sprint(i)
+		o.Sent(soak.Request{ID: id, Sent: at})
+		o.ArrivedElsewhere(id, at)
+	}
+	if n := len(o.Violations()); n > 0 {
+		t.Fatalf("%d violations by first arrivals", n)
+	}
+	for i := range allowed + 1 {
+		o.Arrived(fmt.Sprint(i), "s", 0, at)
+	}
+	if n := len(o.Violations()); n != 1 {
+		t.Errorf("%d violations by one arrival more than allowed", n)
+	}
+}
--- a/lab/soak/proxy_test.go
+++ b/lab/soak/proxy_test.go
@@ -194,3 +194,48 @@
 		}
 	}
 }
+
+// TestProxyHoldsBytes guards against a link that loses what it holds, also if its client has reset the connection.
+func TestProxyHoldsBytes(t *testing.T) {
+	read := make(chan byte, 1)
+	target := tcptest.Listen(t, func(c net.Conn, _ int) {
+		var b [1]byte
+		if _, err := c.Read(b[:]); err == nil {
+			read <- b[0]
+		}
+		_ = c.Close()
+	})
+	p, err := NewProxy(target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	release, ok := p.Hold(clientToServer)
+	if _, again := p.Hold(clientToServer); !ok || again {
+		t.Fatalf("held: %t, held twice: %t", ok, again)
+	}
+	c, err := net.Dial("tcp", p.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Write([]byte{7}); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(echoTimeout)
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+	select {
+	case <-read:
+		t.Fatal("a byte arrived while it was held")
+	case <-time.After(echoTimeout):
+	}
+	release()
+	select {
+	case b := <-read:
+		if b != 7 {
+			t.Errorf("read %d", b)
+		}
+	case <-time.After(time.Second):
+		t.Error("the byte was lost")
+	}
+}
--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -83,10 +83,11 @@
 
 // answer returns the answer of the server with the given id and software version to a run.
 func (p *serverSlot) answer(id, version string, r standin.Run) standin.Answer {
+	now := time.Now()
 	if !r.MeantFor(id) {
+		p.oracle.ArrivedElsewhere(r.RequestID, now)
 		return standin.Elsewhere(id)
 	}
-	now := time.Now()
 	request, before, ok := p.oracle.Arrived(r.RequestID, id, p.number, now)
 	if !ok {
 		return standin.Elsewhere(id)
--- a/retry/request.go
+++ b/retry/request.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// arrivalLimit is how long after it was sent an attempt may arrive at its server: servers freeze, and paths hold bytes, for
+	// arrivalLimit is how long after it ended without an answer an attempt may arrive at its server: servers freeze, and paths hold bytes, for
 	// up to 30 s. A server that has lost its power never reads, so an attempt does not occupy the budget for longer.
 	arrivalLimit = 35 * time.Second
 	// settleTime is how long after a server has answered what was sent later an attempt may still arrive there.
@@ -144,7 +144,7 @@
 		r.budgets.of(r.service).abandoned++
 	}
 	r.awaiting, r.abandoning = false, false
-	r.budgets.unanswered = append(r.budgets.unanswered, unanswered{request: r, path: path, sentAt: sentAt, settledAt: sentAt.Add(arrivalLimit)})
+	r.budgets.unanswered = append(r.budgets.unanswered, unanswered{request: r, path: path, sentAt: sentAt, settledAt: now.Add(arrivalLimit)})
 }
 
 // End records that no further attempt follows.
