--- a/gateway/retries.go
+++ b/gateway/retries.go
@@ -76,13 +76,18 @@
 	return nil
 }
 
-// abandon pays for the attempt after the one that is under way, and reports whether it could. An attempt at a server that has
-// not answered this process is not abandoned while those of earlier processes may arrive there.
-func (a *attempt) abandon() bool {
+// mayAbandon reports whether the attempt under way may be given up for another one. An attempt at a server that has not answered
+// this process may not while those of earlier processes may arrive there.
+func (a *attempt) mayAbandon() bool {
 	if a.retries.Awaits() && a.g.Retries.Young(clock.Now()) && !a.g.Servers.WasHeard(a.server.Incarnation()) {
 		return false
 	}
-	return a.retries.Abandon(clock.Now(), a.arrivals+1)
+	return a.retries.MayAbandon(clock.Now(), a.arrivals+1)
+}
+
+// abandon pays for the attempt after the one that is under way, and reports whether it could.
+func (a *attempt) abandon() bool {
+	return a.mayAbandon() && a.retries.Abandon(clock.Now(), a.arrivals+1)
 }
 
 // mayRetry reports whether an attempt after the next one would be paid for.
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -30,8 +30,8 @@
 	// minPauseTimeout is the lower bound on that pause timeout. A server that works may send nothing for
 	// a second or so; its request must not go on elsewhere meanwhile.
 	minPauseTimeout = 1600 * time.Millisecond
-	// deniedInterval is the time until an attempt that could not be followed by another is looked at again: soon, since
-	// retries become free as servers answer.
+	// deniedInterval is the time until an attempt that the retry budget does not allow to give up is looked at again: soon,
+	// since retries become free as servers answer.
 	deniedInterval = 250 * time.Millisecond
 )
 
@@ -44,6 +44,8 @@
 	progressAt   time.Time
 	timer        *time.Timer
 	pauseTimeout time.Duration
+	// mayAbandon reports whether the retry budget allows to give the attempt up; nil: it does.
+	mayAbandon func() bool
 	// reserveRetry reserves what another attempt needs and reports whether it could. It is not
 	// called after stop.
 	reserveRetry func() bool
@@ -55,7 +57,7 @@
 
 // startWatchdog starts the watchdog of an attempt that may be followed by another.
 func (a *attempt) startWatchdog(cancel context.CancelCauseFunc) *watchdog {
-	w := &watchdog{progressAt: clock.Now(), reserveRetry: a.reserveRetry, cancel: cancel}
+	w := &watchdog{progressAt: clock.Now(), mayAbandon: a.mayAbandon, reserveRetry: a.reserveRetry, cancel: cancel}
 	if a.isLast || !a.route.MayRepeat() || a.route.LatencyObjective == 0 {
 		return w
 	}
@@ -101,12 +103,16 @@
 	if w.stopped {
 		return
 	}
+	if w.mayAbandon != nil && !w.mayAbandon() {
+		w.timer.Reset(deniedInterval)
+		return
+	}
 	if w.reserveRetry() {
 		w.stopped = true
 		w.cancel(errTooSlow)
 		return
 	}
-	w.timer.Reset(deniedInterval)
+	w.timer.Reset(w.pauseTimeout)
 }
 
 // recordProgress restarts the timeout after an event of the stream.
--- a/retry/request.go
+++ b/retry/request.go
@@ -83,6 +83,14 @@
 	return r.awaiting
 }
 
+// MayAbandon reports whether Abandon would succeed for n retries, if that is at most one more.
+func (r *Request) MayAbandon(now time.Time, n int) bool {
+	r.budgets.mu.Lock()
+	defer r.budgets.mu.Unlock()
+	one, _ := r.budgets.current(now, r.service)
+	return (r.paid >= n || one.left()) && (!r.awaiting || one.abandoned < one.maxAbandoned)
+}
+
 // Abandon pays for n retries so that the attempt under way can be given up. It returns false if the budget is spent, or if
 // the attempt has no answer and too many abandoned ones may still arrive.
 func (r *Request) Abandon(now time.Time, n int) bool {
