--- a/gateway/retries_test.go
+++ b/gateway/retries_test.go
@@ -1,8 +1,10 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -66,3 +68,41 @@
 		})
 	}
 }
+
+// TestFewAttemptsAreLeftAtServersThatDoNotAnswer guards against attempts that are given up at servers that are frozen, which
+// all arrive when these go on.
+func TestFewAttemptsAreLeftAtServersThatDoNotAnswer(t *testing.T) {
+	const headerNumber = "Number"
+	const requests, slack, allowed = 12, 10, 4 // half of the 0.8 of the slack that is used
+	var mu sync.Mutex
+	arrivals := map[string]int{}
+	further := 0
+	web, _ := newGatewayWith(t, 2, 2, func(c *net.TCPConn, r *http.Request, _ int) {
+		id := r.Header.Get(headerNumber)
+		mu.Lock()
+		arrivals[id]++
+		first := arrivals[id] == 1
+		if !first {
+			further++
+		}
+		mu.Unlock()
+		if first {
+			time.Sleep(requestDeadline)
+			return
+		}
+		send(c, head(r, 200, "Content-Length: 2"), "ok")
+	}, func(o *gateway.Options) {
+		o.Retries = retry.NewBudgets(time.Time{}, func() retry.Limits { return retry.Limits{Slack: slack, Routers: 1} })
+	})
+	var calls sync.WaitGroup
+	for i := range requests {
+		calls.Go(func() { call(t, web, "HTTP/1.1", "GET", "/hasty/x", fmt.Sprint(headerNumber, ": ", i)) })
+	}
+	time.Sleep(4 * hastyObjective)
+	mu.Lock()
+	if further != allowed {
+		t.Errorf("%d attempts given up without an answer, want %d", further, allowed)
+	}
+	mu.Unlock()
+	calls.Wait()
+}
