--- a/lab/soak/freezes.go
+++ b/lab/soak/freezes.go
@@ -41,7 +41,7 @@
 	openRate = 105
 	// minFreeze to maxFreeze bound the time for which servers are frozen.
 	minFreeze, maxFreeze = 2 * time.Second, 30 * time.Second
-	// freezeMargin is the time before and after the period, and freezeLead the time in which servers fail before some freeze.
+	// freezeMargin is the time before and after the period. Servers freeze at most maxFreezeLead after they begin to fail.
 	freezeMargin  = 6 * time.Second
 	maxFreezeLead = 2 * time.Second
 	// maxFreezeKills bounds the kills of all routers in the period.
