Tests: freezes while routers join, are replaced and are killed, and again and again

TestRetriesThatArriveLateStayWithinTheBudget plays four more ways, 24 cases: the fleet doubles in a freeze, all routers are replaced beside their predecessors, all servers freeze every 8 s, servers freeze in turns for 30 s while all routers are killed every 4 s.

--- a/retry/late_test.go
+++ b/retry/late_test.go
@@ -25,6 +25,9 @@
 	slack     float64
 	failing   float64
 	processes []*lateProcess
+	// grownAt is when the fleet grew from before processes, which learn of it growthDelay later; zero if it did not.
+	grownAt time.Time
+	before  int
 	// frozenUntil is when each server goes on; zero while it works.
 	frozenUntil []time.Time
 	events      []lateEvent
@@ -68,7 +71,19 @@
 	}
 }
 
-func routers(f *lateRun) int { return len(f.processes) }
+func routers(f *lateRun) int {
+	if f.grownAt.IsZero() || f.now.Sub(f.grownAt) >= growthDelay {
+		return len(f.processes)
+	}
+	return f.before
+}
+
+// add adds a process to the fleet, which knows all others at once.
+func (f *lateRun) add(i int) {
+	f.processes[i] = &lateProcess{started: f.now, heard: map[int]bool{}, budgets: retry.NewBudgets(f.now, func() retry.Limits {
+		return retry.Limits{Ratio: fleetRatio, Slack: f.slack, Window: fleetWindow, Routers: len(f.processes)}
+	})}
+}
 
 func (f *lateRun) frozen(server int) bool { return f.frozenUntil[server].After(f.now) }
 
@@ -222,6 +237,36 @@
 	"all but one, traffic falls": func(f *lateRun, second int) {
 		f.freezeAt(second, 12, 20, len(f.frozenUntil)-1)
 	},
+	"all but one, routers double": func(f *lateRun, second int) {
+		f.freezeAt(second, 12, 20, len(f.frozenUntil)-1)
+		if second == 20 {
+			f.before, f.grownAt = len(f.processes), f.now
+			f.processes = append(f.processes, make([]*lateProcess, f.before)...)
+			for i := f.before; i < len(f.processes); i++ {
+				f.add(i)
+			}
+		}
+	},
+	"all but one, routers replaced one after the other": func(f *lateRun, second int) {
+		f.freezeAt(second, 12, 25, len(f.frozenUntil)-1)
+		if second > 13 && second < 36 {
+			f.processes[second%len(f.processes)].budgets.Drain() // its requests go on
+			f.add(second % len(f.processes))
+		}
+	},
+	"all, again and again": func(f *lateRun, second int) {
+		if second >= 12 && second%8 == 4 {
+			f.freezeAt(second, second, 6, len(f.frozenUntil))
+		}
+	},
+	"in turns for 30 s, all routers killed every 4 s": func(f *lateRun, second int) {
+		if i := second - 12; i >= 0 && i < len(f.frozenUntil)-1 && second < 42 {
+			f.frozenUntil[i] = f.now.Add(time.Duration(42-second) * time.Second)
+		}
+		if second > 12 && second%4 == 0 {
+			f.startAll()
+		}
+	},
 	"all but one, all routers killed every 3 s": func(f *lateRun, second int) {
 		f.freezeAt(second, 12, 20, len(f.frozenUntil)-1)
 		if second > 12 && second%3 == 0 {
