--- a/controller/registry/silence_test.go
+++ b/controller/registry/silence_test.go
@@ -110,9 +110,11 @@
 		if !ok {
 			t.Fatal("no server")
 		}
-		c.Sending(s.Incarnation())
 		before := checks.Load()
-		await(t, "a check", func() bool { return checks.Load() > before })
+		await(t, "a check", func() bool {
+			c.Sending(s.Incarnation()) // the answer to the check before may come only now
+			return checks.Load() > before
+		})
 	}
 	if n := lines.FilterMessage("server silent").Len(); n > 0 {
 		t.Errorf("%d times silent", n)
