Retries: paths name server processes; the budgets settle attempts without an adapter

Each response formatted a string for its path, and gateway.Attempts only translated it for retry.Budgets. retry.Path now holds the placement.Incarnation, and Budgets implements registry.Attempts itself. The watchdog's budget was asked twice for one timeout: mayAbandon, and again before Abandon; once is enough. Old checks of silent servers are dropped by maps.DeleteFunc, as the deletions beside them are. recordUnanswered, which also records answers, is recordFailure.

--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -135,7 +135,7 @@
 	c.removeMissing(now)
 	maps.DeleteFunc(c.tombstones, func(_ string, d tombstone) bool { return now.Sub(d.at) > deletionTTL })
 	due := c.probesDue(now)
-	c.forgetSilenceChecks()
+	maps.DeleteFunc(c.silenceChecks, func(in placement.Incarnation, _ silenceCheck) bool { return !c.servers.IsRegistered(in) })
 	unheard := c.silenceChecksDue(now)
 	c.logSpeedChanges(now)
 	c.checkReports(now)
--- a/controller/registry/silence.go
+++ b/controller/registry/silence.go
@@ -8,6 +8,7 @@
 
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/placement"
+	"github.com/gaplink/gaplink/retry"
 	"github.com/gaplink/gaplink/upstream"
 )
 
@@ -17,19 +18,20 @@
 	silenceCheckTimeout = 600 * time.Millisecond
 	minCheckInterval    = 500 * time.Millisecond
 	maxCheckInterval    = 4 * time.Second
-	// maxChecksPerTick bounds the checks that begin together: a router that is cut off hears no server.
+	// maxChecksPerTick bounds the checks started in one tick: to a router that is cut off no server responds.
 	maxChecksPerTick = 8
 )
 
-// Attempts are the attempts that ended without an answer and may still arrive at their servers.
+// Attempts are the attempts that ended without an answer and may still arrive at their servers. They are
+// implemented by retry.Budgets.
 type Attempts interface {
-	// Answered records that a process answered a request that was sent at a time, through a router or directly.
-	Answered(in placement.Incarnation, router string, sentAt time.Time)
+	// Answered records that a server answered a request on a path that was sent at a given time.
+	Answered(now time.Time, path retry.Path, sentAt time.Time)
 	// Gone records that a process has ended.
 	Gone(in placement.Incarnation)
 }
 
-// SetAttempts sets what is told of servers that respond or are gone.
+// SetAttempts sets the attempts that are settled when a server responds to a check or its process ends.
 func (c *Controller) SetAttempts(a Attempts) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -104,7 +106,7 @@
 	router, err := c.pool.CheckResponse(ctx, s, upstream.HealthRequest(c.healthPath(s.Service)))
 	if err == nil {
 		c.Heard(in)
-		c.attempts.Answered(in, router, began)
+		c.attempts.Answered(clock.Now(), retry.Path{Server: in, Router: router}, began)
 		return
 	}
 	c.mu.Lock()
@@ -114,12 +116,3 @@
 		c.log.Warn("server silent", zap.String("server", in.ID), zap.Int64("started", in.Started), zap.String("service", s.Service), zap.Error(err))
 	}
 }
-
-// forgetSilenceChecks forgets the checks of processes that are no longer registered. The caller holds c.mu.
-func (c *Controller) forgetSilenceChecks() {
-	for in := range c.silenceChecks {
-		if !c.servers.IsRegistered(in) {
-			delete(c.silenceChecks, in)
-		}
-	}
-}
--- a/controller/registry/silence_test.go
+++ b/controller/registry/silence_test.go
@@ -17,6 +17,7 @@
 	"github.com/gaplink/gaplink/controller/registry"
 	"github.com/gaplink/gaplink/lab/tcptest"
 	"github.com/gaplink/gaplink/placement"
+	"github.com/gaplink/gaplink/retry"
 	"github.com/gaplink/gaplink/store"
 	"github.com/gaplink/gaplink/upstream"
 )
@@ -28,10 +29,10 @@
 }
 
 // Answered implements registry.Attempts.
-func (a *answeredAttempts) Answered(in placement.Incarnation, router string, _ time.Time) {
+func (a *answeredAttempts) Answered(_ time.Time, path retry.Path, _ time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.answered = append(a.answered, in.ID+router)
+	a.answered = append(a.answered, path.Server.ID+path.Router)
 }
 
 // Gone implements registry.Attempts.
--- a/filter/forward/forward.go
+++ b/filter/forward/forward.go
@@ -20,6 +20,7 @@
 	"github.com/gaplink/gaplink/engine"
 	"github.com/gaplink/gaplink/filter"
 	"github.com/gaplink/gaplink/metrics"
+	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/result"
 	"github.com/gaplink/gaplink/retry"
 	"github.com/gaplink/gaplink/route"
@@ -202,7 +203,7 @@
 // recordArrival records whether an attempt that has ended may still arrive at its server. A failure without an answer does not
 // tell whether a part of its head came.
 func (a *attempt) recordArrival(retries *retry.Request, sentAt time.Time, f *engine.Failure) {
-	path := retry.Path{Server: a.server.ID}
+	path := retry.Path{Server: placement.Incarnation{ID: a.server.ID}}
 	switch {
 	case a.answered, f == nil, f.Answered:
 		retries.Answered(clock.Now(), path, sentAt)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -90,7 +90,7 @@
 	a.retries.Sent()
 	answer, failure := a.g.Pool.Send(ctx, a.request())
 	if failure != nil {
-		a.recordUnanswered(failure)
+		a.recordFailure(failure)
 		return a.sendFailed(ctx, failure)
 	}
 	defer answer.Close()
--- a/gateway/retries.go
+++ b/gateway/retries.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"fmt"
 	"sync"
 	"time"
 
@@ -9,7 +8,6 @@
 
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/logs"
-	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/result"
 	"github.com/gaplink/gaplink/retry"
 	"github.com/gaplink/gaplink/retryafter"
@@ -85,42 +83,22 @@
 	return a.retries.MayAbandon(clock.Now(), a.arrivals+1)
 }
 
-// abandon pays for the attempt after the one that is under way, and reports whether it could.
-func (a *attempt) abandon() bool {
-	return a.mayAbandon() && a.retries.Abandon(clock.Now(), a.arrivals+1)
-}
-
 // mayRetry reports whether an attempt after the next one would be paid for.
 func (c *call) mayRetry() bool { return c.retries.MayPay(clock.Now(), c.arrivals+1) }
 
 // path returns how the attempt reached its server, through a router or directly.
 func (a *attempt) path(router string) retry.Path {
-	return retryPath(a.server.Incarnation(), router)
-}
-
-func retryPath(in placement.Incarnation, router string) retry.Path {
-	return retry.Path{Server: fmt.Sprint(in.ID, " ", in.Started), Router: router}
+	return retry.Path{Server: a.server.Incarnation(), Router: router}
 }
 
-// Attempts implements registry.Attempts by the retry budgets.
-type Attempts struct{ Retries *retry.Budgets }
-
-// Answered implements registry.Attempts.
-func (a Attempts) Answered(in placement.Incarnation, router string, sentAt time.Time) {
-	a.Retries.Answered(clock.Now(), retryPath(in, router), sentAt)
-}
-
-// Gone implements registry.Attempts.
-func (a Attempts) Gone(in placement.Incarnation) { a.Retries.Gone(retryPath(in, "").Server) }
-
 // recordHeard records that a byte of an answer came.
 func (a *attempt) recordHeard(router string) {
 	a.g.Servers.Heard(a.server.Incarnation())
 	a.retries.Answered(clock.Now(), a.path(router), a.sentAt)
 }
 
-// recordUnanswered records that an attempt ended without an answer.
-func (a *attempt) recordUnanswered(f *upstream.Failure) {
+// recordFailure records whether an attempt without a response head may still arrive at its server.
+func (a *attempt) recordFailure(f *upstream.Failure) {
 	switch {
 	case f.Stage == upstream.NotSent:
 		a.retries.NotSent()
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -82,7 +82,7 @@
 	if metered && !a.g.Budgets.TryReserve(a.account.Name, a.MaxTokensOut) {
 		return false
 	}
-	if !a.abandon() {
+	if !a.retries.Abandon(clock.Now(), a.arrivals+1) {
 		if metered {
 			a.g.Budgets.Settle(a.account.Name, a.MaxTokensOut, 0)
 		}
--- a/retry/late_test.go
+++ b/retry/late_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/retry"
 )
 
@@ -355,7 +356,9 @@
 	c.retry.Unanswered(c.f.now, latePath(server), sentAt)
 }
 
-func latePath(server int) retry.Path { return retry.Path{Server: fmt.Sprint(server)} }
+func latePath(server int) retry.Path {
+	return retry.Path{Server: placement.Incarnation{ID: fmt.Sprint(server)}}
+}
 
 func (c *lateRequest) end() {
 	if !c.over {
--- a/retry/request.go
+++ b/retry/request.go
@@ -1,6 +1,10 @@
 package retry
 
-import "time"
+import (
+	"time"
+
+	"github.com/gaplink/gaplink/placement"
+)
 
 const (
 	// arrivalLimit is how long after it ended without an answer an attempt may arrive at its server: servers freeze, and paths hold bytes, for
@@ -12,8 +16,9 @@
 
 // Path is how attempts reach a server.
 type Path struct {
-	// Server identifies the server's process, and Router the router through which it is reached; empty if directly.
-	Server, Router string
+	Server placement.Incarnation
+	// Router is the router through which the server is reached; empty if directly.
+	Router string
 }
 
 // unanswered is an attempt that ended without a byte of an answer and may still arrive.
@@ -197,7 +202,7 @@
 }
 
 // Gone records that a server's process has ended: what has not arrived there never will.
-func (b *Budgets) Gone(server string) {
+func (b *Budgets) Gone(server placement.Incarnation) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.forget(func(u *unanswered) bool { return u.path.Server == server })
--- a/retry/request_test.go
+++ b/retry/request_test.go
@@ -4,13 +4,14 @@
 	"testing"
 	"time"
 
+	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/retry"
 )
 
 var (
 	lateStart = time.Unix(1e9, 0)
-	pathA     = retry.Path{Server: "a"}
-	pathB     = retry.Path{Server: "b"}
+	pathA     = retry.Path{Server: placement.Incarnation{ID: "a"}}
+	pathB     = retry.Path{Server: placement.Incarnation{ID: "b"}}
 )
 
 // lateBudgets returns the budgets of one router, which may hold 8 retries, 4 of them for abandoned attempts.
@@ -43,7 +44,7 @@
 			return now.Add(300 * time.Millisecond)
 		},
 		"its process is gone": func(b *retry.Budgets, now time.Time) time.Time {
-			b.Gone("a")
+			b.Gone(pathA.Server)
 			return now
 		},
 		"it never goes on": func(_ *retry.Budgets, now time.Time) time.Time { return now.Add(36 * time.Second) },
@@ -62,7 +63,7 @@
 			}
 			b.Answered(now, pathB, now)
 			b.Answered(now, pathA, lateStart.Add(-time.Second)) // the answer to what was sent before
-			b.Answered(now, retry.Path{Server: "a", Router: "r"}, now)
+			b.Answered(now, retry.Path{Server: pathA.Server, Router: "r"}, now)
 			if s := b.Status(now.Add(time.Second), "s"); s.Pending != 4 {
 				t.Errorf("answers that tell nothing: %+v", s)
 			}
--- a/server/provision.go
+++ b/server/provision.go
@@ -90,7 +90,7 @@
 	s.budgets = budgets.New(s.budgetConfig(), s.store, s.members, s.peers, s.log, func() {})
 	s.configs = configs.New(s.platform.ConfigKey, s.platform.DecodeConfig, s.configChanged, s.log)
 	retries := retry.NewBudgets(s.startedAt, s.retryLimits)
-	s.servers.SetAttempts(gateway.Attempts{Retries: retries})
+	s.servers.SetAttempts(retries)
 	s.gateway = gateway.New(gateway.Options{
 		Domain:  s.settings.Instance.Domain,
 		Regions: s.settings.Regions,
