Soak: one gate holds back frozen servers and held links; kills of all are drawn in one place

The channel that blocks until it is closed stood twice, in the scripted server and in the proxy, and the loop that draws kills in two periods. standin.Gate and drawKills serve both.

--- a/lab/soak/freezes.go
+++ b/lab/soak/freezes.go
@@ -84,11 +84,7 @@
 		}
 		p.Freezes = append(p.Freezes, f)
 	}
-	at := begin
-	for range max(rng.IntN(2*maxFreezeKills+1)-maxFreezeKills, 0) {
-		at += drawKillInterval(rng)
-		p.Kills = append(p.Kills, drawKill(rng, at))
-	}
+	p.Kills = drawKills(rng, begin, max(rng.IntN(2*maxFreezeKills+1)-maxFreezeKills, 0))
 	return p
 }
 
--- a/lab/soak/parts.go
+++ b/lab/soak/parts.go
@@ -32,11 +32,7 @@
 		At: partMargin, Duration: length - 2*partMargin, kind: streamKind(), body: fmt.Sprintf("part of %d", seed),
 		part: true, first: rng.IntN(2) == 0, interval: time.Duration(float64(time.Second) / rate),
 	}}
-	at := partMargin
-	for range minPartKills + rng.IntN(maxPartKills-minPartKills+1) {
-		at += drawKillInterval(rng)
-		p.Kills = append(p.Kills, drawKill(rng, at))
-	}
+	p.Kills = drawKills(rng, partMargin, minPartKills+rng.IntN(maxPartKills-minPartKills+1))
 	return p
 }
 
--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/gaplink/gaplink/platform/standin"
 )
 
 // direction is the direction of bytes through a proxy.
@@ -27,9 +29,9 @@
 	blocked [2]bool
 	// restored is closed when the current block of a direction ends.
 	restored chan struct{}
-	// released is closed when the bytes that are held in a direction are forwarded; nil while none are held.
-	released [2]chan struct{}
-	conns    map[*proxiedConn]bool
+	// passing is closed for a direction while its bytes are held.
+	passing [2]standin.Gate
+	conns   map[*proxiedConn]bool
 	// cuts are the partitions of clients by their IP address.
 	cuts map[string]Partition
 }
@@ -156,42 +158,16 @@
 
 // Hold keeps the bytes of one direction until the returned function is called, which forwards them. It returns false if
 // they are held already.
-func (p *Proxy) Hold(d direction) (release func(), ok bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.released[d] != nil {
-		return nil, false
-	}
-	p.released[d] = make(chan struct{})
-	return func() { p.release(d) }, true
-}
-
-func (p *Proxy) release(d direction) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.released[d] != nil {
-		close(p.released[d])
-		p.released[d] = nil
-	}
-}
-
-// awaitRelease waits while bytes of a direction are held.
-func (p *Proxy) awaitRelease(d direction) {
-	p.mu.Lock()
-	released := p.released[d]
-	p.mu.Unlock()
-	if released != nil {
-		<-released
-	}
-}
+func (p *Proxy) Hold(d direction) (release func(), ok bool) { return p.passing[d].Close() }
 
 // Close closes the proxy and its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
 	p.Down(true)
 	p.Restore()
-	p.release(clientToServer)
-	p.release(serverToClient)
+	for d := range p.passing {
+		p.passing[d].Open()
+	}
 }
 
 func (p *Proxy) accept() {
@@ -262,7 +238,7 @@
 	buf := make([]byte, proxyBuffer)
 	for {
 		n, err := from.Read(buf)
-		pc.proxy.awaitRelease(d)
+		pc.proxy.passing[d].Await()
 		if pc.applyDelays(d) {
 			pc.reset()
 			return
--- a/lab/soak/refusals.go
+++ b/lab/soak/refusals.go
@@ -54,6 +54,15 @@
 	return minKillInterval + time.Duration(rng.Int64N(int64(maxKillInterval-minKillInterval)))
 }
 
+// drawKills draws a number of kills of all routers that follow each other from a time on.
+func drawKills(rng *rand.Rand, from time.Duration, n int) (kills []RefusalKill) {
+	for range n {
+		from += drawKillInterval(rng)
+		kills = append(kills, drawKill(rng, from))
+	}
+	return kills
+}
+
 // drawKill draws a kill of all routers at a time.
 func drawKill(rng *rand.Rand, at time.Duration) RefusalKill {
 	return RefusalKill{at, time.Duration(rng.Int64N(int64(maxRefusalDowntime)))}
