Retries: one condition for leaving an attempt; failures after the head carry no second mark

Abandon and MayAbandon held the same condition in two forms. In gaplinkd's engine client three failures after the head of a response were marked Answered, which the attempt records by itself once Post has returned; only those that Post returns need it.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -53,7 +53,7 @@
 	// Dispatched and Refused have the same meaning as in retry.Failure.
 	Dispatched bool
 	Refused    bool
-	// Answered is set if the head of a response came.
+	// Answered is set if Post failed by the head of a response that came.
 	Answered bool
 	// Leaving is set if the server reported that it is draining.
 	Leaving bool
@@ -197,7 +197,7 @@
 		return nil, transportFailure(ctx, err, true)
 	}
 	if len(body) > maxBodyBytes {
-		return nil, &Failure{Code: result.BackendGarbage, Dispatched: true, Answered: true, Cause: errors.New("response body is too large")}
+		return nil, &Failure{Code: result.BackendGarbage, Dispatched: true, Cause: errors.New("response body is too large")}
 	}
 	return body, nil
 }
@@ -269,10 +269,10 @@
 	}
 	var body chunkBody
 	if err := json.Unmarshal([]byte(data), &body); err != nil {
-		return Chunk{}, &Failure{Code: result.BackendGarbage, Dispatched: true, Answered: true, Cause: err}
+		return Chunk{}, &Failure{Code: result.BackendGarbage, Dispatched: true, Cause: err}
 	}
 	if body.ID != r.attempt {
-		return Chunk{}, &Failure{Code: result.ForeignAnswer, Dispatched: true, Answered: true, Cause: errors.New("event for " + body.ID)}
+		return Chunk{}, &Failure{Code: result.ForeignAnswer, Dispatched: true, Cause: errors.New("event for " + body.ID)}
 	}
 	c := Chunk{Data: []byte(data)}
 	for _, choice := range body.Choices {
--- a/retry/request.go
+++ b/retry/request.go
@@ -93,23 +93,25 @@
 	r.budgets.mu.Lock()
 	defer r.budgets.mu.Unlock()
 	one, _ := r.budgets.current(now, r.service)
-	return (r.paid >= n || one.left()) && (!r.awaiting || one.abandoned < one.maxAbandoned)
+	return (r.paid >= n || one.left()) && r.mayLeave(one)
 }
 
+// mayLeave reports whether the attempt under way has an answer, or may be left at its server without one.
+func (r *Request) mayLeave(one *budget) bool { return !r.awaiting || one.abandoned < one.maxAbandoned }
+
 // Abandon pays for n retries so that the attempt under way can be given up. It returns false if the budget is spent, or if
 // the attempt has no answer and too many abandoned ones may still arrive.
 func (r *Request) Abandon(now time.Time, n int) bool {
 	r.budgets.mu.Lock()
 	defer r.budgets.mu.Unlock()
 	one, _ := r.budgets.current(now, r.service)
-	if !r.awaiting {
-		return r.pay(one, n)
-	}
-	if one.abandoned >= one.maxAbandoned || !r.pay(one, n) {
+	if !r.mayLeave(one) || !r.pay(one, n) {
 		return false
 	}
-	one.abandoned++
-	r.abandoning = true
+	if r.awaiting {
+		one.abandoned++
+		r.abandoning = true
+	}
 	return true
 }
 
