Origins: logs say how long versions were watched, and how old what decided was

It now says for how long this process has watched the versions, the age of its registrations, and how many routers asked were current or silent. No decision changes.

--- a/controller/origins/find.go
+++ b/controller/origins/find.go
@@ -19,6 +19,10 @@
 	Origin origin.Version
 	// Source says where the finding comes from: "here", the ID of a router, "sole version", or "unknown".
 	Source string
+	// Watched is how long this process has watched the versions that serve. Current is the number of other routers that
+	// answered with current registrations, Silent that of those that did not answer.
+	Watched         time.Duration
+	Current, Silent int
 	// sole holds the services of which one version alone has served since the stream can have begun.
 	sole map[string]bool
 }
@@ -40,6 +44,7 @@
 		c.ask(ctx, key, &s)
 	}
 	f := s.finding(c.isCurrent())
+	f.Watched, f.Current, f.Silent = clock.Since(c.started), s.current, s.missing
 	c.count(f)
 	return f
 }
--- a/controller/origins/origins.go
+++ b/controller/origins/origins.go
@@ -83,6 +83,7 @@
 // Controller keeps the origins of streams. It is safe for concurrent use.
 type Controller struct {
 	Options
+	started time.Time
 
 	mu      sync.Mutex
 	table   *origin.Table
@@ -95,7 +96,7 @@
 
 // New returns a controller that knows no streams.
 func New(o Options) *Controller {
-	return &Controller{Options: o, table: origin.NewTable(clock.Now()), history: origin.NewHistory(), several: map[string]bool{}}
+	return &Controller{Options: o, started: clock.Now(), table: origin.NewTable(clock.Now()), history: origin.NewHistory(), several: map[string]bool{}}
 }
 
 // Counts returns the event counts since the start, and the number of streams on record.
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -105,5 +105,13 @@
 	if c.origin.Source == "" {
 		return nil
 	}
-	return []zap.Field{zap.String("begun_at", c.origin.Origin.Name), zap.String("origin_from", c.origin.Source)}
+	fields := []zap.Field{
+		zap.String("begun_at", c.origin.Origin.Name), zap.String("origin_from", c.origin.Source),
+		zap.Duration("versions_watched_ms", c.origin.Watched),
+		zap.Int("routers_current", c.origin.Current), zap.Int("routers_silent", c.origin.Silent),
+	}
+	if c.g.RegistrationAge != nil {
+		fields = append(fields, zap.Duration("registrations_age_ms", c.g.RegistrationAge()))
+	}
+	return fields
 }
