Origins: which versions have served is kept in the store, not concluded from what a process has not seen

What callers saw: after all routers were killed during a release, streams that they took up again were answered 200 and ran to the end with text of two versions. Planned restarts of all in turn, and a kill of five routers in six, do the same. Cause: the history of versions began empty with each process, and two routers that call themselves current and know of one version were evidence that no other has served, however young they are. Change: one object in the store names the versions that have served. A version is added before the first event of a stream at it leaves a router, and removed by one that has watched its absence for the retention without a gap. A stream of unknown origin goes on only if that record, read after it was taken up, names one version; without the store only if all four routers asked answer and know what had served before they began to watch. Why it works: a caller can have an event of a version only if the version is on record, so no process need have seen it.

--- a/controller/origins/find.go
+++ b/controller/origins/find.go
@@ -32,18 +32,39 @@
 
 // Find finds out which version began the stream that a try of an account names, given the services at
 // which it may have run. It asks other routers, even if this one knows of a single version: its registrations may
-// be older than the stream.
+// be older than the stream. If nobody knows the stream, the store says which versions have served: neither this router
+// nor those it asked can tell from what they have not seen.
 func (c *Controller) Find(ctx context.Context, account, try string, services []string) Finding {
 	for _, service := range services {
 		c.observe(service)
 	}
 	key := origin.KeyOf(account, try)
-	s := survey{named: try != "", services: services, served: c.servedHere(services)}
+	s := survey{named: try != "", services: services, served: c.servedHere(services), watched: c.hasWatched()}
 	s.add("here", c.known(key))
-	if !s.origin.Known || !allSole(s.served) {
-		c.ask(ctx, key, &s)
+	if s.origin.Known && allSole(s.served) {
+		return c.finding(s)
 	}
-	f := s.finding(c.isCurrent())
+	var record <-chan recordRead
+	if allSole(s.served) {
+		record = c.startReading(ctx)
+	}
+	c.ask(ctx, key, &s, record)
+	return c.finding(s)
+}
+
+// startReading begins to read the record of versions, beside the questions to other routers.
+func (c *Controller) startReading(ctx context.Context) <-chan recordRead {
+	result := make(chan recordRead, 1)
+	go func() {
+		served, err := c.readServed(ctx)
+		result <- recordRead{served: served, err: err}
+	}()
+	return result
+}
+
+// finding returns and counts what follows for a stream.
+func (c *Controller) finding(s survey) Finding {
+	f := s.finding()
 	f.Watched, f.Current, f.Silent = clock.Since(c.started), s.current, s.missing
 	c.count(f)
 	return f
@@ -80,6 +101,13 @@
 	return c.table.Known(clock.Now(), key)
 }
 
+// hasWatched reports whether this router has read which versions had served before it began to watch.
+func (c *Controller) hasWatched() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.record.mayMiss()
+}
+
 // isCurrent reports whether this router's registrations of servers are current.
 func (c *Controller) isCurrent() bool { return c.Current == nil || c.Current() }
 
@@ -100,9 +128,13 @@
 	sources int
 	// served are the versions of each service that have served.
 	served [][]string
-	// current counts the routers that answered with current registrations, and missing those that did not
-	// answer.
-	current, missing int
+	// current counts the routers that answered with current registrations, missing those that did not answer, and
+	// unaware those that do not know which versions served before they began to watch.
+	current, missing, unaware int
+	// watched is set if this router knows it.
+	watched bool
+	// record is set if the store has told which versions have served, and incomplete if it does not know of all.
+	record, incomplete bool
 }
 
 // add adds what a router knows of the origin.
@@ -127,25 +159,48 @@
 	if a.Current {
 		s.current++
 	}
+	if !a.Watched {
+		s.unaware++
+	}
 	for i := range min(len(s.served), len(a.Served)) {
 		s.served[i] = union(s.served[i], a.Served[i])
 	}
 }
 
+// addRecord adds the record of the versions that have served.
+func (s *survey) addRecord(served origin.Served, err error) {
+	if err != nil {
+		return
+	}
+	s.record, s.incomplete = true, served.Incomplete
+	s.served = unionServed(served, s.services, s.served)
+}
+
+// isUnknown reports whether nobody knows which version began the stream.
+func (s *survey) isUnknown() bool { return !s.origin.Known && !s.origin.Ambiguous }
+
 // settled reports whether further answers would change nothing that matters.
 func (s *survey) settled() bool {
-	return s.origin.Ambiguous || s.sources > copies || s.sources == 0 && s.current >= copies && allSole(s.served)
+	return s.origin.Ambiguous || s.sources > copies || s.isUnknown() && s.record && !s.incomplete && allSole(s.served)
 }
 
-// finding returns what follows for the stream. Without an origin nothing does if neither this router nor another one
-// has current registrations and some router did not answer: a version may have come that all of them have
-// missed. If all answer, none has heard of it, so nobody has begun a stream there.
-func (s *survey) finding(isCurrent bool) Finding {
+// knowsAll reports whether all versions that have served are known. The record of the store tells, or in an outage of the
+// store this router and those it asked, if all of them answer and have watched: a router that begins streams at a
+// version which is not on record keeps their origins at some of them.
+func (s *survey) knowsAll() bool {
+	if s.record {
+		return !s.incomplete
+	}
+	return s.watched && s.missing == 0 && s.unaware == 0
+}
+
+// finding returns what follows for the stream.
+func (s *survey) finding() Finding {
 	f := Finding{Source: "unknown", sole: map[string]bool{}}
 	switch {
 	case s.origin.Known:
 		return Finding{Known: true, Origin: s.origin.Origin, Source: s.source}
-	case s.origin.Ambiguous, !isCurrent && s.current == 0 && s.missing > 0:
+	case s.origin.Ambiguous, !s.knowsAll():
 		return f
 	}
 	for i, service := range s.services {
@@ -157,38 +212,42 @@
 	return f
 }
 
-// ask asks the routers that may keep the origin of a stream. Once one of them has it, the others have a short time to
-// tell of a later attempt.
-func (c *Controller) ask(ctx context.Context, key origin.Key, s *survey) {
-	if c.Fleet == nil {
-		return
-	}
-	keepers := c.Fleet.Keepers(key, maxKeepers)
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// ask asks the routers that may keep the origin of a stream, and takes in the record of versions if that is read. Once
+// a router has the origin, the others have a short time to tell of a later attempt.
+func (c *Controller) ask(ctx context.Context, key origin.Key, s *survey, record <-chan recordRead) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	replies := c.askEach(ctx, keepers, &peer.OriginRequest{Key: key, Services: s.services})
+	replies, pending := c.askEach(ctx, &peer.OriginRequest{Key: key, Services: s.services})
 	var expired <-chan time.Time
-	for range keepers {
+	for !s.settled() && (pending > 0 || record != nil && s.isUnknown() && allSole(s.served)) {
 		if s.sources > 0 && expired == nil {
 			expired = time.After(conflictWait)
 		}
 		select {
 		case r := <-replies:
+			pending--
 			s.addReply(r)
+		case r := <-record:
+			record = nil
+			s.addRecord(r.served, r.err)
 		case <-expired:
 			return
 		}
-		if s.settled() {
-			return
-		}
 	}
 }
 
-// askEach asks routers at once, and returns the channel of their replies.
-func (c *Controller) askEach(ctx context.Context, routers []string, req *peer.OriginRequest) <-chan reply {
+// askEach asks the routers that may keep the origin of a stream, and returns the channel of their replies and their
+// number.
+func (c *Controller) askEach(ctx context.Context, req *peer.OriginRequest) (<-chan reply, int) {
+	if c.Fleet == nil {
+		return nil, 0
+	}
+	routers := c.Fleet.Keepers(req.Key, maxKeepers)
 	replies := make(chan reply, len(routers))
 	for _, id := range routers {
 		go func() {
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
 			answer, err := c.Fleet.Find(ctx, id, req)
 			if err != nil {
 				c.Log.Debug("cannot ask for the origin of a stream", zap.String("router", id), zap.Error(err))
@@ -197,7 +256,7 @@
 			replies <- reply{id, answer}
 		}()
 	}
-	return replies
+	return replies, len(routers)
 }
 
 // union returns the distinct elements of two sorted lists.
@@ -214,6 +273,6 @@
 	}
 	k := c.known(req.Key)
 	return &peer.OriginAnswer{
-		Known: k.Known, Ambiguous: k.Ambiguous, Origin: k.Origin, Attempt: k.Attempt, Served: c.servedHere(req.Services), Current: c.isCurrent(),
+		Watched: c.hasWatched(), Known: k.Known, Ambiguous: k.Ambiguous, Origin: k.Origin, Attempt: k.Attempt, Served: c.servedHere(req.Services), Current: c.isCurrent(),
 	}, nil
 }
--- a/controller/origins/origins.go
+++ b/controller/origins/origins.go
@@ -7,6 +7,9 @@
 // keep its origin. What is unknown to all of them is decided by which versions have served: with one it
 // needs no origin, with several the stream must not go on.
 //
+// Which versions have served is kept in the store, since no process may conclude from what it has not seen: it may have
+// started only now, stood still, or been cut off (record.go).
+//
 // The decisions are in package origin.
 package origins
 
@@ -22,6 +25,7 @@
 	"github.com/gaplink/gaplink/logs"
 	"github.com/gaplink/gaplink/origin"
 	"github.com/gaplink/gaplink/peer"
+	"github.com/gaplink/gaplink/store"
 )
 
 const (
@@ -36,6 +40,9 @@
 	// has been recorded elsewhere.
 	callTimeout = 150 * time.Millisecond
 	recordWait  = 50 * time.Millisecond
+	// versionWait is how long a first event waits until the version of its server is on record in the store. Callers
+	// give up a stream after a gap of two seconds or more.
+	versionWait = 1500 * time.Millisecond
 	// conflictWait is how long a router that has learned a stream's origin waits for others that may know of a
 	// later attempt.
 	conflictWait = 20 * time.Millisecond
@@ -51,6 +58,8 @@
 	// Record and Find call a router.
 	Record(ctx context.Context, id string, req *peer.OriginsRecord) error
 	Find(ctx context.Context, id string, req *peer.OriginRequest) (*peer.OriginAnswer, error)
+	// Size returns the known number of routers.
+	Size() int
 }
 
 // Servers are the registered backend servers.
@@ -65,6 +74,10 @@
 	Servers Servers
 	// Fleet may be nil: this router is then alone.
 	Fleet Fleet
+	// Store keeps which versions have served.
+	Store store.Store
+	// FirstStart is set if the whole fleet starts for the first time: no version has served before.
+	FirstStart bool
 	// Current reports whether the registrations of servers are as new as the operator's bound demands; nil:
 	// they always are.
 	Current func() bool
@@ -78,6 +91,8 @@
 	Recorded, Unrecorded int64
 	// Found counts the streams taken up whose origin was found, and Unknown those that had to be refused.
 	Found, Unknown int64
+	// Unlisted counts the first events that left before the version of their server was on record in the store.
+	Unlisted int64
 }
 
 // Controller keeps the origins of streams. It is safe for concurrent use.
@@ -92,11 +107,13 @@
 	several map[string]bool
 	counts  Counts
 	lines   logs.RateLimit
+
+	record
 }
 
 // New returns a controller that knows no streams.
 func New(o Options) *Controller {
-	return &Controller{Options: o, started: clock.Now(), table: origin.NewTable(clock.Now()), history: origin.NewHistory(), several: map[string]bool{}}
+	return &Controller{Options: o, started: clock.Now(), table: origin.NewTable(clock.Now()), history: origin.NewHistory(), several: map[string]bool{}, record: newRecord()}
 }
 
 // Counts returns the event counts since the start, and the number of streams on record.
@@ -106,11 +123,37 @@
 	return c.counts, c.table.Len()
 }
 
-// Tick observes the versions that serve. It is called a few times per second.
+// Tick observes the versions that serve, and brings the record of the store up to date. It is called a few times per
+// second.
 func (c *Controller) Tick() {
-	for _, service := range c.Servers.Services() {
+	c.watch()
+	for _, service := range c.services() {
 		c.observe(service)
 	}
+	c.syncIfDue()
+}
+
+// services returns the services that have servers, and those on record that had some.
+func (c *Controller) services() []string {
+	list := c.Servers.Services()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for service := range c.record.known.Versions {
+		if !slices.Contains(list, service) {
+			list = append(list, service)
+		}
+	}
+	return list
+}
+
+// watch records that the versions are observed, by how new the registrations are.
+func (c *Controller) watch() {
+	current := c.isCurrent()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.history.Watch(clock.Now(), current) {
+		c.record.forget()
+	}
 }
 
 // observe updates the history of a service's versions and reports whether several have served recently.
@@ -120,13 +163,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := clock.Now()
-	c.history.Observe(now, service, versions)
+	c.record.observe(service, versions, c.history.Observe(now, service, versions))
 	served := c.history.Served(service)
-	several = len(served) > 1
+	several = len(served) > 1 || c.record.mayMiss()
 	if several && !c.several[service] {
 		begun := c.table.Unended(now, service)
 		c.Log.Info("several software versions serve; recording the origins of streams", zap.String("service", service),
-			zap.Strings("versions", served), zap.Int("streams", len(begun)))
+			zap.Strings("versions", served), zap.Bool("all_known", !c.record.mayMiss()), zap.Int("streams", len(begun)))
 		go c.shareAll(begun)
 	}
 	if !several && c.several[service] {
@@ -153,9 +196,12 @@
 
 // Recording is an origin that is being recorded at other routers. nil is one that needs not be.
 type Recording struct {
-	c         *Controller
-	stream    Stream
+	c      *Controller
+	stream Stream
+	// confirmed is closed when another router has the origin; nil if it is not recorded elsewhere.
 	confirmed chan struct{}
+	// unlisted is the version of the server if it was not on record in the store yet.
+	unlisted *origin.Version
 }
 
 // Begin records the version at which an attempt of a stream is made, counted from 1. It must be called
@@ -167,12 +213,27 @@
 	for _, r := range records {
 		c.table.Record(clock.Now(), r)
 	}
+	listed := c.record.has(v)
 	c.mu.Unlock()
-	if !several || c.Fleet == nil || len(records) == 0 {
+	r := &Recording{c: c, stream: s}
+	if !listed {
+		r.unlisted = &v
+		c.syncNow()
+	}
+	if several && c.Fleet != nil {
+		r.confirmed = c.shareEach(records)
+	}
+	if r.unlisted == nil && r.confirmed == nil {
 		return nil
 	}
-	r := &Recording{c: c, stream: s, confirmed: make(chan struct{})}
-	confirm := sync.OnceFunc(func() { close(r.confirmed) })
+	return r
+}
+
+// shareEach records the origins of a stream's tries at other routers. It returns a channel that is closed when one of them
+// has one; nil if there are none.
+func (c *Controller) shareEach(records []origin.Record) chan struct{} {
+	confirmed := make(chan struct{})
+	confirm := sync.OnceFunc(func() { close(confirmed) })
 	shared := false
 	for _, record := range records {
 		shared = c.share(record, confirm) || shared
@@ -180,15 +241,22 @@
 	if !shared {
 		return nil // this router is alone
 	}
-	return r
+	return confirmed
 }
 
-// Wait waits until another router has the origin, for a short time: a stream whose origin is known here
-// alone can still go on while this router lives.
+// Wait waits until the version is on record in the store, so that a process that starts later does not take another one for
+// the only one that has served, and until another router has the origin, for a short time: a stream whose origin is known
+// here alone can still go on while this router lives.
 func (r *Recording) Wait(ctx context.Context) {
 	if r == nil {
 		return
 	}
+	if r.unlisted != nil {
+		r.c.awaitListed(ctx, *r.unlisted)
+	}
+	if r.confirmed == nil {
+		return
+	}
 	timer := time.NewTimer(recordWait)
 	defer timer.Stop()
 	recorded := false
--- a/controller/origins/origins_test.go
+++ b/controller/origins/origins_test.go
@@ -18,6 +18,8 @@
 	"github.com/gaplink/gaplink/controller/origins"
 	"github.com/gaplink/gaplink/origin"
 	"github.com/gaplink/gaplink/peer"
+	"github.com/gaplink/gaplink/store"
+	"github.com/gaplink/gaplink/store/memory"
 )
 
 const service = "llm"
@@ -44,6 +46,7 @@
 
 // network connects the controllers of a fleet. A call takes linkDelay each way.
 type network struct {
+	store *memory.Store
 	mu    sync.Mutex
 	all   []*router
 	calls int
@@ -72,20 +75,36 @@
 
 // newNetwork starts a fleet that has run for longer than streams are remembered.
 func newNetwork(t *testing.T, routers int, serving ...string) *network {
-	n := &network{}
+	n := &network{store: memory.New()}
 	for i := range routers {
 		r := &router{net: n, id: fmt.Sprint("r", i)}
 		r.known.set(serving...)
 		n.all = append(n.all, r)
-		r.start()
+		r.startFirst(true)
 	}
+	n.run(3 * time.Second) // until all routers have read which versions have served
 	return n
 }
 
+// run lets time pass for the routers.
+func (n *network) run(d time.Duration) {
+	const tick = 250 * time.Millisecond
+	for range d / tick {
+		for _, r := range n.all {
+			if !r.isDead() {
+				r.control.Tick()
+			}
+		}
+		time.Sleep(tick)
+	}
+}
+
 // start starts a process of the router.
-func (r *router) start() {
+func (r *router) start() { r.startFirst(false) }
+
+func (r *router) startFirst(firstOfFleet bool) {
 	c := origins.New(origins.Options{
-		Servers: &r.known, Fleet: r, Log: zap.NewNop(),
+		Servers: &r.known, Fleet: r, Log: zap.NewNop(), Store: linkToStore{r.net.store, r}, FirstStart: firstOfFleet,
 		Current: func() bool { return r.age.Load() < int64(2*time.Second) },
 	})
 	r.net.mu.Lock()
@@ -123,6 +142,23 @@
 	time.Sleep(500 * time.Millisecond)
 }
 
+// Size implements origins.Fleet.
+func (r *router) Size() int { return len(r.net.all) }
+
+// linkToStore is a router's path to the store, which a router that is dead or cut off lacks.
+type linkToStore struct {
+	store.Store
+	router *router
+}
+
+func (l linkToStore) Get(ctx context.Context, key string) (store.Object, error) {
+	if l.router.isDead() {
+		return store.Object{}, store.ErrUnknown
+	}
+	time.Sleep(2 * linkDelay)
+	return l.Store.Get(ctx, key)
+}
+
 func (r *router) Keepers(key origin.Key, most int) []string {
 	score := func(o *router) uint64 { return xxhash.Sum64String(fmt.Sprint(key[0]%64, o.id)) }
 	ranked := slices.DeleteFunc(slices.Clone(r.net.all), func(o *router) bool { return o == r })
--- a/controller/origins/peer_fleet.go
+++ b/controller/origins/peer_fleet.go
@@ -119,3 +119,6 @@
 func (f *PeerFleet) Find(ctx context.Context, id string, req *peer.OriginRequest) (*peer.OriginAnswer, error) {
 	return spread.Call[peer.OriginRequest, peer.OriginAnswer](ctx, f.Recipients, f.client(), id, peer.MethodOriginFind, req)
 }
+
+// Size implements Fleet.
+func (f *PeerFleet) Size() int { return len(f.routers()) + 1 }
--- /dev/null
+++ b/controller/origins/record.go
@@ -0,0 +1,405 @@
+package origins
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/gaplink/gaplink/clock"
+	"github.com/gaplink/gaplink/origin"
+	"github.com/gaplink/gaplink/store"
+)
+
+const (
+	// Kind is the kind of the store object that holds which versions have served.
+	Kind = "softwareversions"
+	// recordKey is that object. One object holds all services, so that a service that is missing in it is one of which no
+	// version has served.
+	recordKey = Kind + "/served"
+	// syncTimeout bounds bringing the record up to date.
+	syncTimeout = 5 * time.Second
+	// syncPauseMin is the pause after a failure; it doubles up to syncPauseMax.
+	syncPauseMin = 100 * time.Millisecond
+	syncPauseMax = 2 * time.Second
+	// maxConflicts is the number of conflicts in a row after which a write counts as failed.
+	maxConflicts = 8
+	// readSpread is the time, for each router, over which routers that start spread their first reads, and dropSpread that
+	// for the removal of a version that has gone: one of them is enough.
+	readSpread = 2 * time.Millisecond
+	dropSpread = 50 * time.Millisecond
+	// readTimeout is how long a stream that is taken up waits for the record.
+	readTimeout = 300 * time.Millisecond
+)
+
+// record is what a router knows of the store's record of the versions that have served. c.mu protects it.
+type record struct {
+	// known is the record as last read or written, at a version of its object; read is set if it was and still counts.
+	known   origin.Served
+	version int64
+	read    bool
+	// changed is closed when known or read changes.
+	changed chan struct{}
+	// registered are the versions of the servers that are registered, by service.
+	registered map[string][]string
+	// syncing is set while the record is brought up to date; again asks for another time after that.
+	syncing, again bool
+	// notBefore is when that may be tried again after so many failures in a row.
+	notBefore time.Time
+	failures  int
+	// readAt is when a process that no stream waits for reads the record first, and dropAt when versions that have gone
+	// are removed.
+	readAt, dropAt time.Time
+	// reading is set while the record is read for streams, and nextRead the read that those wait for which came since
+	// the last one began.
+	reading  bool
+	nextRead *recordRead
+}
+
+// recordRead is one read of the record.
+type recordRead struct {
+	done   chan struct{}
+	served origin.Served
+	err    error
+}
+
+func newRecord() record {
+	return record{changed: make(chan struct{}), registered: map[string][]string{}}
+}
+
+// observe records the versions of the registered servers of a service. Those that have returned after a long absence may
+// have been removed from the store meanwhile.
+func (r *record) observe(service string, versions, returned []string) {
+	r.registered[service] = versions
+	for _, version := range returned {
+		r.known.Remove(service, version)
+	}
+}
+
+// forget has the record read anew: after a long time without current registrations, versions may have been removed that
+// serve again.
+func (r *record) forget() { r.known, r.read = origin.Served{}, false }
+
+// has reports whether a version is on record in the store.
+func (r *record) has(v origin.Version) bool { return r.read && r.known.Has(v.Service, v.Name) }
+
+// mayMiss reports whether versions may have served that this router does not know.
+func (r *record) mayMiss() bool { return !r.read || r.known.Incomplete }
+
+// lacksRegistered reports whether a version is registered that is not on record.
+func (r *record) lacksRegistered() bool {
+	for service, versions := range r.registered {
+		for _, version := range versions {
+			if !r.known.Has(service, version) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// notify wakes those that wait for a change.
+func (r *record) notify() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// gone returns the versions on record that this router has watched to be absent for origin.Retention. The caller holds
+// c.mu.
+func (c *Controller) gone(r origin.Served) (list []origin.Version) {
+	for service, versions := range r.Versions {
+		for _, version := range versions {
+			if c.record.known.Has(service, version) && !c.history.Has(service, version) {
+				list = append(list, origin.Version{Service: service, Name: version})
+			}
+		}
+	}
+	return list
+}
+
+// completes reports whether this router has watched for so long that an incomplete record is complete. The caller holds
+// c.mu.
+func (c *Controller) completes() bool {
+	since := c.history.Watched()
+	return !since.IsZero() && clock.Since(since) > origin.Retention
+}
+
+// syncIfDue brings the record up to date if that is needed and due.
+func (c *Controller) syncIfDue() {
+	if c.Store != nil && c.syncDue() {
+		c.syncNow()
+	}
+}
+
+func (c *Controller) syncDue() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := clock.Now()
+	if !c.record.read {
+		if c.record.readAt.IsZero() {
+			c.record.readAt = now.Add(c.spread(readSpread))
+		}
+		return !now.Before(c.record.readAt)
+	}
+	return c.record.lacksRegistered() || c.dropDue(now)
+}
+
+// spread returns a random time over which the routers of the fleet spread calls.
+func (c *Controller) spread(each time.Duration) time.Duration {
+	routers := 1
+	if c.Fleet != nil {
+		routers = max(c.Fleet.Size(), 1)
+	}
+	return rand.N(time.Duration(routers) * each)
+}
+
+// dropDue reports whether this router is to remove something from the record now. The caller holds c.mu.
+func (c *Controller) dropDue(now time.Time) bool {
+	if !(c.record.known.Incomplete && c.completes()) && len(c.gone(c.record.known)) == 0 {
+		c.record.dropAt = time.Time{}
+		return false
+	}
+	if c.record.dropAt.IsZero() {
+		c.record.dropAt = now.Add(c.spread(dropSpread))
+	}
+	return !now.Before(c.record.dropAt)
+}
+
+// syncNow brings the record up to date, or once more if that is under way.
+func (c *Controller) syncNow() {
+	if c.Store == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.record.syncing {
+		c.record.again = true
+		return
+	}
+	if clock.Now().Before(c.record.notBefore) {
+		return // Tick does it
+	}
+	c.record.syncing, c.record.again = true, false
+	go c.sync()
+}
+
+// sync reads the record, adds the versions that are registered and removes those that have gone.
+func (c *Controller) sync() {
+	ctx, cancel := context.WithTimeout(context.Background(), syncTimeout)
+	defer cancel()
+	for {
+		err := c.syncOnce(ctx)
+		c.mu.Lock()
+		c.noteSync(err)
+		if err != nil || !c.record.again {
+			c.record.syncing = false
+			c.mu.Unlock()
+			return
+		}
+		c.record.again = false
+		c.mu.Unlock()
+	}
+}
+
+// noteSync records the outcome of bringing the record up to date. The caller holds c.mu.
+func (c *Controller) noteSync(err error) {
+	if err == nil {
+		c.record.failures, c.record.notBefore = 0, time.Time{}
+		return
+	}
+	pause := min(syncPauseMin<<min(c.record.failures, 8), syncPauseMax)
+	c.record.failures++
+	c.record.notBefore = clock.Now().Add(pause/2 + rand.N(pause))
+	c.Log.Info("versions not recorded in the store; retrying", zap.Error(err), zap.Duration("pause_ms", pause))
+}
+
+func (c *Controller) syncOnce(ctx context.Context) error {
+	served, version, err := c.readStore(ctx)
+	for conflicts := 0; err == nil; conflicts++ {
+		wanted, change := c.wanted(served)
+		if !change && version != 0 {
+			return nil
+		}
+		var current store.Object
+		if current, err = c.write(ctx, wanted, version); !errors.Is(err, store.ErrConflict) || conflicts >= maxConflicts {
+			return err
+		}
+		if served, version, err = c.afterConflict(ctx, current); err == nil {
+			c.learn(served, version)
+		}
+	}
+	return err
+}
+
+// afterConflict returns the record after a conflict, from the answer if that shows it.
+func (c *Controller) afterConflict(ctx context.Context, current store.Object) (origin.Served, int64, error) {
+	if current.Version != 0 {
+		if served, err := origin.DecodeServed(current.Value); err == nil {
+			return served, current.Version, nil
+		}
+	}
+	return c.readStore(ctx)
+}
+
+// write writes the record and returns the object that the store has.
+func (c *Controller) write(ctx context.Context, wanted origin.Served, version int64) (store.Object, error) {
+	value, err := wanted.Encode()
+	if err != nil {
+		return store.Object{}, err
+	}
+	current, err := store.Put(ctx, c.Store, recordKey, version, value)
+	if err != nil {
+		return current, err
+	}
+	c.Log.Info("versions recorded in the store", zap.Any("versions", wanted.Versions), zap.Bool("incomplete", wanted.Incomplete))
+	c.learn(wanted, current.Version)
+	return current, nil
+}
+
+// wanted returns what the record should be, given what it is, and whether that is a change.
+func (c *Controller) wanted(served origin.Served) (wanted origin.Served, change bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	wanted = served.Clone()
+	for _, v := range c.gone(wanted) {
+		change = wanted.Remove(v.Service, v.Name) || change
+	}
+	for service, versions := range c.record.registered {
+		for _, version := range versions {
+			change = wanted.Add(service, version) || change
+		}
+	}
+	if wanted.Incomplete && c.completes() {
+		wanted.Incomplete, change = false, true
+	}
+	return wanted, change
+}
+
+// readStore reads the record. One that is missing or cannot be read is incomplete, except at the first start of the
+// fleet.
+func (c *Controller) readStore(ctx context.Context) (origin.Served, int64, error) {
+	o, err := c.Store.Get(ctx, recordKey)
+	var served origin.Served
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+		served.Incomplete = !c.FirstStart
+	case err != nil:
+		return origin.Served{}, 0, err
+	default:
+		if served, err = origin.DecodeServed(o.Value); err != nil {
+			c.Log.Warn("malformed record of versions in the store; it is replaced", zap.Error(err))
+			served = origin.Served{Incomplete: true}
+		}
+	}
+	if o.Version != 0 {
+		c.learn(served, o.Version)
+	}
+	return served, o.Version, nil
+}
+
+// learn takes in the record as it is in the store, at a version of its object.
+func (c *Controller) learn(served origin.Served, version int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.record.read && version < c.record.version {
+		return // an answer that was overtaken
+	}
+	now := clock.Now()
+	for service, versions := range served.Versions {
+		for _, version := range versions {
+			if !c.record.known.Has(service, version) {
+				c.history.Learn(now, service, version)
+			}
+		}
+	}
+	c.record.known, c.record.version, c.record.read = served.Clone(), version, true
+	c.record.notify()
+}
+
+// awaitListed waits until a version is on record in the store, for versionWait at most.
+func (c *Controller) awaitListed(ctx context.Context, v origin.Version) {
+	ctx, cancel := context.WithTimeout(ctx, versionWait)
+	defer cancel()
+	for {
+		c.mu.Lock()
+		has, changed := c.record.has(v), c.record.changed
+		c.mu.Unlock()
+		if has || c.Store == nil {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			c.noteUnlisted(v)
+			return
+		}
+	}
+}
+
+func (c *Controller) noteUnlisted(v origin.Version) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.Unlisted++
+	if leftOut, allowed := c.lines.Allow(clock.Now(), unrecordedLogInterval); allowed {
+		c.Log.Warn("a version serves that is not on record in the store yet", zap.String("service", v.Service), zap.String("software", v.Name), zap.Int64("lines_left_out", leftOut))
+	}
+}
+
+// readServed returns the record as the store has it at some time after the call. Calls at the same time share a read.
+func (c *Controller) readServed(ctx context.Context) (origin.Served, error) {
+	if c.Store == nil {
+		return origin.Served{}, store.ErrUnavailable
+	}
+	c.mu.Lock()
+	if c.record.nextRead == nil {
+		c.record.nextRead = &recordRead{done: make(chan struct{})}
+	}
+	read := c.record.nextRead
+	if !c.record.reading {
+		c.record.reading = true
+		go c.readForStreams()
+	}
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	select {
+	case <-read.done:
+		return read.served, read.err
+	case <-ctx.Done():
+		return origin.Served{}, ctx.Err()
+	}
+}
+
+// readForStreams reads the record until no stream waits for it.
+func (c *Controller) readForStreams() {
+	for {
+		c.mu.Lock()
+		read := c.record.nextRead
+		c.record.nextRead = nil
+		c.record.reading = read != nil
+		c.mu.Unlock()
+		if read == nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+		var version int64
+		read.served, version, read.err = c.readStore(ctx)
+		cancel()
+		if read.err == nil && version == 0 {
+			read.served.Incomplete = true // nothing is on record yet
+		}
+		close(read.done)
+	}
+}
+
+// unionServed returns the versions of services that have served by a record and by what was found otherwise.
+func unionServed(record origin.Served, services []string, served [][]string) [][]string {
+	all := slices.Clone(served)
+	for i, service := range services {
+		all[i] = union(all[i], record.Versions[service])
+	}
+	return all
+}
--- a/origin/history.go
+++ b/origin/history.go
@@ -6,28 +6,86 @@
 	"time"
 )
 
-// History holds which software versions have served in the last Retention, as one router has seen it.
-// It is not safe for concurrent use.
+const (
+	// maxUnwatched is the longest time between two observations within which no version can have served unseen that
+	// matters: longer ones are gaps.
+	maxUnwatched = Retention / 8
+	// MaxAbsence is how long a version may be absent before its return counts as that of a new one. It is well below
+	// Retention, so that no router takes a version for recorded that another one has removed from the record.
+	MaxAbsence = Retention / 2
+)
+
+// History holds which software versions have served in the last Retention, as one router has seen it or read it in the
+// record of the fleet. It is not safe for concurrent use.
 type History struct {
 	// seen holds when a server of each version was last registered, by service.
 	seen map[string]map[string]time.Time
+	// last is when the servers were last observed, current when with current registrations, and watched since when
+	// without a gap; zero: never.
+	last, current, watched time.Time
 }
 
 // NewHistory returns an empty history.
 func NewHistory() *History { return &History{seen: map[string]map[string]time.Time{}} }
 
-// Observe records the versions of the registered servers of a service.
-func (h *History) Observe(now time.Time, service string, versions []string) {
-	seen := h.seen[service]
-	if seen == nil {
-		seen = map[string]time.Time{}
-		h.seen[service] = seen
+// Watch records that all registrations of servers are about to be observed; current is set if they are as new as the
+// operator's bound demands. While they are not, and after a gap, versions may have served unseen, so that the time
+// since a version was last registered begins anew. It returns false after so long a time without current registrations
+// that another router may have removed a version from the record of the fleet that serves again.
+func (h *History) Watch(now time.Time, current bool) (kept bool) {
+	gap := h.last.IsZero() || now.Sub(h.last) > maxUnwatched
+	kept = !current || h.current.IsZero() || now.Sub(h.current) <= MaxAbsence
+	h.last = now
+	if current {
+		h.current = now
 	}
+	if current && !gap {
+		return kept
+	}
+	h.watched = now
+	for _, seen := range h.seen {
+		for version := range seen {
+			seen[version] = now
+		}
+	}
+	return kept
+}
+
+// Watched returns since when the servers have been watched without a gap; zero: never.
+func (h *History) Watched() time.Time { return h.watched }
+
+// Observe records the versions of the registered servers of a service. It returns those that had been absent for longer
+// than MaxAbsence, or were never seen.
+func (h *History) Observe(now time.Time, service string, versions []string) (returned []string) {
+	seen := h.of(service)
 	for _, v := range versions {
+		if at, ok := seen[v]; !ok || now.Sub(at) > MaxAbsence {
+			returned = append(returned, v)
+		}
 		seen[v] = now
 	}
 	maps.DeleteFunc(seen, func(_ string, at time.Time) bool { return now.Sub(at) > Retention })
+	return returned
 }
 
+// Learn records that a version has served until now, as far as another source tells, unless it was seen already.
+func (h *History) Learn(now time.Time, service, version string) {
+	if seen := h.of(service); seen[version].IsZero() {
+		seen[version] = now
+	}
+}
+
+func (h *History) of(service string) map[string]time.Time {
+	seen := h.seen[service]
+	if seen == nil {
+		seen = map[string]time.Time{}
+		h.seen[service] = seen
+	}
+	return seen
+}
+
+// Has reports whether a version has served in the last Retention.
+func (h *History) Has(service, version string) bool { return !h.seen[service][version].IsZero() }
+
 // Served returns the versions of a service that have served in the last Retention, sorted.
 func (h *History) Served(service string) []string { return slices.Sorted(maps.Keys(h.seen[service])) }
--- /dev/null
+++ b/origin/served.go
@@ -0,0 +1,77 @@
+package origin
+
+import (
+	"encoding/json"
+	"slices"
+)
+
+// Served is which software versions of each service have served, as all routers together keep it in the store. A
+// version is added before the first event of a stream at it reaches a caller, and removed once no server of it has been
+// registered for Retention. So it outlives every process that has seen a version serve.
+type Served struct {
+	// Versions are the versions by service, sorted.
+	Versions map[string][]string `json:"versions"`
+	// Incomplete is set if versions may have served that are missing: the record was created, or created anew, by
+	// a router that had not watched from the first start of the fleet.
+	Incomplete bool `json:"incomplete,omitempty"`
+}
+
+// DecodeServed decodes the stored form. It fails if the value is not a valid one.
+func DecodeServed(value []byte) (Served, error) {
+	var s Served
+	if err := json.Unmarshal(value, &s); err != nil {
+		return Served{}, err
+	}
+	for service, versions := range s.Versions {
+		slices.Sort(versions)
+		s.Versions[service] = slices.Compact(versions)
+	}
+	return s, nil
+}
+
+// Encode returns the stored form.
+func (s Served) Encode() ([]byte, error) { return json.Marshal(s) }
+
+// Clone returns a deep copy.
+func (s Served) Clone() Served {
+	c := Served{Versions: map[string][]string{}, Incomplete: s.Incomplete}
+	for service, versions := range s.Versions {
+		c.Versions[service] = slices.Clone(versions)
+	}
+	return c
+}
+
+// Has reports whether a version of a service has served.
+func (s Served) Has(service, version string) bool {
+	_, found := slices.BinarySearch(s.Versions[service], version)
+	return found
+}
+
+// IsSole reports whether no more than one version of a service can have served.
+func (s Served) IsSole(service string) bool { return !s.Incomplete && len(s.Versions[service]) <= 1 }
+
+// Add adds a version of a service and reports whether it was missing.
+func (s *Served) Add(service, version string) bool {
+	at, found := slices.BinarySearch(s.Versions[service], version)
+	if found {
+		return false
+	}
+	if s.Versions == nil {
+		s.Versions = map[string][]string{}
+	}
+	s.Versions[service] = slices.Insert(s.Versions[service], at, version)
+	return true
+}
+
+// Remove removes a version of a service and reports whether it was there.
+func (s *Served) Remove(service, version string) bool {
+	at, found := slices.BinarySearch(s.Versions[service], version)
+	if !found {
+		return false
+	}
+	s.Versions[service] = slices.Delete(s.Versions[service], at, at+1)
+	if len(s.Versions[service]) == 0 {
+		delete(s.Versions, service)
+	}
+	return true
+}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -380,8 +380,9 @@
 	// Served are the versions that have served in the last origin.Retention, as far as the responding
 	// router has seen them, for each requested service.
 	Served [][]string
-	// Current reports whether the responding router's registrations of servers are current.
-	Current bool
+	// Current reports whether the responding router's registrations of servers are current, and Watched whether it knows
+	// which versions served before it began to watch; false from an older release.
+	Current, Watched bool
 }
 
 // VerdictsRequest reports requests that crash servers. If All is set, it also
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -65,6 +65,7 @@
 	s.originCounter("gaplink_origins_recorded_total", "Streams whose origin another router had before their first event.", func(c origins.Counts) int64 { return c.Recorded })
 	s.originCounter("gaplink_origins_unrecorded_total", "Streams whose origin no other router had in time.", func(c origins.Counts) int64 { return c.Unrecorded })
 	s.originCounter("gaplink_origins_found_total", "Streams taken up whose origin was found.", func(c origins.Counts) int64 { return c.Found })
+	s.originCounter("gaplink_versions_unlisted_total", "First events of streams that left before the version of their server was on record in the store.", func(c origins.Counts) int64 { return c.Unlisted })
 	s.originCounter("gaplink_origins_unknown_total", "Streams taken up whose origin was unknown while several versions served.", func(c origins.Counts) int64 { return c.Unknown })
 	s.storeCounter("gaplink_store_reads_total", "Store reads.", func(c store.Counts) int64 { return c.Reads })
 	s.storeCounter("gaplink_store_writes_total", "Store writes.", func(c store.Counts) int64 { return c.Writes })
--- a/server/provision.go
+++ b/server/provision.go
@@ -84,8 +84,11 @@
 	s.origins = origins.New(origins.Options{
 		Servers: s.servers,
 		Fleet:   &origins.PeerFleet{Recipients: s.recipients(), Client: s.peers, Unpooled: s.helloClient, IsLarge: s.largeFleet},
+		Store:   s.store,
 		Current: s.serversCurrent,
 		Log:     s.log,
+
+		FirstStart: s.settings.Fleet.FirstStart,
 	})
 	s.budgets = budgets.New(s.budgetConfig(), s.store, s.members, s.peers, s.log, func() {})
 	s.configs = configs.New(s.platform.ConfigKey, s.platform.DecodeConfig, s.configChanged, s.log)
