Origins: a router that starts without the store asks others what is on record; a deleted record counts as incomplete

Also: in a large fleet the calls for a version that has come are spread if no stream waits for them.

--- a/controller/origins/find.go
+++ b/controller/origins/find.go
@@ -128,9 +128,9 @@
 	sources int
 	// served are the versions of each service that have served.
 	served [][]string
-	// current counts the routers that answered with current registrations, missing those that did not answer, and
+	// answered counts the routers that answered, current those of them with current registrations, missing those that did not answer, and
 	// unaware those that do not know which versions served before they began to watch.
-	current, missing, unaware int
+	answered, current, missing, unaware int
 	// watched is set if this router knows it.
 	watched bool
 	// record is set if the store has told which versions have served, and incomplete if it does not know of all.
@@ -156,6 +156,7 @@
 	}
 	a := r.answer
 	s.add(r.router, origin.Knowledge{Known: a.Known, Ambiguous: a.Ambiguous, Origin: a.Origin, Attempt: a.Attempt})
+	s.answered++
 	if a.Current {
 		s.current++
 	}
@@ -185,13 +186,13 @@
 }
 
 // knowsAll reports whether all versions that have served are known. The record of the store tells, or in an outage of the
-// store this router and those it asked, if all of them answer and have watched: a router that begins streams at a
-// version which is not on record keeps their origins at some of them.
+// store the routers that were asked, if all of them answer and have watched: a router that knows of a version which they
+// do not know keeps the origins of its streams at some of them.
 func (s *survey) knowsAll() bool {
 	if s.record {
 		return !s.incomplete
 	}
-	return s.watched && s.missing == 0 && s.unaware == 0
+	return s.missing == 0 && s.unaware == 0 && (s.watched || s.answered >= copies)
 }
 
 // finding returns what follows for the stream.
@@ -273,6 +274,6 @@
 	}
 	k := c.known(req.Key)
 	return &peer.OriginAnswer{
-		Watched: c.hasWatched(), Known: k.Known, Ambiguous: k.Ambiguous, Origin: k.Origin, Attempt: k.Attempt, Served: c.servedHere(req.Services), Current: c.isCurrent(),
+		Watched: c.hasWatched(), Listed: c.listedHere(req.Services), Known: k.Known, Ambiguous: k.Ambiguous, Origin: k.Origin, Attempt: k.Attempt, Served: c.servedHere(req.Services), Current: c.isCurrent(),
 	}, nil
 }
--- a/controller/origins/forgotten_test.go
+++ b/controller/origins/forgotten_test.go
@@ -156,3 +156,44 @@
 		}
 	})
 }
+
+// Guards against first events that wait for the store at a router that starts while the store is down, though others know that
+// the version is on record; and against refusals of streams there, though all others know that one version has served.
+func TestRouterThatStartsWithoutTheStoreServes(t *testing.T) {
+	atAllSizes(t, func(t *testing.T, n int) {
+		net := newNetwork(t, n, "v1")
+		net.all[1].begin("s", "v1")
+		net.storeDown.Store(true)
+		started := net.all[0]
+		started.start()
+		net.run(time.Second)
+		begun := time.Now()
+		started.begin("new", "v1")
+		if took := time.Since(begun); took > 60*time.Millisecond {
+			t.Errorf("a first event waits %s", took)
+		}
+		if got := started.find("s"); got != "any" && got != "v1" {
+			t.Errorf("a stream of the only version is refused: %q", got)
+		}
+	})
+}
+
+// Guards against a record that counts as complete after it was deleted in the first life of the fleet.
+func TestDeletedRecordIsIncomplete(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		net := newNetwork(t, 6, "v1")
+		net.release("v1", "v2")
+		ids := net.beginAll("s", "v1")
+		net.release("v2")
+		object, err := net.store.Get(t.Context(), "softwareversions/served")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := net.store.Delete(t.Context(), object.Key, object.Version); err != nil {
+			t.Fatal(err)
+		}
+		net.release("v3") // written anew
+		net.restartAll(time.Second, "v3")
+		net.expectNoOther(t, ids, "v1")
+	})
+}
--- a/controller/origins/origins_test.go
+++ b/controller/origins/origins_test.go
@@ -47,10 +47,12 @@
 // network connects the controllers of a fleet. A call takes linkDelay each way.
 type network struct {
 	store *memory.Store
-	mu    sync.Mutex
-	all   []*router
-	calls int
-	bytes int
+	// storeDown is set while the store answers nobody.
+	storeDown atomic.Bool
+	mu        sync.Mutex
+	all       []*router
+	calls     int
+	bytes     int
 }
 
 const linkDelay = time.Millisecond
@@ -152,7 +154,7 @@
 }
 
 func (l linkToStore) Get(ctx context.Context, key string) (store.Object, error) {
-	if l.router.isDead() {
+	if l.router.isDead() || l.router.net.storeDown.Load() {
 		return store.Object{}, store.ErrUnknown
 	}
 	time.Sleep(2 * linkDelay)
--- a/controller/origins/record.go
+++ b/controller/origins/record.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -11,6 +13,7 @@
 
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/origin"
+	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/store"
 )
 
@@ -27,9 +30,9 @@
 	syncPauseMax = 2 * time.Second
 	// maxConflicts is the number of conflicts in a row after which a write counts as failed.
 	maxConflicts = 8
-	// readSpread is the time, for each router, over which routers that start spread their first reads, and dropSpread that
-	// for the removal of a version that has gone: one of them is enough.
-	readSpread = 2 * time.Millisecond
+	// syncSpread is the time, for each router, over which routers spread their calls after a start or when a version has come,
+	// if no stream waits for them, and dropSpread that for the removal of a version that has gone: one of them is enough.
+	syncSpread = 2 * time.Millisecond
 	dropSpread = 50 * time.Millisecond
 	// readTimeout is how long a stream that is taken up waits for the record.
 	readTimeout = 300 * time.Millisecond
@@ -43,6 +46,8 @@
 	read    bool
 	// changed is closed when known or read changes.
 	changed chan struct{}
+	// listed are versions that are on record according to other routers, while the store does not answer.
+	listed map[origin.Version]bool
 	// registered are the versions of the servers that are registered, by service.
 	registered map[string][]string
 	// syncing is set while the record is brought up to date; again asks for another time after that.
@@ -50,9 +55,9 @@
 	// notBefore is when that may be tried again after so many failures in a row.
 	notBefore time.Time
 	failures  int
-	// readAt is when a process that no stream waits for reads the record first, and dropAt when versions that have gone
-	// are removed.
-	readAt, dropAt time.Time
+	// syncAt is when the record is brought up to date if no stream waits for that, and dropAt when versions that have
+	// gone are removed; zero: not needed.
+	syncAt, dropAt time.Time
 	// reading is set while the record is read for streams, and nextRead the read that those wait for which came since
 	// the last one began.
 	reading  bool
@@ -67,7 +72,7 @@
 }
 
 func newRecord() record {
-	return record{changed: make(chan struct{}), registered: map[string][]string{}}
+	return record{changed: make(chan struct{}), registered: map[string][]string{}, listed: map[origin.Version]bool{}}
 }
 
 // observe records the versions of the registered servers of a service. Those that have returned after a long absence may
@@ -76,15 +81,21 @@
 	r.registered[service] = versions
 	for _, version := range returned {
 		r.known.Remove(service, version)
+		delete(r.listed, origin.Version{Service: service, Name: version})
 	}
 }
 
 // forget has the record read anew: after a long time without current registrations, versions may have been removed that
 // serve again.
-func (r *record) forget() { r.known, r.read = origin.Served{}, false }
+func (r *record) forget() {
+	r.known, r.read = origin.Served{}, false
+	clear(r.listed)
+}
 
 // has reports whether a version is on record in the store.
-func (r *record) has(v origin.Version) bool { return r.read && r.known.Has(v.Service, v.Name) }
+func (r *record) has(v origin.Version) bool {
+	return r.read && r.known.Has(v.Service, v.Name) || r.listed[v]
+}
 
 // mayMiss reports whether versions may have served that this router does not know.
 func (r *record) mayMiss() bool { return !r.read || r.known.Incomplete }
@@ -138,13 +149,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := clock.Now()
-	if !c.record.read {
-		if c.record.readAt.IsZero() {
-			c.record.readAt = now.Add(c.spread(readSpread))
-		}
-		return !now.Before(c.record.readAt)
+	if c.record.read && !c.record.lacksRegistered() {
+		c.record.syncAt = time.Time{}
+		return c.dropDue(now)
+	}
+	if c.record.syncAt.IsZero() {
+		c.record.syncAt = now.Add(c.spread(syncSpread))
 	}
-	return c.record.lacksRegistered() || c.dropDue(now)
+	return !now.Before(c.record.syncAt)
 }
 
 // spread returns a random time over which the routers of the fleet spread calls.
@@ -192,6 +204,9 @@
 	defer cancel()
 	for {
 		err := c.syncOnce(ctx)
+		if err != nil {
+			c.askListed(ctx)
+		}
 		c.mu.Lock()
 		c.noteSync(err)
 		if err != nil || !c.record.again {
@@ -278,28 +293,36 @@
 	return wanted, change
 }
 
-// readStore reads the record. One that is missing or cannot be read is incomplete, except at the first start of the
-// fleet.
+// readStore reads the record. It returns version 0 if there is none.
 func (c *Controller) readStore(ctx context.Context) (origin.Served, int64, error) {
 	o, err := c.Store.Get(ctx, recordKey)
-	var served origin.Served
 	switch {
 	case errors.Is(err, store.ErrNotFound):
-		served.Incomplete = !c.FirstStart
+		return c.replacement(true), 0, nil
 	case err != nil:
 		return origin.Served{}, 0, err
-	default:
-		if served, err = origin.DecodeServed(o.Value); err != nil {
-			c.Log.Warn("malformed record of versions in the store; it is replaced", zap.Error(err))
-			served = origin.Served{Incomplete: true}
-		}
 	}
-	if o.Version != 0 {
-		c.learn(served, o.Version)
+	served, err := origin.DecodeServed(o.Value)
+	if err != nil {
+		c.Log.Warn("malformed record of versions in the store; it is replaced", zap.Error(err))
+		served = c.replacement(false)
 	}
+	c.learn(served, o.Version)
 	return served, o.Version, nil
 }
 
+// replacement returns the record that replaces one that is missing or malformed: what this router knows. It is incomplete, unless
+// the fleet starts for the first time and there has been none.
+func (c *Controller) replacement(missing bool) origin.Served {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	served := origin.Served{Incomplete: !missing || !c.FirstStart || c.record.version != 0}
+	for _, v := range c.history.All() {
+		served.Add(v.Service, v.Name)
+	}
+	return served
+}
+
 // learn takes in the record as it is in the store, at a version of its object.
 func (c *Controller) learn(served origin.Served, version int64) {
 	c.mu.Lock()
@@ -319,6 +342,50 @@
 	c.record.notify()
 }
 
+// askListed asks other routers which of the registered versions are on record, while the store does not answer: first events
+// at these need not wait.
+func (c *Controller) askListed(ctx context.Context) {
+	c.mu.Lock()
+	req := &peer.OriginRequest{Services: slices.Sorted(maps.Keys(c.record.registered))}
+	c.mu.Unlock()
+	binary.LittleEndian.PutUint64(req.Key[:], rand.Uint64()) // any routers
+	replies, pending := c.askEach(ctx, req)
+	for range pending {
+		if r := <-replies; r.answer != nil {
+			c.addListed(req.Services, r.answer.Listed)
+		}
+	}
+}
+
+// addListed takes in the versions of services that are on record according to another router.
+func (c *Controller) addListed(services []string, listed [][]string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, service := range services[:min(len(services), len(listed))] {
+		for _, version := range listed[i] {
+			c.history.Learn(clock.Now(), service, version)
+			c.record.listed[origin.Version{Service: service, Name: version}] = true
+		}
+	}
+	c.record.notify()
+}
+
+// listedHere returns the versions of services that are on record as far as this router knows.
+func (c *Controller) listedHere(services []string) (listed [][]string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, service := range services {
+		var versions []string
+		for _, version := range c.history.Served(service) {
+			if c.record.has(origin.Version{Service: service, Name: version}) {
+				versions = append(versions, version)
+			}
+		}
+		listed = append(listed, versions)
+	}
+	return listed
+}
+
 // awaitListed waits until a version is on record in the store, for versionWait at most.
 func (c *Controller) awaitListed(ctx context.Context, v origin.Version) {
 	ctx, cancel := context.WithTimeout(ctx, versionWait)
--- a/origin/history.go
+++ b/origin/history.go
@@ -89,3 +89,13 @@
 
 // Served returns the versions of a service that have served in the last Retention, sorted.
 func (h *History) Served(service string) []string { return slices.Sorted(maps.Keys(h.seen[service])) }
+
+// All returns the versions of all services that have served in the last Retention, in no order.
+func (h *History) All() (list []Version) {
+	for service, seen := range h.seen {
+		for version := range seen {
+			list = append(list, Version{Service: service, Name: version})
+		}
+	}
+	return list
+}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -380,6 +380,8 @@
 	// Served are the versions that have served in the last origin.Retention, as far as the responding
 	// router has seen them, for each requested service.
 	Served [][]string
+	// Listed are those that are on record in the store, as far as the responding router knows; none from an older release.
+	Listed [][]string
 	// Current reports whether the responding router's registrations of servers are current, and Watched whether it knows
 	// which versions served before it began to watch; false from an older release.
 	Current, Watched bool
