Origins: the record of versions is bounded

Where each server has a version of its own the record would grow beyond the store's limit for a value, and first events would wait for a write that fails.

--- a/controller/origins/record.go
+++ b/controller/origins/record.go
@@ -94,7 +94,7 @@
 
 // has reports whether a version is on record in the store.
 func (r *record) has(v origin.Version) bool {
-	return r.read && r.known.Has(v.Service, v.Name) || r.listed[v]
+	return r.read && r.known.Covers(v.Service, v.Name) || r.listed[v]
 }
 
 // mayMiss reports whether versions may have served that this router does not know.
@@ -104,7 +104,7 @@
 func (r *record) lacksRegistered() bool {
 	for service, versions := range r.registered {
 		for _, version := range versions {
-			if !r.known.Has(service, version) {
+			if !r.known.Covers(service, version) {
 				return true
 			}
 		}
--- a/origin/served.go
+++ b/origin/served.go
@@ -5,6 +5,10 @@
 	"slices"
 )
 
+// maxListed bounds the versions of a service on record. Where more serve at once, no stream depends on which of them
+// are missing: it is known that several do.
+const maxListed = 64
+
 // Served is which software versions of each service have served, as all routers together keep it in the store. A
 // version is added before the first event of a stream at it reaches a caller, and removed once no server of it has been
 // registered for Retention. So it outlives every process that has seen a version serve.
@@ -41,21 +45,23 @@
 	return c
 }
 
-// Has reports whether a version of a service has served.
+// Has reports whether a version of a service is on record.
 func (s Served) Has(service, version string) bool {
 	_, found := slices.BinarySearch(s.Versions[service], version)
 	return found
 }
 
-// IsSole reports whether no more than one version of a service can have served.
-func (s Served) IsSole(service string) bool { return !s.Incomplete && len(s.Versions[service]) <= 1 }
+// Covers reports whether a version of a service is on record, or need not be since there are so many others.
+func (s Served) Covers(service, version string) bool {
+	return len(s.Versions[service]) >= maxListed || s.Has(service, version)
+}
 
-// Add adds a version of a service and reports whether it was missing.
+// Add adds a version of a service, unless the record covers it, and reports whether it did.
 func (s *Served) Add(service, version string) bool {
-	at, found := slices.BinarySearch(s.Versions[service], version)
-	if found {
+	if s.Covers(service, version) {
 		return false
 	}
+	at, _ := slices.BinarySearch(s.Versions[service], version)
 	if s.Versions == nil {
 		s.Versions = map[string][]string{}
 	}
