Origins: a record without versions is malformed, not one that says that none has served

An object null or {} in place of the record, as another writer may leave it, was read as complete, so that the registered version counted as the only one.

--- a/origin/served.go
+++ b/origin/served.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"slices"
 )
 
@@ -20,13 +21,22 @@
 	Incomplete bool `json:"incomplete,omitempty"`
 }
 
+// errNoVersions reports a record, or a service in it, without versions: it says nothing, not that none has served.
+var errNoVersions = errors.New("origin: record without versions")
+
 // DecodeServed decodes the stored form. It fails if the value is not a valid one.
 func DecodeServed(value []byte) (Served, error) {
 	var s Served
 	if err := json.Unmarshal(value, &s); err != nil {
 		return Served{}, err
 	}
+	if s.Versions == nil {
+		return Served{}, errNoVersions
+	}
 	for service, versions := range s.Versions {
+		if versions == nil {
+			return Served{}, errNoVersions
+		}
 		slices.Sort(versions)
 		s.Versions[service] = slices.Compact(versions)
 	}
@@ -34,7 +44,12 @@
 }
 
 // Encode returns the stored form.
-func (s Served) Encode() ([]byte, error) { return json.Marshal(s) }
+func (s Served) Encode() ([]byte, error) {
+	if s.Versions == nil {
+		s.Versions = map[string][]string{}
+	}
+	return json.Marshal(s)
+}
 
 // Clone returns a deep copy.
 func (s Served) Clone() Served {
--- a/origin/served_test.go
+++ b/origin/served_test.go
@@ -28,7 +28,7 @@
 
 // Guards against a record that somebody else has written being taken for one that names nothing.
 func TestMalformedServedIsAnError(t *testing.T) {
-	for _, value := range []string{"", "[]", "1", `"x"`, `{"versions":["v1"]}`, `{"versions":{"llm":"v1"}}`, `{"versions":{"llm":[1]}}`} {
+	for _, value := range []string{"", "null", "{}", `{"incomplete":false}`, `{"versions":null}`, `{"versions":{"llm":null}}`, "[]", "1", `"x"`, `{"versions":["v1"]}`, `{"versions":{"llm":"v1"}}`, `{"versions":{"llm":[1]}}`} {
 		if s, err := origin.DecodeServed([]byte(value)); err == nil {
 			t.Errorf("%s is read as %+v", value, s)
 		}
