Origins: a malformed record is replaced at once

A record that cannot be read was replaced only when a version came or went, so that each process which started meanwhile refused streams for three minutes (TestMalformedRecordIsReplaced; the record stayed null).

--- a/controller/origins/forgotten_test.go
+++ b/controller/origins/forgotten_test.go
@@ -197,3 +197,28 @@
 		net.expectNoOther(t, ids, "v1")
 	})
 }
+
+// Guards against a malformed record that stays in the store, where it makes each process that starts refuse streams.
+func TestMalformedRecordIsReplaced(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		net := newNetwork(t, 6, "v1")
+		object, err := net.store.Get(t.Context(), "softwareversions/served")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := net.store.Update(t.Context(), object.Key, object.Version, []byte("null")); err != nil {
+			t.Fatal(err)
+		}
+		if got := net.all[0].find("unknown"); got != "" {
+			t.Errorf("a stream goes on at %q while it is not known which versions have served", got)
+		}
+		time.Sleep(time.Second)
+		object, err = net.store.Get(t.Context(), "softwareversions/served")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if served, err := origin.DecodeServed(object.Value); err != nil || !served.Incomplete || !served.Has(service, "v1") {
+			t.Errorf("the record is %s", object.Value)
+		}
+	})
+}
--- a/controller/origins/record.go
+++ b/controller/origins/record.go
@@ -232,31 +232,27 @@
 }
 
 func (c *Controller) syncOnce(ctx context.Context) error {
-	served, version, err := c.readStore(ctx)
+	current, err := c.readStore(ctx)
 	for conflicts := 0; err == nil; conflicts++ {
-		wanted, change := c.wanted(served)
-		if !change && version != 0 {
+		wanted, change := c.wanted(current.served)
+		if !change && current.usable {
 			return nil
 		}
-		var current store.Object
-		if current, err = c.write(ctx, wanted, version); !errors.Is(err, store.ErrConflict) || conflicts >= maxConflicts {
+		var object store.Object
+		if object, err = c.write(ctx, wanted, current.version); !errors.Is(err, store.ErrConflict) || conflicts >= maxConflicts {
 			return err
 		}
-		if served, version, err = c.afterConflict(ctx, current); err == nil {
-			c.learn(served, version)
-		}
+		current, err = c.afterConflict(ctx, object)
 	}
 	return err
 }
 
 // afterConflict returns the record after a conflict, from the answer if that shows it.
-func (c *Controller) afterConflict(ctx context.Context, current store.Object) (origin.Served, int64, error) {
-	if current.Version != 0 {
-		if served, err := origin.DecodeServed(current.Value); err == nil {
-			return served, current.Version, nil
-		}
+func (c *Controller) afterConflict(ctx context.Context, object store.Object) (storedRecord, error) {
+	if object.Version == 0 {
+		return c.readStore(ctx)
 	}
-	return c.readStore(ctx)
+	return c.decode(object), nil
 }
 
 // write writes the record and returns the object that the store has.
@@ -293,22 +289,35 @@
 	return wanted, change
 }
 
-// readStore reads the record. It returns version 0 if there is none.
-func (c *Controller) readStore(ctx context.Context) (origin.Served, int64, error) {
+// storedRecord is the record as the store has it at a version of its object. If it is missing or malformed, it is not usable
+// and served is what replaces it.
+type storedRecord struct {
+	served  origin.Served
+	version int64
+	usable  bool
+}
+
+// readStore reads the record.
+func (c *Controller) readStore(ctx context.Context) (storedRecord, error) {
 	o, err := c.Store.Get(ctx, recordKey)
 	switch {
 	case errors.Is(err, store.ErrNotFound):
-		return c.replacement(true), 0, nil
+		return storedRecord{served: c.replacement(true)}, nil
 	case err != nil:
-		return origin.Served{}, 0, err
+		return storedRecord{}, err
 	}
+	return c.decode(o), nil
+}
+
+// decode decodes the record and takes it in.
+func (c *Controller) decode(o store.Object) storedRecord {
 	served, err := origin.DecodeServed(o.Value)
 	if err != nil {
 		c.Log.Warn("malformed record of versions in the store; it is replaced", zap.Error(err))
 		served = c.replacement(false)
 	}
 	c.learn(served, o.Version)
-	return served, o.Version, nil
+	return storedRecord{served: served, version: o.Version, usable: err == nil}
 }
 
 // replacement returns the record that replaces one that is missing or malformed: what this router knows. It is incomplete, unless
@@ -452,11 +461,12 @@
 			return
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
-		var version int64
-		read.served, version, read.err = c.readStore(ctx)
+		current, err := c.readStore(ctx)
 		cancel()
-		if read.err == nil && version == 0 {
-			read.served.Incomplete = true // nothing is on record yet
+		read.served, read.err = current.served, err
+		if err == nil && !current.usable {
+			read.served.Incomplete = true
+			c.syncNow()
 		}
 		close(read.done)
 	}
