Gateway: a stream of the only version that has served is restricted to it

What callers saw: none seen; by reading. A stream of unknown origin that went on since one version alone had served was bound to none. If another version came while it waited for room, for tokens, or after an attempt that broke off without an event, it went on there. TestStreamOfTheSoleVersionStaysThere: joined before (status 200 with events 4 to 6 of v2), refused now. Cause: the finding said that no origin is needed, in place of which version it must have been.

--- a/controller/origins/find.go
+++ b/controller/origins/find.go
@@ -23,12 +23,19 @@
 	// answered with current registrations, Silent that of those that did not answer.
 	Watched         time.Duration
 	Current, Silent int
-	// sole holds the services of which one version alone has served since the stream can have begun.
-	sole map[string]bool
+	// sole holds the versions of the services of which no more than one has served since the stream can have begun.
+	sole map[string][]string
 }
 
-// Sole reports whether a stream of a service can have begun at one version alone.
-func (f Finding) Sole(service string) bool { return f.sole[service] }
+// Sole reports whether a stream of a service can have begun at one version alone, and returns that version; nil if none
+// has served. Further versions may have come since.
+func (f Finding) Sole(service string) (version *string, ok bool) {
+	versions, ok := f.sole[service]
+	if len(versions) == 0 {
+		return nil, ok
+	}
+	return &versions[0], ok
+}
 
 // Find finds out which version began the stream that a try of an account names, given the services at
 // which it may have run. It asks other routers, even if this one knows of a single version: its registrations may
@@ -197,7 +204,7 @@
 
 // finding returns what follows for the stream.
 func (s *survey) finding() Finding {
-	f := Finding{Source: "unknown", sole: map[string]bool{}}
+	f := Finding{Source: "unknown", sole: map[string][]string{}}
 	switch {
 	case s.origin.Known:
 		return Finding{Known: true, Origin: s.origin.Origin, Source: s.source}
@@ -205,7 +212,9 @@
 		return f
 	}
 	for i, service := range s.services {
-		f.sole[service] = len(s.served[i]) <= 1
+		if len(s.served[i]) <= 1 {
+			f.sole[service] = s.served[i]
+		}
 	}
 	if allSole(s.served) {
 		f.Source = "sole version"
--- a/controller/origins/origins_test.go
+++ b/controller/origins/origins_test.go
@@ -224,10 +224,11 @@
 // served, "" if it must not go on.
 func (r *router) find(id string) string {
 	f := r.control.Find(context.Background(), "acme", id, []string{service})
+	_, sole := f.Sole(service)
 	switch {
 	case f.Known:
 		return f.Origin.Name
-	case f.Sole(service):
+	case sole:
 		return "any"
 	default:
 		return ""
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -54,13 +54,17 @@
 // pinVersion restricts a stream that is taken up to the version that began it. It returns an error if that
 // version is unknown and there are several.
 func (c *call) pinVersion() *result.Error {
+	sole, isSole := c.origin.Sole(c.service.Name)
 	switch {
 	case !c.takesUpStream():
 		return nil
 	case c.origin.Known && c.origin.Origin.Service == c.service.Name:
 		c.stream.version.Store(&c.origin.Origin.Name)
 		return nil
-	case c.origin.Known, c.origin.Sole(c.service.Name):
+	case c.origin.Known:
+		return nil
+	case isSole:
+		c.stream.version.Store(sole) // another one may come while the request waits
 		return nil
 	default:
 		return result.New(result.VersionUnavailable, "it is not known which software version of %s began the stream", c.service.Name).After(noServerRetryAfter)
--- a/gateway/origin_test.go
+++ b/gateway/origin_test.go
@@ -10,10 +10,15 @@
 	"sync/atomic"
 	"testing"
 
+	"go.uber.org/zap"
+
+	"github.com/gaplink/gaplink/controller/origins"
 	"github.com/gaplink/gaplink/controller/registry"
 	"github.com/gaplink/gaplink/gateway"
+	"github.com/gaplink/gaplink/origin"
 	"github.com/gaplink/gaplink/result"
 	"github.com/gaplink/gaplink/store"
+	"github.com/gaplink/gaplink/store/memory"
 )
 
 // newVersionedGateway returns a gateway with one server of each version, and the registrations of these.
@@ -90,3 +95,38 @@
 	}
 	refused("no server", headerLastEvent+": 3", headerFirstTry+": r1")
 }
+
+// Guards against a stream that goes on at a version that has come since it was taken up: that only one had served until then
+// says which one began it.
+func TestStreamOfTheSoleVersionStaysThere(t *testing.T) {
+	var joined atomic.Int64
+	var release func()
+	var control *origins.Controller
+	answer := func(c *net.TCPConn, r *http.Request, n int) {
+		if n == 1 {
+			release()
+			send(c, head(r, 200, chunkedField)) // breaks off without an event
+			return
+		}
+		joined.Add(1)
+		send(c, head(r, 200, chunkedField), chunk(events(4, 6)), lastChunk)
+	}
+	web, _, known := newRegisteredGateway(t, 0, 2, answer, func(o *gateway.Options) {
+		control = origins.New(origins.Options{Servers: o.Servers, Store: memory.New(), FirstStart: true, Log: zap.NewNop()})
+		o.Origins = control
+	})
+	entries := startListeners(t, 2, answer, &sync.Map{})
+	for i, version := range []string{"v1", "v2"} {
+		entries[i].Value = []byte(strings.Replace(string(entries[i].Value), `"Version":""`, `"Version":`+strconv.Quote(version), 1))
+	}
+	release = func() {
+		known.Listed(entries[1:], 2)
+	}
+	known.Listed(entries[:1], 1)
+	first := control.Begin(origins.Stream{Tries: []string{"first"}}, origin.Version{Service: "svc", Name: "v1"}, 1)
+	first.Wait(t.Context()) // until v1 is on record
+	got := call(t, web, "HTTP/1.1", http.MethodPost, "/stream/x", headerLastEvent+": 3", headerFirstTry+": elsewhere")
+	if joined.Load() != 0 {
+		t.Errorf("a stream of v1 went on at v2: status %d, %q", got.status, got.body)
+	}
+}
