Tests: a server opens 50 ms after its refusal, not after the test begins

TestRequestIsHeldForTheEndOfABackoff failed once (refused 0 times), in a run of ./gateway at a load of 49 on 8 cores: the request arrived after the 50 ms. 10 plays alone held. The bounds are as they were.

--- a/gateway/holding_test.go
+++ b/gateway/holding_test.go
@@ -44,7 +44,13 @@
 	var open atomic.Bool
 	var refusals atomic.Int64
 	web := newHoldingGateway(t, 1, time.Second, refuseUntilOpen(&open, &refusals), unchanged)
-	time.AfterFunc(50*time.Millisecond, func() { open.Store(true) })
+	go func() {
+		for refusals.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(50 * time.Millisecond)
+		open.Store(true)
+	}()
 	begun := time.Now()
 	got := call(t, web, "HTTP/1.1", "GET", "/hasty/x")
 	if took := time.Since(begun); got.status != 200 || got.body != "ok" || took < 80*time.Millisecond || took > 500*time.Millisecond {
