Updates: a list continued at a router that is behind counts from the older of the two

What callers saw: a starting router of a large fleet sent requests for ever to a server that had left, or never sent any to a new one. The first page of its list of servers came from one router; the transfer broke off and went on at another router whose copy was older. What changed between the two was in no page, and the router asked for the changes after the revision of the first page only: it took what the later pages lack for evidence that nothing was there.

Cause: a transfer had the revision and time of its first page, and nothing compared them with those of the pages after it.

Change: a transfer has the lowest revision and the earliest time of its pages; the changes after that are read afterwards, and are idempotent by version.

TestListContinuedAtARouterThatIsBehindMissesNoChange failed before, on both counts ("a server that has left stays in use", "a registered server is not in use"). go test ./controller/updates passes (28 s).

--- a/controller/updates/lists.go
+++ b/controller/updates/lists.go
@@ -22,7 +22,7 @@
 // A router that knows no objects of a kind, or is so far behind that the changes are no longer
 // retained, lists all of them in pages. A page crosses a small link within the timeout of a call,
 // however many objects there are, and an interrupted transfer is resumed from another router. As
-// with a list of the store, the changes after the first page's revision are read afterwards.
+// with a list of the store, the changes after the lowest revision of the pages are read afterwards.
 
 const (
 	// pageSize is the maximum number of objects in a page: about 25 KB compressed.
@@ -151,12 +151,26 @@
 type transfer struct {
 	startedAt, pageAt time.Time // start of the transfer, and arrival of its last page
 	received          []changelog.Received
-	// revision is the revision of the first page, and asOf the time of its objects.
+	// revision and asOf are the lowest revision and the earliest time of the pages: after an interruption a page
+	// of another router may be older than the first one.
 	revision int64
 	asOf     time.Time
 	done     bool
 }
 
+// notePage records the revision and time of a page that was requested at a time.
+func (t *transfer) notePage(page *peer.ListAnswer, requestedAt time.Time) {
+	asOf := timestampOf(page.Age, requestedAt)
+	if t.revision == 0 {
+		t.revision, t.asOf = page.Revision, asOf
+		return
+	}
+	t.revision = min(t.revision, page.Revision)
+	if asOf.Before(t.asOf) {
+		t.asOf = asOf
+	}
+}
+
 // listReader holds the state of reading lists from other routers, one at a time.
 type listReader struct {
 	reading atomic.Bool
@@ -256,10 +270,7 @@
 	if answer.More && len(entries) == 0 {
 		return errEmptyPage
 	}
-	if t.revision == 0 {
-		t.revision = answer.Revision
-		t.asOf = timestampOf(answer.Age, begun)
-	}
+	t.notePage(answer, begun)
 	t.received = append(t.received, receivedFrom(entries, max(answer.SnapshotAge, 0))...)
 	t.pageAt, t.done = clock.Now(), !answer.More
 	return nil
--- a/controller/updates/lists_test.go
+++ b/controller/updates/lists_test.go
@@ -166,3 +166,77 @@
 func (a fixedList) List(context.Context, string, *peer.ListRequest) (*peer.ListAnswer, error) {
 	return a.answer, nil
 }
+
+// movingCalls sends the requests for updates and lists to a second router after the first page of a list.
+type movingCalls struct {
+	first, second updates.Calls
+	pages         atomic.Int64
+}
+
+func (m *movingCalls) current() updates.Calls {
+	if m.pages.Load() == 0 {
+		return m.first
+	}
+	return m.second
+}
+
+func (m *movingCalls) Updates(ctx context.Context, addr string, req *peer.UpdatesRequest) (*peer.UpdatesAnswer, error) {
+	return m.current().Updates(ctx, addr, req)
+}
+
+func (m *movingCalls) Config(ctx context.Context, addr string) (*peer.ConfigAnswer, error) {
+	return m.current().Config(ctx, addr)
+}
+
+func (m *movingCalls) List(ctx context.Context, addr string, req *peer.ListRequest) (*peer.ListAnswer, error) {
+	if m.pages.Add(1) == 2 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if m.pages.Load() == 1 {
+		return m.first.List(ctx, addr, req)
+	}
+	return m.second.List(ctx, addr, req)
+}
+
+// Guards against a starting router that sends requests for ever to a server that has left, or never learns of one: the
+// first page of its list comes from one router, and the others from a router that is behind it.
+func TestListContinuedAtARouterThatIsBehindMissesNoChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const servers = 1000 // two pages
+		all := manyRegistrations(servers)
+		changed := all[0]
+		for _, o := range all {
+			if o.Key > changed.Key {
+				changed = o // on the second page
+			}
+		}
+		left := store.Object{Key: changed.Key, Version: servers + 1, Deleted: true}
+		added := registration("zz-new", servers+2)
+		ahead, behind := newPair(), newPair()
+		for _, p := range []*pair{ahead, behind} {
+			p.theirs.Listed(all, servers)
+		}
+		catchUp := func(p *pair) {
+			p.theirs.Changed([]store.Object{left, added})
+			p.theirs.Advanced(servers + 2)
+		}
+		catchUp(ahead)
+		asking := ahead.asking
+		moving := &movingCalls{first: ahead, second: behind}
+		asking.Calls = moving
+		go asking.Run(t.Context())
+		time.Sleep(5 * time.Second)
+		if n := moving.pages.Load(); n != 3 {
+			t.Fatalf("%d pages were requested", n)
+		}
+		catchUp(behind)
+		time.Sleep(5 * time.Second)
+		if ahead.ours.AcceptsRequests(placement.Incarnation{ID: store.NameOf(left.Key)}) {
+			t.Error("a server that has left stays in use")
+		}
+		if !ahead.ours.AcceptsRequests(placement.Incarnation{ID: "zz-new"}) {
+			t.Error("a registered server is not in use")
+		}
+	})
+}
