Updates: the ages in an answer are read before the version of the configuration

What callers saw: nothing yet; found by reading for the class "absence of evidence". An answer to a router that asks for updates took the version of the configuration first, then the reports, then the ages. If the store sent a new version in between, the answer gave the old version the age of the new one. The asking router then answered that routes and keys of the new version do not exist ("no such route", 404) although its configuration was older than the operator's bound allows for that answer; until its next request.

Change: the ages are read before everything that they are the ages of.

TestAgeOfAnUpdateIsNotNewerThanItsConfiguration failed before ("version 1 of age 304ns"). go test ./controller/updates passes (30 s).

--- a/controller/updates/answer.go
+++ b/controller/updates/answer.go
@@ -43,7 +43,9 @@
 	if req.StoreAnswered {
 		c.noteAnsweredElsewhere()
 	}
-	answer := &peer.UpdatesAnswer{Config: c.Configs.Version(), Source: c.Self}
+	// The ages are read before everything that they are the ages of, which may be newer.
+	answer := &peer.UpdatesAnswer{Ages: c.Ages(), Source: c.Self}
+	answer.Config = c.Configs.Version()
 	verdicts, limits := req.VerdictSeq, req.LimitSeq
 	if req.ReportSource != c.Self {
 		verdicts, limits = unknownSeq, unknownSeq
@@ -52,7 +54,6 @@
 	answer.Limits, answer.LimitSeq = c.Limits.Since(limits)
 	c.setSourceState(answer)
 	answer.Routers = c.changesSince(peer.KindRouters, req.Routers)
-	answer.Ages = c.Ages() // read before the changes, which may be newer
 	if !answer.Current {
 		return answer, nil
 	}
--- a/controller/updates/pair_test.go
+++ b/controller/updates/pair_test.go
@@ -195,3 +195,19 @@
 		t.Errorf("relies on other routers after %v, with a configuration %v old that they fail to transfer", parts.Sum(), p.asking.Ages().Config)
 	})
 }
+
+// Guards against a router that answers, as only an older configuration allows, with the age of a newer one: the version in
+// an update must be at least as new as its age says, also if the store sends one while the update is made.
+func TestAgeOfAnUpdateIsNotNewerThanItsConfiguration(t *testing.T) {
+	p := newPair()
+	p.theirs.Listed([]store.Object{registration("a", 1)}, 9)
+	p.theirConfigs.Apply([]byte("1"), "store")
+	p.ages = func() updates.Timestamps {
+		p.theirConfigs.Apply([]byte("2"), "store")
+		return updates.Timestamps{Config: time.Now(), Servers: time.Now()}
+	}
+	answer, err := p.asked.Answer(t.Context(), &peer.UpdatesRequest{})
+	if err != nil || answer.Config != 2 {
+		t.Errorf("version %d of age %v, %v", answer.Config, answer.Ages.Config, err)
+	}
+}
