Spread: a router that knows nothing itself does not answer for the fleet

What callers saw: after most routers were killed, a quarantined request was sent on, and crashed another server, and rates that servers had named were not kept: a starting router asked one other router for its verdicts and limits, and took the first answer for the state of the fleet, though that router had just started too and had heard nothing. With the store answering, verdicts came from there; limits are nowhere else.

Cause: an empty answer was taken for evidence that there is nothing.

Change: a router knows whether it has caught up: it has the state of one that has, or of all routers that receive each report (after its list of them has been read). Until then its answer says so (Incomplete; absent from an older release); the asking router keeps what it got and asks up to five others at once.

TestRoutersThatHaveAskedAllOthersAnswerForTheFleet bounds the calls.

--- a/controller/limits/limits.go
+++ b/controller/limits/limits.go
@@ -69,6 +69,8 @@
 	// Updated reports whether relays send this router all reports, so that it asks no other
 	// router at its start; nil: none do.
 	Updated func() bool
+	// Informed reports whether relays have sent this router their reports; nil: none do.
+	Informed func() bool
 	// OwnerTicks is set if the owner calls Tick regularly, and CatchUp after each pause of the
 	// process.
 	OwnerTicks bool
@@ -267,7 +269,8 @@
 	if !req.All {
 		return &peer.LimitsAnswer{}, nil
 	}
-	return &peer.LimitsAnswer{Report: c.snapshot()}, nil
+	isComplete := c.spread.IsComplete() || c.Informed != nil && c.Informed()
+	return &peer.LimitsAnswer{Report: c.snapshot(), Incomplete: !isComplete}, nil
 }
 
 // spreadFleet adapts a Fleet to spread.Fleet.
@@ -276,8 +279,12 @@
 // Report implements spread.Fleet.
 func (f spreadFleet) Report(ctx context.Context, id string, r limiter.Report, all bool) (limiter.Report, error) {
 	answer, err := f.Fleet.Report(ctx, id, &peer.LimitsRequest{Report: r, All: all})
-	if err != nil {
+	switch {
+	case err != nil:
 		return limiter.Report{}, err
+	case answer.Incomplete:
+		return answer.Report, spread.ErrIncomplete
+	default:
+		return answer.Report, nil
 	}
-	return answer.Report, nil
 }
--- a/controller/spread/spread.go
+++ b/controller/spread/spread.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -23,9 +24,10 @@
 	// catches up when it is back.
 	resendInterval = 500 * time.Millisecond
 	resendTimeout  = time.Minute
-	// maxPeersAsked is how many routers are asked for a snapshot before this one proceeds
-	// without.
-	maxPeersAsked = 3
+	// maxUnanswered is how many routers may leave a request for a snapshot unanswered before this one proceeds
+	// without, and maxPeersAsked how many are asked at once after one that has not caught up itself.
+	maxUnanswered = 3
+	maxPeersAsked = 5
 	// maxLogged bounds the reports that are kept for routers that ask for updates.
 	maxLogged = 256
 	// pauseCheckInterval is how often the process checks whether it was paused.
@@ -42,9 +44,13 @@
 	Merged(later R) R
 }
 
+// ErrIncomplete is returned with the state of a router that may not know all reports itself.
+var ErrIncomplete = errors.New("the router has not caught up itself")
+
 // Fleet are the other routers.
 type Fleet[R any] interface {
-	// Report sends a report to a router, and asks for its complete state if all is set.
+	// Report sends a report to a router, and asks for its complete state if all is set. With ErrIncomplete it
+	// returns a state that may lack reports of others.
 	Report(ctx context.Context, id string, r R, all bool) (R, error)
 	// Listeners returns the routers that receive each report.
 	Listeners() []string
@@ -97,6 +103,8 @@
 	// log holds the latest reports, and last is the number of the last one.
 	log  []timestamped[R]
 	last int64
+	// complete is set if this router knows the reports that were made before it started or was paused.
+	complete bool
 }
 
 // New returns a spreader.
@@ -264,23 +272,83 @@
 	return err
 }
 
-// CatchUp asks other routers for their complete state, one after the other until one answers.
+// IsComplete reports whether this router knows the reports that were made before it started or was paused: it has the
+// state of one that knows them, or of all that receive each report.
+func (s *Spreader[R]) IsComplete() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.complete
+}
+
+// setComplete sets what IsComplete returns.
+func (s *Spreader[R]) setComplete(complete bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.complete = complete
+}
+
+// CatchUp asks other routers for their state, one after the other until one answers. If that one has not caught up itself,
+// it asks all others at once, up to maxPeersAsked.
 func (s *Spreader[R]) CatchUp(ctx context.Context) {
 	if s.Fleet == nil {
 		return
 	}
-	var nothing R
+	s.setComplete(false)
 	peers := s.Fleet.Peers()
-	for _, id := range peers[:min(len(peers), maxPeersAsked)] {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		all, err := s.Fleet.Report(callCtx, id, nothing, true)
-		cancel()
-		if err == nil {
-			s.Receive(all)
+	for i, id := range peers[:min(len(peers), maxUnanswered)] {
+		switch err := s.catchUpFrom(ctx, id); {
+		case err == nil:
+			s.setComplete(true)
+			return
+		case errors.Is(err, ErrIncomplete):
+			s.setComplete(s.catchUpFromAll(ctx, id, peers[i+1:]))
 			return
 		}
+	}
+	s.setComplete(s.allIn(nil))
+}
+
+// catchUpFromAll receives the states of routers, besides that of one which has not caught up itself. It reports whether
+// one of them has, or all that receive each report have answered.
+func (s *Spreader[R]) catchUpFromAll(ctx context.Context, first string, others []string) bool {
+	var mu sync.Mutex
+	answered, complete := map[string]bool{first: true}, false
+	var all sync.WaitGroup
+	for _, id := range others[:min(len(others), maxPeersAsked)] {
+		all.Go(func() {
+			err := s.catchUpFrom(ctx, id)
+			mu.Lock()
+			defer mu.Unlock()
+			complete = complete || err == nil
+			answered[id] = err == nil || errors.Is(err, ErrIncomplete)
+		})
+	}
+	all.Wait()
+	return complete || s.allIn(answered)
+}
+
+// catchUpFrom receives the state of a router.
+func (s *Spreader[R]) catchUpFrom(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var nothing R
+	all, err := s.Fleet.Report(ctx, id, nothing, true)
+	if err != nil && !errors.Is(err, ErrIncomplete) {
 		s.Log.Info("router did not return its reports", zap.String("report", s.Name), zap.String("router", id), zap.Error(err))
+		return err
+	}
+	s.Receive(all)
+	return err
+}
+
+// allIn reports whether all routers that receive each report have answered.
+func (s *Spreader[R]) allIn(answered map[string]bool) bool {
+	for _, id := range s.Fleet.Listeners() {
+		if !answered[id] {
+			return false
+		}
 	}
+	return true
 }
 
 // DetectPauses calls CatchUp whenever the process or its machine was paused, until the context
--- a/controller/verdicts/propagate.go
+++ b/controller/verdicts/propagate.go
@@ -47,10 +47,14 @@
 // Report implements spread.Fleet.
 func (f spreadFleet) Report(ctx context.Context, id string, r poison.Report, all bool) (poison.Report, error) {
 	answer, err := f.Fleet.Report(ctx, id, &peer.VerdictsRequest{Report: r, All: all})
-	if err != nil {
+	switch {
+	case err != nil:
 		return poison.Report{}, err
+	case answer.Incomplete:
+		return answer.Report, spread.ErrIncomplete
+	default:
+		return answer.Report, nil
 	}
-	return answer.Report, nil
 }
 
 // Since returns what this router has learnt after number seq of its log, and the number of the
@@ -64,7 +68,8 @@
 	if !req.All {
 		return &peer.VerdictsAnswer{}, nil
 	}
-	return &peer.VerdictsAnswer{Report: c.spread.Snapshot()}, nil
+	isComplete := c.spread.IsComplete() || c.Informed != nil && c.Informed()
+	return &peer.VerdictsAnswer{Report: c.spread.Snapshot(), Incomplete: !isComplete}, nil
 }
 
 // Receive applies a report of another router.
--- a/controller/verdicts/verdicts.go
+++ b/controller/verdicts/verdicts.go
@@ -69,6 +69,8 @@
 	// Updated reports whether relays send this router all reports, so that it asks neither
 	// another router nor the store at its start; nil: none do.
 	Updated func() bool
+	// Informed reports whether relays have sent this router their reports; nil: none do.
+	Informed func() bool
 	// OwnerDetectsPauses is set if the owner calls CatchUp after each pause of the process.
 	OwnerDetectsPauses bool
 	Log                *zap.Logger
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -262,7 +262,11 @@
 }
 
 // LimitsAnswer returns the requested rate limits.
-type LimitsAnswer struct{ Report limiter.Report }
+type LimitsAnswer struct {
+	Report limiter.Report
+	// Incomplete is set if the answering router may not know the limits that others have heard of.
+	Incomplete bool
+}
 
 // PermitRequest asks for a permit for one request to a server.
 type PermitRequest struct {
@@ -393,7 +397,11 @@
 }
 
 // VerdictsAnswer returns the requested reports.
-type VerdictsAnswer struct{ Report poison.Report }
+type VerdictsAnswer struct {
+	Report poison.Report
+	// Incomplete is set if the answering router may not know what others have reported.
+	Incomplete bool
+}
 
 // ConfigAnswer returns a router's configuration.
 type ConfigAnswer struct {
--- a/server/cold.go
+++ b/server/cold.go
@@ -28,6 +28,7 @@
 		FleetDiscovered: s.fleetDiscovered,
 		AcceptsRequests: s.servers.AcceptsRequests,
 		Updated:         s.updatedByRelays,
+		Informed:        s.informedByRelays,
 		Log:             s.log,
 
 		OwnerTicks: true,
--- a/server/provision.go
+++ b/server/provision.go
@@ -79,6 +79,7 @@
 		Updated: s.updatedByRelays,
 		Log:     s.log,
 
+		Informed:           s.informedByRelays,
 		OwnerDetectsPauses: true,
 	})
 	s.origins = origins.New(origins.Options{
--- a/server/server.go
+++ b/server/server.go
@@ -239,6 +239,9 @@
 // updatedByRelays reports whether this router receives updates from relays.
 func (s *Server) updatedByRelays() bool { return s.largeFleet() && !s.updates.UpdatesOthers() }
 
+// informedByRelays reports whether relays have sent this router what routers have reported.
+func (s *Server) informedByRelays() bool { return s.updatedByRelays() && s.updates.RecentlyUpdated() }
+
 // seeds returns the seed addresses of the current settings.
 func (s *Server) seeds() []string { return s.current().Fleet.Seeds }
 
