Verdicts: the watchers of a large fleet read the current list at their start

What callers saw: a request was quarantined, all routers of a large fleet were killed within seconds, and when they came back the request was sent on and crashed servers again: all of them read a list of verdicts that may be seconds old, once, and took its lack of the verdict for "no verdict". No router read the store again.

A stale list is read because hundreds of routers may start together; but then somebody has to know the end of it.

Change: the two routers that watch the store for a large fleet read a list that is not stale; the others learn from them with the first update, as they learn of all reports. Cost: two linearizable lists in place of stale ones when all start.

TestVerdictJustBeforeAllRoutersAreKilledIsNotForgotten failed before ("the router that reads the store for the others has no verdict").

--- a/controller/updates/roles.go
+++ b/controller/updates/roles.go
@@ -13,7 +13,7 @@
 // several fallback watchers that the store answers, the first in rank continues; without a
 // ranking all would stop as soon as they update each other, and no router would watch the store.
 func (c *Controller) Role() follow.Role {
-	if !c.Large() || c.isWatcher() {
+	if !c.Large() || c.IsWatcher() {
 		return follow.Watcher
 	}
 	if c.isReadingList() || c.awaitsServers() {
@@ -64,7 +64,7 @@
 // RosterRole returns the role for the registrations of routers: the watchers of a large fleet
 // watch them. In a small fleet routers introduce themselves to each other.
 func (c *Controller) RosterRole() follow.Role {
-	if c.Large() && c.isWatcher() {
+	if c.Large() && c.IsWatcher() {
 		return follow.Watcher
 	}
 	return follow.Idle
@@ -77,7 +77,8 @@
 	return self == other || c.Members.Suspected(clock.Now(), other) || c.Members.Outranks(watchRole, self, other)
 }
 
-func (c *Controller) isWatcher() bool {
+// IsWatcher reports whether this router watches the store for a large fleet.
+func (c *Controller) IsWatcher() bool {
 	return slices.Contains(c.watchers(), c.Members.Self().ID)
 }
 
@@ -131,7 +132,7 @@
 }
 
 // UpdatesOthers reports whether other routers accept updates from this one.
-func (c *Controller) UpdatesOthers() bool { return !c.Large() || c.IsRelay() || c.isWatcher() }
+func (c *Controller) UpdatesOthers() bool { return !c.Large() || c.IsRelay() || c.IsWatcher() }
 
 // watchers returns the routers that watch the store for a large fleet.
 func (c *Controller) watchers() []string {
--- a/controller/verdicts/persist.go
+++ b/controller/verdicts/persist.go
@@ -195,7 +195,8 @@
 }
 
 func (c *Controller) listStored(ctx context.Context) ([]store.Object, error) {
-	if c.Stale != nil && c.Stale() {
+	readsForOthers := c.ReadsForOthers != nil && c.ReadsForOthers()
+	if c.Stale != nil && c.Stale() && !readsForOthers {
 		list, _, err := store.ListStale(ctx, c.Store, Kind)
 		return list, err
 	}
--- a/controller/verdicts/starting_test.go
+++ b/controller/verdicts/starting_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/gaplink/gaplink/controller/verdicts"
 	"github.com/gaplink/gaplink/poison"
+	"github.com/gaplink/gaplink/store"
+	"github.com/gaplink/gaplink/store/memory"
 	"github.com/gaplink/gaplink/upstream"
 )
 
@@ -86,3 +88,35 @@
 		}
 	})
 }
+
+// laggingStore answers lists that may be old with the objects of a time in the past.
+type laggingStore struct {
+	store.Store
+	old []store.Object
+}
+
+func (l *laggingStore) ListStale(context.Context, string) ([]store.Object, int64, error) {
+	return l.old, 1, nil
+}
+
+func (l *laggingStore) GetStale(ctx context.Context, key string) (store.Object, error) {
+	return l.Get(ctx, key)
+}
+
+// Guards against a verdict that a large fleet forgets because all its routers are killed within seconds of it: the lists that
+// they read at their start may be older than the verdict.
+func TestVerdictJustBeforeAllRoutersAreKilledIsNotForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kept := &laggingStore{Store: memory.New()}
+		crashWhileRunning("k", 0, 3, newNetwork().join(t.Context(), "r0", kept))
+		next := verdicts.New(verdicts.Options{
+			Checker: &checker{found: upstream.Gone}, Servers: servers{}, Store: kept, Log: zap.NewNop(),
+			Stale: func() bool { return true }, ReadsForOthers: func() bool { return true },
+		})
+		go next.Run(t.Context())
+		synctest.Wait()
+		if quarantined(next) != 1 {
+			t.Error("the router that reads the store for the others has no verdict")
+		}
+	})
+}
--- a/controller/verdicts/verdicts.go
+++ b/controller/verdicts/verdicts.go
@@ -66,6 +66,9 @@
 	// Stale reports whether a list that may be seconds old may be read from the store, as a
 	// large fleet must, whose routers may all start together.
 	Stale func() bool
+	// ReadsForOthers reports whether this router is one of the few that read the store for a large fleet; nil: it
+	// is not. It reads a list that is not stale: if all routers have ended, it alone may learn of the last verdicts.
+	ReadsForOthers func() bool
 	// Updated reports whether relays send this router all reports, so that it asks neither
 	// another router nor the store at its start; nil: none do.
 	Updated func() bool
--- a/server/provision.go
+++ b/server/provision.go
@@ -80,6 +80,7 @@
 		Log:     s.log,
 
 		Informed:           s.informedByRelays,
+		ReadsForOthers:     func() bool { return s.updates.IsWatcher() },
 		OwnerDetectsPauses: true,
 	})
 	s.origins = origins.New(origins.Options{
