Roster: a starting router is told how many routers are registered, not how many answer

A router that starts in a large fleet divides the limits of the fleet (retry budgets) by the size that a seed tells it, until it has read the registrations. The seed told how many routers it reaches: a seed that was cut off from two thirds of the fleet made each starting router take three times its part, and one that was cut off from nearly all made the fleet look small.

Change: the answer holds the number of known routers, which includes those that do not answer, as limits are divided elsewhere.

TestStartingRouterIsToldOfRoutersThatDoNotAnswer failed before ("100 routers known of 300"). go test ./controller/roster passes (12 s).

--- a/controller/roster/introduce.go
+++ b/controller/roster/introduce.go
@@ -172,7 +172,7 @@
 	if c.Revision() == 0 {
 		return answer, nil
 	}
-	answer.Known, answer.Fleet = true, c.Size()
+	answer.Known, answer.Fleet = true, c.Known()
 	answer.Contacts = c.contacts(req.Self.Domain)
 	return answer, nil
 }
--- a/controller/roster/known_test.go
+++ b/controller/roster/known_test.go
@@ -1,10 +1,17 @@
 package roster_test
 
 import (
+	"context"
+	"encoding/json"
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/gaplink/gaplink/clock"
+	"github.com/gaplink/gaplink/controller/roster"
 	"github.com/gaplink/gaplink/membership"
+	"github.com/gaplink/gaplink/peer"
+	"github.com/gaplink/gaplink/store"
 	"github.com/gaplink/gaplink/store/memory"
 )
 
@@ -23,3 +30,40 @@
 		t.Errorf("%d routers known, want 4 (Size: %d)", n, c.Size())
 	}
 }
+
+// Guards against routers that start in a large fleet and take a larger part of its limits each, because the router that
+// tells them its size does not reach most of the others.
+func TestStartingRouterIsToldOfRoutersThatDoNotAnswer(t *testing.T) {
+	const registered, unreachable = 300, 200
+	seed := newRoster(memory.New(), "127.0.0.1:9")
+	seed.Contacts = func(string) []string { return []string{"p0"} }
+	var objects []store.Object
+	for i := range registered {
+		value, _ := json.Marshal(peer.Router{ID: fmt.Sprint("p", i), Addr: closedAddr, Domain: "z"}) // plain fields always encode
+		objects = append(objects, store.Object{Key: fmt.Sprint("routers/p", i), Version: int64(i + 1), Value: value})
+	}
+	seed.Listed(objects, registered)
+	for i := range unreachable {
+		seed.Members.ReportFailure(fmt.Sprint("p", i), nil)
+	}
+	time.Sleep(300 * time.Millisecond) // the number of usable routers is computed a few times a second
+	young := newRoster(memory.New(), "127.0.0.1:10")
+	young.Calls = helloOf{seed}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go young.Run(ctx)
+	<-young.Introduced()
+	if n := young.Known(); n < registered {
+		t.Errorf("%d routers known of %d", n, registered)
+	}
+	if !young.IsLarge() {
+		t.Error("the fleet is taken for a small one")
+	}
+}
+
+// helloOf passes all introductions to one router.
+type helloOf struct{ to *roster.Controller }
+
+func (h helloOf) Hello(ctx context.Context, _ string, req *peer.HelloRequest) (*peer.HelloAnswer, error) {
+	return h.to.Hello(ctx, req)
+}
