--- a/server/provision.go
+++ b/server/provision.go
@@ -79,6 +79,8 @@
 		Updated: s.updatedByRelays,
 		Log:     s.log,
 
+		Informed:           s.informedByRelays,
+		ReadsForOthers:     func() bool { return s.updates.IsWatcher() },
 		OwnerDetectsPauses: true,
 	})
 	s.origins = origins.New(origins.Options{
