--- a/server/provision.go
+++ b/server/provision.go
@@ -7,6 +7,8 @@
 	"net"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/gaplink/gaplink/bound"
 	"github.com/gaplink/gaplink/budget"
 	"github.com/gaplink/gaplink/clock"
@@ -45,6 +47,9 @@
 	if st, counts := s.platform.Store.(interface{ SetCounter(*link.Counter) }); counts {
 		st.SetCounter(s.meter.Of(link.Store))
 	}
+	if st, reports := s.platform.Store.(interface{ SetLog(*zap.Logger) }); reports {
+		st.SetLog(s.log)
+	}
 	s.backlog = newBacklog(s.settings.Memory.LimitMB, s.log)
 	s.paths = s.newPaths()
 	s.pool = upstream.New(upstream.Options{
