Updates: large registrations take no other one from routers that read them from another router

What callers saw: shown by a test only. 300 registrations of 20 KB, or of 1 MB that no router can use, beside 300 usual ones: a router that reads its servers from another router knew 0 of them after 30 s, by list or by changes; it rejected each page as too large and asked for it again. The other router kept 300 MB of them. Change: values above 32 KB are left out where registrations come from the store (changelog.JustReceived), for servers and routers; a page ends after 512 KB, and more than 2 MB of changes are replaced by a list, which is read in pages. Why it works: a page holds 512 KB and one value at most, an answer 2 MB: always less than what is rejected. Pages of usual registrations stay as they are. Evidence: TestLargeRegistrationsTakeNoOtherAway failed in all four forms on the code before (0 of 300 and 0 of 600 servers) and passes; the other tests of updates, registry, roster and changelog pass.

--- a/changelog/changelog.go
+++ b/changelog/changelog.go
@@ -21,15 +21,29 @@
 	Age time.Duration
 }
 
-// JustReceived returns objects that the store has just sent, with an age of 0.
+// MaxValueBytes is the maximum size of a value. Routers keep the recent changes of an object and send
+// each other many objects at once.
+const MaxValueBytes = 32 << 10
+
+// JustReceived returns objects that the store has just sent, with an age of 0. It leaves out values of
+// more than MaxValueBytes, so that these cannot be decoded.
 func JustReceived(objects []store.Object) []Received {
 	list := make([]Received, 0, len(objects))
 	for _, o := range objects {
+		if len(o.Value) > MaxValueBytes {
+			o.Value = nil
+		}
 		list = append(list, Received{Object: o})
 	}
 	return list
 }
 
+// Size returns approximately how many bytes an object takes up in a message.
+func (r Received) Size() int { return len(r.Key) + len(r.Value) + messageOverhead }
+
+// messageOverhead is the approximate size of the other fields of an object in a message.
+const messageOverhead = 64
+
 // SortByKey sorts objects by their keys.
 func SortByKey(all []Received) {
 	slices.SortFunc(all, func(a, b Received) int { return cmp.Compare(a.Key, b.Key) })
--- a/controller/roster/replica.go
+++ b/controller/roster/replica.go
@@ -14,13 +14,19 @@
 	"github.com/gaplink/gaplink/store"
 )
 
-// errNoID is returned for a registration without an id.
-var errNoID = errors.New("registration has no id")
+var (
+	// errNoID is returned for a registration without an id.
+	errNoID    = errors.New("registration has no id")
+	errNoValue = errors.New("registration has no value, or one that is too large")
+)
 
 // decode decodes a router's registration. It returns an error if the id is missing or
 // the address is invalid.
 func decode(value []byte) (peer.Router, error) {
 	return guard.Call(func() (peer.Router, error) {
+		if len(value) == 0 {
+			return peer.Router{}, errNoValue
+		}
 		var r peer.Router
 		if err := json.Unmarshal(value, &r); err != nil {
 			return peer.Router{}, err
--- a/controller/updates/changes.go
+++ b/controller/updates/changes.go
@@ -18,6 +18,9 @@
 	maxChanges = 512
 	// compressMin is the number of changes from which an answer is compressed.
 	compressMin = 32
+	// maxAnswerBytes is the maximum uncompressed size of the changes in an answer. A list, which is read in
+	// pages, replaces larger ones.
+	maxAnswerBytes = maxPageBytes / 2
 )
 
 // changesCache holds recently compressed changes of a kind, by the revision that they follow. Most
@@ -49,8 +52,12 @@
 		return p.answer()
 	}
 	changes, held := replica.Since(revision, maxChanges)
-	if !held || len(changes.Values) < compressMin {
-		return peer.Changes{UpTo: changes.UpTo, List: !held, More: changes.More, Changed: registrations(changes.Values)}
+	held = held && sizeOf(changes.Values) <= maxAnswerBytes
+	if !held {
+		return peer.Changes{UpTo: changes.UpTo, List: true}
+	}
+	if len(changes.Values) < compressMin {
+		return peer.Changes{UpTo: changes.UpTo, More: changes.More, Changed: registrations(changes.Values)}
 	}
 	p, err := cache.put(revision, changes)
 	if err != nil {
@@ -60,6 +67,13 @@
 	return p.answer()
 }
 
+func sizeOf(entries []changelog.Received) (bytes int) {
+	for _, e := range entries {
+		bytes += e.Size()
+	}
+	return bytes
+}
+
 // get returns the cached changes after a revision. When newer changes are known, it first drops
 // the entries that these make incomplete, and the partial ones older than snapshotTTL.
 func (p *changesCache) get(from, known int64) (cachedAnswer, bool) {
--- a/controller/updates/lists.go
+++ b/controller/updates/lists.go
@@ -27,7 +27,9 @@
 const (
 	// pageSize is the maximum number of objects in a page: about 25 KB compressed.
 	pageSize = 512
-	// maxPageBytes limits the uncompressed size of a page.
+	// targetPageBytes is the uncompressed size after which a page ends.
+	targetPageBytes = 512 << 10
+	// maxPageBytes limits the uncompressed size of a page, and of the changes in an answer.
 	maxPageBytes = 4 << 20
 	// pageTimeout bounds the transfer of a page while the link is not saturated.
 	pageTimeout = time.Second
@@ -81,7 +83,7 @@
 	if found {
 		first++
 	}
-	end := min(first+pageSize, len(s.entries))
+	end := first + pageLength(s.entries[first:])
 	answer := &peer.ListAnswer{Revision: s.revision, SnapshotAge: clock.Since(s.createdAt), Age: s.age + clock.Since(s.createdAt), More: end < len(s.entries)}
 	text, cached := s.pages[first]
 	if !cached {
@@ -95,6 +97,18 @@
 	return answer, nil
 }
 
+// pageLength returns the number of entries on a page that starts with the first of them.
+func pageLength(entries []changelog.Received) int {
+	bytes := 0
+	for i, e := range entries[:min(pageSize, len(entries))] {
+		bytes += e.Size()
+		if bytes >= targetPageBytes {
+			return i + 1
+		}
+	}
+	return min(pageSize, len(entries))
+}
+
 var (
 	// errNoList means that a router does not know all objects of a kind, or does not propagate
 	// the kind.
