rawjson: read by chunks; decode names and numbers without encoding/json

Decoding a page of 500 registrations byte by byte took 10.4 ms, twice the 5.8 ms of encoding/json for the whole page (both beside other work, load above 30).

--- a/rawjson/rawjson.go
+++ b/rawjson/rawjson.go
@@ -7,12 +7,13 @@
 package rawjson
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"strconv"
+	"unicode/utf8"
 )
 
 const (
@@ -20,6 +21,8 @@
 	bufferBytes = 16 << 10
 	// maxNameBytes is the maximum size of a field's name. A field with a longer name has none.
 	maxNameBytes = 1 << 10
+	// maxIntBytes is the maximum size of an integer or a boolean.
+	maxIntBytes = 32
 )
 
 var (
@@ -27,8 +30,13 @@
 	ErrSyntax = errors.New("rawjson: syntax error")
 	// ErrTooLong reports a value that is larger than the caller's limit. It has been skipped.
 	ErrTooLong = errors.New("rawjson: value is too long")
+	// ErrValue reports a value that isn't what the caller asked for. It has been read.
+	ErrValue = errors.New("rawjson: unexpected value")
 )
 
+// IsOdd reports whether an error is about one value and the next one can be read.
+func IsOdd(err error) bool { return errors.Is(err, ErrValue) || errors.Is(err, ErrTooLong) }
+
 // Kind is the kind of a value.
 type Kind int
 
@@ -40,19 +48,28 @@
 	String
 )
 
-// Reader reads one document. After an error other than ErrTooLong it is of no further use.
+// Reader reads one document. After an error that is not odd it is of no further use.
 type Reader struct {
-	in *bufio.Reader
+	in io.Reader
+	// buffer holds what was read of in; the next byte is at position.
+	buffer   []byte
+	position int
+	err      error // of in
 	// open are the brackets that are open in the value that is being read.
 	open brackets
 	// text holds the value that is being read, up to limit bytes; size counts all of its bytes.
 	text        []byte
 	limit, size int
+	// unkept is the position of the first byte of the value that isn't in text yet; notReading outside of values.
+	unkept int
 }
 
+// notReading means that no value is being read.
+const notReading = -1
+
 // NewReader returns a reader of the document in.
 func NewReader(in io.Reader) *Reader {
-	return &Reader{in: bufio.NewReaderSize(in, bufferBytes)}
+	return &Reader{in: in, buffer: make([]byte, 0, bufferBytes), unkept: notReading}
 }
 
 // Kind returns the kind of the next value.
@@ -94,22 +111,89 @@
 
 // Value returns the text of the next value. It fails with ErrTooLong if that has more than limit bytes.
 func (r *Reader) Value(limit int) ([]byte, error) {
+	text, err := r.value(limit)
+	return bytes.Clone(text), err
+}
+
+// value is like Value; the text is valid until the next call.
+func (r *Reader) value(limit int) ([]byte, error) {
 	if _, err := r.peek(); err != nil {
 		return nil, err
 	}
-	r.text, r.limit, r.size = r.text[:0], limit, 0
-	if err := r.scan(); err != nil {
+	r.text, r.limit, r.size, r.unkept = r.text[:0], limit, 0, r.position
+	err := r.scan()
+	r.keep()
+	r.unkept = notReading
+	if err != nil {
 		return nil, err
 	}
 	if r.size > limit {
 		return nil, fmt.Errorf("%w: %d bytes, %d allowed", ErrTooLong, r.size, limit)
 	}
-	return bytes.Clone(r.text), nil
+	return r.text, nil
+}
+
+// Int returns the next value, which must be an integer or null; nil if it is null.
+func (r *Reader) Int() (*int64, error) {
+	text, err := r.value(maxIntBytes)
+	if err != nil || string(text) == "null" {
+		return nil, err
+	}
+	n, err := strconv.ParseInt(string(text), 10, 64)
+	if err != nil {
+		return nil, fmt.Errorf("%w: not an integer: %s", ErrValue, text)
+	}
+	return &n, nil
+}
+
+// Text returns the next value, which must be a string or null and take at most limit bytes; empty if it is null.
+func (r *Reader) Text(limit int) (string, error) {
+	text, err := r.value(limit)
+	if err != nil {
+		return "", err
+	}
+	if isPlain(text) {
+		return string(text[1 : len(text)-1]), nil
+	}
+	var s string
+	if err := json.Unmarshal(text, &s); err != nil {
+		return "", fmt.Errorf("%w: %v", ErrValue, err)
+	}
+	return s, nil
+}
+
+// Bool returns the next value, which must be a boolean or null; false if it is null.
+func (r *Reader) Bool() (bool, error) {
+	text, err := r.value(maxIntBytes)
+	if err != nil {
+		return false, err
+	}
+	switch string(text) {
+	case "true":
+		return true, nil
+	case "false", "null":
+		return false, nil
+	default:
+		return false, fmt.Errorf("%w: not a boolean: %s", ErrValue, text)
+	}
+}
+
+// isPlain reports whether a value is a string that is decoded as it stands.
+func isPlain(value []byte) bool {
+	if len(value) < 2 || value[0] != '"' {
+		return false
+	}
+	for _, c := range value[1 : len(value)-1] {
+		if c < ' ' || c >= utf8.RuneSelf || c == '\\' {
+			return false
+		}
+	}
+	return true
 }
 
 // Skip skips the next value.
 func (r *Reader) Skip() error {
-	_, err := r.Value(0)
+	_, err := r.value(0)
 	if errors.Is(err, ErrTooLong) {
 		return nil
 	}
@@ -138,18 +222,11 @@
 	if kind != String {
 		return "", fmt.Errorf("%w: field without a name", ErrSyntax)
 	}
-	text, err := r.Value(maxNameBytes)
-	if errors.Is(err, ErrTooLong) {
-		return "", nil
-	}
-	if err != nil {
-		return "", err
-	}
-	var name string
-	if json.Unmarshal(text, &name) != nil {
+	name, err := r.Text(maxNameBytes)
+	if IsOdd(err) {
 		return "", nil // matches no field that a caller looks for
 	}
-	return name, nil
+	return name, err
 }
 
 // sequence reads members that are separated by commas between two brackets.
@@ -202,7 +279,8 @@
 			return 0, err
 		}
 		if !isSpace(c) {
-			return c, r.in.UnreadByte()
+			r.position--
+			return c, nil
 		}
 	}
 }
@@ -211,18 +289,53 @@
 var errEnded = fmt.Errorf("%w: unexpected end", ErrSyntax)
 
 func (r *Reader) next() (byte, error) {
-	c, err := r.in.ReadByte()
-	if errors.Is(err, io.EOF) {
-		return 0, errEnded
+	if r.position == len(r.buffer) {
+		if err := r.fill(); err != nil {
+			return 0, err
+		}
+	}
+	r.position++
+	return r.buffer[r.position-1], nil
+}
+
+// fill reads on once all of the buffer has been read.
+func (r *Reader) fill() error {
+	r.keep()
+	r.buffer, r.position = r.buffer[:0], 0
+	if r.unkept != notReading {
+		r.unkept = 0
+	}
+	for r.err == nil && len(r.buffer) == 0 {
+		var n int
+		n, r.err = r.in.Read(r.buffer[:bufferBytes])
+		r.buffer = r.buffer[:n]
+	}
+	switch {
+	case len(r.buffer) > 0:
+		return nil
+	case errors.Is(r.err, io.EOF):
+		return errEnded
+	default:
+		return r.err
 	}
-	return c, err
+}
+
+// keep adds to the text what was read of the value since the last call.
+func (r *Reader) keep() {
+	if r.unkept == notReading {
+		return
+	}
+	read := r.buffer[r.unkept:r.position]
+	r.text = append(r.text, read[:min(len(read), max(r.limit-r.size, 0))]...)
+	r.size += len(read)
+	r.unkept = r.position
 }
 
 // scan reads a value whose first byte is next.
 func (r *Reader) scan() error {
 	r.open = brackets{bits: r.open.bits[:0]}
 	for {
-		c, err := r.nextOfValue()
+		c, err := r.next()
 		if err != nil {
 			return err
 		}
@@ -249,14 +362,14 @@
 // scanString reads a string after its opening quote.
 func (r *Reader) scanString() error {
 	for {
-		c, err := r.nextOfValue()
+		c, err := r.next()
 		if err != nil || c == '"' {
 			return err
 		}
 		if c != '\\' {
 			continue
 		}
-		if _, err := r.nextOfValue(); err != nil {
+		if _, err := r.next(); err != nil {
 			return err
 		}
 	}
@@ -276,25 +389,9 @@
 			return err
 		}
 		if isSpace(c) || isDelimiter(c) {
-			return r.in.UnreadByte()
+			r.position--
+			return nil
 		}
-		r.keep(c)
-	}
-}
-
-// nextOfValue reads a byte of the value.
-func (r *Reader) nextOfValue() (byte, error) {
-	c, err := r.next()
-	if err == nil {
-		r.keep(c)
-	}
-	return c, err
-}
-
-func (r *Reader) keep(c byte) {
-	r.size++
-	if r.size <= r.limit {
-		r.text = append(r.text, c)
 	}
 }
 
