Roster: a registration counts only under its router's own name

A registration under another name that holds a router's id, as an odd entry or a copy, was taken by that router for its own, so it never registered itself; the others took the address in it for that router's. Cause: the id was read from the value, and versions and deletions went by the name. Change: a registration whose id is not its name cannot be decoded. Lines about registrations that cannot be decoded are limited to one a second. Evidence: TestRegistrationUnderAnotherNameIsIgnored failed before with "not registered" and passes; the roster's other tests pass.

--- a/controller/roster/replica.go
+++ b/controller/roster/replica.go
@@ -4,25 +4,31 @@
 	"encoding/json"
 	"errors"
 	"net/netip"
+	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/gaplink/gaplink/changelog"
+	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/guard"
 	"github.com/gaplink/gaplink/membership"
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/store"
 )
 
+// Errors of an invalid registration.
 var (
-	// errNoID is returned for a registration without an id.
-	errNoID    = errors.New("registration has no id")
+	errOtherID = errors.New("registration has no id, or that of another router")
 	errNoValue = errors.New("registration has no value, or one that is too large")
 )
 
-// decode decodes a router's registration. It returns an error if the id is missing or
+// unreadableLogInterval is the minimum time between two log lines about registrations that cannot be
+// decoded.
+const unreadableLogInterval = time.Second
+
+// decode decodes the registration with a key. It returns an error if the id is not that of the key or
 // the address is invalid.
-func decode(value []byte) (peer.Router, error) {
+func decode(key string, value []byte) (peer.Router, error) {
 	return guard.Call(func() (peer.Router, error) {
 		if len(value) == 0 {
 			return peer.Router{}, errNoValue
@@ -31,8 +37,8 @@
 		if err := json.Unmarshal(value, &r); err != nil {
 			return peer.Router{}, err
 		}
-		if r.ID == "" {
-			return peer.Router{}, errNoID
+		if r.ID == "" || keyOf(r.ID) != key {
+			return peer.Router{}, errOtherID
 		}
 		if _, err := netip.ParseAddrPort(r.Addr); err != nil {
 			return peer.Router{}, err
@@ -158,9 +164,9 @@
 			gone = append(gone, store.NameOf(o.Key))
 			continue
 		}
-		r, err := decode(o.Value)
+		r, err := decode(o.Key, o.Value)
 		if err != nil {
-			c.Log.Error("cannot decode router registration; ignoring it", zap.String("key", o.Key), zap.Error(err))
+			c.logUnreadable(o.Key, err)
 			continue
 		}
 		if r.ID == c.Self.ID {
@@ -179,6 +185,12 @@
 	c.Log.Info("registrations of routers", zap.Int("registered", len(registered)), zap.Int("gone", len(gone)), zap.Int("known", c.Size()))
 }
 
+func (c *Controller) logUnreadable(key string, cause error) {
+	if leftOut, allowed := c.unreadable.Allow(clock.Now(), unreadableLogInterval); allowed {
+		c.Log.Error("cannot decode router registration; ignoring it", zap.String("key", key), zap.Int64("lines_left_out", leftOut), zap.Error(cause))
+	}
+}
+
 // apply stores a registration or its deletion, and reports whether it is new.
 func (c *Controller) apply(o changelog.Received) bool {
 	c.mu.Lock()
--- a/controller/roster/roster.go
+++ b/controller/roster/roster.go
@@ -21,6 +21,7 @@
 	"github.com/gaplink/gaplink/changelog"
 	"github.com/gaplink/gaplink/clock"
 	"github.com/gaplink/gaplink/controller/members"
+	"github.com/gaplink/gaplink/logs"
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/store"
 	"github.com/gaplink/gaplink/wait"
@@ -96,6 +97,8 @@
 	reportedSize int
 	entries      map[string]changelog.Received // by key
 	changes      changelog.Log[changelog.Received]
+	// unreadable limits the log lines about registrations that cannot be decoded.
+	unreadable logs.RateLimit
 }
 
 // New returns a controller.
@@ -223,7 +226,7 @@
 	if err != nil {
 		return store.Object{}, err
 	}
-	if r, err := decode(old.Value); err == nil {
+	if r, err := decode(c.key(), old.Value); err == nil {
 		if c.setOwnVersion(r, old.Version); c.ownVersion() > 0 {
 			return old, nil
 		}
--- a/controller/roster/roster_test.go
+++ b/controller/roster/roster_test.go
@@ -118,3 +118,22 @@
 	}
 	startRoster(t, objects, "127.0.0.1:9")
 }
+
+// Guards against a registration under another name than its router's: a router took it for its own and did
+// not register, and others took its address for that of the router that it names.
+func TestRegistrationUnderAnotherNameIsIgnored(t *testing.T) {
+	objects := memory.New()
+	for key, value := range map[string]string{
+		"routers/b":   `{"ID":"b","Addr":"127.0.0.1:2","Domain":"z"}`,
+		"routers/odd": `{"ID":"r","Addr":"127.0.0.1:9","Domain":"z","Incarnation":"r/1","LinkMbps":20}`,
+		"routers/z":   `{"ID":"b","Addr":"127.0.0.1:3","Domain":"z"}`,
+	} {
+		if _, err := objects.Create(t.Context(), key, []byte(value)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c := startRoster(t, objects, "127.0.0.1:9")
+	if addr, ok := c.Members.Addr("b"); !ok || addr != "127.0.0.1:2" {
+		t.Errorf("router b has the address %q", addr)
+	}
+}
