Limits: a starting router sends nothing before it has heard of the limits that others know

What callers saw: a router that was restarted while the first routers it asked stood still sent a server ten times the rate that the fleet knew it to take: until one of them had answered, or three calls had timed out, it knew no limit and asked for no permit. Answers, which name the limit, may take seconds.

Change: as with verdicts, requests wait for the first answer after the start of the process, for a second at most; they mostly wait for the same calls there.

TestStartingRouterSendsNothingBeyondALimitThatOthersKnow failed before (80 requests in 1.5 s at 8 a second, in three of three runs). go test ./controller/limits passes (17 s).

--- a/controller/limits/limits.go
+++ b/controller/limits/limits.go
@@ -36,6 +36,8 @@
 	maxFallbacks = 2
 	// expireInterval is the time between two scans for expired state.
 	expireInterval = time.Second
+	// loadTimeout bounds the wait of requests for the limits that other routers know.
+	loadTimeout = time.Second
 	// changeLogInterval is the minimum time between two log lines about changed rates.
 	changeLogInterval = 100 * time.Millisecond
 )
@@ -95,6 +97,9 @@
 	// watching mirrors whether the table is non-empty, so that answers cost no lock while no
 	// server names a limit.
 	watching atomic.Bool
+	// loading is open while the limits that other routers know are being read at the start; nil: they have been, or
+	// need not be.
+	loading atomic.Pointer[chan struct{}]
 
 	mu      sync.Mutex
 	table   *limiter.Table
@@ -130,10 +135,35 @@
 		go c.spread.DetectPauses(ctx)
 		go c.runTicker(ctx)
 	}
-	c.CatchUp(ctx)
+	c.load(ctx)
 	<-ctx.Done()
 }
 
+// load asks other routers for their limits. Requests wait until one has answered, at most for loadTimeout: no limit that
+// is known is no evidence that there is none.
+func (c *Controller) load(ctx context.Context) {
+	loaded := make(chan struct{})
+	c.loading.Store(&loaded)
+	endLoading := sync.OnceFunc(func() {
+		c.loading.Store(nil)
+		close(loaded)
+	})
+	timeout := time.AfterFunc(loadTimeout, endLoading)
+	c.CatchUp(ctx)
+	timeout.Stop()
+	endLoading()
+}
+
+// awaitLoaded waits until the limits that other routers know have been read, or the context ends.
+func (c *Controller) awaitLoaded(ctx context.Context) {
+	if loaded := c.loading.Load(); loaded != nil {
+		select {
+		case <-*loaded:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // runTicker calls Tick every expireInterval until the context ends.
 func (c *Controller) runTicker(ctx context.Context) {
 	ticker := time.NewTicker(expireInterval)
