Tables: a router is not ready before it knows the routers that share the limits

What callers saw: a gaplinkd that had read its configuration from the store but not yet the platform's list of instances enforced the limits of its accounts as if it were the only router, so that the fleet let through up to twice the limits of an account.

Change: the router is ready, and takes requests, once both have been read.

TestRouterIsNotReadyBeforeItKnowsTheOthers failed before ("ready with limits divided by 1 routers"). go test ./controller/tables ./router passes (25 s).

--- a/controller/tables/routers_test.go
+++ b/controller/tables/routers_test.go
@@ -36,3 +36,26 @@
 		t.Errorf("limits divided by %d routers, 4 are listed", n)
 	}
 }
+
+// Guards against a starting router that takes the limits of the fleet for its own alone, because it has not read the list of
+// routers yet.
+func TestRouterIsNotReadyBeforeItKnowsTheOthers(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	m := members.New(router("a"), lister{router("a"), router("b")}, time.Hour, zap.NewNop())
+	c := tables.New(memory.New(), m, nil, zap.NewNop(), tables.Options{})
+	go c.Run(ctx)
+	time.Sleep(200 * time.Millisecond) // the configuration is read
+	if c.Ready() {
+		t.Errorf("ready with limits divided by %d routers", c.Routers())
+	}
+	m.Refresh(ctx)
+	for begun := time.Now(); !c.Ready(); time.Sleep(time.Millisecond) {
+		if time.Since(begun) > 5*time.Second {
+			t.Fatal("not ready")
+		}
+	}
+	if n := c.Routers(); n != 2 {
+		t.Errorf("limits divided by %d routers", n)
+	}
+}
--- a/controller/tables/tables.go
+++ b/controller/tables/tables.go
@@ -88,8 +88,8 @@
 // State returns the configuration in force. Callers must not change it.
 func (c *Controller) State() *table.State { return c.state.Load() }
 
-// Ready reports whether the configuration has been read from the store.
-func (c *Controller) Ready() bool { return c.ready.Load() }
+// Ready reports whether the configuration has been read from the store, and the list of routers that share the limits.
+func (c *Controller) Ready() bool { return c.ready.Load() && c.members.Known() > 0 }
 
 // Blocked reports whether requests of account for target are blocked by an undecided
 // change.
