Registry: what is older than the known revision brings no server back

What callers saw: a router sent requests for ever to a server that had left before the router's process started. The process had read a list at a later revision, without that server; then an update or list of a router that was behind arrived late, and its registration of the server was new to the process. The departure came before the process's revision, so nobody sent it again. An older list also removed servers that had registered since.

That a server is not on a list is the only thing a new process knows of its departure; an old process has a tombstone, a new one has none.

Change: lists and updates up to a revision older than the one up to which all changes are known are ignored, as registrations of routers already were.

TestServerThatLeftBeforeTheStartIsNotBroughtBack failed before, for lists and for updates ("the server is in use"). go test ./controller/registry ./controller/updates ./controller/members passes (5, 33, 0 s).

--- a/controller/registry/registry.go
+++ b/controller/registry/registry.go
@@ -186,17 +186,19 @@
 	return guard.Call(func() (placement.Server, error) { return c.decode(store.NameOf(o.Key), o.Value) })
 }
 
-// Listed implements follow.Handler. Entries newer than the list's revision stay
-// unchanged, since a list from another router may be older than the local state.
+// Listed implements follow.Handler.
 func (c *Controller) Listed(objects []store.Object, revision int64) {
 	c.ApplyList(changelog.JustReceived(objects), revision)
 }
 
 // ApplyList applies a list of all registrations from the store or from another router, with their
-// ages.
+// ages. It ignores a list older than the known revision. Registrations of later versions stay unchanged.
 func (c *Controller) ApplyList(objects []changelog.Received, revision int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.isBehind(revision) {
+		return
+	}
 	present := make(map[string]changelog.Received, len(objects))
 	for _, o := range objects {
 		present[o.Key] = o
@@ -252,16 +254,33 @@
 // Changed implements follow.Handler.
 func (c *Controller) Changed(objects []store.Object) { c.ApplyChanges(changelog.JustReceived(objects)) }
 
-// ApplyUpdate applies all changes up to a revision from another router.
+// ApplyUpdate applies all changes up to a revision from another router. It ignores changes up to one that is older than
+// the known revision.
 func (c *Controller) ApplyUpdate(objects []changelog.Received, revision int64) {
-	c.ApplyChanges(objects)
-	c.Advanced(revision)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isBehind(revision) {
+		return
+	}
+	c.applyChanges(objects)
+	c.advance(revision)
+}
+
+// isBehind reports whether all changes up to a later revision are known. What is older may then hold registrations whose
+// deletion is known only by their absence. The caller holds the lock.
+func (c *Controller) isBehind(revision int64) bool {
+	return c.listed && revision < c.changes.Revision()
 }
 
 // ApplyChanges applies changes from the store or from another router, with their ages.
 func (c *Controller) ApplyChanges(objects []changelog.Received) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.applyChanges(objects)
+}
+
+// applyChanges is ApplyChanges for a caller that holds the lock.
+func (c *Controller) applyChanges(objects []changelog.Received) {
 	if c.lapseCheckDue() {
 		c.checkLapse(deletedKeys(objects))
 	}
