Follow: a late answer to a watch brings no object back

Change: the objects of an answer are dropped if other routers have sent all changes up to a later revision than it has.

TestLateAnswerToAWatchChangesNothing failed before ("revision 200 known: changes up to revision 100 applied: true"). go test ./controller/follow passes.

--- a/controller/follow/follow.go
+++ b/controller/follow/follow.go
@@ -273,7 +273,7 @@
 	}
 	f.noteAnswer()
 	asOf, revision := clock.Now(), max(since, ev.Revision)
-	if len(ev.Objects) > 0 {
+	if len(ev.Objects) > 0 && !f.isBehind(revision) {
 		f.Handler.Changed(ev.Objects)
 	}
 	f.Handler.Advanced(revision)
@@ -304,6 +304,12 @@
 	return since
 }
 
+// isBehind reports whether other routers have sent all changes up to a later revision. An older answer may then hold
+// objects that are known to be deleted only by their absence.
+func (f *Follower) isBehind(revision int64) bool {
+	return f.ReceivedRevision != nil && f.ReceivedRevision() > revision
+}
+
 func (f *Follower) list(ctx context.Context) error {
 	begun := clock.Now()
 	objects, revision, err := f.Store.List(ctx, f.Prefix)
