Store: logs say why a watch was followed by a list

The line of the follower said that the store no longer holds the changes, which is not true of them.

--- a/controller/follow/follow.go
+++ b/controller/follow/follow.go
@@ -267,7 +267,7 @@
 		return err
 	}
 	if ev.Gap {
-		f.Log.Info("the store no longer holds the changes since the last revision; listing all objects", zap.Int64("revision", since))
+		f.Log.Info("changes since the last revision cannot be read from the store; listing all objects", zap.Int64("revision", since))
 		f.relist = true
 		return nil
 	}
