Soak: releases of other software versions amid kills of all routers

--releases replaces all other faults: servers of drawn versions take the place of others before, amid, or entirely while all routers are down, in part only, or a version returns; all routers are killed in series for 1 to 3 s, or all but those that stand still for 2 to 4 s, or restarted in turn; the store is slow, down, deaf or loses answers at times. Servers break off 3 streams in 10, and callers take them up at any router for 8 s without a further event. The oracle allows no stream of two versions, over its tries or within an answer. Tries are counted by class in the summary (releases): new, sole (one version has served since the first start and the store answers: no 3010 allowed), known (no router was disrupted since the stream began, or the process has passed on events of it), and without a promise gone (no server of its version in use), forgotten (those that knew it may be gone) and down. Sole and known together must go on at least half as often as new ones begin. The keepers of an origin are chosen inside the routers, so that the oracle does not know them: it promises only where all live.

--- a/lab/soak.go
+++ b/lab/soak.go
@@ -35,6 +35,7 @@
 	cmd.Flags().BoolVar(&o.Refusals, "refusals", false, "servers refuse most requests for a while, and all routers are killed together in series meanwhile")
 	cmd.Flags().BoolVar(&o.Parts, "parts", false, "requests with a part in their prompts that crashes servers, while all routers are killed together in series, and no other faults")
 	cmd.Flags().BoolVar(&o.Freezes, "freezes", false, "requests at a fixed rate, while servers fail most of them and some freeze or their links hold bytes, and no other faults")
+	cmd.Flags().BoolVar(&o.Releases, "releases", false, "releases of other software versions, while all routers are killed together in series or restarted in turn, some stand still and the store fails, and no other faults")
 	cmd.Flags().BoolVar(&o.Batches, "batches", false, "batches of requests use up a large budget, and the router that holds most of it is killed")
 	cmd.Flags().IntVar(&o.Processes, "processes", 40, "most processes that the run may have")
 	return cmd
--- a/lab/soak/caller.go
+++ b/lab/soak/caller.go
@@ -207,11 +207,15 @@
 	return last
 }
 
-// codeHeader carries the result code of an answer that a router generates, and heldBackCode is the
-// code for a poison request that is held back.
+// codeHeader carries the result code of an answer that a router generates. heldBackCode is the code for a poison
+// request that is held back, and unknownCode that for a stream that is refused since its version is not known, or has no
+// server in use.
 const codeHeader = "Gaplink-Code"
 
-var heldBackCode = strconv.Itoa(int(result.HeldBack))
+var (
+	heldBackCode = strconv.Itoa(int(result.HeldBack))
+	unknownCode  = strconv.Itoa(int(result.VersionUnavailable))
+)
 
 // maxAnswerBytes bounds how much of an answer is read.
 const maxAnswerBytes = 1 << 20
@@ -230,6 +234,7 @@
 	return Answer{
 		Status: resp.StatusCode, Claim: claimOf(resp, err), Body: string(body),
 		Signed: standin.Signed(resp.Header), ID: standin.AnswersTo(resp.Header), HeldBack: resp.Header.Get(codeHeader) == heldBackCode,
+		Unknown: resp.Header.Get(codeHeader) == unknownCode,
 	}
 }
 
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -66,6 +66,8 @@
 	kinds []requestKind
 	// brittle is set if servers have little room, and are brittle at times.
 	brittle bool
+	// releases is set if the run has releases.
+	releases bool
 
 	mu             sync.Mutex
 	routers        []*router
@@ -95,7 +97,7 @@
 
 // start starts all components and waits until the routers are ready.
 func (f *fleet) start(ctx context.Context, o Options, dir string) error {
-	f.brittle = o.Brittle
+	f.brittle, f.releases = o.Brittle, o.Releases
 	for i := range o.Servers {
 		p, err := newServerSlot(i, serviceOf(i, o), o.Seed, f)
 		if err != nil {
@@ -208,7 +210,10 @@
 	case ConfigChanged:
 		f.counters.countFault(s.Fault)
 		return f.configure(true)
-	case ServerLeaves, ServerCrashes, ServerRefuses, ServerLimits, ServerAnnounces, ServerBacksOff:
+	case AllRoutersKilled:
+		f.killAll(s.Duration)
+		return nil
+	case ServerReleased, ServerLeaves, ServerCrashes, ServerRefuses, ServerLimits, ServerAnnounces, ServerBacksOff:
 		return f.applyServerFault(s)
 	}
 	f.counters.countFault(s.Fault)
@@ -285,6 +290,8 @@
 	switch s.Fault {
 	case ServerLeaves:
 		done, err = p.leave(DefaultBounds().Leaving + leaveMargin)
+	case ServerReleased:
+		done, err = p.release(s.Version)
 	case ServerCrashes:
 		done, err = p.crash(s.Duration)
 	case ServerAnnounces:
--- a/lab/soak/oracle.go
+++ b/lab/soak/oracle.go
@@ -34,6 +34,7 @@
 	CutOffServed          Guarantee = "callers of routers cut off from servers are served at least two thirds as often as others"
 	OneVersion            Guarantee = "a stream holds events of one software version"
 	StreamsGoOn           Guarantee = "streams that are taken up go on at least half as often as new ones begin"
+	SoleVersionKnown      Guarantee = "no stream is refused as unknown while one version alone has served and the store answers"
 	BackoffKept           Guarantee = "a router sends nothing to a server that asked it for a backoff"
 	RetriesBounded        Guarantee = "arrivals beyond the first of each request stay within the retry limits of the fleet"
 	BrittleStayUp         Guarantee = "servers that say that they are brittle stay up"
@@ -108,6 +109,9 @@
 	Canceled bool
 	// HeldBack is set if the router held the request back as a poison request.
 	HeldBack bool
+	// Unknown is set if the router refused to take up a stream since the version that began it is not known, or has no
+	// server in use.
+	Unknown bool
 }
 
 // notRunStatuses are the statuses which state that a request has not run and never will.
--- a/lab/soak/oracle_version.go
+++ b/lab/soak/oracle_version.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -62,13 +63,19 @@
 type versionRecord struct {
 	bySlot  map[int]string
 	several bool
-	// byStream holds the versions of the events of each stream, by the request that brought the first one.
-	byStream map[string][]string
+	// serving holds the servers in use by slot, and served the versions that have served since the first start.
+	serving map[int]servingVersion
+	served  map[string]bool
+	// byStream holds the streams that have begun, by the request that brought the first event.
+	byStream map[string]*streamRecord
 	counts   StreamCounts
+	// releases is set in a run with releases, whose tries are counted in tries.
+	releases bool
+	tries    ReleaseCounts
 }
 
 func newVersionRecord() versionRecord {
-	return versionRecord{bySlot: map[int]string{}, byStream: map[string][]string{}}
+	return versionRecord{bySlot: map[int]string{}, serving: map[int]servingVersion{}, served: map[string]bool{}, byStream: map[string]*streamRecord{}}
 }
 
 // Serves records the software version of the server that now runs at a slot.
@@ -76,6 +83,8 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.versions.bySlot[slot] = version
+	o.versions.serving[slot] = servingVersion{version, time.Now()}
+	o.versions.served[version] = true
 	o.versions.several = false
 	for _, v := range o.versions.bySlot {
 		o.versions.several = o.versions.several || v != version
@@ -96,25 +105,50 @@
 		return
 	}
 	o.countStream(b)
-	stream := b.ID
-	if b.FirstTry != "" {
-		stream = b.FirstTry
+	stream := cmp.Or(b.FirstTry, b.ID)
+	s := o.versions.byStream[stream]
+	if s == nil {
+		s = &streamRecord{sent: b.Sent}
+		o.versions.byStream[stream] = s
 	}
-	before := o.versions.byStream[stream]
-	all := slices.Clone(before)
+	o.countTryOfRelease(b, s)
+	before := len(s.versions)
+	within := s.add(b)
+	o.checked[OneVersion]++
+	if len(s.versions) < 2 || before >= 2 {
+		return
+	}
+	if o.versions.counts.Mixed++; o.versions.counts.Mixed > o.versions.allowedMixed() {
+		o.violate(OneVersion, b.ID, b.answer.At, "router %d, life %d: the stream that %s began holds events of %v, this answer of %d versions; %s",
+			b.Process.Router, b.Process.Incarnation, stream, s.versions, within, b.describeRuns())
+	}
+}
+
+// allowedMixed returns the number of streams of a run that may hold events of several versions.
+func (v *versionRecord) allowedMixed() int {
+	if v.releases {
+		return 0
+	}
+	return maxMixedStreams
+}
+
+// add adds the events of a try and returns the number of their versions.
+func (s *streamRecord) add(b *requestRecord) (within int) {
+	var versions []string
 	for _, line := range strings.Split(b.answer.Body, "\n") {
-		if version, marked := strings.CutPrefix(line, versionLine); marked && !slices.Contains(all, version) {
-			all = append(all, version)
+		if version, marked := strings.CutPrefix(line, versionLine); marked && !slices.Contains(versions, version) {
+			versions = append(versions, version)
 		}
 	}
-	o.versions.byStream[stream] = all
-	o.checked[OneVersion]++
-	if len(all) < 2 || len(before) >= 2 {
-		return
+	for _, version := range versions {
+		if !slices.Contains(s.versions, version) {
+			s.versions = append(s.versions, version)
+		}
 	}
-	if o.versions.counts.Mixed++; o.versions.counts.Mixed > maxMixedStreams {
-		o.violate(OneVersion, b.ID, b.answer.At, "router %d: the stream that %s began holds events of %v; %s", b.Process.Router, stream, all, b.describeRuns())
+	if len(versions) > 0 {
+		s.through = append(s.through, b.Process)
 	}
+	return len(versions)
 }
 
 // countStream counts a stream that began or was to go on at a router that was undisrupted.
@@ -122,7 +156,7 @@
 	if !o.versions.several || b.answer.Canceled || b.From > 0 && b.FirstTry == "" || !o.routerAndStoreUndisrupted(b.Process.Router, b.answer.At) {
 		return
 	}
-	went := strings.Contains(b.answer.Body, "\n\n") || b.answer.Claim == Complete && b.answer.Status == 200
+	went := wentOn(b.answer)
 	c := &o.versions.counts
 	if b.FirstTry == "" {
 		c.New++
@@ -144,6 +178,10 @@
 func (o *Oracle) CheckStreamsGoOn(at time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.versions.releases {
+		o.checkReleases(at)
+		return
+	}
 	c := o.versions.counts
 	if c.TakenUp < minTakenUp || c.New == 0 {
 		return
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -66,6 +66,7 @@
 			return nil, err
 		}
 	}
+	s.Fleet.FirstStart = true
 	s.Store.Address = storeAddr
 	s.Servers.Source = routerSource(number)
 	if number%2 == 1 {
@@ -139,6 +140,12 @@
 	cmd.Stdout, cmd.Stderr = log, log
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.incarnation == 1 {
+		r.settings.Fleet.FirstStart = false // the fleet has started
+		if err := r.writeSettings(); err != nil {
+			return nil, err
+		}
+	}
 	if err := r.spawn.start(cmd); err != nil {
 		return nil, err
 	}
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -104,6 +104,8 @@
 	Target int
 	// Duration is how long the fault lasts or a process stays down.
 	Duration time.Duration
+	// Version is the software version of the server that takes the place of another one; empty for other faults.
+	Version string
 }
 
 const (
--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"sync"
 	"time"
@@ -22,10 +23,14 @@
 	fail func(error)
 	// room is nil in runs without brittle servers.
 	room *room
+	// releases is set in runs with releases.
+	releases bool
 
-	mu          sync.Mutex
-	id          string
-	version     string
+	mu      sync.Mutex
+	id      string
+	version string
+	// released is the version that was released to the slot; empty: servers draw theirs.
+	released    string
 	incarnation int
 	scripted    *standin.Scripted
 	leaving     bool
@@ -43,7 +48,7 @@
 }
 
 func newServerSlot(number int, service string, seed uint64, f *fleet) (*serverSlot, error) {
-	p := &serverSlot{number: number, service: service, seed: seed, oracle: f.oracle, store: f.store, counters: f.counters, fail: f.fail}
+	p := &serverSlot{number: number, service: service, seed: seed, releases: f.releases, oracle: f.oracle, store: f.store, counters: f.counters, fail: f.fail}
 	if f.brittle {
 		p.room = &room{}
 	}
@@ -60,7 +65,7 @@
 	defer p.mu.Unlock()
 	p.incarnation++
 	id := fmt.Sprintf("s%d-%d", p.number, p.incarnation)
-	version := drawVersion(p.seed, p.number, p.incarnation)
+	version := cmp.Or(p.released, drawVersion(p.seed, p.number, p.incarnation))
 	scripted, err := standin.NewScripted(standin.NewPlay(func(r standin.Run) standin.Answer { return p.answer(id, version, r) }))
 	if err != nil {
 		return err
@@ -104,7 +109,11 @@
 		go p.fall(id, fallsUnder)
 	}
 	request.Version = version
-	a, e := DrawAnswer(p.seed, r, before, request)
+	draw := DrawAnswer
+	if p.releases {
+		draw = drawReleaseAnswer
+	}
+	a, e := draw(p.seed, r, before, request)
 	backoff := p.askedBackoff()
 	if p.refuses(r.RequestID, before) || backoff > 0 || !accepted {
 		a, e = p.failedAnswer(r, before, request)
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -26,6 +26,9 @@
 	Parts bool
 	// Freezes sends requests at a fixed rate, while servers fail most of them and some freeze, in place of all other faults.
 	Freezes bool
+	// Releases has servers replaced by ones of other software versions, while all routers are killed together in series,
+	// or restarted in turn, some stand still and the store fails, in place of all other faults.
+	Releases bool
 	// Processes bounds the processes of a run, including this one.
 	Processes int
 }
@@ -45,10 +48,12 @@
 	CutOff   Tries `json:"cut_off"`
 	Reaching Tries `json:"reaching"`
 	// Streams counts the streams at several software versions.
-	Streams        StreamCounts `json:"streams"`
-	ViolationCount int          `json:"breaches"`
-	Violations     []Violation  `json:"broken,omitempty"`
-	Logs           string       `json:"logs,omitempty"`
+	Streams StreamCounts `json:"streams"`
+	// Releases counts the tries of a run with releases.
+	Releases       *ReleaseCounts `json:"releases,omitempty"`
+	ViolationCount int            `json:"breaches"`
+	Violations     []Violation    `json:"broken,omitempty"`
+	Logs           string         `json:"logs,omitempty"`
 }
 
 // The errors of a run.
@@ -85,6 +90,7 @@
 	oracle, counters := NewOracle(time.Now(), DefaultBounds()), newRunCounters()
 	oracle.SetRouters(o.Routers)
 	oracle.SetAllLives(o.Parts)
+	oracle.SetReleases(o.Releases)
 	runCtx, cancel := context.WithTimeout(ctx, o.Length+shutdownAllowance)
 	defer cancel()
 	err = runFleet(runCtx, o, dir, oracle, counters)
@@ -105,8 +111,12 @@
 // runFleet starts a fleet, injects faults under load and stops the fleet.
 func runFleet(ctx context.Context, o Options, dir string, oracle *Oracle, counters *runCounters) error {
 	kinds := requestKinds
-	if o.Freezes {
+	callers := callerCount
+	switch {
+	case o.Freezes:
 		kinds = freezeKinds
+	case o.Releases:
+		kinds, callers = releaseKinds, releaseCallers
 	}
 	f, err := newFleet(oracle, counters, o.Batches, kinds)
 	if err != nil {
@@ -120,16 +130,19 @@
 	loadCtx, stopLoad := context.WithTimeout(ctx, o.Length)
 	defer stopLoad()
 	var workers sync.WaitGroup
-	for i := range callerCount {
+	for i := range callers {
 		c := newCaller(i, o.Seed, f.routers, oracle, counters)
 		c.kinds = kinds
 		if o.Refusals {
 			c.thinkTime = meanLightThinkTime
 		}
 		workers.Go(func() {
-			if o.Freezes {
+			switch {
+			case o.Freezes:
 				c.runOpen(loadCtx, openRate/callerCount)
-			} else {
+			case o.Releases:
+				c.runReleases(loadCtx)
+			default:
 				c.run(loadCtx)
 			}
 		})
@@ -149,6 +162,9 @@
 		episodes, steps = nil, nil
 		workers.Go(func() { f.runFreezes(loadCtx, DrawFreezePeriod(o.Seed, o.Length, o.Servers)) })
 	}
+	if o.Releases {
+		episodes, steps = nil, Releases(o.Seed, o.Length, o.Routers, o.Servers)
+	}
 	workers.Go(func() { f.runEpisodes(loadCtx, o.Seed, episodes) })
 	if o.Brittle {
 		workers.Add(1)
@@ -184,10 +200,15 @@
 func summarize(o Options, dir string, oracle *Oracle, counters *runCounters) Summary {
 	violations := oracle.Violations()
 	cutOff, reaching := oracle.Partitions()
+	var releases *ReleaseCounts
+	if o.Releases {
+		c := oracle.Releases()
+		releases = &c
+	}
 	counters.mu.Lock()
 	defer counters.mu.Unlock()
 	return Summary{
 		Seed: o.Seed, Seconds: o.Length.Seconds(), Requests: counters.requests, Answers: counters.answers, Faults: counters.faults,
-		Endings: counters.endings, TokensHandedOut: oracle.HandedOut(), TokensIssued: counters.issuedTokens, Checked: oracle.Checked(), CutOff: cutOff, Reaching: reaching, Streams: oracle.Streams(), ViolationCount: len(violations), Violations: violations[:min(len(violations), maxReported)], Logs: dir,
+		Endings: counters.endings, TokensHandedOut: oracle.HandedOut(), TokensIssued: counters.issuedTokens, Checked: oracle.Checked(), CutOff: cutOff, Reaching: reaching, Streams: oracle.Streams(), Releases: releases, ViolationCount: len(violations), Violations: violations[:min(len(violations), maxReported)], Logs: dir,
 	}
 }
