Tests: a stream taken up just before a release stays at its version; origins name it

The test releases v2 between the reading of the record and the choice of a server. The tests of package origins want the version by name where they took "any".

--- a/controller/origins/forgotten_test.go
+++ b/controller/origins/forgotten_test.go
@@ -132,7 +132,7 @@
 		ids := net.beginAll("s", "v1")
 		net.restartAll(2*time.Second, "v1")
 		for i, id := range ids {
-			if got := net.all[(i+1)%n].find(id); got != "any" && got != "v1" {
+			if got := net.all[(i+1)%n].find(id); got != "v1" {
 				t.Errorf("with one version ever a stream is refused after a kill of all: %q", got)
 			}
 		}
@@ -151,7 +151,7 @@
 			net.release("v2")
 		}
 		net.restartAll(time.Second, "v2")
-		if got := net.all[0].find("unknown"); got != "any" {
+		if got := net.all[0].find("unknown"); got != "v2" {
 			t.Errorf("long after the release a stream is refused after a kill of all: %q", got)
 		}
 	})
@@ -172,7 +172,7 @@
 		if took := time.Since(begun); took > 60*time.Millisecond {
 			t.Errorf("a first event waits %s", took)
 		}
-		if got := started.find("s"); got != "any" && got != "v1" {
+		if got := started.find("s"); got != "v1" {
 			t.Errorf("a stream of the only version is refused: %q", got)
 		}
 	})
--- a/controller/origins/origins_test.go
+++ b/controller/origins/origins_test.go
@@ -220,18 +220,20 @@
 
 func stream(id string) origins.Stream { return origins.Stream{Account: "acme", Tries: []string{id}} }
 
-// find returns the version at which a stream that is taken up at a router may go on: "any" if one alone has
-// served, "" if it must not go on.
+// find returns the version at which a stream that is taken up at a router may go on: "any" if none has served, "" if it must
+// not go on.
 func (r *router) find(id string) string {
 	f := r.control.Find(context.Background(), "acme", id, []string{service})
-	_, sole := f.Sole(service)
+	sole, ok := f.Sole(service)
 	switch {
 	case f.Known:
 		return f.Origin.Name
-	case sole:
+	case !ok:
+		return ""
+	case sole == nil:
 		return "any"
 	default:
-		return ""
+		return *sole
 	}
 }
 
@@ -298,7 +300,7 @@
 		}
 		begun := time.Now()
 		for i := range streams {
-			if got := net.all[(i+1)%n].find(fmt.Sprint("a", i)); got != "any" && got != "v1" {
+			if got := net.all[(i+1)%n].find(fmt.Sprint("a", i)); got != "v1" {
 				t.Errorf("with one version a stream may go on at %q", got)
 			}
 		}
@@ -385,12 +387,12 @@
 			net.release("v2")
 		}
 		started.start()
-		if got := started.find("never begun"); got != "any" {
+		if got := started.find("never begun"); got != "v2" {
 			t.Errorf("long after the release a router that has restarted lets a stream go on at %q", got)
 		}
 		net.kill(net.all[:5]...)
 		started.start()
-		if got := started.find("never begun"); got != "any" {
+		if got := started.find("never begun"); got != "v2" {
 			t.Errorf("a router that has just started, reaches nobody and sees one version lets a stream go on at %q", got)
 		}
 	})
--- a/gateway/origin_test.go
+++ b/gateway/origin_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -130,3 +131,58 @@
 		t.Errorf("a stream of v1 went on at v2: status %d, %q", got.status, got.body)
 	}
 }
+
+// releasingStore is a store during whose first read release is called.
+type releasingStore struct {
+	store.Store
+	release func()
+	once    sync.Once
+}
+
+func (s *releasingStore) Get(ctx context.Context, key string) (store.Object, error) {
+	o, err := s.Store.Get(ctx, key)
+	s.once.Do(s.release)
+	return o, err
+}
+
+// Guards against a stream that goes on at another version than the only one that had served when it was taken up: a
+// server of a new version joins after that was found out, and before the request is sent to a server.
+func TestStreamOfTheOnlyVersionStaysAtIt(t *testing.T) {
+	for _, kept := range []bool{false, true} {
+		record := &releasingStore{Store: memory.New()}
+		if _, err := record.Create(t.Context(), origins.Kind+"/served", []byte(`{"versions": {"svc": ["v1"]}}`)); err != nil {
+			t.Fatal(err)
+		}
+		var ran sync.Map
+		answer := func(version string) script {
+			return func(c *net.TCPConn, r *http.Request, _ int) {
+				ran.Store(version, true)
+				send(c, head(r, 200, chunkedField), chunk(events(4, 6)), lastChunk)
+			}
+		}
+		web, _, known := newRegisteredGateway(t, 0, 2, answer(""), func(o *gateway.Options) {
+			o.Origins = origins.New(origins.Options{Servers: o.Servers, Store: record, Log: zap.NewNop()})
+		})
+		first, second := versionedServer(t, "v1", answer("v1")), versionedServer(t, "v2", answer("v2"))
+		second.Key, second.Version = "servers/second", 2
+		known.Listed([]store.Object{first}, 1)
+		record.release = func() {
+			known.Changed([]store.Object{second, {Key: first.Key, Version: 3, Deleted: !kept, Value: first.Value}})
+		}
+		got := call(t, web, "HTTP/1.1", http.MethodPost, "/stream/x", headerLastEvent+": 3", headerFirstTry+": before")
+		if _, joined := ran.Load("v2"); joined {
+			t.Errorf("the stream goes on at the new version; servers of the old one are kept: %t", kept)
+		}
+		if want := map[bool]int{false: http.StatusServiceUnavailable, true: http.StatusOK}[kept]; got.status != want {
+			t.Errorf("status %d, wanted %d; servers of the old version are kept: %t", got.status, want, kept)
+		}
+	}
+}
+
+// versionedServer starts a server of a version.
+func versionedServer(t *testing.T, version string, answer script) store.Object {
+	t.Helper()
+	entry := startListeners(t, 1, answer, &sync.Map{})[0]
+	entry.Value = []byte(strings.Replace(string(entry.Value), `"Version":""`, `"Version":`+strconv.Quote(version), 1))
+	return entry
+}
