--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,9 @@
 # SOAK_FLAGS=--brittle makes servers with little room that are brittle at times; --batches adds requests that use up
 # a large budget, and a kill of the router that holds most of it; --refusals adds servers that refuse most requests
 # while all routers are killed in series; --parts sends requests with a part in their prompts that crashes servers, while all
-# routers are killed in series and nothing else happens; --freezes sends requests at a fixed rate while servers fail most of them and some freeze or their links hold bytes.
+# routers are killed in series and nothing else happens; --freezes sends requests at a fixed rate while servers fail most of them and some freeze or their links hold bytes;
+# --releases has servers replaced by ones of other software versions while all routers are killed in series or restarted in turn,
+# some stand still and the store fails, and nothing else happens.
 SOAK_ROUTERS ?= 3
 SOAK_FLAGS ?=
 SOAK_SERVERS ?= 4
--- a/lab/soak/releases.go
+++ b/lab/soak/releases.go
@@ -54,9 +54,11 @@
 	patience       = 8 * time.Second
 )
 
-// releaseKinds are the kinds of requests of a run with releases.
+// releaseKinds are the kinds of requests of a run with releases: streams that go on within an answer, and such as only
+// their callers take up.
 var releaseKinds = []requestKind{
 	{standin.Route{Name: "stream", Type: standin.Streaming, Attempts: 2, Resume: true, TimeoutMs: 6000, ObjectiveMs: 1000}, true, 6 * time.Second},
+	{standin.Route{Name: "tried-once", Type: standin.Streaming, Attempts: 1, Resume: true, TimeoutMs: 6000, ObjectiveMs: 1000}, true, 6 * time.Second},
 }
 
 // storeFaultsOfReleases are the faults of the store that a release may meet.
@@ -256,7 +258,7 @@
 
 // drawRelease draws a request for a stream.
 func (c *caller) drawRelease(n int) plannedRequest {
-	kind, account := c.kinds[0], accounts[0]
+	kind, account := c.kinds[c.rng.IntN(len(c.kinds))], accounts[0]
 	t := plannedRequest{router: c.routers[c.rng.IntN(len(c.routers))]}
 	id := fmt.Sprintf("%d.%d.%d", c.seed, c.number, n)
 	t.call = standin.Call{Path: "/" + kind.route.Name + "/x", ID: id, Key: account.key(), Body: "body of " + id, Deadline: kind.deadline}
