--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -66,7 +66,6 @@
 			return nil, err
 		}
 	}
-	s.Fleet.FirstStart = true
 	s.Store.Address = storeAddr
 	s.Servers.Source = routerSource(number)
 	if number%2 == 1 {
@@ -88,6 +87,13 @@
 	return replaceFile(r.path, text)
 }
 
+// writeNextSettings writes the settings of the next process. The first one starts together with the whole fleet, which
+// starts for the first time. The caller holds r.mu.
+func (r *router) writeNextSettings() error {
+	r.settings.Fleet.FirstStart = r.incarnation == 0
+	return r.writeSettings()
+}
+
 // replaceFile writes a file atomically: a concurrent reader sees the old text or the new one.
 func replaceFile(path string, text []byte) error {
 	next := path + ".next"
@@ -140,11 +146,8 @@
 	cmd.Stdout, cmd.Stderr = log, log
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.incarnation == 1 {
-		r.settings.Fleet.FirstStart = false // the fleet has started
-		if err := r.writeSettings(); err != nil {
-			return nil, err
-		}
+	if err := r.writeNextSettings(); err != nil {
+		return nil, err
 	}
 	if err := r.spawn.start(cmd); err != nil {
 		return nil, err
--- a/lab/soak/process_test.go
+++ b/lab/soak/process_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 )
@@ -43,6 +44,27 @@
 	}
 }
 
+// Guards against processes that are started as at the first start of the fleet later on, or not so at first: the platform
+// says so of the first start alone.
+func TestOnlyTheFirstProcessIsAFirstStart(t *testing.T) {
+	r, err := newRouter(t.TempDir(), 0, "127.0.0.1:1", newSpawner(), NewOracle(time.Now(), DefaultBounds()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for r.incarnation = range 3 {
+		if err := r.writeNextSettings(); err != nil {
+			t.Fatal(err)
+		}
+		text, err := os.ReadFile(r.path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if first := strings.Contains(string(text), "first_start = true"); first != (r.incarnation == 0) {
+			t.Errorf("process %d: first start %t", r.incarnation+1, first)
+		}
+	}
+}
+
 // Guards against a run that hangs if the fleet cannot start: routers that were created are closed without having run.
 func TestRouterThatNeverRanCloses(t *testing.T) {
 	r, err := newRouter(t.TempDir(), 0, "127.0.0.1:1", newSpawner(), NewOracle(time.Now(), DefaultBounds()))
