--- a/lab/soak/oracle_version.go
+++ b/lab/soak/oracle_version.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// maxMixedStreams is the number of streams of a run that may hold events of several software versions.
-	maxMixedStreams = 2
 	// minTakenUp is the number of streams taken up from which their share is checked, and minGoOn the least
 	// share of the rate at which new streams begin.
 	minTakenUp = 12
@@ -118,18 +116,9 @@
 	if len(s.versions) < 2 || before >= 2 {
 		return
 	}
-	if o.versions.counts.Mixed++; o.versions.counts.Mixed > o.versions.allowedMixed() {
-		o.violate(OneVersion, b.ID, b.answer.At, "router %d, life %d: the stream that %s began holds events of %v, this answer of %d versions; %s",
-			b.Process.Router, b.Process.Incarnation, stream, s.versions, within, b.describeRuns())
-	}
-}
-
-// allowedMixed returns the number of streams of a run that may hold events of several versions.
-func (v *versionRecord) allowedMixed() int {
-	if v.releases {
-		return 0
-	}
-	return maxMixedStreams
+	o.versions.counts.Mixed++
+	o.violate(OneVersion, b.ID, b.answer.At, "router %d, life %d: the stream that %s began holds events of %v, this answer of %d versions; %s",
+		b.Process.Router, b.Process.Incarnation, stream, s.versions, within, b.describeRuns())
 }
 
 // add adds the events of a try and returns the number of their versions.
--- a/lab/soak/oracle_version_test.go
+++ b/lab/soak/oracle_version_test.go
@@ -17,7 +17,7 @@
 
 // Guards against an oracle that misses a stream that goes on at another version, over its caller's tries.
 func TestMixedVersionsAreDetected(t *testing.T) {
-	for _, mixed := range []int{2, 3} {
+	for _, mixed := range []int{0, 1, 3} {
 		o := NewOracle(time.Now(), DefaultBounds())
 		for i := range 20 {
 			first, second, version := fmt.Sprint("a", i), fmt.Sprint("b", i), "v1"
@@ -29,7 +29,7 @@
 			o.Sent(Request{ID: second, Events: 6, From: 3, FirstTry: first})
 			o.Answered(second, streamAnswer(second, version, 3, 5, Cut))
 		}
-		if got := len(o.Violations()); got != max(mixed-maxMixedStreams, 0) || o.Streams().Mixed != mixed {
+		if got := len(o.Violations()); got != mixed || o.Streams().Mixed != mixed {
 			t.Errorf("%d mixed streams: %d violations, %+v", mixed, got, o.Streams())
 		}
 	}
