--- a/lab/soak/releases.go
+++ b/lab/soak/releases.go
@@ -25,12 +25,12 @@
 	minServing, maxServing = time.Second, 2500 * time.Millisecond
 	// minSpread to maxSpread is the time in which servers are replaced while routers run.
 	minSpread, maxSpread = 300 * time.Millisecond, 2 * time.Second
-	// minDowntime to maxReleaseDowntime is the time for which killed routers stay down, and minUptime to maxUptime the
+	// minReleaseDowntime to maxReleaseDowntime is the time for which killed routers stay down, and minUptime to maxUptime the
 	// time between their start and the next kill of a series of up to maxReleaseKills.
 	minReleaseDowntime, maxReleaseDowntime = time.Second, 3 * time.Second
 	minUptime, maxUptime                   = 600 * time.Millisecond, 2500 * time.Millisecond
 	maxReleaseKills                        = 3
-	// minPause to maxPause is the time for which routers stand still, from up to maxPauseLead before a kill on.
+	// minStandstill to maxStandstill is the time for which routers stand still, from up to maxStandstillLead before a kill on.
 	minStandstill, maxStandstill = 2 * time.Second, 4 * time.Second
 	maxStandstillLead            = 3 * time.Second
 	// minStoreFault to maxStoreFault is the time of a fault of the store.
@@ -118,6 +118,7 @@
 	kill := begin + spread + releaseNotice + d.between(0, minServing)
 	var meanwhile []int
 	switch pattern {
+	case releaseBefore: // all slots
 	case releaseAmid:
 		last := 1 + d.rng.IntN(max(d.servers/3, 1))
 		slots, meanwhile = slots[:d.servers-last], slots[d.servers-last:]
