--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -87,6 +87,13 @@
 	return replaceFile(r.path, text)
 }
 
+// writeNextSettings writes the settings of the next process. The first one starts together with the whole fleet, which
+// starts for the first time. The caller holds r.mu.
+func (r *router) writeNextSettings() error {
+	r.settings.Fleet.FirstStart = r.incarnation == 0
+	return r.writeSettings()
+}
+
 // replaceFile writes a file atomically: a concurrent reader sees the old text or the new one.
 func replaceFile(path string, text []byte) error {
 	next := path + ".next"
@@ -139,6 +146,9 @@
 	cmd.Stdout, cmd.Stderr = log, log
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if err := r.writeNextSettings(); err != nil {
+		return nil, err
+	}
 	if err := r.spawn.start(cmd); err != nil {
 		return nil, err
 	}
