Origins: streams under way are kept in the store while several versions serve

Callers saw: streams that were taken up after most or all routers had died were refused with 3010, though servers of their version were there. Cause: every router that had the origin, the one that began the stream and two others, had died; those that stood still had been passed over when it was recorded.

Each router of a fleet of 32 or fewer writes the streams that are bound to a version, by an event that left, to an object of its own, at most once a second and 8 times a second in the fleet. A router reads all of them, once a second at most, if nobody it asked knows a stream that would be refused. Only bound streams are written: the record of an attempt that brought no event may be outdated.

--- a/controller/origins/find.go
+++ b/controller/origins/find.go
@@ -17,7 +17,8 @@
 	// Known is set if Origin began the stream.
 	Known  bool
 	Origin origin.Version
-	// Source says where the finding comes from: "here", the ID of a router, "sole version", or "unknown".
+	// Source says where the finding comes from: "here", the ID of a router, "store", "sole version", or
+	// "unknown".
 	Source string
 	// Watched is how long this process has watched the versions that serve. Current is the number of other routers that
 	// answered with current registrations, Silent that of those that did not answer.
@@ -56,6 +57,9 @@
 		record = c.startReading(ctx)
 	}
 	c.ask(ctx, key, &s, record)
+	if s.isRefused() {
+		s.add("store", c.findStored(ctx, key))
+	}
 	return c.finding(s)
 }
 
@@ -187,6 +191,11 @@
 // isUnknown reports whether nobody knows which version began the stream.
 func (s *survey) isUnknown() bool { return !s.origin.Known && !s.origin.Ambiguous }
 
+// isRefused reports whether a stream is refused since nobody knows which version began it.
+func (s *survey) isRefused() bool {
+	return s.named && s.isUnknown() && !(s.knowsAll() && allSole(s.served))
+}
+
 // settled reports whether further answers would change nothing that matters.
 func (s *survey) settled() bool {
 	return s.origin.Ambiguous || s.sources > copies || s.isUnknown() && s.record && !s.incomplete && allSole(s.served)
--- a/controller/origins/origins.go
+++ b/controller/origins/origins.go
@@ -74,7 +74,9 @@
 	Servers Servers
 	// Fleet may be nil: this router is then alone.
 	Fleet Fleet
-	// Store keeps which versions have served.
+	// Self is the ID of this router. If it is empty, the origins of its streams are not kept in the store.
+	Self string
+	// Store keeps which versions have served, and in a small fleet the origins of streams.
 	Store store.Store
 	// FirstStart is set if the whole fleet starts for the first time: no version has served before.
 	FirstStart bool
@@ -109,11 +111,12 @@
 	lines   logs.RateLimit
 
 	record
+	bound bound
 }
 
 // New returns a controller that knows no streams.
 func New(o Options) *Controller {
-	return &Controller{Options: o, started: clock.Now(), table: origin.NewTable(clock.Now()), history: origin.NewHistory(), several: map[string]bool{}, record: newRecord()}
+	return &Controller{Options: o, started: clock.Now(), table: origin.NewTable(clock.Now()), history: origin.NewHistory(), several: map[string]bool{}, record: newRecord(), bound: newBound()}
 }
 
 // Counts returns the event counts since the start, and the number of streams on record.
@@ -131,6 +134,7 @@
 		c.observe(service)
 	}
 	c.syncIfDue()
+	c.storeBoundIfDue()
 }
 
 // services returns the services that have servers, and those on record that had some.
@@ -288,6 +292,7 @@
 	defer c.mu.Unlock()
 	for _, id := range s.Tries {
 		c.table.End(origin.KeyOf(s.Account, id))
+		c.bound.streams.Remove(origin.KeyOf(s.Account, id))
 	}
 }
 
--- a/controller/origins/origins_test.go
+++ b/controller/origins/origins_test.go
@@ -106,7 +106,7 @@
 
 func (r *router) startFirst(firstOfFleet bool) {
 	c := origins.New(origins.Options{
-		Servers: &r.known, Fleet: r, Log: zap.NewNop(), Store: linkToStore{r.net.store, r}, FirstStart: firstOfFleet,
+		Servers: &r.known, Fleet: r, Self: r.id, Log: zap.NewNop(), Store: linkToStore{r.net.store, r}, FirstStart: firstOfFleet,
 		Current: func() bool { return r.age.Load() < int64(2*time.Second) },
 	})
 	r.net.mu.Lock()
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -80,6 +80,10 @@
 
 // bindVersion binds the stream to the version of the attempt's server, which has sent its first event.
 func (a *attempt) bindVersion() {
+	if a.resumable() && !a.stream.bound {
+		a.stream.bound = true
+		a.g.Origins.Bind(a.streamID(), origin.Version{Service: a.service.Name, Name: a.server.Version})
+	}
 	if a.stream.version.Load() != nil {
 		return
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -29,6 +29,8 @@
 	// version is the software version of the server that sent the first event; nil before that. The
 	// watchdog reads it concurrently.
 	version atomic.Pointer[string]
+	// bound is set once the version is on record as the one that the stream is bound to.
+	bound bool
 	// tokens is the maximum number of tokens that the received events can contain.
 	tokens int64
 	// firstAt and lastAt are when the first and the last event were forwarded, and
--- a/server/provision.go
+++ b/server/provision.go
@@ -91,6 +91,7 @@
 	s.origins = origins.New(origins.Options{
 		Servers: s.servers,
 		Fleet:   &origins.PeerFleet{Recipients: s.recipients(), Client: s.peers, Unpooled: s.helloClient, IsLarge: s.largeFleet},
+		Self:    s.settings.Instance.ID,
 		Store:   s.store,
 		Current: s.serversCurrent,
 		Log:     s.log,
