Origins: other routers learn of an attempt only when it brings an event

Callers could see: a stream joined from two versions. Cause: the origin of each attempt was recorded at other routers before it was sent. If an attempt at one version brought no event and the next one, at another version, did, a keeper that stood still in between knew the first one alone; once the routers that knew better had died, it was taken for the origin.

Now the origin is recorded when the first event of an attempt is about to go to the caller, which binds the stream. The event waits for the first confirmation as before, 50 ms at most, which is now a round trip after the event arrived, not before. What is recorded is true whoever else knows of the stream, so it is no matter which keepers missed what.

TestEarlierAttemptIsNoEvidenceOfTheVersion failed before: 20 of 20 streams of v2 go on at v1, at 6, 87, 300 and 984 routers. TestAttemptsWithoutEventsAreNotStored and TestChainOfTries bind their streams now as the gateway does. The streams that are shared when a second version appears are those bound and not ended that this router serves.

The store holds up to 4,096 streams of a router, written at most twice a second and 16 times a second in the fleet.

--- a/controller/origins/bound.go
+++ b/controller/origins/bound.go
@@ -17,13 +17,13 @@
 	// read if no router knows a stream, as after a kill of all.
 	BoundKind = "streamorigins"
 	// maxBound is the number of streams in an object: 24 bytes each.
-	maxBound = 2048
+	maxBound = 4096
 	// maxBoundRouters is the number of routers beyond which origins are not kept in the store: each of them would
 	// write so seldom that most streams would have ended before.
 	maxBoundRouters = 32
 	// boundPause is the minimum time between two writes of a router, and boundFleetPause that between two of the fleet.
-	boundPause      = time.Second
-	boundFleetPause = 125 * time.Millisecond
+	boundPause      = 500 * time.Millisecond
+	boundFleetPause = 60 * time.Millisecond
 	// boundTimeout bounds a write.
 	boundTimeout = 2 * time.Second
 	// listPause is the minimum time between two reads of all objects.
@@ -58,17 +58,10 @@
 	return bound{streams: origin.NewBound(maxBound), listed: origin.NewBound(0), seen: map[string]seenObject{}}
 }
 
-// Bind records that an event of a stream, from a server of a version, is about to go to the caller. The stream may go on
-// at no other version from then on.
-func (c *Controller) Bind(s Stream, v origin.Version) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, id := range s.Tries {
-		if id != "" {
-			c.bound.streams.Add(clock.Now(), origin.KeyOf(s.Account, id), v)
-			c.bound.changed = true
-		}
-	}
+// add adds a stream.
+func (b *bound) add(r origin.Record) {
+	b.streams.Add(clock.Now(), r.Key, r.Origin)
+	b.changed = true
 }
 
 // storeBoundIfDue writes the streams under way to the store if several versions serve and there are new ones.
--- a/controller/origins/origins.go
+++ b/controller/origins/origins.go
@@ -2,8 +2,8 @@
 // that began it has failed.
 //
 // While servers of one software version serve, a router only remembers its own streams. While there are
-// several, it records the origin of each stream at two other routers, chosen by the stream's key, before
-// its caller receives the first event. A router whose caller takes up a stream asks the routers that may
+// several, it records the origin of each stream at some other routers, chosen by the stream's key, before
+// its caller receives the first event, and the streams under way in the store. A router whose caller takes up a stream asks the routers that may
 // keep its origin. What is unknown to all of them is decided by which versions have served: with one it
 // needs no origin, with several the stream must not go on.
 //
@@ -171,7 +171,7 @@
 	served := c.history.Served(service)
 	several = len(served) > 1 || c.record.mayMiss()
 	if several && !c.several[service] {
-		begun := c.table.Unended(now, service)
+		begun := c.bound.streams.Records(now, service)
 		c.Log.Info("several software versions serve; recording the origins of streams", zap.String("service", service),
 			zap.Strings("versions", served), zap.Bool("all_known", !c.record.mayMiss()), zap.Int("streams", len(begun)))
 		go c.shareAll(begun)
@@ -198,39 +198,78 @@
 	return list
 }
 
-// Recording is an origin that is being recorded at other routers. nil is one that needs not be.
+// Recording is the origin of an attempt of a stream, which binds the stream once it brings an event.
 type Recording struct {
-	c      *Controller
-	stream Stream
-	// confirmed is closed when another router has the origin; nil if it is not recorded elsewhere.
-	confirmed chan struct{}
-	// unlisted is the version of the server if it was not on record in the store yet.
-	unlisted *origin.Version
+	c       *Controller
+	stream  Stream
+	version origin.Version
+	attempt int
+	// listed is set if the version was on record in the store when the attempt began.
+	listed bool
 }
 
-// Begin records the version at which an attempt of a stream is made, counted from 1. It must be called
-// before the attempt, and Wait of what it returns before the first event goes to the caller.
+// Begin records the version at which an attempt of a stream is made, counted from 1. It must be called before the attempt,
+// and Bind of what it returns before the first event goes to the caller. Other routers learn of the attempt only then: one
+// that brings no event says nothing about the version of the stream, and not all of them might learn of the next one.
 func (c *Controller) Begin(s Stream, v origin.Version, attempt int) *Recording {
-	several := c.observe(v.Service)
-	records := s.records(v, attempt)
+	c.observe(v.Service)
 	c.mu.Lock()
-	for _, r := range records {
+	for _, r := range s.records(v, attempt) {
 		c.table.Record(clock.Now(), r)
 	}
 	listed := c.record.has(v)
 	c.mu.Unlock()
-	r := &Recording{c: c, stream: s}
 	if !listed {
-		r.unlisted = &v
 		c.syncNow()
 	}
-	if several && c.Fleet != nil {
-		r.confirmed = c.shareEach(records)
+	return &Recording{c: c, stream: s, version: v, attempt: attempt, listed: listed}
+}
+
+// Bind records that an event of the attempt is about to go to the caller: the stream may go on at no other version from then
+// on. It waits until the version is on record in the store, so that a process that starts later does not take another one
+// for the only one that has served, and until another router has the origin, for a short time: a stream whose origin is
+// known here alone can still go on while this router lives.
+func (r *Recording) Bind(ctx context.Context) {
+	if r == nil {
+		return
+	}
+	confirmed := r.c.bind(r)
+	if !r.listed {
+		r.c.awaitListed(ctx, r.version)
+	}
+	if confirmed != nil {
+		r.c.awaitRecorded(ctx, r.stream, confirmed)
+	}
+}
+
+// bind records the stream as bound, and its origin at other routers if several versions serve. The channel that it returns
+// is closed when another router has the origin; nil if it is not recorded elsewhere.
+func (c *Controller) bind(r *Recording) (confirmed chan struct{}) {
+	several := c.observe(r.version.Service)
+	records := r.stream.records(r.version, r.attempt)
+	c.mu.Lock()
+	for _, record := range records {
+		c.bound.add(record)
 	}
-	if r.unlisted == nil && r.confirmed == nil {
+	c.mu.Unlock()
+	if !several || c.Fleet == nil {
 		return nil
 	}
-	return r
+	return c.shareEach(records)
+}
+
+// awaitRecorded waits until another router has the origin of a stream, for recordWait at most.
+func (c *Controller) awaitRecorded(ctx context.Context, s Stream, confirmed <-chan struct{}) {
+	timer := time.NewTimer(recordWait)
+	defer timer.Stop()
+	recorded := false
+	select {
+	case <-confirmed:
+		recorded = true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	c.recorded(s, recorded)
 }
 
 // shareEach records the origins of a stream's tries at other routers. It returns a channel that is closed when one of them
@@ -248,31 +287,6 @@
 	return confirmed
 }
 
-// Wait waits until the version is on record in the store, so that a process that starts later does not take another one for
-// the only one that has served, and until another router has the origin, for a short time: a stream whose origin is known
-// here alone can still go on while this router lives.
-func (r *Recording) Wait(ctx context.Context) {
-	if r == nil {
-		return
-	}
-	if r.unlisted != nil {
-		r.c.awaitListed(ctx, *r.unlisted)
-	}
-	if r.confirmed == nil {
-		return
-	}
-	timer := time.NewTimer(recordWait)
-	defer timer.Stop()
-	recorded := false
-	select {
-	case <-r.confirmed:
-		recorded = true
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	r.c.recorded(r.stream, recorded)
-}
-
 func (c *Controller) recorded(s Stream, recorded bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -80,15 +80,13 @@
 
 // bindVersion binds the stream to the version of the attempt's server, which has sent its first event.
 func (a *attempt) bindVersion() {
-	if a.resumable() && !a.stream.bound {
-		a.stream.bound = true
-		a.g.Origins.Bind(a.streamID(), origin.Version{Service: a.service.Name, Name: a.server.Version})
+	if a.stream.version.Load() == nil {
+		a.stream.version.Store(&a.server.Version)
 	}
-	if a.stream.version.Load() != nil {
-		return
+	if !a.stream.bound {
+		a.stream.bound = true
+		a.recording.Bind(a.r.Context())
 	}
-	a.stream.version.Store(&a.server.Version)
-	a.recording.Wait(a.r.Context())
 }
 
 // endOrigin records that the stream has reached its end.
--- a/origin/bound.go
+++ b/origin/bound.go
@@ -50,6 +50,17 @@
 	return Knowledge{Known: ok && !s.ambiguous, Ambiguous: s.ambiguous, Origin: s.origin}
 }
 
+// Records returns the streams of a service.
+func (b *Bound) Records(now time.Time, service string) (list []Record) {
+	b.trim(now)
+	for key, s := range b.streams {
+		if s.origin.Service == service && !s.ambiguous {
+			list = append(list, Record{Key: key, Origin: s.origin, Attempt: 1})
+		}
+	}
+	return list
+}
+
 // Len returns the number of streams.
 func (b *Bound) Len() int { return len(b.streams) }
 
