Origins: four other routers of a small fleet keep an origin, and all are asked

Callers saw: streams that were taken up after most routers of a small fleet had died were refused with 3010. With one router that begins a stream and two that keep its origin, one stream in five has lost all three when four of six die.

In a fleet of up to 8 routers four others keep it and all others are asked: of 6, any 2 that live know each stream. Larger fleets keep two copies and ask four routers, whose cost must not grow.

Bytes a call are bounded as before.

--- a/controller/origins/find.go
+++ b/controller/origins/find.go
@@ -47,7 +47,7 @@
 		c.observe(service)
 	}
 	key := origin.KeyOf(account, try)
-	s := survey{named: try != "", services: services, served: c.servedHere(services), watched: c.hasWatched()}
+	s := survey{copies: c.copies(), named: try != "", services: services, served: c.servedHere(services), watched: c.hasWatched()}
 	s.add("here", c.known(key))
 	if s.origin.Known && allSole(s.served) {
 		return c.finding(s)
@@ -130,6 +130,8 @@
 
 // survey is what this router and those that it asks know of a stream.
 type survey struct {
+	// copies is the number of other routers at which an origin is recorded.
+	copies int
 	// named is set if the caller names the stream. Otherwise only the versions that have served count.
 	named    bool
 	services []string
@@ -198,7 +200,7 @@
 
 // settled reports whether further answers would change nothing that matters.
 func (s *survey) settled() bool {
-	return s.origin.Ambiguous || s.sources > copies || s.isUnknown() && s.record && !s.incomplete && allSole(s.served)
+	return s.origin.Ambiguous || s.sources > s.copies || s.isUnknown() && s.record && !s.incomplete && allSole(s.served)
 }
 
 // knowsAll reports whether all versions that have served are known. The record of the store tells, or in an outage of the
@@ -261,7 +263,7 @@
 	if c.Fleet == nil {
 		return nil, 0
 	}
-	routers := c.Fleet.Keepers(req.Key, maxKeepers)
+	routers := c.keepers(req.Key)
 	replies := make(chan reply, len(routers))
 	for _, id := range routers {
 		go func() {
--- a/controller/origins/origins.go
+++ b/controller/origins/origins.go
@@ -30,11 +30,13 @@
 
 const (
 	// copies is the number of other routers at which an origin is recorded, so that one of them may fail
-	// together with this router.
-	copies = 2
+	// together with this router. In a fleet of up to smallFleet routers it is copiesSmall: most of these may fail at once.
+	copies      = 2
+	copiesSmall = 4
+	smallFleet  = 8
 	// maxKeepers is the number of routers that may keep an origin: those that are asked for it, and those
 	// that are tried one after the other until there are enough copies. Routers agree on their order but
-	// for the latest starts and stops.
+	// for the latest starts and stops. In a small fleet they are all.
 	maxKeepers = 4
 	// callTimeout bounds a call, and recordWait the time for which a first event waits until its origin
 	// has been recorded elsewhere.
@@ -328,13 +330,13 @@
 	if c.Fleet == nil {
 		return false
 	}
-	keepers := c.Fleet.Keepers(r.Key, maxKeepers)
+	keepers := c.keepers(r.Key)
 	next := make(chan string, len(keepers))
 	for _, id := range keepers {
 		next <- id
 	}
 	close(next)
-	for range min(copies, len(keepers)) {
+	for range min(c.copies(), len(keepers)) {
 		go func() {
 			for id := range next {
 				ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
@@ -351,6 +353,22 @@
 	return len(keepers) > 0
 }
 
+// copies returns the number of other routers at which an origin is recorded.
+func (c *Controller) copies() int {
+	if c.routers() <= smallFleet {
+		return copiesSmall
+	}
+	return copies
+}
+
+// keepers returns the routers that may keep the origin of a stream, best first.
+func (c *Controller) keepers(key origin.Key) []string {
+	if c.routers() <= smallFleet {
+		return c.Fleet.Keepers(key, smallFleet)
+	}
+	return c.Fleet.Keepers(key, maxKeepers)
+}
+
 // OnRecord handles the origins that another router records here.
 func (c *Controller) OnRecord(_ context.Context, req *peer.OriginsRecord) (*peer.Empty, error) {
 	c.mu.Lock()
