--- a/controller/origins/bound_test.go
+++ b/controller/origins/bound_test.go
@@ -265,3 +265,18 @@
 		}
 	})
 }
+
+// Guards against streams that are refused after planned restarts of all routers, one after the other: each process forgets what
+// it kept.
+func TestOriginsOutliveRollingRestarts(t *testing.T) {
+	atSizesThatStore(t, func(t *testing.T, n int) {
+		net := newNetwork(t, n, "v1", "v2")
+		streams := net.streamAll("s", net.all...)
+		net.run(5 * time.Second)
+		for _, r := range net.all {
+			r.start()
+			net.run(500 * time.Millisecond)
+		}
+		expectFound(t, streams, net.all...)
+	})
+}
