Origins: docs; the streams under way are kept in one place

A table of origins kept which streams had ended, for the sake of those shared when a second version appears; bound streams do that now. TestUnendedStreams tests these; that an ended stream stays known is tested at the routers (TestEndedStreamIsFoundAtItsKeepers). A gateway test that came with main binds its stream as the gateway does.

--- a/controller/origins/bound_test.go
+++ b/controller/origins/bound_test.go
@@ -174,6 +174,20 @@
 	})
 }
 
+// Guards against a stream that is refused because it has ended for its router: its caller may not have all of it.
+func TestEndedStreamIsFoundAtItsKeepers(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		net := newNetwork(t, 6, "v1", "v2")
+		net.all[0].begin("s", "v2")
+		net.all[0].control.End(stream("s"))
+		for _, r := range net.all {
+			if got := r.find("s"); got != "v2" {
+				t.Errorf("an ended stream is found to be %q", got)
+			}
+		}
+	})
+}
+
 // Guards against a cost while one version serves, or without new streams, and against one that grows with the number of
 // streams or of routers.
 func TestCostOfStoredOrigins(t *testing.T) {
--- a/controller/origins/origins.go
+++ b/controller/origins/origins.go
@@ -3,9 +3,10 @@
 //
 // While servers of one software version serve, a router only remembers its own streams. While there are
 // several, it records the origin of each stream at some other routers, chosen by the stream's key, before
-// its caller receives the first event, and the streams under way in the store. A router whose caller takes up a stream asks the routers that may
-// keep its origin. What is unknown to all of them is decided by which versions have served: with one it
-// needs no origin, with several the stream must not go on.
+// its caller receives the first event, and in a small fleet also in the store, some time later (bound.go). A
+// router whose caller takes up a stream asks the routers that may keep its origin, and if none knows it, the
+// store. What is unknown to all of them is decided by which versions have served: with one it needs no
+// origin, with several the stream must not go on.
 //
 // Which versions have served is kept in the store, since no process may conclude from what it has not seen: it may have
 // started only now, stood still, or been cut off (record.go).
@@ -302,12 +303,11 @@
 	}
 }
 
-// End records that a stream has reached its end.
+// End records that a stream has reached its end. It stays in the table, since its caller may not have received all of it.
 func (c *Controller) End(s Stream) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, id := range s.Tries {
-		c.table.End(origin.KeyOf(s.Account, id))
 		c.bound.streams.Remove(origin.KeyOf(s.Account, id))
 	}
 }
--- a/gateway/origin_test.go
+++ b/gateway/origin_test.go
@@ -124,7 +124,7 @@
 	}
 	known.Listed(entries[:1], 1)
 	first := control.Begin(origins.Stream{Tries: []string{"first"}}, origin.Version{Service: "svc", Name: "v1"}, 1)
-	first.Wait(t.Context()) // until v1 is on record
+	first.Bind(t.Context()) // until v1 is on record
 	got := call(t, web, "HTTP/1.1", http.MethodPost, "/stream/x", headerLastEvent+": 3", headerFirstTry+": elsewhere")
 	if joined.Load() != 0 {
 		t.Errorf("a stream of v1 went on at v2: status %d, %q", got.status, got.body)
--- a/origin/bound_test.go
+++ b/origin/bound_test.go
@@ -55,6 +55,20 @@
 	}
 }
 
+func TestUnendedStreams(t *testing.T) {
+	b := origin.NewBound(10)
+	for _, id := range []string{"a", "b", "two"} {
+		b.Add(start, origin.KeyOf("acme", id), origin.Version{Service: "llm", Name: "v1"})
+	}
+	b.Add(start, origin.KeyOf("acme", "two"), origin.Version{Service: "llm", Name: "v2"})
+	b.Add(start, origin.KeyOf("acme", "other"), origin.Version{Service: "other", Name: "v1"})
+	b.Remove(origin.KeyOf("acme", "a"))
+	list := b.Records(start, "llm")
+	if len(list) != 1 || list[0].Key != origin.KeyOf("acme", "b") {
+		t.Errorf("%+v", list)
+	}
+}
+
 // Guards against stored forms of two routers that contradict each other.
 func TestContradictingBoundStreams(t *testing.T) {
 	var values [][]byte
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -78,9 +78,7 @@
 	// version is the index of the version, or ambiguous.
 	version int32
 	attempt uint8
-	// ended is set if the stream has reached its caller's end.
-	ended bool
-	at    time.Duration // since the start of the table
+	at      time.Duration // since the start of the table
 }
 
 // ambiguous marks a stream that two versions have begun, by the records.
@@ -130,7 +128,7 @@
 	case attempt == known.attempt:
 		known.version = ambiguous
 	}
-	known.at, known.ended = now.Sub(t.start), false
+	known.at = now.Sub(t.start)
 	t.entries[r.Key] = known
 	return known.version != ambiguous
 }
@@ -148,15 +146,6 @@
 	return at, true
 }
 
-// End records that a stream has reached its end. It stays on record, since its caller may not have
-// received all of it.
-func (t *Table) End(key Key) {
-	if e, ok := t.entries[key]; ok {
-		e.ended = true
-		t.entries[key] = e
-	}
-}
-
 // Known returns what is on record of the origin of a stream.
 func (t *Table) Known(now time.Time, key Key) Knowledge {
 	e, ok := t.entries[key]
@@ -170,17 +159,6 @@
 	}
 }
 
-// Unended returns the streams of a service that have not reached their end.
-func (t *Table) Unended(now time.Time, service string) (list []Record) {
-	for key, e := range t.entries {
-		if e.ended || e.version == ambiguous || t.expired(now, e) || t.versions[e.version].Service != service {
-			continue
-		}
-		list = append(list, Record{Key: key, Origin: t.versions[e.version], Attempt: int(e.attempt)})
-	}
-	return list
-}
-
 // Len returns the number of streams on record.
 func (t *Table) Len() int { return len(t.entries) }
 
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -86,21 +86,6 @@
 	}
 }
 
-func TestUnendedStreams(t *testing.T) {
-	table := origin.NewTable(start)
-	for _, id := range []string{"a", "b"} {
-		table.Record(start, record(id, "v1", 1))
-	}
-	table.End(origin.KeyOf("acme", "a"))
-	list := table.Unended(start, "llm")
-	if len(list) != 1 || list[0].Key != origin.KeyOf("acme", "b") {
-		t.Errorf("%+v", list)
-	}
-	if got := lookup(table, start, "a"); got != "v1" {
-		t.Errorf("an ended stream is %s: its caller may not have all of it", got)
-	}
-}
-
 func TestHistoryOfVersions(t *testing.T) {
 	h := origin.NewHistory()
 	h.Observe(start, "llm", []string{"v1"})
