--- a/controller/origins/find.go
+++ b/controller/origins/find.go
@@ -17,7 +17,8 @@
 	// Known is set if Origin began the stream.
 	Known  bool
 	Origin origin.Version
-	// Source says where the finding comes from: "here", the ID of a router, "sole version", or "unknown".
+	// Source says where the finding comes from: "here", the ID of a router, "store", "sole version", or
+	// "unknown".
 	Source string
 	// Watched is how long this process has watched the versions that serve. Current is the number of other routers that
 	// answered with current registrations, Silent that of those that did not answer.
@@ -46,7 +47,7 @@
 		c.observe(service)
 	}
 	key := origin.KeyOf(account, try)
-	s := survey{named: try != "", services: services, served: c.servedHere(services), watched: c.hasWatched()}
+	s := survey{copies: c.copies(), named: try != "", services: services, served: c.servedHere(services), watched: c.hasWatched()}
 	s.add("here", c.known(key))
 	if s.origin.Known && allSole(s.served) {
 		return c.finding(s)
@@ -56,6 +57,9 @@
 		record = c.startReading(ctx)
 	}
 	c.ask(ctx, key, &s, record)
+	if s.isRefused() {
+		s.add("store", c.findStored(ctx, key))
+	}
 	return c.finding(s)
 }
 
@@ -126,6 +130,8 @@
 
 // survey is what this router and those that it asks know of a stream.
 type survey struct {
+	// copies is the number of other routers at which an origin is recorded.
+	copies int
 	// named is set if the caller names the stream. Otherwise only the versions that have served count.
 	named    bool
 	services []string
@@ -187,9 +193,14 @@
 // isUnknown reports whether nobody knows which version began the stream.
 func (s *survey) isUnknown() bool { return !s.origin.Known && !s.origin.Ambiguous }
 
+// isRefused reports whether a stream is refused since nobody knows which version began it.
+func (s *survey) isRefused() bool {
+	return s.named && s.isUnknown() && !(s.knowsAll() && allSole(s.served))
+}
+
 // settled reports whether further answers would change nothing that matters.
 func (s *survey) settled() bool {
-	return s.origin.Ambiguous || s.sources > copies || s.isUnknown() && s.record && !s.incomplete && allSole(s.served)
+	return s.origin.Ambiguous || s.sources > s.copies || s.isUnknown() && s.record && !s.incomplete && allSole(s.served)
 }
 
 // knowsAll reports whether all versions that have served are known. The record of the store tells, or in an outage of the
@@ -252,7 +263,7 @@
 	if c.Fleet == nil {
 		return nil, 0
 	}
-	routers := c.Fleet.Keepers(req.Key, maxKeepers)
+	routers := c.keepers(req.Key)
 	replies := make(chan reply, len(routers))
 	for _, id := range routers {
 		go func() {
--- a/controller/origins/origins.go
+++ b/controller/origins/origins.go
@@ -2,10 +2,11 @@
 // that began it has failed.
 //
 // While servers of one software version serve, a router only remembers its own streams. While there are
-// several, it records the origin of each stream at two other routers, chosen by the stream's key, before
-// its caller receives the first event. A router whose caller takes up a stream asks the routers that may
-// keep its origin. What is unknown to all of them is decided by which versions have served: with one it
-// needs no origin, with several the stream must not go on.
+// several, it records the origin of each stream at some other routers, chosen by the stream's key, before
+// its caller receives the first event, and in a small fleet also in the store, some time later (bound.go). A
+// router whose caller takes up a stream asks the routers that may keep its origin, and if none knows it, the
+// store. What is unknown to all of them is decided by which versions have served: with one it needs no
+// origin, with several the stream must not go on.
 //
 // Which versions have served is kept in the store, since no process may conclude from what it has not seen: it may have
 // started only now, stood still, or been cut off (record.go).
@@ -30,11 +31,13 @@
 
 const (
 	// copies is the number of other routers at which an origin is recorded, so that one of them may fail
-	// together with this router.
-	copies = 2
+	// together with this router. In a fleet of up to smallFleet routers it is copiesSmall: most of these may fail at once.
+	copies      = 2
+	copiesSmall = 4
+	smallFleet  = 8
 	// maxKeepers is the number of routers that may keep an origin: those that are asked for it, and those
 	// that are tried one after the other until there are enough copies. Routers agree on their order but
-	// for the latest starts and stops.
+	// for the latest starts and stops. In a small fleet they are all.
 	maxKeepers = 4
 	// callTimeout bounds a call, and recordWait the time for which a first event waits until its origin
 	// has been recorded elsewhere.
@@ -74,7 +77,9 @@
 	Servers Servers
 	// Fleet may be nil: this router is then alone.
 	Fleet Fleet
-	// Store keeps which versions have served.
+	// Self is the ID of this router. If it is empty, the origins of its streams are not kept in the store.
+	Self string
+	// Store keeps which versions have served, and in a small fleet the origins of streams.
 	Store store.Store
 	// FirstStart is set if the whole fleet starts for the first time: no version has served before.
 	FirstStart bool
@@ -109,11 +114,12 @@
 	lines   logs.RateLimit
 
 	record
+	bound bound
 }
 
 // New returns a controller that knows no streams.
 func New(o Options) *Controller {
-	return &Controller{Options: o, started: clock.Now(), table: origin.NewTable(clock.Now()), history: origin.NewHistory(), several: map[string]bool{}, record: newRecord()}
+	return &Controller{Options: o, started: clock.Now(), table: origin.NewTable(clock.Now()), history: origin.NewHistory(), several: map[string]bool{}, record: newRecord(), bound: newBound()}
 }
 
 // Counts returns the event counts since the start, and the number of streams on record.
@@ -131,6 +137,7 @@
 		c.observe(service)
 	}
 	c.syncIfDue()
+	c.storeBoundIfDue()
 }
 
 // services returns the services that have servers, and those on record that had some.
@@ -167,7 +174,7 @@
 	served := c.history.Served(service)
 	several = len(served) > 1 || c.record.mayMiss()
 	if several && !c.several[service] {
-		begun := c.table.Unended(now, service)
+		begun := c.bound.streams.Records(now, service)
 		c.Log.Info("several software versions serve; recording the origins of streams", zap.String("service", service),
 			zap.Strings("versions", served), zap.Bool("all_known", !c.record.mayMiss()), zap.Int("streams", len(begun)))
 		go c.shareAll(begun)
@@ -194,39 +201,78 @@
 	return list
 }
 
-// Recording is an origin that is being recorded at other routers. nil is one that needs not be.
+// Recording is the origin of an attempt of a stream, which binds the stream once it brings an event.
 type Recording struct {
-	c      *Controller
-	stream Stream
-	// confirmed is closed when another router has the origin; nil if it is not recorded elsewhere.
-	confirmed chan struct{}
-	// unlisted is the version of the server if it was not on record in the store yet.
-	unlisted *origin.Version
+	c       *Controller
+	stream  Stream
+	version origin.Version
+	attempt int
+	// listed is set if the version was on record in the store when the attempt began.
+	listed bool
 }
 
-// Begin records the version at which an attempt of a stream is made, counted from 1. It must be called
-// before the attempt, and Wait of what it returns before the first event goes to the caller.
+// Begin records the version at which an attempt of a stream is made, counted from 1. It must be called before the attempt,
+// and Bind of what it returns before the first event goes to the caller. Other routers learn of the attempt only then: one
+// that brings no event says nothing about the version of the stream, and not all of them might learn of the next one.
 func (c *Controller) Begin(s Stream, v origin.Version, attempt int) *Recording {
-	several := c.observe(v.Service)
-	records := s.records(v, attempt)
+	c.observe(v.Service)
 	c.mu.Lock()
-	for _, r := range records {
+	for _, r := range s.records(v, attempt) {
 		c.table.Record(clock.Now(), r)
 	}
 	listed := c.record.has(v)
 	c.mu.Unlock()
-	r := &Recording{c: c, stream: s}
 	if !listed {
-		r.unlisted = &v
 		c.syncNow()
 	}
-	if several && c.Fleet != nil {
-		r.confirmed = c.shareEach(records)
+	return &Recording{c: c, stream: s, version: v, attempt: attempt, listed: listed}
+}
+
+// Bind records that an event of the attempt is about to go to the caller: the stream may go on at no other version from then
+// on. It waits until the version is on record in the store, so that a process that starts later does not take another one
+// for the only one that has served, and until another router has the origin, for a short time: a stream whose origin is
+// known here alone can still go on while this router lives.
+func (r *Recording) Bind(ctx context.Context) {
+	if r == nil {
+		return
+	}
+	confirmed := r.c.bind(r)
+	if !r.listed {
+		r.c.awaitListed(ctx, r.version)
+	}
+	if confirmed != nil {
+		r.c.awaitRecorded(ctx, r.stream, confirmed)
+	}
+}
+
+// bind records the stream as bound, and its origin at other routers if several versions serve. The channel that it returns
+// is closed when another router has the origin; nil if it is not recorded elsewhere.
+func (c *Controller) bind(r *Recording) (confirmed chan struct{}) {
+	several := c.observe(r.version.Service)
+	records := r.stream.records(r.version, r.attempt)
+	c.mu.Lock()
+	for _, record := range records {
+		c.bound.add(record)
 	}
-	if r.unlisted == nil && r.confirmed == nil {
+	c.mu.Unlock()
+	if !several || c.Fleet == nil {
 		return nil
 	}
-	return r
+	return c.shareEach(records)
+}
+
+// awaitRecorded waits until another router has the origin of a stream, for recordWait at most.
+func (c *Controller) awaitRecorded(ctx context.Context, s Stream, confirmed <-chan struct{}) {
+	timer := time.NewTimer(recordWait)
+	defer timer.Stop()
+	recorded := false
+	select {
+	case <-confirmed:
+		recorded = true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	c.recorded(s, recorded)
 }
 
 // shareEach records the origins of a stream's tries at other routers. It returns a channel that is closed when one of them
@@ -244,31 +290,6 @@
 	return confirmed
 }
 
-// Wait waits until the version is on record in the store, so that a process that starts later does not take another one for
-// the only one that has served, and until another router has the origin, for a short time: a stream whose origin is known
-// here alone can still go on while this router lives.
-func (r *Recording) Wait(ctx context.Context) {
-	if r == nil {
-		return
-	}
-	if r.unlisted != nil {
-		r.c.awaitListed(ctx, *r.unlisted)
-	}
-	if r.confirmed == nil {
-		return
-	}
-	timer := time.NewTimer(recordWait)
-	defer timer.Stop()
-	recorded := false
-	select {
-	case <-r.confirmed:
-		recorded = true
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	r.c.recorded(r.stream, recorded)
-}
-
 func (c *Controller) recorded(s Stream, recorded bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -282,12 +303,12 @@
 	}
 }
 
-// End records that a stream has reached its end.
+// End records that a stream has reached its end. It stays in the table, since its caller may not have received all of it.
 func (c *Controller) End(s Stream) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, id := range s.Tries {
-		c.table.End(origin.KeyOf(s.Account, id))
+		c.bound.streams.Remove(origin.KeyOf(s.Account, id))
 	}
 }
 
@@ -309,13 +330,13 @@
 	if c.Fleet == nil {
 		return false
 	}
-	keepers := c.Fleet.Keepers(r.Key, maxKeepers)
+	keepers := c.keepers(r.Key)
 	next := make(chan string, len(keepers))
 	for _, id := range keepers {
 		next <- id
 	}
 	close(next)
-	for range min(copies, len(keepers)) {
+	for range min(c.copies(), len(keepers)) {
 		go func() {
 			for id := range next {
 				ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
@@ -332,6 +353,22 @@
 	return len(keepers) > 0
 }
 
+// copies returns the number of other routers at which an origin is recorded.
+func (c *Controller) copies() int {
+	if c.routers() <= smallFleet {
+		return copiesSmall
+	}
+	return copies
+}
+
+// keepers returns the routers that may keep the origin of a stream, best first.
+func (c *Controller) keepers(key origin.Key) []string {
+	if c.routers() <= smallFleet {
+		return c.Fleet.Keepers(key, smallFleet)
+	}
+	return c.Fleet.Keepers(key, maxKeepers)
+}
+
 // OnRecord handles the origins that another router records here.
 func (c *Controller) OnRecord(_ context.Context, req *peer.OriginsRecord) (*peer.Empty, error) {
 	c.mu.Lock()
