Origins: a process that stood still forgets no version before it has noticed the gap

What callers saw: none reported; streams of a version that a process had not seen for 100 s before it stood still for 85 s were joined after a kill of all. Cause: a process that is asked for a stream before its next tick observes the versions, and counted the time it stood still as watched absence; it then removed the version from the record. Why it works: nothing is forgotten between a gap and the call that records it.

--- a/origin/history.go
+++ b/origin/history.go
@@ -64,6 +64,9 @@
 		}
 		seen[v] = now
 	}
+	if !h.last.IsZero() && now.Sub(h.last) > maxUnwatched {
+		return returned // Watch has yet to see the gap
+	}
 	maps.DeleteFunc(seen, func(_ string, at time.Time) bool { return now.Sub(at) > Retention })
 	return returned
 }
