Origins: a version whose servers leave before the store accepts a write is recorded all the same

What callers saw: none reported; streams that began at a version while the store refused writes were joined after a kill of all, though the store had been writable for 4 s before. Cause: only versions that are registered at the moment of the write were added to the record. Evidence: TestVersionThatLeavesBeforeItIsRecorded failed before at 6, 87, 300 and 984 routers. Why it works: a router keeps each version that it has seen registered until that is on record.

--- a/controller/origins/record.go
+++ b/controller/origins/record.go
@@ -48,7 +48,8 @@
 	changed chan struct{}
 	// listed are versions that are on record according to other routers, while the store does not answer.
 	listed map[origin.Version]bool
-	// registered are the versions of the servers that are registered, by service.
+	// registered are the versions of the servers that are registered, by service, and those that were and have not been on
+	// record yet.
 	registered map[string][]string
 	// syncing is set while the record is brought up to date; again asks for another time after that.
 	syncing, again bool
@@ -78,7 +79,8 @@
 // observe records the versions of the registered servers of a service. Those that have returned after a long absence may
 // have been removed from the store meanwhile.
 func (r *record) observe(service string, versions, returned []string) {
-	r.registered[service] = versions
+	unrecorded := slices.DeleteFunc(r.registered[service], func(v string) bool { return r.known.Covers(service, v) })
+	r.registered[service] = union(unrecorded, versions)
 	for _, version := range returned {
 		r.known.Remove(service, version)
 		delete(r.listed, origin.Version{Service: service, Name: version})
