Origins: the record alone does not decide before the routers that are asked have answered

What callers saw: none reported; while the store refused writes, a router that was behind let streams of a version that it had not heard of go on at the old one. Cause: the first event of a stream goes out after 1.5 s without a record; a router that read the record before the keepers of the stream had answered took it for the whole truth. Evidence: TestRecordAloneDoesNotDecide failed before at 87, 300 and 984 routers, and on at 6 too; 2 to 3 of 20 streams each. Why it works: all that are asked answer or time out (150 ms) before a stream of unknown origin goes on. Cost: that time at most, if one of them is gone.

--- a/controller/origins/find.go
+++ b/controller/origins/find.go
@@ -198,10 +198,9 @@
 	return s.named && s.isUnknown() && !(s.knowsAll() && allSole(s.served))
 }
 
-// settled reports whether further answers would change nothing that matters.
-func (s *survey) settled() bool {
-	return s.origin.Ambiguous || s.sources > s.copies || s.isUnknown() && s.record && !s.incomplete && allSole(s.served)
-}
+// settled reports whether further answers would change nothing that matters. The record alone settles nothing: while the
+// store takes no writes, versions serve that are not on record.
+func (s *survey) settled() bool { return s.origin.Ambiguous || s.sources > s.copies }
 
 // knowsAll reports whether all versions that have served are known. The record of the store tells, or in an outage of the
 // store the routers that were asked, if all of them answer and have watched: a router that knows of a version which they
--- a/controller/origins/record_test.go
+++ b/controller/origins/record_test.go
@@ -1,6 +1,7 @@
 package origins_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -87,6 +88,27 @@
 	})
 }
 
+// Guards against a router that is behind and takes the record for the whole truth before the others have answered: while the
+// store refuses writes, versions serve that are not on record.
+func TestRecordAloneDoesNotDecide(t *testing.T) {
+	atAllSizes(t, func(t *testing.T, n int) {
+		net := newNetwork(t, n, "v1")
+		net.setFaults(storeFaults{noWrites: true})
+		behind := net.all[n-1]
+		for _, r := range net.all[:n-1] {
+			r.known.set("v1", "v2")
+			r.control.Tick()
+		}
+		for i := range 20 {
+			id := fmt.Sprint("s", i)
+			net.all[i%(n-1)].begin(id, "v2")
+			if got := behind.find(id); got != "v2" && got != "" {
+				t.Errorf("a router that is behind lets a stream of v2 go on at %q", got)
+			}
+		}
+	})
+}
+
 // Guards against a process that has stood still for longer than streams are remembered and removes a version from the record that
 // has served meanwhile: it is asked for a stream before it has noticed the gap.
 func TestProcessThatStoodStillRemovesNoVersion(t *testing.T) {
@@ -112,3 +134,31 @@
 		net.expectNoOther(t, []string{"s"}, "v1")
 	})
 }
+
+// Guards against a first event that goes out before its version is on record, and against one that waits for longer than
+// callers do.
+func TestFirstEventWaitsForTheRecord(t *testing.T) {
+	atAllSizes(t, func(t *testing.T, n int) {
+		net := newNetwork(t, n, "v1")
+		net.setFaults(storeFaults{noWrites: true})
+		time.AfterFunc(1200*time.Millisecond, func() { net.setFaults(storeFaults{}) })
+		net.release("v1", "v2")
+		go net.run(5 * time.Second)
+		net.all[0].begin("s", "v2")
+		o, err := net.store.Get(t.Context(), origins.Kind+"/served")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s, err := origin.DecodeServed(o.Value); err != nil || !s.Has(service, "v2") {
+			t.Errorf("the first event goes out with the record %s, %v", o.Value, err)
+		}
+		time.Sleep(6 * time.Second)
+		net.setFaults(storeFaults{noWrites: true})
+		net.all[1].known.set("v3")
+		begun := time.Now()
+		net.all[1].begin("t", "v3")
+		if took := time.Since(begun); took > 1600*time.Millisecond {
+			t.Errorf("a first event waits for %s", took)
+		}
+	})
+}
