Origins: without the store, routers that stood still together are no evidence; with old registrations they record origins

What callers saw: none reported; five of six routers stood still while a version joined, the sixth began streams there and was killed, and the store was down: all five let the streams go on at the old version. And in an outage of the store with one version, streams were refused if one of the routers that were asked was gone. Cause: without the store the answers of the routers asked counted, whatever the age of their registrations. Origins were recorded only while several versions were known to have served. Why it works: an answer counts only if its router has current registrations. So that streams go on in an outage all the same, a router whose registrations are older than the bound records the origins of the streams under way and of new ones, as it does while several versions serve. Left: all that are asked may stand still for less than the bound.

--- a/controller/origins/find.go
+++ b/controller/origins/find.go
@@ -47,7 +47,7 @@
 		c.observe(service)
 	}
 	key := origin.KeyOf(account, try)
-	s := survey{copies: c.copies(), named: try != "", services: services, served: c.servedHere(services), watched: c.hasWatched()}
+	s := survey{copies: c.copies(), named: try != "", services: services, served: c.servedHere(services), watched: c.knowsServed()}
 	s.add("here", c.known(key))
 	if s.origin.Known && allSole(s.served) {
 		return c.finding(s)
@@ -112,6 +112,10 @@
 	return c.table.Known(clock.Now(), key)
 }
 
+// knowsServed reports whether this router knows which versions have served, as far as its registrations tell: it has read
+// what had served before, and these are current.
+func (c *Controller) knowsServed() bool { return c.hasWatched() && c.isCurrent() }
+
 // hasWatched reports whether this router has read which versions had served before it began to watch.
 func (c *Controller) hasWatched() bool {
 	c.mu.Lock()
@@ -142,9 +146,9 @@
 	// served are the versions of each service that have served.
 	served [][]string
 	// answered counts the routers that answered, current those of them with current registrations, missing those that did not answer, and
-	// unaware those that do not know which versions served before they began to watch.
+	// unaware those that do not know which versions served before they began to watch, or since their registrations were current.
 	answered, current, missing, unaware int
-	// watched is set if this router knows it.
+	// watched is set if this router knows both.
 	watched bool
 	// record is set if the store has told which versions have served, and incomplete if it does not know of all.
 	record, incomplete bool
@@ -173,7 +177,7 @@
 	if a.Current {
 		s.current++
 	}
-	if !a.Watched {
+	if !a.Watched || !a.Current {
 		s.unaware++
 	}
 	for i := range min(len(s.served), len(a.Served)) {
@@ -203,8 +207,9 @@
 func (s *survey) settled() bool { return s.origin.Ambiguous || s.sources > s.copies }
 
 // knowsAll reports whether all versions that have served are known. The record of the store tells, or in an outage of the
-// store the routers that were asked, if all of them answer and have watched: a router that knows of a version which they
-// do not know keeps the origins of its streams at some of them.
+// store the routers that were asked, if all of them answer, have watched and have current registrations: those that stood
+// still together may all have missed a version. A router that knows of a version which they do not know, or whose registrations
+// are not current, keeps the origins of its streams at some of them.
 func (s *survey) knowsAll() bool {
 	if s.record {
 		return !s.incomplete
--- a/controller/origins/origins.go
+++ b/controller/origins/origins.go
@@ -110,6 +110,8 @@
 	history *origin.History
 	// several holds the services of which several versions have served recently.
 	several map[string]bool
+	// current is set unless the registrations were older than the bound when last observed.
+	current bool
 	counts  Counts
 	lines   logs.RateLimit
 
@@ -119,7 +121,7 @@
 
 // New returns a controller that knows no streams.
 func New(o Options) *Controller {
-	return &Controller{Options: o, started: clock.Now(), table: origin.NewTable(clock.Now()), history: origin.NewHistory(), several: map[string]bool{}, record: newRecord(), bound: newBound()}
+	return &Controller{Options: o, started: clock.Now(), table: origin.NewTable(clock.Now()), history: origin.NewHistory(), several: map[string]bool{}, current: true, record: newRecord(), bound: newBound()}
 }
 
 // Counts returns the event counts since the start, and the number of streams on record.
@@ -158,13 +160,14 @@
 	current := c.isCurrent()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.current = current
 	if !c.history.Watch(clock.Now(), current) {
 		c.record.forget()
 	}
 }
 
-// observe updates the history of a service's versions and reports whether several have served recently.
-// When a second one appears, the streams that this router has begun until then are recorded elsewhere.
+// observe updates the history of a service's versions and reports whether several have served recently, or may have unseen.
+// When a second one appears, or the registrations get too old to tell, the streams that this router has begun until then are recorded elsewhere.
 func (c *Controller) observe(service string) (several bool) {
 	versions := c.Servers.Versions(service)
 	c.mu.Lock()
@@ -172,11 +175,11 @@
 	now := clock.Now()
 	c.record.observe(service, versions, c.history.Observe(now, service, versions))
 	served := c.history.Served(service)
-	several = len(served) > 1 || c.record.mayMiss()
+	several = len(served) > 1 || c.record.mayMiss() || !c.current
 	if several && !c.several[service] {
 		begun := c.bound.streams.Records(now, service)
 		c.Log.Info("several software versions serve; recording the origins of streams", zap.String("service", service),
-			zap.Strings("versions", served), zap.Bool("all_known", !c.record.mayMiss()), zap.Int("streams", len(begun)))
+			zap.Strings("versions", served), zap.Bool("all_known", !c.record.mayMiss() && c.current), zap.Int("streams", len(begun)))
 		go c.shareAll(begun)
 	}
 	if !several && c.several[service] {
--- a/controller/origins/record_test.go
+++ b/controller/origins/record_test.go
@@ -135,6 +135,63 @@
 	})
 }
 
+// Guards against routers that all stood still while a version joined, and that without the store take their answers to each other
+// for evidence that none has.
+func TestRoutersThatStoodStillAreNoEvidence(t *testing.T) {
+	atAllSizes(t, func(t *testing.T, n int) {
+		net := newNetwork(t, n, "v1")
+		first, others := net.all[0], net.all[1:]
+		net.freeze(true, others...)
+		first.known.set("v1", "v2")
+		first.control.Tick()
+		time.Sleep(500 * time.Millisecond)
+		first.begin("s", "v2")
+		time.Sleep(3 * time.Second)
+		net.kill(first)
+		net.setFaults(storeFaults{down: true})
+		net.freeze(false, others...)
+		for _, r := range others {
+			r.age.Store(int64(3500 * time.Millisecond))
+		}
+		for _, r := range others[:5] {
+			if got := r.find("s"); got != "" && got != "v2" {
+				t.Errorf("router %s lets a stream of v2 go on at %q", r.id, got)
+			}
+		}
+	})
+}
+
+func (n *network) freeze(frozen bool, routers ...*router) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, r := range routers {
+		r.trouble.frozen = frozen
+	}
+}
+
+// Guards against refusals in an outage of the store while one version serves: streams that began before it or in it go on at any
+// router, whatever the age of the registrations.
+func TestStreamsGoOnInAnOutageOfTheStore(t *testing.T) {
+	atAllSizes(t, func(t *testing.T, n int) {
+		net := newNetwork(t, n, "v1")
+		ids := net.beginAll("before", "v1")
+		net.setFaults(storeFaults{down: true})
+		for age := range 20 {
+			for _, r := range net.all {
+				r.age.Store(int64(age) * int64(250*time.Millisecond))
+			}
+			net.run(250 * time.Millisecond)
+		}
+		ids = append(ids, net.beginAll("in", "v1")...)
+		net.kill(net.all[0])
+		for i, id := range ids {
+			if got := net.all[1+i%(n-1)].find(id); got != "v1" && got != "any" {
+				t.Errorf("stream %s goes on at %q", id, got)
+			}
+		}
+	})
+}
+
 // Guards against a first event that goes out before its version is on record, and against one that waits for longer than
 // callers do.
 func TestFirstEventWaitsForTheRecord(t *testing.T) {
