Origins: a version that returns after a gap is recorded again

What callers saw: none reported; a version was absent for 230 s, returned at a router that had stood still for 30 s meanwhile, and its streams were joined after a kill of all. Cause: a gap begins a version's absence anew, so that it is not forgotten too early; the same time told whether others may have removed it from the record, where it must not begin anew. The router took the version for recorded. Evidence: TestVersionThatReturnsIsRecordedAgain/30s_after_a_gap and TestReturnAfterAGapIsReported failed before. Why it works: the latest time at which a version can have been registered decides when it is forgotten, the last time at which it certainly was or was on record whether its return is that of a new one.

--- a/controller/origins/record_test.go
+++ b/controller/origins/record_test.go
@@ -219,3 +219,44 @@
 		}
 	})
 }
+
+// Guards against a version that returns and counts as recorded at a router whose history began anew after a gap, though others have
+// removed it from the record.
+func TestVersionThatReturnsIsRecordedAgain(t *testing.T) {
+	for _, sinceGap := range []time.Duration{30 * time.Second, 100 * time.Second} {
+		t.Run(fmt.Sprint(sinceGap, " after a gap"), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				net := newNetwork(t, 2, "v1", "v2")
+				still, awake := net.all[0], net.all[1]
+				net.release("v2")
+				net.run(170 * time.Second)
+				for range 120 { // 30 s
+					awake.control.Tick()
+					time.Sleep(250 * time.Millisecond)
+				}
+				net.run(sinceGap)
+				still.known.set("v1", "v2")
+				still.begin("s", "v1")
+				net.restartAll(time.Second, "v2")
+				net.expectNoOther(t, []string{"s"}, "v1")
+			})
+		})
+	}
+}
+
+// Guards against a version that counts as recorded at a router without current registrations for so long that others may have
+// removed it.
+func TestRecordIsReadAnewAfterALongTimeWithoutRegistrations(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		net := newNetwork(t, 2, "v1", "v2")
+		old, current := net.all[0], net.all[1]
+		current.known.set("v2")
+		old.age.Store(int64(time.Minute))
+		net.run(origin.Retention + 10*time.Second)
+		old.age.Store(0)
+		old.control.Tick()
+		old.begin("s", "v1")
+		net.restartAll(time.Second, "v2")
+		net.expectNoOther(t, []string{"s"}, "v1")
+	})
+}
--- a/origin/history.go
+++ b/origin/history.go
@@ -18,15 +18,21 @@
 // History holds which software versions have served in the last Retention, as one router has seen it or read it in the
 // record of the fleet. It is not safe for concurrent use.
 type History struct {
-	// seen holds when a server of each version was last registered, by service.
-	seen map[string]map[string]time.Time
+	// seen holds the versions by service.
+	seen map[string]map[string]sighting
 	// last is when the servers were last observed, current when with current registrations, and watched since when
 	// without a gap; zero: never.
 	last, current, watched time.Time
 }
 
+// sighting is when a server of a version was last registered.
+type sighting struct {
+	// latest is when one may have been, and certain when one was, or was on record.
+	latest, certain time.Time
+}
+
 // NewHistory returns an empty history.
-func NewHistory() *History { return &History{seen: map[string]map[string]time.Time{}} }
+func NewHistory() *History { return &History{seen: map[string]map[string]sighting{}} }
 
 // Watch records that all registrations of servers are about to be observed; current is set if they are as new as the
 // operator's bound demands. While they are not, and after a gap, versions may have served unseen, so that the time
@@ -44,8 +50,9 @@
 	}
 	h.watched = now
 	for _, seen := range h.seen {
-		for version := range seen {
-			seen[version] = now
+		for version, at := range seen {
+			at.latest = now
+			seen[version] = at
 		}
 	}
 	return kept
@@ -59,36 +66,43 @@
 func (h *History) Observe(now time.Time, service string, versions []string) (returned []string) {
 	seen := h.of(service)
 	for _, v := range versions {
-		if at, ok := seen[v]; !ok || now.Sub(at) > MaxAbsence {
+		if at, ok := seen[v]; !ok || now.Sub(at.certain) > MaxAbsence {
 			returned = append(returned, v)
 		}
-		seen[v] = now
+		seen[v] = sighting{now, now}
 	}
 	if !h.last.IsZero() && now.Sub(h.last) > maxUnwatched {
 		return returned // Watch has yet to see the gap
 	}
-	maps.DeleteFunc(seen, func(_ string, at time.Time) bool { return now.Sub(at) > Retention })
+	maps.DeleteFunc(seen, func(_ string, at sighting) bool { return now.Sub(at.latest) > Retention })
 	return returned
 }
 
 // Learn records that a version has served until now, as far as another source tells, unless it was seen already.
 func (h *History) Learn(now time.Time, service, version string) {
-	if seen := h.of(service); seen[version].IsZero() {
-		seen[version] = now
+	seen := h.of(service)
+	at, ok := seen[version]
+	if !ok {
+		at.latest = now
 	}
+	at.certain = now
+	seen[version] = at
 }
 
-func (h *History) of(service string) map[string]time.Time {
+func (h *History) of(service string) map[string]sighting {
 	seen := h.seen[service]
 	if seen == nil {
-		seen = map[string]time.Time{}
+		seen = map[string]sighting{}
 		h.seen[service] = seen
 	}
 	return seen
 }
 
 // Has reports whether a version has served in the last Retention.
-func (h *History) Has(service, version string) bool { return !h.seen[service][version].IsZero() }
+func (h *History) Has(service, version string) bool {
+	_, ok := h.seen[service][version]
+	return ok
+}
 
 // Served returns the versions of a service that have served in the last Retention, sorted.
 func (h *History) Served(service string) []string { return slices.Sorted(maps.Keys(h.seen[service])) }
--- a/origin/history_test.go
+++ b/origin/history_test.go
@@ -121,3 +121,15 @@
 	w.observe(2*time.Second, true, "v2")
 	expectServed(t, w.History, "v2")
 }
+
+// Guards against a gap that makes a long absence short: others may have removed the version from the record meanwhile.
+func TestReturnAfterAGapIsReported(t *testing.T) {
+	w := newWatched()
+	w.observe(time.Second, true, "v1", "v2")
+	w.observe(origin.MaxAbsence, true, "v2")
+	w.now = w.now.Add(origin.MaxAbsence)
+	w.observe(10*time.Second, true, "v2")
+	if got := w.observe(time.Second, true, "v1", "v2"); !slices.Equal(got, []string{"v1"}) {
+		t.Errorf("%q have returned", got)
+	}
+}
