Known red: a version that returns while its removal from the record is under way

A write that removes a version, and that a slow store applies after the version has returned at another router, takes it off the record unnoticed: that router has read the record before. Not mended: a write of the same record at each return would cost a write at each router for each release; a removal in two steps (marked first, removed some seconds later, and a mark is cleared by whoever sees the version) changes the record's format.

--- a/controller/origins/record_test.go
+++ b/controller/origins/record_test.go
@@ -260,3 +260,31 @@
 		net.expectNoOther(t, []string{"s"}, "v1")
 	})
 }
+
+// Guards against a version that is removed from the record by a write that was under way when it returned: the router at which it
+// returned has read the record before, and takes it for recorded.
+func TestVersionThatReturnsDuringItsRemoval(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		net := newNetwork(t, 2, "v1", "v2")
+		first, removes := net.all[0], net.all[1]
+		net.release("v2")
+		net.run(50 * time.Second)
+		for range 100 { // first stands still for 25 s, so that it does not remove the version itself
+			removes.control.Tick()
+			time.Sleep(250 * time.Millisecond)
+		}
+		net.run(origin.Retention - 76*time.Second)
+		net.setFaults(storeFaults{delay: 1500 * time.Millisecond})
+		net.run(3 * time.Second) // until its write is under way
+		net.setFaults(storeFaults{})
+		net.kill(removes)
+		first.known.set("v1", "v2")
+		first.begin("s", "v1")
+		for range 20 {
+			first.control.Tick()
+			time.Sleep(250 * time.Millisecond)
+		}
+		net.restartAll(time.Second, "v2")
+		net.expectNoOther(t, []string{"s"}, "v1")
+	})
+}
