--- a/controller/origins/property_test.go
+++ b/controller/origins/property_test.go
@@ -618,7 +618,8 @@
 }
 
 // Guards against a stream that goes on at another version than the one that began it, whatever happens to routers, the
-// store and the versions; and against refusals where one version alone has ever served and the store is reachable.
+// store and the versions; and against refusals where one version alone has ever served and the store is reachable. ORIGINS_SEED
+// plays one seed.
 func TestStreamsAreNeverJoined(t *testing.T) {
 	runs, from := uint64(300), uint64(1)
 	if text := os.Getenv("ORIGINS_SEED"); text != "" {
