Origins: a return of a version is written; records are completed with all that was seen; split routes need an origin

The record counts returns now, so that a removal decided before conflicts, and a router that reads such a count begins the absence anew. - A router completed a record without the versions that it had itself seen leave (TestRecordIsCompletedWithAllThatWasSeen). - With a route split between two services of one version each, an unknown stream counted as sole at both (TestStreamOfASplitRouteStaysAtItsService). Origins are recorded for streams of such routes, and one (service, version) pair decides.

--- a/controller/origins/bound.go
+++ b/controller/origins/bound.go
@@ -35,6 +35,8 @@
 	streams *origin.Bound
 	// changed is set if streams were added since the last write, and writing while one is under way.
 	changed, writing bool
+	// split is set if the route of the last stream leads to several services.
+	split bool
 	// version is that of the object if read is set.
 	version int64
 	read    bool
@@ -64,7 +66,8 @@
 	b.changed = true
 }
 
-// storeBoundIfDue writes the streams under way to the store if several versions serve and there are new ones.
+// storeBoundIfDue writes the streams under way to the store if several versions or services may have begun them and there are
+// new ones.
 func (c *Controller) storeBoundIfDue() {
 	routers := c.routers()
 	if !c.keepsBound(routers) {
@@ -73,7 +76,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := clock.Now()
-	if !c.bound.changed || c.bound.writing || now.Before(c.bound.notBefore) || !c.anySeveral() {
+	if !c.bound.changed || c.bound.writing || now.Before(c.bound.notBefore) || !c.bound.split && !c.anySeveral() {
 		return
 	}
 	c.bound.writing = true
--- a/controller/origins/find.go
+++ b/controller/origins/find.go
@@ -92,8 +92,14 @@
 	}
 }
 
+// allSole reports whether no more than one version of one service has served, of all services at which a stream may have
+// run.
 func allSole(served [][]string) bool {
-	return !slices.ContainsFunc(served, func(versions []string) bool { return len(versions) > 1 })
+	all := 0
+	for _, versions := range served {
+		all += len(versions)
+	}
+	return all <= 1
 }
 
 // servedHere returns the versions of services that have served as seen by this router.
@@ -226,14 +232,13 @@
 	case s.origin.Ambiguous, !s.knowsAll():
 		return f
 	}
-	for i, service := range s.services {
-		if len(s.served[i]) <= 1 {
-			f.sole[service] = s.served[i]
-		}
+	if !allSole(s.served) {
+		return f
 	}
-	if allSole(s.served) {
-		f.Source = "sole version"
+	for i, service := range s.services {
+		f.sole[service] = s.served[i]
 	}
+	f.Source = "sole version"
 	return f
 }
 
--- a/controller/origins/origins.go
+++ b/controller/origins/origins.go
@@ -194,6 +194,9 @@
 type Stream struct {
 	Account string
 	Tries   []string
+	// Split is set if the stream's route leads to several services: which of them began it has to be known, whatever
+	// versions they have.
+	Split bool
 }
 
 func (s Stream) records(v origin.Version, attempt int) []origin.Record {
@@ -210,8 +213,6 @@
 	stream  Stream
 	version origin.Version
 	attempt int
-	// listed is set if the version was on record in the store when the attempt began.
-	listed bool
 }
 
 // Begin records the version at which an attempt of a stream is made, counted from 1. It must be called before the attempt,
@@ -228,7 +229,7 @@
 	if !listed {
 		c.syncNow()
 	}
-	return &Recording{c: c, stream: s, version: v, attempt: attempt, listed: listed}
+	return &Recording{c: c, stream: s, version: v, attempt: attempt}
 }
 
 // Bind records that an event of the attempt is about to go to the caller: the stream may go on at no other version from then
@@ -240,9 +241,7 @@
 		return
 	}
 	confirmed := r.c.bind(r)
-	if !r.listed {
-		r.c.awaitListed(ctx, r.version)
-	}
+	r.c.awaitListed(ctx, r.version)
 	if confirmed != nil {
 		r.c.awaitRecorded(ctx, r.stream, confirmed)
 	}
@@ -257,8 +256,9 @@
 	for _, record := range records {
 		c.bound.add(record)
 	}
+	c.bound.split = r.stream.Split
 	c.mu.Unlock()
-	if !several || c.Fleet == nil {
+	if !several && !r.stream.Split || c.Fleet == nil {
 		return nil
 	}
 	return c.shareEach(records)
--- a/controller/origins/record.go
+++ b/controller/origins/record.go
@@ -34,8 +34,10 @@
 	// if no stream waits for them, and dropSpread that for the removal of a version that has gone: one of them is enough.
 	syncSpread = 2 * time.Millisecond
 	dropSpread = 50 * time.Millisecond
-	// readTimeout is how long a stream that is taken up waits for the record.
+	// readTimeout is how long a stream that is taken up waits for the record, and readPause the minimum time between two
+	// reads for streams.
 	readTimeout = 300 * time.Millisecond
+	readPause   = 20 * time.Millisecond
 )
 
 // record is what a router knows of the store's record of the versions that have served. c.mu protects it.
@@ -51,6 +53,8 @@
 	// registered are the versions of the servers that are registered, by service, and those that were and have not been on
 	// record yet.
 	registered map[string][]string
+	// returned are the services of which a version on record was seen again after a long absence, until the record says so.
+	returned map[string]bool
 	// syncing is set while the record is brought up to date; again asks for another time after that.
 	syncing, again bool
 	// notBefore is when that may be tried again after so many failures in a row.
@@ -73,16 +77,18 @@
 }
 
 func newRecord() record {
-	return record{changed: make(chan struct{}), registered: map[string][]string{}, listed: map[origin.Version]bool{}}
+	return record{changed: make(chan struct{}), registered: map[string][]string{}, listed: map[origin.Version]bool{}, returned: map[string]bool{}}
 }
 
 // observe records the versions of the registered servers of a service. Those that have returned after a long absence may
-// have been removed from the store meanwhile.
+// have been removed from the store meanwhile, or their removal may be under way.
 func (r *record) observe(service string, versions, returned []string) {
 	unrecorded := slices.DeleteFunc(r.registered[service], func(v string) bool { return r.known.Covers(service, v) })
 	r.registered[service] = union(unrecorded, versions)
 	for _, version := range returned {
-		r.known.Remove(service, version)
+		if r.known.Remove(service, version) {
+			r.returned[service] = true
+		}
 		delete(r.listed, origin.Version{Service: service, Name: version})
 	}
 }
@@ -96,14 +102,17 @@
 
 // has reports whether a version is on record in the store.
 func (r *record) has(v origin.Version) bool {
-	return r.read && r.known.Covers(v.Service, v.Name) || r.listed[v]
+	return r.read && r.known.Covers(v.Service, v.Name) && !r.returned[v.Service] || r.listed[v]
 }
 
 // mayMiss reports whether versions may have served that this router does not know.
 func (r *record) mayMiss() bool { return !r.read || r.known.Incomplete }
 
-// lacksRegistered reports whether a version is registered that is not on record.
+// lacksRegistered reports whether a version is registered that is not on record, or whose return is not.
 func (r *record) lacksRegistered() bool {
+	if len(r.returned) > 0 {
+		return true
+	}
 	for service, versions := range r.registered {
 		for _, version := range versions {
 			if !r.known.Covers(service, version) {
@@ -269,14 +278,27 @@
 	}
 	c.Log.Info("versions recorded in the store", zap.Any("versions", wanted.Versions), zap.Bool("incomplete", wanted.Incomplete))
 	c.learn(wanted, current.Version)
+	c.returnsWritten()
 	return current, nil
 }
 
+// returnsWritten records that the record tells of the returns that this router has seen.
+func (c *Controller) returnsWritten() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.record.returned)
+	c.record.notify()
+}
+
 // wanted returns what the record should be, given what it is, and whether that is a change.
 func (c *Controller) wanted(served origin.Served) (wanted origin.Served, change bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	wanted = served.Clone()
+	for service := range c.record.returned {
+		wanted.CountReturn(service)
+		change = true
+	}
 	for _, v := range c.gone(wanted) {
 		change = wanted.Remove(v.Service, v.Name) || change
 	}
@@ -285,6 +307,11 @@
 			change = wanted.Add(service, version) || change
 		}
 	}
+	if wanted.Incomplete {
+		for _, v := range c.history.All() {
+			change = wanted.Add(v.Service, v.Name) || change
+		}
+	}
 	if wanted.Incomplete && c.completes() {
 		wanted.Incomplete, change = false, true
 	}
@@ -315,13 +342,21 @@
 func (c *Controller) decode(o store.Object) storedRecord {
 	served, err := origin.DecodeServed(o.Value)
 	if err != nil {
-		c.Log.Warn("malformed record of versions in the store; it is replaced", zap.Error(err))
+		c.noteMalformed(err)
 		served = c.replacement(false)
 	}
 	c.learn(served, o.Version)
 	return storedRecord{served: served, version: o.Version, usable: err == nil}
 }
 
+func (c *Controller) noteMalformed(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if leftOut, allowed := c.lines.Allow(clock.Now(), unrecordedLogInterval); allowed {
+		c.Log.Warn("malformed record of versions in the store; it is replaced", zap.Error(err), zap.Int64("lines_left_out", leftOut))
+	}
+}
+
 // replacement returns the record that replaces one that is missing or malformed: what this router knows. It is incomplete, unless
 // the fleet starts for the first time and there has been none.
 func (c *Controller) replacement(missing bool) origin.Served {
@@ -343,8 +378,9 @@
 	}
 	now := clock.Now()
 	for service, versions := range served.Versions {
+		hasReturns := c.record.read && served.Returns[service] != c.record.known.Returns[service]
 		for _, version := range versions {
-			if !c.record.known.Has(service, version) {
+			if hasReturns || !c.record.known.Has(service, version) {
 				c.history.Learn(now, service, version)
 			}
 		}
@@ -471,6 +507,7 @@
 			c.syncNow()
 		}
 		close(read.done)
+		time.Sleep(readPause)
 	}
 }
 
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -21,7 +21,7 @@
 
 // streamID returns what identifies the request's stream over all tries of its caller.
 func (c *call) streamID() origins.Stream {
-	s := origins.Stream{Tries: []string{c.ID}}
+	s := origins.Stream{Tries: []string{c.ID}, Split: len(c.route.Split) > 1}
 	if c.account != nil {
 		s.Account = c.account.Name
 	}
--- a/origin/served.go
+++ b/origin/served.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"maps"
 	"slices"
 )
 
@@ -16,6 +17,9 @@
 type Served struct {
 	// Versions are the versions by service, sorted.
 	Versions map[string][]string `json:"versions"`
+	// Returns counts, by service, how often a version that was on record was seen again after a long absence. So a removal that
+	// was decided before, or is on its way to the store, conflicts with the return.
+	Returns map[string]int64 `json:"returns,omitempty"`
 	// Incomplete is set if versions may have served that are missing: the record was created, or created anew, by
 	// a router that had not watched from the first start of the fleet.
 	Incomplete bool `json:"incomplete,omitempty"`
@@ -53,7 +57,7 @@
 
 // Clone returns a deep copy.
 func (s Served) Clone() Served {
-	c := Served{Versions: map[string][]string{}, Incomplete: s.Incomplete}
+	c := Served{Versions: map[string][]string{}, Returns: maps.Clone(s.Returns), Incomplete: s.Incomplete}
 	for service, versions := range s.Versions {
 		c.Versions[service] = slices.Clone(versions)
 	}
@@ -71,6 +75,14 @@
 	return len(s.Versions[service]) >= maxListed || s.Has(service, version)
 }
 
+// CountReturn counts a return of a version of a service.
+func (s *Served) CountReturn(service string) {
+	if s.Returns == nil {
+		s.Returns = map[string]int64{}
+	}
+	s.Returns[service]++
+}
+
 // Add adds a version of a service, unless the record covers it, and reports whether it did.
 func (s *Served) Add(service, version string) bool {
 	if s.Covers(service, version) {
