Origins: without the store nothing is concluded from what routers have not seen

Callers saw nothing yet: a router that was cut off from the others began a stream at a version that they had not heard of, within the bound, and died; with the store silent, the others let it go on at the old one (TestRouterCutOffBeforeTheStoreFallsSilentJoinsNoStreams, 6 routers, failed before). A router whose registrations exceed the bound records its streams, so that in an outage they are known (TestStreamsGoOnInAnOutageOfTheStore holds as it is). TestRouterThatStartsWithoutTheStoreServes: a stream that another router began before the outage goes on at a router that has started since once registrations exceed the bound, no longer at once; until then it is refused. The test says so.

--- a/controller/origins/find.go
+++ b/controller/origins/find.go
@@ -47,7 +47,7 @@
 		c.observe(service)
 	}
 	key := origin.KeyOf(account, try)
-	s := survey{copies: c.copies(), named: try != "", services: services, served: c.servedHere(services), watched: c.knowsServed()}
+	s := survey{copies: c.copies(), named: try != "", services: services, served: c.servedHere(services)}
 	s.add("here", c.known(key))
 	if s.origin.Known && allSole(s.served) {
 		return c.finding(s)
@@ -118,17 +118,6 @@
 	return c.table.Known(clock.Now(), key)
 }
 
-// knowsServed reports whether this router knows which versions have served, as far as its registrations tell: it has read
-// what had served before, and these are current.
-func (c *Controller) knowsServed() bool { return c.hasWatched() && c.isCurrent() }
-
-// hasWatched reports whether this router has read which versions had served before it began to watch.
-func (c *Controller) hasWatched() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.record.mayMiss()
-}
-
 // isCurrent reports whether this router's registrations of servers are current.
 func (c *Controller) isCurrent() bool { return c.Current == nil || c.Current() }
 
@@ -151,11 +140,8 @@
 	sources int
 	// served are the versions of each service that have served.
 	served [][]string
-	// answered counts the routers that answered, current those of them with current registrations, missing those that did not answer, and
-	// unaware those that do not know which versions served before they began to watch, or since their registrations were current.
-	answered, current, missing, unaware int
-	// watched is set if this router knows both.
-	watched bool
+	// current counts the routers that answered with current registrations, missing those that did not answer.
+	current, missing int
 	// record is set if the store has told which versions have served, and incomplete if it does not know of all.
 	record, incomplete bool
 }
@@ -179,13 +165,9 @@
 	}
 	a := r.answer
 	s.add(r.router, origin.Knowledge{Known: a.Known, Ambiguous: a.Ambiguous, Origin: a.Origin, Attempt: a.Attempt})
-	s.answered++
 	if a.Current {
 		s.current++
 	}
-	if !a.Watched || !a.Current {
-		s.unaware++
-	}
 	for i := range min(len(s.served), len(a.Served)) {
 		s.served[i] = union(s.served[i], a.Served[i])
 	}
@@ -212,16 +194,9 @@
 // store takes no writes, versions serve that are not on record.
 func (s *survey) settled() bool { return s.origin.Ambiguous || s.sources > s.copies }
 
-// knowsAll reports whether all versions that have served are known. The record of the store tells, or in an outage of the
-// store the routers that were asked, if all of them answer, have watched and have current registrations: those that stood
-// still together may all have missed a version. A router that knows of a version which they do not know, or whose registrations
-// are not current, keeps the origins of its streams at some of them.
-func (s *survey) knowsAll() bool {
-	if s.record {
-		return !s.incomplete
-	}
-	return s.missing == 0 && s.unaware == 0 && (s.watched || s.answered >= copies)
-}
+// knowsAll reports whether all versions that have served are known. Only the record of the store tells: a version may have
+// served at a router that could tell nobody.
+func (s *survey) knowsAll() bool { return s.record && !s.incomplete }
 
 // finding returns what follows for the stream.
 func (s *survey) finding() Finding {
@@ -303,6 +278,12 @@
 	}
 	k := c.known(req.Key)
 	return &peer.OriginAnswer{
-		Watched: c.hasWatched(), Listed: c.listedHere(req.Services), Known: k.Known, Ambiguous: k.Ambiguous, Origin: k.Origin, Attempt: k.Attempt, Served: c.servedHere(req.Services), Current: c.isCurrent(),
+		Known:     k.Known,
+		Ambiguous: k.Ambiguous,
+		Origin:    k.Origin,
+		Attempt:   k.Attempt,
+		Served:    c.servedHere(req.Services),
+		Listed:    c.listedHere(req.Services),
+		Current:   c.isCurrent(),
 	}, nil
 }
--- a/controller/origins/forgotten_test.go
+++ b/controller/origins/forgotten_test.go
@@ -158,7 +158,7 @@
 }
 
 // Guards against first events that wait for the store at a router that starts while the store is down, though others know that
-// the version is on record; and against refusals of streams there, though all others know that one version has served.
+// the version is on record; and against refusals of streams there for longer than until registrations exceed the bound.
 func TestRouterThatStartsWithoutTheStoreServes(t *testing.T) {
 	atAllSizes(t, func(t *testing.T, n int) {
 		net := newNetwork(t, n, "v1")
@@ -172,6 +172,10 @@
 		if took := time.Since(begun); took > 60*time.Millisecond {
 			t.Errorf("a first event waits %s", took)
 		}
+		for _, r := range net.all {
+			r.age.Store(int64(3 * time.Second)) // over the bound
+		}
+		net.run(time.Second)
 		if got := started.find("s"); got != "v1" {
 			t.Errorf("a stream of the only version is refused: %q", got)
 		}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -386,9 +386,8 @@
 	Served [][]string
 	// Listed are those that are on record in the store, as far as the responding router knows; none from an older release.
 	Listed [][]string
-	// Current reports whether the responding router's registrations of servers are current, and Watched whether it knows
-	// which versions served before it began to watch; false from an older release.
-	Current, Watched bool
+	// Current reports whether the responding router's registrations of servers are current.
+	Current bool
 }
 
 // VerdictsRequest reports requests that crash servers. If All is set, it also
