--- a/controller/origins/bound.go
+++ b/controller/origins/bound.go
@@ -42,9 +42,9 @@
 	read    bool
 	// notBefore is when the next write may begin.
 	notBefore time.Time
-	// listed holds the streams of all routers as last read, listing is closed when the read under way has ended, and
+	// stored holds the streams of all routers as last read, listing is closed when the read under way has ended, and
 	// nextList is when the next one may begin.
-	listed   *origin.Bound
+	stored   *origin.Bound
 	listing  chan struct{}
 	nextList time.Time
 	// seen holds the objects as first read at their versions.
@@ -57,7 +57,7 @@
 }
 
 func newBound() bound {
-	return bound{streams: origin.NewBound(maxBound), listed: origin.NewBound(0), seen: map[string]seenObject{}}
+	return bound{streams: origin.NewBound(maxBound), stored: origin.NewBound(0), seen: map[string]seenObject{}}
 }
 
 // add adds a stream.
@@ -176,7 +176,7 @@
 		return origin.Knowledge{}
 	}
 	c.mu.Lock()
-	k := c.bound.listed.Of(key)
+	k := c.bound.stored.Of(key)
 	now := clock.Now()
 	if c.bound.listing == nil && !now.Before(c.bound.nextList) && !k.Known && !k.Ambiguous {
 		c.bound.listing, c.bound.nextList = make(chan struct{}), now.Add(listPause)
@@ -196,7 +196,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.bound.listed.Of(key)
+	return c.bound.stored.Of(key)
 }
 
 // listBound reads the streams of all routers.
@@ -238,6 +238,6 @@
 		}
 		c.mergeBound(listed, o)
 	}
-	c.bound.listed, c.bound.seen = listed, seen
+	c.bound.stored, c.bound.seen = listed, seen
 	return left
 }
--- a/controller/origins/origins.go
+++ b/controller/origins/origins.go
@@ -115,8 +115,8 @@
 	counts  Counts
 	lines   logs.RateLimit
 
-	record
-	bound bound
+	record record
+	bound  bound
 }
 
 // New returns a controller that knows no streams.
@@ -227,7 +227,7 @@
 	listed := c.record.has(v)
 	c.mu.Unlock()
 	if !listed {
-		c.syncNow()
+		c.requestSync()
 	}
 	return &Recording{c: c, stream: s, version: v, attempt: attempt}
 }
