--- a/controller/origins/bound.go
+++ b/controller/origins/bound.go
@@ -89,6 +89,7 @@
 	return c.Store != nil && c.Self != "" && routers <= maxBoundRouters
 }
 
+// routers returns the known number of routers, at least 1.
 func (c *Controller) routers() int {
 	if c.Fleet == nil {
 		return 1
@@ -164,9 +165,14 @@
 	return nil
 }
 
+// mergeBound adds the streams of a stored object. The caller holds c.mu.
 func (c *Controller) mergeBound(b *origin.Bound, o store.Object) {
-	if err := b.Merge(clock.Now(), o.Value); err != nil {
-		c.Log.Warn("malformed origins of streams in the store", zap.String("key", o.Key), zap.Error(err))
+	err := b.Merge(clock.Now(), o.Value)
+	if err == nil {
+		return
+	}
+	if leftOut, allowed := c.malformedLines.Allow(clock.Now(), logInterval); allowed {
+		c.Log.Warn("malformed origins of streams in the store", zap.String("key", o.Key), zap.Error(err), zap.Int64("lines_left_out", leftOut))
 	}
 }
 
--- a/controller/origins/listed.go
+++ b/controller/origins/listed.go
@@ -82,7 +82,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counts.Unlisted++
-	if leftOut, allowed := c.lines.Allow(clock.Now(), unrecordedLogInterval); allowed {
-		c.Log.Warn("a version serves that is not on record in the store yet", zap.String("service", v.Service), zap.String("software", v.Name), zap.Int64("lines_left_out", leftOut))
+	if leftOut, allowed := c.unlistedLines.Allow(clock.Now(), logInterval); allowed {
+		c.Log.Warn("a version serves that is not on record in the store yet",
+			zap.String("service", v.Service), zap.String("software", v.Name), zap.Int64("lines_left_out", leftOut))
 	}
 }
--- a/controller/origins/origins.go
+++ b/controller/origins/origins.go
@@ -49,9 +49,8 @@
 	// conflictWait is how long a router that has learned a stream's origin waits for others that may know of a
 	// later attempt.
 	conflictWait = 20 * time.Millisecond
-	// unrecordedLogInterval is the minimum time between two log lines about origins that were not
-	// recorded in time.
-	unrecordedLogInterval = 5 * time.Second
+	// logInterval is the minimum time between two log lines of a kind that may be many.
+	logInterval = 5 * time.Second
 )
 
 // Fleet are the other routers.
@@ -113,7 +112,9 @@
 	// current is set unless the registrations were older than the bound when last observed.
 	current bool
 	counts  Counts
-	lines   logs.RateLimit
+	// unrecordedLines, unlistedLines and malformedLines limit the log lines about origins that are not recorded in time,
+	// versions that are not, and stored objects that cannot be read.
+	unrecordedLines, unlistedLines, malformedLines logs.RateLimit
 
 	record record
 	bound  bound
@@ -121,7 +122,16 @@
 
 // New returns a controller that knows no streams.
 func New(o Options) *Controller {
-	return &Controller{Options: o, started: clock.Now(), table: origin.NewTable(clock.Now()), history: origin.NewHistory(), several: map[string]bool{}, current: true, record: newRecord(), bound: newBound()}
+	return &Controller{
+		Options: o,
+		started: clock.Now(),
+		table:   origin.NewTable(clock.Now()),
+		history: origin.NewHistory(),
+		several: map[string]bool{},
+		current: true,
+		record:  newRecord(),
+		bound:   newBound(),
+	}
 }
 
 // Counts returns the event counts since the start, and the number of streams on record.
@@ -301,7 +311,7 @@
 		return
 	}
 	c.counts.Unrecorded++
-	if leftOut, allowed := c.lines.Allow(clock.Now(), unrecordedLogInterval); allowed {
+	if leftOut, allowed := c.unrecordedLines.Allow(clock.Now(), logInterval); allowed {
 		c.Log.Warn("no other router has the origin of a stream yet", zap.Strings("requests", s.Tries), zap.Int64("lines_left_out", leftOut))
 	}
 }
--- a/controller/origins/sync.go
+++ b/controller/origins/sync.go
@@ -50,11 +50,7 @@
 
 // spread returns a random time over which the routers of the fleet spread calls.
 func (c *Controller) spread(each time.Duration) time.Duration {
-	routers := 1
-	if c.Fleet != nil {
-		routers = max(c.Fleet.Size(), 1)
-	}
-	return rand.N(time.Duration(routers) * each)
+	return rand.N(time.Duration(c.routers()) * each)
 }
 
 // dropDue reports whether this router is to remove something from the record now. The caller holds c.mu.
@@ -69,7 +65,8 @@
 	return !now.Before(c.record.dropAt)
 }
 
-// requestSync brings the record up to date, or once more if that is under way.
+// requestSync has the record brought up to date, or once more if that is under way. After a failure Tick does it, once the
+// pause has passed.
 func (c *Controller) requestSync() {
 	if c.Store == nil {
 		return
@@ -81,7 +78,7 @@
 		return
 	}
 	if clock.Now().Before(c.record.notBefore) {
-		return // Tick does it
+		return
 	}
 	c.record.syncing, c.record.again = true, false
 	go c.sync()
@@ -230,7 +227,7 @@
 func (c *Controller) noteMalformed(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if leftOut, allowed := c.lines.Allow(clock.Now(), unrecordedLogInterval); allowed {
+	if leftOut, allowed := c.malformedLines.Allow(clock.Now(), logInterval); allowed {
 		c.Log.Warn("malformed record of versions in the store; it is replaced", zap.Error(err), zap.Int64("lines_left_out", leftOut))
 	}
 }
