Wait, spread: one gate for state that is loaded at the start, one answer to whether reports are complete

The change gave the limits a copy of the verdicts' wait for what is read at the start, and both controllers the same condition around spread.IsComplete. wait.Gate serves both (the verdicts held theirs already), and the spreader is told whether relays inform it.

--- a/controller/limits/limits.go
+++ b/controller/limits/limits.go
@@ -19,6 +19,7 @@
 	"github.com/gaplink/gaplink/logs"
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/placement"
+	"github.com/gaplink/gaplink/wait"
 )
 
 const (
@@ -97,9 +98,8 @@
 	// watching mirrors whether the table is non-empty, so that answers cost no lock while no
 	// server names a limit.
 	watching atomic.Bool
-	// loading is open while the limits that other routers know are being read at the start; nil: they have been, or
-	// need not be.
-	loading atomic.Pointer[chan struct{}]
+	// loading is closed while the limits that other routers know are being read at the start.
+	loading wait.Gate
 
 	mu      sync.Mutex
 	table   *limiter.Table
@@ -120,7 +120,7 @@
 		denials:    limiter.NewDenialCache(),
 		unanswered: map[string]time.Time{},
 	}
-	options := spread.Options[limiter.Report]{Receive: c.Receive, Snapshot: c.snapshot, Name: "rate limits", Log: o.Log}
+	options := spread.Options[limiter.Report]{Receive: c.Receive, Snapshot: c.snapshot, Informed: o.Informed, Name: "rate limits", Log: o.Log}
 	if o.Fleet != nil {
 		options.Fleet = spreadFleet{o.Fleet}
 	}
@@ -142,26 +142,9 @@
 // load asks other routers for their limits. Requests wait until one has answered, at most for loadTimeout: no limit that
 // is known is no evidence that there is none.
 func (c *Controller) load(ctx context.Context) {
-	loaded := make(chan struct{})
-	c.loading.Store(&loaded)
-	endLoading := sync.OnceFunc(func() {
-		c.loading.Store(nil)
-		close(loaded)
-	})
-	timeout := time.AfterFunc(loadTimeout, endLoading)
+	loaded := c.loading.Close(loadTimeout)
 	c.CatchUp(ctx)
-	timeout.Stop()
-	endLoading()
-}
-
-// awaitLoaded waits until the limits that other routers know have been read, or the context ends.
-func (c *Controller) awaitLoaded(ctx context.Context) {
-	if loaded := c.loading.Load(); loaded != nil {
-		select {
-		case <-*loaded:
-		case <-ctx.Done():
-		}
-	}
+	loaded()
 }
 
 // runTicker calls Tick every expireInterval until the context ends.
@@ -299,8 +282,7 @@
 	if !req.All {
 		return &peer.LimitsAnswer{}, nil
 	}
-	isComplete := c.spread.IsComplete() || c.Informed != nil && c.Informed()
-	return &peer.LimitsAnswer{Report: c.snapshot(), Incomplete: !isComplete}, nil
+	return &peer.LimitsAnswer{Report: c.snapshot(), Incomplete: !c.spread.IsComplete()}, nil
 }
 
 // spreadFleet adapts a Fleet to spread.Fleet.
--- a/controller/limits/permits.go
+++ b/controller/limits/permits.go
@@ -169,7 +169,7 @@
 // Admit gets a permit for a request to a server. False means that the server takes no further
 // request from this router for a while. Just after the start it waits until the limits are known.
 func (c *Controller) Admit(ctx context.Context, t Target) (Permit, bool) {
-	c.awaitLoaded(ctx)
+	c.loading.Wait(ctx)
 	if !c.Restricted(t) {
 		return Permit{}, true
 	}
--- a/controller/spread/spread.go
+++ b/controller/spread/spread.go
@@ -69,6 +69,8 @@
 	// Trim bounds a report that is queued for a router, and reports whether it has dropped anything: the router is then
 	// sent a snapshot as well. nil: it is not bounded.
 	Trim func(R) (trimmed R, dropped bool)
+	// Informed reports whether relays have sent this router their reports; nil: none do.
+	Informed func() bool
 	// Name identifies the reports in the log.
 	Name string
 	Log  *zap.Logger
@@ -273,8 +275,11 @@
 }
 
 // IsComplete reports whether this router knows the reports that were made before it started or was paused: it has the
-// state of one that knows them, or of all that receive each report.
+// state of one that knows them, or of all that receive each report, or relays have sent it theirs.
 func (s *Spreader[R]) IsComplete() bool {
+	if s.Informed != nil && s.Informed() {
+		return true
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.complete
--- a/controller/verdicts/propagate.go
+++ b/controller/verdicts/propagate.go
@@ -21,9 +21,10 @@
 			defer c.mu.Unlock()
 			return c.table.Snapshot(clock.Now())
 		},
-		Trim: trimCrashes,
-		Name: "poison requests",
-		Log:  c.Log,
+		Trim:     trimCrashes,
+		Informed: c.Informed,
+		Name:     "poison requests",
+		Log:      c.Log,
 	}
 	if c.Fleet != nil {
 		o.Fleet = spreadFleet{c.Fleet}
@@ -68,8 +69,7 @@
 	if !req.All {
 		return &peer.VerdictsAnswer{}, nil
 	}
-	isComplete := c.spread.IsComplete() || c.Informed != nil && c.Informed()
-	return &peer.VerdictsAnswer{Report: c.spread.Snapshot(), Incomplete: !isComplete}, nil
+	return &peer.VerdictsAnswer{Report: c.spread.Snapshot(), Incomplete: !c.spread.IsComplete()}, nil
 }
 
 // Receive applies a report of another router.
--- a/controller/verdicts/verdicts.go
+++ b/controller/verdicts/verdicts.go
@@ -22,6 +22,7 @@
 	"github.com/gaplink/gaplink/result"
 	"github.com/gaplink/gaplink/store"
 	"github.com/gaplink/gaplink/upstream"
+	"github.com/gaplink/gaplink/wait"
 )
 
 // expireInterval is the time between two scans for expired crashes.
@@ -88,8 +89,8 @@
 	// server has crashed.
 	watching atomic.Bool
 
-	// loading is open while the current state is being read; nil: it has been, or need not be.
-	loading atomic.Pointer[chan struct{}]
+	// loading is closed while the current state is being read at the start.
+	loading wait.Gate
 
 	// spread propagates what this router observed.
 	spread *spread.Spreader[poison.Report]
@@ -184,29 +185,20 @@
 // load reads the current state from another router and from the store. Requests wait until both have answered once, at most
 // for loadTimeout: a fleet whose routers have all ended knows no verdict until then.
 func (c *Controller) load(ctx context.Context) {
-	loaded := make(chan struct{})
-	c.loading.Store(&loaded)
-	endLoading := sync.OnceFunc(func() {
-		c.loading.Store(nil)
-		close(loaded)
-	})
+	loaded := c.loading.Close(loadTimeout)
 	var answered sync.WaitGroup
 	answered.Go(func() { c.CatchUp(ctx) })
 	answered.Add(1)
 	go c.loadFromStore(ctx, sync.OnceFunc(answered.Done))
-	timeout := time.AfterFunc(loadTimeout, endLoading)
 	go func() {
 		answered.Wait()
-		timeout.Stop()
-		endLoading()
+		loaded()
 	}()
 }
 
 // awaitLoaded waits until the current state is known.
 func (c *Controller) awaitLoaded() {
-	if loaded := c.loading.Load(); loaded != nil {
-		<-*loaded
-	}
+	c.loading.Wait(context.Background())
 }
 
 // CatchUp asks other routers for their verdicts and crashes, unless relays send them anyway.
--- a/wait/wait.go
+++ b/wait/wait.go
@@ -1,4 +1,4 @@
-// Package wait provides a sleep that ends with its context.
+// Package wait provides a sleep that ends with its context, and a gate that holds callers back.
 package wait
 
 import (
