--- a/rawjson/rawjson.go
+++ b/rawjson/rawjson.go
@@ -234,17 +234,7 @@
 	if err := r.expect(open); err != nil {
 		return err
 	}
-	c, err := r.peek()
-	if err != nil {
-		return err
-	}
-	if c == end {
-		return r.expect(end)
-	}
-	for {
-		if err := member(); err != nil {
-			return err
-		}
+	for isFirst := true; ; isFirst = false {
 		c, err := r.peek()
 		if err != nil {
 			return err
@@ -252,7 +242,12 @@
 		if c == end {
 			return r.expect(end)
 		}
-		if err := r.expect(','); err != nil {
+		if !isFirst {
+			if err := r.expect(','); err != nil {
+				return err
+			}
+		}
+		if err := member(); err != nil {
 			return err
 		}
 	}
