Origins: take-ups wait for the shared read itself; a version on record costs no timer

Each stream that was taken up started a goroutine with a channel of its own, only to pass on a read that already has one; and the first event of each stream set up a timer before it looked whether its version is on record, which it nearly always is.

--- a/controller/origins/find.go
+++ b/controller/origins/find.go
@@ -52,9 +52,9 @@
 	if s.origin.Known && allSole(s.served) {
 		return c.finding(s)
 	}
-	var record <-chan recordRead
+	var record *recordRead
 	if allSole(s.served) {
-		record = c.startReading(ctx)
+		record = c.nextRead()
 	}
 	c.ask(ctx, key, &s, record)
 	if s.isRefused() {
@@ -63,16 +63,6 @@
 	return c.finding(s)
 }
 
-// startReading begins to read the record of versions, beside the questions to other routers.
-func (c *Controller) startReading(ctx context.Context) <-chan recordRead {
-	result := make(chan recordRead, 1)
-	go func() {
-		served, err := c.readServed(ctx)
-		result <- recordRead{served: served, err: err}
-	}()
-	return result
-}
-
 // finding returns and counts what follows for a stream.
 func (c *Controller) finding(s survey) Finding {
 	f := s.finding()
@@ -217,14 +207,18 @@
 	return f
 }
 
-// ask asks the routers that may keep the origin of a stream, and takes in the record of versions if that is read. Once
-// a router has the origin, the others have a short time to tell of a later attempt.
-func (c *Controller) ask(ctx context.Context, key origin.Key, s *survey, record <-chan recordRead) {
+// ask asks the routers that may keep the origin of a stream, and takes in the record of versions unless record is nil. Once
+// a router has the origin, the others have a short time to send a later attempt.
+func (c *Controller) ask(ctx context.Context, key origin.Key, s *survey, record *recordRead) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	var read, givenUp <-chan struct{}
+	if record != nil {
+		read, givenUp = record.done, ctx.Done()
+	}
 	replies, pending := c.askEach(ctx, &peer.OriginRequest{Key: key, Services: s.services})
 	var expired <-chan time.Time
-	for !s.settled() && (pending > 0 || record != nil && s.isUnknown() && allSole(s.served)) {
+	for !s.settled() && (pending > 0 || read != nil && s.isUnknown() && allSole(s.served)) {
 		if s.sources > 0 && expired == nil {
 			expired = time.After(conflictWait)
 		}
@@ -232,9 +226,11 @@
 		case r := <-replies:
 			pending--
 			s.addReply(r)
-		case r := <-record:
-			record = nil
-			s.addRecord(r.served, r.err)
+		case <-read:
+			read, givenUp = nil, nil
+			s.addRecord(record.served, record.err)
+		case <-givenUp:
+			read, givenUp = nil, nil
 		case <-expired:
 			return
 		}
--- a/controller/origins/listed.go
+++ b/controller/origins/listed.go
@@ -60,17 +60,16 @@
 
 // awaitListed waits until a version is on record in the store, for versionWait at most.
 func (c *Controller) awaitListed(ctx context.Context, v origin.Version) {
+	has, changed := c.isListed(v)
+	if has {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, versionWait)
 	defer cancel()
-	for {
-		c.mu.Lock()
-		has, changed := c.record.has(v), c.record.changed
-		c.mu.Unlock()
-		if has || c.Store == nil {
-			return
-		}
+	for !has {
 		select {
 		case <-changed:
+			has, changed = c.isListed(v)
 		case <-ctx.Done():
 			c.noteUnlisted(v)
 			return
@@ -78,6 +77,14 @@
 	}
 }
 
+// isListed reports whether a version is on record in the store, or there is no store, and returns a channel that is closed when
+// that may have changed.
+func (c *Controller) isListed(v origin.Version) (is bool, changed <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Store == nil || c.record.has(v), c.record.changed
+}
+
 func (c *Controller) noteUnlisted(v origin.Version) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/controller/origins/record_read.go
+++ b/controller/origins/record_read.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/gaplink/gaplink/origin"
-	"github.com/gaplink/gaplink/store"
 )
 
 const (
@@ -16,36 +15,29 @@
 	readPause   = 20 * time.Millisecond
 )
 
-// recordRead is one read of the record.
+// recordRead is one read of the record, which is served unless err is set once done is closed.
 type recordRead struct {
 	done   chan struct{}
 	served origin.Served
 	err    error
 }
 
-// readServed returns the record as the store has it at some time after the call. Calls at the same time share a read.
-func (c *Controller) readServed(ctx context.Context) (origin.Served, error) {
+// nextRead returns the next read of the record, which begins after the call; nil without a store. Calls at the same time share
+// it.
+func (c *Controller) nextRead() *recordRead {
 	if c.Store == nil {
-		return origin.Served{}, store.ErrUnavailable
+		return nil
 	}
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.record.nextRead == nil {
 		c.record.nextRead = &recordRead{done: make(chan struct{})}
 	}
-	read := c.record.nextRead
 	if !c.record.reading {
 		c.record.reading = true
 		go c.readForStreams()
 	}
-	c.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	select {
-	case <-read.done:
-		return read.served, read.err
-	case <-ctx.Done():
-		return origin.Served{}, ctx.Err()
-	}
+	return c.record.nextRead
 }
 
 // readForStreams reads the record until no stream waits for it.
