--- a/controller/origins/bound.go
+++ b/controller/origins/bound.go
@@ -14,7 +14,7 @@
 
 const (
 	// BoundKind is the kind of the store objects that hold the origins of streams under way, one for each router. They are
-	// read if no router knows a stream, as after a kill of all.
+	// read if no router has the origin of a stream, as after all routers were killed.
 	BoundKind = "streamorigins"
 	// maxBound is the number of streams in an object: 24 bytes each.
 	maxBound = 4096
@@ -176,7 +176,7 @@
 	}
 }
 
-// findStored returns what the store tells of a stream that no router knows.
+// findStored returns the origin of a stream from the store, for one of which no router has the origin.
 func (c *Controller) findStored(ctx context.Context, key origin.Key) origin.Knowledge {
 	if !c.keepsBound(c.routers()) {
 		return origin.Knowledge{}
--- a/controller/origins/find.go
+++ b/controller/origins/find.go
@@ -40,8 +40,8 @@
 
 // Find finds out which version began the stream that a try of an account names, given the services at
 // which it may have run. It asks other routers, even if this one knows of a single version: its registrations may
-// be older than the stream. If nobody knows the stream, the store says which versions have served: neither this router
-// nor those it asked can tell from what they have not seen.
+// be older than the stream. If none has the origin, the record in the store decides, which names the versions that have
+// served: that neither this router nor those it asked have seen another one is no evidence.
 func (c *Controller) Find(ctx context.Context, account, try string, services []string) Finding {
 	for _, service := range services {
 		c.observe(service)
@@ -132,7 +132,7 @@
 	served [][]string
 	// current counts the routers that answered with current registrations, missing those that did not answer.
 	current, missing int
-	// record is set if the store has told which versions have served, and incomplete if it does not know of all.
+	// record is set if the record of versions was read, and incomplete if that may lack some.
 	record, incomplete bool
 }
 
@@ -172,10 +172,10 @@
 	s.served = unionServed(served, s.services, s.served)
 }
 
-// isUnknown reports whether nobody knows which version began the stream.
+// isUnknown reports whether no origin of the stream was found.
 func (s *survey) isUnknown() bool { return !s.origin.Known && !s.origin.Ambiguous }
 
-// isRefused reports whether a stream is refused since nobody knows which version began it.
+// isRefused reports whether a stream is refused since its origin is unknown.
 func (s *survey) isRefused() bool {
 	return s.named && s.isUnknown() && !(s.knowsAll() && allSole(s.served))
 }
@@ -184,8 +184,8 @@
 // store takes no writes, versions serve that are not on record.
 func (s *survey) settled() bool { return s.origin.Ambiguous || s.sources > s.copies }
 
-// knowsAll reports whether all versions that have served are known. Only the record of the store tells: a version may have
-// served at a router that could tell nobody.
+// knowsAll reports whether all versions that have served are known. Only the record in the store names them: one may have
+// served at a router that has reached no other.
 func (s *survey) knowsAll() bool { return s.record && !s.incomplete }
 
 // finding returns what follows for the stream.
--- a/controller/origins/listed.go
+++ b/controller/origins/listed.go
@@ -42,7 +42,7 @@
 	c.record.notify()
 }
 
-// listedHere returns the versions of services that are on record as far as this router knows.
+// listedHere returns the versions of services that are on record, by this router's copy of it.
 func (c *Controller) listedHere(services []string) (listed [][]string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/controller/origins/origins.go
+++ b/controller/origins/origins.go
@@ -4,9 +4,8 @@
 // While servers of one software version serve, a router only remembers its own streams. While there are
 // several, it records the origin of each stream at some other routers, chosen by the stream's key, before
 // its caller receives the first event, and in a small fleet also in the store, some time later (bound.go). A
-// router whose caller takes up a stream asks the routers that may keep its origin, and if none knows it, the
-// store. What is unknown to all of them is decided by which versions have served: with one it needs no
-// origin, with several the stream must not go on.
+// router whose caller takes up a stream asks the routers that may keep its origin, and if none has it, reads the
+// store. A stream whose origin is found nowhere goes on only if one version alone has served.
 //
 // Which versions have served is kept in the store, since no process may conclude from what it has not seen: it may have
 // started only now, stood still, or been cut off (record.go).
@@ -177,7 +176,8 @@
 }
 
 // observe updates the history of a service's versions and reports whether several have served recently, or may have unseen.
-// When a second one appears, or the registrations get too old to tell, the streams that this router has begun until then are recorded elsewhere.
+// When a second one appears, or the registrations exceed the bound, the streams that this router has begun until then are
+// recorded elsewhere.
 func (c *Controller) observe(service string) (several bool) {
 	versions := c.Servers.Versions(service)
 	c.mu.Lock()
--- a/controller/origins/origins_test.go
+++ b/controller/origins/origins_test.go
@@ -150,6 +150,16 @@
 // Size implements origins.Fleet.
 func (r *router) Size() int { return len(r.net.all) }
 
+// releaseToAllButOne makes versions known to all routers but the one that it returns.
+func (n *network) releaseToAllButOne(list ...string) (behind *router) {
+	last := len(n.all) - 1
+	for _, r := range n.all[:last] {
+		r.known.set(list...)
+		r.control.Tick()
+	}
+	return n.all[last]
+}
+
 func (r *router) Keepers(key origin.Key, most int) []string {
 	score := func(o *router) uint64 { return xxhash.Sum64String(fmt.Sprint(key[0]%64, o.id)) }
 	ranked := slices.DeleteFunc(slices.Clone(r.net.all), func(o *router) bool { return o == r })
@@ -357,11 +367,7 @@
 func TestRouterBehindAsksForTheOrigin(t *testing.T) {
 	atAllSizes(t, func(t *testing.T, n int) {
 		net := newNetwork(t, n, "v1")
-		behind := net.all[n-1]
-		for _, r := range net.all[:n-1] {
-			r.known.set("v1", "v2")
-			r.control.Tick()
-		}
+		behind := net.releaseToAllButOne("v1", "v2")
 		for i := range 20 {
 			id := fmt.Sprint("s", i)
 			net.all[i%(n-1)].begin(id, "v2")
--- a/controller/origins/record_test.go
+++ b/controller/origins/record_test.go
@@ -94,11 +94,7 @@
 	atAllSizes(t, func(t *testing.T, n int) {
 		net := newNetwork(t, n, "v1")
 		net.setFaults(storeFaults{noWrites: true})
-		behind := net.all[n-1]
-		for _, r := range net.all[:n-1] {
-			r.known.set("v1", "v2")
-			r.control.Tick()
-		}
+		behind := net.releaseToAllButOne("v1", "v2")
 		for i := range 20 {
 			id := fmt.Sprint("s", i)
 			net.all[i%(n-1)].begin(id, "v2")
