Upstream: a reset that the request's write gets ends no response

Callers got part of an answer as all of it: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the request was still being written.

Cause: the kernel reports the end of a connection by a reset, or by the TCP user timeout, to one system call. If the goroutine that writes the request took it, the next read returned end of file as after an orderly close, and Answer.Read reported a response that may be whole.

Change: sockets.TCPConn, on which connections to servers and to other routers run. It holds a lock during each non-blocking write call and keeps the error that the call took; Read returns that error in place of io.EOF. The read got end of file only because the error had been taken before, within the lock, so this needs no waiting. EPIPE is not kept: the kernel sets it when the peer's orderly close came before its reset, so such a response has ended.

Long requests are written by one or two calls instead of one writev, since a net.Buffers would write past TCPConn; head and body are joined up to 4 KB.

--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -156,10 +156,16 @@
 func (c fixedConfig) Age() time.Duration        { return 0 }
 
 func newCatalog(t *testing.T, attempts int) *catalog.Catalog {
+	t.Helper()
+	return newCatalogWithin(t, attempts, requestDeadline)
+}
+
+// newCatalogWithin is newCatalog with another timeout of the routes.
+func newCatalogWithin(t *testing.T, attempts int, timeout time.Duration) *catalog.Catalog {
 	t.Helper()
 	route := func(name string, kind catalog.Kind, resume bool) *catalog.Route {
 		return &catalog.Route{
-			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Resume: resume, Timeout: requestDeadline,
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Resume: resume, Timeout: timeout,
 			Split: []catalog.WeightedService{{Service: "svc", Weight: 1}}, Attempts: attempts, Public: true,
 		}
 	}
@@ -298,23 +304,29 @@
 
 // call sends a request to the gateway as raw bytes and reads the reply.
 func call(t *testing.T, web *httptest.Server, version, method, path string, fields ...string) reply {
+	t.Helper()
+	return callWithin(t, web, requestDeadline, version, method, path, nil, fields...)
+}
+
+// callWithin is call for a route with another timeout, and for a request with a body, whose framing the fields contain.
+func callWithin(t *testing.T, web *httptest.Server, timeout time.Duration, version, method, path string, body []byte, fields ...string) reply {
 	t.Helper()
 	c, err := net.Dial("tcp", web.Listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = c.Close() }()
-	if err := c.SetDeadline(time.Now().Add(requestDeadline + 2*time.Second)); err != nil {
+	if err := c.SetDeadline(time.Now().Add(timeout + 2*time.Second)); err != nil {
 		t.Fatal(err)
 	}
 	lines := append([]string{method + " " + path + " " + version, "Host: h", headerID + ": r1"}, fields...)
-	send(c, strings.Join(lines, "\r\n"), "\r\n\r\n")
+	send(c, strings.Join(lines, "\r\n"), "\r\n\r\n", string(body))
 	resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: method})
 	if err != nil {
 		return reply{claim: broken}
 	}
-	body, err := io.ReadAll(resp.Body)
-	got := reply{status: resp.StatusCode, closes: resp.Close, header: resp.Header, body: string(body), claim: complete}
+	received, err := io.ReadAll(resp.Body)
+	got := reply{status: resp.StatusCode, closes: resp.Close, header: resp.Header, body: string(received), claim: complete}
 	switch {
 	case err != nil:
 		got.claim = broken
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -12,16 +12,18 @@
 
 	"github.com/gaplink/gaplink/framing"
 	"github.com/gaplink/gaplink/placement"
+	"github.com/gaplink/gaplink/sockets"
 )
 
 // Open opens a tunnel to a server process through the router with the given id and address. It returns
 // the connection to that router, on which the server is reached, and the number of tunnels through that
 // router. The error is a *RouterError or a *ServerError. The context bounds the opening alone.
 func Open(ctx context.Context, dialer *net.Dialer, router, addr string, s placement.Server) (net.Conn, int, error) {
-	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	raw, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, 0, &RouterError{router, err}
 	}
+	conn := sockets.NewTCPConn(raw)
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	open, err := request(conn, router, s)
 	if inTime := stop(); err == nil && inTime {
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/gaplink/gaplink/peer"
 	"github.com/gaplink/gaplink/placement"
+	"github.com/gaplink/gaplink/sockets"
 	"github.com/gaplink/gaplink/tunnel"
 )
 
@@ -70,7 +71,7 @@
 	}
 }
 
-func (b *bench) open(t *testing.T) (*net.TCPConn, error) {
+func (b *bench) open(t testing.TB) (*sockets.TCPConn, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
@@ -80,7 +81,7 @@
 	}
 	t.Cleanup(func() { _ = c.Close() })
 	_ = c.SetDeadline(time.Now().Add(3 * time.Second))
-	return c.(*net.TCPConn), nil
+	return c.(*sockets.TCPConn), nil
 }
 
 func unchanged(*tunnel.Options) {}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -16,6 +16,7 @@
 	"github.com/gaplink/gaplink/link"
 	"github.com/gaplink/gaplink/placement"
 	"github.com/gaplink/gaplink/reach"
+	"github.com/gaplink/gaplink/sockets"
 )
 
 // conn is one connection to a backend server.
@@ -176,7 +177,11 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	tcp, ok := sockets.As[*net.TCPConn](c.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -193,7 +198,7 @@
 // reset makes the following Close reset the connection (TCP RST), which drops
 // undelivered data.
 func (c *conn) reset() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := sockets.As[*net.TCPConn](c.Conn); ok {
 		_ = tcp.SetLinger(0) // fails only if the connection is already closed
 	}
 }
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"net"
 	"net/http"
 	"strconv"
 
@@ -106,9 +105,13 @@
 	}
 	go func() {
 		defer b.Begin(len(r.Body), c.abort)()
-		buffers := net.Buffers{head, r.Body}
-		n, err := buffers.WriteTo(c.Conn)
-		c.counter.Sent(int(n))
+		first := min(len(r.Body), cap(head)-len(head)) // goes along with the head
+		n, err := c.Write(append(head, r.Body[:first]...))
+		c.counter.Sent(n)
+		if err == nil && first < len(r.Body) {
+			n, err = c.Write(r.Body[first:])
+			c.counter.Sent(n)
+		}
 		done <- err
 	}()
 	return done
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -218,12 +218,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return raw, nil
+	return sockets.NewTCPConn(raw), nil
 }
 
 // setSendBuffer bounds the bytes that the kernel holds for a connection; c may be nil.
 func setSendBuffer(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
+	if tcp, ok := sockets.As[*net.TCPConn](c); ok {
 		_ = tcp.SetWriteBuffer(SendBuffer) // fails only on a closed connection
 	}
 }
