Tunnel: a reset that a write gets is passed on as a reset

A tunnel copies two directions of two connections. If the copy to a server (or to the first router) took that connection's reset from the kernel, the copy from it read end of file. Whichever ended first decided what the other side saw, so a reset could become an orderly close: for the first router the end of a response without a length, for a server that of a cancelled request.

Both connections of a tunnel are now sockets.TCPConn, where the read returns the reset, too; the listener for other routers accepts such connections.

Evidence: rare, since the copy that takes the reset usually ends the tunnel first.

--- a/server/server.go
+++ b/server/server.go
@@ -364,7 +364,7 @@
 	if err != nil {
 		return trace.Wrap(err, "listening at %s", s.settings.Listen.Peers)
 	}
-	s.peerListener = sockets.NewEvictingListener(listener, s.shares.PeersIn)
+	s.peerListener = sockets.NewEvictingListener(sockets.TCPListener(listener), s.shares.PeersIn)
 	s.peerListener.OnError = s.descriptors.handleError
 	peers := tunnel.NewListener(s.meter.Of(link.Routers).Listener(s.peerListener), s.tunnels.Serve)
 	if err := s.serveMetrics(); err != nil {
--- a/sockets/conn.go
+++ b/sockets/conn.go
@@ -42,6 +42,9 @@
 // NetConn returns the *net.TCPConn, for its socket options.
 func (c *TCPConn) NetConn() net.Conn { return c.Conn }
 
+// SyscallConn implements syscall.Conn, for socket options.
+func (c *TCPConn) SyscallConn() (syscall.RawConn, error) { return c.raw, nil }
+
 // SetLinger sets what Close does with unsent bytes, as for a net.TCPConn.
 func (c *TCPConn) SetLinger(seconds int) error { return c.tcp.SetLinger(seconds) }
 
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -53,7 +53,8 @@
 	IsRouter func(ip string) bool
 	// Admit returns the server with the given identity, or why this router connects nobody to it.
 	Admit func(placement.Incarnation) (placement.Server, error)
-	// Dial opens a connection to a server.
+	// Dial opens a connection to a server. Like the one that Serve is called with, it must be a sockets.TCPConn, on
+	// which an orderly close differs from a reset, or wrap one.
 	Dial func(context.Context, placement.Server) (net.Conn, error)
 	// Reserve reserves room for a tunnel; false means that there is none.
 	Reserve func() (release func(), ok bool)
@@ -233,7 +234,7 @@
 // tunnel is an open tunnel.
 type tunnel struct {
 	router, server       net.Conn
-	routerTCP, serverTCP *net.TCPConn
+	routerTCP, serverTCP *sockets.TCPConn
 	// host is the IP address of the other router.
 	host string
 	// lastAt is when bytes last passed, in ns since epoch; it is negative if the server sent them.
@@ -245,10 +246,10 @@
 var epoch = clock.Now().Add(-time.Second)
 
 // newTunnel returns a tunnel whose ends are reset when it ends unless end is called, also if this
-// process is killed; nil if a connection is closed.
+// process is killed; nil if a connection is closed or not a sockets.TCPConn.
 func newTunnel(router, server net.Conn, host string) *tunnel {
-	routerTCP, ok := sockets.As[*net.TCPConn](router)
-	serverTCP, serverOK := sockets.As[*net.TCPConn](server)
+	routerTCP, ok := sockets.As[*sockets.TCPConn](router)
+	serverTCP, serverOK := sockets.As[*sockets.TCPConn](server)
 	if !ok || !serverOK || routerTCP.SetLinger(0) != nil || serverTCP.SetLinger(0) != nil {
 		return nil
 	}
@@ -293,7 +294,7 @@
 
 // end closes both connections: the receiving one in an orderly way if the other was, the rest by a
 // reset.
-func (t *tunnel) end(receiver *net.TCPConn, err error) {
+func (t *tunnel) end(receiver *sockets.TCPConn, err error) {
 	t.closed.Do(func() {
 		if err == nil {
 			_ = receiver.SetLinger(-1) // fails only on a closed connection
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -35,7 +35,8 @@
 		IsRouter: func(string) bool { return true },
 		Admit:    func(placement.Incarnation) (placement.Server, error) { return b.target, nil },
 		Dial: func(ctx context.Context, s placement.Server) (net.Conn, error) {
-			return (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", s.Address)
+			c, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", s.Address)
+			return sockets.NewTCPConn(c), err
 		},
 		Reserve: func() (func(), bool) { return func() {}, true },
 		Detach:  func(net.Conn) {},
@@ -44,7 +45,7 @@
 	change(&o)
 	b.server = tunnel.NewServer(o)
 	router := listen(t)
-	l := tunnel.NewListener(router, b.server.Serve)
+	l := tunnel.NewListener(sockets.TCPListener(router), b.server.Serve)
 	t.Cleanup(func() { _ = l.Close() })
 	go serve(l, func(c net.Conn) { _ = c.Close() })
 	b.addr = router.Addr().String()
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -177,11 +177,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := sockets.As[*net.TCPConn](c.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return false
 	}
