Tunnel: an orderly close of the server arrives also during an upload

Callers lost whole answers: a server behind another router answered a long upload with a response without a length and closed in an orderly way while the upload was still being written. Directly, such an answer is delivered.

Cause: the router in between closed both connections at once. The kernel resets a connection that is closed with unread bytes, and the first router was still sending, so it saw a reset.

Change: the tunnel closes its side towards the first router, discards what still arrives, and closes when that router has closed, for 30 s (the user timeout of the connection) at the most. The copy to the server no longer ends the tunnel by a reset if the server has closed in an orderly way (EPIPE).

--- a/sockets/conn.go
+++ b/sockets/conn.go
@@ -48,6 +48,9 @@
 // SetLinger sets what Close does with unsent bytes, as for a net.TCPConn.
 func (c *TCPConn) SetLinger(seconds int) error { return c.tcp.SetLinger(seconds) }
 
+// CloseWrite sends the orderly close of this side, as for a net.TCPConn.
+func (c *TCPConn) CloseWrite() error { return c.tcp.CloseWrite() }
+
 // Write implements net.Conn.
 func (c *TCPConn) Write(b []byte) (n int, err error) {
 	var failed error
--- a/tunnel/reset_test.go
+++ b/tunnel/reset_test.go
@@ -50,6 +50,25 @@
 	}
 }
 
+// TestOrderlyCloseOfTheServerDuringAnUploadIsPassedOn guards against a whole response that is lost on its way to the
+// first router, which is still writing the request.
+func TestOrderlyCloseOfTheServerDuringAnUploadIsPassedOn(t *testing.T) {
+	const tries = 10
+	for _, s := range tcptest.EarlyServers(tcptest.EndsByHalfClose, answerUnframed) {
+		t.Run(s.String(), func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t, func(c *net.TCPConn) { s.Serve(c) }, unchanged)
+			whole := tcptest.Count(t, tries, func() bool {
+				got, err := b.upload(t)
+				return err == nil && got == unframed
+			})
+			if whole != tries {
+				t.Errorf("%d of %d responses arrived whole", whole, tries)
+			}
+		})
+	}
+}
+
 // TestResetOfTheFirstRouterDuringAResponseIsPassedOn guards against a request that a server goes on to run although the
 // first router has cancelled it: the write of the response may be what gets the reset from the kernel.
 func TestResetOfTheFirstRouterDuringAResponseIsPassedOn(t *testing.T) {
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -26,8 +26,8 @@
 const (
 	// requestTimeout bounds the time to receive the request for a tunnel.
 	requestTimeout = time.Second
-	// deadTimeout is the TCP user timeout towards the other router: it exceeds the time for which a
-	// caller may stop reading a response.
+	// deadTimeout is the TCP user timeout towards the other router, and the time that it has to close after the
+	// server: it exceeds the time for which a caller may stop reading a response.
 	deadTimeout = 30 * time.Second
 	// idleTime is the time without bytes after which a tunnel counts as idle if the server sent last.
 	idleTime = time.Second
@@ -239,7 +239,9 @@
 	host string
 	// lastAt is when bytes last passed, in ns since epoch; it is negative if the server sent them.
 	lastAt atomic.Int64
-	closed sync.Once
+	// closing is set once the server has closed its connection in an orderly way.
+	closing atomic.Bool
+	closed  sync.Once
 }
 
 // epoch is the origin of times that are stored as integers.
@@ -266,12 +268,34 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		t.end(t.serverTCP, t.copy(t.server, t.router, 1))
+		if err := t.copy(t.server, t.router, 1); !t.serverClosed(err) {
+			t.end(t.serverTCP, err)
+		}
 	}()
-	t.end(t.routerTCP, t.copy(t.router, t.server, -1))
+	err := t.copy(t.router, t.server, -1)
+	if err == nil {
+		t.passOnClose()
+	}
+	t.end(t.routerTCP, err)
 	<-done
 }
 
+// serverClosed reports whether the copy to the server ended since the server closed its connection in an orderly way.
+// The copy from the server then ends the tunnel.
+func (t *tunnel) serverClosed(err error) bool {
+	return errors.Is(err, syscall.EPIPE) || err != nil && t.closing.Load()
+}
+
+// passOnClose passes an orderly close of the server on to the first router, and waits until that router has closed
+// the connection: closing one on which unread bytes of a request arrive resets it, and the end of the response is lost.
+func (t *tunnel) passOnClose() {
+	t.closing.Store(true)
+	_ = t.server.Close()
+	_ = t.routerTCP.CloseWrite() // fails only on a closed connection, like the two calls below
+	_ = t.router.SetReadDeadline(time.Now().Add(deadTimeout))
+	_, _ = io.Copy(io.Discard, t.router)
+}
+
 // copy copies one direction. It returns nil if the source was closed in an orderly way.
 func (t *tunnel) copy(to, from net.Conn, sign int64) error {
 	buf := make([]byte, copyBuffer)
--- a/upstream/tunnel_test.go
+++ b/upstream/tunnel_test.go
@@ -61,3 +61,13 @@
 		})
 	}
 }
+
+// TestOrderlyCloseThroughARouterEndsAResponse is TestOrderlyCloseDuringAnUploadEndsAResponse through another router.
+func TestOrderlyCloseThroughARouterEndsAResponse(t *testing.T) {
+	for _, s := range tcptest.EarlyServers(tcptest.EndsByHalfClose, answerUnframed) {
+		t.Run(s.String(), func(t *testing.T) {
+			t.Parallel()
+			checkUploads(t, s, newPoolThroughRouter, halfCloseTries, halfCloseTries)
+		})
+	}
+}
