Answers: a status or version that HTTP does not have is no answer

Callers got answers that were none: status 600 and 999 and versions such as HTTP/0.9 or 3.7 were passed on, with chunk sizes as part of the body for HTTP/0.9 in chunks. Status 000, 001, 099, +20, -00 and 101 were skipped as if they were interim: the caller got what followed on the connection, or waited until its deadline. A head that also said "not run" was believed, and a request that may run only once was sent again. The same heads counted at other readers: the engine client took "not accepted" from them, and the store clients "no such object", "conflict", "unavailable" or a change made.

Cause: net/http parses any three characters that are a number and any version; each reader checked what it needed and no more.

Change: framing.Check says what a response is, in one place. framing.ReadResponse applies it where heads are parsed (servers, tunnels), also to interim ones, and framing.Transport around net/http's transport (engines, store clients, the callers of the soak and of the load generator); that one closes the connection, which net/http keeps if the body is empty. A malformed response ends the attempt like a cut one: it may have run, is charged as such, is tried again only if that is allowed, and its connection is reset.

Two blanks before the status are rejected where heads are parsed here. net/http's transport does not show them, and RFC 9112, section 4, allows to accept them.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -84,13 +84,13 @@
 // NewClient returns a client.
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{http: &http.Client{Transport: &http.Transport{
+	return &Client{http: &http.Client{Transport: framing.Transport{Transport: &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 256,
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: framing.MaxHead,
-	}}}
+	}}}}
 }
 
 // Close closes idle connections.
@@ -123,7 +123,10 @@
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(HeaderAttempt, attempt)
 	resp, err := c.http.Do(req)
-	if err != nil {
+	switch {
+	case errors.Is(err, framing.ErrMalformed):
+		return nil, &Failure{Code: result.BackendGarbage, Dispatched: true, Answered: true, Cause: err}
+	case err != nil:
 		return nil, transportFailure(ctx, err, dispatched.Load())
 	}
 	return c.accept(resp, attempt)
--- a/lab/load.go
+++ b/lab/load.go
@@ -94,7 +94,7 @@
 func newSender(spec loadSpec, limits map[string]int64) *sender {
 	return &sender{
 		spec:     spec,
-		http:     &http.Client{Timeout: tryTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: spec.workers}},
+		http:     &http.Client{Timeout: tryTimeout, Transport: framing.Transport{Transport: &http.Transport{MaxIdleConnsPerHost: spec.workers}}},
 		limits:   limits,
 		spent:    map[string]int64{},
 		inFlight: map[string]int64{},
--- a/lab/soak/caller.go
+++ b/lab/soak/caller.go
@@ -80,7 +80,7 @@
 func newCaller(number int, seed uint64, routers []*router, o *Oracle, t *runCounters) *caller {
 	return &caller{
 		number: number, rng: rand.New(rand.NewPCG(seed, uint64(number)+2)), routers: routers, oracle: o, counters: t, seed: seed, kinds: requestKinds, thinkTime: meanThinkTime,
-		client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}},
+		client: &http.Client{Transport: framing.Transport{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}}},
 	}
 }
 
--- a/store/httpstore/httpstore.go
+++ b/store/httpstore/httpstore.go
@@ -47,7 +47,7 @@
 
 		MaxResponseHeaderBytes: framing.MaxHead,
 	}
-	return &Client{base: base, timeout: timeout, http: &http.Client{Transport: transport}}
+	return &Client{base: base, timeout: timeout, http: &http.Client{Transport: framing.Transport{Transport: transport}}}
 }
 
 // Get implements store.Store.
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -46,7 +46,7 @@
 	head := framing.NewHeadReader(conn)
 	head.Expect(framing.MaxHead)
 	reader := bufio.NewReaderSize(head, responseBuffer)
-	resp, err := http.ReadResponse(reader, r)
+	resp, err := framing.ReadResponse(reader, r)
 	switch {
 	case errors.Is(err, framing.ErrHeadTooLong):
 		return 0, &RouterError{router, err}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -135,13 +135,13 @@
 // are not reused.
 func (c *conn) readResponse(request *http.Request) (*http.Response, error) {
 	if start, err := c.reader.Peek(len(http10Prefix)); err != nil || string(start) != http10Prefix {
-		return http.ReadResponse(c.reader, request) // not HTTP/1.0, or too short to tell: ReadResponse reports the error
+		return framing.ReadResponse(c.reader, request) // not HTTP/1.0, or too short to tell: ReadResponse reports the error
 	}
 	head, err := c.readHTTP10Head()
 	if err != nil {
 		return nil, err
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(io.MultiReader(bytes.NewReader(head), c.reader)), request)
+	resp, err := framing.ReadResponse(bufio.NewReader(io.MultiReader(bytes.NewReader(head), c.reader)), request)
 	if err != nil {
 		return nil, err
 	}
