Answers: a head with a field name that is no token is no answer

A caller got a 200 whose framing was lost: "Content-Length : 5" and "Transfer-Encoding : chunked" were no length and no chunks, so the answer ended with its connection, and a cut one, or one in chunks, was passed on as such. "X Y: v" was passed on or dropped.

Cause: net/http keeps a name with a blank as it stands, in contrast to other bytes that a name may not hold, and does not find the field under its name.

A trailer's names are not checked: net/http drops such a trailer.

--- a/engine/malformed_test.go
+++ b/engine/malformed_test.go
@@ -46,3 +46,24 @@
 		}
 	}
 }
+
+// TestConnectionOfAMalformedHeadIsNotReused guards against a request on a connection whose last response was malformed.
+func TestConnectionOfAMalformedHeadIsNotReused(t *testing.T) {
+	client := engine.NewClient()
+	defer client.Close()
+	sent := make(chan string, 2)
+	addr := tcptest.ListenAnswering(t, func(r *http.Request) string {
+		sent <- r.RemoteAddr
+		return "HTTP/1.1 200 OK\r\n" + engine.HeaderAttempt + ": a.1\r\nX Y: v\r\nContent-Length: 0\r\n\r\n"
+	})
+	for range cap(sent) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, failure := client.Post(ctx, addr, "/x", "a.1", nil); failure == nil || ctx.Err() != nil {
+			t.Errorf("failure %v", failure)
+		}
+	}
+	if len(sent) != cap(sent) {
+		t.Errorf("%d of %d requests on connections of their own", len(sent), cap(sent))
+	}
+}
--- a/framing/response.go
+++ b/framing/response.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 	"net/http/httptrace"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed is wrapped by the errors for a response whose head HTTP/1.1 does not allow. It belongs to no request, and
@@ -17,8 +19,9 @@
 	maxStatus = 599
 )
 
-// Check returns an error that wraps ErrMalformed if the version of a response is not HTTP/1.0 or HTTP/1.1, or its status
-// is none of 100 to 599 or is 101, which no request here asks for.
+// Check returns an error that wraps ErrMalformed if the version of a response is not HTTP/1.0 or HTTP/1.1, its status
+// is none of 100 to 599 or is 101, which no request here asks for, or the name of a header field is not a token. net/http
+// drops or keeps such a field; if it is one of those that delimit the body, the body has another end.
 func Check(resp *http.Response) error {
 	if resp.ProtoMajor != 1 || resp.ProtoMinor > 1 {
 		return fmt.Errorf("%w: version %q", ErrMalformed, resp.Proto)
@@ -26,6 +29,11 @@
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus || resp.StatusCode == http.StatusSwitchingProtocols {
 		return fmt.Errorf("%w: status %q", ErrMalformed, resp.Status)
 	}
+	for name := range resp.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field name %q", ErrMalformed, name)
+		}
+	}
 	return nil
 }
 
--- a/lab/tcptest/malformed.go
+++ b/lab/tcptest/malformed.go
@@ -13,10 +13,30 @@
 	malformedLength = "Content-Length: 5\r\n"
 )
 
-// malformedStatuses and malformedVersions are parts of response heads that HTTP does not allow.
+// malformedStatuses, malformedVersions and malformedLines are parts of response heads that HTTP does not allow.
 var (
 	malformedStatuses = []string{"000", "001", "020", "099", "101", "600", "999", "+20", "-00", "20", "2000", "abc", "", "2 0"}
 	malformedVersions = []string{"HTTP/0.9", "HTTP/1.2", "HTTP/2.0", "HTTP/3.7", "HTTP/1.10", "HTTP/01.1", "http/1.1", "ICY"}
+	malformedLines    = map[string]string{
+		"blank before the colon of a length": "Content-Length : 5\r\n",
+		"blank before the colon of chunks":   "Transfer-Encoding : chunked\r\n",
+		"blank in a name":                    "X Y: v\r\n" + malformedLength,
+		"tab in a name":                      "X\tY: v\r\n" + malformedLength,
+		"control byte in a name":             "X\x01Y: v\r\n" + malformedLength,
+		"NUL in a name":                      "X\x00Y: v\r\n" + malformedLength,
+		"separator in a name":                "X(Y): v\r\n" + malformedLength,
+		"byte beyond ASCII in a name":        "X\xe9: v\r\n" + malformedLength,
+		"no name":                            ": v\r\n" + malformedLength,
+		"no colon":                           "XY\r\n" + malformedLength,
+		"control byte in a value":            "X: a\x01b\r\n" + malformedLength,
+		"NUL in a value":                     "X: a\x00b\r\n" + malformedLength,
+		"two lengths":                        "Content-Length: 5\r\nContent-Length: 4\r\n",
+		"signed length":                      "Content-Length: +5\r\n",
+		"negative length":                    "Content-Length: -5\r\n",
+		"hexadecimal length":                 "Content-Length: 0x5\r\n",
+		"unknown transfer coding":            "Transfer-Encoding: gzip\r\n",
+		"transfer coding after chunks":       "Transfer-Encoding: chunked, identity\r\n",
+	}
 )
 
 // MalformedResponses returns by name HTTP responses whose heads HTTP does not allow. Each has the given header lines.
@@ -26,7 +46,9 @@
 		"status 000 without a body":  "HTTP/1.1 000 None\r\n" + fields + "Content-Length: 0\r\n\r\n",
 		"status 004 without a body":  "HTTP/1.1 004 No Content\r\n" + fields + "\r\n",
 		"version HTTP/0.9, chunks":   "HTTP/0.9 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n5\r\n" + malformedBody + "\r\n0\r\n\r\n",
+		"HTTP/1.0, blank in a name":  "HTTP/1.0 200 OK\r\n" + fields + "X Y: v\r\n" + malformedLength + end,
 		"HTTP/1.0 with status 000":   "HTTP/1.0 000 None\r\n" + fields + malformedLength + end,
+		"blank in a name, no body":   "HTTP/1.1 200 OK\r\n" + fields + "X Y: v\r\nContent-Length: 0\r\n\r\n",
 		"tab after the status":       "HTTP/1.1 200\tOK\r\n" + fields + malformedLength + end,
 		"tab after the version":      "HTTP/1.1\t200 OK\r\n" + fields + malformedLength + end,
 		"blank line before the head": "\r\n" + line + fields + malformedLength + end,
@@ -37,6 +59,9 @@
 	for _, version := range malformedVersions {
 		responses["version "+version] = version + " 200 OK\r\n" + fields + malformedLength + end
 	}
+	for name, lines := range malformedLines {
+		responses[name] = line + fields + lines + end
+	}
 	return responses
 }
 
--- a/upstream/malformed_test.go
+++ b/upstream/malformed_test.go
@@ -52,6 +52,9 @@
 		checkNotRead(t, "HTTP/1.1  200 OK\r\nRequest-Id: a\r\nContent-Length: 2\r\n\r\nok")
 		checkNotRead(t, "HTTP/1.0  200 OK\r\nRequest-Id: a\r\nContent-Length: 2\r\n\r\nok")
 	})
+	t.Run("interim response with a blank in a name", func(t *testing.T) {
+		checkNotRead(t, "HTTP/1.1 103 Early Hints\r\nX Y: v\r\n\r\n"+second)
+	})
 }
 
 // TestUnusualHeadIsAResponse guards against sound responses that are rejected.
