Planned stop: requests that are still running at its end are answered

Callers got no answer: a router that was stopped took requests in the notice period, servers ran them, and at the end of the grace period the router closed their connections, also of requests that may run only once. Uploads that were not there by then were closed without an answer as well.

Cause: after the drain Stop closed callers' connections while their calls were in progress; nothing ended the calls.

Change: at the end of the drain, a second before the end of the grace period as before, EndRequests cancels the calls and the reads of bodies. Each call then answers what is true: 504 if it may have run (charged as such), 503 "Leaving" if not; a response that has begun is still broken off. A request that cannot end in time is refused when it comes, as not run: if the time left is less than the shortest run of its route in the last 30 to 60 s. That is a lower bound, so a request that could end is not refused, and one on a route without recent runs is tried.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -286,6 +286,8 @@
 		return a.finish(failed, "cut off", placement.Neutral, errCutOff)
 	case errors.Is(context.Cause(ctx), errTooSlow):
 		return a.finish(failed, "too slow", placement.Failed, errTooSlow)
+	case ctx.Err() != nil && a.g.drained():
+		return a.finish(failed, "stopped", placement.Neutral, err)
 	case ctx.Err() != nil:
 		return a.finish(failed, "timeout", placement.Failed, err)
 	default:
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"slices"
 	"time"
 
@@ -81,6 +82,9 @@
 		if refusal := c.admitRun(); refusal != nil {
 			return refusal
 		}
+		if refusal := c.stopRefusal(); refusal != nil {
+			return refusal
+		}
 		if refusal := c.payForRetry(); refusal != nil {
 			return refusal
 		}
@@ -267,6 +271,9 @@
 	if c.r.Context().Err() != nil {
 		return result.New(result.CallerGone, "the caller closed the connection").Wrap(err)
 	}
+	if c.g.drained() {
+		return c.stopped(err)
+	}
 	if c.mayHaveRun {
 		return result.New(result.AttemptTimeout, "no answer in time").Wrap(err)
 	}
@@ -318,8 +325,16 @@
 	c.g.Servers.ReturnSlot(a.server, a.loan, a.noRoom)
 	c.g.Servers.RecordOutcome(a.server.Incarnation(), a.serverOutcome)
 	if a.serverOutcome == placement.Answered {
+		c.recordRunTime(a)
 		c.g.returns.ended(c.service.Name)
 		c.g.holding.release(retryafter.Room{Cause: retryafter.Busy, Key: c.service.Name}, 1)
 	}
 	c.g.Metrics.attempt(c.service.Name, a.outcomeLabel)
 }
+
+// recordRunTime records how long the run of an attempt took whose response was relayed.
+func (c *call) recordRunTime(a *attempt) {
+	if c.outcome == result.OK && a.record.status < http.StatusMultipleChoices {
+		c.g.runTimes.add(c.route.Name, clock.Since(a.sentAt))
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -103,11 +103,15 @@
 	inFlight atomic.Int64
 	// running holds the requests that are dispatched to servers, with the function that cancels each,
 	// and attempts the attempts under way, with their watchdogs.
-	running     inProgress[*call, context.CancelFunc]
-	attempts    inProgress[*attempt, *watchdog]
-	returns     *returns // nil without Options.Returns
-	holding     *holding // likewise
-	draining    atomic.Bool
+	running  inProgress[*call, context.CancelFunc]
+	attempts inProgress[*attempt, *watchdog]
+	returns  *returns // nil without Options.Returns
+	holding  *holding // likewise
+	// reading holds the requests whose body is being read, with the function that ends that.
+	reading  inProgress[*call, func()]
+	runTimes runTimes
+	// stopEnd is when a planned stop ends the requests that are still in progress; nil before one.
+	stopEnd     atomic.Pointer[time.Time]
 	refusingNew atomic.Bool
 	// unreadableLimits rate-limits the log lines about limits that cannot be parsed.
 	unreadableLimits logs.RateLimit
@@ -131,16 +135,6 @@
 	return g
 }
 
-// Drain starts a planned stop: responses ask callers to close their connections.
-func (g *Gateway) Drain() {
-	g.draining.Store(true)
-	g.Retries.Drain()
-	g.holding.refuseAll()
-}
-
-// RefuseNew makes the gateway refuse new requests.
-func (g *Gateway) RefuseNew() { g.refusingNew.Store(true) }
-
 // InFlight returns the number of requests being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
@@ -155,7 +149,7 @@
 	defer g.inFlight.Add(-1)
 	c := g.newCall(w, r)
 	defer c.close()
-	if g.draining.Load() || g.CloseConnections() || g.staleRefusal() != nil {
+	if g.draining() || g.CloseConnections() || g.staleRefusal() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	c.serve()
--- a/gateway/holding.go
+++ b/gateway/holding.go
@@ -177,7 +177,7 @@
 
 // mayHold reports whether a refused request would be worth holding if room were predicted.
 func (c *call) mayHold(refusal *result.Error) bool {
-	return refusal == c.temporaryRefusal && !c.refusedAsLimited && !c.mayHaveRun && !c.reply.hasBegun() && !c.g.draining.Load() && c.r.Context().Err() == nil
+	return refusal == c.temporaryRefusal && !c.refusedAsLimited && !c.mayHaveRun && !c.reply.hasBegun() && !c.g.draining() && c.r.Context().Err() == nil
 }
 
 // predictRoom returns what a refused request waits for, and a function that predicts when there is
--- a/gateway/holding_test.go
+++ b/gateway/holding_test.go
@@ -109,7 +109,7 @@
 	}, func(o *gateway.Options) { g = gateway.New(*o) })
 	web := httptest.NewServer(g)
 	t.Cleanup(web.Close)
-	time.AfterFunc(100*time.Millisecond, g.Drain)
+	time.AfterFunc(100*time.Millisecond, func() { g.Drain(time.Now().Add(time.Minute)) })
 	begun := time.Now()
 	got := call(t, web, "HTTP/1.1", "GET", "/hasty/x")
 	if took := time.Since(begun); got.status != 503 || took < 80*time.Millisecond || took > 350*time.Millisecond {
--- a/gateway/steps.go
+++ b/gateway/steps.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -144,6 +145,7 @@
 	if limit > 0 {
 		body = http.MaxBytesReader(c.reply.w, body, limit)
 	}
+	defer g.reading.add(c, c.stopReading)()
 	var err error
 	switch length := c.r.ContentLength; {
 	case limit > 0 && length > limit: // checked before any memory is allocated
@@ -160,6 +162,8 @@
 		return nil
 	case errors.As(err, &tooLarge):
 		return bodyTooLarge(tooLarge.Limit)
+	case errors.Is(err, os.ErrDeadlineExceeded) && g.drained():
+		return c.stopped(err)
 	default:
 		return result.New(result.CallerGone, "the body did not arrive").Wrap(err)
 	}
--- a/server/stop.go
+++ b/server/stop.go
@@ -10,7 +10,7 @@
 )
 
 // Stop shuts the server down gracefully. It fails readiness checks, keeps serving until the load
-// balancer has noticed, returns its tokens while running requests finish, and aborts the requests
+// balancer has noticed, returns its tokens while running requests finish, and answers the requests
 // that are still running at the end of the grace period.
 func (s *Server) Stop() {
 	start := clock.Now()
@@ -18,13 +18,15 @@
 	end := start.Add(planned.Grace.Std())
 	s.log.Info("stopping", zap.Int64("in_flight", s.gateway.InFlight()))
 	close(s.stopping)
-	s.gateway.Drain()
+	drained := end.Add(-returnReserve)
+	s.gateway.Drain(drained)
 	s.stopTunnels()
 	time.Sleep(planned.Notice.Std())
 	s.gateway.RefuseNew()
 	s.budgets.StartClose()
-	s.drain(end.Add(-returnReserve))
-	aborted := s.gateway.InFlight()
+	s.drain(drained)
+	unfinished := s.gateway.InFlight()
+	s.gateway.EndRequests()
 	s.tunnels.Close()
 	s.closeCallers()
 	ctx, cancel := context.WithTimeout(context.Background(), clock.Until(end.Add(-exitReserve)))
@@ -33,7 +35,7 @@
 	s.roster.Leave(ctx)
 	s.cancel()
 	s.log.Info("store calls", zap.Stringer("calls", storeCalls(s.store.ByPurpose())))
-	s.log.Info("stopped", zap.Int64("cut", aborted), zap.Duration("after_ms", clock.Since(start)))
+	s.log.Info("stopped", zap.Int64("cut", unfinished), zap.Duration("after_ms", clock.Since(start)))
 	_ = s.writer.Sync()
 }
 
