Soak: callers and proxies tell a reset from an orderly close

Cause: as at the pool; net/http's transport writes and reads in two goroutines, and a proxy copies two directions.

Change: both use sockets.TCPConn.

--- a/lab/soak/caller.go
+++ b/lab/soak/caller.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -14,6 +15,7 @@
 	"github.com/gaplink/gaplink/framing"
 	"github.com/gaplink/gaplink/platform/standin"
 	"github.com/gaplink/gaplink/result"
+	"github.com/gaplink/gaplink/sockets"
 )
 
 const (
@@ -80,10 +82,19 @@
 func newCaller(number int, seed uint64, routers []*router, o *Oracle, t *runCounters) *caller {
 	return &caller{
 		number: number, rng: rand.New(rand.NewPCG(seed, uint64(number)+2)), routers: routers, oracle: o, counters: t, seed: seed, kinds: requestKinds, thinkTime: meanThinkTime,
-		client: &http.Client{Transport: framing.Transport{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}}},
+		client: &http.Client{Transport: framing.Transport{Transport: &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 1}}},
 	}
 }
 
+// dial opens a connection on which a reset differs from an orderly close also if a write gets it.
+func dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return sockets.NewTCPConn(c), nil
+}
+
 // run sends requests until the context ends.
 func (c *caller) run(ctx context.Context) {
 	defer c.client.CloseIdleConnections()
--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gaplink/gaplink/platform/standin"
+	"github.com/gaplink/gaplink/sockets"
 )
 
 // direction is the direction of bytes through a proxy.
@@ -53,7 +54,7 @@
 // proxiedConn is one connection through a proxy.
 type proxiedConn struct {
 	proxy *Proxy
-	ends  [2]*net.TCPConn // client, server
+	ends  [2]*sockets.TCPConn // client, server
 	// silent is set if the connection forwards nothing any more and signals that to neither end.
 	silent bool
 	// source is the client's IP address.
@@ -176,13 +177,13 @@
 		if err != nil {
 			return // the listener is closed
 		}
-		go p.forward(c.(*net.TCPConn))
+		go p.forward(sockets.NewTCPConn(c).(*sockets.TCPConn))
 	}
 }
 
-func (p *Proxy) forward(client *net.TCPConn) {
+func (p *Proxy) forward(client *sockets.TCPConn) {
 	source, _, _ := net.SplitHostPort(client.RemoteAddr().String())
-	pc := &proxiedConn{proxy: p, ends: [2]*net.TCPConn{client, nil}, source: source}
+	pc := &proxiedConn{proxy: p, ends: [2]*sockets.TCPConn{client, nil}, source: source}
 	p.mu.Lock()
 	target, down := p.target, p.down
 	how, isCut := p.cuts[source]
@@ -197,7 +198,7 @@
 		pc.reset()
 		return
 	}
-	pc.ends[serverToClient] = server.(*net.TCPConn)
+	pc.ends[serverToClient] = sockets.NewTCPConn(server).(*sockets.TCPConn)
 	p.mu.Lock()
 	p.conns[pc] = true
 	down = p.down
