--- a/engine/malformed_test.go
+++ b/engine/malformed_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/gaplink/gaplink/engine"
+	"github.com/gaplink/gaplink/framing"
 	"github.com/gaplink/gaplink/lab/tcptest"
+	"github.com/gaplink/gaplink/result"
 )
 
 // read sends a request and returns the first event of its response, if the head is accepted.
@@ -39,6 +42,9 @@
 				if failure == nil {
 					t.Fatalf("got %q", got)
 				}
+				if errors.Is(failure, framing.ErrMalformed) && (failure.Code != result.BackendGarbage || !failure.Answered || failure.ConnectionLost) {
+					t.Errorf("code %v, answered %t, connection lost %t", failure.Code, failure.Answered, failure.ConnectionLost)
+				}
 				if failure.Refused || !failure.Dispatched || ctx.Err() != nil {
 					t.Errorf("refused %t, dispatched %t, %v", failure.Refused, failure.Dispatched, failure)
 				}
