--- a/framing/framing.go
+++ b/framing/framing.go
@@ -1,4 +1,4 @@
-// Package framing determines whether the framing of an HTTP/1.x response marks its end.
+// Package framing reads HTTP/1.x responses: what counts as one, how long its head may be, and whether its framing marks its end.
 package framing
 
 import "net/http"
