upstream: the test of early resets also counts a part of a response

A response that ends as "may be whole" with only a part of its body was not counted by TestResetDuringAnUploadEndsNoResponse, so a cut one could have passed. Now every such end counts, and a part that is taken for whole fails the test in each kind.

tcptest: AnswerAndKeep had one caller and is part of it again.

--- a/lab/tcptest/malformed.go
+++ b/lab/tcptest/malformed.go
@@ -69,17 +69,14 @@
 // connection open. It returns the address.
 func ListenAnswering(t testing.TB, answer func(*http.Request) string) string {
 	t.Helper()
-	return Listen(t, func(c net.Conn, _ int) { AnswerAndKeep(c, answer) })
-}
-
-// AnswerAndKeep reads a request of a connection, writes the answer to it and waits until the client closes.
-func AnswerAndKeep(c net.Conn, answer func(*http.Request) string) {
-	defer func() { _ = c.Close() }()
-	r, err := http.ReadRequest(bufio.NewReader(c))
-	if err != nil {
-		return // shows up at the client under test, like the errors below
-	}
-	_, _ = io.Copy(io.Discard, r.Body)
-	_, _ = io.WriteString(c, answer(r))
-	_, _ = io.Copy(io.Discard, c)
+	return Listen(t, func(c net.Conn, _ int) {
+		defer func() { _ = c.Close() }()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return // shows up at the client under test, like the errors below
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(c, answer(r))
+		_, _ = io.Copy(io.Discard, c)
+	})
 }
--- a/upstream/reset_test.go
+++ b/upstream/reset_test.go
@@ -22,30 +22,38 @@
 
 func answerUnframed(*http.Request) string { return unframed }
 
-// upload sends a long request and returns the error that ended the body of its response; nil if the body is whole.
-func upload(t *testing.T, pool *upstream.Pool, addr string) error {
+// upload sends a long request and returns the body of its response, with the error that ended it; nil if the body is
+// taken for whole.
+func upload(t *testing.T, pool *upstream.Pool, addr string) (string, error) {
 	ctx, cancel := context.WithTimeout(t.Context(), 8*time.Second)
 	defer cancel()
 	r := get(addr, "a")
 	r.Method, r.Body = http.MethodPost, make([]byte, tcptest.UploadBytes)
 	answer, failure := pool.Send(ctx, r)
 	if failure != nil {
-		return failure
+		return "", failure
 	}
 	defer answer.Close()
 	got, err := io.ReadAll(answer)
-	if errors.Is(err, upstream.ErrUnframed) && string(got) == unframedBody {
-		return nil
+	if errors.Is(err, upstream.ErrUnframed) {
+		err = nil
 	}
-	return err
+	return string(got), err
 }
 
-// checkUploads fails the test unless all or none of the responses to long requests are taken for whole.
+// checkUploads fails the test unless the wanted number of responses to long requests are taken for whole, and are.
 func checkUploads(t *testing.T, s tcptest.EarlyServer, newPool func(t *testing.T, addr string) *upstream.Pool, tries, want int) {
 	t.Helper()
 	addr := listen(t, s.Serve)
 	pool := newPool(t, addr)
-	if whole := tcptest.Count(t, tries, func() bool { return upload(t, pool, addr) == nil }); whole != want {
+	whole := tcptest.Count(t, tries, func() bool {
+		got, err := upload(t, pool, addr)
+		if err == nil && got != unframedBody {
+			t.Errorf("a part of a response taken for whole: %q", got)
+		}
+		return err == nil
+	})
+	if whole != want {
 		t.Errorf("%d of %d responses taken for whole", whole, tries)
 	}
 	if pool.Open() != 0 {
@@ -91,7 +99,7 @@
 	s := tcptest.EarlyServer{Reading: tcptest.ReadsNothing, Ending: tcptest.EndsByReset, After: 20 * time.Second, Answer: answerUnframed}
 	addr, pool := listen(t, s.Serve), newPool()
 	timedOut := tcptest.Count(t, tries, func() bool {
-		err := upload(t, pool, addr)
+		_, err := upload(t, pool, addr)
 		return errors.Is(err, syscall.ETIMEDOUT) && !errors.Is(err, os.ErrDeadlineExceeded)
 	})
 	if timedOut != tries {
