review: case 5, a failure of the router carries the server's signature

A script: the operator lowers the timeout of a route whose answers are over 1 MiB to about the time of its runs. The router copies the server's head before it finds that the time has passed, and the failure that it then makes keeps the server's signature.

--- a/review/faultrig/answers.go
+++ b/review/faultrig/answers.go
@@ -39,7 +39,7 @@
 
 func (d *documents) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == healthPath {
-		w.Header().Set("Instance-Id", "i-1")
+		w.Header().Set("Instance-Id", serverID(0))
 		return
 	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
@@ -65,7 +65,7 @@
 
 func playAnswers(r *rig) (bool, error) {
 	d := &documents{rig: r, runs: map[string]int{}}
-	if err := r.startService(d, 64); err != nil {
+	if err := r.startService(64, d); err != nil {
 		return false, err
 	}
 	r.size = size{536, 8192, 200}
@@ -194,13 +194,19 @@
 
 // ask sends an order and reads its answer at once. The connection is closed after an error.
 func (k *keptConn) ask(id string, size int) (status int, err error) {
+	status, _, err = k.askSigned(id, size)
+	return status, err
+}
+
+// askSigned is ask that also returns the signature in the answer.
+func (k *keptConn) askSigned(id string, size int) (status int, signature string, err error) {
 	resp, err := k.send(id, size)
 	if err == nil {
-		status = resp.StatusCode
+		status, signature = resp.StatusCode, resp.Header.Get("Response-Signature")
 		_, err = io.Copy(io.Discard, resp.Body)
 	}
 	if err != nil || resp.Close {
 		k.close()
 	}
-	return status, err
+	return status, signature, err
 }
--- a/review/faultrig/rig.go
+++ b/review/faultrig/rig.go
@@ -31,10 +31,12 @@
 	daemon  string
 	trouble bool
 	size    size
-	dir     string
-	store   *standin.Store
-	address string // of the store
-	begun   time.Time
+	// timeoutMs is the timeout of the route.
+	timeoutMs int
+	dir       string
+	store     *standin.Store
+	address   string // of the store
+	begun     time.Time
 
 	mu       sync.Mutex
 	record   *os.File
@@ -51,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &rig{daemon: daemon, trouble: trouble, dir: dir, store: standin.NewStore(), begun: time.Now(), record: f}
+	r := &rig{daemon: daemon, trouble: trouble, dir: dir, store: standin.NewStore(), begun: time.Now(), record: f, timeoutMs: 30_000}
 	r.address, err = serve(r.store)
 	r.note("disruption: %t", trouble)
 	return r, err
--- a/review/faultrig/service.go
+++ b/review/faultrig/service.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
 
 	"github.com/gaplink/gaplink/platform"
@@ -11,20 +12,27 @@
 // object is a JSON object of the operator or of a server.
 type object = map[string]any
 
-// startService serves a backend server with a number of slots, and registers it with a configuration that routes all orders to it.
-func (r *rig) startService(h http.Handler, slots int) error {
-	addr, err := serve(h)
-	if err != nil {
-		return err
-	}
-	err = r.store.RegisterServer("app", "i-1", addr, "v1", slots, false)
-	if err != nil {
-		return err
+// startService serves the backend servers of a service, with a number of slots each, and registers them with a configuration
+// that routes all orders to it. The id of a server is serverID of its number.
+func (r *rig) startService(slots int, servers ...http.Handler) error {
+	for n, h := range servers {
+		addr, err := serve(h)
+		if err != nil {
+			return err
+		}
+		if err := r.store.RegisterServer("app", serverID(n), addr, "v1", slots, false); err != nil {
+			return err
+		}
 	}
+	return r.configure(7)
+}
+
+// configure stores a version of the configuration.
+func (r *rig) configure(version int) error {
 	return r.store.Put(platform.ConfigKey, object{
-		"version": 7,
+		"version": version,
 		"routes": []object{{
-			"name": "r-1", "hostname": "a.example", "pathPrefix": "/orders/", "type": "unsafe", "timeoutMs": 30000, "sloMs": 300,
+			"name": "r-1", "hostname": "a.example", "pathPrefix": "/orders/", "type": "unsafe", "timeoutMs": r.timeoutMs, "sloMs": 300,
 			"priority": 0, "backend": "app", "attempts": 1, "public": false,
 		}},
 		"backends": []object{{"name": "app", "healthCheck": healthPath, "maxConnections": 480, "protocol": "h1", "tls": false}},
@@ -35,3 +43,5 @@
 
 // maxBodyBytes is the operator's limit on the body of a request, as in the example of the users' pages.
 const maxBodyBytes = 4 << 20
+
+func serverID(n int) string { return fmt.Sprint("i-", n+1) }
