--- a/review/faultrig/main.go
+++ b/review/faultrig/main.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -35,11 +37,15 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(notToRun)
 	}
-	time.AfterFunc(caseLimit, func() {
-		r.note("the case took too long")
+	giveUp := func(why string) {
+		r.note("%s", why)
 		r.close()
 		os.Exit(notToRun)
-	})
+	}
+	time.AfterFunc(caseLimit, func() { giveUp("the case took too long") })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() { giveUp("ended by " + (<-signals).String()) }()
 	isBroken, err := play(r)
 	r.close()
 	switch {
--- a/review/faultrig/rig.go
+++ b/review/faultrig/rig.go
@@ -11,7 +11,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"text/template"
 	"time"
 
@@ -100,9 +99,8 @@
 	cmd    *exec.Cmd
 	exited chan struct{}
 	ended  bool
-	// starts counts the processes; ownEnds those that ended without a signal of this case, or over their memory.
+	// starts counts the processes; ownEnds those that ended before the case did, also over their memory.
 	starts, ownEnds int
-	signalled       bool
 	peakMB          int
 }
 
@@ -212,7 +210,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	m.cmd, m.signalled = cmd, false
+	m.cmd = cmd
 	m.starts++
 	go m.wait(cmd)
 	go m.watchMemory(cmd)
@@ -225,14 +223,13 @@
 func (m *machine) wait(cmd *exec.Cmd) {
 	_ = cmd.Wait() // the state says how it ended
 	m.mu.Lock()
-	own := !m.signalled && !m.ended
-	if own {
+	ended := m.ended
+	if !ended {
 		m.ownEnds++
 	}
-	ended := m.ended
 	m.cmd = nil
 	m.mu.Unlock()
-	m.rig.note("%s: process %d ended: %s; by itself: %t", m.name, cmd.Process.Pid, cmd.ProcessState, own)
+	m.rig.note("%s: process %d ended: %s; by itself: %t", m.name, cmd.Process.Pid, cmd.ProcessState, !ended)
 	if ended {
 		close(m.exited)
 		return
@@ -280,19 +277,6 @@
 	return 0, false
 }
 
-// signal sends a signal of the case to the machine's process.
-func (m *machine) signal(s syscall.Signal) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.cmd == nil {
-		return
-	}
-	if s == syscall.SIGKILL || s == syscall.SIGTERM {
-		m.signalled = true
-	}
-	_ = m.cmd.Process.Signal(s) // it may have just ended
-}
-
 // end kills the machine's process for good.
 func (m *machine) end() {
 	m.mu.Lock()
