review: case 5, prepaid tokens are lost with processes that are killed, and 402 says that none remain

The tenant then gets 402 at every machine though a third of its prepaid tokens never went to a server.

--- a/review/faultrig/main.go
+++ b/review/faultrig/main.go
@@ -27,7 +27,7 @@
 		fmt.Fprintln(os.Stderr, "usage: faultrig CASE DAEMON RECORD")
 		os.Exit(notToRun)
 	}
-	play, ok := map[string]func(*rig) (bool, error){"answers": playAnswers, "failures": playFailures}[os.Args[1]]
+	play, ok := map[string]func(*rig) (bool, error){"answers": playAnswers, "failures": playFailures, "tokens": playTokens}[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case:", os.Args[1])
 		os.Exit(notToRun)
--- a/review/faultrig/rig.go
+++ b/review/faultrig/rig.go
@@ -99,7 +99,7 @@
 	cmd    *exec.Cmd
 	exited chan struct{}
 	ended  bool
-	// starts counts the processes; ownEnds those that ended before the case did, also over their memory.
+	// starts counts the processes; ownEnds those that ended before the case did, also by its kill.
 	starts, ownEnds int
 	peakMB          int
 }
@@ -277,6 +277,15 @@
 	return 0, false
 }
 
+// kill kills the machine's process, which the platform then starts again.
+func (m *machine) kill() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cmd != nil {
+		_ = m.cmd.Process.Kill() // it may have just ended
+	}
+}
+
 // end kills the machine's process for good.
 func (m *machine) end() {
 	m.mu.Lock()
