--- a/review/faultrig/tokens.go
+++ b/review/faultrig/tokens.go
@@ -15,7 +15,7 @@
 	"github.com/gaplink/gaplink/platform"
 )
 
-// The case "tokens": a tenant uses up its prepaid tokens; with the disruption, all processes are killed twice meanwhile.
+// The case "tokens": a tenant uses up its prepaid tokens; with the disruption, all processes are killed a few times meanwhile.
 const (
 	tokenMachines = 3
 	// reserved is the prepaid budget. A request takes tokensIn and tokensOut, the latter in events of eventTokens.
@@ -25,14 +25,13 @@
 	// A request is sent each requestEvery, to the machines in turn.
 	requestEvery = 33 * time.Millisecond
 	tokenPause   = 4 * time.Millisecond
-	// All processes are killed at the same moment, killTimes times.
-	killTimes            = 2
+	// All processes are killed at the same moment, killTimes times; the last time is the final fault.
+	killTimes            = 3
 	firstKill, killEvery = 12 * time.Second, 7 * time.Second
-	// refusedFor is for how long clients go on after the first refusal for want of tokens.
-	refusedFor = 6 * time.Second
-	// owedShare is the part of the budget within which a request is owed, and contact is contactMs with a margin.
-	owedShare = 0.97
-	contact   = 3500 * time.Millisecond
+	// recoverTime is recoverS, after which requests are judged, and judgedTime for how long.
+	recoverTime, judgedTime = 12 * time.Second, 6 * time.Second
+	// servedShare is the least share that is served then, if it was before.
+	servedShare = 0.25
 )
 
 // tokenServer is a sound model server: it sends all events of a request, unless its connection closes.
@@ -93,59 +92,60 @@
 		return false, err
 	}
 	time.Sleep(inTouchAfter)
-	var lastKill atomic.Int64
-	lastKill.Store(time.Now().UnixNano())
-	if r.trouble {
-		go func() {
-			time.Sleep(firstKill)
-			for n := range killTimes {
-				lastKill.Store(time.Now().UnixNano())
+	begun := time.Now()
+	var back atomic.Int64 // when the machines were back after the final fault, in ns after begun
+	go func() {
+		time.Sleep(firstKill)
+		for n := range killTimes {
+			if r.trouble {
 				for _, m := range r.machines {
 					m.kill()
 				}
 				r.note("all processes are killed, time %d; %d tokens went to requests that servers have begun", n+1, requestTokens*count(&ran))
+			}
+			if n < killTimes-1 {
 				time.Sleep(killEvery)
 			}
-		}()
-	}
+		}
+		time.Sleep(restartDelay)
+		for _, m := range r.machines {
+			if !m.awaitReady(10 * time.Second) {
+				r.note("%s did not become ready", m.name)
+				return
+			}
+		}
+		back.Store(int64(time.Since(begun)))
+		r.note("the machines are back")
+	}()
+	const finalFault = firstKill + (killTimes-1)*killEvery
 	var all sync.WaitGroup
-	var sent, falselyRefused atomic.Int64
-	var firstRefusal atomic.Int64
-	statuses := &tally{all: map[string]int{}}
-	limit := time.Now().Add(85 * time.Second)
-	for n := 0; time.Now().Before(limit); n++ {
-		if at := firstRefusal.Load(); at != 0 && time.Now().UnixNano() > at+int64(refusedFor) {
+	before, after := &tally{all: map[string]int{}}, &tally{all: map[string]int{}}
+	for n := 0; ; n++ {
+		sent := time.Since(begun)
+		judgedFrom := time.Duration(back.Load()) + recoverTime
+		isJudged := back.Load() != 0 && sent >= judgedFrom
+		if isJudged && sent >= judgedFrom+judgedTime || sent > 80*time.Second {
 			break
 		}
 		all.Go(func() {
-			sent.Add(1)
 			status := askForTokens(r.machines[n%tokenMachines], fmt.Sprint("q-", n))
-			statuses.add(status)
-			inTouch := time.Since(time.Unix(0, lastKill.Load())) > contact
-			if status != "402" || !inTouch {
-				return
+			switch {
+			case sent < finalFault:
+				before.add(status)
+			case isJudged:
+				after.add(status)
 			}
-			used := requestTokens * (count(&ran) + 1)
-			if float64(used) <= owedShare*reserved {
-				falselyRefused.Add(1)
-				if firstRefusal.CompareAndSwap(0, time.Now().UnixNano()) {
-					r.note("q-%d gets 402, though at most %d of %d tokens went to servers", n, used-requestTokens, reserved)
-				}
-				return
-			}
-			firstRefusal.CompareAndSwap(0, time.Now().UnixNano())
 		})
 		time.Sleep(requestEvery)
 	}
 	all.Wait()
-	served := requestTokens * count(&ran)
-	allowed := 5 + sent.Load()/500
-	r.note("answers: %v", statuses.all)
-	r.note("at most %d of %d tokens went to servers (%.3f); %d of %d requests got 402 though they were owed, %d allowed", served, reserved, float64(served)/reserved, falselyRefused.Load(), sent.Load(), allowed)
-	if firstRefusal.Load() == 0 {
-		return false, errors.New("the tokens were not used up")
+	begunTokens := requestTokens * count(&ran)
+	r.note("at most %d of %d tokens went to servers (%.3f)", begunTokens, reserved, float64(begunTokens)/reserved)
+	r.note("before the final fault: %v; later than %s after the machines were back: %v", before.all, recoverTime, after.all)
+	if before.share("200") < servedShare || after.sum() == 0 {
+		return false, errors.New("too few requests were served before the final fault, or none was sent after it")
 	}
-	return falselyRefused.Load() > allowed, nil
+	return after.share("200") < servedShare, nil
 }
 
 func count(m *sync.Map) (n int) {
@@ -177,6 +177,17 @@
 	all map[string]int
 }
 
+// sum returns the number of requests.
+func (t *tally) sum() (n int) {
+	for _, count := range t.all {
+		n += count
+	}
+	return n
+}
+
+// share returns the share of the requests that ended so.
+func (t *tally) share(how string) float64 { return float64(t.all[how]) / float64(max(t.sum(), 1)) }
+
 func (t *tally) add(how string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
