--- a/review/faultrig/main.go
+++ b/review/faultrig/main.go
@@ -20,7 +20,7 @@
 )
 
 // caseLimit is the most that a case may take.
-const caseLimit = 115 * time.Second
+const caseLimit = 110 * time.Second
 
 func main() {
 	if len(os.Args) != 4 {
--- a/review/faultrig/rig.go
+++ b/review/faultrig/rig.go
@@ -8,9 +8,11 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"text/template"
 	"time"
 
@@ -207,7 +209,7 @@
 	cmd := exec.Command(m.rig.daemon, "run")
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GAPLINK_SETTINGS=" + m.file}
 	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
+	if err := startBound(cmd); err != nil {
 		return err
 	}
 	m.cmd = cmd
@@ -217,6 +219,27 @@
 	return nil
 }
 
+// starts are the processes to start, on one thread.
+var starts = make(chan func())
+
+// startBound starts a process that the kernel kills when this one ends, however it ends. That is bound to the thread which starts
+// the process, so one thread starts all and lives as long as this process.
+func startBound(cmd *exec.Cmd) error {
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	starts <- func() { started <- cmd.Start() }
+	return <-started
+}
+
+func init() {
+	go func() {
+		runtime.LockOSThread()
+		for start := range starts {
+			start()
+		}
+	}()
+}
+
 // restartDelay is the short delay after which the platform starts a process again.
 const restartDelay = 500 * time.Millisecond
 
